Add the thin path from a look-up to a whole answer

Cause: nothing existed; every later area needs a call that is served from start to finish by separate processes. Ruled out: etcd's gRPC gateway for the key-value service, whose watches are streams while the platform counts a waiting watch as a call; exceptions for outcomes; tsx at run time, which costs each process a second thread. Retries, caps, drains, at-most-once and membership are not there yet.

--- /dev/null
+++ b/cli/pomelopick/src/commands/demo.ts
@@ -0,0 +1,32 @@
+import {Command, Option} from 'clipanion';
+import {runDemo} from '@pomelopick/testing.demo';
+import {exitCodes, PomelopickCommand} from '../context.js';
+
+/** `pomelopick demo`: runs the demo on loopback. */
+export class DemoCommand extends PomelopickCommand {
+	static override paths = [['demo']];
+	static override usage = Command.Usage({
+		description: 'Run the demo on loopback',
+		details: 'Starts both deployments with stand-ins for the platform and the backend servers, drives calls through faults and judges every answer.',
+		examples: [['Run with a seed', '$0 demo --seed 7']],
+	});
+
+	seed = Option.String('--seed', '1', {description: 'Seed of the callers'});
+
+	async execute(): Promise<number> {
+		const seed = Number(this.seed);
+		if (!Number.isSafeInteger(seed)) {
+			return this.fail({error: {code: 'bad-flag', message: `--seed: expected a whole number, found ${JSON.stringify(this.seed)}`}, exitCode: exitCodes.usage});
+		}
+
+		const results = await runDemo({
+			seed, report: line => {
+				this.context.stderr.write(`${line}\n`);
+			},
+		});
+		const lines = results.map(({deployment, calls, answered, silent, wrongAnswers, doubleExecutions}) =>
+			`${deployment}: ${answered} of ${calls} calls answered, ${silent} silent, ${wrongAnswers} wrong, ${doubleExecutions} executed twice`);
+		this.print({document: results, text: lines.join('\n')});
+		return results.every(({silent, wrongAnswers, doubleExecutions}) => silent + wrongAnswers + doubleExecutions === 0) ? exitCodes.success : exitCodes.refused;
+	}
+}
--- /dev/null
+++ b/cli/pomelopick/src/commands/entry.ts
@@ -0,0 +1,37 @@
+import process from 'node:process';
+import {Command, Option} from 'clipanion';
+import {readSettings} from '@pomelopick/config.settings';
+import type {Settings} from '@pomelopick/config.settings';
+import {startEntry} from '@pomelopick/daemons.entry';
+import {exitCodes, PomelopickCommand} from '../context.js';
+
+/** `pomelopick entry SETTINGS`: runs one entry instance until SIGTERM. */
+export class EntryCommand extends PomelopickCommand {
+	static override paths = [['entry']];
+	static override usage = Command.Usage({
+		description: 'Run an entry instance',
+		details: 'Reads the settings, starts the instance and runs until SIGTERM or SIGINT; calls in flight then finish first.',
+		examples: [['Run an instance', '$0 entry settings.json']],
+	});
+
+	settings = Option.String({name: 'SETTINGS'});
+
+	async execute(): Promise<number> {
+		const settings = await readSettings(this.settings).run();
+		return settings.caseOf<Promise<number>>({
+			Left: async error => this.fail({error, exitCode: exitCodes.usage}),
+			Right: async checked => this.#run(checked),
+		});
+	}
+
+	async #run(settings: Settings): Promise<number> {
+		const daemon = await startEntry({settings});
+		this.context.stdout.write(`${JSON.stringify({instance: settings.instance, ...daemon.endpoints})}\n`);
+		await new Promise<void>(resolve => {
+			process.once('SIGTERM', resolve);
+			process.once('SIGINT', resolve);
+		});
+		await daemon.stop();
+		return exitCodes.success;
+	}
+}
--- /dev/null
+++ b/cli/pomelopick/src/context.ts
@@ -0,0 +1,55 @@
+/** What every command shares: exit codes, output and parsing of endpoints. */
+import {isIP} from 'node:net';
+import {Command, Option} from 'clipanion';
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import type {CodedError, Endpoint} from '@pomelopick/core.types';
+
+/** Exit codes of all commands. */
+export const exitCodes = {
+	success: 0,
+	/** The request was understood and refused, or a check failed. */
+	refused: 1,
+	/** A flag, a file or a setting is wrong. */
+	usage: 2,
+	/** The store or an instance does not answer. */
+	unavailable: 3,
+	/** A write may or may not have taken effect. */
+	undecided: 4,
+} as const;
+
+/** A command with `--json` and the helpers that all commands use. */
+export abstract class PomelopickCommand extends Command {
+	json = Option.Boolean('--json', false, {description: 'Print one JSON document instead of text'});
+
+	/** Prints the document when `--json` is given, otherwise the text. */
+	protected print({document, text}: {readonly document: unknown; readonly text: string}): void {
+		this.context.stdout.write(`${this.json ? JSON.stringify(document) : text}\n`);
+	}
+
+	/** Prints an error and answers the exit code. */
+	protected fail({error, exitCode}: {readonly error: CodedError; readonly exitCode: number}): number {
+		this.context.stderr.write(`${this.json ? JSON.stringify({error}) : `${error.code}: ${error.message}`}\n`);
+		return exitCode;
+	}
+}
+
+/** Options of {@link parseEndpoint}. */
+export interface ParseEndpointOptions {
+	readonly flag: string;
+	readonly text: string;
+}
+
+const ENDPOINT_PATTERN = /^(?:\[(?<ipv6>[^\]]+)\]|(?<ipv4>[^:]+)):(?<port>\d{1,5})$/u;
+const MOST_PORT = 65_535;
+
+/** Parses `IP:PORT` or `[IPV6]:PORT`. */
+export function parseEndpoint({flag, text}: ParseEndpointOptions): Either<CodedError, Endpoint> {
+	const {ipv4, ipv6, port} = ENDPOINT_PATTERN.exec(text)?.groups ?? {};
+	const address = ipv4 ?? ipv6 ?? '';
+	if (isIP(address) === 0 || Number(port) > MOST_PORT) {
+		return Left({code: 'bad-flag', message: `${flag}: expected IP:PORT, found ${JSON.stringify(text)}`});
+	}
+
+	return Right({address, port: Number(port)});
+}
--- /dev/null
+++ b/cli/pomelopick/src/operator-client.ts
@@ -0,0 +1,30 @@
+/** Reads JSON from an instance's listener. */
+import {request} from 'undici';
+import {EitherAsync, Left, Right} from 'purify-ts';
+import type {CodedError, Endpoint} from '@pomelopick/core.types';
+
+const CALL_TIMEOUT_MS = 3000;
+
+/** Options of {@link getJson}. */
+export interface GetJsonOptions {
+	readonly endpoint: Endpoint;
+	/** Path and query. */
+	readonly path: string;
+}
+
+/** Left `instance-unavailable` when nothing answers, `refused` when the instance refuses. */
+export function getJson<Shape>({endpoint, path}: GetJsonOptions): EitherAsync<CodedError, Shape> {
+	return EitherAsync.fromPromise(async () => {
+		const {address, port} = endpoint;
+		const origin = address.includes(':') ? `http://[${address}]:${port}` : `http://${address}:${port}`;
+		try {
+			const response = await request(`${origin}${path}`, {signal: AbortSignal.timeout(CALL_TIMEOUT_MS)});
+			const body = await response.body.json() as Shape & {title?: string; detail?: string};
+			return response.statusCode < 300
+				? Right(body)
+				: Left({code: body.title ?? 'refused', message: body.detail ?? `${origin}${path} answered ${response.statusCode}`});
+		} catch (error) {
+			return Left({code: 'instance-unavailable', message: `${origin} does not answer: ${(error as Error).message}`});
+		}
+	});
+}
--- /dev/null
+++ b/config/schema/src/index.ts
@@ -0,0 +1,5 @@
+/** Schema and cross-checks of a whole configuration set. */
+export {checkConfigurationSet} from './check.js';
+export {formatFault, type ConfigurationFault} from './fault.js';
+export {parsePrefix, type ParsedPrefix} from './prefix.js';
+export {configurationJsonSchema, configurationSetSchema, type ConfigurationSetInput} from './schema.js';
--- /dev/null
+++ b/config/schema/test/check.test.ts
@@ -0,0 +1,81 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {checkConfigurationSet} from '@pomelopick/config.schema';
+import type {ConfigurationFault, ConfigurationSetInput} from '@pomelopick/config.schema';
+
+const sound: ConfigurationSetInput = {
+	regions: [{name: 'north'}, {name: 'south'}],
+	failureDomains: [{name: 'north-1', region: 'north'}, {name: 'south-1', region: 'south'}],
+	sites: [{name: 'north-site', failureDomain: 'north-1'}, {name: 'south-site', failureDomain: 'south-1'}],
+	links: [{
+		name: 'north-south', between: ['north', 'south'], megabitsPerSecond: 280, oneWayMs: 12,
+	}],
+	services: [{name: 'desk', answerBytes: 4096}],
+	backendServers: [
+		{
+			name: 'desk-1', service: 'desk', site: 'north-site', address: '127.0.0.1', port: 9001, slots: 4,
+		},
+		{
+			name: 'desk-2', service: 'desk', site: 'south-site', address: '127.0.0.1', port: 9002, slots: 4,
+		},
+	],
+	shifts: [{
+		name: 'to-south', service: 'desk', from: 'north', to: 'south', capCallsPerSecond: 100,
+	}],
+	clientBlocks: [{prefix: '10.0.0.0/8', site: 'north-site'}, {prefix: '10.1.0.0/16', site: 'south-site'}, {prefix: '2001:db8::/32', site: 'north-site'}],
+};
+
+const cases: ReadonlyArray<{name: string; change: Partial<ConfigurationSetInput>; expected: ReadonlyArray<Pick<ConfigurationFault, 'code' | 'path'>>}> = [
+	{name: 'accepts a sound set with nested blocks', change: {}, expected: []},
+	{name: 'names an unknown region', change: {failureDomains: [{name: 'north-1', region: 'nowhere'}, {name: 'south-1', region: 'south'}]}, expected: [{code: 'unknown-name', path: 'failureDomains[0].region'}]},
+	{name: 'names a double name', change: {regions: [{name: 'north'}, {name: 'south'}, {name: 'north'}]}, expected: [{code: 'double-name', path: 'regions[2].name'}]},
+	{
+		name: 'refuses a cap above what the slots can finish',
+		change: {
+			services: [{name: 'desk', answerBytes: 0}], shifts: [{
+				name: 'to-south', service: 'desk', from: 'north', to: 'south', capCallsPerSecond: 4001,
+			}],
+		},
+		expected: [{code: 'impossible-cap', path: 'shifts[0].capCallsPerSecond'}],
+	},
+	{
+		name: 'refuses a cap above what the link can carry',
+		change: {services: [{name: 'desk', answerBytes: 1_000_000}]},
+		expected: [{code: 'impossible-cap', path: 'shifts[0].capCallsPerSecond'}],
+	},
+	{
+		name: 'refuses shifts that lead back',
+		change: {
+			shifts: [
+				{
+					name: 'there', service: 'desk', from: 'north', to: 'south', capCallsPerSecond: 1,
+				},
+				{
+					name: 'back', service: 'desk', from: 'south', to: 'north', capCallsPerSecond: 1,
+				},
+			],
+		},
+		expected: [{code: 'loop', path: 'shifts[0]'}, {code: 'loop', path: 'shifts[1]'}],
+	},
+	{
+		name: 'refuses the same block written in two ways',
+		change: {clientBlocks: [{prefix: '2001:db8::/32', site: 'north-site'}, {prefix: '2001:0db8:0::/32', site: 'south-site'}]},
+		expected: [{code: 'overlapping-block', path: 'clientBlocks[1].prefix'}],
+	},
+	{name: 'refuses a block with host bits', change: {clientBlocks: [{prefix: '10.0.0.1/8', site: 'north-site'}]}, expected: [{code: 'bad-block', path: 'clientBlocks[0].prefix'}]},
+	{name: 'names a bad shape with its path', change: {services: [{name: 'Desk!'}]}, expected: [{code: 'bad-shape', path: 'services[0].name'}]},
+	{
+		name: 'reports all faults together',
+		change: {drains: [{name: 'stop', target: {kind: 'site', name: 'nowhere'}}], clientBlocks: [{prefix: '10.0.0.0/8', site: 'elsewhere'}]},
+		expected: [{code: 'unknown-name', path: 'drains[0].target.name'}, {code: 'unknown-name', path: 'clientBlocks[0].site'}],
+	},
+];
+
+describe('checkConfigurationSet', () => {
+	for (const {name, change, expected} of cases) {
+		it(name, () => {
+			const faults = checkConfigurationSet({...sound, ...change}).swap().orDefault([]);
+			assert.deepEqual(faults.map(({code, path}) => ({code, path})), expected);
+		});
+	}
+});
--- /dev/null
+++ b/config/settings/src/index.ts
@@ -0,0 +1,2 @@
+/** Schema and loading of a process's settings. */
+export * from './settings.js';
--- /dev/null
+++ b/core/telemetry/src/counters.ts
@@ -0,0 +1,72 @@
+/** Counters and timings of one process, sent by hot-shots and readable in the process itself. */
+import {StatsD} from 'hot-shots';
+import type {HedgeReason, RefusalReason, RetryReason} from '@pomelopick/core.types';
+
+/** Where metrics go: a StatsD server reached over UDP. */
+export interface MetricsTarget {
+	readonly host: string;
+	readonly port: number;
+}
+
+/** Options of {@link Counters}. */
+export interface CountersOptions {
+	/** Absent: counters are only kept in the process. */
+	readonly target?: MetricsTarget;
+	/** Tags of every metric. */
+	readonly tags: Readonly<Record<string, string>>;
+}
+
+/** Counts refusals, retries and hedges by reason, and any other named event. */
+export class Counters {
+	readonly #client: StatsD | undefined;
+	readonly #values = new Map<string, number>();
+
+	constructor({target, tags}: CountersOptions) {
+		this.#client = target && new StatsD({
+			host: target.host, port: target.port, prefix: 'pomelopick.', globalTags: {...tags}, errorHandler() {/* A lost metric harms nothing. */},
+		});
+	}
+
+	/** Adds one to the counter of a refusal reason. */
+	refused(reason: RefusalReason): void {
+		this.add(`refusal.${reason}`);
+	}
+
+	/** Adds one to the counter of a retry reason. */
+	retried(reason: RetryReason): void {
+		this.add(`retry.${reason}`);
+	}
+
+	/** Adds one to the counter of a hedge reason. */
+	hedged(reason: HedgeReason): void {
+		this.add(`hedge.${reason}`);
+	}
+
+	/** Adds to a named counter. */
+	add(name: string, count = 1): void {
+		this.#values.set(name, (this.#values.get(name) ?? 0) + count);
+		this.#client?.increment(name, count);
+	}
+
+	/** Sends a duration, in milliseconds. */
+	timing(name: string, durationMs: number): void {
+		this.#client?.timing(name, durationMs);
+	}
+
+	/** All counters since the process started, by name. */
+	snapshot(): Record<string, number> {
+		return Object.fromEntries([...this.#values].sort(([left], [right]) => left.localeCompare(right)));
+	}
+
+	/** Flushes what is buffered and closes the socket. */
+	async close(): Promise<void> {
+		const client = this.#client;
+		if (client) {
+			await new Promise<void>(resolve => {
+				client.close(() => {
+					resolve();
+				});
+			});
+		}
+	}
+}
--- /dev/null
+++ b/core/types/src/instance.ts
@@ -0,0 +1,24 @@
+/** One of the system's own instances, as the platform's list names it. */
+import type {FailureDomainName, InstanceId} from './ids.js';
+
+/** IP address and port. */
+export interface Endpoint {
+	readonly address: string;
+	readonly port: number;
+}
+
+/** State of an instance in the platform's list. */
+export type InstanceState = 'live' | 'leaving';
+
+/** An instance and where it listens. */
+export interface Instance {
+	readonly id: InstanceId;
+	readonly failureDomain: FailureDomainName;
+	readonly state: InstanceState;
+	/** Listener for callers. */
+	readonly callers: Endpoint;
+	/** Listener for the system's other instances. */
+	readonly peers: Endpoint;
+	/** Listener for operators. */
+	readonly operators: Endpoint;
+}
--- /dev/null
+++ b/core/types/src/refusal.ts
@@ -0,0 +1,77 @@
+/** Refusals as values, and their form as problem documents (RFC 9457). */
+import type {Execution, RefusalReason} from './reasons.js';
+
+/** Why a call gets no backend server's answer, and whether anything was run. */
+export interface Refusal {
+	readonly reason: RefusalReason;
+	readonly execution: Execution;
+	/** What was found, for a person. */
+	readonly detail: string;
+	/** When coming back helps, in milliseconds from now. */
+	readonly retryAfterMs?: number;
+}
+
+/** Problem document that a refused caller receives (RFC 9457). */
+export interface ProblemDocument {
+	readonly type: string;
+	readonly title: RefusalReason;
+	readonly status: number;
+	readonly detail: string;
+	readonly execution: Execution;
+	readonly callId: string;
+	readonly retryAfterMs?: number;
+}
+
+/** Media type of a problem document. */
+export const PROBLEM_MEDIA_TYPE = 'application/problem+json';
+
+const statusByReason: Record<RefusalReason, number> = {
+	'bad-request': 400,
+	'unknown-service': 404,
+	'headers-too-large': 431,
+	'body-too-large': 413,
+	'body-too-slow': 408,
+	'configuration-missing': 503,
+	'instance-leaving': 503,
+	'instance-full': 503,
+	'caller-share-exceeded': 429,
+	'queue-full': 503,
+	'queue-timeout': 503,
+	'no-backend-server': 503,
+	'region-headroom-exhausted': 503,
+	'link-capacity-exhausted': 503,
+	'shift-cap-reached': 503,
+	'grant-expired': 503,
+	'deadline-exceeded': 504,
+	'caller-cancelled': 499,
+	'connect-failed': 502,
+	'backend-failed': 502,
+	'backend-shed': 503,
+	'answer-truncated': 502,
+	'answer-mismatched': 502,
+	'request-quarantined': 422,
+	'journal-unavailable': 503,
+	'key-in-flight': 409,
+	'key-conflict': 422,
+	'key-outcome-unknown': 409,
+	'key-expired': 409,
+};
+
+/** Options of {@link toProblemDocument}. */
+export interface ToProblemDocumentOptions {
+	readonly refusal: Refusal;
+	readonly callId: string;
+}
+
+/** Renders a refusal as the document that the caller receives. */
+export function toProblemDocument({refusal, callId}: ToProblemDocumentOptions): ProblemDocument {
+	return {
+		type: `urn:pomelopick:problem:${refusal.reason}`,
+		title: refusal.reason,
+		status: statusByReason[refusal.reason],
+		detail: refusal.detail,
+		execution: refusal.execution,
+		callId,
+		...(refusal.retryAfterMs !== undefined && {retryAfterMs: refusal.retryAfterMs}),
+	};
+}
--- /dev/null
+++ b/daemons/entry/src/index.ts
@@ -0,0 +1,2 @@
+/** The entry daemon. */
+export * from './entry.js';
--- /dev/null
+++ b/daemons/entry/src/lookup-handler.ts
@@ -0,0 +1,76 @@
+/** Answers `GET /v1/entries?service=NAME[&client=IP]`. */
+import {randomUUID} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {isIP} from 'node:net';
+import type {CallId, Refusal} from '@pomelopick/core.types';
+import {sendRefusal} from '@pomelopick/calls.forwarding';
+import type {ConfigurationView} from '@pomelopick/config.distribution';
+import type {LookupView} from './lookup-view.js';
+
+const CACHE_SECONDS = 2;
+
+/** Options of {@link answerLookup}. */
+export interface AnswerLookupOptions {
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly lookup: LookupView;
+	readonly view: ConfigurationView | undefined;
+	readonly now: () => number;
+}
+
+/** Answers a look-up, or refuses it with a problem document. */
+export function answerLookup({request, response, lookup, view, now}: AnswerLookupOptions): void {
+	const url = new URL(request.url ?? '/', 'http://entry');
+	const service = url.searchParams.get('service') ?? '';
+	const client = url.searchParams.get('client') ?? request.socket.remoteAddress ?? '';
+	const refusal = findRefusal({
+		request, url, service, client, lookup, view,
+	});
+	if (refusal) {
+		request.resume();
+		sendRefusal({response, id: randomUUID() as CallId, refusal});
+		return;
+	}
+
+	const entries = lookup.entriesFor(client).map(({id, failureDomain, callers}) => ({instance: id, failureDomain, ...callers}));
+	response.writeHead(200, {'content-type': 'application/json', 'cache-control': `max-age=${CACHE_SECONDS}`});
+	response.end(JSON.stringify({
+		service,
+		site: lookup.findSite(client),
+		entries,
+		maxAgeSeconds: CACHE_SECONDS,
+		configurationVersion: view?.configuration.root.version,
+		viewAgeMs: view && Math.round(now() - view.confirmedAtMs),
+	}));
+}
+
+interface FindRefusalOptions {
+	readonly request: IncomingMessage;
+	readonly url: URL;
+	readonly service: string;
+	readonly client: string;
+	readonly lookup: LookupView;
+	readonly view: ConfigurationView | undefined;
+}
+
+function findRefusal({request, url, service, client, lookup, view}: FindRefusalOptions): Refusal | undefined {
+	if (url.pathname !== '/v1/entries' || request.method !== 'GET') {
+		return {reason: 'bad-request', execution: 'not-run', detail: `expected GET /v1/entries or any method on /v1/services/NAME/, found ${request.method} ${url.pathname}`};
+	}
+
+	if (isIP(client) === 0) {
+		return {reason: 'bad-request', execution: 'not-run', detail: `client: expected an IP address, found ${JSON.stringify(client)}`};
+	}
+
+	if (!view) {
+		return {
+			reason: 'configuration-missing', execution: 'not-run', detail: 'no configuration has arrived yet', retryAfterMs: 1000,
+		};
+	}
+
+	if (!lookup.hasService(service)) {
+		return {reason: 'unknown-service', execution: 'not-run', detail: `service: no service is named ${JSON.stringify(service)}`};
+	}
+
+	return undefined;
+}
--- /dev/null
+++ b/steering/choice/src/index.ts
@@ -0,0 +1,3 @@
+/** Chooses a backend server for a call. */
+export * from './draining.js';
+export * from './power-of-two.js';
--- /dev/null
+++ b/steering/lookup/src/index.ts
@@ -0,0 +1,4 @@
+/** Finds a caller's site and orders the entry instances for it. */
+export * from './block-table.js';
+export * from './entry-order.js';
+export * from './topology.js';
--- /dev/null
+++ b/testing/backend-stand-in/src/backend-stand-in.ts
@@ -0,0 +1,320 @@
+/**
+ * Stand-in for a backend server.
+ *
+ * A call may carry `workMs`, `bytes`, `crash` in its query. The answer repeats the call's id, method and path and
+ * carries a digest of its padding, so that a caller can tell a whole answer of its own from any other.
+ */
+import {createHash} from 'node:crypto';
+import {
+	createServer,
+} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
+import {buffer} from 'node:stream/consumers';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Endpoint} from '@pomelopick/core.types';
+import {defaultBehaviour} from './behaviour.js';
+import type {BackendBehaviour, Execution} from './behaviour.js';
+import {Slots} from './slots.js';
+
+const DEFAULT_CONNECTIONS = 330;
+const MOST_ANSWER_BYTES = 16_777_216;
+
+/** Options of {@link startBackendStandIn}. */
+export interface StartBackendStandInOptions {
+	readonly name: string;
+	readonly slots: number;
+	readonly port?: number;
+	readonly connections?: number;
+	readonly behaviour?: Partial<BackendBehaviour>;
+	/** Called by a request that crashes the server. */
+	readonly crash: () => void;
+}
+
+/** A running stand-in. */
+export interface BackendStandIn {
+	readonly endpoint: Endpoint;
+	readonly behaviour: BackendBehaviour;
+	readonly executions: readonly Execution[];
+	readonly statistics: () => BackendStatistics;
+	stop(): Promise<void>;
+}
+
+/** What the stand-in saw. */
+export interface BackendStatistics {
+	readonly name: string;
+	readonly executed: number;
+	readonly shed: number;
+	readonly worstInFlight: number;
+	readonly connectionsRefused: number;
+	readonly openConnections: number;
+}
+
+interface Report {
+	readonly atMs: number;
+	readonly inFlight: number;
+	readonly draining: boolean;
+}
+
+/** Starts a backend server on loopback. */
+export async function startBackendStandIn(options: StartBackendStandInOptions): Promise<BackendStandIn> {
+	const backend = new Backend(options);
+	const server = createServer((request, response) => {
+		void backend.serve({request, response});
+	});
+	server.maxConnections = options.connections ?? DEFAULT_CONNECTIONS;
+	server.on('connection', socket => {
+		backend.onConnection(socket);
+	});
+	server.on('drop', () => {
+		backend.connectionsRefused += 1;
+	});
+	await new Promise<void>(resolve => {
+		server.listen(options.port ?? 0, '127.0.0.1', resolve);
+	});
+	return {
+		endpoint: {address: '127.0.0.1', port: (server.address() as AddressInfo).port},
+		behaviour: backend.behaviour,
+		executions: backend.executions,
+		statistics: () => backend.statistics(),
+		stop: async () => stopServer(server),
+	};
+}
+
+interface ExecuteOptions {
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly url: URL;
+	readonly body: Uint8Array;
+	readonly signal: AbortSignal;
+}
+
+class Backend {
+	readonly behaviour: BackendBehaviour;
+	readonly executions: Execution[] = [];
+	connectionsRefused = 0;
+	readonly #options: StartBackendStandInOptions;
+	readonly #slots: Slots;
+	readonly #startedAtMs = performance.now();
+	readonly #sockets = new Set<Socket>();
+	readonly #reports: Report[] = [];
+	#shed = 0;
+
+	constructor(options: StartBackendStandInOptions) {
+		this.#options = options;
+		this.behaviour = {...defaultBehaviour, ...options.behaviour};
+		this.#slots = new Slots({count: options.slots});
+	}
+
+	statistics(): BackendStatistics {
+		return {
+			name: this.#options.name,
+			executed: this.executions.length,
+			shed: this.#shed,
+			worstInFlight: this.#slots.worst,
+			connectionsRefused: this.connectionsRefused,
+			openConnections: this.#sockets.size,
+		};
+	}
+
+	onConnection(socket: Socket): void {
+		this.#sockets.add(socket);
+		socket.once('close', () => {
+			this.#sockets.delete(socket);
+		});
+	}
+
+	async serve({request, response}: {readonly request: IncomingMessage; readonly response: ServerResponse}): Promise<void> {
+		const url = new URL(request.url ?? '/', 'http://backend');
+		if (url.pathname.startsWith('/stand-in/')) {
+			await this.#control({request, response, url});
+			return;
+		}
+
+		if (url.pathname === '/load' || url.pathname === '/health') {
+			this.#report({response, path: url.pathname});
+			return;
+		}
+
+		await this.#call({request, response, url});
+	}
+
+	async #call({request, response, url}: {readonly request: IncomingMessage; readonly response: ServerResponse; readonly url: URL}): Promise<void> {
+		const cancelled = new AbortController();
+		response.once('close', () => {
+			cancelled.abort();
+		});
+		const body = await readBody(request);
+		if (this.behaviour.draining || !await this.#slots.acquire({queueCalls: this.behaviour.queueCalls, signal: cancelled.signal})) {
+			this.#shed += 1;
+			this.#noteReport();
+			sendJson({
+				response, status: 503, body: {error: this.behaviour.draining ? 'draining' : 'no slot'}, headers: {'x-draining': String(this.behaviour.draining)},
+			});
+			return;
+		}
+
+		this.#noteReport();
+		try {
+			await this.#execute({
+				request, response, url, body, signal: cancelled.signal,
+			});
+		} finally {
+			this.#slots.release();
+			this.#noteReport();
+		}
+	}
+
+	async #execute({request, response, url, body, signal}: ExecuteOptions): Promise<void> {
+		const execution: Execution = {
+			callId: String(request.headers['x-call-id'] ?? ''),
+			idempotencyKey: request.headers['idempotency-key'] as string | undefined,
+			method: request.method ?? '',
+			path: url.pathname + url.search,
+			startedAtMs: Date.now(),
+			endedAtMs: undefined,
+			ended: 'running',
+		};
+		this.executions.push(execution);
+		if (url.searchParams.has('crash')) {
+			this.#options.crash();
+			return;
+		}
+
+		await this.#work({url, signal});
+		execution.endedAtMs = Date.now();
+		if (signal.aborted) {
+			execution.ended = 'cancelled';
+			return;
+		}
+
+		const answer = this.#render({execution, url, body});
+		if (this.behaviour.truncateEvery > 0 && this.executions.length % this.behaviour.truncateEvery === 0) {
+			execution.ended = 'truncated';
+			response.writeHead(200, {'content-type': 'application/json', 'content-length': String(answer.length)});
+			response.write(answer.subarray(0, Math.floor(answer.length / 2)), () => {
+				response.destroy();
+			});
+			return;
+		}
+
+		execution.ended = 'answered';
+		response.writeHead(200, {'content-type': 'application/json', 'content-length': String(answer.length), 'x-call-id': execution.callId});
+		response.end(answer);
+	}
+
+	async #work({url, signal}: {readonly url: URL; readonly signal: AbortSignal}): Promise<void> {
+		const isCold = performance.now() - this.#startedAtMs < this.behaviour.coldForMs;
+		const workMs = Number(url.searchParams.get('workMs') ?? this.behaviour.workMs) + (isCold ? this.behaviour.coldExtraMs : 0);
+		try {
+			await sleep(workMs, undefined, {signal});
+		} catch {
+			// The caller cancelled the work.
+		}
+	}
+
+	#render({execution, url, body}: {readonly execution: Execution; readonly url: URL; readonly body: Uint8Array}): Uint8Array {
+		const bytes = Math.min(MOST_ANSWER_BYTES, Number(url.searchParams.get('bytes') ?? this.behaviour.answerBytes));
+		const padding = 'x'.repeat(bytes);
+		return new TextEncoder().encode(JSON.stringify({
+			server: this.#options.name,
+			callId: execution.callId,
+			method: execution.method,
+			path: execution.path,
+			bodyDigest: digest(body),
+			padding,
+			paddingDigest: digest(padding),
+		}));
+	}
+
+	#report({response, path}: {readonly response: ServerResponse; readonly path: string}): void {
+		if (this.behaviour.reportsSilent) {
+			return;
+		}
+
+		const atMs = performance.now() - this.behaviour.reportLagMs;
+		const report = this.#reports.findLast(candidate => candidate.atMs <= atMs) ?? {inFlight: 0, draining: this.behaviour.draining};
+		if (path === '/health') {
+			const isHealthy = this.behaviour.reportedHealthy ?? !report.draining;
+			sendJson({response, status: isHealthy ? 200 : 503, body: {state: report.draining ? 'draining' : 'serving'}});
+			return;
+		}
+
+		sendJson({response, status: 200, body: {inFlight: this.behaviour.reportedInFlight ?? report.inFlight, slots: this.#options.slots, draining: report.draining}});
+	}
+
+	#noteReport(): void {
+		const atMs = performance.now();
+		this.#reports.push({atMs, inFlight: this.#slots.inUse + this.#slots.waiting, draining: this.behaviour.draining});
+		while (this.#reports.length > 2 && this.#reports[1]!.atMs < atMs - this.behaviour.reportLagMs) {
+			this.#reports.shift();
+		}
+	}
+
+	async #control({request, response, url}: {readonly request: IncomingMessage; readonly response: ServerResponse; readonly url: URL}): Promise<void> {
+		const body = await readBody(request);
+		switch (url.pathname) {
+			case '/stand-in/behaviour': {
+				Object.assign(this.behaviour, JSON.parse(new TextDecoder().decode(body)));
+				this.#noteReport();
+				if (this.behaviour.freezeOpenConnections) {
+					this.behaviour.freezeOpenConnections = false;
+					this.#freezeAllBut(request.socket);
+				}
+
+				sendJson({response, status: 200, body: this.behaviour});
+				return;
+			}
+
+			case '/stand-in/executions': {
+				sendJson({response, status: 200, body: this.executions});
+				return;
+			}
+
+			default: {
+				sendJson({response, status: 200, body: this.statistics()});
+			}
+		}
+	}
+
+	#freezeAllBut(kept: Socket): void {
+		for (const socket of this.#sockets) {
+			if (socket !== kept) {
+				socket.pause();
+				socket.removeAllListeners('data');
+				socket.write = () => true;
+				socket.end = () => socket;
+			}
+		}
+	}
+}
+
+async function readBody(request: IncomingMessage): Promise<Uint8Array> {
+	try {
+		return await buffer(request);
+	} catch {
+		// The caller left before its body was whole.
+		return new Uint8Array();
+	}
+}
+
+function sendJson({response, status, body, headers = {}}: {readonly response: ServerResponse; readonly status: number; readonly body: unknown; readonly headers?: Record<string, string>}): void {
+	if (!response.destroyed) {
+		response.writeHead(status, {'content-type': 'application/json', ...headers});
+		response.end(JSON.stringify(body));
+	}
+}
+
+function digest(content: string | Uint8Array): string {
+	return createHash('sha256').update(content).digest('hex');
+}
+
+async function stopServer(server: Server): Promise<void> {
+	await new Promise<void>(resolve => {
+		server.close(() => {
+			resolve();
+		});
+		server.closeAllConnections();
+	});
+}
--- /dev/null
+++ b/testing/backend-stand-in/src/index.ts
@@ -0,0 +1,3 @@
+/** Stand-in for a backend server. */
+export * from './backend-stand-in.js';
+export type * from './behaviour.js';
--- /dev/null
+++ b/testing/callers/src/index.ts
@@ -0,0 +1,3 @@
+/** Callers that use the system and check every answer they get. */
+export * from './caller.js';
+export * from './judge.js';
--- /dev/null
+++ b/testing/demo/src/main.ts
@@ -0,0 +1,30 @@
+/** Runs the demo: `npm run demo [-- SEED]`. Exit code 0 only when no call was silent, wrong or executed twice. */
+import process from 'node:process';
+import {runDemo} from './demo.js';
+import {formatTable} from './table.js';
+
+const DEFAULT_SEED = 1;
+
+const seed = Number(process.argv[2] ?? DEFAULT_SEED);
+const startedAtMs = Date.now();
+const results = await runDemo({
+	seed, report(line) {
+		process.stdout.write(`${line}\n`);
+	},
+});
+const columns = ['deployment', 'calls', 'answered', 'refused', 'silent', 'wrongAnswers', 'doubleExecutions', 'falseNotRun'] as const;
+process.stdout.write(`\n${formatTable({columns, rows: results.map(result => columns.map(column => result[column]))})}\n\n`);
+const total = (column: 'calls' | 'answered' | 'refused' | 'silent' | 'wrongAnswers' | 'doubleExecutions' | 'falseNotRun'): number => results.reduce((sum, result) => sum + result[column], 0);
+const summary = {
+	seed,
+	calls: total('calls'),
+	answered: total('answered'),
+	refused: total('refused'),
+	silent: total('silent'),
+	wrongAnswers: total('wrongAnswers'),
+	doubleExecutions: total('doubleExecutions'),
+	falseNotRun: total('falseNotRun'),
+	elapsedMs: Date.now() - startedAtMs,
+};
+process.stdout.write(`${JSON.stringify(summary)}\n`);
+process.exitCode = summary.silent + summary.wrongAnswers + summary.doubleExecutions === 0 && summary.calls > 0 ? 0 : 1;
--- /dev/null
+++ b/testing/fault-proxy/src/fault-proxy.ts
@@ -0,0 +1,206 @@
+/** TCP proxy between two processes that injects faults, drawn from a seed. */
+import {
+	connect, createServer,
+} from 'node:net';
+import type {AddressInfo, Server, Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import type {Endpoint} from '@pomelopick/core.types';
+
+/** Faults of the path; changed while it runs. */
+export interface PathFaults {
+	/** One-way delay, in milliseconds. */
+	delayMs: number;
+	/** Most that is added to the delay of each piece of data, in milliseconds. */
+	jitterMs: number;
+	/** Capacity each way, in bytes per second; 0: unlimited. */
+	bytesPerSecond: number;
+	/** New connections are refused and open ones are cut. */
+	cut: boolean;
+	/** Data of all connections is held back until this ends. */
+	frozen: boolean;
+	/** Data towards the server of connections that are open now vanishes. */
+	silentToServer: boolean;
+	/** Data towards the client of connections that are open now vanishes. */
+	silentToClient: boolean;
+	/** Part of new connections that are cut at once, in percent. */
+	lossPercent: number;
+}
+
+const noFaults: PathFaults = {
+	delayMs: 0, jitterMs: 0, bytesPerSecond: 0, cut: false, frozen: false, silentToServer: false, silentToClient: false, lossPercent: 0,
+};
+
+/** Options of {@link startFaultProxy}. */
+export interface StartFaultProxyOptions {
+	readonly target: Endpoint;
+	readonly seed: number;
+	readonly faults?: Partial<PathFaults>;
+}
+
+const PERCENT = 100;
+const FROZEN_POLL_MS = 10;
+
+/** Starts a proxy on loopback. */
+export async function startFaultProxy({target, seed, faults}: StartFaultProxyOptions): Promise<FaultProxy> {
+	const proxy = new FaultProxy({target, seed, faults});
+	await proxy.listen();
+	return proxy;
+}
+
+/** A running proxy. */
+export class FaultProxy {
+	readonly #target: Endpoint;
+	readonly #random;
+	readonly #server: Server;
+	readonly #connections = new Set<Connection>();
+	#faults: PathFaults;
+	#bytes = 0;
+
+	constructor({target, seed, faults}: StartFaultProxyOptions) {
+		this.#target = target;
+		this.#random = xoroshiro128plus(seed);
+		this.#faults = {...noFaults, ...faults};
+		this.#server = createServer({allowHalfOpen: true}, client => {
+			this.#accept(client);
+		});
+	}
+
+	/** Where clients connect. */
+	get endpoint(): Endpoint {
+		return {address: '127.0.0.1', port: (this.#server.address() as AddressInfo).port};
+	}
+
+	/** Bytes carried both ways. */
+	get bytes(): number {
+		return this.#bytes;
+	}
+
+	/** Starts listening. */
+	async listen(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(0, '127.0.0.1', resolve);
+		});
+	}
+
+	/** Changes the faults. A silence concerns the connections open at this moment. */
+	set(faults: Partial<PathFaults>): void {
+		this.#faults = {...this.#faults, ...faults};
+		for (const connection of this.#connections) {
+			connection.silentToServer ||= this.#faults.silentToServer;
+			connection.silentToClient ||= this.#faults.silentToClient;
+			if (this.#faults.cut) {
+				connection.destroy();
+			}
+		}
+	}
+
+	/** Cuts all open connections once. */
+	cutConnections(): void {
+		for (const connection of this.#connections) {
+			connection.destroy();
+		}
+	}
+
+	/** Stops the proxy. */
+	async stop(): Promise<void> {
+		this.cutConnections();
+		await new Promise<void>(resolve => {
+			this.#server.close(() => {
+				resolve();
+			});
+		});
+	}
+
+	#accept(client: Socket): void {
+		if (this.#faults.cut || uniformInt(this.#random, 0, PERCENT - 1) < this.#faults.lossPercent) {
+			client.on('error', () => undefined);
+			client.destroy();
+			return;
+		}
+
+		const server = connect({host: this.#target.address, port: this.#target.port, allowHalfOpen: true});
+		const connection = new Connection({client, server});
+		this.#connections.add(connection);
+		connection.onClose(() => {
+			this.#connections.delete(connection);
+		});
+		this.#relay({from: client, to: server, isSilent: () => connection.silentToServer});
+		this.#relay({from: server, to: client, isSilent: () => connection.silentToClient});
+	}
+
+	#relay({from, to, isSilent}: {readonly from: Socket; readonly to: Socket; readonly isSilent: () => boolean}): void {
+		let freeAtMs = 0;
+		const deliver = (action: () => void, size: number): void => {
+			const {delayMs, jitterMs, bytesPerSecond} = this.#faults;
+			const nowMs = performance.now();
+			const jitter = jitterMs > 0 ? uniformInt(this.#random, 0, Math.round(jitterMs)) : 0;
+			const transferMs = bytesPerSecond > 0 ? size * 1000 / bytesPerSecond : 0;
+			// Pieces keep their order: each leaves no earlier than the one before it.
+			freeAtMs = Math.max(freeAtMs + transferMs, nowMs + delayMs + jitter + transferMs);
+			const run = (): void => {
+				if (this.#faults.frozen) {
+					setTimeout(run, FROZEN_POLL_MS);
+				} else if (!isSilent()) {
+					action();
+				}
+			};
+
+			const waitMs = freeAtMs - nowMs;
+			if (waitMs < 0.5 && !this.#faults.frozen) {
+				run();
+			} else {
+				setTimeout(run, waitMs);
+			}
+		};
+
+		from.on('data', (piece: Uint8Array) => {
+			this.#bytes += piece.length;
+			deliver(() => {
+				to.write(piece);
+			}, piece.length);
+		});
+		from.on('end', () => {
+			deliver(() => {
+				to.end();
+			}, 0);
+		});
+	}
+}
+
+class Connection {
+	silentToServer = false;
+	silentToClient = false;
+	readonly #sockets: readonly [Socket, Socket];
+
+	constructor({client, server}: {readonly client: Socket; readonly server: Socket}) {
+		this.#sockets = [client, server];
+		for (const socket of this.#sockets) {
+			socket.setNoDelay(true);
+			socket.on('error', () => {
+				this.destroy();
+			});
+			socket.on('close', () => {
+				this.destroyUnlessSilent();
+			});
+		}
+	}
+
+	onClose(listener: () => void): void {
+		this.#sockets[0].once('close', listener);
+	}
+
+	destroy(): void {
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+	}
+
+	/** A silent connection does not tell one end that the other has closed. */
+	destroyUnlessSilent(): void {
+		if (!this.silentToServer && !this.silentToClient) {
+			this.destroy();
+		}
+	}
+}
--- /dev/null
+++ b/testing/fleet/src/index.ts
@@ -0,0 +1,4 @@
+/** Starts a whole fleet of real processes on loopback for tests, demo and benches. */
+export * from './child.js';
+export * from './deployment.js';
+export * from './fleet.js';
