Add typed messages between instances over HTTP/2

Cause: distribution, membership, slot owners, journals and quarantine all need calls between instances that end by a deadline on a silent path. Ruled out: JSON over HTTP (no typed messages), one connection a call. Before / after: none before; the test cuts one direction of a path, the call ends as lost within its 300 ms and the next one works on a new session. Conclusion: each area adds its own proto file and service.

--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -14,6 +14,8 @@
 import {CallHandler, createLocalPlacement} from '@pomelopick/calls.forwarding';
 import {ConfigurationHolder, StoreWatcher} from '@pomelopick/config.distribution';
 import type {Settings} from '@pomelopick/config.settings';
+import {HelloService} from '@pomelopick/peer.protocol';
+import {startPeerServer} from '@pomelopick/peer.transport';
 import {ConsulInstanceList} from '@pomelopick/platform.instances';
 import {ConsulStore} from '@pomelopick/platform.store';
 import {LookupView} from './lookup-view.js';
@@ -28,7 +30,7 @@
 /** A running entry instance. */
 export interface EntryDaemon {
 	/** Where it listens, once ports are known. */
-	readonly endpoints: {readonly callers: Endpoint; readonly operators: Endpoint};
+	readonly endpoints: {readonly callers: Endpoint; readonly peers: Endpoint; readonly operators: Endpoint};
 	/** Stops gracefully: calls in flight finish first. */
 	stop(): Promise<void>;
 }
@@ -80,19 +82,28 @@
 			request, response, settings, holder, counters, events, lookup, now,
 		});
 	});
+	const peers = await startPeerServer({
+		endpoint: settings.listen.peers, register(router) {
+			router.service(HelloService, {
+				hello: () => ({
+					instance: settings.instance, failureDomain: settings.failureDomain, configurationVersion: BigInt(holder.view?.configuration.root.version ?? 0),
+				}),
+			});
+		},
+	});
 	watcher.start();
 	lookup.start();
 	await Promise.all([listen({server: callers, endpoint: settings.listen.callers}), listen({server: operators, endpoint: settings.listen.operators})]);
 	log('instance %s listens on %o', settings.instance, callers.address());
 	return {
-		endpoints: {callers: endpointOf(callers), operators: endpointOf(operators)},
+		endpoints: {callers: endpointOf(callers), peers: peers.endpoint, operators: endpointOf(operators)},
 		async stop() {
 			log('instance %s stops; %d calls in flight', settings.instance, handler.inProgress);
 			await closeServer({server: callers, timeoutMs: settings.shutdownTimeoutMs});
 			lookup.stop();
 			await watcher.stop();
 			await closeServer({server: operators, timeoutMs: settings.shutdownTimeoutMs});
-			await Promise.all([dispatcher.destroy(), store.close(), counters.close()]);
+			await Promise.all([peers.stop(), dispatcher.destroy(), store.close(), counters.close()]);
 			log('instance %s stopped', settings.instance);
 		},
 	};
--- /dev/null
+++ b/peer/transport/src/peer-clients.ts
@@ -0,0 +1,95 @@
+/** Clients of other instances, one session an instance, dropped when it goes silent. */
+import type {DescService} from '@bufbuild/protobuf';
+import {Code, ConnectError, createClient} from '@connectrpc/connect';
+import type {Client, Transport} from '@connectrpc/connect';
+import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {EitherAsync, Left, Right} from 'purify-ts';
+import type {Endpoint} from '@pomelopick/core.types';
+
+const PING_INTERVAL_MS = 2000;
+const PING_TIMEOUT_MS = 1000;
+const IDLE_TIMEOUT_MS = 30_000;
+
+/** Why a peer gave no answer. */
+export interface PeerError {
+	/** `not-sent`: surely not run. `lost`: may have been run. `refused`: the peer answered with an error. */
+	readonly code: 'not-sent' | 'lost' | 'refused';
+	readonly message: string;
+}
+
+/** Options of {@link PeerClients.call}. */
+export interface PeerCallOptions<Service extends DescService, Answer> {
+	readonly endpoint: Endpoint;
+	readonly service: Service;
+	readonly timeoutMs: number;
+	/** Makes the call with the client and options that it is handed. */
+	readonly invoke: (client: Client<Service>, options: {readonly timeoutMs: number; readonly signal?: AbortSignal}) => Promise<Answer>;
+	readonly signal?: AbortSignal;
+}
+
+interface PeerConnection {
+	readonly sessions: Http2SessionManager;
+	readonly transport: Transport;
+}
+
+/** Calls other instances. Every call has a deadline. */
+export class PeerClients {
+	readonly #connections = new Map<string, PeerConnection>();
+
+	/** Calls one method of a peer. Never rejects. */
+	call<Service extends DescService, Answer>({endpoint, service, timeoutMs, invoke, signal}: PeerCallOptions<Service, Answer>): EitherAsync<PeerError, Answer> {
+		return EitherAsync.fromPromise(async () => {
+			const origin = `http://${endpoint.address.includes(':') ? `[${endpoint.address}]` : endpoint.address}:${endpoint.port}`;
+			try {
+				const client = createClient(service, this.#connectionTo(origin).transport);
+				return Right(await invoke(client, {timeoutMs, signal}));
+			} catch (error) {
+				return Left(this.#toPeerError({origin, error}));
+			}
+		});
+	}
+
+	/** Closes all sessions. */
+	close(): void {
+		for (const {sessions} of this.#connections.values()) {
+			sessions.abort();
+		}
+
+		this.#connections.clear();
+	}
+
+	#connectionTo(origin: string): PeerConnection {
+		const existing = this.#connections.get(origin);
+		if (existing) {
+			return existing;
+		}
+
+		const sessions = new Http2SessionManager(origin, {pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: PING_TIMEOUT_MS, idleConnectionTimeoutMs: IDLE_TIMEOUT_MS});
+		const connection = {sessions, transport: createConnectTransport({baseUrl: origin, httpVersion: '2', sessionManager: sessions})};
+		this.#connections.set(origin, connection);
+		return connection;
+	}
+
+	#toPeerError({origin, error}: {readonly origin: string; readonly error: unknown}): PeerError {
+		const connectError = ConnectError.from(error);
+		const message = `${origin}: ${connectError.message}`;
+		if (connectError.code === Code.DeadlineExceeded) {
+			// The session may have gone silent; the next call opens a new one.
+			this.#drop(origin);
+			return {code: 'lost', message};
+		}
+
+		const isRefused = (connectError.cause as {code?: string} | undefined)?.code === 'ECONNREFUSED';
+		if (isRefused) {
+			return {code: 'not-sent', message};
+		}
+
+		const isTransportFault = connectError.code === Code.Unavailable || connectError.code === Code.Aborted || connectError.code === Code.Canceled || connectError.code === Code.Internal;
+		return {code: isTransportFault ? 'lost' : 'refused', message};
+	}
+
+	#drop(origin: string): void {
+		this.#connections.get(origin)?.sessions.abort();
+		this.#connections.delete(origin);
+	}
+}
--- /dev/null
+++ b/peer/transport/src/peer-server.ts
@@ -0,0 +1,50 @@
+/** Listener for the system's other instances. */
+import {createServer} from 'node:http2';
+import type {Http2Server, ServerHttp2Session} from 'node:http2';
+import type {AddressInfo} from 'node:net';
+import type {ConnectRouter} from '@connectrpc/connect';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import type {Endpoint} from '@pomelopick/core.types';
+
+/** Options of {@link startPeerServer}. */
+export interface StartPeerServerOptions {
+	readonly endpoint: Endpoint;
+	/** Registers the services that this instance answers. */
+	readonly register: (router: ConnectRouter) => void;
+}
+
+/** A running listener. */
+export interface PeerServer {
+	readonly endpoint: Endpoint;
+	/** Closes the listener and all sessions. */
+	stop(): Promise<void>;
+}
+
+/** Starts listening for peers over HTTP/2 without TLS. */
+export async function startPeerServer({endpoint, register}: StartPeerServerOptions): Promise<PeerServer> {
+	const server = createServer(connectNodeAdapter({routes: register}));
+	const sessions = new Set<ServerHttp2Session>();
+	server.on('session', session => {
+		sessions.add(session);
+		session.once('close', () => {
+			sessions.delete(session);
+		});
+	});
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(endpoint.port, endpoint.address, resolve);
+	});
+	const {address, port} = server.address() as AddressInfo;
+	return {endpoint: {address, port}, stop: async () => stopServer({server, sessions})};
+}
+
+async function stopServer({server, sessions}: {readonly server: Http2Server; readonly sessions: ReadonlySet<ServerHttp2Session>}): Promise<void> {
+	await new Promise<void>(resolve => {
+		server.close(() => {
+			resolve();
+		});
+		for (const session of sessions) {
+			session.destroy();
+		}
+	});
+}
--- /dev/null
+++ b/peer/transport/test/peer-transport.test.ts
@@ -0,0 +1,53 @@
+import assert from 'node:assert/strict';
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {HelloService} from '@pomelopick/peer.protocol';
+import {PeerClients, startPeerServer} from '@pomelopick/peer.transport';
+import type {PeerServer} from '@pomelopick/peer.transport';
+import {startFaultProxy} from '@pomelopick/testing.fault-proxy';
+
+describe('peer transport', () => {
+	let server: PeerServer;
+	const clients = new PeerClients();
+	before(async () => {
+		server = await startPeerServer({
+			endpoint: {address: '127.0.0.1', port: 0}, register(router) {
+				router.service(HelloService, {hello: () => ({instance: 'one', failureDomain: 'north-1', configurationVersion: 7n})});
+			},
+		});
+	});
+	after(async () => {
+		clients.close();
+		await server.stop();
+	});
+
+	it('carries a call and its answer', async () => {
+		const answer = await clients.call({
+			endpoint: server.endpoint, service: HelloService, timeoutMs: 2000, invoke: async (client, options) => client.hello({instance: 'two'}, options),
+		}).run();
+		assert.equal(answer.map(({configurationVersion}) => configurationVersion).orDefault(0n), 7n);
+	});
+
+	it('says not-sent when nothing listens', async () => {
+		const answer = await clients.call({
+			endpoint: {address: '127.0.0.1', port: 1}, service: HelloService, timeoutMs: 2000, invoke: async (client, options) => client.hello({}, options),
+		}).run();
+		assert.equal(answer.swap().map(({code}) => code).orDefault('refused'), 'not-sent');
+	});
+
+	it('says lost when the path goes silent, and recovers on a new session', async () => {
+		const proxy = await startFaultProxy({target: server.endpoint, seed: 1});
+		const hello = async () => clients.call({
+			endpoint: proxy.endpoint, service: HelloService, timeoutMs: 300, invoke: async (client, options) => client.hello({}, options),
+		}).run();
+		const first = await hello();
+		proxy.set({silentToClient: true});
+		const second = await hello();
+		proxy.set({silentToClient: false});
+		const third = await hello();
+		await proxy.stop();
+		const code = (answer: Awaited<ReturnType<typeof hello>>) => answer.swap().map(error => error.code).orDefault('refused');
+		assert.deepEqual([first.isRight(), code(second), third.isRight()], [true, 'lost', true]);
+	});
+});
--- a/testing/fleet/src/fleet.ts
+++ b/testing/fleet/src/fleet.ts
@@ -41,7 +41,7 @@
 /** What an entry daemon prints when it is ready. */
 interface EntryAnnouncement {
 	readonly callers: Endpoint;
-	readonly peers?: Endpoint;
+	readonly peers: Endpoint;
 	readonly operators: Endpoint;
 }
 
@@ -143,7 +143,7 @@
 		const file = path.join(this.#directory, `${id}-${Date.now()}.json`);
 		await writeFile(file, JSON.stringify(this.#options.adjustSettings?.(settings) ?? settings));
 		const child = await startChild<EntryAnnouncement>({module: moduleOf('@pomelopick/daemons.entry'), arguments: [file], environment: {DEBUG: this.#options.debug ?? ''}});
-		const {callers, operators, peers = operators} = child.announcement;
+		const {callers, operators, peers} = child.announcement;
 		const instance: Instance = {
 			id: id as InstanceId, failureDomain: failureDomain as FailureDomainName, state: 'live', callers, operators, peers,
 		};
