--- a/calls/forwarding/src/index.ts
+++ b/calls/forwarding/src/index.ts
@@ -2,5 +2,6 @@
 export * from './attempt.js';
 export * from './call-handler.js';
 export * from './call-headers.js';
+export type * from './key-guard.js';
 export * from './local-placement.js';
 export type * from './placement.js';
