--- /dev/null
+++ b/calls/connections/src/backend-connections.ts
@@ -0,0 +1,151 @@
+/** Connections to all backend servers, with probes of idle ones. */
+import {connect} from 'node:net';
+import type {BackendServer, BackendServerName} from '@pomelopick/core.types';
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import type {Connection} from './connection.js';
+import {ServerConnections} from './server-connections.js';
+
+const MOST_CONNECTIONS_PER_SERVER = 36;
+const CONNECT_TIMEOUT_MS = 1000;
+const PROBE_TIMEOUT_MS = 250;
+const PROBE_INTERVAL_MS = 1000;
+const GONE_CONNECT_TIMEOUT_MS = 250;
+const HEALTH_PATH = '/health';
+
+/** Options of {@link BackendConnections}. */
+export interface BackendConnectionsOptions {
+	/** Called after the connections to a server were replaced as a group. */
+	readonly onReplaced: (options: {readonly server: BackendServerName; readonly connections: number}) => void;
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+	/** Connections that may be open to one backend server; 36 by default, so that nine instances stay below 330. */
+	readonly mostPerServer?: number;
+	/** Time in which a live connection answers a probe, in milliseconds. */
+	readonly probeTimeoutMs?: number;
+	/** Time between two probes of idle connections to a server, in milliseconds; 0: no probes. */
+	readonly probeIntervalMs?: number;
+}
+
+/** A connection lent to one attempt, and how to give it back. */
+export interface ConnectionLease {
+	readonly connection: Connection;
+	/** Gives the connection back; one that may still carry an answer is closed. */
+	release(options: {readonly isReusable: boolean}): void;
+}
+
+/** Lends connections to backend servers. */
+export class BackendConnections {
+	readonly #options: BackendConnectionsOptions;
+	readonly #servers = new Map<BackendServerName, {readonly origin: string; readonly connections: ServerConnections}>();
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(options: BackendConnectionsOptions) {
+		this.#options = options;
+	}
+
+	/** Starts probing idle connections. */
+	start(): void {
+		const intervalMs = this.#options.probeIntervalMs ?? PROBE_INTERVAL_MS;
+		if (intervalMs > 0) {
+			this.#timer = setInterval(() => {
+				this.#probeAll();
+			}, intervalMs);
+			this.#timer.unref();
+		}
+	}
+
+	/**
+	 * Lends a connection to a server, a new one on demand; left when all that the server may have from this instance are
+	 * in use.
+	 */
+	acquire({server, isNew = false}: {readonly server: BackendServer; readonly isNew?: boolean}): Either<'connections-exhausted', ConnectionLease> {
+		const connections = this.#connectionsTo(server);
+		const connection = connections.acquire({isNew});
+		return connection
+			? Right({
+				connection, release({isReusable}) {
+					connections.release({connection, isReusable});
+				},
+			})
+			: Left('connections-exhausted');
+	}
+
+	/** Checks a server whose answer is overdue; replaces its connections when old ones are silent while a new one answers. */
+	async suspect(server: BackendServer): Promise<boolean> {
+		return this.#connectionsTo(server).check();
+	}
+
+	/** Whether a server that dropped a call has gone down: it takes no new connection. */
+	async isGone(server: BackendServer): Promise<boolean> {
+		return !await canConnect(server);
+	}
+
+	/** Connections open to a server. */
+	openCount(server: BackendServer): number {
+		return this.#connectionsTo(server).openCount;
+	}
+
+	/** Closes all connections. */
+	async close(): Promise<void> {
+		clearInterval(this.#timer);
+		await Promise.all([...this.#servers.values()].map(async ({connections}) => connections.close()));
+		this.#servers.clear();
+	}
+
+	#probeAll(): void {
+		for (const {connections} of this.#servers.values()) {
+			void connections.probeIdle();
+		}
+	}
+
+	#connectionsTo(server: BackendServer): ServerConnections {
+		const origin = originOf(server);
+		const existing = this.#servers.get(server.name);
+		if (existing?.origin === origin) {
+			return existing.connections;
+		}
+
+		// A server of this name that moved keeps none of its old connections.
+		void existing?.connections.retire();
+		const {now, onReplaced, mostPerServer = MOST_CONNECTIONS_PER_SERVER, probeTimeoutMs = PROBE_TIMEOUT_MS} = this.#options;
+		const connections = new ServerConnections({
+			origin,
+			most: mostPerServer,
+			connectTimeoutMs: CONNECT_TIMEOUT_MS,
+			probeTimeoutMs,
+			healthPath: HEALTH_PATH,
+			now,
+			onReplaced(count) {
+				onReplaced({server: server.name, connections: count});
+			},
+		});
+		this.#servers.set(server.name, {origin, connections});
+		return connections;
+	}
+}
+
+/** Origin of a backend server. */
+export function originOf({address, port}: BackendServer): string {
+	return address.includes(':') ? `http://[${address}]:${port}` : `http://${address}:${port}`;
+}
+
+async function canConnect({address, port}: BackendServer): Promise<boolean> {
+	return new Promise(resolve => {
+		const socket = connect({host: address, port, timeout: GONE_CONNECT_TIMEOUT_MS});
+		const end = (isReachable: boolean): void => {
+			socket.destroy();
+			resolve(isReachable);
+		};
+
+		socket.once('connect', () => {
+			end(true);
+		});
+		socket.once('timeout', () => {
+			end(false);
+		});
+		socket.once('error', () => {
+			end(false);
+		});
+	});
+}
--- /dev/null
+++ b/calls/connections/src/connection.ts
@@ -0,0 +1,13 @@
+/** One connection to a backend server, lent to one call at a time. */
+import type {Client} from 'undici';
+
+/** A connection lent to one attempt. */
+export interface Connection {
+	readonly client: Client;
+	/** Called once when the connection is found to be silent while it is lent. */
+	onSilent: (() => void) | undefined;
+	/** Monotonic time of the last byte received on it, in milliseconds. */
+	lastAnswerAtMs: number;
+	/** Set once the socket is connected, cleared when it closes. */
+	isOpen: boolean;
+}
--- /dev/null
+++ b/calls/connections/src/index.ts
@@ -0,0 +1,3 @@
+/** Connections to backend servers. */
+export * from './backend-connections.js';
+export type * from './connection.js';
--- /dev/null
+++ b/calls/connections/src/probe.ts
@@ -0,0 +1,39 @@
+/** Asks one connection for a sign of life. */
+import type {Client, Dispatcher} from 'undici';
+
+/** Options of {@link probe}. */
+export interface ProbeOptions {
+	readonly client: Client;
+	readonly path: string;
+	readonly timeoutMs: number;
+}
+
+/** Whether the connection answered within the time; any status counts. */
+export async function probe({client, path, timeoutMs}: ProbeOptions): Promise<boolean> {
+	return new Promise(resolve => {
+		const timer = setTimeout(() => {
+			resolve(false);
+		}, timeoutMs);
+		const end = (isAnswered: boolean): void => {
+			clearTimeout(timer);
+			resolve(isAnswered);
+		};
+
+		const handler: Dispatcher.DispatchHandler = {
+			onRequestStart: ignore,
+			onResponseStart: ignore,
+			onResponseData: ignore,
+			onResponseEnd() {
+				end(true);
+			},
+			onResponseError() {
+				end(false);
+			},
+		};
+		client.dispatch({method: 'GET', path}, handler);
+	});
+}
+
+function ignore(): void {
+	// Only the end of the answer matters.
+}
--- /dev/null
+++ b/calls/connections/src/server-connections.ts
@@ -0,0 +1,181 @@
+/** The connections of this instance to one backend server. */
+import {Client} from 'undici';
+import type {Connection} from './connection.js';
+import {probe} from './probe.js';
+
+/** Options of {@link ServerConnections}. */
+export interface ServerConnectionsOptions {
+	readonly origin: string;
+	/** Connections that may be open at once. */
+	readonly most: number;
+	readonly connectTimeoutMs: number;
+	/** Time in which a live connection answers a probe, in milliseconds. */
+	readonly probeTimeoutMs: number;
+	readonly healthPath: string;
+	/** Called after the connections were replaced as a group. */
+	readonly onReplaced: (connections: number) => void;
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+}
+
+/** Lends connections, and replaces all of them when old ones are silent while a new one answers. */
+export class ServerConnections {
+	readonly #options: ServerConnectionsOptions;
+	#idle: Connection[] = [];
+	readonly #lent = new Set<Connection>();
+	#open = 0;
+	#checking: Promise<boolean> | undefined;
+
+	constructor(options: ServerConnectionsOptions) {
+		this.#options = options;
+	}
+
+	/** Connections whose socket is open. */
+	get openCount(): number {
+		return this.#open;
+	}
+
+	/** Connections in use and idle ones, closed ones that were not yet dropped included. */
+	get size(): number {
+		return this.#idle.length + this.#lent.size;
+	}
+
+	/** Lends an idle connection, the most recently used first, or a new one; undefined at the limit. */
+	acquire({isNew}: {readonly isNew: boolean}): Connection | undefined {
+		const idle = isNew ? undefined : this.#idle.pop();
+		const connection = idle ?? (this.#lent.size < this.#options.most ? this.#create() : undefined);
+		if (connection) {
+			this.#lent.add(connection);
+		}
+
+		return connection;
+	}
+
+	/** Takes a connection back. One that may still carry an answer must not be reusable. */
+	release({connection, isReusable}: {readonly connection: Connection; readonly isReusable: boolean}): void {
+		connection.onSilent = undefined;
+		const wasKept = this.#lent.delete(connection);
+		if (wasKept && isReusable) {
+			this.#idle.push(connection);
+		} else {
+			void connection.client.destroy();
+		}
+	}
+
+	/** Probes the connection that has been idle longest; replaces the group when it is silent while a new one answers. */
+	async probeIdle(): Promise<void> {
+		this.#dropClosed();
+		if (this.#idle.length > 0) {
+			await this.check();
+		}
+	}
+
+	/**
+	 * Compares an idle connection with a new one. Calls at the same time share one comparison.
+	 *
+	 * @returns Whether the group was found silent and replaced.
+	 */
+	async check(): Promise<boolean> {
+		this.#checking ??= this.#compare();
+		try {
+			return await this.#checking;
+		} finally {
+			this.#checking = undefined;
+		}
+	}
+
+	/** Closes idle connections now, and lent ones when they come back. */
+	async retire(): Promise<void> {
+		const idle = this.#idle;
+		this.#idle = [];
+		this.#lent.clear();
+		await Promise.all(idle.map(async ({client}) => client.destroy()));
+	}
+
+	/** Closes all connections. */
+	async close(): Promise<void> {
+		const lent = [...this.#lent];
+		await Promise.all([this.retire(), ...lent.map(async ({client}) => client.destroy())]);
+	}
+
+	async #compare(): Promise<boolean> {
+		const {healthPath, probeTimeoutMs} = this.#options;
+		const startedAtMs = this.#options.now();
+		this.#dropClosed();
+		const old = this.#idle.shift();
+		if (old) {
+			this.#lent.add(old);
+			const isAnswered = await probe({client: old.client, path: healthPath, timeoutMs: probeTimeoutMs});
+			this.release({connection: old, isReusable: isAnswered});
+			if (isAnswered) {
+				return false;
+			}
+		} else if (!this.#isLentSilent(startedAtMs)) {
+			return false;
+		}
+
+		const fresh = this.#create();
+		this.#lent.add(fresh);
+		const isNewAnswered = await probe({client: fresh.client, path: healthPath, timeoutMs: probeTimeoutMs});
+		if (isNewAnswered) {
+			this.#replace({kept: fresh, startedAtMs});
+		}
+
+		this.release({connection: fresh, isReusable: isNewAnswered});
+		return isNewAnswered;
+	}
+
+	/** Without an idle connection to probe: several lent ones without a byte for a whole probe's time. */
+	#isLentSilent(nowMs: number): boolean {
+		const quiet = [...this.#lent].filter(({lastAnswerAtMs}) => nowMs - lastAnswerAtMs > this.#options.probeTimeoutMs);
+		return quiet.length > 1 && quiet.length === this.#lent.size;
+	}
+
+	#replace({kept, startedAtMs}: {readonly kept: Connection; readonly startedAtMs: number}): void {
+		const idle = this.#idle;
+		this.#idle = [];
+		for (const {client} of idle) {
+			void client.destroy();
+		}
+
+		// A lent connection that answered meanwhile is alive; the others are not lent again.
+		const silent = [...this.#lent].filter(connection => connection !== kept && connection.lastAnswerAtMs < startedAtMs);
+		for (const connection of silent) {
+			this.#lent.delete(connection);
+			connection.onSilent?.();
+		}
+
+		this.#options.onReplaced(idle.length + silent.length);
+	}
+
+	#dropClosed(): void {
+		const closed = this.#idle.filter(({isOpen}) => !isOpen);
+		this.#idle = this.#idle.filter(({isOpen}) => isOpen);
+		for (const {client} of closed) {
+			void client.destroy();
+		}
+	}
+
+	#create(): Connection {
+		const {origin, connectTimeoutMs, now} = this.#options;
+		const client = new Client(origin, {
+			pipelining: 1, connect: {timeout: connectTimeoutMs}, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: KEEP_ALIVE_MS,
+		});
+		const connection: Connection = {
+			client, onSilent: undefined, lastAnswerAtMs: now(), isOpen: false,
+		};
+		client.on('connect', () => {
+			connection.isOpen = true;
+			this.#open += 1;
+		});
+		client.on('disconnect', () => {
+			if (connection.isOpen) {
+				connection.isOpen = false;
+				this.#open -= 1;
+			}
+		});
+		return connection;
+	}
+}
+
+const KEEP_ALIVE_MS = 10_000;
--- a/calls/forwarding/src/attempt.ts
+++ b/calls/forwarding/src/attempt.ts
@@ -1,79 +1,211 @@
-/** One attempt of a call at one backend server, over undici. */
-import type {IncomingHttpHeaders} from 'node:http';
-import type {Readable} from 'node:stream';
-import {errors} from 'undici';
-import type {Dispatcher} from 'undici';
+/** One attempt of a call: placed, sent over a connection of its own, and accounted for. */
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import type {BackendServer, Execution} from '@pomelopick/core.types';
-
-/** Why an attempt gave no answer. */
-export interface AttemptFailure {
-	readonly kind: 'connect-failed' | 'failed' | 'timed-out' | 'cancelled' | 'body-broken';
-	/** Whether the backend server may have run the call. */
-	readonly execution: Execution;
-	readonly detail: string;
+import type {Refusal, RetryReason} from '@pomelopick/core.types';
+import type {BackendConnections} from '@pomelopick/calls.connections';
+import type {DeathWatch} from '@pomelopick/calls.quarantine';
+import {ATTEMPTS_HEADER, CALL_ID_HEADER, TIMEOUT_HEADER} from './call-headers.js';
+import type {CallState} from './call-state.js';
+import {Exchange} from './exchange.js';
+import type {AttemptAnswer, AttemptFailure} from './exchange.js';
+import {toFailedAttempt, toShedAttempt} from './failed-attempt.js';
+import type {AttemptEnd, PlaceCall, Placement} from './placement.js';
+
+const SHED_STATUS = 503;
+/** Part of the time left that is kept for the way back, in milliseconds. */
+const RETURN_RESERVE_MS = 10;
+
+/** What attempts need. */
+export interface AttemptParts {
+	readonly placeCall: PlaceCall;
+	readonly connections: BackendConnections;
+	readonly deathWatch: DeathWatch;
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
 }
 
-/** An answer whose headers arrived. */
-export interface AttemptAnswer {
-	readonly status: number;
-	readonly headers: IncomingHttpHeaders;
-	readonly body: Readable;
+/** An attempt that gave no answer to send on. */
+export interface FailedAttempt {
+	readonly refusal: Refusal;
+	/** Whether a backend server was found for it. */
+	readonly isPlaced: boolean;
+	/** Why it may be made again; undefined: it may not. */
+	readonly retryReason: RetryReason | undefined;
+	/** Whether making it again adds load to backend servers. */
+	readonly isCharged: boolean;
 }
 
-/** Options of {@link sendAttempt}. */
-export interface SendAttemptOptions {
-	readonly dispatcher: Dispatcher;
-	readonly server: BackendServer;
-	readonly method: string;
-	readonly path: string;
-	readonly headers: Readonly<Record<string, string | string[]>>;
-	readonly body: Readable | Uint8Array | undefined;
-	/** Aborted on cancellation. */
-	readonly cancelled: AbortSignal;
-	/** Time left for the whole attempt, in milliseconds. */
-	readonly timeoutMs: number;
+/** An answer, held with its placement until it was sent on. */
+export interface Answered {
+	readonly answer: AttemptAnswer;
+	readonly attempt: Attempt;
 }
 
-/** Sends the attempt and waits for the headers of its answer. The signals stay in force for the body. */
-export async function sendAttempt({dispatcher, server, method, path, headers, body, cancelled, timeoutMs}: SendAttemptOptions): Promise<Either<AttemptFailure, AttemptAnswer>> {
-	const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)));
-	try {
-		const response = await dispatcher.request({
-			origin: originOf(server),
-			path,
+/** Options of {@link Attempt}. */
+export interface AttemptOptions {
+	readonly call: CallState;
+	readonly parts: AttemptParts;
+	/** Bytes of an answer that are held before the first of them is sent on. */
+	readonly heldBytes: number;
+	/** Whether opened connections are not trusted, because one of them may have gone silent. */
+	readonly needsNewConnection: boolean;
+}
+
+/** One attempt. */
+export class Attempt {
+	readonly #options: AttemptOptions;
+	#exchange: Exchange | undefined;
+	#placement: Placement | undefined;
+	#isGivenUp = false;
+
+	constructor(options: AttemptOptions) {
+		this.#options = options;
+	}
+
+	/** Server that the attempt was sent to, once it was. */
+	get placement(): Placement | undefined {
+		return this.#placement;
+	}
+
+	/** Whether the request was sent and nothing has come back. */
+	get isUnanswered(): boolean {
+		return this.#exchange?.mayHaveRun === true && !this.#exchange.hasHead;
+	}
+
+	/** Makes the attempt; never rejects. */
+	async run(): Promise<Either<FailedAttempt, Answered>> {
+		const {call, parts} = this.#options;
+		const placed = await this.#place();
+		if (placed.isLeft()) {
+			return Left({
+				refusal: placed.extract(), isPlaced: false, retryReason: undefined, isCharged: false,
+			});
+		}
+
+		const placement = placed.unsafeCoerce();
+		this.#placement = placement;
+		if (call.endedBy !== undefined || this.#isGivenUp) {
+			return this.#fail({kind: call.endedBy === 'deadline' ? 'timed-out' : 'cancelled', execution: 'not-run', detail: 'the call ended before it was sent'});
+		}
+
+		return this.#send(placement);
+	}
+
+	/** Gives the attempt up; the backend server's work is cancelled by closing its connection. */
+	giveUp(failure: Pick<AttemptFailure, 'kind' | 'detail'>): void {
+		this.#isGivenUp = true;
+		this.#exchange?.abort(failure);
+	}
+
+	/** Gives the slot back. */
+	release(end: AttemptEnd): void {
+		const placement = this.#placement;
+		this.#placement = undefined;
+		placement?.release(end);
+	}
+
+	async #place(): ReturnType<PlaceCall> {
+		const {call, parts} = this.#options;
+		const {service, caller, callerSite, deadlineMs} = call.options;
+		const options = {
+			service, caller, callerSite, deadlineMs, avoidServers: call.avoidServers, avoidDomains: call.avoidDomains, signal: call.ended.signal,
+		};
+		if (call.isSuspect) {
+			// Suspects are kept apart, so that one of them does not make another look guilty.
+			const apart = await parts.placeCall({...options, avoidServers: new Set([...call.avoidServers, ...parts.deathWatch.listServersOfSuspects()])});
+			if (apart.isRight()) {
+				return apart;
+			}
+		}
+
+		return parts.placeCall(options);
+	}
+
+	async #send(placement: Placement): Promise<Either<FailedAttempt, Answered>> {
+		const {call, parts, heldBytes, needsNewConnection} = this.#options;
+		const {server, failureDomain} = placement;
+		call.waitedMs += placement.waitedMs;
+		call.lastServer = server.name;
+		call.why = placement.why;
+		call.avoidServers.add(server.name);
+		call.avoidDomains.add(failureDomain);
+		const lease = parts.connections.acquire({server, isNew: needsNewConnection});
+		if (lease.isLeft()) {
+			return this.#fail({kind: 'connect-failed', execution: 'not-run', detail: 'all connections that it may have are in use'});
+		}
+
+		const {id, method, path, headers, body} = call.options;
+		const timeLeftMs = call.options.deadlineMs - parts.now();
+		const exchange = new Exchange({
+			lease: lease.unsafeCoerce(),
+			callId: id,
 			method,
-			headers: headers as Record<string, string | string[]>,
-			body,
-			signal: AbortSignal.any([cancelled, timeout]),
+			path,
+			headers: {
+				...headers, [CALL_ID_HEADER]: id, [TIMEOUT_HEADER]: String(Math.max(1, Math.floor(timeLeftMs - RETURN_RESERVE_MS))), [ATTEMPTS_HEADER]: '1',
+			},
+			body: body.content,
+			heldBytes,
+			now: parts.now,
 		});
-		return Right({status: response.statusCode, headers: response.headers, body: response.body});
-	} catch (error) {
-		return Left(toFailure({error: error as Error & {code?: string}, isTimeout: timeout.aborted, isCancelled: cancelled.aborted}));
+		this.#exchange = exchange;
+		if (call.isRead) {
+			lease.unsafeCoerce().connection.onSilent = () => {
+				exchange.abort({kind: 'silent-connection', detail: 'the connection went silent'});
+			};
+		}
+
+		call.sentAttempts += 1;
+		parts.deathWatch.enter({server: server.name, call});
+		exchange.send();
+		const result = await exchange.result;
+		const isShed = result.map(({status}) => status === SHED_STATUS).orDefault(false);
+		call.mayHaveRun ||= exchange.mayHaveRun && !isShed;
+		if (!exchange.mayHaveRun) {
+			call.sentAttempts -= 1;
+		}
+
+		const settled = result.isRight() ? this.#onAnswer(result.unsafeCoerce()) : await this.#onFailure(result.extract() as AttemptFailure);
+		parts.deathWatch.leave({server: server.name, call});
+		return settled;
 	}
-}
 
-/** Origin of a backend server. */
-export function originOf({address, port}: BackendServer): string {
-	return address.includes(':') ? `http://[${address}]:${port}` : `http://${address}:${port}`;
-}
+	#onAnswer(answer: AttemptAnswer): Either<FailedAttempt, Answered> {
+		if (answer.status !== SHED_STATUS) {
+			return Right({answer, attempt: this});
+		}
 
-const neverSentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+		if (answer.kind === 'partial') {
+			this.giveUp({kind: 'cancelled', detail: 'shed'});
+		}
 
-function toFailure({error, isTimeout, isCancelled}: {readonly error: Error & {code?: string}; readonly isTimeout: boolean; readonly isCancelled: boolean}): AttemptFailure {
-	const detail = `${error.code ?? error.name}: ${error.message}`;
-	if (isCancelled) {
-		return {kind: 'cancelled', execution: 'unknown', detail};
+		const server = this.#placement!.server.name;
+		this.release('shed');
+		return Left(toShedAttempt({server, answer}));
 	}
 
-	if (isTimeout) {
-		return {kind: 'timed-out', execution: 'unknown', detail};
-	}
+	async #onFailure(failure: AttemptFailure): Promise<Either<FailedAttempt, Answered>> {
+		const {server} = this.#placement!;
+		if ((failure.kind === 'failed' || failure.kind === 'truncated') && failure.execution === 'unknown') {
+			await this.#options.parts.deathWatch.judgeLoss(server);
+		}
 
-	if (error instanceof errors.ConnectTimeoutError || neverSentCodes.has(error.code ?? '')) {
-		return {kind: 'connect-failed', execution: 'not-run', detail};
+		return this.#fail(failure);
 	}
 
-	return {kind: 'failed', execution: 'unknown', detail};
+	#fail(failure: AttemptFailure): Either<FailedAttempt, Answered> {
+		const server = this.#placement!.server.name;
+		this.release(attemptEnds[failure.kind]);
+		return Left(toFailedAttempt({server, failure}));
+	}
 }
+
+const attemptEnds: Record<AttemptFailure['kind'], AttemptEnd> = {
+	'connect-failed': 'connect-failed',
+	failed: 'failed',
+	'timed-out': 'timed-out',
+	cancelled: 'cancelled',
+	'silent-connection': 'failed',
+	truncated: 'failed',
+	mismatched: 'failed',
+};
--- a/calls/forwarding/src/call-handler.ts
+++ b/calls/forwarding/src/call-handler.ts
@@ -1,33 +1,46 @@
 /** Carries one call from arrival to its final answer. */
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {pipeline} from 'node:stream/promises';
-import type {Dispatcher} from 'undici';
-import {
-	toProblemDocument, PROBLEM_MEDIA_TYPE,
-} from '@pomelopick/core.types';
+import type {Either} from 'purify-ts';
 import type {
-	BackendServerName, CallId, ConfigurationSet, FailureDomainName, Refusal, RefusalReason, RetryReason, Service, SiteName,
+	CallId, ConfigurationSet, Refusal, RefusalReason, Service, SiteName,
 } from '@pomelopick/core.types';
 import type {Counters, EventRecord, Log} from '@pomelopick/core.telemetry';
-import {sendAttempt} from './attempt.js';
-import type {AttemptAnswer, AttemptFailure} from './attempt.js';
-import {
-	CALL_ID_HEADER, TIMEOUT_HEADER, endToEndHeaders, readTimeoutMs,
-} from './call-headers.js';
-import type {AttemptEnd, PlaceCall, Placement} from './placement.js';
+import type {BackendConnections} from '@pomelopick/calls.connections';
+import type {DeathWatch, Quarantine} from '@pomelopick/calls.quarantine';
+import {findEarlyRefusal, findService} from './admission.js';
+import type {CallLimits} from './admission.js';
+import type {Answered, AttemptParts} from './attempt.js';
+import {CALL_ID_HEADER, endToEndHeaders, readDemands} from './call-headers.js';
+import type {CallDemands} from './call-headers.js';
+import {CallRun} from './call-run.js';
+import {CallState} from './call-state.js';
+import type {KeyedOutcome, KeyedRun, KeyGuard} from './key-guard.js';
+import type {PlaceCall} from './placement.js';
+import {sendRefusal} from './refuse.js';
+import {sendWhole} from './send-whole.js';
+import {readBody} from './request-body.js';
+import {ServicePolicies} from './service-policies.js';
 
 const MOST_ATTEMPTS = 3;
-const SHED_STATUS = 503;
-const MILLISECONDS_PER_SECOND = 1000;
-const SHED_RETRY_AFTER_MS = 1000;
+/** Bytes of an answer that are held, so that one that breaks off becomes a refusal or is tried again. */
+const HELD_ANSWER_BYTES = 32_768;
+/** Bytes of an answer to a keyed call that are held, so that its outcome can be recorded. */
+const HELD_KEYED_ANSWER_BYTES = 262_144;
 
 /** Options of {@link CallHandler}. */
 export interface CallHandlerOptions {
 	readonly currentSet: () => ConfigurationSet | undefined;
 	readonly findSite: (address: string) => SiteName | undefined;
 	readonly placeCall: PlaceCall;
-	readonly dispatcher: Dispatcher;
+	readonly connections: BackendConnections;
+	readonly quarantine: Quarantine;
+	readonly deathWatch: DeathWatch;
+	/** Runs keyed calls at most once; absent: keys are passed on only. */
+	readonly keyGuard?: KeyGuard;
+	readonly limits: CallLimits;
+	/** Whether this instance is about to stop and takes no new calls. */
+	readonly isLeaving: () => boolean;
 	readonly counters: Counters;
 	readonly events: EventRecord;
 	readonly log: Log;
@@ -44,46 +57,32 @@
 	readonly path: string;
 }
 
-interface CarryOptions {
-	readonly request: IncomingMessage;
-	readonly response: ServerResponse;
-	readonly path: string;
-	readonly call: CallState;
-}
-
-interface CallState {
+interface CheckedCall extends HandleCallOptions {
 	readonly id: CallId;
 	readonly service: Service;
-	readonly startedAtMs: number;
-	readonly deadlineMs: number;
-	readonly cancelled: AbortController;
-	readonly avoidServers: Set<BackendServerName>;
-	readonly avoidDomains: Set<FailureDomainName>;
-	readonly retries: RetryReason[];
-	waitedMs: number;
-	lastServer: BackendServerName | undefined;
-	why: string;
+	readonly demands: CallDemands;
 }
 
-interface AnswerOptions {
-	readonly call: CallState;
-	readonly placement: Placement;
+interface CarryOptions {
 	readonly response: ServerResponse;
-	readonly answer: AttemptAnswer;
+	readonly call: CallState;
+	readonly run: CallRun;
 }
 
-type AttemptResult =
-	| {readonly kind: 'final'; readonly outcome: string}
-	| {readonly kind: 'refuse'; readonly refusal: Refusal}
-	| {readonly kind: 'retry'; readonly reason: RetryReason; readonly refusal: Refusal};
-
 /** Carries calls. Every call gets exactly one final answer. */
 export class CallHandler {
 	readonly #options: CallHandlerOptions;
+	readonly #parts: AttemptParts;
+	readonly #policies: ServicePolicies;
 	#inProgress = 0;
 
 	constructor(options: CallHandlerOptions) {
+		const {placeCall, connections, deathWatch, now} = options;
 		this.#options = options;
+		this.#parts = {
+			placeCall, connections, deathWatch, now,
+		};
+		this.#policies = new ServicePolicies({now});
 	}
 
 	/** Calls in progress. */
@@ -92,217 +91,181 @@
 	}
 
 	/** Carries one call; resolves after its final answer was sent. Never rejects. */
-	async handle({request, response, serviceName, path}: HandleCallOptions): Promise<void> {
+	async handle(options: HandleCallOptions): Promise<void> {
+		const id = randomUUID() as CallId;
+		const refusal = findEarlyRefusal({
+			...this.#options, inProgress: this.#inProgress, headers: options.request.headers, serviceName: options.serviceName,
+		});
+		if (refusal) {
+			this.#refuse({response: options.response, id, refusal});
+			return;
+		}
+
 		this.#inProgress += 1;
 		try {
-			const id = randomUUID() as CallId;
-			const service = this.#options.currentSet()?.services.find(({name}) => name === serviceName);
-			const timeoutMs = readTimeoutMs(request.headers);
-			if (!service) {
-				this.#refuse({response, id, refusal: this.#unknownService(serviceName)});
-				return;
-			}
-
-			if (Number.isNaN(timeoutMs)) {
-				const found = JSON.stringify(request.headers[TIMEOUT_HEADER]);
-				this.#refuse({response, id, refusal: {reason: 'bad-request', execution: 'not-run', detail: `${TIMEOUT_HEADER}: expected whole milliseconds, found ${found}`}});
-				return;
-			}
-
-			await this.#carry({
-				request, response, path, call: this.#begin({id, service, timeoutMs}),
+			const service = findService({set: this.#options.currentSet(), name: options.serviceName})!;
+			const demands = readDemands(options.request.headers).unsafeCoerce();
+			await this.#begin({
+				...options, id, service, demands,
 			});
 		} finally {
 			this.#inProgress -= 1;
 		}
 	}
 
-	#unknownService(serviceName: string): Refusal {
-		return this.#options.currentSet()
-			? {reason: 'unknown-service', execution: 'not-run', detail: `no service is named ${JSON.stringify(serviceName)}`}
-			: {
-				reason: 'configuration-missing', execution: 'not-run', detail: 'no configuration has arrived yet', retryAfterMs: SHED_RETRY_AFTER_MS,
-			};
-	}
+	async #begin({request, response, path, id, service, demands}: CheckedCall): Promise<void> {
+		const {now, findSite, limits} = this.#options;
+		const startedAtMs = now();
+		const timeoutMs = demands.timeoutMs ?? service.defaultTimeoutMs;
+		const body = await readBody({request, mostBytes: limits.bodyBytes, timeoutMs});
+		if (body.isLeft()) {
+			this.#refuse({response, id, refusal: body.extract()});
+			return;
+		}
 
-	#begin({id, service, timeoutMs}: {readonly id: CallId; readonly service: Service; readonly timeoutMs: number | undefined}): CallState {
-		const startedAtMs = this.#options.now();
-		return {
+		const caller = request.socket.remoteAddress ?? '';
+		const call = new CallState({
 			id,
 			service,
+			method: request.method ?? 'GET',
+			path,
+			headers: endToEndHeaders(request.headers),
+			body: body.unsafeCoerce(),
+			key: demands.key,
+			caller,
+			callerSite: findSite(caller),
 			startedAtMs,
-			deadlineMs: startedAtMs + (timeoutMs ?? service.defaultTimeoutMs),
-			cancelled: new AbortController(),
-			avoidServers: new Set(),
-			avoidDomains: new Set(),
-			retries: [],
-			waitedMs: 0,
-			lastServer: undefined,
-			why: '',
-		};
+			deadlineMs: startedAtMs + timeoutMs,
+			mostAttempts: Math.min(MOST_ATTEMPTS, demands.attempts ?? MOST_ATTEMPTS),
+		});
+		await this.#carryWithin({response, call});
 	}
 
-	async #carry({request, response, path, call}: CarryOptions): Promise<void> {
+	/** Carries a call within its deadline and while its caller stays. */
+	async #carryWithin({response, call}: Omit<CarryOptions, 'run'>): Promise<void> {
+		const {quarantine, counters, now} = this.#options;
+		const isKeyed = call.options.key !== undefined && !call.isRead;
+		const policy = this.#policies.of(call.options.service.name);
+		policy.budget.noteCall();
+		const run = new CallRun({
+			call, parts: this.#parts, policy, quarantine, counters, heldBytes: isKeyed ? HELD_KEYED_ANSWER_BYTES : HELD_ANSWER_BYTES,
+		});
+		const timer = setTimeout(() => {
+			run.end('deadline');
+		}, Math.max(1, call.options.deadlineMs - now()));
 		response.once('close', () => {
 			if (!response.writableFinished) {
-				call.cancelled.abort();
+				run.end('caller');
 			}
 		});
-		const isRepeatable = (request.method === 'GET' || request.method === 'HEAD') && !hasBody(request);
-		for (let attempt = 1; ; attempt += 1) {
-			const result = await this.#attempt({
-				request, response, path, call,
-			});
-			if (result.kind === 'final') {
-				this.#logCall({call, outcome: result.outcome});
-				return;
-			}
-
-			const mayRetry = result.kind === 'retry' && attempt < MOST_ATTEMPTS && (isRepeatable || (result.refusal.execution === 'not-run' && !hasBody(request)));
-			if (!mayRetry) {
-				this.#refuse({response, id: call.id, refusal: result.refusal});
-				this.#logCall({call, outcome: result.refusal.reason});
-				return;
-			}
-
-			call.retries.push(result.reason);
-			this.#options.counters.retried(result.reason);
-		}
+		const outcome = await this.#carry({response, call, run});
+		clearTimeout(timer);
+		this.#logCall({call, outcome});
 	}
 
-	async #attempt({request, response, path, call}: CarryOptions): Promise<AttemptResult> {
-		const {placeCall, dispatcher, now, findSite} = this.#options;
-		const caller = request.socket.remoteAddress ?? '';
-		const placed = await placeCall({
-			service: call.service, caller, callerSite: findSite(caller), deadlineMs: call.deadlineMs, avoidServers: call.avoidServers, avoidDomains: call.avoidDomains, signal: call.cancelled.signal,
-		});
-		if (placed.isLeft()) {
-			return {kind: 'refuse', refusal: placed.extract()};
+	async #carry({response, call, run}: CarryOptions): Promise<string> {
+		const {quarantine, keyGuard} = this.#options;
+		const {id, key} = call.options;
+		if (!quarantine.isEmpty && quarantine.standingOf(call.fingerprint()) === 'convicted') {
+			const refusal: Refusal = {reason: 'request-quarantined', execution: 'not-run', detail: 'the request is taken to crash backend servers'};
+			return this.#refuse({response, id, refusal});
 		}
 
-		const placement = placed.unsafeCoerce();
-		call.waitedMs += placement.waitedMs;
-		call.lastServer = placement.server.name;
-		call.why = placement.why;
-		const timeLeftMs = call.deadlineMs - now();
-		if (timeLeftMs <= 0) {
-			placement.release('cancelled');
-			return {kind: 'refuse', refusal: {reason: 'deadline-exceeded', execution: 'not-run', detail: 'the deadline passed before the call was sent'}};
+		if (!keyGuard || key === undefined || call.isRead) {
+			return this.#deliver({response, call, result: await run.run()});
 		}
 
-		const sent = await sendAttempt({
-			dispatcher,
-			server: placement.server,
-			method: request.method ?? 'GET',
-			path,
-			headers: {...endToEndHeaders(request.headers), [CALL_ID_HEADER]: call.id, [TIMEOUT_HEADER]: String(Math.floor(timeLeftMs))},
-			body: hasBody(request) ? request : undefined,
-			cancelled: call.cancelled.signal,
-			timeoutMs: timeLeftMs,
+		const begun = await keyGuard.begin({
+			key, service: call.options.service.name, fingerprint: call.fingerprint(), deadlineMs: call.options.deadlineMs, signal: call.ended.signal,
 		});
-		return sent.isLeft()
-			? this.#onFailure({call, placement, failure: sent.extract()})
-			: this.#onAnswer({
-				call, placement, response, answer: sent.unsafeCoerce(),
+		return begun.isLeft()
+			? this.#refuse({response, id, refusal: begun.extract()})
+			: this.#carryKeyed({
+				response, call, run, keyed: begun.unsafeCoerce(),
 			});
 	}
 
-	#onFailure({call, placement, failure}: {readonly call: CallState; readonly placement: Placement; readonly failure: AttemptFailure}): AttemptResult {
-		const detail = `${placement.server.name}: ${failure.detail}`;
-		call.avoidServers.add(placement.server.name);
-		call.avoidDomains.add(placement.failureDomain);
-		switch (failure.kind) {
-			case 'connect-failed': {
-				placement.release('connect-failed');
-				return {kind: 'retry', reason: 'connect-failed', refusal: {reason: 'connect-failed', execution: 'not-run', detail}};
-			}
+	async #carryKeyed({response, call, run, keyed}: CarryOptions & {readonly keyed: KeyedRun}): Promise<string> {
+		if (keyed.kind === 'replay') {
+			const {status, headers, body} = keyed.outcome;
+			sendWhole({
+				response, id: call.options.id, status, headers, body,
+			});
+			return `replayed ${status}`;
+		}
 
-			case 'timed-out': {
-				placement.release('timed-out');
-				return {kind: 'refuse', refusal: {reason: 'deadline-exceeded', execution: 'unknown', detail}};
-			}
+		const result = await run.run();
+		const recorded = keyed.finish(result.caseOf({
+			Left: ({execution}): KeyedOutcome => ({execution: execution === 'not-run' ? 'not-run' : 'unknown'}),
+			Right: ({answer}): KeyedOutcome => answer.kind === 'whole' ? {status: answer.status, headers: answer.headers, body: answer.body} : {execution: 'unknown'},
+		}));
+		if (result.isRight()) {
+			// A refusal goes out at once; an answer only after it was recorded.
+			await recorded;
+		}
 
-			case 'cancelled': {
-				placement.release('cancelled');
-				return {kind: 'refuse', refusal: {reason: 'caller-cancelled', execution: 'unknown', detail}};
-			}
+		return this.#deliver({response, call, result});
+	}
 
-			default: {
-				placement.release('failed');
-				return {kind: 'retry', reason: 'backend-failed', refusal: {reason: 'backend-failed', execution: 'unknown', detail}};
-			}
+	async #deliver({response, call, result}: {readonly response: ServerResponse; readonly call: CallState; readonly result: Either<Refusal, Answered>}): Promise<string> {
+		const {id} = call.options;
+		if (result.isLeft()) {
+			return this.#refuse({response, id, refusal: result.extract()});
 		}
-	}
 
-	async #onAnswer({call, placement, response, answer}: AnswerOptions): Promise<AttemptResult> {
-		if (answer.status === SHED_STATUS) {
-			answer.body.resume();
-			call.avoidServers.add(placement.server.name);
-			placement.release('shed');
-			return {
-				kind: 'retry', reason: 'backend-shed', refusal: {
-					reason: 'backend-shed', execution: 'not-run', detail: `${placement.server.name} has no room`, retryAfterMs: SHED_RETRY_AFTER_MS,
-				},
-			};
+		const {answer, attempt} = result.unsafeCoerce();
+		const {quarantine, now} = this.#options;
+		if (!quarantine.isEmpty) {
+			quarantine.clear(call.fingerprint());
 		}
 
-		let end: AttemptEnd = 'answered';
-		try {
-			response.writeHead(answer.status, {...endToEndHeaders(answer.headers), [CALL_ID_HEADER]: call.id});
-			await pipeline(answer.body, response);
-			return {kind: 'final', outcome: String(answer.status)};
-		} catch (error) {
-			// The answer broke off after its head was sent: the connection is cut so that no part passes for the whole.
-			end = call.cancelled.signal.aborted ? 'cancelled' : 'failed';
-			const reason: RefusalReason = end === 'cancelled' ? 'caller-cancelled' : 'answer-truncated';
-			this.#options.counters.refused(reason);
-			this.#options.events.add({kind: 'refusal', message: reason, fields: {call: call.id, detail: (error as Error).message}});
-			response.destroy();
-			return {kind: 'final', outcome: reason};
-		} finally {
-			placement.release(end);
+		if (answer.kind === 'whole') {
+			attempt.release('answered');
+			sendWhole({response, id, ...answer});
+		} else {
+			response.setHeader(CALL_ID_HEADER, id);
+			const forwarded = await answer.forward(response);
+			attempt.release(forwarded.isRight() ? 'answered' : 'failed');
+			if (forwarded.isLeft()) {
+				return this.#noteCut({call, detail: forwarded.swap().map(({detail}) => detail).orDefault('')});
+			}
 		}
+
+		const nowMs = now();
+		this.#policies.of(call.options.service.name).latency.record({latencyMs: nowMs - call.options.startedAtMs, nowMs});
+		return String(answer.status);
+	}
+
+	#noteCut({call, detail}: {readonly call: CallState; readonly detail: string}): RefusalReason {
+		const reason: RefusalReason = call.endedBy === 'caller' ? 'caller-cancelled' : (call.endedBy === 'deadline' ? 'deadline-exceeded' : 'answer-truncated');
+		this.#note({id: call.options.id, reason, detail});
+		return reason;
 	}
 
-	#refuse({response, id, refusal}: {readonly response: ServerResponse; readonly id: CallId; readonly refusal: Refusal}): void {
-		this.#options.counters.refused(refusal.reason);
-		this.#options.events.add({kind: 'refusal', message: refusal.reason, fields: {call: id, detail: refusal.detail}});
+	#refuse({response, id, refusal}: {readonly response: ServerResponse; readonly id: CallId; readonly refusal: Refusal}): RefusalReason {
+		this.#note({id, reason: refusal.reason, detail: refusal.detail});
 		sendRefusal({response, id, refusal});
+		return refusal.reason;
+	}
+
+	#note({id, reason, detail}: {readonly id: CallId; readonly reason: RefusalReason; readonly detail: string}): void {
+		this.#options.counters.refused(reason);
+		this.#options.events.add({kind: 'refusal', message: reason, fields: {call: id, detail}});
 	}
 
 	#logCall({call, outcome}: {readonly call: CallState; readonly outcome: string}): void {
-		const elapsedMs = this.#options.now() - call.startedAtMs;
+		const elapsedMs = this.#options.now() - call.options.startedAtMs;
 		this.#options.counters.timing('call', elapsedMs);
 		this.#options.log(
 			'call=%s service=%s server=%s why="%s" waited=%dms retries=%s ended=%s total=%dms',
-			call.id,
-			call.service.name,
+			call.options.id,
+			call.options.service.name,
 			call.lastServer ?? '-',
 			call.why,
 			Math.round(call.waitedMs),
-			call.retries.join(',') || '-',
+			call.extraAttempts.join(',') || '-',
 			outcome,
 			Math.round(elapsedMs),
 		);
 	}
 }
-
-/** Sends a refusal as a problem document. */
-export function sendRefusal({response, id, refusal}: {readonly response: ServerResponse; readonly id: CallId; readonly refusal: Refusal}): void {
-	const document = toProblemDocument({refusal, callId: id});
-	if (response.headersSent || response.destroyed) {
-		response.destroy();
-		return;
-	}
-
-	response.writeHead(document.status, {
-		'content-type': PROBLEM_MEDIA_TYPE,
-		[CALL_ID_HEADER]: id,
-		...(refusal.retryAfterMs !== undefined && {'retry-after': String(Math.ceil(refusal.retryAfterMs / MILLISECONDS_PER_SECOND))}),
-	});
-	response.end(JSON.stringify(document));
-}
-
-function hasBody(request: IncomingMessage): boolean {
-	return request.headers['transfer-encoding'] !== undefined || Number(request.headers['content-length'] ?? 0) > 0;
-}
--- /dev/null
+++ b/calls/forwarding/src/exchange.ts
@@ -0,0 +1,286 @@
+/** One request to a backend server and its answer, over one connection of its own. */
+import {Buffer} from 'node:buffer';
+import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
+import type {Readable} from 'node:stream';
+import {errors} from 'undici';
+import type {Dispatcher} from 'undici';
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import type {Execution} from '@pomelopick/core.types';
+import type {ConnectionLease} from '@pomelopick/calls.connections';
+import {CALL_ID_HEADER, endToEndHeaders} from './call-headers.js';
+
+/** Why an attempt gave no whole answer. */
+export type AttemptFailureKind = 'connect-failed' | 'failed' | 'timed-out' | 'cancelled' | 'silent-connection' | 'truncated' | 'mismatched';
+
+/** An attempt without an answer. */
+export interface AttemptFailure {
+	readonly kind: AttemptFailureKind;
+	/** Whether the backend server may have run the call. */
+	readonly execution: Exclude<Execution, 'ran'>;
+	readonly detail: string;
+}
+
+/** Head of an answer. */
+export interface AnswerHead {
+	readonly status: number;
+	readonly headers: Readonly<Record<string, string | string[]>>;
+}
+
+/** An answer that is whole, or one too large to hold whose rest is still to come. */
+export type AttemptAnswer = AnswerHead & (
+	| {readonly kind: 'whole'; readonly body: Uint8Array}
+	| {
+		readonly kind: 'partial';
+		/** Sends the answer to the caller as it arrives. Left: it broke off, and the caller's connection was cut. */
+		readonly forward: (response: ServerResponse) => Promise<Either<AttemptFailure, void>>;
+	}
+);
+
+/** Options of {@link Exchange}. */
+export interface ExchangeOptions {
+	readonly lease: ConnectionLease;
+	readonly callId: string;
+	readonly method: string;
+	readonly path: string;
+	readonly headers: Record<string, string | string[]>;
+	readonly body: Uint8Array | Readable | undefined;
+	/** Bytes of an answer that are held before the first of them is sent on. */
+	readonly heldBytes: number;
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+}
+
+/** Carries one request; resolves once. */
+export class Exchange implements Dispatcher.DispatchHandler {
+	/** Resolves with the answer or the failure; never rejects. */
+	readonly result: Promise<Either<AttemptFailure, AttemptAnswer>>;
+	readonly #options: ExchangeOptions;
+	#resolve!: (result: Either<AttemptFailure, AttemptAnswer>) => void;
+	#controller: Dispatcher.DispatchController | undefined;
+	#aborted: AttemptFailure | undefined;
+	#isReleased = false;
+	#head: AnswerHead | undefined;
+	#held: Uint8Array[] = [];
+	#heldBytes = 0;
+	#forwarding: Forwarding | undefined;
+
+	constructor(options: ExchangeOptions) {
+		this.#options = options;
+		this.result = new Promise(resolve => {
+			this.#resolve = resolve;
+		});
+	}
+
+	/** Whether a byte of the request may have left. */
+	get mayHaveRun(): boolean {
+		return this.#controller !== undefined;
+	}
+
+	/** Whether the head of an answer has arrived. */
+	get hasHead(): boolean {
+		return this.#head !== undefined;
+	}
+
+	/** Sends the request. */
+	send(): void {
+		const {lease, method, path, headers, body} = this.#options;
+		lease.connection.client.dispatch({
+			method, path, headers, body: body ?? null,
+		}, this);
+	}
+
+	/** Gives the request up. Its connection is closed, which cancels the backend server's work. */
+	abort({kind, detail}: {readonly kind: AttemptFailureKind; readonly detail: string}): void {
+		if (this.#aborted !== undefined || this.#isReleased) {
+			return;
+		}
+
+		this.#aborted = {kind, detail, execution: this.#execution};
+		this.#release({isReusable: false});
+		this.#controller?.abort(new errors.RequestAbortedError(detail));
+		this.#fail(this.#aborted);
+	}
+
+	onRequestStart(controller: Dispatcher.DispatchController): void {
+		if (this.#aborted) {
+			// Nothing was written yet, and nothing will be.
+			controller.abort(new errors.RequestAbortedError(this.#aborted.detail));
+			return;
+		}
+
+		this.#controller = controller;
+	}
+
+	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+		this.#noteLife();
+		if (status < 200) {
+			return;
+		}
+
+		const {callId, method} = this.#options;
+		const echoed = headers[CALL_ID_HEADER];
+		if (echoed !== undefined && echoed !== callId) {
+			this.abort({kind: 'mismatched', detail: `got the answer of call ${JSON.stringify(echoed)}`});
+			return;
+		}
+
+		const hasBody = method !== 'HEAD' && status !== NO_CONTENT && status !== NOT_MODIFIED;
+		if (hasBody && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined) {
+			this.abort({kind: 'truncated', detail: 'the answer has neither a length nor chunks, so its end cannot be told from a cut'});
+			return;
+		}
+
+		this.#head = {status, headers: endToEndHeaders(headers)};
+		if (hasBody && Number(headers['content-length'] ?? 0) > this.#options.heldBytes) {
+			this.#startForwarding(controller);
+		}
+	}
+
+	onResponseData(controller: Dispatcher.DispatchController, piece: Uint8Array): void {
+		this.#noteLife();
+		if (this.#forwarding) {
+			this.#forwarding.write({piece, controller});
+			return;
+		}
+
+		this.#held.push(piece);
+		this.#heldBytes += piece.length;
+		if (this.#heldBytes > this.#options.heldBytes) {
+			this.#startForwarding(controller);
+		}
+	}
+
+	onResponseEnd(): void {
+		if (this.#aborted !== undefined || !this.#head) {
+			return;
+		}
+
+		this.#release({isReusable: true});
+		if (this.#forwarding) {
+			this.#forwarding.end();
+			return;
+		}
+
+		const body = this.#held.length === 1 ? this.#held[0]! : Buffer.concat(this.#held);
+		this.#resolve(Right({kind: 'whole', ...this.#head, body}));
+	}
+
+	onResponseError(_controller: Dispatcher.DispatchController, error: Error & {code?: string}): void {
+		if (this.#aborted) {
+			return;
+		}
+
+		this.#release({isReusable: false});
+		const detail = `${error.code ?? error.name}: ${error.message}`;
+		const kind = this.#head ? 'truncated' : (this.mayHaveRun ? 'failed' : 'connect-failed');
+		this.#fail({kind, execution: this.#execution, detail});
+	}
+
+	get #execution(): 'not-run' | 'unknown' {
+		return this.mayHaveRun ? 'unknown' : 'not-run';
+	}
+
+	#noteLife(): void {
+		this.#options.lease.connection.lastAnswerAtMs = this.#options.now();
+	}
+
+	#release({isReusable}: {readonly isReusable: boolean}): void {
+		if (!this.#isReleased) {
+			this.#isReleased = true;
+			this.#options.lease.release({isReusable});
+		}
+	}
+
+	#fail(failure: AttemptFailure): void {
+		if (this.#forwarding) {
+			this.#forwarding.fail(failure);
+		} else {
+			this.#resolve(Left(failure));
+		}
+	}
+
+	#startForwarding(controller: Dispatcher.DispatchController): void {
+		controller.pause();
+		const forwarding = new Forwarding({head: this.#head!, held: this.#held, controller});
+		this.#held = [];
+		this.#forwarding = forwarding;
+		this.#resolve(Right({
+			kind: 'partial', ...this.#head!, forward: async response => forwarding.start(response),
+		}));
+	}
+}
+
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+
+interface ForwardingOptions {
+	readonly head: AnswerHead;
+	readonly held: readonly Uint8Array[];
+	readonly controller: Dispatcher.DispatchController;
+}
+
+/** Sends a large answer on as it arrives. */
+class Forwarding {
+	readonly #options: ForwardingOptions;
+	readonly #done: Promise<Either<AttemptFailure, void>>;
+	#finish!: (result: Either<AttemptFailure, void>) => void;
+	#response: ServerResponse | undefined;
+	#failure: AttemptFailure | undefined;
+
+	constructor(options: ForwardingOptions) {
+		this.#options = options;
+		this.#done = new Promise(resolve => {
+			this.#finish = resolve;
+		});
+	}
+
+	async start(response: ServerResponse): Promise<Either<AttemptFailure, void>> {
+		const {head, held, controller} = this.#options;
+		this.#response = response;
+		if (this.#failure) {
+			this.fail(this.#failure);
+			return this.#done;
+		}
+
+		response.writeHead(head.status, head.headers);
+		response.on('drain', () => {
+			controller.resume();
+		});
+		const isFull = held.map(piece => response.write(piece)).includes(false);
+		if (!isFull) {
+			controller.resume();
+		}
+
+		return this.#done;
+	}
+
+	write({piece, controller}: {readonly piece: Uint8Array; readonly controller: Dispatcher.DispatchController}): void {
+		if (!this.#response!.write(piece)) {
+			controller.pause();
+		}
+	}
+
+	end(): void {
+		this.#response!.end();
+		this.#finish(Right(undefined));
+	}
+
+	/** Cuts the caller's connection, so that no part passes for the whole answer. */
+	fail(failure: AttemptFailure): void {
+		this.#failure = failure;
+		if (this.#response) {
+			cut(this.#response);
+			this.#finish(Left(failure));
+		}
+	}
+}
+
+/** Resets the caller's connection. */
+export function cut(response: ServerResponse): void {
+	if (response.socket) {
+		response.socket.resetAndDestroy();
+	} else {
+		response.destroy();
+	}
+}
--- a/calls/forwarding/src/index.ts
+++ b/calls/forwarding/src/index.ts
@@ -1,7 +1,12 @@
 /** Carries one call from arrival to its final answer. */
-export * from './attempt.js';
+export type * from './admission.js';
 export * from './call-handler.js';
 export * from './call-headers.js';
+export * from './exchange.js';
 export type * from './key-guard.js';
+export * from './latency-tracker.js';
 export * from './local-placement.js';
 export type * from './placement.js';
+export * from './refuse.js';
+export * from './request-body.js';
+export * from './retry-budget.js';
--- /dev/null
+++ b/calls/forwarding/src/refuse.ts
@@ -0,0 +1,37 @@
+/** Sends refusals to callers as problem documents. */
+import {Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
+import {PROBLEM_MEDIA_TYPE, toProblemDocument} from '@pomelopick/core.types';
+import type {CallId, Refusal} from '@pomelopick/core.types';
+import {CALL_ID_HEADER} from './call-headers.js';
+import {cut} from './exchange.js';
+
+const MILLISECONDS_PER_SECOND = 1000;
+
+/** Options of {@link sendRefusal}. */
+export interface SendRefusalOptions {
+	readonly response: ServerResponse;
+	readonly id: CallId;
+	readonly refusal: Refusal;
+}
+
+/** Sends a refusal as a problem document; cuts the connection when another answer was begun. */
+export function sendRefusal({response, id, refusal}: SendRefusalOptions): void {
+	if (response.headersSent || response.destroyed) {
+		cut(response);
+		return;
+	}
+
+	const document = toProblemDocument({refusal, callId: id});
+	const body = JSON.stringify(document);
+	const isBodyPending = !response.req.complete;
+	response.writeHead(document.status, {
+		'content-type': PROBLEM_MEDIA_TYPE,
+		'content-length': String(Buffer.byteLength(body)),
+		[CALL_ID_HEADER]: id,
+		...(refusal.retryAfterMs !== undefined && {'retry-after': String(Math.ceil(refusal.retryAfterMs / MILLISECONDS_PER_SECOND))}),
+		// The rest of a body that is not wanted is not read; the connection ends with the answer.
+		...(isBodyPending && {connection: 'close'}),
+	});
+	response.end(body);
+}
--- /dev/null
+++ b/calls/forwarding/test/exchange.test.ts
@@ -0,0 +1,38 @@
+import assert from 'node:assert/strict';
+import {connect} from 'node:net';
+import {describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Client} from 'undici';
+import {startScriptedServer} from './scripted-server.js';
+import {Exchange} from '@pomelopick/calls.forwarding';
+
+describe('an exchange', () => {
+	it('says not-run when it is given up before its connection is there, and sends nothing afterwards', async () => {
+		const server = await startScriptedServer();
+		const client = new Client(`http://127.0.0.1:${server.endpoint.port}`, {
+			connect(_options, callback) {
+				setTimeout(() => {
+					const socket = connect(server.endpoint.port, '127.0.0.1', () => {
+						callback(null, socket);
+					});
+				}, 100);
+			},
+		});
+		const exchange = new Exchange({
+			lease: {
+				connection: {
+					client, onSilent: undefined, lastAnswerAtMs: 0, isOpen: false,
+				}, release: () => undefined,
+			},
+			callId: 'one', method: 'POST', path: '/x', headers: {}, body: new TextEncoder().encode('{}'), heldBytes: 1000, now: () => 0,
+		});
+		exchange.send();
+		exchange.abort({kind: 'timed-out', detail: 'deadline'});
+		const result = await exchange.result;
+		assert.equal(result.swap().map(({execution}) => execution).orDefault('unknown'), 'not-run');
+		await sleep(300);
+		assert.equal(server.requests.length, 0);
+		await client.destroy();
+		await server.stop();
+	});
+});
--- /dev/null
+++ b/calls/quarantine/src/death-watch.ts
@@ -0,0 +1,84 @@
+/** Tells the death of a backend server from the loss of one connection, and who was in flight there. */
+import type {BackendServer, BackendServerName} from '@pomelopick/core.types';
+import type {RequestFingerprint} from './fingerprint.js';
+
+/** Losses at a server within this time belong to one death. */
+const SAME_DEATH_MS = 100;
+
+/** A call that is in flight at a backend server. */
+export interface InFlightCall {
+	readonly isSuspect: boolean;
+	fingerprint(): RequestFingerprint;
+}
+
+/** Options of {@link DeathWatch}. */
+export interface DeathWatchOptions {
+	/** Whether a server that dropped a call has gone down. */
+	readonly isGone: (server: BackendServer) => Promise<boolean>;
+	readonly reportDeath: (options: {readonly server: BackendServerName; readonly fingerprints: readonly RequestFingerprint[]}) => Promise<void>;
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+}
+
+interface Loss {
+	readonly atMs: number;
+	readonly judged: Promise<boolean>;
+}
+
+/** Keeps which calls are in flight at which server. */
+export class DeathWatch {
+	readonly #options: DeathWatchOptions;
+	readonly #inFlight = new Map<BackendServerName, Set<InFlightCall>>();
+	readonly #losses = new Map<BackendServerName, Loss>();
+
+	constructor(options: DeathWatchOptions) {
+		this.#options = options;
+	}
+
+	/** Notes that a call is sent to a server. */
+	enter({server, call}: {readonly server: BackendServerName; readonly call: InFlightCall}): void {
+		const calls = this.#inFlight.get(server);
+		if (calls) {
+			calls.add(call);
+		} else {
+			this.#inFlight.set(server, new Set([call]));
+		}
+	}
+
+	/** Notes that a call's attempt at a server has ended. */
+	leave({server, call}: {readonly server: BackendServerName; readonly call: InFlightCall}): void {
+		this.#inFlight.get(server)?.delete(call);
+	}
+
+	/** Servers at which suspects are in flight. */
+	listServersOfSuspects(): readonly BackendServerName[] {
+		return [...this.#inFlight].filter(([, calls]) => [...calls].some(({isSuspect}) => isSuspect)).map(([server]) => server);
+	}
+
+	/**
+	 * Judges the loss of a connection with a call in flight. The call must not have left yet.
+	 *
+	 * @returns Whether the server died; resolves after the other instances were told.
+	 */
+	async judgeLoss(server: BackendServer): Promise<boolean> {
+		const last = this.#losses.get(server.name);
+		if (last && this.#options.now() - last.atMs < SAME_DEATH_MS) {
+			return last.judged;
+		}
+
+		const calls = [...this.#inFlight.get(server.name) ?? []];
+		const judged = this.#judge({server, calls});
+		this.#losses.set(server.name, {atMs: this.#options.now(), judged});
+		return judged;
+	}
+
+	async #judge({server, calls}: {readonly server: BackendServer; readonly calls: readonly InFlightCall[]}): Promise<boolean> {
+		if (!await this.#options.isGone(server)) {
+			return false;
+		}
+
+		const fingerprints = [...new Set(calls.map(call => call.fingerprint()))];
+		await this.#options.reportDeath({server: server.name, fingerprints});
+		return true;
+	}
+}
--- /dev/null
+++ b/calls/quarantine/src/fingerprint.ts
@@ -0,0 +1,25 @@
+/** Fingerprints of requests: equal for copies of a request, whoever sends them. */
+import {createHash} from 'node:crypto';
+import type {Brand, ServiceName} from '@pomelopick/core.types';
+
+/** SHA-256 of a request's method, service, path and body, in hexadecimal. */
+export type RequestFingerprint = Brand<string, 'RequestFingerprint'>;
+
+/** Options of {@link fingerprintOf}. */
+export interface FingerprintOptions {
+	readonly method: string;
+	readonly service: ServiceName;
+	/** Path and query. */
+	readonly path: string;
+	/** Declared length of the body, where there is one. */
+	readonly bodyLength: string | undefined;
+	/** The body, or its first bytes when it is too large to hold. */
+	readonly bodyStart: Uint8Array;
+}
+
+/** Computes the fingerprint of a request. */
+export function fingerprintOf({method, service, path, bodyLength, bodyStart}: FingerprintOptions): RequestFingerprint {
+	// No part can hold a line feed, so that no two requests give the same text.
+	const hash = createHash('sha256').update(`${method}\n${service}\n${path}\n${bodyLength ?? ''}\n`);
+	return hash.update(bodyStart).digest('hex') as RequestFingerprint;
+}
--- /dev/null
+++ b/calls/quarantine/src/peer-sharing.ts
@@ -0,0 +1,140 @@
+/** Shares deaths and cleared suspects with the other instances. */
+import type {Client, ConnectRouter} from '@connectrpc/connect';
+import type {BackendServerName, Endpoint, InstanceId} from '@pomelopick/core.types';
+import {QuarantineService} from '@pomelopick/peer.protocol';
+import type {ServerDeath as DeathMessage} from '@pomelopick/peer.protocol';
+import type {PeerClients} from '@pomelopick/peer.transport';
+import type {RequestFingerprint} from './fingerprint.js';
+import type {Quarantine, SuspicionSharing} from './quarantine.js';
+import type {ServerDeath} from './suspect-table.js';
+
+const SHARE_TIMEOUT_MS = 250;
+const LIST_TIMEOUT_MS = 1000;
+const MOST_FINGERPRINTS = 512;
+const FINGERPRINT_PATTERN = /^[\da-f]{64}$/u;
+const LONGEST_NAME = 253;
+const LONGEST_AGE_MS = 4_294_967_295;
+
+/** Options of {@link createPeerSharing}. */
+export interface CreatePeerSharingOptions {
+	readonly clients: PeerClients;
+	/** Where the other instances listen for peers. */
+	readonly listPeers: () => readonly Endpoint[];
+	/** Called for each peer that was not told in time. */
+	readonly onFailure: (message: string) => void;
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+}
+
+/** Creates the sharing over messages to every other instance. */
+export function createPeerSharing({clients, listPeers, onFailure, now}: CreatePeerSharingOptions): SuspicionSharing {
+	const tell = async (endpoint: Endpoint, send: SendMessage): Promise<void> => {
+		const told = await clients.call({
+			endpoint, service: QuarantineService, timeoutMs: SHARE_TIMEOUT_MS, invoke: send,
+		}).run();
+		told.ifLeft(error => {
+			onFailure(error.message);
+		});
+	};
+
+	const tellAll = async (send: SendMessage): Promise<void> => {
+		await Promise.all(listPeers().map(async endpoint => tell(endpoint, send)));
+	};
+
+	return {
+		async shareDeath({death, convicted}) {
+			await tellAll(async (client, options) => client.reportDeath({death: toMessage({death, nowMs: now()}), convicted: [...convicted]}, options));
+		},
+		async shareCleared(fingerprint) {
+			await tellAll(async (client, options) => client.clearSuspect({fingerprint}, options));
+		},
+	};
+}
+
+type SendMessage = (client: Client<typeof QuarantineService>, options: {readonly timeoutMs: number}) => Promise<unknown>;
+
+/** Options of {@link learnFromPeers}. */
+export interface LearnFromPeersOptions {
+	readonly clients: PeerClients;
+	readonly peers: readonly Endpoint[];
+	readonly quarantine: Quarantine;
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+}
+
+/** Takes over what the first peer that answers knows. Answers whether one did. */
+export async function learnFromPeers({clients, peers, quarantine, now}: LearnFromPeersOptions): Promise<boolean> {
+	for (const endpoint of peers) {
+		const answer = await clients.call({
+			endpoint, service: QuarantineService, timeoutMs: LIST_TIMEOUT_MS, invoke: async (client, options) => client.listSuspicions({}, options),
+		}).run();
+		if (answer.isRight()) {
+			const {deaths, convictions} = answer.unsafeCoerce();
+			for (const message of deaths) {
+				receive({message, quarantine, nowMs: now()});
+			}
+
+			for (const {fingerprint, ageMs} of convictions) {
+				receiveConviction({fingerprint, quarantine, atMs: now() - ageMs});
+			}
+
+			return true;
+		}
+	}
+
+	return false;
+}
+
+/** Answers the other instances' messages. */
+export function registerQuarantine({router, quarantine, now}: {readonly router: ConnectRouter; readonly quarantine: Quarantine; readonly now: () => number}): void {
+	router.service(QuarantineService, {
+		reportDeath({death, convicted}) {
+			if (death) {
+				receive({message: death, quarantine, nowMs: now()});
+			}
+
+			for (const fingerprint of convicted) {
+				receiveConviction({fingerprint, quarantine, atMs: now()});
+			}
+
+			return {};
+		},
+		clearSuspect({fingerprint}) {
+			quarantine.receiveCleared(fingerprint as RequestFingerprint);
+			return {};
+		},
+		listSuspicions() {
+			const nowMs = now();
+			return {
+				deaths: quarantine.table.listDeaths().map(death => toMessage({death, nowMs})),
+				convictions: quarantine.table.listConvictions().map(({fingerprint, atMs}) => ({fingerprint, ageMs: toAge(nowMs - atMs)})),
+			};
+		},
+	});
+}
+
+function toMessage({death: {origin, sequence, server, fingerprints, atMs}, nowMs}: {readonly death: ServerDeath; readonly nowMs: number}): Omit<DeathMessage, '$typeName' | '$unknown'> {
+	return {
+		origin, sequence: BigInt(sequence), server, fingerprints: fingerprints.slice(0, MOST_FINGERPRINTS), ageMs: toAge(nowMs - atMs),
+	};
+}
+
+function toAge(ageMs: number): number {
+	return Math.min(LONGEST_AGE_MS, Math.max(0, Math.round(ageMs)));
+}
+
+function receive({message, quarantine, nowMs}: {readonly message: DeathMessage; readonly quarantine: Quarantine; readonly nowMs: number}): void {
+	const {origin, sequence, server, fingerprints, ageMs} = message;
+	const isBounded = origin.length <= LONGEST_NAME && server.length <= LONGEST_NAME && fingerprints.length <= MOST_FINGERPRINTS;
+	if (isBounded && fingerprints.every(fingerprint => FINGERPRINT_PATTERN.test(fingerprint))) {
+		quarantine.receiveDeath({
+			origin: origin as InstanceId, sequence: Number(sequence), server: server as BackendServerName, fingerprints: fingerprints as RequestFingerprint[], atMs: nowMs - ageMs,
+		});
+	}
+}
+
+function receiveConviction({fingerprint, quarantine, atMs}: {readonly fingerprint: string; readonly quarantine: Quarantine; readonly atMs: number}): void {
+	if (FINGERPRINT_PATTERN.test(fingerprint)) {
+		quarantine.receiveConviction({fingerprint: fingerprint as RequestFingerprint, atMs});
+	}
+}
--- /dev/null
+++ b/calls/quarantine/src/quarantine.ts
@@ -0,0 +1,102 @@
+/** Refuses requests that crash backend servers, together with the other instances. */
+import type {Counters, EventRecord} from '@pomelopick/core.telemetry';
+import type {BackendServerName, InstanceId} from '@pomelopick/core.types';
+import type {RequestFingerprint} from './fingerprint.js';
+import {SuspectTable} from './suspect-table.js';
+import type {ServerDeath} from './suspect-table.js';
+
+/** Tells the other instances; resolves when all have heard or their time is up. */
+export interface SuspicionSharing {
+	readonly shareDeath: (options: {readonly death: ServerDeath; readonly convicted: readonly RequestFingerprint[]}) => Promise<void>;
+	readonly shareCleared: (fingerprint: RequestFingerprint) => Promise<void>;
+}
+
+/** Options of {@link Quarantine}. */
+export interface QuarantineOptions {
+	readonly instance: InstanceId;
+	/** Number before that of the first death; differs between lives of an instance. */
+	readonly firstSequence: number;
+	readonly sharing: SuspicionSharing;
+	readonly counters: Counters;
+	readonly events: EventRecord;
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+}
+
+/** What is known of a request. */
+export type Standing = 'clear' | 'suspect' | 'convicted';
+
+/** Keeps the table of suspects and shares each change of it. */
+export class Quarantine {
+	readonly #options: QuarantineOptions;
+	readonly #table = new SuspectTable();
+	#sequence: number;
+
+	constructor(options: QuarantineOptions) {
+		this.#options = options;
+		this.#sequence = options.firstSequence;
+	}
+
+	/** Whether no request is suspected, so that none needs a fingerprint. */
+	get isEmpty(): boolean {
+		return this.#table.isEmpty;
+	}
+
+	/** The table, for instances that have just started. */
+	get table(): SuspectTable {
+		return this.#table;
+	}
+
+	/** What is known of a request. */
+	standingOf(fingerprint: RequestFingerprint): Standing {
+		if (this.#table.isConvicted({fingerprint, nowMs: this.#options.now()})) {
+			return 'convicted';
+		}
+
+		return this.#table.isSuspect(fingerprint) ? 'suspect' : 'clear';
+	}
+
+	/** Records a death that this instance saw; resolves when the other instances know of it. */
+	async reportDeath({server, fingerprints}: {readonly server: BackendServerName; readonly fingerprints: readonly RequestFingerprint[]}): Promise<void> {
+		const {instance, now, sharing, counters} = this.#options;
+		this.#sequence += 1;
+		const death: ServerDeath = {
+			origin: instance, sequence: this.#sequence, server, fingerprints, atMs: now(),
+		};
+		counters.add('quarantine.death');
+		const convicted = this.receiveDeath(death);
+		await sharing.shareDeath({death, convicted});
+	}
+
+	/** Records a death that any instance saw; answers the requests that it convicts. */
+	receiveDeath(death: ServerDeath): readonly RequestFingerprint[] {
+		const {now, counters, events} = this.#options;
+		events.add({kind: 'quarantine', message: 'backend server died with calls in flight', fields: {server: death.server, suspects: death.fingerprints.length, seenBy: death.origin}});
+		const convicted = this.#table.record({death, nowMs: now()});
+		for (const fingerprint of convicted) {
+			counters.add('quarantine.conviction');
+			events.add({kind: 'quarantine', message: 'request convicted', fields: {fingerprint}});
+		}
+
+		return convicted;
+	}
+
+	/** Takes over a conviction that another instance made. */
+	receiveConviction({fingerprint, atMs}: {readonly fingerprint: RequestFingerprint; readonly atMs: number}): void {
+		this.#table.recordConviction({fingerprint, atMs});
+	}
+
+	/** Clears a suspect that was run to its end here, and tells the others. */
+	clear(fingerprint: RequestFingerprint): void {
+		if (this.#table.isSuspect(fingerprint)) {
+			this.receiveCleared(fingerprint);
+			void this.#options.sharing.shareCleared(fingerprint);
+		}
+	}
+
+	/** Clears a suspect that was run to its end at any instance. */
+	receiveCleared(fingerprint: RequestFingerprint): void {
+		this.#options.counters.add('quarantine.cleared');
+		this.#table.clear(fingerprint);
+	}
+}
--- a/core/types/src/reasons.ts
+++ b/core/types/src/reasons.ts
@@ -5,6 +5,7 @@
 	'bad-request',
 	'unknown-service',
 	'headers-too-large',
+	'headers-too-slow',
 	'body-too-large',
 	'body-too-slow',
 	'configuration-missing',
--- a/core/types/src/refusal.ts
+++ b/core/types/src/refusal.ts
@@ -29,6 +29,7 @@
 	'bad-request': 400,
 	'unknown-service': 404,
 	'headers-too-large': 431,
+	'headers-too-slow': 408,
 	'body-too-large': 413,
 	'body-too-slow': 408,
 	'configuration-missing': 503,
--- /dev/null
+++ b/daemons/entry/src/call-safety.ts
@@ -0,0 +1,86 @@
+/** Wires what keeps calls safe: connections to backend servers and the quarantine. */
+import type {Counters, EventRecord} from '@pomelopick/core.telemetry';
+import type {Endpoint, Instance} from '@pomelopick/core.types';
+import {BackendConnections} from '@pomelopick/calls.connections';
+import {
+	createPeerSharing, DeathWatch, learnFromPeers, Quarantine,
+} from '@pomelopick/calls.quarantine';
+import type {Settings} from '@pomelopick/config.settings';
+import type {PeerClients} from '@pomelopick/peer.transport';
+
+const LEARN_RETRY_MS = 500;
+const MOST_LEARN_TRIES = 20;
+
+/** Options of {@link createCallSafety}. */
+export interface CreateCallSafetyOptions {
+	readonly settings: Settings;
+	readonly counters: Counters;
+	readonly events: EventRecord;
+	readonly peerClients: PeerClients;
+	readonly listInstances: () => readonly Instance[];
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+}
+
+/** Parts that keep calls safe. */
+export interface CallSafety {
+	readonly connections: BackendConnections;
+	readonly quarantine: Quarantine;
+	readonly deathWatch: DeathWatch;
+	start(): void;
+	stop(): Promise<void>;
+}
+
+/** Creates the parts. */
+export function createCallSafety({settings, counters, events, peerClients, listInstances, now}: CreateCallSafetyOptions): CallSafety {
+	const listPeers = (): readonly Endpoint[] => listInstances().filter(({id}) => id !== settings.instance).map(({peers}) => peers);
+	const connections = new BackendConnections({
+		now, onReplaced({server, connections: count}) {
+			counters.add('connections.replaced', count);
+			events.add({kind: 'repair', message: 'silent connections replaced', fields: {server, connections: count}});
+		},
+	});
+	const quarantine = new Quarantine({
+		instance: settings.instance,
+		firstSequence: Date.now(),
+		sharing: createPeerSharing({
+			clients: peerClients, listPeers, now, onFailure(message) {
+				counters.add('quarantine.peer-not-told');
+				events.add({kind: 'quarantine', message: 'an instance was not told', fields: {message}});
+			},
+		}),
+		counters,
+		events,
+		now,
+	});
+	const deathWatch = new DeathWatch({
+		isGone: async server => connections.isGone(server), reportDeath: async death => quarantine.reportDeath(death), now,
+	});
+	let timer: NodeJS.Timeout | undefined;
+	let tries = 0;
+	const learn = async (): Promise<void> => {
+		tries += 1;
+		const hasLearned = await learnFromPeers({
+			clients: peerClients, peers: listPeers(), quarantine, now,
+		});
+		if (!hasLearned && tries < MOST_LEARN_TRIES) {
+			timer = setTimeout(() => {
+				void learn();
+			}, LEARN_RETRY_MS);
+		}
+	};
+
+	return {
+		connections,
+		quarantine,
+		deathWatch,
+		start() {
+			connections.start();
+			void learn();
+		},
+		async stop() {
+			clearTimeout(timer);
+			await connections.close();
+		},
+	};
+}
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -1,31 +1,30 @@
 /** The entry daemon: wires the library's parts to sockets. */
-import {
-	createServer,
-} from 'node:http';
+import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {randomInt} from 'node:crypto';
 import type {AddressInfo} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
-import {Agent} from 'undici';
 import type {Endpoint} from '@pomelopick/core.types';
 import {Counters, createLog, EventRecord} from '@pomelopick/core.telemetry';
 import {CallHandler, createLocalPlacement} from '@pomelopick/calls.forwarding';
+import {registerQuarantine} from '@pomelopick/calls.quarantine';
 import {ConfigurationHolder, StoreWatcher} from '@pomelopick/config.distribution';
 import type {Settings} from '@pomelopick/config.settings';
 import {HelloService} from '@pomelopick/peer.protocol';
-import {startPeerServer} from '@pomelopick/peer.transport';
+import {PeerClients, startPeerServer} from '@pomelopick/peer.transport';
 import {ConsulInstanceList} from '@pomelopick/platform.instances';
 import {ConsulStore} from '@pomelopick/platform.store';
+import {answerBadTarget, parseTarget} from './call-target.js';
+import {CallerListener} from './caller-listener.js';
+import {createCallSafety} from './call-safety.js';
 import {LookupView} from './lookup-view.js';
 import {answerLookup} from './lookup-handler.js';
 import {answerOperator} from './operator-handler.js';
 
 const MOST_SEED = 2_147_483_647;
 const EVENTS_KEPT = 4096;
-const CONNECTIONS_PER_SERVER = 32;
-const SERVICE_PATH = /^\/v1\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/u;
 
 /** A running entry instance. */
 export interface EntryDaemon {
@@ -58,24 +57,33 @@
 		lookup.useSet(set);
 		events.add({kind: 'configuration', message: 'version in force', fields: {version: root.version}});
 	});
-	const dispatcher = new Agent({connections: CONNECTIONS_PER_SERVER, pipelining: 1});
+	const peerClients = new PeerClients();
+	const safety = createCallSafety({
+		settings, counters, events, now, peerClients, listInstances: () => lookup.instances,
+	});
 	const random = xoroshiro128plus(randomInt(MOST_SEED));
 	const currentSet = () => holder.view?.configuration.set;
-	const handler = new CallHandler({
+	const handler: CallHandler = new CallHandler({
 		currentSet,
 		findSite: address => lookup.findSite(address),
 		placeCall: createLocalPlacement({currentSet, draw: below => uniformInt(random, 0, below - 1)}),
-		dispatcher,
+		connections: safety.connections,
+		quarantine: safety.quarantine,
+		deathWatch: safety.deathWatch,
+		limits: settings.limits,
+		isLeaving: () => callers.isRefusing,
 		counters,
 		events,
 		log: createLog('call'),
 		now,
 	});
 
-	const callers = createServer((request, response) => {
-		void routeCaller({
-			request, response, handler, lookup, holder, now,
-		});
+	const callers: CallerListener = new CallerListener({
+		counters,
+		mostCalls: settings.limits.calls,
+		route: async ({request, response}) => routeCaller({
+			request, response, handler, lookup, holder, counters, now,
+		}),
 	});
 	const operators = createServer((request, response) => {
 		answerOperator({
@@ -84,6 +92,7 @@
 	});
 	const peers = await startPeerServer({
 		endpoint: settings.listen.peers, register(router) {
+			registerQuarantine({router, quarantine: safety.quarantine, now});
 			router.service(HelloService, {
 				hello: () => ({
 					instance: settings.instance, failureDomain: settings.failureDomain, configurationVersion: BigInt(holder.view?.configuration.root.version ?? 0),
@@ -93,17 +102,20 @@
 	});
 	watcher.start();
 	lookup.start();
-	await Promise.all([listen({server: callers, endpoint: settings.listen.callers}), listen({server: operators, endpoint: settings.listen.operators})]);
-	log('instance %s listens on %o', settings.instance, callers.address());
+	safety.start();
+	await Promise.all([listen({server: callers.server, endpoint: settings.listen.callers}), listen({server: operators, endpoint: settings.listen.operators})]);
+	log('instance %s listens on %o', settings.instance, callers.server.address());
 	return {
-		endpoints: {callers: endpointOf(callers), peers: peers.endpoint, operators: endpointOf(operators)},
+		endpoints: {callers: endpointOf(callers.server), peers: peers.endpoint, operators: endpointOf(operators)},
 		async stop() {
 			log('instance %s stops; %d calls in flight', settings.instance, handler.inProgress);
-			await closeServer({server: callers, timeoutMs: settings.shutdownTimeoutMs});
+			lookup.leave(settings.instance);
+			await callers.stop({timeoutMs: settings.shutdownTimeoutMs, inProgress: () => handler.inProgress});
 			lookup.stop();
 			await watcher.stop();
 			await closeServer({server: operators, timeoutMs: settings.shutdownTimeoutMs});
-			await Promise.all([peers.stop(), dispatcher.destroy(), store.close(), counters.close()]);
+			peerClients.close();
+			await Promise.all([peers.stop(), safety.stop(), store.close(), counters.close()]);
 			log('instance %s stopped', settings.instance);
 		},
 	};
@@ -115,14 +127,20 @@
 	readonly handler: CallHandler;
 	readonly lookup: LookupView;
 	readonly holder: ConfigurationHolder;
+	readonly counters: Counters;
 	readonly now: () => number;
 }
 
-async function routeCaller({request, response, handler, lookup, holder, now}: RouteCallerOptions): Promise<void> {
-	const match = SERVICE_PATH.exec(request.url ?? '');
-	if (match) {
+async function routeCaller({request, response, handler, lookup, holder, counters, now}: RouteCallerOptions): Promise<void> {
+	const target = parseTarget(request.url ?? '');
+	if (target.kind === 'malformed') {
+		answerBadTarget({request, response, counters});
+		return;
+	}
+
+	if (target.kind === 'call') {
 		await handler.handle({
-			request, response, serviceName: decodeURIComponent(match[1]!), path: `${match[2] ?? '/'}${match[3] ?? ''}`,
+			request, response, serviceName: target.serviceName, path: target.path,
 		});
 		return;
 	}
--- a/daemons/entry/src/lookup-view.ts
+++ b/daemons/entry/src/lookup-view.ts
@@ -1,6 +1,6 @@
 /** What the look-up needs: the block table, the topology and the list of instances. */
 import type {
-	ConfigurationSet, Instance, ServiceName, SiteName,
+	ConfigurationSet, Instance, InstanceId, ServiceName, SiteName,
 } from '@pomelopick/core.types';
 import type {InstanceList} from '@pomelopick/platform.instances';
 import {BlockTable, orderEntries, Topology} from '@pomelopick/steering.lookup';
@@ -23,6 +23,7 @@
 	#instances: readonly Instance[] = [];
 	#timer: NodeJS.Timeout | undefined;
 	#isReading = false;
+	#leaving: InstanceId | undefined;
 
 	constructor(options: LookupViewOptions) {
 		this.#options = options;
@@ -58,7 +59,7 @@
 		}
 
 		return orderEntries({
-			candidates: this.#instances.map(instance => ({instance, load: 0, alive: true})),
+			candidates: this.#instances.filter(({id}) => id !== this.#leaving).map(instance => ({instance, load: 0, alive: true})),
 			near: site && this.#topology.domainOfSite(site),
 			topology: this.#topology,
 			spread: hashAddress(address),
@@ -66,6 +67,11 @@
 		});
 	}
 
+	/** Leaves an instance out of all answers from now on: this one, which is about to stop. */
+	leave(instance: InstanceId): void {
+		this.#leaving = instance;
+	}
+
 	/** Starts reading the platform's list. */
 	start(): void {
 		void this.#refresh();
