--- a/steering/lookup/src/block-table.ts
+++ b/steering/lookup/src/block-table.ts
@@ -1,22 +1,28 @@
 /** Longest-prefix table from client addresses to sites, kept in typed arrays. */
-import ipaddr from 'ipaddr.js';
+import {isIP} from 'node:net';
+import {parseIp} from 'ip-bigint';
 import type {ClientBlock, SiteName} from '@pomelopick/core.types';
 
 const NO_SITE = -1;
-const IPV4_BITS = 32n;
-const IPV6_BITS = 128n;
+const IPV4_BITS = 32;
+const IPV6_BITS = 128;
+const IPV4_END = 2 ** IPV4_BITS;
+const IPV6_END = 1n << BigInt(IPV6_BITS);
+const IPV4_MASK = BigInt(IPV4_END - 1);
 const HALF_BITS = 64n;
 const HALF_MASK = (1n << HALF_BITS) - 1n;
 
-interface Interval {
-	readonly start: bigint;
-	readonly end: bigint;
-	readonly bits: number;
+/** A prefix as a range of addresses: numbers for IPv4, big integers for IPv6. */
+interface Interval<Address extends number | bigint> {
+	readonly start: Address;
+	/** First address after the range. */
+	readonly end: Address;
 	readonly site: number;
 }
 
-interface Boundary {
-	readonly start: bigint;
+/** Address from which on another site is the longest match. */
+interface Boundary<Address extends number | bigint> {
+	readonly start: Address;
 	readonly site: number;
 }
 
@@ -31,22 +37,27 @@
 
 	constructor({blocks}: {readonly blocks: readonly ClientBlock[]}) {
 		const siteIndex = new Map<SiteName, number>();
-		const intervals: {ipv4: Interval[]; ipv6: Interval[]} = {ipv4: [], ipv6: []};
+		const ipv4: Array<Interval<number>> = [];
+		const ipv6: Array<Interval<bigint>> = [];
 		for (const {prefix, site} of blocks) {
 			const index = siteIndex.get(site) ?? siteIndex.size;
 			siteIndex.set(site, index);
-			const [address, bits] = ipaddr.parseCIDR(prefix);
-			intervals[address.kind()].push(toInterval({bytes: address.toByteArray(), bits, site: index}));
+			const {number, version, bits} = splitPrefix(prefix);
+			if (version === 4) {
+				ipv4.push(toIpv4Interval({address: Number(number), bits, site: index}));
+			} else {
+				ipv6.push(toIpv6Interval({address: number, bits, site: index}));
+			}
 		}
 
-		const ipv4 = flatten({intervals: intervals.ipv4, limit: 1n << IPV4_BITS});
-		const ipv6 = flatten({intervals: intervals.ipv6, limit: 1n << IPV6_BITS});
+		const ipv4Boundaries = flatten({intervals: ipv4, limit: IPV4_END});
+		const ipv6Boundaries = flatten({intervals: ipv6, limit: IPV6_END});
 		this.#sites = [...siteIndex.keys()];
-		this.#ipv4Starts = Uint32Array.from(ipv4, boundary => Number(boundary.start));
-		this.#ipv4Sites = Int16Array.from(ipv4, boundary => boundary.site);
-		this.#ipv6High = BigUint64Array.from(ipv6, boundary => boundary.start >> HALF_BITS);
-		this.#ipv6Low = BigUint64Array.from(ipv6, boundary => boundary.start & HALF_MASK);
-		this.#ipv6Sites = Int16Array.from(ipv6, boundary => boundary.site);
+		this.#ipv4Starts = Uint32Array.from(ipv4Boundaries, boundary => boundary.start);
+		this.#ipv4Sites = Int16Array.from(ipv4Boundaries, boundary => boundary.site);
+		this.#ipv6High = BigUint64Array.from(ipv6Boundaries, boundary => boundary.start >> HALF_BITS);
+		this.#ipv6Low = BigUint64Array.from(ipv6Boundaries, boundary => boundary.start & HALF_MASK);
+		this.#ipv6Sites = Int16Array.from(ipv6Boundaries, boundary => boundary.site);
 	}
 
 	/** Memory of the arrays, in bytes. */
@@ -57,12 +68,12 @@
 
 	/** Site of the longest block that holds the address; undefined when none does or the text is no address. */
 	siteOf(address: string): SiteName | undefined {
-		if (!ipaddr.isValid(address)) {
+		if (isIP(address) === 0) {
 			return undefined;
 		}
 
-		const parsed = ipaddr.process(address);
-		const index = parsed.kind() === 'ipv4' ? this.#findIpv4(toNumber(parsed.toByteArray())) : this.#findIpv6(toBigInt(parsed.toByteArray()));
+		const {number, version, ipv4mapped} = parseIp(address);
+		const index = version === 4 || ipv4mapped ? this.#findIpv4(Number(number & IPV4_MASK)) : this.#findIpv6(number);
 		return index === undefined || index === NO_SITE ? undefined : this.#sites[index];
 	}
 
@@ -98,20 +109,31 @@
 	return low - 1;
 }
 
-function toInterval({bytes, bits, site}: {readonly bytes: readonly number[]; readonly bits: number; readonly site: number}): Interval {
-	const size = 1n << (BigInt(bytes.length * 8) - BigInt(bits));
-	const start = toBigInt(bytes) / size * size;
-	return {
-		start, end: start + size, bits, site,
-	};
+function splitPrefix(prefix: string): {readonly number: bigint; readonly version: 4 | 6; readonly bits: number} {
+	const slash = prefix.lastIndexOf('/');
+	const {number, version} = parseIp(prefix.slice(0, slash));
+	return {number, version: version === 4 ? 4 : 6, bits: Number(prefix.slice(slash + 1))};
+}
+
+function toIpv4Interval({address, bits, site}: {readonly address: number; readonly bits: number; readonly site: number}): Interval<number> {
+	const size = 2 ** (IPV4_BITS - bits);
+	const start = address - (address % size);
+	return {start, end: start + size, site};
+}
+
+function toIpv6Interval({address, bits, site}: {readonly address: bigint; readonly bits: number; readonly site: number}): Interval<bigint> {
+	const size = 1n << BigInt(IPV6_BITS - bits);
+	const start = address - (address % size);
+	return {start, end: start + size, site};
 }
 
 /** Turns nested prefixes into the boundaries at which the longest match changes. */
-function flatten({intervals, limit}: {readonly intervals: readonly Interval[]; readonly limit: bigint}): Boundary[] {
-	const sorted = [...intervals].sort((left, right) => compare(left.start, right.start) || left.bits - right.bits);
-	const boundaries: Boundary[] = [];
-	const open: Interval[] = [];
-	const closeUpTo = (position: bigint): void => {
+function flatten<Address extends number | bigint>({intervals, limit}: {readonly intervals: ReadonlyArray<Interval<Address>>; readonly limit: Address}): Array<Boundary<Address>> {
+	// An outer prefix comes before the prefixes inside it.
+	const sorted = [...intervals].sort((left, right) => compare(left.start, right.start) || compare(right.end, left.end));
+	const boundaries: Array<Boundary<Address>> = [];
+	const open: Array<Interval<Address>> = [];
+	const closeUpTo = (position: Address): void => {
 		for (let inner = open.at(-1); inner && inner.end <= position; inner = open.at(-1)) {
 			open.pop();
 			append({boundaries, boundary: {start: inner.end, site: open.at(-1)?.site ?? NO_SITE}});
@@ -128,7 +150,7 @@
 	return boundaries.filter(boundary => boundary.start < limit);
 }
 
-function append({boundaries, boundary}: {readonly boundaries: Boundary[]; readonly boundary: Boundary}): void {
+function append<Address extends number | bigint>({boundaries, boundary}: {readonly boundaries: Array<Boundary<Address>>; readonly boundary: Boundary<Address>}): void {
 	if (boundaries.at(-1)?.start === boundary.start) {
 		boundaries.pop();
 	}
@@ -138,14 +160,6 @@
 	}
 }
 
-function compare(left: bigint, right: bigint): number {
+function compare<Address extends number | bigint>(left: Address, right: Address): number {
 	return left < right ? -1 : Number(left > right);
 }
-
-function toNumber(bytes: readonly number[]): number {
-	return bytes.reduce((sum, byte) => (sum * 256) + byte, 0);
-}
-
-function toBigInt(bytes: readonly number[]): bigint {
-	return bytes.reduce((sum, byte) => (sum << 8n) + BigInt(byte), 0n);
-}
