Add example sets, editor schemas and the missing cross-checks

Cause: operators had no set or settings to start from, editors no schema, and a set with one bad field hid its other faults. Four kinds of fault passed: an IPv4-mapped block that no look-up finds, one endpoint written in two ways, a rule whose shift has another service or direction, and a rule that names a region twice. Ruled out: a $schema field inside the set; it would be published with it. Change: config/examples writes sets, settings and JSON Schemas with `npm run examples`; a test holds the committed files to the code. Objects of sound shape are cross-checked even when others are not, at the positions of the input. The case "names a bad shape with its path" expected one fault; the set has three open references besides, which are now expected too. Conclusion: all faults that the checks know are reported in one go.

--- /dev/null
+++ b/config/examples/src/files.ts
@@ -0,0 +1,30 @@
+/** The files that the examples command writes: example sets and settings, and JSON Schemas for editors. */
+import {configurationJsonSchema} from '@pomelopick/config.schema';
+import {settingsJsonSchema} from '@pomelopick/config.settings';
+import {hebrides, popescuVlad} from './deployment.js';
+import {createExampleSet} from './example-set.js';
+import {createExampleSettings} from './example-settings.js';
+
+/** A file and its content. */
+export interface ExampleFile {
+	/** Path below the package. */
+	readonly path: string;
+	readonly content: string;
+}
+
+/** All files that are committed. */
+export function listExampleFiles(): readonly ExampleFile[] {
+	return [
+		{path: 'schemas/configuration-set.schema.json', content: formatJson(configurationJsonSchema())},
+		{path: 'schemas/settings.schema.json', content: formatJson(settingsJsonSchema())},
+		...[popescuVlad, hebrides].flatMap(deployment => [
+			{path: `sets/${deployment.name}.json`, content: formatJson(createExampleSet(deployment))},
+			{path: `settings/${deployment.name}.json`, content: formatJson(createExampleSettings(deployment))},
+		]),
+	];
+}
+
+/** Renders a document as the files hold it. */
+export function formatJson(document: unknown): string {
+	return `${JSON.stringify(document, undefined, '\t')}\n`;
+}
--- /dev/null
+++ b/config/examples/src/planned-set.ts
@@ -0,0 +1,112 @@
+/** A set at the planned size, generated from a seed. */
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import type {ConfigurationSetInput} from '@pomelopick/config.schema';
+
+/** Numbers of the objects of a generated set. */
+export interface PlannedSize {
+	readonly regions: number;
+	readonly failureDomains: number;
+	readonly sites: number;
+	readonly clientBlocks: number;
+	readonly serversPerSite: number;
+}
+
+/** The size to design for. */
+export const plannedSize: PlannedSize = {
+	regions: 8, failureDomains: 27, sites: 170, clientBlocks: 130_000, serversPerSite: 4,
+};
+
+/** Options of {@link createPlannedSet}. */
+export interface CreatePlannedSetOptions {
+	readonly seed: number;
+	readonly size?: PlannedSize;
+}
+
+const services = [
+	{name: 'corrections', priority: 'interactive'},
+	{name: 'archive', priority: 'deferrable'},
+	{name: 'ledger', priority: 'interactive'},
+	{name: 'history', priority: 'deferrable'},
+] as const;
+
+const LINK_MEGABITS_PER_SECOND = 4000;
+const SHORTEST_LINK_MS = 5;
+const LONGEST_LINK_MS = 40;
+const SPILL_REGIONS = 3;
+const SERVER_PORT = 8080;
+const SERVER_SLOTS = 16;
+const SHIFT_CAP_CALLS_PER_SECOND = 500;
+const OCTET = 256;
+
+/** Part of the blocks that are IPv6 prefixes. */
+const IPV6_SHARE = 0.23;
+/** Part of the blocks that are wide IPv4 prefixes, which hold narrower ones. */
+const WIDE_SHARE = 0.03;
+/** Prefixes of 20 bits below 10.0.0.0/8. */
+const WIDE_BLOCKS = 4096;
+/** Prefixes of 26 bits below 10.0.0.0/8. */
+const NARROW_BLOCKS = 262_144;
+/** Prefixes of 48 bits below 2001:db8::/32. */
+const IPV6_BLOCKS = 65_536;
+/** Odd, so that stepping by it visits each block of a power of two once. */
+const STRIDE = 40_503;
+
+/** Creates a set. The same seed and size always give the same set. */
+export function createPlannedSet({seed, size = plannedSize}: CreatePlannedSetOptions): ConfigurationSetInput {
+	const random = xoroshiro128plus(seed);
+	const draw = (below: number): number => uniformInt(random, 0, below - 1);
+	const regions = listNames({prefix: 'region', count: size.regions});
+	const domains = listNames({prefix: 'domain', count: size.failureDomains});
+	const sites = listNames({prefix: 'site', count: size.sites});
+	return {
+		regions: regions.map(name => ({name})),
+		failureDomains: domains.map((name, index) => ({name, region: regions[index % regions.length]!})),
+		sites: sites.map((name, index) => ({name, failureDomain: domains[index % domains.length]!})),
+		links: regions.flatMap((left, index) => regions.slice(index + 1).map(right => ({
+			name: `${left}-${right}`,
+			between: [left, right] as [string, string],
+			megabitsPerSecond: LINK_MEGABITS_PER_SECOND,
+			oneWayMs: SHORTEST_LINK_MS + draw(LONGEST_LINK_MS - SHORTEST_LINK_MS),
+		}))),
+		services: services.map(service => ({...service})),
+		backendServers: createServers({sites, perSite: size.serversPerSite}),
+		shifts: services.flatMap(({name}) => regions.slice(1).map((to, index) => ({
+			name: `${name}-to-${to}`, service: name, from: regions[index]!, to, capCallsPerSecond: SHIFT_CAP_CALLS_PER_SECOND,
+		}))),
+		spillRules: services.flatMap(({name}) => regions.map((from, index) => ({
+			name: `${name}-from-${from}`, service: name, from, to: [...regions.slice(index + 1), ...regions.slice(0, index)].slice(0, SPILL_REGIONS),
+		}))),
+		drains: [],
+		clientBlocks: listPrefixes({count: size.clientBlocks, offset: draw(WIDE_BLOCKS)}).map(prefix => ({prefix, site: sites[draw(sites.length)]!})),
+	};
+}
+
+function listNames({prefix, count}: {readonly prefix: string; readonly count: number}): string[] {
+	return Array.from({length: count}, (_, index) => `${prefix}-${index + 1}`);
+}
+
+function createServers({sites, perSite}: {readonly sites: readonly string[]; readonly perSite: number}): ConfigurationSetInput['backendServers'] {
+	return sites.flatMap((site, siteIndex) => Array.from({length: perSite}, (_, index) => {
+		const number = (siteIndex * perSite) + index;
+		const service = services[number % services.length]!.name;
+		return {
+			name: `${service}-${number + 1}`, service, site, address: `172.16.${Math.floor(number / OCTET)}.${number % OCTET}`, port: SERVER_PORT, slots: SERVER_SLOTS,
+		};
+	}));
+}
+
+function listPrefixes({count, offset}: {readonly count: number; readonly offset: number}): string[] {
+	const ipv6 = Math.round(count * IPV6_SHARE);
+	const wide = Math.round(count * WIDE_SHARE);
+	const spread = ({length, blocks}: {readonly length: number; readonly blocks: number}): number[] => Array.from({length}, (_, index) => ((index * STRIDE) + offset) % blocks);
+	return [
+		...spread({length: wide, blocks: WIDE_BLOCKS}).map(index => formatIpv4({address: index * (2 ** 12), bits: 20})),
+		...spread({length: count - ipv6 - wide, blocks: NARROW_BLOCKS}).map(index => formatIpv4({address: index * (2 ** 6), bits: 26})),
+		...spread({length: ipv6, blocks: IPV6_BLOCKS}).map(index => `2001:db8:${index.toString(16)}::/48`),
+	];
+}
+
+function formatIpv4({address, bits}: {readonly address: number; readonly bits: number}): string {
+	return `10.${Math.floor(address / (OCTET * OCTET))}.${Math.floor(address / OCTET) % OCTET}.${address % OCTET}/${bits}`;
+}
--- a/config/schema/src/check.ts
+++ b/config/schema/src/check.ts
@@ -5,25 +5,39 @@
 import {checkReferences} from './references.js';
 import {checkRules} from './rules.js';
 import {brandSet, configurationSetSchema} from './schema.js';
+import {keepSoundObjects} from './sound-part.js';
 import type {ConfigurationFault} from './fault.js';
 
 /** Checks the shape, the references and the rules of a set; Left carries every fault found. */
 export function checkConfigurationSet(input: unknown): Either<readonly ConfigurationFault[], ConfigurationSet> {
 	const parsed = configurationSetSchema.safeParse(input);
 	if (!parsed.success) {
-		return Left(parsed.error.issues.map(issue => ({
-			code: 'bad-shape' as const,
+		const shapeFaults = parsed.error.issues.map((issue): ConfigurationFault => ({
+			code: 'bad-shape',
 			path: formatPath(issue.path),
 			found: describeValue(valueAt({input, path: issue.path})),
 			message: issue.message,
-		})));
+		}));
+		return Left([...shapeFaults, ...crossCheckSoundPart(input)]);
 	}
 
 	const set = brandSet(parsed.data);
-	const faults = [...checkReferences(set), ...checkRules(set)];
+	const faults = crossCheck(set);
 	return faults.length === 0 ? Right(set) : Left(faults);
 }
 
+/** Cross-checks the objects whose own shape is sound, so that a bad shape hides no other fault. */
+function crossCheckSoundPart(input: unknown): readonly ConfigurationFault[] {
+	const {set, restore, isNamed} = keepSoundObjects(input);
+	return crossCheck(set)
+		.filter(({code, found}) => code !== 'unknown-name' || !isNamed(found))
+		.map(fault => restore(fault));
+}
+
+function crossCheck(set: ConfigurationSet): readonly ConfigurationFault[] {
+	return [...checkReferences(set), ...checkRules(set)];
+}
+
 function valueAt({input, path}: {readonly input: unknown; readonly path: readonly PropertyKey[]}): unknown {
 	let value = input;
 	for (const key of path) {
--- a/config/schema/src/fault.ts
+++ b/config/schema/src/fault.ts
@@ -2,7 +2,7 @@
 
 /** One fault of a configuration set. */
 export interface ConfigurationFault {
-	readonly code: 'bad-shape' | 'unknown-name' | 'double-name' | 'impossible-cap' | 'overlapping-block' | 'loop' | 'bad-block' | 'same-region' | 'address-in-use';
+	readonly code: 'bad-shape' | 'unknown-name' | 'double-name' | 'impossible-cap' | 'overlapping-block' | 'loop' | 'bad-block' | 'same-region' | 'address-in-use' | 'mismatched-shift';
 	/** Where, as a path such as `services[2].name`. */
 	readonly path: string;
 	/** The value found. */
--- a/config/schema/src/rules.ts
+++ b/config/schema/src/rules.ts
@@ -1,7 +1,9 @@
 /** Checks rules that span several objects: caps, loops, client blocks, addresses. */
+import ipaddr from 'ipaddr.js';
 import type {ConfigurationSet, Shift} from '@pomelopick/core.types';
 import type {ConfigurationFault} from './fault.js';
-import {parsePrefix} from './prefix.js';
+import {isMappedIpv4, parsePrefix} from './prefix.js';
+import {checkSpillRules} from './spill-rules.js';
 
 /** Fastest that a slot is assumed to finish a call, in milliseconds; bounds what a cap can ask for. */
 const SHORTEST_CALL_MS = 1;
@@ -16,6 +18,7 @@
 		...checkShiftLoops(set),
 		...checkClientBlocks(set),
 		...checkAddresses(set),
+		...checkSpillRules(set),
 	];
 }
 
@@ -112,6 +115,12 @@
 			});
 		}
 
+		if (isMappedIpv4({family, bytes, bits})) {
+			faults.push({
+				code: 'bad-block', path, found: JSON.stringify(prefix), message: 'expected the IPv4 form of a mapped prefix, since callers are looked up by it',
+			});
+		}
+
 		const key = `${family}/${bytes.join('.')}/${bits}`;
 		const first = firstIndex.get(key);
 		if (first === undefined) {
@@ -129,7 +138,7 @@
 function checkAddresses(set: ConfigurationSet): ConfigurationFault[] {
 	const firstIndex = new Map<string, number>();
 	return set.backendServers.flatMap(({address, port}, index) => {
-		const key = `${address} port ${port}`;
+		const key = `${ipaddr.parse(address).toNormalizedString()} port ${port}`;
 		const first = firstIndex.get(key);
 		if (first === undefined) {
 			firstIndex.set(key, index);
--- a/config/schema/src/schema.ts
+++ b/config/schema/src/schema.ts
@@ -71,6 +71,20 @@
 	clientBlocks: z.array(clientBlock).default([]),
 });
 
+/** Schema of one object of each list of a set. */
+export const objectSchemas = {
+	regions: region,
+	failureDomains: failureDomain,
+	sites: site,
+	links: link,
+	services: service,
+	backendServers: backendServer,
+	shifts: shift,
+	spillRules: spillRule,
+	drains: drain,
+	clientBlocks: clientBlock,
+} as const;
+
 /** A set as an operator writes it. */
 export type ConfigurationSetInput = z.input<typeof configurationSetSchema>;
 
--- a/config/schema/test/check.test.ts
+++ b/config/schema/test/check.test.ts
@@ -25,6 +25,8 @@
 	clientBlocks: [{prefix: '10.0.0.0/8', site: 'north-site'}, {prefix: '10.1.0.0/16', site: 'south-site'}, {prefix: '2001:db8::/32', site: 'north-site'}],
 };
 
+const oversizedRegion: {name: string} & Record<string, unknown> = {name: 'north', size: 3};
+
 const cases: ReadonlyArray<{name: string; change: Partial<ConfigurationSetInput>; expected: ReadonlyArray<Pick<ConfigurationFault, 'code' | 'path'>>}> = [
 	{name: 'accepts a sound set with nested blocks', change: {}, expected: []},
 	{name: 'names an unknown region', change: {failureDomains: [{name: 'north-1', region: 'nowhere'}, {name: 'south-1', region: 'south'}]}, expected: [{code: 'unknown-name', path: 'failureDomains[0].region'}]},
@@ -63,7 +65,60 @@
 		expected: [{code: 'overlapping-block', path: 'clientBlocks[1].prefix'}],
 	},
 	{name: 'refuses a block with host bits', change: {clientBlocks: [{prefix: '10.0.0.1/8', site: 'north-site'}]}, expected: [{code: 'bad-block', path: 'clientBlocks[0].prefix'}]},
-	{name: 'names a bad shape with its path', change: {services: [{name: 'Desk!'}]}, expected: [{code: 'bad-shape', path: 'services[0].name'}]},
+	{
+		name: 'names a bad shape with its path, and the references that it leaves open',
+		change: {services: [{name: 'Desk!'}]},
+		expected: [
+			{code: 'bad-shape', path: 'services[0].name'},
+			{code: 'unknown-name', path: 'backendServers[0].service'},
+			{code: 'unknown-name', path: 'backendServers[1].service'},
+			{code: 'unknown-name', path: 'shifts[0].service'},
+		],
+	},
+	{
+		name: 'refuses a mapped IPv4 block, which no look-up would find',
+		change: {clientBlocks: [{prefix: '::ffff:10.0.0.0/104', site: 'north-site'}]},
+		expected: [{code: 'bad-block', path: 'clientBlocks[0].prefix'}],
+	},
+	{
+		name: 'refuses one endpoint written in two ways',
+		change: {
+			backendServers: ['::1', '0:0:0:0:0:0:0:1'].map((address, index) => ({
+				name: `desk-${index}`, service: 'desk', site: 'south-site', address, port: 9001, slots: 4,
+			})),
+		},
+		expected: [{code: 'address-in-use', path: 'backendServers[1].port'}],
+	},
+	{
+		name: 'refuses a rule whose shift leads elsewhere',
+		change: {
+			spillRules: [{
+				name: 'back', service: 'desk', from: 'south', to: ['north'], shift: 'to-south',
+			}],
+		},
+		expected: [{code: 'mismatched-shift', path: 'spillRules[0].shift'}],
+	},
+	{
+		name: 'refuses a rule that names a region twice',
+		change: {
+			spillRules: [{
+				name: 'on', service: 'desk', from: 'north', to: ['south', 'south'],
+			}],
+		},
+		expected: [{code: 'double-name', path: 'spillRules[0].to[1]'}],
+	},
+	{
+		name: 'reports a bad shape together with faults across objects, at the positions of the input',
+		change: {
+			sites: [{name: 'North!', failureDomain: 'north-1'}, {name: 'north-site', failureDomain: 'nowhere'}, {name: 'south-site', failureDomain: 'south-1'}, {name: 'south-site', failureDomain: 'south-1'}],
+		},
+		expected: [{code: 'bad-shape', path: 'sites[0].name'}, {code: 'double-name', path: 'sites[3].name'}, {code: 'unknown-name', path: 'sites[1].failureDomain'}],
+	},
+	{
+		name: 'reports a reference to an object of bad shape once, at the object',
+		change: {regions: [oversizedRegion, {name: 'south'}]},
+		expected: [{code: 'bad-shape', path: 'regions[0]'}],
+	},
 	{
 		name: 'reports all faults together',
 		change: {drains: [{name: 'stop', target: {kind: 'site', name: 'nowhere'}}], clientBlocks: [{prefix: '10.0.0.0/8', site: 'elsewhere'}]},
--- a/config/settings/src/settings.ts
+++ b/config/settings/src/settings.ts
@@ -31,6 +31,11 @@
 	logNamespaces: z.string().default('pomelopick:*'),
 });
 
+/** JSON Schema (2020-12) of a settings file, for editors. */
+export function settingsJsonSchema(): Record<string, unknown> {
+	return z.toJSONSchema(settingsSchema, {io: 'input'});
+}
+
 /** Settings of one process. */
 export type Settings = z.output<typeof settingsSchema>;
 
