--- a/config/distribution/src/configuration-holder.ts
+++ b/config/distribution/src/configuration-holder.ts
@@ -1,10 +1,13 @@
 /** Holds the newest configuration version that this instance knows. Versions never go back. */
 import type {PublishedConfiguration} from '@pomelopick/config.publishing';
+import {digestRoot} from '@pomelopick/config.publishing';
 
-/** The version in force and when this instance last confirmed that it is the newest. */
+/** The version in force and when it was last known to be the newest. */
 export interface ConfigurationView {
 	readonly configuration: PublishedConfiguration;
-	/** Monotonic time, in milliseconds. */
+	/** Digest of the root, in hexadecimal. */
+	readonly digest: string;
+	/** Monotonic time at which the key-value service was last known to name this version, in milliseconds. */
 	readonly confirmedAtMs: number;
 }
 
@@ -14,6 +17,7 @@
 /** Holds the newest version. */
 export class ConfigurationHolder {
 	#view: ConfigurationView | undefined;
+	#newestKnown = 0;
 	readonly #listeners: ConfigurationListener[] = [];
 
 	/** The version in force; undefined before the first one arrived. */
@@ -21,25 +25,34 @@
 		return this.#view;
 	}
 
+	/** Number of the version in force; 0 before the first one arrived. */
+	get version(): number {
+		return this.#view?.configuration.root.version ?? 0;
+	}
+
+	/** Highest version that this instance has heard of; above {@link version} while it is still being fetched. */
+	get newestKnown(): number {
+		return Math.max(this.#newestKnown, this.version);
+	}
+
 	/** Registers a listener for newer versions. */
 	onChange(listener: ConfigurationListener): void {
 		this.#listeners.push(listener);
 	}
 
+	/** Notes that a version exists. */
+	hearOf(version: number): void {
+		this.#newestKnown = Math.max(this.#newestKnown, version);
+	}
+
 	/** Takes a version into force when it is newer; answers whether it was. */
 	offer({configuration, nowMs}: {readonly configuration: PublishedConfiguration; readonly nowMs: number}): boolean {
-		const held = this.#view?.configuration.root.version ?? 0;
 		const {version} = configuration.root;
-		if (version < held) {
-			return false;
-		}
-
-		if (version === held) {
-			this.confirm({version, nowMs});
+		if (version <= this.version) {
 			return false;
 		}
 
-		this.#view = {configuration, confirmedAtMs: nowMs};
+		this.#view = {configuration, digest: digestRoot(configuration.root), confirmedAtMs: nowMs};
 		for (const listener of this.#listeners) {
 			listener(configuration);
 		}
@@ -47,9 +60,9 @@
 		return true;
 	}
 
-	/** Notes that the store still names the held version as the newest. */
+	/** Notes that the held version was still the newest at a time; an earlier time than the last changes nothing. */
 	confirm({version, nowMs}: {readonly version: number; readonly nowMs: number}): void {
-		if (this.#view?.configuration.root.version === version) {
+		if (this.#view?.configuration.root.version === version && nowMs > this.#view.confirmedAtMs) {
 			this.#view = {...this.#view, confirmedAtMs: nowMs};
 		}
 	}
--- /dev/null
+++ b/config/distribution/src/distribution.ts
@@ -0,0 +1,148 @@
+/** Keeps an instance on the newest version: a few instances watch the key-value service, the others learn from their peers. */
+import type {ConnectRouter} from '@connectrpc/connect';
+import {create} from '@bufbuild/protobuf';
+import {chooseOwners} from '@pomelopick/core.rendezvous';
+import type {Endpoint, Instance, InstanceId} from '@pomelopick/core.types';
+import {
+	ChunkSchema, ConfigurationService, GetChunksResponseSchema, GetRootResponseSchema,
+} from '@pomelopick/peer.protocol';
+import type {
+	GetChunksRequest, GetChunksResponse, GetRootRequest, GetRootResponse,
+} from '@pomelopick/peer.protocol';
+import type {PeerClients} from '@pomelopick/peer.transport';
+import type {KeyValueStore} from '@pomelopick/platform.store';
+import {encodeRoot} from '@pomelopick/config.publishing';
+import type {ConfigurationHolder} from './configuration-holder.js';
+import {StoreWatcher} from './store-watcher.js';
+import {VersionLoader} from './version-loader.js';
+import {PeerSource, StoreSource} from './version-source.js';
+
+/** Instances of one failure domain that watch the key-value service. */
+const WATCHERS_PER_FAILURE_DOMAIN = 2;
+const WATCH_KEY = 'configuration-watch';
+/** Size from which an answer with chunks is cut, in bytes. */
+const MOST_ANSWER_BYTES = 524_288;
+/** Peers asked for chunks that neither the teller nor the store has. */
+const FALLBACK_PEERS = 2;
+
+/** Version that a peer has in force. */
+export interface PeerVersion {
+	readonly version: number;
+	readonly digest: string;
+	/** Time since the key-value service was last known to name it, in milliseconds. */
+	readonly ageMs: number;
+}
+
+/** Options of {@link Distribution}. */
+export interface DistributionOptions {
+	readonly self: InstanceId;
+	readonly store: KeyValueStore;
+	readonly clients: PeerClients;
+	readonly holder: ConfigurationHolder;
+	/** Instances that can take work; this one included once it is known. */
+	readonly liveInstances: () => readonly Instance[];
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+	/** Number from 0 up to 1. */
+	readonly random: () => number;
+	readonly onFailure: (message: string) => void;
+	readonly onDamagedChunk: (message: string) => void;
+}
+
+/** The distribution of one instance. */
+export class Distribution {
+	readonly #options: DistributionOptions;
+	readonly #loader: VersionLoader;
+	readonly #watcher: StoreWatcher;
+
+	constructor(options: DistributionOptions) {
+		const {store, holder, now, random, onFailure, onDamagedChunk} = options;
+		this.#options = options;
+		this.#loader = new VersionLoader({
+			holder, now, onFailure, onDamagedChunk, sources: () => [new StoreSource({store}), ...this.#fallbackPeers()],
+		});
+		this.#watcher = new StoreWatcher({
+			store, holder, loader: this.#loader, now, random, onFailure, isWatcher: () => this.isWatcher,
+		});
+	}
+
+	/** Whether this instance is one of those of its failure domain that watch the key-value service. */
+	get isWatcher(): boolean {
+		const {self, liveInstances} = this.#options;
+		const live = liveInstances();
+		const own = live.find(({id}) => id === self);
+		if (!own) {
+			return true;
+		}
+
+		const instances = live.filter(({failureDomain}) => failureDomain === own.failureDomain);
+		return chooseOwners({key: WATCH_KEY, instances, count: WATCHERS_PER_FAILURE_DOMAIN}).some(({id}) => id === self);
+	}
+
+	/** What this instance tells its peers. */
+	get heldVersion(): PeerVersion {
+		const {holder, now} = this.#options;
+		return {version: holder.version, digest: holder.view?.digest ?? '', ageMs: holder.view ? now() - holder.view.confirmedAtMs : 0};
+	}
+
+	/** Registers the service that gives versions to peers. */
+	register(router: ConnectRouter): void {
+		router.service(ConfigurationService, {
+			getRoot: request => this.#answerRoot(request),
+			getChunks: request => this.#answerChunks(request),
+		});
+	}
+
+	/** Starts following the newest version. */
+	start(): void {
+		this.#watcher.start();
+	}
+
+	/** Stops following. */
+	async stop(): Promise<void> {
+		await this.#watcher.stop();
+	}
+
+	/** Compares a peer's version with the one in force: fetches a higher one, and takes over a younger confirmation of the same. */
+	hearPeer({endpoint, held}: {readonly endpoint: Endpoint; readonly held: PeerVersion}): void {
+		const {holder, clients, now, onFailure} = this.#options;
+		holder.hearOf(held.version);
+		if (held.version > holder.version) {
+			this.#loader.load({
+				kind: 'peer', peer: new PeerSource({clients, endpoint}), version: held.version, confirmedAtMs: now() - held.ageMs,
+			});
+		} else if (held.version === holder.version && holder.view) {
+			if (held.digest === holder.view.digest) {
+				holder.confirm({version: held.version, nowMs: now() - held.ageMs});
+			} else {
+				onFailure(`version ${held.version} has digest ${holder.view.digest} here and ${held.digest} at ${endpoint.address}:${endpoint.port}`);
+			}
+		}
+	}
+
+	#fallbackPeers(): readonly PeerSource[] {
+		const {self, clients, liveInstances} = this.#options;
+		const others = liveInstances().filter(({id}) => id !== self);
+		return chooseOwners({key: `chunks-for-${self}`, instances: others, count: FALLBACK_PEERS}).map(({peers}) => new PeerSource({clients, endpoint: peers}));
+	}
+
+	#answerRoot({aboveVersion}: GetRootRequest): GetRootResponse {
+		const {view} = this.#options.holder;
+		const isHigher = view !== undefined && view.configuration.root.version > Number(aboveVersion);
+		return create(GetRootResponseSchema, {root: isHigher ? encodeRoot(view.configuration.root) : new Uint8Array()});
+	}
+
+	#answerChunks({hashes}: GetChunksRequest): GetChunksResponse {
+		const chunks = [];
+		let bytes = 0;
+		for (const hash of hashes) {
+			const content = this.#loader.chunks.get(hash);
+			if (content && (bytes === 0 || bytes + content.length <= MOST_ANSWER_BYTES)) {
+				bytes += content.length;
+				chunks.push(create(ChunkSchema, {hash, content}));
+			}
+		}
+
+		return create(GetChunksResponseSchema, {chunks});
+	}
+}
--- a/config/distribution/src/index.ts
+++ b/config/distribution/src/index.ts
@@ -1,3 +1,3 @@
 /** Keeps an instance on the newest configuration version. */
 export * from './configuration-holder.js';
-export * from './store-watcher.js';
+export * from './distribution.js';
--- /dev/null
+++ b/config/distribution/src/version-loader.ts
@@ -0,0 +1,132 @@
+/** Loads newer versions one after the other: fetches the chunks that are missing, verifies them and offers the version to the holder. */
+import {dispatch, spawn, start} from 'nact';
+import {assembleSet, hashChunk, parseRoot} from '@pomelopick/config.publishing';
+import type {ConfigurationRoot} from '@pomelopick/config.publishing';
+import type {ConfigurationHolder} from './configuration-holder.js';
+import type {ChunkSource, PeerSource} from './version-source.js';
+
+/** A version to load: its root as stored, or a peer that holds it. */
+export type LoadRequest =
+	| {readonly kind: 'root'; readonly root: ConfigurationRoot; readonly done: (inForce: boolean) => void}
+	| {readonly kind: 'peer'; readonly peer: PeerSource; readonly version: number; readonly confirmedAtMs: number};
+
+/** Options of {@link VersionLoader}. */
+export interface VersionLoaderOptions {
+	readonly holder: ConfigurationHolder;
+	/** Where chunks are looked for, in order, after the peer that told of the version. */
+	readonly sources: () => readonly ChunkSource[];
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+	readonly onFailure: (message: string) => void;
+	/** Told of each damaged chunk. */
+	readonly onDamagedChunk: (message: string) => void;
+}
+
+/** An actor that loads versions, and the chunks of the version in force. */
+export class VersionLoader {
+	readonly #options: VersionLoaderOptions;
+	readonly #system = start();
+	readonly #actor;
+	#chunks: ReadonlyMap<string, Uint8Array> = new Map();
+
+	constructor(options: VersionLoaderOptions) {
+		this.#options = options;
+		this.#actor = spawn(this.#system, async (_: undefined, request: LoadRequest) => this.#load(request), 'version-loader');
+	}
+
+	/** Chunks of the version in force, by hash. */
+	get chunks(): ReadonlyMap<string, Uint8Array> {
+		return this.#chunks;
+	}
+
+	/** Loads a version unless it is in force already by the time it is its turn. */
+	load(request: LoadRequest): void {
+		dispatch(this.#actor, request);
+	}
+
+	async #load(request: LoadRequest): Promise<undefined> {
+		const {holder, now, onFailure} = this.#options;
+		if (request.kind === 'root') {
+			request.done(request.root.version <= holder.version || await this.#loadRoot({root: request.root, first: [], confirmedAtMs: now()}));
+			return;
+		}
+
+		if (request.version <= holder.version) {
+			return;
+		}
+
+		const answer = await request.peer.getRoot(holder.version).run();
+		const bytes = answer.toMaybe().extract();
+		if (!bytes) {
+			onFailure(`root of version ${request.version} from ${request.peer.name}: ${answer.swap().toMaybe().extract()?.message ?? 'no longer held'}`);
+			return;
+		}
+
+		const root = parseRoot(bytes).ifLeft(error => {
+			onFailure(`${request.peer.name}: ${error.message}`);
+		}).toMaybe().extract();
+		if (root) {
+			await this.#loadRoot({root, first: [request.peer], confirmedAtMs: request.confirmedAtMs});
+		}
+	}
+
+	async #loadRoot({root, first, confirmedAtMs}: {readonly root: ConfigurationRoot; readonly first: readonly ChunkSource[]; readonly confirmedAtMs: number}): Promise<boolean> {
+		const {holder, onFailure} = this.#options;
+		const chunks = await this.#collect({root, sources: [...first, ...this.#options.sources()]});
+		const missing = root.chunks.filter(({hash}) => !chunks.has(hash));
+		if (missing.length > 0) {
+			onFailure(`version ${root.version}: ${missing.length} chunk(s) cannot be read, the first is ${missing[0]!.hash}`);
+			return false;
+		}
+
+		return assembleSet({root, chunks}).caseOf({
+			Left(error) {
+				onFailure(error.message);
+				return false;
+			},
+			Right: configuration => {
+				this.#chunks = chunks;
+				holder.offer({configuration, nowMs: confirmedAtMs});
+				return true;
+			},
+		});
+	}
+
+	/** Gathers the chunks of a root: those held already, then from each source what is still missing. */
+	async #collect({root, sources}: {readonly root: ConfigurationRoot; readonly sources: readonly ChunkSource[]}): Promise<ReadonlyMap<string, Uint8Array>> {
+		const chunks = new Map<string, Uint8Array>();
+		const hashes = new Set(root.chunks.map(({hash}) => hash));
+		for (const hash of hashes) {
+			const held = this.#chunks.get(hash);
+			if (held) {
+				chunks.set(hash, held);
+			}
+		}
+
+		for (const source of sources) {
+			const missing = [...hashes].filter(hash => !chunks.has(hash));
+			if (missing.length === 0) {
+				break;
+			}
+
+			const answer = await source.getChunks(missing).run();
+			answer.ifLeft(error => {
+				this.#options.onFailure(`chunks from ${source.name}: ${error.message}`);
+			}).ifRight(found => {
+				this.#keepSound({found, chunks, source});
+			});
+		}
+
+		return chunks;
+	}
+
+	#keepSound({found, chunks, source}: {readonly found: ReadonlyMap<string, Uint8Array>; readonly chunks: Map<string, Uint8Array>; readonly source: ChunkSource}): void {
+		for (const [hash, content] of found) {
+			if (hashChunk(content) === hash) {
+				chunks.set(hash, content);
+			} else {
+				this.#options.onDamagedChunk(`chunk ${hash} from ${source.name} has another hash`);
+			}
+		}
+	}
+}
--- a/config/publishing/src/chunks.ts
+++ b/config/publishing/src/chunks.ts
@@ -1,10 +1,18 @@
-/** Splits a set into chunks below the store's value limit and puts it together again. */
+/**
+ * Splits a set into chunks below the store's value limit and puts it together again.
+ *
+ * A chunk ends at an object whose own hash says so, so that adding, changing or removing an object changes
+ * the chunk around it and leaves the others as they are.
+ */
+import {hashText} from '@pomelopick/core.rendezvous';
 import type {ConfigurationSet} from '@pomelopick/core.types';
 import {hashChunk} from './stored-configuration.js';
 import type {ChunkReference} from './stored-configuration.js';
 
-/** Objects in one chunk; keeps a chunk of the longest entries well below 1 MB. */
-const OBJECTS_PER_CHUNK = 4096;
+/** Average number of objects in a chunk. */
+const AVERAGE_OBJECTS = 512n;
+/** Most objects in a chunk; keeps a chunk of the longest entries well below 1 MB. */
+const MOST_OBJECTS = 4096;
 
 /** A chunk with its content. */
 export interface Chunk extends ChunkReference {
@@ -20,8 +28,10 @@
 export function joinChunks(chunks: ReadonlyArray<{readonly kind: string; readonly content: Uint8Array}>): Record<string, unknown[]> {
 	const lists: Record<string, unknown[]> = {};
 	for (const {kind, content} of chunks) {
-		const objects = JSON.parse(new TextDecoder().decode(content)) as unknown[];
-		lists[kind] = [...(lists[kind] ?? []), ...objects];
+		lists[kind] ??= [];
+		for (const object of JSON.parse(new TextDecoder().decode(content)) as unknown[]) {
+			lists[kind].push(object);
+		}
 	}
 
 	return lists;
@@ -29,11 +39,25 @@
 
 function splitList({kind, objects}: {readonly kind: string; readonly objects: readonly unknown[]}): Chunk[] {
 	const chunks: Chunk[] = [];
-	for (let start = 0; start < objects.length || start === 0; start += OBJECTS_PER_CHUNK) {
-		const content = new TextEncoder().encode(JSON.stringify(objects.slice(start, start + OBJECTS_PER_CHUNK)));
+	let texts: string[] = [];
+	const finish = (): void => {
+		const content = new TextEncoder().encode(`[${texts.join(',')}]`);
 		chunks.push({
 			kind, content, hash: hashChunk(content), bytes: content.length,
 		});
+		texts = [];
+	};
+
+	for (const object of objects) {
+		const text = JSON.stringify(object);
+		texts.push(text);
+		if (texts.length >= MOST_OBJECTS || hashText(text) % AVERAGE_OBJECTS === 0n) {
+			finish();
+		}
+	}
+
+	if (texts.length > 0 || chunks.length === 0) {
+		finish();
 	}
 
 	return chunks;
--- a/config/publishing/src/index.ts
+++ b/config/publishing/src/index.ts
@@ -1,4 +1,8 @@
 /** Publishes and reads configuration versions in the key-value service. */
+export * from './chunks.js';
+export * from './collect.js';
+export * from './difference.js';
+export * from './history.js';
 export * from './publish.js';
 export * from './read.js';
 export * from './stored-configuration.js';
--- a/config/publishing/src/publish.ts
+++ b/config/publishing/src/publish.ts
@@ -1,16 +1,25 @@
 /** Publishes a checked set as the next version. */
 import {randomUUID} from 'node:crypto';
-import {
-	EitherAsync, Left, Right,
-} from 'purify-ts';
+import {EitherAsync, Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {ConfigurationSet, ConfigurationVersion, PublishId} from '@pomelopick/core.types';
-import type {KeyValueStore, StoreError} from '@pomelopick/platform.store';
+import type {KeyValueStore} from '@pomelopick/platform.store';
+import {writeChunks} from './chunk-writer.js';
 import {splitIntoChunks} from './chunks.js';
-import type {Chunk} from './chunks.js';
-import {readRoot} from './read.js';
-import {CHUNK_PREFIX, ROOT_KEY} from './stored-configuration.js';
-import type {ConfigurationRoot} from './stored-configuration.js';
+import {readRoot, readVersion} from './read.js';
+import type {ReadConfigurationError, RootAndIndex} from './read.js';
+import {
+	CONDEMNED_KEY, decodeJson, encodeJson, encodeRoot, PUBLISH_PREFIX, ROOT_KEY, versionKey,
+} from './stored-configuration.js';
+import type {
+	ChunkReference, Condemnation, ConfigurationRoot, PublishIntent,
+} from './stored-configuration.js';
+
+/** Tries to find out how a swap ended whose answer was lost. */
+const MOST_SWAP_TRIES = 6;
+const RETRY_PAUSE_MS = 250;
+/** Attempts when collections fence them off. */
+const MOST_ATTEMPTS = 3;
 
 /** Options of {@link publishConfiguration}. */
 export interface PublishConfigurationOptions {
@@ -21,7 +30,12 @@
 	readonly nowMs: number;
 	/** Version that the set was edited from; absent: the current one. */
 	readonly basedOn?: ConfigurationVersion;
+	/** Identifies the publish when it is run again. */
 	readonly publishId?: PublishId;
+	/** Version whose content the set repeats. */
+	readonly restores?: ConfigurationVersion;
+	/** Waits between tries, in milliseconds. */
+	readonly pause?: (durationMs: number) => Promise<void>;
 }
 
 /** How a publish ended. */
@@ -30,81 +44,218 @@
 	| {readonly kind: 'refused'; readonly winner: ConfigurationRoot}
 	| {readonly kind: 'undecided'; readonly publishId: PublishId; readonly detail: string};
 
-/** Writes the chunks that the store lacks, then swaps the root. Left: nothing was published. */
-export function publishConfiguration({store, set, author, nowMs, basedOn, publishId = randomUUID() as PublishId}: PublishConfigurationOptions): EitherAsync<StoreError, PublishOutcome> {
-	return EitherAsync.fromPromise(async () => {
-		const current = await readRoot(store).run();
-		if (current.isLeft()) {
-			return current;
-		}
+type PublishResult = Either<ReadConfigurationError, PublishOutcome>;
 
-		const found = current.unsafeCoerce();
-		if (found?.root.publishId === publishId) {
-			return Right({kind: 'accepted', version: found.root.version, publishId});
-		}
+/**
+ * Writes the chunks that the store lacks, then swaps the root.
+ *
+ * The same publish id may be run again at any time: a publish that was accepted before is only reported.
+ * Left: nothing was published under this id.
+ */
+export function publishConfiguration(options: PublishConfigurationOptions): EitherAsync<ReadConfigurationError, PublishOutcome> {
+	const {publishId = randomUUID() as PublishId, pause = sleep} = options;
+	return EitherAsync.fromPromise(async () => attempt({
+		...options, publishId, pause, triesLeft: MOST_ATTEMPTS,
+	}));
+}
 
-		if (found && basedOn !== undefined && found.root.version !== basedOn) {
-			return Right({kind: 'refused', winner: found.root});
-		}
+interface Attempt extends PublishConfigurationOptions {
+	readonly publishId: PublishId;
+	readonly pause: (durationMs: number) => Promise<void>;
+	/** Attempts left after a collection fenced one off. */
+	readonly triesLeft: number;
+}
 
-		const chunks = splitIntoChunks(set);
-		const written = await writeChunks({store, chunks});
-		if (written.isLeft()) {
-			return written;
-		}
+async function attempt(options: Attempt): Promise<PublishResult> {
+	const {store, publishId} = options;
+	// The root is read before the earlier attempt: if that one takes effect after the check, this one's swap fails.
+	const current = await readRoot(store).run();
+	if (current.isLeft()) {
+		return current;
+	}
 
-		const root: ConfigurationRoot = {
-			version: ((found?.root.version ?? 0) + 1) as ConfigurationVersion,
-			publishId,
-			author,
-			publishedAtMs: nowMs,
-			chunks: chunks.map(({kind, hash, bytes}) => ({kind, hash, bytes})),
-		};
-		return swapRoot({store, root, expectedIndex: found?.modifyIndex ?? 0});
+	const found = current.unsafeCoerce();
+	const earlier = await findEarlierAttempt({store, publishId, newest: found?.root});
+	return earlier.caseOf<Promise<PublishResult>>({
+		Left: async error => Left(error),
+		Right: async outcome => outcome ? Right(outcome) : prepareAndSwap({options, found}),
 	});
 }
 
-async function writeChunks({store, chunks}: {readonly store: KeyValueStore; readonly chunks: readonly Chunk[]}): Promise<Either<StoreError, void>> {
-	for (const {hash, content} of chunks) {
-		const key = `${CHUNK_PREFIX}${hash}`;
-		const existing = await store.get(key).run();
-		if (existing.isRight() && existing.extract() !== undefined) {
-			continue;
-		}
+interface FindEarlierAttemptOptions {
+	readonly store: KeyValueStore;
+	readonly publishId: PublishId;
+	readonly newest: ConfigurationRoot | undefined;
+}
 
-		const written = await store.compareAndSwap({key, value: content, expectedIndex: 0}).run();
-		const error = written.swap().toMaybe().extract();
-		if (error && error.code !== 'undecided') {
-			return Left(error);
-		}
+/** The outcome of an earlier run of the same publish; undefined when there was none or it can still be repeated. */
+async function findEarlierAttempt({store, publishId, newest}: FindEarlierAttemptOptions): Promise<Either<ReadConfigurationError, PublishOutcome | undefined>> {
+	if (newest?.publishId === publishId) {
+		return Right({kind: 'accepted', version: newest.version, publishId});
 	}
 
-	return Right(undefined);
+	const stored = await store.get(`${PUBLISH_PREFIX}${publishId}`).run();
+	if (stored.isLeft()) {
+		return stored;
+	}
+
+	const found = stored.unsafeCoerce();
+	if (!found) {
+		return Right(undefined);
+	}
+
+	const {version} = decodeJson<PublishIntent>(found.value);
+	const winner = await findWinner({store, version, publishId});
+	return winner.map(outcome => outcome ?? (version <= (newest?.version ?? 0)
+		? {kind: 'undecided', publishId, detail: `it attempted version ${version}, which is no longer kept`}
+		: undefined));
 }
 
-async function swapRoot({store, root, expectedIndex}: {readonly store: KeyValueStore; readonly root: ConfigurationRoot; readonly expectedIndex: number}): Promise<Either<StoreError, PublishOutcome>> {
-	const value = new TextEncoder().encode(JSON.stringify(root));
-	const swapped = await store.compareAndSwap({key: ROOT_KEY, value, expectedIndex}).run();
-	const error = swapped.swap().toMaybe().extract();
-	if (error && error.code !== 'undecided') {
-		return Left(error);
+async function prepareAndSwap({options, found}: {readonly options: Attempt; readonly found: RootAndIndex | undefined}): Promise<PublishResult> {
+	const {store, set, basedOn, nowMs} = options;
+	if (found && basedOn !== undefined && found.root.version !== basedOn) {
+		return Right({kind: 'refused', winner: found.root});
 	}
 
-	if (swapped.isRight() && swapped.extract()) {
-		return Right({kind: 'accepted', version: root.version, publishId: root.publishId});
+	const chunks = splitIntoChunks(set);
+	const root = toRoot({options, found, chunks});
+	const prepared = await EitherAsync.fromPromise(async () => writeIntent({store, root, startedAtMs: nowMs}))
+		.chain(() => readCondemned(store))
+		.chain(condemned => EitherAsync.fromPromise(async (): Promise<Either<ReadConfigurationError, number>> => writeChunks({
+			store, chunks, condemned, inForce: new Set(found?.root.chunks.map(({hash}) => hash)),
+		})))
+		.chain(() => EitherAsync.fromPromise(async () => archiveRoot({store, found})))
+		.run();
+	return prepared.caseOf<Promise<PublishResult>>({
+		Left: async error => Left(error),
+		Right: async () => swapRoot({options, root, expectedIndex: found?.modifyIndex ?? 0}),
+	});
+}
+
+function toRoot({options, found, chunks}: {readonly options: Attempt; readonly found: RootAndIndex | undefined; readonly chunks: readonly ChunkReference[]}): ConfigurationRoot {
+	const {publishId, author, nowMs, restores} = options;
+	return {
+		version: ((found?.root.version ?? 0) + 1) as ConfigurationVersion, publishId, author, publishedAtMs: nowMs, restores, chunks,
+	};
+}
+
+/** Notes what the publish attempts before it relies on any chunk. */
+async function writeIntent({store, root, startedAtMs}: {readonly store: KeyValueStore; readonly root: ConfigurationRoot; readonly startedAtMs: number}): Promise<Either<ReadConfigurationError, true>> {
+	const {publishId, version, chunks} = root;
+	const intent: PublishIntent = {
+		publishId, version, startedAtMs, hashes: chunks.map(({hash}) => hash),
+	};
+	return ensureValue({
+		store, key: `${PUBLISH_PREFIX}${publishId}`, value: encodeJson(intent), replaces: true,
+	});
+}
+
+function readCondemned(store: KeyValueStore): EitherAsync<ReadConfigurationError, ReadonlySet<string>> {
+	return store.get(CONDEMNED_KEY)
+		.map(found => new Set((found ? decodeJson<readonly Condemnation[]>(found.value) : []).flatMap(({hashes}) => hashes)))
+		.mapLeft((error): ReadConfigurationError => error);
+}
+
+/** Copies the newest root to its own key before it may be replaced. */
+async function archiveRoot({store, found}: {readonly store: KeyValueStore; readonly found: RootAndIndex | undefined}): Promise<Either<ReadConfigurationError, true>> {
+	return found
+		? ensureValue({
+			store, key: versionKey(found.root.version), value: encodeRoot(found.root), replaces: false,
+		})
+		: Right(true);
+}
+
+interface EnsureValueOptions {
+	readonly store: KeyValueStore;
+	readonly key: string;
+	readonly value: Uint8Array;
+	/** Whether another value of the key is replaced; otherwise any value will do. */
+	readonly replaces: boolean;
+}
+
+/** Writes a value that only one publisher, or several with the same value, write. */
+async function ensureValue({store, key, value, replaces}: EnsureValueOptions): Promise<Either<ReadConfigurationError, true>> {
+	const existing = await store.get(key).run();
+	if (existing.isLeft()) {
+		return existing;
 	}
 
-	const after = await readRoot(store).run();
-	if (after.isLeft()) {
-		return Right({kind: 'undecided', publishId: root.publishId, detail: 'the store does not answer a read after the write'});
+	const found = existing.unsafeCoerce();
+	if (found && !replaces) {
+		return Right(true);
 	}
 
-	const found = after.unsafeCoerce();
-	if (found?.root.publishId === root.publishId) {
-		return Right({kind: 'accepted', version: root.version, publishId: root.publishId});
+	const written = await store.compareAndSwap({key, value, expectedIndex: found?.modifyIndex ?? 0}).run();
+	const error = written.swap().toMaybe().extract();
+	if (error && error.code !== 'undecided') {
+		return Left(error);
 	}
 
-	return found
-		? Right({kind: 'refused', winner: found.root})
-		: Right({kind: 'undecided', publishId: root.publishId, detail: 'the write was not found'});
+	const after = await store.get(key).run();
+	return after.mapLeft((failure): ReadConfigurationError => failure).chain(seen => seen
+		? Right<true>(true)
+		: Left({code: 'undecided', message: `${key}: the write was not seen to take effect`}));
+}
+
+interface SwapRootOptions {
+	readonly options: Attempt;
+	readonly root: ConfigurationRoot;
+	/** Index of the root that is replaced. */
+	readonly expectedIndex: number;
+}
+
+/**
+ * Swaps the root and finds out how that ended.
+ *
+ * The same swap is tried again while the root is unchanged: it can take effect only once, and as long as the
+ * root has not moved a lost swap may still be under way, so that "refused" would be a guess.
+ */
+async function swapRoot({options, root, expectedIndex}: SwapRootOptions): Promise<PublishResult> {
+	const {store, pause, triesLeft} = options;
+	const {publishId, version} = root;
+	let wasSent = false;
+	let detail = '';
+	for (let tries = 0; tries < MOST_SWAP_TRIES; tries += 1) {
+		const swapped = await store.compareAndSwap({key: ROOT_KEY, value: encodeRoot(root), expectedIndex}).run();
+		if (swapped.orDefault(false)) {
+			return Right({kind: 'accepted', version, publishId});
+		}
+
+		const error = swapped.swap().toMaybe().extract();
+		wasSent ||= error?.code === 'undecided';
+		if (error && error.code !== 'undecided' && !wasSent) {
+			return Left(error);
+		}
+
+		const winner = await findWinner({store, version, publishId});
+		const outcome = winner.toMaybe().extract();
+		if (outcome) {
+			return Right(outcome);
+		}
+
+		if (!error && winner.isRight() && triesLeft > 1) {
+			// The index has moved without a new version: a collection fenced this attempt off, for good.
+			return attempt({...options, triesLeft: triesLeft - 1});
+		}
+
+		detail = error?.message ?? 'the store does not answer a read after the write';
+		await pause(RETRY_PAUSE_MS);
+	}
+
+	return Right({kind: 'undecided', publishId, detail});
+}
+
+/** The version that took the place which the publish attempted; undefined while nothing has. */
+async function findWinner({store, version, publishId}: {readonly store: KeyValueStore; readonly version: ConfigurationVersion; readonly publishId: PublishId}): Promise<Either<ReadConfigurationError, PublishOutcome | undefined>> {
+	const winner = await readVersion({store, version}).run();
+	return winner.caseOf<Either<ReadConfigurationError, PublishOutcome | undefined>>({
+		Left: error => error.code === 'unknown-version' ? Right(undefined) : Left(error),
+		Right: root => Right(root.publishId === publishId ? {kind: 'accepted', version, publishId} : {kind: 'refused', winner: root}),
+	});
+}
+
+async function sleep(durationMs: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, durationMs);
+	});
 }
--- a/config/publishing/src/read.ts
+++ b/config/publishing/src/read.ts
@@ -1,4 +1,4 @@
-/** Reads a published configuration back from the key-value service. */
+/** Reads published configurations back from the key-value service. */
 import {
 	EitherAsync, Left, Right,
 } from 'purify-ts';
@@ -8,7 +8,7 @@
 import {checkConfigurationSet} from '@pomelopick/config.schema';
 import {joinChunks} from './chunks.js';
 import {
-	CHUNK_PREFIX, ROOT_KEY, hashChunk,
+	CHUNK_PREFIX, hashChunk, parseRoot, ROOT_KEY, versionKey,
 } from './stored-configuration.js';
 import type {ChunkReference, ConfigurationRoot} from './stored-configuration.js';
 
@@ -26,34 +26,66 @@
 
 /** Why a version could not be read. */
 export interface ReadConfigurationError {
-	readonly code: StoreError['code'] | 'damaged-chunk' | 'missing-chunk';
+	readonly code: StoreError['code'] | 'damaged-root' | 'damaged-chunk' | 'missing-chunk' | 'unknown-version';
 	readonly message: string;
 }
 
 /** Reads the root; undefined when nothing was published yet. */
-export function readRoot(store: KeyValueStore): EitherAsync<StoreError, RootAndIndex | undefined> {
-	return store.get(ROOT_KEY).map(stored => stored && {
-		root: JSON.parse(new TextDecoder().decode(stored.value)) as ConfigurationRoot,
-		modifyIndex: stored.modifyIndex,
+export function readRoot(store: KeyValueStore): EitherAsync<ReadConfigurationError, RootAndIndex | undefined> {
+	return readRootKey({store, key: ROOT_KEY});
+}
+
+/** Reads the root of one version, the newest or an earlier one. Left `unknown-version` when it is not kept. */
+export function readVersion({store, version}: {readonly store: KeyValueStore; readonly version: number}): EitherAsync<ReadConfigurationError, ConfigurationRoot> {
+	return EitherAsync.fromPromise(async () => {
+		// The newest first: a version that is replaced between the two reads was copied to its own key before.
+		for (const key of [ROOT_KEY, versionKey(version)]) {
+			const read = await readRootKey({store, key}).run();
+			if (read.isLeft()) {
+				return read;
+			}
+
+			const found = read.unsafeCoerce();
+			if (found?.root.version === version) {
+				return Right(found.root);
+			}
+		}
+
+		return Left({code: 'unknown-version', message: `version: expected one that is kept, found ${version}`});
 	});
 }
 
 /** Reads and verifies all chunks of a root. */
 export function readSet({store, root}: {readonly store: KeyValueStore; readonly root: ConfigurationRoot}): EitherAsync<ReadConfigurationError, PublishedConfiguration> {
 	return EitherAsync.fromPromise(async () => {
-		const contents: Array<{kind: string; content: Uint8Array}> = [];
+		const chunks = new Map<string, Uint8Array>();
 		for (const reference of root.chunks) {
 			const chunk = await readChunk({store, reference});
 			if (chunk.isLeft()) {
 				return chunk;
 			}
 
-			contents.push({kind: reference.kind, content: chunk.unsafeCoerce()});
+			chunks.set(reference.hash, chunk.unsafeCoerce());
 		}
 
-		return checkConfigurationSet(joinChunks(contents))
-			.map(set => ({root, set}))
-			.mapLeft((faults): ReadConfigurationError => ({code: 'damaged-chunk', message: `version ${root.version} fails its checks: ${faults[0]?.message ?? ''}`}));
+		return assembleSet({root, chunks});
+	});
+}
+
+/** Joins verified chunks to a set and checks it. Left `damaged-chunk` when they are no valid set. */
+export function assembleSet({root, chunks}: {readonly root: ConfigurationRoot; readonly chunks: ReadonlyMap<string, Uint8Array>}): Either<ReadConfigurationError, PublishedConfiguration> {
+	const joined = joinChunks(root.chunks.map(({kind, hash}) => ({kind, content: chunks.get(hash)!})));
+	return checkConfigurationSet(joined)
+		.map(set => ({root, set}))
+		.mapLeft((faults): ReadConfigurationError => ({code: 'damaged-chunk', message: `version ${root.version} fails its checks: ${faults[0]?.message ?? ''}`}));
+}
+
+function readRootKey({store, key}: {readonly store: KeyValueStore; readonly key: string}): EitherAsync<ReadConfigurationError, RootAndIndex | undefined> {
+	return EitherAsync.fromPromise(async () => {
+		const stored = await store.get(key).run();
+		return stored.mapLeft((error): ReadConfigurationError => error).chain(found => found
+			? parseRoot(found.value).map(root => ({root, modifyIndex: found.modifyIndex}))
+			: Right(undefined));
 	});
 }
 
--- a/config/settings/src/settings.ts
+++ b/config/settings/src/settings.ts
@@ -18,6 +18,8 @@
 	store: endpoint,
 	/** List of instances. */
 	instanceList: endpoint,
+	/** Peer listeners of other instances, asked while the list of instances does not answer. */
+	seeds: z.array(endpoint).default([]),
 	metrics: z.strictObject({host: address, port: z.int().min(1).max(65_535)}).optional(),
 	limits: z.strictObject({
 		/** Calls in progress at this instance, waiting ones included. */
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -9,15 +9,16 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {Agent} from 'undici';
-import type {Endpoint} from '@pomelopick/core.types';
+import type {Endpoint, Instance} from '@pomelopick/core.types';
 import {Counters, createLog, EventRecord} from '@pomelopick/core.telemetry';
 import {CallHandler, createLocalPlacement} from '@pomelopick/calls.forwarding';
-import {ConfigurationHolder, StoreWatcher} from '@pomelopick/config.distribution';
+import {ConfigurationHolder, Distribution} from '@pomelopick/config.distribution';
 import type {Settings} from '@pomelopick/config.settings';
 import {HelloService} from '@pomelopick/peer.protocol';
-import {startPeerServer} from '@pomelopick/peer.transport';
-import {ConsulInstanceList} from '@pomelopick/platform.instances';
+import {Membership} from '@pomelopick/peer.membership';
+import {PeerClients, startPeerServer} from '@pomelopick/peer.transport';
 import {ConsulStore} from '@pomelopick/platform.store';
+import {startFleetView} from './fleet-view.js';
 import {LookupView} from './lookup-view.js';
 import {answerLookup} from './lookup-handler.js';
 import {answerOperator} from './operator-handler.js';
@@ -43,23 +44,18 @@
 	const events = new EventRecord({capacity: EVENTS_KEPT, now: () => Date.now()});
 	const store = new ConsulStore({endpoint: settings.store});
 	const holder = new ConfigurationHolder();
-	const watcher = new StoreWatcher({
-		store, holder, now, onFailure(message) {
-			counters.add('store.failure');
-			events.add({kind: 'store', message});
-		},
-	});
-	const lookup = new LookupView({
-		instanceList: new ConsulInstanceList({endpoint: settings.instanceList}), onFailure(message) {
-			events.add({kind: 'membership', message});
-		},
+	const clients = new PeerClients();
+	const random = xoroshiro128plus(randomInt(MOST_SEED));
+	const drawPart = (): number => uniformInt(random, 0, MOST_SEED - 1) / MOST_SEED;
+	const fleet = startFleetView({
+		settings, store, holder, clients, counters, events, now, drawPart, load: () => handler.inProgress / settings.limits.calls,
 	});
-	holder.onChange(({root, set}) => {
+	const {membership, distribution} = fleet;
+	const lookup = new LookupView({members: () => membership.members});
+	holder.onChange(({set}) => {
 		lookup.useSet(set);
-		events.add({kind: 'configuration', message: 'version in force', fields: {version: root.version}});
 	});
 	const dispatcher = new Agent({connections: CONNECTIONS_PER_SERVER, pipelining: 1});
-	const random = xoroshiro128plus(randomInt(MOST_SEED));
 	const currentSet = () => holder.view?.configuration.set;
 	const handler = new CallHandler({
 		currentSet,
@@ -89,21 +85,29 @@
 					instance: settings.instance, failureDomain: settings.failureDomain, configurationVersion: BigInt(holder.view?.configuration.root.version ?? 0),
 				}),
 			});
+			membership.register(router);
+			distribution.register(router);
 		},
 	});
-	watcher.start();
-	lookup.start();
 	await Promise.all([listen({server: callers, endpoint: settings.listen.callers}), listen({server: operators, endpoint: settings.listen.operators})]);
+	const endpoints = {callers: endpointOf(callers), peers: peers.endpoint, operators: endpointOf(operators)};
+	const self: Instance = {
+		id: settings.instance, failureDomain: settings.failureDomain, state: 'live', ...endpoints,
+	};
+	membership.start(self);
+	distribution.start();
 	log('instance %s listens on %o', settings.instance, callers.address());
 	return {
-		endpoints: {callers: endpointOf(callers), peers: peers.endpoint, operators: endpointOf(operators)},
+		endpoints,
 		async stop() {
 			log('instance %s stops; %d calls in flight', settings.instance, handler.inProgress);
+			membership.leave();
 			await closeServer({server: callers, timeoutMs: settings.shutdownTimeoutMs});
-			lookup.stop();
-			await watcher.stop();
+			membership.stop();
+			await distribution.stop();
 			await closeServer({server: operators, timeoutMs: settings.shutdownTimeoutMs});
-			await Promise.all([peers.stop(), dispatcher.destroy(), store.close(), counters.close()]);
+			clients.close();
+			await Promise.all([peers.stop(), fleet.stop(), dispatcher.destroy(), store.close(), counters.close()]);
 			log('instance %s stopped', settings.instance);
 		},
 	};
--- a/daemons/entry/src/lookup-view.ts
+++ b/daemons/entry/src/lookup-view.ts
@@ -1,17 +1,16 @@
-/** What the look-up needs: the block table, the topology and the list of instances. */
+/** What the look-up needs: the block table, the topology and the members of the fleet. */
 import type {
-	ConfigurationSet, Instance, ServiceName, SiteName,
+	ConfigurationSet, Instance, InstanceId, ServiceName, SiteName,
 } from '@pomelopick/core.types';
-import type {InstanceList} from '@pomelopick/platform.instances';
+import type {Member} from '@pomelopick/peer.membership';
 import {BlockTable, orderEntries, Topology} from '@pomelopick/steering.lookup';
 
-const REFRESH_MS = 1000;
 const MOST_NAMED = 4;
 
 /** Options of {@link LookupView}. */
 export interface LookupViewOptions {
-	readonly instanceList: InstanceList;
-	readonly onFailure: (message: string) => void;
+	/** The fleet as the membership sees it. */
+	readonly members: () => readonly Member[];
 }
 
 /** Answers which entry instances a caller should use. */
@@ -20,17 +19,14 @@
 	#table = new BlockTable({blocks: []});
 	#topology: Topology | undefined;
 	#services = new Set<ServiceName>();
-	#instances: readonly Instance[] = [];
-	#timer: NodeJS.Timeout | undefined;
-	#isReading = false;
 
 	constructor(options: LookupViewOptions) {
 		this.#options = options;
 	}
 
-	/** The instances that the platform's list names. */
-	get instances(): readonly Instance[] {
-		return this.#instances;
+	/** The instances that the membership knows. */
+	get members(): readonly Member[] {
+		return this.#options.members();
 	}
 
 	/** Takes a newer set into use. */
@@ -57,42 +53,23 @@
 			return [];
 		}
 
-		return orderEntries({
-			candidates: this.#instances.map(instance => ({instance, load: 0, alive: true})),
+		const members = this.#options.members();
+		const ordered = orderEntries({
+			candidates: members.map(({instance, load, alive}) => ({instance, load, alive})),
 			near: site && this.#topology.domainOfSite(site),
 			topology: this.#topology,
 			spread: hashAddress(address),
-			most: MOST_NAMED,
+			most: members.length,
 		});
+		return nameReachable({ordered, isolated: new Set(members.filter(({isolated}) => isolated).map(({instance}) => instance.id))});
 	}
+}
 
-	/** Starts reading the platform's list. */
-	start(): void {
-		void this.#refresh();
-		this.#timer = setInterval(() => {
-			void this.#refresh();
-		}, REFRESH_MS);
-	}
-
-	/** Stops reading. */
-	stop(): void {
-		clearInterval(this.#timer);
-	}
-
-	async #refresh(): Promise<void> {
-		if (this.#isReading) {
-			return;
-		}
-
-		this.#isReading = true;
-		const read = await this.#options.instanceList.read().run();
-		this.#isReading = false;
-		read.ifLeft(error => {
-			this.#options.onFailure(error.message);
-		}).ifRight(instances => {
-			this.#instances = instances;
-		});
-	}
+/** The first of the order; when all of them stand in regions that are cut off from here, the best other one takes the last place. */
+function nameReachable({ordered, isolated}: {readonly ordered: readonly Instance[]; readonly isolated: ReadonlySet<InstanceId>}): readonly Instance[] {
+	const named = ordered.slice(0, MOST_NAMED);
+	const reachable = ordered.find(({id}) => !isolated.has(id));
+	return reachable === undefined || named.includes(reachable) ? named : [...named.slice(0, MOST_NAMED - 1), reachable];
 }
 
 const HASH_MULTIPLIER = 31;
--- a/daemons/entry/src/operator-handler.ts
+++ b/daemons/entry/src/operator-handler.ts
@@ -28,7 +28,10 @@
 			failureDomain: settings.failureDomain,
 			configurationVersion: view?.configuration.root.version,
 			viewAgeMs: view && Math.round(now() - view.confirmedAtMs),
-			instances: lookup.instances.map(({id, state}) => ({id, state})),
+			newestKnownVersion: holder.newestKnown,
+			instances: lookup.members.map(({instance: {id, state}, alive, isolated, load}) => ({
+				id, state, alive, isolated, load,
+			})),
 			counters: counters.snapshot(),
 			memoryBytes: process.memoryUsage().rss,
 		}),
--- /dev/null
+++ b/peer/membership/src/index.ts
@@ -0,0 +1,6 @@
+/** Knows which instances are alive, leaving or full. */
+export {
+	chooseOwner, chooseOwners,
+} from '@pomelopick/core.rendezvous';
+export type * from './member.js';
+export * from './membership.js';
--- /dev/null
+++ b/peer/membership/src/list-reader.ts
@@ -0,0 +1,60 @@
+/** Reads the platform's list at a rate that falls as the list grows, so that the fleet's reads and a node's bytes stay bounded. */
+import type {EitherAsync} from 'purify-ts';
+import type {Instance} from '@pomelopick/core.types';
+
+/** Time between reads for each instance that the list names, in milliseconds. */
+const INTERVAL_PER_INSTANCE_MS = 150;
+const LEAST_INTERVAL_MS = 1000;
+/** Part of the interval that is drawn at random, so that instances do not read together. */
+const RANDOM_PART = 0.3;
+
+/** Options of {@link ListReader}. */
+export interface ListReaderOptions {
+	readonly read: () => EitherAsync<{readonly message: string}, readonly Instance[]>;
+	readonly onList: (instances: readonly Instance[]) => void;
+	readonly onFailure: (message: string) => void;
+	/** Number from 0 up to 1. */
+	readonly random: () => number;
+}
+
+/** Reads until it is stopped. A read that fails leaves the last list in use. */
+export class ListReader {
+	readonly #options: ListReaderOptions;
+	#timer: NodeJS.Timeout | undefined;
+	#size = 0;
+	#isStopped = false;
+
+	constructor(options: ListReaderOptions) {
+		this.#options = options;
+	}
+
+	/** Reads at once, then at intervals. */
+	start(): void {
+		void this.#read();
+	}
+
+	/** Stops reading. */
+	stop(): void {
+		this.#isStopped = true;
+		clearTimeout(this.#timer);
+	}
+
+	async #read(): Promise<void> {
+		const {read, onList, onFailure, random} = this.#options;
+		const list = await read().run();
+		if (this.#isStopped) {
+			return;
+		}
+
+		list.ifLeft(error => {
+			onFailure(error.message);
+		}).ifRight(instances => {
+			this.#size = instances.length;
+			onList(instances);
+		});
+		const intervalMs = Math.max(LEAST_INTERVAL_MS, this.#size * INTERVAL_PER_INSTANCE_MS);
+		this.#timer = setTimeout(() => {
+			void this.#read();
+		}, intervalMs * (1 - (RANDOM_PART * random())));
+	}
+}
--- /dev/null
+++ b/peer/membership/src/member-table.ts
@@ -0,0 +1,230 @@
+/** Merges the platform's list, the instances' own records and the observers' findings into one view of the fleet. */
+import {hashText} from '@pomelopick/core.rendezvous';
+import type {Instance, InstanceId} from '@pomelopick/core.types';
+import type {
+	Member, MemberRecord, News, Observation, RegionOf,
+} from './member.js';
+import {Overlay, regionNameOf} from './overlay.js';
+import {judgeMembers} from './verdict.js';
+import type {Verdict} from './verdict.js';
+
+const PERCENT = 100;
+const DIGEST_BITS = 64;
+
+/** Options of {@link MemberTable}. */
+export interface MemberTableOptions {
+	readonly regionOf: RegionOf;
+}
+
+/** The view of one instance. Not thread-safe by need: all calls come from one event loop. */
+export class MemberTable {
+	readonly #regionOf: RegionOf;
+	readonly #records = new Map<InstanceId, MemberRecord>();
+	readonly #observations = new Map<InstanceId, Map<InstanceId, Observation>>();
+	readonly #suspectedSinceMs = new Map<InstanceId, number>();
+	#listed: ReadonlyMap<InstanceId, Instance> = new Map();
+	#known: ReadonlyMap<InstanceId, Instance> | undefined;
+	#overlay: Overlay | undefined;
+	#verdicts: ReadonlyMap<InstanceId, Verdict> = new Map();
+
+	constructor({regionOf}: MemberTableOptions) {
+		this.#regionOf = regionOf;
+	}
+
+	/** All instances known, by id. */
+	get members(): readonly Member[] {
+		return [...this.#instances().values()].map(instance => this.#toMember(instance));
+	}
+
+	/** Everything that can be told to another instance. */
+	get everything(): News {
+		return {records: [...this.#records.values()], observations: [...this.#observations.values()].flatMap(byObserver => [...byObserver.values()])};
+	}
+
+	/** Digest of everything but the loads; equal at instances that know the same. */
+	get digest(): bigint {
+		let digest = 0n;
+		for (const {instance, incarnation, leaving} of this.#records.values()) {
+			digest = combine({digest, text: `${instance.id} ${incarnation} ${leaving}`});
+		}
+
+		for (const {subject, observer, sequence, unreachable} of this.everything.observations) {
+			digest = combine({digest, text: `${subject} ${observer} ${sequence} ${unreachable}`});
+		}
+
+		return digest;
+	}
+
+	/** Number of instances known. */
+	get size(): number {
+		return this.#instances().size;
+	}
+
+	/** Whether observations are being weighed, so that time alone can change the view. */
+	get hasSuspects(): boolean {
+		return this.#suspectedSinceMs.size > 0;
+	}
+
+	/** Rings over all instances; one that is leaving still needs versions and news. */
+	get overlay(): Overlay {
+		this.#overlay ??= new Overlay({instances: [...this.#instances().values()], regionOf: this.#regionOf});
+		return this.#overlay;
+	}
+
+	/** Forgets the rings, after regions have changed. */
+	useRegions(): void {
+		this.#overlay = undefined;
+	}
+
+	/** What is known of one instance. */
+	describe(id: InstanceId): {readonly instance: Instance; readonly incarnation: number} | undefined {
+		const instance = this.#instances().get(id);
+		return instance && {instance, incarnation: this.#records.get(id)?.incarnation ?? 0};
+	}
+
+	/** Whether the observers take an instance for dead. */
+	isDead(id: InstanceId): boolean {
+		return this.#verdicts.get(id) === 'dead';
+	}
+
+	/** Takes the platform's list. Instances that left it stay while they are alive: the list lags. */
+	applyList(instances: readonly Instance[]): void {
+		this.#listed = new Map(instances.map(instance => [instance.id, instance]));
+		this.#forgetDerived();
+		for (const [id, record] of this.#records) {
+			if (!this.#listed.has(id) && (record.leaving || this.isDead(id))) {
+				this.#records.delete(id);
+			}
+		}
+
+		this.#forgetDerived();
+		for (const [subject, byObserver] of this.#observations) {
+			for (const observer of byObserver.keys()) {
+				if (!this.describe(subject) || !this.describe(observer)) {
+					byObserver.delete(observer);
+				}
+			}
+		}
+	}
+
+	/** Takes a record; false when it says nothing new. */
+	applyRecord(record: MemberRecord): boolean {
+		const {id} = record.instance;
+		const held = this.#records.get(id);
+		if (held && record.incarnation < held.incarnation) {
+			return false;
+		}
+
+		if (held?.incarnation !== record.incarnation) {
+			this.#records.set(id, record);
+			this.#observations.delete(id);
+			this.#forgetDerived();
+			return true;
+		}
+
+		const leaving = held.leaving || record.leaving;
+		const newest = record.loadSequence > held.loadSequence ? record : held;
+		if (leaving === held.leaving && newest === held) {
+			return false;
+		}
+
+		this.#records.set(id, {...newest, leaving, instance: {...held.instance, state: leaving ? 'leaving' : 'live'}});
+		if (leaving !== held.leaving) {
+			this.#forgetDerived();
+		}
+
+		return true;
+	}
+
+	/** Takes a finding; false when it says nothing new. */
+	applyObservation(observation: Observation): boolean {
+		const {subject, observer, sequence, subjectIncarnation} = observation;
+		const byObserver = this.#observations.get(subject) ?? new Map<InstanceId, Observation>();
+		const isStale = subjectIncarnation < (this.#records.get(subject)?.incarnation ?? 0);
+		if (isStale || sequence <= (byObserver.get(observer)?.sequence ?? 0)) {
+			return false;
+		}
+
+		byObserver.set(observer, observation);
+		this.#observations.set(subject, byObserver);
+		return true;
+	}
+
+	/** Draws the conclusions from what is known now. */
+	judge(nowMs: number): void {
+		const instances = [...this.#instances().values()];
+		this.#forgetSuspicionsOfUnknown();
+		const judged = instances.map(instance => {
+			const votes = this.#votesAgainst(instance.id);
+			this.#noteSuspicion({id: instance.id, isSuspected: votes.length > 0, nowMs});
+			return {
+				id: instance.id,
+				region: regionNameOf({instance, regionOf: this.#regionOf}),
+				votes,
+				observers: votes.length > 0 ? this.overlay.observersOf(instance.id) : new Set<InstanceId>(),
+				suspectedSinceMs: this.#suspectedSinceMs.get(instance.id) ?? nowMs,
+			};
+		});
+		this.#verdicts = this.hasSuspects ? judgeMembers({members: judged, nowMs}) : new Map();
+	}
+
+	#votesAgainst(id: InstanceId): readonly Observation[] {
+		const incarnation = this.#records.get(id)?.incarnation ?? 0;
+		return [...this.#observations.get(id)?.values() ?? []]
+			.filter(({unreachable, subjectIncarnation, observer}) => unreachable && subjectIncarnation >= incarnation && this.describe(observer) !== undefined);
+	}
+
+	#forgetSuspicionsOfUnknown(): void {
+		for (const id of this.#suspectedSinceMs.keys()) {
+			if (!this.describe(id)) {
+				this.#suspectedSinceMs.delete(id);
+			}
+		}
+	}
+
+	#noteSuspicion({id, isSuspected, nowMs}: {readonly id: InstanceId; readonly isSuspected: boolean; readonly nowMs: number}): void {
+		if (!isSuspected) {
+			this.#suspectedSinceMs.delete(id);
+		} else if (!this.#suspectedSinceMs.has(id)) {
+			this.#suspectedSinceMs.set(id, nowMs);
+		}
+	}
+
+	#instances(): ReadonlyMap<InstanceId, Instance> {
+		this.#known ??= this.#join();
+		return this.#known;
+	}
+
+	/** The list and the records; a record's own endpoints win, and a listed state counts for the same process only. */
+	#join(): ReadonlyMap<InstanceId, Instance> {
+		const instances = new Map(this.#listed);
+		for (const [id, {instance}] of this.#records) {
+			const listed = this.#listed.get(id);
+			const isListedLeaving = listed?.state === 'leaving' && listed.peers.port === instance.peers.port && listed.peers.address === instance.peers.address;
+			instances.set(id, isListedLeaving ? {...instance, state: 'leaving'} : instance);
+		}
+
+		return instances;
+	}
+
+	#forgetDerived(): void {
+		this.#known = undefined;
+		this.#overlay = undefined;
+	}
+
+	#toMember(instance: Instance): Member {
+		const record = this.#records.get(instance.id);
+		const verdict = this.#verdicts.get(instance.id);
+		return {
+			instance,
+			incarnation: record?.incarnation ?? 0,
+			alive: verdict !== 'dead',
+			isolated: verdict === 'isolated',
+			load: (record?.loadPercent ?? 0) / PERCENT,
+		};
+	}
+}
+
+function combine({digest, text}: {readonly digest: bigint; readonly text: string}): bigint {
+	return BigInt.asUintN(DIGEST_BITS, digest + hashText(text));
+}
--- /dev/null
+++ b/peer/membership/src/membership.ts
@@ -0,0 +1,361 @@
+/** Keeps this instance's view of the fleet by the platform's list and by heartbeats with a few neighbours. */
+import type {ConnectRouter} from '@connectrpc/connect';
+import {create} from '@bufbuild/protobuf';
+import type {Either, EitherAsync} from 'purify-ts';
+import type {Endpoint, Instance, InstanceId} from '@pomelopick/core.types';
+import {ExchangeRequestSchema, ExchangeResponseSchema, MembershipService} from '@pomelopick/peer.protocol';
+import type {ExchangeRequest, ExchangeResponse} from '@pomelopick/peer.protocol';
+import type {PeerClients, PeerError} from '@pomelopick/peer.transport';
+import {ListReader} from './list-reader.js';
+import {MemberTable} from './member-table.js';
+import type {
+	HeldVersion, Member, MemberRecord, News, Observation, RegionOf,
+} from './member.js';
+import {Observer} from './observer.js';
+import {Outbox} from './outbox.js';
+import {
+	fromHeldMessage, fromNewsMessage, toHeldMessage, toNewsMessage,
+} from './wire.js';
+
+const HEARTBEAT_INTERVAL_MS = 500;
+const HEARTBEAT_TIMEOUT_MS = 700;
+/** Delay that gathers news before it is sent ahead of the next heartbeat. */
+const URGENT_DELAY_MS = 20;
+/** A tick that comes this much late shows that the process stood still. */
+const STANDSTILL_MS = 1500;
+/** Time after a standstill in which failed heartbeats are not counted. */
+const STANDSTILL_GRACE_MS = 2000;
+/** Time for which an instance that called counts as a neighbour. */
+const CALLER_KEPT_MS = 5000;
+/** Differing digests in a row before everything is exchanged. */
+const MOST_DIFFERENCES = 3;
+/** Least time between two exchanges of everything, in milliseconds an instance of the fleet. */
+const EVERYTHING_INTERVAL_PER_INSTANCE_MS = 50;
+const LEAST_EVERYTHING_INTERVAL_MS = 1000;
+/** Least change of the load that is told, in percent. */
+const LOAD_STEP_PERCENT = 10;
+/** Load that is told at once, in percent. */
+const FULL_PERCENT = 95;
+const PERCENT = 100;
+
+/** Options of {@link Membership}. */
+export interface MembershipOptions {
+	readonly clients: PeerClients;
+	/** Reads the platform's list. */
+	readonly readList: () => EitherAsync<{readonly message: string}, readonly Instance[]>;
+	/** Endpoints of peers asked while no instance is known. */
+	readonly seeds?: readonly Endpoint[];
+	readonly regionOf: RegionOf;
+	/** Part of the call limit in use, from 0 to 1. */
+	readonly load: () => number;
+	/** Version in force here. */
+	readonly heldVersion: () => HeldVersion;
+	/** Told of the version of every peer that is heard. */
+	readonly onPeerVersion: (peer: {readonly endpoint: Endpoint; readonly held: HeldVersion}) => void;
+	readonly onFailure: (message: string) => void;
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+	/** Wall-clock time, in milliseconds since the epoch. */
+	readonly wallClock: () => number;
+	/** Number from 0 up to 1 that spreads reads of the list over time. */
+	readonly random: () => number;
+}
+
+/** Bytes and messages of this instance's exchanges since the start. */
+export interface MembershipStatistics {
+	readonly exchanges: number;
+	readonly newsSent: number;
+	readonly everythingSent: number;
+}
+
+/** The fleet as this instance sees it. */
+export class Membership {
+	readonly #options: MembershipOptions;
+	readonly #table: MemberTable;
+	readonly #observer = new Observer();
+	readonly #outbox = new Outbox();
+	readonly #reader: ListReader;
+	readonly #listeners: Array<(members: readonly Member[]) => void> = [];
+	readonly #callers = new Map<InstanceId, number>();
+	readonly #inFlight = new Set<InstanceId>();
+	readonly #differences = new Map<InstanceId, number>();
+	readonly #statistics = {exchanges: 0, newsSent: 0, everythingSent: 0};
+	#self: MemberRecord | undefined;
+	#members: readonly Member[] = [];
+	#signature = '';
+	#timer: NodeJS.Timeout | undefined;
+	#urgentTimer: NodeJS.Timeout | undefined;
+	#lastTickMs = 0;
+	#graceUntilMs = 0;
+	#nextEverythingMs = 0;
+	#lastSequence = 0;
+
+	constructor(options: MembershipOptions) {
+		this.#options = options;
+		this.#table = new MemberTable({regionOf: options.regionOf});
+		this.#reader = new ListReader({
+			read: options.readList,
+			random: options.random,
+			onFailure: options.onFailure,
+			onList: instances => {
+				this.#table.applyList(instances);
+				this.#refresh();
+			},
+		});
+	}
+
+	/** All known instances, this one included. */
+	get members(): readonly Member[] {
+		return this.#members;
+	}
+
+	/** Counters of the exchanges. */
+	get statistics(): MembershipStatistics {
+		return {...this.#statistics};
+	}
+
+	/** Instances that can take work: alive and not leaving. */
+	liveInstances(): readonly Instance[] {
+		return this.#members.filter(({alive, instance}) => alive && instance.state === 'live').map(({instance}) => instance);
+	}
+
+	/** Registers a listener for changes of the instances, their states and whether they are alive. */
+	onChange(listener: (members: readonly Member[]) => void): void {
+		this.#listeners.push(listener);
+	}
+
+	/** Registers the service that answers heartbeats. */
+	register(router: ConnectRouter): void {
+		router.service(MembershipService, {exchange: request => this.#answer(request)});
+	}
+
+	/** Starts heartbeats as this instance. */
+	start(instance: Instance): void {
+		this.#self = {
+			instance, incarnation: this.#options.wallClock(), leaving: false, loadSequence: 0, loadPercent: 0,
+		};
+		this.#table.applyRecord(this.#self);
+		this.#lastTickMs = this.#options.now();
+		this.#refresh();
+		this.#reader.start();
+		this.#timer = setInterval(() => {
+			this.#tick();
+		}, HEARTBEAT_INTERVAL_MS);
+	}
+
+	/** Tells the neighbours that this instance leaves. */
+	leave(): void {
+		if (this.#self) {
+			this.#tellOfSelf({...this.#self, leaving: true});
+			this.#flush();
+		}
+	}
+
+	/** Sends the version in force to the neighbours without waiting for the next heartbeat. */
+	announceVersion(): void {
+		this.#scheduleFlush();
+	}
+
+	/** Rebuilds what depends on the regions, after a configuration has changed them. */
+	useRegions(): void {
+		this.#table.useRegions();
+		this.#refresh();
+	}
+
+	/** Stops heartbeats. */
+	stop(): void {
+		clearInterval(this.#timer);
+		clearTimeout(this.#urgentTimer);
+		this.#reader.stop();
+	}
+
+	#tick(): void {
+		const nowMs = this.#options.now();
+		if (nowMs - this.#lastTickMs > HEARTBEAT_INTERVAL_MS + STANDSTILL_MS) {
+			this.#graceUntilMs = nowMs + STANDSTILL_GRACE_MS;
+			this.#observer.forgiveFailures();
+		}
+
+		this.#lastTickMs = nowMs;
+		this.#tellLoad();
+		this.#flush();
+		if (this.#table.hasSuspects) {
+			this.#refresh();
+		}
+	}
+
+	/** Sends a heartbeat to each subject that is not still being asked. */
+	#flush(): void {
+		const subjects = this.#subjects();
+		this.#observer.keepOnly(subjects);
+		this.#outbox.keepOnly(this.#neighbours());
+		for (const id of subjects) {
+			const known = this.#table.describe(id);
+			if (known && !this.#inFlight.has(id)) {
+				void this.#exchange({id, endpoint: known.instance.peers});
+			}
+		}
+
+		if (subjects.size === 0) {
+			for (const endpoint of this.#options.seeds ?? []) {
+				void this.#askSeed(endpoint);
+			}
+		}
+	}
+
+	async #exchange({id, endpoint}: {readonly id: InstanceId; readonly endpoint: Endpoint}): Promise<void> {
+		const wantsEverything = this.#shouldExchangeEverything(id);
+		const told = this.#outbox.take(id);
+		this.#inFlight.add(id);
+		const answer = await this.#call({endpoint, news: wantsEverything ? this.#table.everything : told, wantsEverything});
+		this.#inFlight.delete(id);
+		const error = answer.swap().toMaybe().extract();
+		if (this.#options.now() >= this.#graceUntilMs) {
+			this.#observer.record({subject: id, outcome: error ? (error.code === 'not-sent' ? 'refused' : 'lost') : 'answered'});
+		}
+
+		if (error) {
+			this.#outbox.putBack({neighbour: id, news: told});
+		}
+
+		answer.ifRight(response => {
+			this.#takeAnswer({id, endpoint, response});
+		});
+		this.#reportFindings();
+	}
+
+	async #askSeed(endpoint: Endpoint): Promise<void> {
+		const answer = await this.#call({endpoint, news: this.#table.everything, wantsEverything: true});
+		answer.ifRight(response => {
+			this.#takeNews({news: fromNewsMessage(response.news)});
+			this.#options.onPeerVersion({endpoint, held: fromHeldMessage(response.configuration)});
+		});
+	}
+
+	async #call({endpoint, news, wantsEverything}: {readonly endpoint: Endpoint; readonly news: News; readonly wantsEverything: boolean}): Promise<Either<PeerError, ExchangeResponse>> {
+		this.#statistics.exchanges += 1;
+		this.#statistics.newsSent += news.records.length + news.observations.length;
+		this.#statistics.everythingSent += wantsEverything ? 1 : 0;
+		const request = create(ExchangeRequestSchema, {
+			sender: this.#self!.instance.id, news: toNewsMessage(news), digest: this.#table.digest, configuration: toHeldMessage(this.#options.heldVersion()), wantsEverything,
+		});
+		return this.#options.clients.call({
+			endpoint, service: MembershipService, timeoutMs: HEARTBEAT_TIMEOUT_MS, invoke: async (client, options) => client.exchange(request, options),
+		}).run();
+	}
+
+	#answer(request: ExchangeRequest): ExchangeResponse {
+		const sender = request.sender as InstanceId;
+		this.#callers.set(sender, this.#options.now());
+		this.#takeNews({news: fromNewsMessage(request.news), from: sender});
+		const known = this.#table.describe(sender);
+		if (known) {
+			this.#options.onPeerVersion({endpoint: known.instance.peers, held: fromHeldMessage(request.configuration)});
+		}
+
+		const news = request.wantsEverything ? this.#table.everything : this.#outbox.take(sender);
+		this.#statistics.newsSent += news.records.length + news.observations.length;
+		return create(ExchangeResponseSchema, {news: toNewsMessage(news), digest: this.#table.digest, configuration: toHeldMessage(this.#options.heldVersion())});
+	}
+
+	#takeAnswer({id, endpoint, response}: {readonly id: InstanceId; readonly endpoint: Endpoint; readonly response: ExchangeResponse}): void {
+		this.#takeNews({news: fromNewsMessage(response.news), from: id});
+		this.#differences.set(id, response.digest === this.#table.digest ? 0 : (this.#differences.get(id) ?? MOST_DIFFERENCES - 1) + 1);
+		this.#options.onPeerVersion({endpoint, held: fromHeldMessage(response.configuration)});
+	}
+
+	/** Repairs lost news: when digests keep differing, both sides tell everything, at a bounded rate. */
+	#shouldExchangeEverything(id: InstanceId): boolean {
+		const nowMs = this.#options.now();
+		if ((this.#differences.get(id) ?? 0) < MOST_DIFFERENCES || nowMs < this.#nextEverythingMs) {
+			return false;
+		}
+
+		this.#differences.set(id, 0);
+		this.#nextEverythingMs = nowMs + Math.max(LEAST_EVERYTHING_INTERVAL_MS, this.#table.size * EVERYTHING_INTERVAL_PER_INSTANCE_MS);
+		return true;
+	}
+
+	#takeNews({news, from}: {readonly news: News; readonly from?: InstanceId}): void {
+		const isOwn = ({instance}: MemberRecord): boolean => instance.id === this.#self?.instance.id;
+		const records = news.records.filter(record => !isOwn(record) && this.#table.applyRecord(record));
+		const observations = news.observations.filter(observation => this.#table.applyObservation(observation));
+		if (records.length === 0 && observations.length === 0) {
+			return;
+		}
+
+		this.#outbox.add({news: {records, observations}, neighbours: this.#neighbours(), except: from});
+		if (observations.length > 0 || records.some(({leaving, loadSequence, loadPercent}) => leaving || loadSequence === 0 || loadPercent >= FULL_PERCENT)) {
+			this.#scheduleFlush();
+		}
+
+		this.#refresh();
+	}
+
+	#reportFindings(): void {
+		const observations: Observation[] = [];
+		for (const [subject, {unreachable, refused}] of this.#observer.takeChanges()) {
+			this.#lastSequence = Math.max(this.#lastSequence + 1, this.#options.wallClock());
+			observations.push({
+				subject, subjectIncarnation: this.#table.describe(subject)?.incarnation ?? 0, observer: this.#self!.instance.id, sequence: this.#lastSequence, unreachable, refused,
+			});
+		}
+
+		if (observations.length > 0) {
+			this.#takeNews({news: {records: [], observations}});
+		}
+	}
+
+	#tellLoad(): void {
+		const self = this.#self!;
+		const loadPercent = Math.min(PERCENT, Math.round(this.#options.load() * PERCENT));
+		const crossesFull = (loadPercent >= FULL_PERCENT) !== (self.loadPercent >= FULL_PERCENT);
+		if (crossesFull || Math.abs(loadPercent - self.loadPercent) >= LOAD_STEP_PERCENT) {
+			this.#tellOfSelf({...self, loadPercent, loadSequence: self.loadSequence + 1});
+		}
+	}
+
+	#tellOfSelf(record: MemberRecord): void {
+		this.#self = record;
+		this.#table.applyRecord(record);
+		this.#outbox.add({news: {records: [record], observations: []}, neighbours: this.#neighbours()});
+		this.#refresh();
+	}
+
+	#subjects(): ReadonlySet<InstanceId> {
+		return this.#table.overlay.subjectsOf({observer: this.#self!.instance.id, isAlive: id => !this.#table.isDead(id)});
+	}
+
+	/** Subjects, and the instances that observe this one. */
+	#neighbours(): ReadonlySet<InstanceId> {
+		const oldestMs = this.#options.now() - CALLER_KEPT_MS;
+		for (const [id, calledAtMs] of this.#callers) {
+			if (calledAtMs < oldestMs) {
+				this.#callers.delete(id);
+			}
+		}
+
+		return new Set([...this.#subjects(), ...this.#callers.keys()]);
+	}
+
+	#scheduleFlush(): void {
+		this.#urgentTimer ??= setTimeout(() => {
+			this.#urgentTimer = undefined;
+			this.#flush();
+		}, URGENT_DELAY_MS);
+	}
+
+	#refresh(): void {
+		this.#table.judge(this.#options.now());
+		this.#members = this.#table.members;
+		const signature = this.#members.map(({instance, incarnation, alive, isolated}) => `${instance.id} ${incarnation} ${instance.state} ${alive} ${isolated}`).sort().join('\n');
+		if (signature === this.#signature) {
+			return;
+		}
+
+		this.#signature = signature;
+		for (const listener of this.#listeners) {
+			listener(this.#members);
+		}
+	}
+}
--- /dev/null
+++ b/peer/membership/src/overlay.ts
@@ -0,0 +1,104 @@
+/**
+ * Chooses who observes whom: each instance observes its successor on a few rings, each ordered by another hash.
+ *
+ * Rings over random permutations make an expander whose degree does not depend on the number of instances.
+ * L. Suresh and others, "Stable and Consistent Membership at Scale with Rapid", USENIX ATC 2018.
+ */
+import {hashText} from '@pomelopick/core.rendezvous';
+import type {Instance, InstanceId} from '@pomelopick/core.types';
+import type {RegionOf} from './member.js';
+
+/** Rings over the instances of one region; they tell a dead instance from a region that is cut off. */
+const REGION_RINGS = 2;
+/** Rings over all instances. */
+const FLEET_RINGS = 2;
+/** Steps that an observer takes on a ring past instances that are not alive. */
+const MOST_STEPS = 4;
+
+/** Options of {@link Overlay}. */
+export interface OverlayOptions {
+	readonly instances: readonly Instance[];
+	readonly regionOf: RegionOf;
+}
+
+/** Rings of one set of instances. */
+export class Overlay {
+	readonly #rings: ReadonlyMap<InstanceId, ReadonlyArray<readonly InstanceId[]>>;
+
+	constructor({instances, regionOf}: OverlayOptions) {
+		const rings = new Map<InstanceId, Array<readonly InstanceId[]>>(instances.map(({id}) => [id, []]));
+		const addRing = (name: string, members: readonly Instance[]): void => {
+			const ring = orderRing({name, members});
+			for (const id of ring) {
+				rings.get(id)!.push(ring);
+			}
+		};
+
+		for (let index = 0; index < FLEET_RINGS; index += 1) {
+			addRing(`fleet-${index}`, instances);
+		}
+
+		const byRegion = groupByRegion({instances, regionOf});
+		for (const [region, members] of byRegion) {
+			for (let index = 0; index < REGION_RINGS; index += 1) {
+				addRing(`region-${region}-${index}`, members);
+			}
+		}
+
+		this.#rings = rings;
+	}
+
+	/** Instances that `observer` observes: on each ring the next one that is alive, and the ones passed on the way. */
+	subjectsOf({observer, isAlive}: {readonly observer: InstanceId; readonly isAlive: (id: InstanceId) => boolean}): ReadonlySet<InstanceId> {
+		const subjects = new Set<InstanceId>();
+		for (const ring of this.#rings.get(observer) ?? []) {
+			const start = ring.indexOf(observer);
+			for (let step = 1; step <= Math.min(MOST_STEPS, ring.length - 1); step += 1) {
+				const next = ring[(start + step) % ring.length]!;
+				subjects.add(next);
+				if (isAlive(next)) {
+					break;
+				}
+			}
+		}
+
+		return subjects;
+	}
+
+	/** Instances whose next one on some ring is `subject`. */
+	observersOf(subject: InstanceId): ReadonlySet<InstanceId> {
+		const observers = new Set<InstanceId>();
+		for (const ring of this.#rings.get(subject) ?? []) {
+			const previous = ring.at(ring.indexOf(subject) - 1)!;
+			if (previous !== subject) {
+				observers.add(previous);
+			}
+		}
+
+		return observers;
+	}
+}
+
+/** Region of an instance; a failure domain that no configuration names counts as a region of its own. */
+export function regionNameOf({instance, regionOf}: {readonly instance: Instance; readonly regionOf: RegionOf}): string {
+	return regionOf(instance.failureDomain) ?? `domain:${instance.failureDomain}`;
+}
+
+function groupByRegion({instances, regionOf}: OverlayOptions): Map<string, Instance[]> {
+	const groups = new Map<string, Instance[]>();
+	for (const instance of instances) {
+		const region = regionNameOf({instance, regionOf});
+		const group = groups.get(region) ?? [];
+		group.push(instance);
+		groups.set(region, group);
+	}
+
+	return groups;
+}
+
+function orderRing({name, members}: {readonly name: string; readonly members: readonly Instance[]}): readonly InstanceId[] {
+	return members
+		.map(({id}) => ({id, position: hashText(`${name}\0${id}`)}))
+		.sort((left, right) => (left.position < right.position ? -1 : Number(left.position > right.position)) || left.id.localeCompare(right.id))
+		.map(({id}) => id);
+}
