Test membership and versions over cut links

Cause: the membership and the distribution had no test of their own. Change: control parts of many instances run in one process over real sockets, with fault proxies between regions; a checker over versions finds lost, doubled, late and reverting ones, and has cases of its own.

--- a/config/distribution/src/distribution.ts
+++ b/config/distribution/src/distribution.ts
@@ -9,7 +9,7 @@
 import type {
 	GetChunksRequest, GetChunksResponse, GetRootRequest, GetRootResponse,
 } from '@pomelopick/peer.protocol';
-import type {PeerClients} from '@pomelopick/peer.transport';
+import type {PeerCaller} from '@pomelopick/peer.transport';
 import type {KeyValueStore} from '@pomelopick/platform.store';
 import {encodeRoot} from '@pomelopick/config.publishing';
 import type {ConfigurationHolder} from './configuration-holder.js';
@@ -37,7 +37,7 @@
 export interface DistributionOptions {
 	readonly self: InstanceId;
 	readonly store: KeyValueStore;
-	readonly clients: PeerClients;
+	readonly clients: PeerCaller;
 	readonly holder: ConfigurationHolder;
 	/** Instances that can take work; this one included once it is known. */
 	readonly liveInstances: () => readonly Instance[];
--- a/config/distribution/src/version-source.ts
+++ b/config/distribution/src/version-source.ts
@@ -5,7 +5,7 @@
 import type {Endpoint} from '@pomelopick/core.types';
 import {CHUNK_PREFIX} from '@pomelopick/config.publishing';
 import {ConfigurationService} from '@pomelopick/peer.protocol';
-import type {PeerClients} from '@pomelopick/peer.transport';
+import type {PeerCaller} from '@pomelopick/peer.transport';
 import type {KeyValueStore} from '@pomelopick/platform.store';
 
 const ROOT_TIMEOUT_MS = 1000;
@@ -57,10 +57,10 @@
 
 /** Reads a root and chunks from another instance. */
 export class PeerSource implements ChunkSource {
-	readonly #clients: PeerClients;
+	readonly #clients: PeerCaller;
 	readonly #endpoint: Endpoint;
 
-	constructor({clients, endpoint}: {readonly clients: PeerClients; readonly endpoint: Endpoint}) {
+	constructor({clients, endpoint}: {readonly clients: PeerCaller; readonly endpoint: Endpoint}) {
 		this.#clients = clients;
 		this.#endpoint = endpoint;
 	}
--- a/core/rendezvous/test/rendezvous.test.ts
+++ b/core/rendezvous/test/rendezvous.test.ts
@@ -39,7 +39,7 @@
 	});
 
 	it('answers no owner for an empty list and all instances when asked for more than there are', () => {
-		assert.equal(chooseOwner({key: 'one', instances: []}), undefined);
+		assert.equal(chooseOwner({key: 'one', instances: toInstances([])}), undefined);
 		assert.equal(chooseOwners({key: 'one', instances: toInstances(['a', 'b']), count: 5}).length, 2);
 	});
 });
--- a/daemons/entry/src/fleet-view.ts
+++ b/daemons/entry/src/fleet-view.ts
@@ -6,7 +6,7 @@
 import type {ConfigurationHolder} from '@pomelopick/config.distribution';
 import type {Settings} from '@pomelopick/config.settings';
 import {Membership} from '@pomelopick/peer.membership';
-import type {PeerClients} from '@pomelopick/peer.transport';
+import type {PeerCaller} from '@pomelopick/peer.transport';
 import {ConsulInstanceList} from '@pomelopick/platform.instances';
 import type {KeyValueStore} from '@pomelopick/platform.store';
 
@@ -15,7 +15,7 @@
 	readonly settings: Settings;
 	readonly store: KeyValueStore;
 	readonly holder: ConfigurationHolder;
-	readonly clients: PeerClients;
+	readonly clients: PeerCaller;
 	readonly counters: Counters;
 	readonly events: EventRecord;
 	/** Monotonic time, in milliseconds. */
--- a/daemons/entry/src/index.ts
+++ b/daemons/entry/src/index.ts
@@ -1,2 +1,3 @@
 /** The entry daemon. */
 export * from './entry.js';
+export * from './fleet-view.js';
--- a/peer/membership/src/index.ts
+++ b/peer/membership/src/index.ts
@@ -4,3 +4,4 @@
 } from '@pomelopick/core.rendezvous';
 export type * from './member.js';
 export * from './membership.js';
+export * from './verdict.js';
--- a/peer/membership/src/membership.ts
+++ b/peer/membership/src/membership.ts
@@ -5,7 +5,7 @@
 import type {Endpoint, Instance, InstanceId} from '@pomelopick/core.types';
 import {ExchangeRequestSchema, ExchangeResponseSchema, MembershipService} from '@pomelopick/peer.protocol';
 import type {ExchangeRequest, ExchangeResponse} from '@pomelopick/peer.protocol';
-import type {PeerClients, PeerError} from '@pomelopick/peer.transport';
+import type {PeerCaller, PeerError} from '@pomelopick/peer.transport';
 import {ListReader} from './list-reader.js';
 import {MemberTable} from './member-table.js';
 import type {
@@ -40,7 +40,7 @@
 
 /** Options of {@link Membership}. */
 export interface MembershipOptions {
-	readonly clients: PeerClients;
+	readonly clients: PeerCaller;
 	/** Reads the platform's list. */
 	readonly readList: () => EitherAsync<{readonly message: string}, readonly Instance[]>;
 	/** Endpoints of peers asked while no instance is known. */
--- /dev/null
+++ b/peer/membership/test/verdict.test.ts
@@ -0,0 +1,77 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import type {InstanceId} from '@pomelopick/core.types';
+import {judgeMembers, OUTSIDE_VOTES_WAIT_MS} from '@pomelopick/peer.membership';
+import type {JudgedMember, Verdict} from '@pomelopick/peer.membership';
+
+/** Votes as `subject: observers`; an observer with `!` was refused the connection. */
+type Votes = Readonly<Record<string, readonly string[]>>;
+
+const regions: Readonly<Record<string, string>> = {
+	n1: 'north', n2: 'north', n3: 'north', s1: 'south', s2: 'south', s3: 'south', w1: 'west',
+};
+
+const observers: Readonly<Record<string, readonly string[]>> = {
+	n1: ['n2', 'n3', 's1', 'w1'],
+	n2: ['n3', 'n1', 's2'],
+	n3: ['n1', 'n2', 's1', 's3'],
+	s1: ['s2', 's3', 'n1', 'w1'],
+	s2: ['s1', 's3', 'n2'],
+	s3: ['s1', 's2', 'n3', 'w1'],
+	w1: ['n1', 's2', 's3'],
+};
+
+function toMembers(votes: Votes): readonly JudgedMember[] {
+	return Object.entries(regions).map(([id, region]) => ({
+		id: id as InstanceId,
+		region,
+		observers: new Set(observers[id] as InstanceId[]),
+		suspectedSinceMs: 0,
+		votes: (votes[id] ?? []).map(observer => ({
+			subject: id as InstanceId,
+			subjectIncarnation: 1,
+			observer: observer.replace('!', '') as InstanceId,
+			sequence: 1,
+			unreachable: true,
+			refused: observer.endsWith('!'),
+		})),
+	}));
+}
+
+const cases: ReadonlyArray<{name: string; votes: Votes; nowMs: number; expected: Readonly<Record<string, Verdict>>}> = [
+	{
+		name: 'one observer of four does not make an instance dead', votes: {n1: ['s1']}, nowMs: 10_000, expected: {},
+	},
+	{
+		name: 'half of the observers do not, so that a cut inside a region takes nobody out', votes: {n1: ['n2', 'n3']}, nowMs: 10_000, expected: {},
+	},
+	{
+		name: 'a majority with one of the region does at once', votes: {n1: ['n2', 'n3', 's1']}, nowMs: 0, expected: {n1: 'dead'},
+	},
+	{
+		name: 'a majority from outside waits', votes: {w1: ['n1', 's2']}, nowMs: OUTSIDE_VOTES_WAIT_MS - 1, expected: {w1: 'alive'},
+	},
+	{
+		name: 'a majority from outside counts after the wait', votes: {w1: ['n1', 's2']}, nowMs: OUTSIDE_VOTES_WAIT_MS, expected: {w1: 'dead'},
+	},
+	{
+		name: 'refused connections count at once', votes: {w1: ['n1!', 's2!']}, nowMs: 0, expected: {w1: 'dead'},
+	},
+	{
+		name: 'observers that have votes against them are not waited for', votes: {n1: ['s1', 'w1'], n2: ['s2'], n3: ['s1', 's3']}, nowMs: 10_000, expected: {n1: 'isolated', n2: 'isolated', n3: 'isolated'},
+	},
+	{
+		name: 'a region that is out of reach as a whole is held, however long it lasts', votes: {n1: ['s1', 'w1'], n2: ['s2'], n3: ['s1', 's3']}, nowMs: 600_000, expected: {n1: 'isolated', n2: 'isolated', n3: 'isolated'},
+	},
+	{
+		name: 'a region of which one instance is still reached is not held', votes: {n1: ['s1', 'w1', 'n2'], n2: ['s2', 'n1', 'n3']}, nowMs: 10_000, expected: {n1: 'dead', n2: 'dead'},
+	},
+];
+
+describe('judgeMembers', () => {
+	for (const {name, votes, nowMs, expected} of cases) {
+		it(name, () => {
+			assert.deepEqual(Object.fromEntries(judgeMembers({members: toMembers(votes), nowMs})), expected);
+		});
+	}
+});
--- a/peer/transport/src/peer-clients.ts
+++ b/peer/transport/src/peer-clients.ts
@@ -27,6 +27,9 @@
 	readonly signal?: AbortSignal;
 }
 
+/** Calls one method of a peer; the part of {@link PeerClients} that services need. */
+export type PeerCaller = Pick<PeerClients, 'call'>;
+
 interface PeerConnection {
 	readonly sessions: Http2SessionManager;
 	readonly transport: Transport;
--- a/peer/transport/src/peer-server.ts
+++ b/peer/transport/src/peer-server.ts
@@ -1,7 +1,7 @@
 /** Listener for the system's other instances. */
 import {createServer} from 'node:http2';
 import type {Http2Server, ServerHttp2Session} from 'node:http2';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import type {ConnectRouter} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import type {Endpoint} from '@pomelopick/core.types';
@@ -16,6 +16,8 @@
 /** A running listener. */
 export interface PeerServer {
 	readonly endpoint: Endpoint;
+	/** Bytes received and sent over all connections since the start. */
+	readonly countBytes: () => number;
 	/** Closes the listener and all sessions. */
 	stop(): Promise<void>;
 }
@@ -30,12 +32,34 @@
 			sessions.delete(session);
 		});
 	});
+	const countBytes = trackBytes(server);
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(endpoint.port, endpoint.address, resolve);
 	});
 	const {address, port} = server.address() as AddressInfo;
-	return {endpoint: {address, port}, stop: async () => stopServer({server, sessions})};
+	return {endpoint: {address, port}, countBytes, stop: async () => stopServer({server, sessions})};
+}
+
+function trackBytes(server: Http2Server): () => number {
+	const sockets = new Set<Socket>();
+	const bytesOf = ({bytesRead, bytesWritten}: Socket): number => bytesRead + bytesWritten;
+	let closedBytes = 0;
+	server.on('connection', (socket: Socket) => {
+		sockets.add(socket);
+		socket.once('close', () => {
+			sockets.delete(socket);
+			closedBytes += bytesOf(socket);
+		});
+	});
+	return () => {
+		let bytes = closedBytes;
+		for (const socket of sockets) {
+			bytes += bytesOf(socket);
+		}
+
+		return bytes;
+	};
 }
 
 async function stopServer({server, sessions}: {readonly server: Http2Server; readonly sessions: ReadonlySet<ServerHttp2Session>}): Promise<void> {
--- a/testing/fleet/src/index.ts
+++ b/testing/fleet/src/index.ts
@@ -2,3 +2,6 @@
 export * from './child.js';
 export * from './deployment.js';
 export * from './fleet.js';
+export * from './control-fleet.js';
+export * from './version-history.js';
+export * from './control-network.js';
