--- /dev/null
+++ b/config/publishing/test/collect.test.ts
@@ -0,0 +1,111 @@
+import assert from 'node:assert/strict';
+import {
+	afterEach, beforeEach, describe, it,
+} from 'node:test';
+import {
+	CHUNK_PREFIX, collectChunks, publishConfiguration, readRoot, readSet, ROOT_KEY,
+} from '@pomelopick/config.publishing';
+import type {CollectOutcome, CollectStep} from '@pomelopick/config.publishing';
+import {checkConfigurationSet} from '@pomelopick/config.schema';
+import type {ConfigurationSet, PublishId} from '@pomelopick/core.types';
+import {startPlatformStandIn} from '@pomelopick/testing.platform-stand-in';
+import type {PlatformStandIn} from '@pomelopick/testing.platform-stand-in';
+import {HookedStore} from './hooked-store.js';
+
+const PUBLISH_TIMEOUT_MS = 60_000;
+const LATER_MS = 10 * PUBLISH_TIMEOUT_MS;
+const START_MS = 1_800_000_000_000;
+
+function createSet(service: string): ConfigurationSet {
+	return checkConfigurationSet({
+		regions: [{name: 'north'}],
+		failureDomains: [{name: 'north-1', region: 'north'}],
+		sites: [{name: 'one', failureDomain: 'north-1'}],
+		services: [{name: service}],
+	}).unsafeCoerce();
+}
+
+describe('collectChunks', () => {
+	let platform: PlatformStandIn;
+	let store: HookedStore;
+	let publisher: HookedStore;
+	const publish = async ({service, nowMs = START_MS}: {readonly service: string; readonly nowMs?: number}) => publishConfiguration({
+		store: publisher, set: createSet(service), author: 'test', nowMs, publishId: `${service}-${nowMs}` as PublishId,
+	}).run();
+	const collect = async ({onStep, nowMs = START_MS + LATER_MS}: {readonly onStep?: (step: CollectStep) => Promise<void>; readonly nowMs?: number} = {}): Promise<CollectOutcome> => {
+		const outcome = await collectChunks({
+			store, keepVersions: 1, publishTimeoutMs: PUBLISH_TIMEOUT_MS, nowMs, onStep,
+		}).run();
+		return outcome.unsafeCoerce();
+	};
+
+	const countChunks = (): number => platform.keyValues.read({key: CHUNK_PREFIX, recurse: true}).length;
+	const readNewest = async (): Promise<string> => {
+		const read = await readRoot(store).chain(found => readSet({store, root: found!.root})).run();
+		return read.map(({set}) => set.services[0]!.name as string).mapLeft(({code}) => code).extract();
+	};
+
+	beforeEach(async () => {
+		platform = await startPlatformStandIn({limits: {readsPerSecond: 100_000, writesPerSecond: 100_000}});
+		store = new HookedStore({endpoint: platform.endpoint});
+		publisher = new HookedStore({endpoint: platform.endpoint});
+		for (const service of ['first', 'second', 'third']) {
+			await publish({service});
+		}
+	});
+	afterEach(async () => {
+		await Promise.all([store.close(), publisher.close()]);
+		await platform.stop();
+	});
+
+	it('deletes the chunk that only a version names which is no longer kept', async () => {
+		const before = countChunks();
+		const outcome = await collect();
+		assert.deepEqual(outcome, {deletedChunks: 1, deletedVersions: 1, sparedChunks: 0});
+		assert.equal(countChunks(), before - 1);
+		assert.equal(await readNewest(), 'third');
+	});
+
+	for (const step of ['listed', 'condemned', 'checked'] as const) {
+		it(`spares a chunk that a publish needs again after it was ${step}`, async () => {
+			await collect({
+				async onStep(reached) {
+					if (reached === step) {
+						const published = await publish({service: 'first', nowMs: START_MS + LATER_MS});
+						assert.equal(published.map(({kind}) => kind).orDefault('undecided'), 'accepted');
+					}
+				},
+			});
+			assert.equal(await readNewest(), 'first');
+		});
+	}
+
+	it('fences off a publisher that stands still past its time and then goes on', async () => {
+		let isFirst = true;
+		publisher.hook = async ({write, swap}) => {
+			if (swap.key === ROOT_KEY && isFirst) {
+				isFirst = false;
+				await collect();
+			}
+
+			return write();
+		};
+		const published = await publish({service: 'fourth'});
+		assert.equal(published.map(({kind}) => kind).orDefault('undecided'), 'accepted');
+		assert.equal(await readNewest(), 'fourth');
+	});
+
+	it('does no harm with a collection that stands still, is taken over and then goes on', async () => {
+		let isFirst = true;
+		await collect({
+			async onStep(step) {
+				if (step === 'checked' && isFirst) {
+					isFirst = false;
+					await collect({nowMs: START_MS + (2 * LATER_MS)});
+					await publish({service: 'first', nowMs: START_MS + (2 * LATER_MS)});
+				}
+			},
+		});
+		assert.equal(await readNewest(), 'first');
+	});
+});
