--- a/calls/forwarding/src/call-handler.ts
+++ b/calls/forwarding/src/call-handler.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {pipeline} from 'node:stream/promises';
 import type {Dispatcher} from 'undici';
+import {EitherAsync} from 'purify-ts';
 import {
 	toProblemDocument, PROBLEM_MEDIA_TYPE,
 } from '@pomelopick/core.types';
@@ -15,6 +16,10 @@
 import {
 	CALL_ID_HEADER, TIMEOUT_HEADER, endToEndHeaders, readTimeoutMs,
 } from './call-headers.js';
+import type {KeyedOutcome, KeyGuard} from './key-guard.js';
+import {
+	isKeyed, MOST_KEYED_BODY_BYTES, readKeyedCall, readWhole, sendReplay,
+} from './keyed-call.js';
 import type {AttemptEnd, PlaceCall, Placement} from './placement.js';
 
 const MOST_ATTEMPTS = 3;
@@ -33,6 +38,8 @@
 	readonly log: Log;
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
+	/** Runs calls that bring a key at most once. */
+	readonly keyGuard?: KeyGuard;
 }
 
 /** Options of {@link CallHandler.handle}. */
@@ -63,6 +70,10 @@
 	waitedMs: number;
 	lastServer: BackendServerName | undefined;
 	why: string;
+	/** Body of a keyed call, read whole before it is sent. */
+	body?: Uint8Array;
+	/** Records the end of a keyed call. */
+	finish?: (outcome: KeyedOutcome) => Promise<void>;
 }
 
 interface AnswerOptions {
@@ -109,9 +120,14 @@
 				return;
 			}
 
-			await this.#carry({
-				request, response, path, call: this.#begin({id, service, timeoutMs}),
-			});
+			const call = this.#begin({id, service, timeoutMs});
+			if (await this.#admitKeyed({
+				request, response, path, call,
+			})) {
+				await this.#carry({
+					request, response, path, call,
+				});
+			}
 		} finally {
 			this.#inProgress -= 1;
 		}
@@ -142,12 +158,42 @@
 		};
 	}
 
-	async #carry({request, response, path, call}: CarryOptions): Promise<void> {
+	/** Asks the key guard about a keyed call; false when the call has got its answer already. */
+	async #admitKeyed({request, response, path, call}: CarryOptions): Promise<boolean> {
+		const {keyGuard} = this.#options;
 		response.once('close', () => {
 			if (!response.writableFinished) {
 				call.cancelled.abort();
 			}
 		});
+		if (!keyGuard || !isKeyed(request)) {
+			return true;
+		}
+
+		const read = await readKeyedCall({request, service: call.service.name, path});
+		const begun = await EitherAsync.liftEither(read).chain(async ({key, fingerprint}) => keyGuard.begin({
+			key, service: call.service.name, fingerprint, deadlineMs: call.deadlineMs, signal: call.cancelled.signal,
+		})).run();
+		if (begun.isLeft()) {
+			const refusal = begun.extract();
+			this.#refuse({response, id: call.id, refusal});
+			this.#logCall({call, outcome: refusal.reason});
+			return false;
+		}
+
+		const run = begun.unsafeCoerce();
+		if (run.kind === 'replay') {
+			sendReplay({response, id: call.id, outcome: run.outcome});
+			this.#logCall({call, outcome: `replayed ${run.outcome.status}`});
+			return false;
+		}
+
+		call.body = read.unsafeCoerce().body;
+		call.finish = run.finish;
+		return true;
+	}
+
+	async #carry({request, response, path, call}: CarryOptions): Promise<void> {
 		const isRepeatable = (request.method === 'GET' || request.method === 'HEAD') && !hasBody(request);
 		for (let attempt = 1; ; attempt += 1) {
 			const result = await this.#attempt({
@@ -160,6 +206,7 @@
 
 			const mayRetry = result.kind === 'retry' && attempt < MOST_ATTEMPTS && (isRepeatable || (result.refusal.execution === 'not-run' && !hasBody(request)));
 			if (!mayRetry) {
+				await call.finish?.({execution: result.refusal.execution === 'not-run' ? 'not-run' : 'unknown'});
 				this.#refuse({response, id: call.id, refusal: result.refusal});
 				this.#logCall({call, outcome: result.refusal.reason});
 				return;
@@ -196,7 +243,7 @@
 			method: request.method ?? 'GET',
 			path,
 			headers: {...endToEndHeaders(request.headers), [CALL_ID_HEADER]: call.id, [TIMEOUT_HEADER]: String(Math.floor(timeLeftMs))},
-			body: hasBody(request) ? request : undefined,
+			body: call.body ?? (hasBody(request) ? request : undefined),
 			cancelled: call.cancelled.signal,
 			timeoutMs: timeLeftMs,
 		});
@@ -246,6 +293,12 @@
 			};
 		}
 
+		if (call.finish) {
+			return this.#onKeyedAnswer({
+				call, placement, response, answer, finish: call.finish,
+			});
+		}
+
 		let end: AttemptEnd = 'answered';
 		try {
 			response.writeHead(answer.status, {...endToEndHeaders(answer.headers), [CALL_ID_HEADER]: call.id});
@@ -264,6 +317,24 @@
 		}
 	}
 
+	/** Hands the whole answer of a keyed call over before it is sent. */
+	async #onKeyedAnswer({call, placement, response, answer, finish}: AnswerOptions & {readonly finish: NonNullable<CallState['finish']>}): Promise<AttemptResult> {
+		const read = await readWhole({stream: answer.body, mostBytes: MOST_KEYED_BODY_BYTES});
+		if (read.isLeft()) {
+			placement.release(call.cancelled.signal.aborted ? 'cancelled' : 'failed');
+			const execution = read.extract() === 'too-large' ? 'ran' : 'unknown';
+			return {kind: 'refuse', refusal: {reason: 'answer-truncated', execution, detail: `${placement.server.name}: the answer's body is ${String(read.extract())}`}};
+		}
+
+		placement.release('answered');
+		const body = read.unsafeCoerce();
+		const headers = endToEndHeaders(answer.headers);
+		await finish({status: answer.status, headers, body});
+		response.writeHead(answer.status, {...headers, [CALL_ID_HEADER]: call.id});
+		response.end(body);
+		return {kind: 'final', outcome: String(answer.status)};
+	}
+
 	#refuse({response, id, refusal}: {readonly response: ServerResponse; readonly id: CallId; readonly refusal: Refusal}): void {
 		this.#options.counters.refused(refusal.reason);
 		this.#options.events.add({kind: 'refusal', message: refusal.reason, fields: {call: id, detail: refusal.detail}});
--- /dev/null
+++ b/calls/journal/src/index.ts
@@ -0,0 +1,9 @@
+/** Keeps outcomes of keyed calls, so that each is run at most once at any instance. */
+export * from './journal.js';
+export * from './journal-key.js';
+export * from './journal-key-guard.js';
+export * from './kept-outcome.js';
+export * from './owner-calls.js';
+export * from './owner-order.js';
+export * from './shard.js';
+export type * from './shard-messages.js';
--- /dev/null
+++ b/calls/journal/src/shard.ts
@@ -0,0 +1,384 @@
+/** One shard of the journal: judges copies and commits intents and outcomes in groups. */
+import {randomUUID} from 'node:crypto';
+import {create} from '@bufbuild/protobuf';
+import {
+	BeginResponseSchema, BeginVerdict, ReadOutcomeResponseSchema, OutcomeState, FinishResponseSchema, JournalEntrySchema, JournalFrameSchema,
+} from '@pomelopick/peer.protocol';
+import type {
+	BeginResponse, ReadOutcomeResponse, JournalEntry, JournalFrame,
+} from '@pomelopick/peer.protocol';
+import type {KeyValueStore, StoreError} from '@pomelopick/platform.store';
+import {ShardLog} from './shard-log.js';
+import type {
+	BeginMessage, ReadOutcomeMessage, FinishMessage, ShardMessage,
+} from './shard-messages.js';
+import {ShardTable} from './shard-table.js';
+import type {JournalRecord, Judgement} from './shard-table.js';
+
+const MOST_WAITING = 4096;
+const MOST_ENTRIES_PER_FRAME = 512;
+const MOST_TRIES = 6;
+const RATE_LIMITED_PAUSE_MS = 100;
+const OUTAGE_PAUSE_MS = 200;
+const EARLY_TOLERANCE_MS = 60_000;
+const HORIZON_STEP_SHARE = 0.05;
+/** Status of a kept outcome that surely was not run. */
+const NOT_RUN_STATUS = 0;
+/** Status of a kept outcome of which nothing is known. */
+const UNKNOWN_STATUS = 1;
+
+/** Options of {@link Shard}. */
+export interface ShardOptions {
+	readonly store: KeyValueStore;
+	readonly shard: number;
+	/** Time for which a key's record is kept, in milliseconds. */
+	readonly keyLifetimeMs: number;
+	/** Size above which the head of the log is archived, in bytes. */
+	readonly mostHeadBytes?: number;
+	/** Least time between two writes, in milliseconds. */
+	readonly writeIntervalMs: () => number;
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+	/** Wall-clock time, in milliseconds since the epoch; decides when records are dropped, never whether a copy is run. */
+	readonly wallClock: () => number;
+	/** Resolves after so many milliseconds. */
+	readonly sleep: (durationMs: number) => Promise<void>;
+	/** Runs a continuation in the order of the shard's messages. */
+	readonly schedule: (proceed: () => void) => void;
+	readonly onEvent: (name: string) => void;
+}
+
+type WaitingMessage = BeginMessage | FinishMessage | ReadOutcomeMessage;
+
+/** Keeps one shard. One round of the store runs at a time; messages that arrive meanwhile wait for the next. */
+export class Shard {
+	readonly #options: ShardOptions;
+	readonly #log: ShardLog;
+	readonly #table = new ShardTable();
+	readonly #waiting: WaitingMessage[] = [];
+	#isBusy = false;
+	#isLoaded = false;
+	#lastWriteMs = Number.NEGATIVE_INFINITY;
+	#failingUntilMs = Number.NEGATIVE_INFINITY;
+	/** Whether a frame of the round under way may have been written although its answer is lost. */
+	#isUndecided = false;
+
+	constructor(options: ShardOptions) {
+		this.#options = options;
+		this.#log = new ShardLog(options);
+	}
+
+	/** Takes a message; its reply is called once, now or when the store has answered. */
+	receive(message: ShardMessage): void {
+		if (message.kind === 'step') {
+			message.proceed();
+			return;
+		}
+
+		if (this.#tryAnswerAtOnce(message)) {
+			return;
+		}
+
+		if (this.#waiting.length >= MOST_WAITING || this.#options.now() < this.#failingUntilMs) {
+			this.#fail({message, mayBeKept: false});
+			return;
+		}
+
+		this.#waiting.push(message);
+		this.#start();
+	}
+
+	/** Whether what another owner may have written matters for the answer. */
+	#needsRead(message: WaitingMessage): boolean {
+		switch (message.kind) {
+			case 'begin': {
+				return ['in-flight', 'unknown'].includes(this.#judge(message).kind);
+			}
+
+			case 'finish': {
+				return this.#table.get(message.request.key!.digest)?.token !== message.request.token;
+			}
+
+			default: {
+				return true;
+			}
+		}
+	}
+
+	#start(): void {
+		if (!this.#isBusy && this.#waiting.length > 0) {
+			this.#isBusy = true;
+			void this.#run();
+		}
+	}
+
+	/** Serves all that waits, one round of the store at a time. */
+	async #run(): Promise<void> {
+		const waitMs = this.#lastWriteMs + this.#options.writeIntervalMs() - this.#options.now();
+		if (waitMs > 0) {
+			await this.#options.sleep(waitMs);
+		}
+
+		const round = this.#waiting.splice(0, MOST_ENTRIES_PER_FRAME);
+		this.#isUndecided = false;
+		const left = await this.#serve(round);
+		const mayBeKept = this.#isUndecided;
+		if (!this.#log.isFresh && this.#isLoaded && left.length === 0) {
+			// The index of the last write is fetched ahead, so that the next round needs one call to the store.
+			await this.#log.refresh(this.#table).run();
+		}
+
+		this.#options.schedule(() => {
+			for (const message of left) {
+				this.#fail({message, mayBeKept});
+			}
+
+			this.#isBusy = false;
+			this.#start();
+		});
+	}
+
+	/** Serves a round; answers the messages that could not be served. */
+	async #serve(round: readonly WaitingMessage[]): Promise<readonly WaitingMessage[]> {
+		let left = round;
+		let mustRefresh = round.some(message => this.#needsRead(message));
+		for (let attempt = 0; attempt < MOST_TRIES && left.length > 0; attempt += 1) {
+			if (!this.#log.isFresh || mustRefresh) {
+				const refreshed = await this.#log.refresh(this.#table).run();
+				if (refreshed.isLeft()) {
+					if (!await this.#mayTryAgain(refreshed.extract())) {
+						return left;
+					}
+
+					continue;
+				}
+
+				this.#isLoaded = true;
+				mustRefresh = false;
+			}
+
+			const frame = create(JournalFrameSchema, {id: randomUUID()});
+			left = this.#collect({messages: left, frame});
+			if (frame.entries.length === 0) {
+				return left;
+			}
+
+			const isWritten = await this.#write(frame);
+			if (isWritten === undefined) {
+				return left;
+			}
+
+			if (isWritten) {
+				this.#commit({messages: left, frame});
+				return [];
+			}
+		}
+
+		return left;
+	}
+
+	/** Answers what needs no write; adds the entries of the rest to the frame. */
+	#collect({messages, frame}: {readonly messages: readonly WaitingMessage[]; readonly frame: JournalFrame}): readonly WaitingMessage[] {
+		const claimed = new Map<string, string>();
+		return messages.filter(message => {
+			if (message.kind === 'read-outcome') {
+				message.reply(this.#readOutcome(message));
+				return false;
+			}
+
+			const entry = message.kind === 'begin' ? this.#toIntent({message, claimed}) : this.#toEnd(message);
+			if (entry) {
+				frame.entries.push(entry);
+			}
+
+			return entry !== undefined;
+		});
+	}
+
+	#toIntent({message, claimed}: {readonly message: BeginMessage; readonly claimed: Map<string, string>}): JournalEntry | undefined {
+		const {request, reply, signal} = message;
+		const key = request.key!;
+		if (signal?.aborted) {
+			// Nobody would hear the grant, so the key would be lost to later copies.
+			reply(create(BeginResponseSchema, {verdict: BeginVerdict.UNAVAILABLE}));
+			return undefined;
+		}
+
+		const judgement = this.#judge(message);
+		if (judgement.kind !== 'absent') {
+			reply(toResponse(judgement));
+			return undefined;
+		}
+
+		if (claimed.has(key.digest)) {
+			reply(create(BeginResponseSchema, {verdict: claimed.get(key.digest) === request.fingerprint ? BeginVerdict.IN_FLIGHT : BeginVerdict.CONFLICT}));
+			return undefined;
+		}
+
+		claimed.set(key.digest, request.fingerprint);
+		const atMs = key.mintedAtMs > 0n ? key.mintedAtMs : BigInt(Math.floor(this.#options.wallClock()));
+		return create(JournalEntrySchema, {
+			digest: key.digest, token: request.token, change: {case: 'intent', value: {fingerprint: request.fingerprint, atMs, timeLeftMs: request.timeLeftMs}},
+		});
+	}
+
+	#toEnd({request, reply}: FinishMessage): JournalEntry | undefined {
+		const {key, token, outcome} = request;
+		const record = this.#table.get(key!.digest);
+		if (record?.token !== token || !outcome || isSettled({record, status: outcome.status})) {
+			reply(create(FinishResponseSchema, {isKept: true}));
+			return undefined;
+		}
+
+		return create(JournalEntrySchema, {
+			digest: key!.digest, token, change: outcome.status === NOT_RUN_STATUS ? {case: 'release', value: {}} : {case: 'outcome', value: outcome},
+		});
+	}
+
+	/** Writes a frame; undefined when it cannot be told whether it was written. */
+	async #write(frame: JournalFrame): Promise<boolean | undefined> {
+		this.#lastWriteMs = this.#options.now();
+		const appended = await this.#log.append({frame, horizonMs: this.#nextHorizonMs()}).run();
+		if (appended.isRight() && appended.extract()) {
+			return true;
+		}
+
+		if (appended.isLeft() && !await this.#mayTryAgain(appended.extract())) {
+			return undefined;
+		}
+
+		// Lost, or another writer was first: the log itself says which.
+		this.#options.onEvent(appended.isLeft() ? 'journal.answer-lost' : 'journal.overtaken');
+		const refreshed = await this.#log.refresh(this.#table).run();
+		if (refreshed.isLeft()) {
+			this.#noteOutage();
+			return undefined;
+		}
+
+		return this.#log.hasFrame(frame.id);
+	}
+
+	#commit({messages, frame}: {readonly messages: readonly WaitingMessage[]; readonly frame: JournalFrame}): void {
+		const nowMs = this.#options.now();
+		for (const entry of frame.entries) {
+			this.#table.apply({entry, nowMs});
+		}
+
+		for (const message of messages) {
+			if (message.kind === 'begin') {
+				message.reply(create(BeginResponseSchema, {verdict: BeginVerdict.RUN}));
+			} else if (message.kind === 'finish') {
+				message.reply(create(FinishResponseSchema, {isKept: true}));
+			}
+		}
+	}
+
+	/** Answers a copy whose key has a record that no later write can change for it. */
+	#tryAnswerAtOnce(message: WaitingMessage): boolean {
+		if (message.kind !== 'begin' || !this.#isLoaded) {
+			return false;
+		}
+
+		const {mintedAtMs} = message.request.key!;
+		if (Number(mintedAtMs) > this.#options.wallClock() + EARLY_TOLERANCE_MS) {
+			message.reply(create(BeginResponseSchema, {verdict: BeginVerdict.EARLY}));
+			return true;
+		}
+
+		const judgement = this.#judge(message);
+		if (judgement.kind === 'replay' || judgement.kind === 'expired') {
+			message.reply(toResponse(judgement));
+			return true;
+		}
+
+		return false;
+	}
+
+	#judge({request}: BeginMessage): Judgement {
+		return this.#table.judge({
+			key: request.key!, fingerprint: request.fingerprint, token: request.token, nowMs: this.#options.now(),
+		});
+	}
+
+	#readOutcome({request}: ReadOutcomeMessage): ReadOutcomeResponse {
+		const record = this.#table.get(request.key!.digest);
+		if (!record) {
+			return create(ReadOutcomeResponseSchema, {state: this.#table.isExpired(request.key!) ? OutcomeState.EXPIRED : OutcomeState.ABSENT});
+		}
+
+		if (record.outcome && record.outcome.status !== UNKNOWN_STATUS) {
+			return create(ReadOutcomeResponseSchema, {state: OutcomeState.RAN, outcome: record.outcome});
+		}
+
+		const isInFlight = !record.outcome && this.#options.now() < record.inFlightUntilMs;
+		return create(ReadOutcomeResponseSchema, {state: isInFlight ? OutcomeState.IN_FLIGHT : OutcomeState.UNKNOWN});
+	}
+
+	/** Answers a message that the store kept from being served. Nothing was granted under it. */
+	#fail({message, mayBeKept}: {readonly message: WaitingMessage; readonly mayBeKept: boolean}): void {
+		switch (message.kind) {
+			case 'begin': {
+				const judgement = this.#isLoaded ? this.#judge(message) : undefined;
+				message.reply(judgement === undefined || judgement.kind === 'absent' || judgement.kind === 'granted'
+					? create(BeginResponseSchema, {verdict: BeginVerdict.UNAVAILABLE, isAbsent: judgement?.kind === 'absent', mayBeKept})
+					: toResponse(judgement));
+				break;
+			}
+
+			case 'finish': {
+				message.reply(create(FinishResponseSchema, {isKept: false}));
+				break;
+			}
+
+			case 'read-outcome': {
+				message.reply(create(ReadOutcomeResponseSchema, {state: OutcomeState.UNAVAILABLE}));
+				break;
+			}
+		}
+	}
+
+	/** Waits after a refusal for the rate; notes an outage after anything else, for a time in which all fail at once. */
+	async #mayTryAgain({code}: StoreError): Promise<boolean> {
+		this.#options.onEvent(`journal.store-${code}`);
+		if (code === 'rate-limited') {
+			await this.#options.sleep(RATE_LIMITED_PAUSE_MS);
+			return true;
+		}
+
+		if (code === 'undecided') {
+			this.#isUndecided = true;
+			return true;
+		}
+
+		this.#noteOutage();
+		return false;
+	}
+
+	#noteOutage(): void {
+		this.#failingUntilMs = this.#options.now() + OUTAGE_PAUSE_MS;
+	}
+
+	/** The horizon moves in steps, so that the records are not searched at every write. */
+	#nextHorizonMs(): number {
+		const {keyLifetimeMs, wallClock} = this.#options;
+		const wantedMs = Math.floor(wallClock()) - keyLifetimeMs;
+		return wantedMs - this.#log.horizonMs > keyLifetimeMs * HORIZON_STEP_SHARE ? wantedMs : this.#log.horizonMs;
+	}
+}
+
+function isSettled({record, status}: {readonly record: JournalRecord; readonly status: number}): boolean {
+	return record.outcome !== undefined && (record.outcome.status !== UNKNOWN_STATUS || status <= UNKNOWN_STATUS);
+}
+
+function toResponse(judgement: Judgement): BeginResponse {
+	const verdicts: Record<Judgement['kind'], BeginVerdict> = {
+		absent: BeginVerdict.UNSPECIFIED,
+		granted: BeginVerdict.RUN,
+		conflict: BeginVerdict.CONFLICT,
+		'in-flight': BeginVerdict.IN_FLIGHT,
+		unknown: BeginVerdict.UNKNOWN,
+		expired: BeginVerdict.EXPIRED,
+		replay: BeginVerdict.REPLAY,
+	};
+	return create(BeginResponseSchema, {verdict: verdicts[judgement.kind], outcome: judgement.kind === 'replay' ? judgement.outcome : undefined});
+}
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -12,12 +12,16 @@
 import type {Endpoint} from '@pomelopick/core.types';
 import {Counters, createLog, EventRecord} from '@pomelopick/core.telemetry';
 import {CallHandler, createLocalPlacement} from '@pomelopick/calls.forwarding';
+import {
+	Journal, JournalKeyGuard, OwnerCalls,
+} from '@pomelopick/calls.journal';
 import {ConfigurationHolder, StoreWatcher} from '@pomelopick/config.distribution';
 import type {Settings} from '@pomelopick/config.settings';
 import {HelloService} from '@pomelopick/peer.protocol';
-import {startPeerServer} from '@pomelopick/peer.transport';
+import {PeerClients, startPeerServer} from '@pomelopick/peer.transport';
 import {ConsulInstanceList} from '@pomelopick/platform.instances';
 import {ConsulStore} from '@pomelopick/platform.store';
+import {answerOutcome, OUTCOME_PATH} from './outcome-handler.js';
 import {LookupView} from './lookup-view.js';
 import {answerLookup} from './lookup-handler.js';
 import {answerOperator} from './operator-handler.js';
@@ -25,6 +29,7 @@
 const MOST_SEED = 2_147_483_647;
 const EVENTS_KEPT = 4096;
 const CONNECTIONS_PER_SERVER = 32;
+const JOURNAL_CALL_TIMEOUT_MS = 400;
 const SERVICE_PATH = /^\/v1\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/u;
 
 /** A running entry instance. */
@@ -61,6 +66,19 @@
 	const dispatcher = new Agent({connections: CONNECTIONS_PER_SERVER, pipelining: 1});
 	const random = xoroshiro128plus(randomInt(MOST_SEED));
 	const currentSet = () => holder.view?.configuration.set;
+	const journalStore = new ConsulStore({endpoint: settings.store, callTimeoutMs: JOURNAL_CALL_TIMEOUT_MS});
+	const journal = new Journal({
+		store: journalStore, counters, now, wallClock: () => Date.now(), countInstances: () => lookup.instances.length,
+	});
+	const peerClients = new PeerClients();
+	const onJournalEvent = (name: string): void => {
+		counters.add(name);
+	};
+
+	const owners = new OwnerCalls({
+		self: settings.instance, journal, peers: peerClients, liveInstances: () => lookup.instances, now, onEvent: onJournalEvent,
+	});
+	const keyGuard = new JournalKeyGuard({owners, now, onEvent: onJournalEvent});
 	const handler = new CallHandler({
 		currentSet,
 		findSite: address => lookup.findSite(address),
@@ -70,11 +88,12 @@
 		events,
 		log: createLog('call'),
 		now,
+		keyGuard,
 	});
 
 	const callers = createServer((request, response) => {
 		void routeCaller({
-			request, response, handler, lookup, holder, now,
+			request, response, handler, lookup, holder, now, keyGuard,
 		});
 	});
 	const operators = createServer((request, response) => {
@@ -89,6 +108,7 @@
 					instance: settings.instance, failureDomain: settings.failureDomain, configurationVersion: BigInt(holder.view?.configuration.root.version ?? 0),
 				}),
 			});
+			journal.register(router);
 		},
 	});
 	watcher.start();
@@ -100,10 +120,13 @@
 		async stop() {
 			log('instance %s stops; %d calls in flight', settings.instance, handler.inProgress);
 			await closeServer({server: callers, timeoutMs: settings.shutdownTimeoutMs});
+			await keyGuard.drain();
 			lookup.stop();
 			await watcher.stop();
 			await closeServer({server: operators, timeoutMs: settings.shutdownTimeoutMs});
-			await Promise.all([peers.stop(), dispatcher.destroy(), store.close(), counters.close()]);
+			journal.stop();
+			peerClients.close();
+			await Promise.all([journalStore.close(), peers.stop(), dispatcher.destroy(), store.close(), counters.close()]);
 			log('instance %s stopped', settings.instance);
 		},
 	};
@@ -116,9 +139,10 @@
 	readonly lookup: LookupView;
 	readonly holder: ConfigurationHolder;
 	readonly now: () => number;
+	readonly keyGuard: JournalKeyGuard;
 }
 
-async function routeCaller({request, response, handler, lookup, holder, now}: RouteCallerOptions): Promise<void> {
+async function routeCaller({request, response, handler, lookup, holder, now, keyGuard}: RouteCallerOptions): Promise<void> {
 	const match = SERVICE_PATH.exec(request.url ?? '');
 	if (match) {
 		await handler.handle({
@@ -127,6 +151,11 @@
 		return;
 	}
 
+	if (OUTCOME_PATH.test(request.url ?? '')) {
+		await answerOutcome({request, response, keyGuard});
+		return;
+	}
+
 	answerLookup({
 		request, response, lookup, view: holder.view, now,
 	});
--- a/peer/transport/test/peer-transport.test.ts
+++ b/peer/transport/test/peer-transport.test.ts
@@ -3,9 +3,9 @@
 	after, before, describe, it,
 } from 'node:test';
 import {HelloService} from '@pomelopick/peer.protocol';
+import {startFaultProxy} from '@pomelopick/testing.fault-proxy';
 import {PeerClients, startPeerServer} from '@pomelopick/peer.transport';
 import type {PeerServer} from '@pomelopick/peer.transport';
-import {startFaultProxy} from '@pomelopick/testing.fault-proxy';
 
 describe('peer transport', () => {
 	let server: PeerServer;
--- a/testing/callers/src/caller.ts
+++ b/testing/callers/src/caller.ts
@@ -167,9 +167,11 @@
 	}
 }
 
-/** Creates a key that no other call uses. */
+/** Creates a key that no other call uses: a UUID of version 7 (RFC 9562), whose first 48 bits are the time. */
 export function createKey(): string {
-	return randomUUID();
+	const random = randomUUID();
+	const time = Date.now().toString(16).padStart(12, '0');
+	return `${time.slice(0, 8)}-${time.slice(8)}-7${random.slice(15)}`;
 }
 
 function findFault({answer, options, callId}: {readonly answer: Answer; readonly options: CallOptions; readonly callId: string}): string | undefined {
