Keep the executions of backend servers that crash

Cause: the record of executions was in the memory of the backend server's process and was lost with it, so a history could not be judged over crashes. Change: each process appends an execution to a file when it starts and when it ends; the fleet reads the files. Conclusion: executions of killed processes count in every verdict.

--- a/testing/backend-stand-in/src/backend-stand-in.ts
+++ b/testing/backend-stand-in/src/backend-stand-in.ts
@@ -30,6 +30,14 @@
 	readonly behaviour?: Partial<BackendBehaviour>;
 	/** Called by a request that crashes the server. */
 	readonly crash: () => void;
+	/** Told of each execution when it starts and when it ends, before anything else happens. */
+	readonly onExecution?: (report: ExecutionReport) => void;
+}
+
+/** An execution and its position among those of one process. */
+export interface ExecutionReport {
+	readonly number: number;
+	readonly execution: Execution;
 }
 
 /** A running stand-in. */
@@ -177,6 +185,12 @@
 			ended: 'running',
 		};
 		this.executions.push(execution);
+		const number = this.executions.length;
+		const report = (): void => {
+			this.#options.onExecution?.({number, execution});
+		};
+
+		report();
 		if (url.searchParams.has('crash')) {
 			this.#options.crash();
 			return;
@@ -186,12 +200,14 @@
 		execution.endedAtMs = Date.now();
 		if (signal.aborted) {
 			execution.ended = 'cancelled';
+			report();
 			return;
 		}
 
 		const answer = this.#render({execution, url, body});
 		if (this.behaviour.truncateEvery > 0 && this.executions.length % this.behaviour.truncateEvery === 0) {
 			execution.ended = 'truncated';
+			report();
 			response.writeHead(200, {'content-type': 'application/json', 'content-length': String(answer.length)});
 			response.write(answer.subarray(0, Math.floor(answer.length / 2)), () => {
 				response.destroy();
@@ -200,6 +216,7 @@
 		}
 
 		execution.ended = 'answered';
+		report();
 		response.writeHead(200, {'content-type': 'application/json', 'content-length': String(answer.length), 'x-call-id': execution.callId});
 		response.end(answer);
 	}
--- a/testing/backend-stand-in/src/main.ts
+++ b/testing/backend-stand-in/src/main.ts
@@ -1,13 +1,24 @@
-/** Runs one backend server as a process: `node main.js '{"name": …, "slots": …, "port": …, "behaviour": …}'`. */
+/**
+ * Runs one backend server as a process:
+ * `node main.js '{"name": …, "slots": …, "port": …, "behaviour": …, "executionFile": …}'`.
+ * The file outlives the process: it gets a line when an execution starts and another when it ends.
+ */
+import {appendFileSync} from 'node:fs';
 import process from 'node:process';
 import {startBackendStandIn} from './backend-stand-in.js';
 import type {StartBackendStandInOptions} from './backend-stand-in.js';
 
 const CRASH_EXIT_CODE = 70;
 
-const options = JSON.parse(process.argv[2] ?? '{}') as Omit<StartBackendStandInOptions, 'crash'>;
+const {executionFile, ...options} = JSON.parse(process.argv[2] ?? '{}') as Omit<StartBackendStandInOptions, 'crash' | 'onExecution'> & {readonly executionFile?: string};
 const backend = await startBackendStandIn({
-	...options, crash() {
+	...options,
+	onExecution(report) {
+		if (executionFile !== undefined) {
+			appendFileSync(executionFile, `${JSON.stringify({process: process.pid, ...report})}\n`);
+		}
+	},
+	crash() {
 		process.exit(CRASH_EXIT_CODE);
 	},
 });
--- a/testing/callers/src/caller.ts
+++ b/testing/callers/src/caller.ts
@@ -47,7 +47,8 @@
 	readonly timeoutMs: number;
 }
 
-interface Answer {
+/** Answer of a backend server stand-in. */
+export interface Answer {
 	readonly callId: string;
 	readonly method: string;
 	readonly path: string;
@@ -174,7 +175,16 @@
 	return `${time.slice(0, 8)}-${time.slice(8)}-7${random.slice(15)}`;
 }
 
-function findFault({answer, options, callId}: {readonly answer: Answer; readonly options: CallOptions; readonly callId: string}): string | undefined {
+/** Options of {@link findFault}. */
+export interface FindFaultOptions {
+	readonly answer: Answer;
+	readonly options: Omit<CallOptions, 'timeoutMs'>;
+	/** Identifier in the answer's head. */
+	readonly callId: string;
+}
+
+/** What is wrong with an answer; undefined when it is the whole own answer. */
+export function findFault({answer, options, callId}: FindFaultOptions): string | undefined {
 	if (answer.method !== (options.method ?? 'GET') || answer.path !== options.path) {
 		return `asked ${options.method ?? 'GET'} ${options.path}, got the answer to ${answer.method} ${answer.path}`;
 	}
--- a/testing/fleet/src/fleet.ts
+++ b/testing/fleet/src/fleet.ts
@@ -19,6 +19,7 @@
 import {
 	listDomains, planServers, toConfigurationSet,
 } from './deployment.js';
+import {readExecutions} from './execution-file.js';
 import type {Deployment, PlannedServer} from './deployment.js';
 
 const LOOPBACK = '127.0.0.1';
@@ -31,7 +32,9 @@
 	readonly entries: number;
 	readonly behaviour?: Partial<BackendBehaviour>;
 	/** Changes an entry's settings before it starts, for example to lead it through a fault proxy. */
-	readonly adjustSettings?: (settings: SettingsInput) => SettingsInput;
+	readonly adjustSettings?: (settings: SettingsInput) => SettingsInput | Promise<SettingsInput>;
+	/** Changes what the platform's list says of an entry, for example to lead others to it through a fault proxy. */
+	readonly adjustInstance?: (instance: Instance) => Instance | Promise<Instance>;
 	/** Changes the set before it is published. */
 	readonly adjustSet?: (set: ConfigurationSetInput) => ConfigurationSetInput;
 	/** `DEBUG` namespaces of the entries; silent by default. */
@@ -62,8 +65,6 @@
 	readonly planned: PlannedServer;
 	readonly endpoint: Endpoint;
 	child: Child<Endpoint>;
-	/** Executions of earlier processes of this server that ended on purpose. */
-	readonly pastExecutions: Execution[];
 }
 
 const moduleOf = (packageName: string): string => fileURLToPath(new URL('main.js', import.meta.resolve(packageName)));
@@ -141,12 +142,13 @@
 			instance: id, failureDomain, listen: {callers: any, peers: any, operators: any}, store: this.platform, instanceList: this.platform,
 		};
 		const file = path.join(this.#directory, `${id}-${Date.now()}.json`);
-		await writeFile(file, JSON.stringify(this.#options.adjustSettings?.(settings) ?? settings));
+		await writeFile(file, JSON.stringify(await this.#options.adjustSettings?.(settings) ?? settings));
 		const child = await startChild<EntryAnnouncement>({module: moduleOf('@pomelopick/daemons.entry'), arguments: [file], environment: {DEBUG: this.#options.debug ?? ''}});
 		const {callers, operators, peers} = child.announcement;
-		const instance: Instance = {
+		const started: Instance = {
 			id: id as InstanceId, failureDomain: failureDomain as FailureDomainName, state: 'live', callers, operators, peers,
 		};
+		const instance = await this.#options.adjustInstance?.(started) ?? started;
 		const entry: EntryProcess = {instance, child};
 		this.entries.push(entry);
 		await this.list({entry, state: 'live'});
@@ -182,11 +184,9 @@
 		await postJson({endpoint: backend.endpoint, path: '/stand-in/behaviour', body: behaviour});
 	}
 
-	/** Executions of all backend servers that are running. */
+	/** Executions of all backend servers, those of processes that have ended included. */
 	async listExecutions(): Promise<readonly Execution[]> {
-		const lists = await Promise.all(this.backends.map(async ({child, endpoint, pastExecutions}) => child.hasExited()
-			? pastExecutions
-			: [...pastExecutions, ...await getJson<Execution[]>({endpoint, path: '/stand-in/executions'})]));
+		const lists = await Promise.all(this.backends.map(async ({planned}) => readExecutions(this.#executionFile(planned))));
 		return lists.flat();
 	}
 
@@ -241,16 +241,18 @@
 
 	async #startBackend(planned: PlannedServer): Promise<BackendProcess> {
 		const child = await this.#spawnBackend({planned, port: 0});
-		return {
-			planned, endpoint: child.announcement, child, pastExecutions: [],
-		};
+		return {planned, endpoint: child.announcement, child};
+	}
+
+	#executionFile({name}: PlannedServer): string {
+		return path.join(this.#directory, `executions-${name}.jsonl`);
 	}
 
 	async #spawnBackend({planned, port}: {readonly planned: PlannedServer; readonly port: number}): Promise<Child<Endpoint>> {
 		const {name, slots} = planned;
 		return startChild<Endpoint>({
 			module: moduleOf('@pomelopick/testing.backend-stand-in'), arguments: [JSON.stringify({
-				name, slots, port, behaviour: this.#options.behaviour,
+				name, slots, port, behaviour: this.#options.behaviour, executionFile: this.#executionFile(planned),
 			})],
 		});
 	}
