--- a/calls/journal/src/journal.ts
+++ b/calls/journal/src/journal.ts
@@ -10,7 +10,6 @@
 	BeginRequest, BeginResponse, ReadOutcomeRequest, ReadOutcomeResponse, FinishRequest, FinishResponse,
 } from '@pomelopick/peer.protocol';
 import type {KeyValueStore} from '@pomelopick/platform.store';
-import type {Counters} from '@pomelopick/core.telemetry';
 import {Shard} from './shard.js';
 import type {ShardMessage} from './shard-messages.js';
 
@@ -26,7 +25,7 @@
 /** Options of {@link Journal}. */
 export interface JournalOptions {
 	readonly store: KeyValueStore;
-	readonly counters: Counters;
+	readonly onEvent: (name: string) => void;
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
 	/** Wall-clock time, in milliseconds since the epoch. */
@@ -101,7 +100,7 @@
 	}
 
 	#spawn(shardNumber: number): ShardActor {
-		const {store, counters, now, wallClock, keyLifetimeMs = KEY_LIFETIME_MS} = this.#options;
+		const {store, onEvent, now, wallClock, keyLifetimeMs = KEY_LIFETIME_MS} = this.#options;
 		const shard = new Shard({
 			store,
 			shard: shardNumber,
@@ -115,9 +114,7 @@
 			schedule(proceed) {
 				dispatch(reference, {kind: 'step', proceed});
 			},
-			onEvent(name) {
-				counters.add(name);
-			},
+			onEvent,
 		});
 		const reference: Ref<ShardMessage> = spawn(this.#system, (state: Shard, message: ShardMessage) => {
 			state.receive(message);
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -9,27 +9,26 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {Agent} from 'undici';
-import type {Endpoint} from '@pomelopick/core.types';
+import type {Endpoint, Instance} from '@pomelopick/core.types';
 import {Counters, createLog, EventRecord} from '@pomelopick/core.telemetry';
 import {CallHandler, createLocalPlacement} from '@pomelopick/calls.forwarding';
-import {
-	Journal, JournalKeyGuard, OwnerCalls,
-} from '@pomelopick/calls.journal';
-import {ConfigurationHolder, StoreWatcher} from '@pomelopick/config.distribution';
+import {ConfigurationHolder, Distribution} from '@pomelopick/config.distribution';
 import type {Settings} from '@pomelopick/config.settings';
 import {HelloService} from '@pomelopick/peer.protocol';
+import {Membership} from '@pomelopick/peer.membership';
 import {PeerClients, startPeerServer} from '@pomelopick/peer.transport';
-import {ConsulInstanceList} from '@pomelopick/platform.instances';
 import {ConsulStore} from '@pomelopick/platform.store';
-import {answerOutcome, OUTCOME_PATH} from './outcome-handler.js';
+import {startFleetView} from './fleet-view.js';
+import {createKeyedCalls} from './keyed-calls.js';
+import type {KeyedCalls} from './keyed-calls.js';
 import {LookupView} from './lookup-view.js';
 import {answerLookup} from './lookup-handler.js';
 import {answerOperator} from './operator-handler.js';
+import {answerOutcome, OUTCOME_PATH} from './outcome-handler.js';
 
 const MOST_SEED = 2_147_483_647;
 const EVENTS_KEPT = 4096;
 const CONNECTIONS_PER_SERVER = 32;
-const JOURNAL_CALL_TIMEOUT_MS = 400;
 const SERVICE_PATH = /^\/v1\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/u;
 
 /** A running entry instance. */
@@ -48,37 +47,22 @@
 	const events = new EventRecord({capacity: EVENTS_KEPT, now: () => Date.now()});
 	const store = new ConsulStore({endpoint: settings.store});
 	const holder = new ConfigurationHolder();
-	const watcher = new StoreWatcher({
-		store, holder, now, onFailure(message) {
-			counters.add('store.failure');
-			events.add({kind: 'store', message});
-		},
-	});
-	const lookup = new LookupView({
-		instanceList: new ConsulInstanceList({endpoint: settings.instanceList}), onFailure(message) {
-			events.add({kind: 'membership', message});
-		},
+	const clients = new PeerClients();
+	const random = xoroshiro128plus(randomInt(MOST_SEED));
+	const drawPart = (): number => uniformInt(random, 0, MOST_SEED - 1) / MOST_SEED;
+	const fleet = startFleetView({
+		settings, store, holder, clients, counters, events, now, drawPart, load: () => handler.inProgress / settings.limits.calls,
 	});
-	holder.onChange(({root, set}) => {
+	const {membership, distribution} = fleet;
+	const lookup = new LookupView({members: () => membership.members});
+	holder.onChange(({set}) => {
 		lookup.useSet(set);
-		events.add({kind: 'configuration', message: 'version in force', fields: {version: root.version}});
 	});
 	const dispatcher = new Agent({connections: CONNECTIONS_PER_SERVER, pipelining: 1});
-	const random = xoroshiro128plus(randomInt(MOST_SEED));
 	const currentSet = () => holder.view?.configuration.set;
-	const journalStore = new ConsulStore({endpoint: settings.store, callTimeoutMs: JOURNAL_CALL_TIMEOUT_MS});
-	const journal = new Journal({
-		store: journalStore, counters, now, wallClock: () => Date.now(), countInstances: () => lookup.instances.length,
-	});
-	const peerClients = new PeerClients();
-	const onJournalEvent = (name: string): void => {
-		counters.add(name);
-	};
-
-	const owners = new OwnerCalls({
-		self: settings.instance, journal, peers: peerClients, liveInstances: () => lookup.instances, now, onEvent: onJournalEvent,
+	const keyedCalls = createKeyedCalls({
+		settings, clients, counters, liveInstances: () => membership.liveInstances(), now,
 	});
-	const keyGuard = new JournalKeyGuard({owners, now, onEvent: onJournalEvent});
 	const handler = new CallHandler({
 		currentSet,
 		findSite: address => lookup.findSite(address),
@@ -88,12 +72,12 @@
 		events,
 		log: createLog('call'),
 		now,
-		keyGuard,
+		keyGuard: keyedCalls.guard,
 	});
 
 	const callers = createServer((request, response) => {
 		void routeCaller({
-			request, response, handler, lookup, holder, now, keyGuard,
+			request, response, handler, lookup, holder, now, keyedCalls,
 		});
 	});
 	const operators = createServer((request, response) => {
@@ -108,25 +92,31 @@
 					instance: settings.instance, failureDomain: settings.failureDomain, configurationVersion: BigInt(holder.view?.configuration.root.version ?? 0),
 				}),
 			});
-			journal.register(router);
+			membership.register(router);
+			distribution.register(router);
+			keyedCalls.register(router);
 		},
 	});
-	watcher.start();
-	lookup.start();
 	await Promise.all([listen({server: callers, endpoint: settings.listen.callers}), listen({server: operators, endpoint: settings.listen.operators})]);
+	const endpoints = {callers: endpointOf(callers), peers: peers.endpoint, operators: endpointOf(operators)};
+	const self: Instance = {
+		id: settings.instance, failureDomain: settings.failureDomain, state: 'live', ...endpoints,
+	};
+	membership.start(self);
+	distribution.start();
 	log('instance %s listens on %o', settings.instance, callers.address());
 	return {
-		endpoints: {callers: endpointOf(callers), peers: peers.endpoint, operators: endpointOf(operators)},
+		endpoints,
 		async stop() {
 			log('instance %s stops; %d calls in flight', settings.instance, handler.inProgress);
+			membership.leave();
 			await closeServer({server: callers, timeoutMs: settings.shutdownTimeoutMs});
-			await keyGuard.drain();
-			lookup.stop();
-			await watcher.stop();
+			await keyedCalls.stop();
+			membership.stop();
+			await distribution.stop();
 			await closeServer({server: operators, timeoutMs: settings.shutdownTimeoutMs});
-			journal.stop();
-			peerClients.close();
-			await Promise.all([journalStore.close(), peers.stop(), dispatcher.destroy(), store.close(), counters.close()]);
+			clients.close();
+			await Promise.all([peers.stop(), fleet.stop(), dispatcher.destroy(), store.close(), counters.close()]);
 			log('instance %s stopped', settings.instance);
 		},
 	};
@@ -139,10 +129,10 @@
 	readonly lookup: LookupView;
 	readonly holder: ConfigurationHolder;
 	readonly now: () => number;
-	readonly keyGuard: JournalKeyGuard;
+	readonly keyedCalls: KeyedCalls;
 }
 
-async function routeCaller({request, response, handler, lookup, holder, now, keyGuard}: RouteCallerOptions): Promise<void> {
+async function routeCaller({request, response, handler, lookup, holder, now, keyedCalls}: RouteCallerOptions): Promise<void> {
 	const match = SERVICE_PATH.exec(request.url ?? '');
 	if (match) {
 		await handler.handle({
@@ -152,7 +142,7 @@
 	}
 
 	if (OUTCOME_PATH.test(request.url ?? '')) {
-		await answerOutcome({request, response, keyGuard});
+		await answerOutcome({request, response, keyGuard: keyedCalls.guard});
 		return;
 	}
 
