--- /dev/null
+++ b/daemons/entry/src/keyed-calls.ts
@@ -0,0 +1,57 @@
+/** Wires what runs keyed calls at most once at one instance. */
+import type {ConnectRouter} from '@connectrpc/connect';
+import {Journal, JournalKeyGuard, OwnerCalls} from '@pomelopick/calls.journal';
+import type {Settings} from '@pomelopick/config.settings';
+import type {Counters} from '@pomelopick/core.telemetry';
+import type {Instance} from '@pomelopick/core.types';
+import type {PeerClients} from '@pomelopick/peer.transport';
+import {ConsulStore} from '@pomelopick/platform.store';
+
+const STORE_CALL_TIMEOUT_MS = 400;
+
+/** Options of {@link createKeyedCalls}. */
+export interface CreateKeyedCallsOptions {
+	readonly settings: Settings;
+	readonly clients: PeerClients;
+	readonly counters: Counters;
+	/** Instances that can take work. */
+	readonly liveInstances: () => readonly Instance[];
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+}
+
+/** The parts that keyed calls need. */
+export interface KeyedCalls {
+	readonly guard: JournalKeyGuard;
+	/** Registers the answers to other instances. */
+	register(router: ConnectRouter): void;
+	/** Waits for outcomes that are being kept, then closes. */
+	stop(): Promise<void>;
+}
+
+/** Creates the journal of this instance and the guard that asks the journals of all. */
+export function createKeyedCalls({settings, clients, counters, liveInstances, now}: CreateKeyedCallsOptions): KeyedCalls {
+	const store = new ConsulStore({endpoint: settings.store, callTimeoutMs: STORE_CALL_TIMEOUT_MS});
+	const onEvent = (name: string): void => {
+		counters.add(name);
+	};
+
+	const journal = new Journal({
+		store, onEvent, now, wallClock: () => Date.now(), countInstances: () => liveInstances().length,
+	});
+	const owners = new OwnerCalls({
+		self: settings.instance, journal, peers: clients, liveInstances, now, onEvent,
+	});
+	const guard = new JournalKeyGuard({owners, now, onEvent});
+	return {
+		guard,
+		register(router) {
+			journal.register(router);
+		},
+		async stop() {
+			await guard.drain();
+			journal.stop();
+			await store.close();
+		},
+	};
+}
