--- a/config/publishing/test/set-assembler.test.ts
+++ b/config/publishing/test/set-assembler.test.ts
@@ -7,11 +7,7 @@
 import type {ConfigurationRoot} from '@pomelopick/config.publishing';
 import {SetAssembler, splitIntoChunks} from '@pomelopick/config.publishing';
 
-const input = createPlannedSet({
-	seed: 1, size: {
-		regions: 2, failureDomains: 4, sites: 8, clientBlocks: 3000, serversPerSite: 2,
-	},
-});
+const input = createPlannedSet({seed: 1, size: {...plannedSize, clientBlocks: 3000}});
 
 interface Version {
 	readonly root: ConfigurationRoot;
