Bring about the take-over of a collection during a publish

Cause: the test of a collection that stands still passed with the protection taken out: the second collection had deleted the chunk itself. Change: the second collection now runs between the publish's note and its look at the condemned chunks, so that it spares the chunk. Before / after: without the take-over's rewrite the old test passed, the new one fails; with it the new one passes. Conclusion: seen failing with each protection taken out, one at a time: no copy of the replaced root, undecided reported without trying the swap again, condemned chunks not written again, needs not read again after condemning, the root's index not moved, existing chunks trusted without their hash, an earlier attempt not looked for.

--- a/config/publishing/test/collect.test.ts
+++ b/config/publishing/test/collect.test.ts
@@ -3,7 +3,7 @@
 	afterEach, beforeEach, describe, it,
 } from 'node:test';
 import {
-	CHUNK_PREFIX, collectChunks, publishConfiguration, readRoot, readSet, ROOT_KEY,
+	CHUNK_PREFIX, collectChunks, PUBLISH_PREFIX, publishConfiguration, readRoot, readSet, ROOT_KEY,
 } from '@pomelopick/config.publishing';
 import type {CollectOutcome, CollectStep} from '@pomelopick/config.publishing';
 import {checkConfigurationSet} from '@pomelopick/config.schema';
@@ -95,14 +95,22 @@
 		assert.equal(await readNewest(), 'fourth');
 	});
 
-	it('does no harm with a collection that stands still, is taken over and then goes on', async () => {
-		let isFirst = true;
+	it('does no harm with a collection that stands still, is taken over during a publish and then goes on', async () => {
+		const muchLaterMs = START_MS + (2 * LATER_MS);
+		let hasStoodStill = false;
+		publisher.hook = async ({write, swap}) => {
+			const written = await write();
+			if (swap.key.startsWith(PUBLISH_PREFIX)) {
+				await collect({nowMs: muchLaterMs});
+			}
+
+			return written;
+		};
 		await collect({
 			async onStep(step) {
-				if (step === 'checked' && isFirst) {
-					isFirst = false;
-					await collect({nowMs: START_MS + (2 * LATER_MS)});
-					await publish({service: 'first', nowMs: START_MS + (2 * LATER_MS)});
+				if (step === 'checked' && !hasStoodStill) {
+					hasStoodStill = true;
+					await publish({service: 'first', nowMs: muchLaterMs});
 				}
 			},
 		});
