--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -6,6 +6,7 @@
 import {randomInt} from 'node:crypto';
 import type {AddressInfo} from 'node:net';
 import {performance} from 'node:perf_hooks';
+import {setImmediate as pause} from 'node:timers/promises';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {Agent} from 'undici';
@@ -19,9 +20,12 @@
 import {PeerClients, startPeerServer} from '@pomelopick/peer.transport';
 import {ConsulStore} from '@pomelopick/platform.store';
 import {startFleetView} from './fleet-view.js';
+import {createKeyedCalls} from './keyed-calls.js';
+import type {KeyedCalls} from './keyed-calls.js';
 import {LookupView} from './lookup-view.js';
 import {answerLookup} from './lookup-handler.js';
 import {answerOperator} from './operator-handler.js';
+import {answerOutcome, OUTCOME_PATH} from './outcome-handler.js';
 
 const MOST_SEED = 2_147_483_647;
 const EVENTS_KEPT = 4096;
@@ -48,15 +52,18 @@
 	const random = xoroshiro128plus(randomInt(MOST_SEED));
 	const drawPart = (): number => uniformInt(random, 0, MOST_SEED - 1) / MOST_SEED;
 	const fleet = startFleetView({
-		settings, store, holder, clients, counters, events, now, drawPart, load: () => handler.inProgress / settings.limits.calls,
+		settings, store, holder, clients, counters, events, now, drawPart, load: () => handler.inProgress / settings.limits.calls, prepare: async set => lookup.prepare(set),
 	});
 	const {membership, distribution} = fleet;
-	const lookup = new LookupView({members: () => membership.members});
+	const lookup = new LookupView({members: () => membership.members, pause});
 	holder.onChange(({set}) => {
 		lookup.useSet(set);
 	});
 	const dispatcher = new Agent({connections: CONNECTIONS_PER_SERVER, pipelining: 1});
 	const currentSet = () => holder.view?.configuration.set;
+	const keyedCalls = createKeyedCalls({
+		settings, clients, counters, liveInstances: () => membership.liveInstances(), now,
+	});
 	const handler = new CallHandler({
 		currentSet,
 		findSite: address => lookup.findSite(address),
@@ -66,11 +73,12 @@
 		events,
 		log: createLog('call'),
 		now,
+		keyGuard: keyedCalls.guard,
 	});
 
 	const callers = createServer((request, response) => {
 		void routeCaller({
-			request, response, handler, lookup, holder, now,
+			request, response, handler, lookup, holder, now, keyedCalls,
 		});
 	});
 	const operators = createServer((request, response) => {
@@ -87,6 +95,7 @@
 			});
 			membership.register(router);
 			distribution.register(router);
+			keyedCalls.register(router);
 		},
 	});
 	await Promise.all([listen({server: callers, endpoint: settings.listen.callers}), listen({server: operators, endpoint: settings.listen.operators})]);
@@ -103,6 +112,7 @@
 			log('instance %s stops; %d calls in flight', settings.instance, handler.inProgress);
 			membership.leave();
 			await closeServer({server: callers, timeoutMs: settings.shutdownTimeoutMs});
+			await keyedCalls.stop();
 			membership.stop();
 			await distribution.stop();
 			await closeServer({server: operators, timeoutMs: settings.shutdownTimeoutMs});
@@ -120,9 +130,10 @@
 	readonly lookup: LookupView;
 	readonly holder: ConfigurationHolder;
 	readonly now: () => number;
+	readonly keyedCalls: KeyedCalls;
 }
 
-async function routeCaller({request, response, handler, lookup, holder, now}: RouteCallerOptions): Promise<void> {
+async function routeCaller({request, response, handler, lookup, holder, now, keyedCalls}: RouteCallerOptions): Promise<void> {
 	const match = SERVICE_PATH.exec(request.url ?? '');
 	if (match) {
 		await handler.handle({
@@ -131,6 +142,11 @@
 		return;
 	}
 
+	if (OUTCOME_PATH.test(request.url ?? '')) {
+		await answerOutcome({request, response, keyGuard: keyedCalls.guard});
+		return;
+	}
+
 	answerLookup({
 		request, response, lookup, view: holder.view, now,
 	});
