--- /dev/null
+++ b/cli/pomelopick/src/commands/config-collect.ts
@@ -0,0 +1,42 @@
+import {Command, Option} from 'clipanion';
+import {collectChunks} from '@pomelopick/config.publishing';
+import {exitCodes} from '../context.js';
+import {StoreCommand} from '../store-command.js';
+
+const DEFAULT_KEPT = 500;
+/** Time after which a publish that has not ended is fenced off, in milliseconds. */
+const PUBLISH_TIMEOUT_MS = 3_600_000;
+
+/** `pomelopick config collect`: deletes versions that are no longer kept, and chunks that nothing needs. */
+export class ConfigCollectCommand extends StoreCommand {
+	static override paths = [['config', 'collect']];
+	static override usage = Command.Usage({
+		category: 'Configuration',
+		description: 'Delete old versions',
+		details: 'Deletes all but the newest versions and the chunks that none of the kept ones needs. Safe to run while others publish. A publish that was begun more than an hour ago is fenced off.',
+		examples: [['Keep the last 500', '$0 config collect --store 10.0.0.5:8500']],
+	});
+
+	keep = Option.String('--keep', String(DEFAULT_KEPT), {description: 'Earlier versions to keep'});
+
+	async execute(): Promise<number> {
+		const keepVersions = Number(this.keep);
+		if (!(Number.isSafeInteger(keepVersions) && keepVersions > 0)) {
+			return this.fail({error: {code: 'bad-flag', message: `--keep: expected a positive number, found ${JSON.stringify(this.keep)}`}, exitCode: exitCodes.usage});
+		}
+
+		return this.withStore(async store => {
+			const collected = await collectChunks({
+				store, keepVersions, publishTimeoutMs: PUBLISH_TIMEOUT_MS, nowMs: Date.now(),
+			}).run();
+			return collected.caseOf({
+				Left: error => this.failToRead(error),
+				Right: outcome => {
+					const {deletedVersions, deletedChunks, sparedChunks} = outcome;
+					this.print({document: outcome, text: `deleted ${deletedVersions} versions and ${deletedChunks} chunks; spared ${sparedChunks} chunks that are needed again`});
+					return exitCodes.success;
+				},
+			});
+		});
+	}
+}
--- /dev/null
+++ b/cli/pomelopick/src/store-command.ts
@@ -0,0 +1,83 @@
+/** Commands that read or write the key-value service. */
+import {hostname, userInfo} from 'node:os';
+import {Option} from 'clipanion';
+import {EitherAsync, Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import {readRoot, readSet, readVersion} from '@pomelopick/config.publishing';
+import type {PublishedConfiguration, PublishOutcome, ReadConfigurationError} from '@pomelopick/config.publishing';
+import type {CodedError, ConfigurationVersion} from '@pomelopick/core.types';
+import {ConsulStore} from '@pomelopick/platform.store';
+import type {KeyValueStore} from '@pomelopick/platform.store';
+import {exitCodes, parseEndpoint, PomelopickCommand} from './context.js';
+
+const UNAVAILABLE_CODES: ReadonlySet<string> = new Set(['unavailable', 'rate-limited', 'undecided']);
+
+/** A command with `--store`. */
+export abstract class StoreCommand extends PomelopickCommand {
+	store = Option.String('--store', {required: true, description: 'Key-value service, as IP:PORT'});
+
+	/** Runs with a client of the service and closes it; reports a wrong flag. */
+	protected async withStore(run: (store: KeyValueStore) => Promise<number>): Promise<number> {
+		return parseEndpoint({flag: '--store', text: this.store}).caseOf<Promise<number>>({
+			Left: async error => this.fail({error, exitCode: exitCodes.usage}),
+			async Right(endpoint) {
+				const store = new ConsulStore({endpoint});
+				const exitCode = await run(store);
+				await store.close();
+				return exitCode;
+			},
+		});
+	}
+
+	/** Prints why something could not be read and answers the exit code. */
+	protected failToRead({code, message}: ReadConfigurationError): number {
+		return UNAVAILABLE_CODES.has(code)
+			? this.fail({error: {code: `store-${code}`, message}, exitCode: exitCodes.unavailable})
+			: this.fail({error: {code, message}, exitCode: exitCodes.refused});
+	}
+
+	/** Prints how a publish ended and answers the exit code. */
+	protected reportPublish(outcome: PublishOutcome): number {
+		switch (outcome.kind) {
+			case 'accepted': {
+				this.print({document: outcome, text: `accepted as version ${outcome.version}`});
+				return exitCodes.success;
+			}
+
+			case 'refused': {
+				const {winner} = outcome;
+				return this.fail({error: {code: 'refused', message: `version ${winner.version} by ${winner.author} was published first`}, exitCode: exitCodes.refused});
+			}
+
+			case 'undecided': {
+				const {publishId, detail} = outcome;
+				return this.fail({error: {code: 'undecided', message: `publish ${publishId}: ${detail}; run it again with --publish-id ${publishId}`}, exitCode: exitCodes.undecided});
+			}
+		}
+	}
+}
+
+/** Who publishes, for the history. */
+export function describeAuthor(): string {
+	return `${userInfo().username}@${hostname()}`;
+}
+
+/** Parses a version given as an argument or a flag; undefined stays undefined. */
+export function parseVersion({flag, text}: {readonly flag: string; readonly text: string | undefined}): Either<CodedError, ConfigurationVersion | undefined> {
+	const version = Number(text);
+	if (text === undefined) {
+		return Right(undefined);
+	}
+
+	return Number.isSafeInteger(version) && version > 0
+		? Right(version as ConfigurationVersion)
+		: Left({code: 'bad-flag', message: `${flag}: expected a version, found ${JSON.stringify(text)}`});
+}
+
+/** Reads a whole version; the newest when none is named. */
+export function readWholeVersion({store, version}: {readonly store: KeyValueStore; readonly version: ConfigurationVersion | undefined}): EitherAsync<ReadConfigurationError, PublishedConfiguration> {
+	const root = version === undefined
+		? readRoot(store).chain(async found => found ? Right(found.root) : Left<ReadConfigurationError>({code: 'unknown-version', message: 'nothing was published yet'}))
+		: readVersion({store, version});
+	return EitherAsync.fromPromise(async () => root.run()).chain(found => readSet({store, root: found}));
+}
--- a/testing/fleet/src/control-fleet.ts
+++ b/testing/fleet/src/control-fleet.ts
@@ -67,6 +67,7 @@
 		now: () => performance.now(),
 		drawPart: () => uniformInt(random, 0, MOST_DRAW - 1) / MOST_DRAW,
 		load: options.load ?? (() => 0),
+		prepare: async () => undefined,
 	});
 	const peers = await startPeerServer({
 		endpoint: any, register(router) {
