Explain decisions and change drains and shifts from the command line

Cause: an operator could not see why an instance chose as it did, nor the fleet as a whole, and a drain or shift meant editing the whole set by hand. Ruled out: judging headroom from the backend servers' own load reports, which lag and mislead; the instances' own counts are summed instead. Change: `explain` answers from a live instance's operator listener with block, site, entry instances and backend servers and the reason of each; `status` and `events` merge the whole fleet and name who does not answer; `drain`, `undrain` and `shift` preview what moves, judge the headroom, check the set and publish on top of the version read. Parts plug into ExplainSources. Settings' logNamespaces switches debug on; its default is now empty, so that a process without the setting stays quiet. `npm run bench` measures an entry instance beside a bare pass-through, and look-ups with 130,000 blocks. Before / after: before, a status gave one instance's counters.

--- a/cli/pomelopick/src/context.ts
+++ b/cli/pomelopick/src/context.ts
@@ -27,6 +27,13 @@
 		this.context.stdout.write(`${this.json ? JSON.stringify(document) : text}\n`);
 	}
 
+	/** Tells a person what takes long; silent with `--json`. */
+	protected progress(line: string): void {
+		if (!this.json) {
+			this.context.stderr.write(`${line}\n`);
+		}
+	}
+
 	/** Prints an error and answers the exit code. */
 	protected fail({error, exitCode}: {readonly error: CodedError; readonly exitCode: number}): number {
 		this.context.stderr.write(`${this.json ? JSON.stringify({error}) : `${error.code}: ${error.message}`}\n`);
@@ -53,3 +60,18 @@
 
 	return Right({address, port: Number(port)});
 }
+
+/** Options of {@link parseCount}. */
+export interface ParseCountOptions {
+	readonly flag: string;
+	readonly text: string;
+	readonly most: number;
+}
+
+/** Parses a whole number from 1 up to a limit. */
+export function parseCount({flag, text, most}: ParseCountOptions): Either<CodedError, number> {
+	const count = Number(text);
+	return /^\d+$/u.test(text) && count >= 1 && count <= most
+		? Right(count)
+		: Left({code: 'bad-flag', message: `${flag}: expected a whole number from 1 to ${most}, found ${JSON.stringify(text)}`});
+}
--- /dev/null
+++ b/cli/pomelopick/src/fleet-status.ts
@@ -0,0 +1,136 @@
+/** Merges the reports of all instances into one view of the fleet. */
+import {formatTable} from '@pomelopick/core.table';
+import type {
+	DrainReport, QuarantineReport, ServiceUseReport, ShiftReport, StatusReport,
+} from '@pomelopick/core.types';
+import {formatMissing} from './fleet-client.js';
+import type {FleetAnswers, MissingInstance} from './fleet-client.js';
+
+const BYTES_PER_MEGABYTE = 1_000_000;
+const PERCENT = 100;
+
+/** The fleet as its instances report it. */
+export interface FleetSummary {
+	readonly instances: readonly StatusReport[];
+	readonly missing: readonly MissingInstance[];
+	/** Versions in force and the instances that have them; more than one while a change spreads. */
+	readonly versions: ReadonlyArray<{readonly version: number; readonly instances: readonly string[]}>;
+	readonly drains: readonly DrainReport[];
+	readonly shifts: readonly ShiftReport[];
+	readonly quarantines: readonly QuarantineReport[];
+	/** Calls in progress over the fleet. */
+	readonly serviceUse: readonly ServiceUseReport[];
+}
+
+/** Merges reports. Counts of calls are summed; objects of the configuration come from the newest version. */
+export function summarizeFleet({answers, missing}: FleetAnswers<StatusReport>): FleetSummary {
+	const instances = answers.map(({answer}) => answer);
+	const newest = [...instances].sort((left, right) => versionOf(right) - versionOf(left))[0];
+	const quarantines = new Map(instances.flatMap(report => report.quarantines.map(entry => [`${entry.state} ${entry.fingerprint}`, entry])));
+	return {
+		instances,
+		missing,
+		versions: listVersions(instances),
+		drains: (newest?.drains ?? []).map(drain => ({
+			...drain, callsInProgress: sumOf({reports: instances, listOf: report => report.drains.filter(({name}) => name === drain.name).map(({callsInProgress}) => callsInProgress)}),
+		})),
+		shifts: (newest?.shifts ?? []).map(shift => mergeShift({shift, instances})),
+		quarantines: [...quarantines.values()],
+		serviceUse: mergeUse(instances),
+	};
+}
+
+/** Sums the calls in progress of all instances by service and region. */
+export function mergeUse(instances: readonly StatusReport[]): ServiceUseReport[] {
+	const uses = new Map<string, ServiceUseReport>();
+	for (const use of instances.flatMap(({serviceUse}) => serviceUse)) {
+		const key = `${use.service} ${use.region}`;
+		uses.set(key, {...use, callsInProgress: (uses.get(key)?.callsInProgress ?? 0) + use.callsInProgress});
+	}
+
+	return [...uses.values()];
+}
+
+/** Renders the fleet as tables. */
+export function formatFleetStatus({instances, missing, versions, drains, shifts, quarantines, serviceUse}: FleetSummary): string {
+	return [
+		`${instances.length} of ${instances.length + missing.length} instances answer; ${formatVersions(versions)}`,
+		...formatMissing(missing),
+		'',
+		formatInstances(instances),
+		'',
+		formatTable({columns: ['service', 'region', 'calls in progress'], rows: serviceUse.map(({service, region, callsInProgress}) => [service, region, callsInProgress])}),
+		'',
+		section({
+			title: 'no drains',
+			columns: ['drain', 'target', 'servers', 'calls in progress'],
+			rows: drains.map(({name, target, backendServers, callsInProgress}) => [name, `${target.kind} ${target.name}`, backendServers, callsInProgress]),
+		}),
+		section({
+			title: 'no shifts', columns: ['shift', 'service', 'from', 'to', 'cap/s', 'used/s'], rows: shifts.map(({name, service, from, to, capCallsPerSecond, usedCallsPerSecond}) => [
+				name, service, from, to, capCallsPerSecond, usedCallsPerSecond?.toFixed(1) ?? 'unknown',
+			]),
+		}),
+		section({title: 'no quarantined requests', columns: ['request', 'state', 'detail'], rows: quarantines.map(({fingerprint, state, detail}) => [fingerprint, state, detail])}),
+	].join('\n');
+}
+
+function formatInstances(instances: readonly StatusReport[]): string {
+	const stateOf = (report: StatusReport): string => {
+		const own = report.instances.find(({id}) => id === report.instance);
+		return own?.state ?? 'not listed';
+	};
+
+	return formatTable({
+		columns: ['instance', 'failure domain', 'state', 'version', 'view ms', 'calls', 'load %', 'MB', 'up s', 'store'],
+		rows: instances.map(report => [
+			report.instance,
+			report.failureDomain,
+			stateOf(report),
+			report.configurationVersion ?? 'none',
+			report.viewAgeMs ?? '-',
+			report.callsInProgress,
+			Math.round((report.instances.find(({id}) => id === report.instance)?.load ?? 0) * PERCENT),
+			Math.round(report.memoryBytes / BYTES_PER_MEGABYTE),
+			Math.round(report.uptimeMs / 1000),
+			report.store.state === 'failing' ? `failing: ${report.store.lastFailure ?? ''}` : report.store.state,
+		]),
+	});
+}
+
+function formatVersions(versions: FleetSummary['versions']): string {
+	if (versions.length === 0) {
+		return 'no configuration in force';
+	}
+
+	return versions.length === 1
+		? `version ${versions[0]!.version} in force everywhere`
+		: versions.map(({version, instances}) => `version ${version} at ${instances.join(', ')}`).join('; ');
+}
+
+function section({title, columns, rows}: {readonly title: string; readonly columns: readonly string[]; readonly rows: ReadonlyArray<ReadonlyArray<string | number>>}): string {
+	return rows.length === 0 ? title : `${formatTable({columns, rows})}\n`;
+}
+
+function listVersions(instances: readonly StatusReport[]): FleetSummary['versions'] {
+	const byVersion = new Map<number, string[]>();
+	for (const {instance, configurationVersion = 0} of instances) {
+		byVersion.set(configurationVersion, [...byVersion.get(configurationVersion) ?? [], instance]);
+	}
+
+	return [...byVersion].sort(([left], [right]) => right - left).map(([version, names]) => ({version, instances: names}));
+}
+
+function mergeShift({shift, instances}: {readonly shift: ShiftReport; readonly instances: readonly StatusReport[]}): ShiftReport {
+	const {usedCallsPerSecond: _, ...fixed} = shift;
+	const known = instances.flatMap(({shifts}) => shifts.filter(({name, usedCallsPerSecond}) => name === shift.name && usedCallsPerSecond !== undefined));
+	return known.length === 0 ? fixed : {...fixed, usedCallsPerSecond: known.reduce((sum, {usedCallsPerSecond = 0}) => sum + usedCallsPerSecond, 0)};
+}
+
+function sumOf({reports, listOf}: {readonly reports: readonly StatusReport[]; readonly listOf: (report: StatusReport) => readonly number[]}): number {
+	return reports.flatMap(report => listOf(report)).reduce((sum, value) => sum + value, 0);
+}
+
+function versionOf({configurationVersion = 0}: StatusReport): number {
+	return configurationVersion;
+}
--- /dev/null
+++ b/cli/pomelopick/src/format-preview.ts
@@ -0,0 +1,26 @@
+/** Renders a preview for a person. */
+import {formatTable} from '@pomelopick/core.table';
+import type {Preview} from './preview.js';
+
+/** Renders what moves and what is missing. */
+export function formatPreview({rows, shortages, isUseKnown, caps}: Preview): string {
+	const changed = rows.filter(({slotsBefore, slotsAfter, displaced, taken}) => slotsBefore !== slotsAfter || displaced + taken > 0);
+	return [
+		...(changed.length === 0
+			? ['no slots change']
+			: [formatTable({
+				columns: ['service', 'region', 'slots before', 'slots after', 'calls now', 'must move', 'take over'],
+				rows: changed.map(({service, region, slotsBefore, slotsAfter, callsInProgress, displaced, taken}) => [
+					service, region, slotsBefore, slotsAfter, callsInProgress ?? 'unknown', callsInProgress === undefined ? 'unknown' : displaced, callsInProgress === undefined ? 'unknown' : taken,
+				]),
+			})]),
+		...caps.map(({shift, before, after}) => `cap of shift ${shift}: ${formatCap(before)} -> ${formatCap(after)}`),
+		...(isUseKnown ? [] : ['use of the fleet not known; name a live instance with --instance to have the headroom judged']),
+		...shortages.map(({detail}) => `no headroom: ${detail}`),
+		...(isUseKnown && shortages.length === 0 ? ['headroom is there'] : []),
+	].join('\n');
+}
+
+function formatCap(cap: number | undefined): string {
+	return cap === undefined ? 'none' : `${cap} calls/s`;
+}
--- a/cli/pomelopick/src/index.ts
+++ b/cli/pomelopick/src/index.ts
@@ -4,10 +4,27 @@
 import {ConfigPublishCommand} from './commands/config-publish.js';
 import {ConfigShowCommand} from './commands/config-show.js';
 import {DemoCommand} from './commands/demo.js';
+import {DrainCommand} from './commands/drain.js';
 import {EntryCommand} from './commands/entry.js';
+import {EventsCommand} from './commands/events.js';
 import {ExplainCommand} from './commands/explain.js';
+import {ShiftCommand} from './commands/shift.js';
+import {StatusCommand} from './commands/status.js';
+import {UndrainCommand} from './commands/undrain.js';
 
-const commands = [ConfigCheckCommand, ConfigPublishCommand, ConfigShowCommand, DemoCommand, EntryCommand, ExplainCommand];
+const commands = [
+	ConfigCheckCommand,
+	ConfigPublishCommand,
+	ConfigShowCommand,
+	DemoCommand,
+	EntryCommand,
+	EventsCommand,
+	ExplainCommand,
+	StatusCommand,
+	DrainCommand,
+	ShiftCommand,
+	UndrainCommand,
+];
 
 /** Creates the command line with all commands registered. */
 export function createCli(): Cli {
@@ -18,3 +35,7 @@
 
 	return cli;
 }
+
+export * from './change-set.js';
+export * from './fleet-events.js';
+export * from './preview.js';
--- /dev/null
+++ b/cli/pomelopick/test/operators.test.ts
@@ -0,0 +1,169 @@
+import assert from 'node:assert/strict';
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {PassThrough} from 'node:stream';
+import {text} from 'node:stream/consumers';
+import type {Explanation} from '@pomelopick/core.types';
+import {popescuVlad, startFleet} from '@pomelopick/testing.fleet';
+import type {Deployment, Fleet} from '@pomelopick/testing.fleet';
+import {createCli} from '@pomelopick/cli.pomelopick';
+
+const small: Deployment = {
+	...popescuVlad,
+	services: popescuVlad.services.map(service => ({...service, servers: 6})),
+};
+
+interface RunResult {
+	readonly code: number;
+	readonly output: string;
+	readonly errors: string;
+}
+
+async function run(...words: readonly string[]): Promise<RunResult> {
+	const stdout = new PassThrough();
+	const stderr = new PassThrough();
+	const reads = Promise.all([text(stdout), text(stderr)]);
+	const code = await createCli().run([...words], {stdin: new PassThrough(), stdout, stderr});
+	stdout.end();
+	stderr.end();
+	const [output, errors] = await reads;
+	return {code, output, errors};
+}
+
+describe('operators\' commands against a fleet', () => {
+	let fleet: Fleet;
+	let instance: string;
+	let store: string;
+	before(async () => {
+		fleet = await startFleet({deployment: small, entries: 3});
+		const {operators} = fleet.entries[0]!.instance;
+		instance = `${operators.address}:${operators.port}`;
+		store = `${fleet.platform.address}:${fleet.platform.port}`;
+	});
+	after(async () => {
+		await fleet.stop();
+	});
+
+	it('explain gives the block, the site, the entry instances and the backend servers in order', async () => {
+		const {code, output} = await run('explain', '--client', '127.0.2.9', '--service', 'corrections', '--instance', instance, '--json');
+		const explanation = JSON.parse(output) as Explanation;
+		assert.equal(code, 0);
+		assert.deepEqual(
+			{
+				block: explanation.block, site: explanation.site, region: explanation.region, named: explanation.entries.filter(({place}) => place !== undefined).length, first: explanation.entries[0]?.failureDomain,
+			},
+			{
+				block: '127.0.2.0/24', site: 'muntenia-1-site', region: 'muntenia', named: 3, first: 'muntenia-1',
+			},
+		);
+		assert.equal(explanation.backendServers.length, 6);
+		assert.equal(explanation.backendServers[0]?.region, 'muntenia');
+	});
+
+	it('status names every instance, the version in force and the state of the store', async () => {
+		const {code, output} = await run('status', '--instance', instance);
+		assert.equal(code, 0);
+		assert.match(output, /3 of 3 instances answer; version 1 in force everywhere/u);
+		assert.match(output, /entry-3 .*answering/u);
+	});
+
+	it('drain previews, publishes, is seen by explain, and undrain ends it', async () => {
+		const words = ['drain', 'failure-domain', 'muntenia-1', '--store', store, '--instance', instance];
+		const preview = await run(...words);
+		assert.match(preview.output, /corrections +muntenia +8 +4.*headroom is there.*nothing was published/su);
+		const published = await run(...words, '--yes');
+		assert.match(published.output, /accepted as version 2/u);
+		await fleet.waitForVersion(2 as never);
+		const explained = await run('explain', '--client', '127.0.2.9', '--service', 'corrections', '--instance', instance);
+		assert.match(explained.output, /corrections-2 +muntenia-1-site.*left out: drain drain-muntenia-1/u);
+		const again = await run(...words, '--yes');
+		assert.deepEqual([again.code, again.errors.includes('already-drained')], [1, true]);
+		const undrained = await run('undrain', 'muntenia-1', '--store', store, '--yes');
+		assert.match(undrained.output, /accepted as version 3/u);
+	});
+
+	it('shift adds a checked shift and refuses an impossible cap', async () => {
+		const words = ['shift', 'late', '--service', 'corrections', '--from', 'muntenia', '--to', 'moldova', '--store', store, '--yes'];
+		const impossible = await run(...words, '--cap', '1000000');
+		assert.deepEqual([impossible.code, impossible.errors.includes('impossible-cap')], [1, true]);
+		const added = await run(...words, '--cap', '50');
+		assert.match(added.output, /cap of shift late: none -> 50 calls\/s\n.*accepted as version 4/su);
+	});
+
+	it('a change without headroom is published only with force', async () => {
+		const domains = ['transilvania-1', 'muntenia-1', 'moldova-1', 'transilvania-2', 'muntenia-2'];
+		for (const domain of domains) {
+			const {code} = await run('drain', 'failure-domain', domain, '--store', store, '--yes');
+			assert.equal(code, 0, domain);
+		}
+
+		const last = ['drain', 'failure-domain', 'moldova-2', '--store', store, '--yes'];
+		const refused = await run(...last);
+		assert.deepEqual([refused.code, refused.errors.includes('no-headroom')], [1, true]);
+		const forced = await run(...last, '--force');
+		assert.equal(forced.code, 0);
+		for (const domain of [...domains, 'moldova-2']) {
+			await run('undrain', domain, '--store', store, '--yes');
+		}
+	});
+
+	it('events merges the records of all instances in order of time', async () => {
+		const {code, output} = await run('events', '--instance', instance, '--json');
+		const events = output.trim().split('\n').map(line => JSON.parse(line) as {atMs: number; instance: string});
+		assert.equal(code, 0);
+		assert.deepEqual(events.map(({atMs}) => atMs), events.map(({atMs}) => atMs).sort((left, right) => left - right));
+		assert.equal(new Set(events.map(event => event.instance)).size, 3);
+	});
+
+	it('a store outage gives a clear message and its own exit code', async () => {
+		await fleet.setPlatformFaults({outage: true});
+		const {code, errors} = await run('drain', 'site', 'muntenia-1-site', '--store', store, '--yes');
+		await fleet.setPlatformFaults({outage: false});
+		assert.equal(code, 3);
+		assert.match(errors, /store-unavailable/u);
+	});
+
+	it('status names an instance that is gone', async () => {
+		const killed = fleet.entries[2]!;
+		await killed.child.kill();
+		const {code, output} = await run('status', '--instance', instance);
+		assert.equal(code, 3);
+		assert.match(output, /2 of 3 instances answer/u);
+		assert.match(output, /missing: entry-3 at 127\.0\.0\.1:\d+: .*does not answer/u);
+	});
+});
+
+const badWords: ReadonlyArray<{name: string; words: readonly string[]; code: number; message: RegExp}> = [
+	{
+		name: 'a client that is no address', words: ['explain', '--client', 'here', '--service', 'x', '--instance', '127.0.0.1:1'], code: 2, message: /--client: expected an IP address, found "here"/u,
+	},
+	{
+		name: 'an instance that is no endpoint', words: ['status', '--instance', 'there'], code: 2, message: /--instance: expected IP:PORT, found "there"/u,
+	},
+	{
+		name: 'an instance that is not there', words: ['status', '--instance', '127.0.0.1:1'], code: 3, message: /instance-unavailable: http:\/\/127\.0\.0\.1:1 does not answer/u,
+	},
+	{
+		name: 'a kind that cannot be drained', words: ['drain', 'region', 'north', '--store', '127.0.0.1:1'], code: 2, message: /KIND: expected backend-server, site, failure-domain; found "region"/u,
+	},
+	{
+		name: 'a cap that is no number', words: ['shift', 'x', '--cap', 'much', '--store', '127.0.0.1:1'], code: 2, message: /--cap: expected a number above 0, found "much"/u,
+	},
+	{
+		name: 'a store that is not there', words: ['undrain', 'x', '--store', '127.0.0.1:1'], code: 3, message: /store-unavailable/u,
+	},
+	{
+		name: 'a count of events that is none', words: ['events', '--instance', '127.0.0.1:1', '--last', '0'], code: 2, message: /--last: expected a whole number from 1/u,
+	},
+];
+
+describe('operators\' commands refuse', () => {
+	for (const {name, words, code, message} of badWords) {
+		it(name, async () => {
+			const result = await run(...words);
+			assert.equal(result.code, code);
+			assert.match(result.errors, message);
+		});
+	}
+});
--- /dev/null
+++ b/cli/pomelopick/test/preview.test.ts
@@ -0,0 +1,115 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {checkConfigurationSet} from '@pomelopick/config.schema';
+import type {ConfigurationSet, ServiceUseReport} from '@pomelopick/core.types';
+import {
+	addDrain, EventMerger, previewChange, removeDrain, setShift,
+} from '@pomelopick/cli.pomelopick';
+import type {ChangeSet} from '@pomelopick/cli.pomelopick';
+
+const set: ConfigurationSet = checkConfigurationSet({
+	regions: [{name: 'north'}, {name: 'south'}],
+	failureDomains: [{name: 'north-1', region: 'north'}, {name: 'south-1', region: 'south'}],
+	sites: [{name: 'north-site', failureDomain: 'north-1'}, {name: 'south-site', failureDomain: 'south-1'}],
+	services: [{name: 'desk'}],
+	backendServers: ['north', 'south'].flatMap(region => [1, 2].map(number => ({
+		name: `${region}-${number}`, service: 'desk', site: `${region}-site`, address: '127.0.0.1', port: (region === 'north' ? 9000 : 9100) + number, slots: 10,
+	}))),
+	spillRules: [{
+		name: 'spill', service: 'desk', from: 'north', to: ['south'],
+	}],
+	shifts: [{
+		name: 'to-south', service: 'desk', from: 'north', to: 'south', capCallsPerSecond: 100,
+	}],
+}).unsafeCoerce();
+
+const useOf = (north: number, south: number): ServiceUseReport[] => [
+	{service: 'desk', region: 'north', callsInProgress: north}, {service: 'desk', region: 'south', callsInProgress: south},
+];
+
+const drainNorth = addDrain({target: {kind: 'failureDomain', name: 'north-1' as never}});
+const drainSouth = addDrain({target: {kind: 'failureDomain', name: 'south-1' as never}});
+const drainOne = addDrain({target: {kind: 'backendServer', name: 'north-1' as never}});
+
+const cases: ReadonlyArray<{name: string; change: ChangeSet; use: ServiceUseReport[] | undefined; expected: {slotsAfter: number[]; displaced: number; missing: number}}> = [
+	{
+		name: 'calls that still fit stay', change: drainOne, use: useOf(9, 0), expected: {slotsAfter: [10, 20], displaced: 0, missing: 0},
+	},
+	{
+		name: 'calls over the slots that stay move along the spill rule', change: drainOne, use: useOf(15, 0), expected: {slotsAfter: [10, 20], displaced: 5, missing: 0},
+	},
+	{
+		name: 'a drained region moves whole', change: drainNorth, use: useOf(18, 0), expected: {slotsAfter: [0, 20], displaced: 18, missing: 0},
+	},
+	{
+		name: 'the target is filled to nine tenths, no further', change: drainNorth, use: useOf(19, 0), expected: {slotsAfter: [0, 20], displaced: 19, missing: 1},
+	},
+	{
+		name: 'calls that run at the target already leave less room', change: drainNorth, use: useOf(10, 10), expected: {slotsAfter: [0, 20], displaced: 10, missing: 2},
+	},
+	{
+		name: 'a region without a rule has nowhere to go', change: drainSouth, use: useOf(0, 1), expected: {slotsAfter: [20, 0], displaced: 1, missing: 1 + 20},
+	},
+	{
+		name: 'without known use, only lost slots are judged', change: drainNorth, use: undefined, expected: {slotsAfter: [0, 20], displaced: 0, missing: 0},
+	},
+];
+
+describe('previewChange', () => {
+	for (const {name, change, use, expected} of cases) {
+		it(name, () => {
+			const {rows, shortages} = previewChange({before: set, after: change(set).unsafeCoerce(), use});
+			assert.deepEqual({
+				slotsAfter: rows.map(({slotsAfter}) => slotsAfter),
+				displaced: rows.reduce((sum, {displaced}) => sum + displaced, 0),
+				missing: shortages.reduce((sum, {missing}) => sum + missing, 0),
+			}, expected);
+		});
+	}
+
+	it('names caps that change', () => {
+		const after = setShift({name: 'to-south', capCallsPerSecond: 40})(set).unsafeCoerce();
+		assert.deepEqual(previewChange({before: set, after, use: undefined}).caps, [{shift: 'to-south', before: 100, after: 40}]);
+	});
+});
+
+const refused: ReadonlyArray<{name: string; change: ChangeSet; code: string; message: RegExp}> = [
+	{
+		name: 'a second drain of one target', change: addDrain({target: {kind: 'site', name: 'north-site' as never}}), code: 'already-drained', message: /drain-north-site/u,
+	},
+	{
+		name: 'a drain that does not exist', change: removeDrain('nowhere'), code: 'unknown-name', message: /one of drain-north-site; found "nowhere"/u,
+	},
+	{
+		name: 'a new shift without its fields', change: setShift({name: 'new', from: 'north'}), code: 'bad-flag', message: /--service, --to, --cap/u,
+	},
+];
+
+describe('changes of a set', () => {
+	const drained = addDrain({target: {kind: 'site', name: 'north-site' as never}})(set).unsafeCoerce();
+	for (const {name, change, code, message} of refused) {
+		it(`refuse ${name}`, () => {
+			const error = change(drained).swap().unsafeCoerce();
+			assert.equal(error.code, code);
+			assert.match(error.message, message);
+		});
+	}
+
+	it('undo a drain by its target', () => {
+		assert.deepEqual(removeDrain('north-site')(drained).unsafeCoerce(), set);
+	});
+});
+
+describe('EventMerger', () => {
+	it('gives events out once, by time and then by sequence', () => {
+		const merger = new EventMerger();
+		const event = (sequence: number, atMs: number) => ({
+			sequence, atMs, kind: 'store' as const, message: '', fields: {},
+		});
+		merger.take({instance: 'b', events: [event(1, 10), event(2, 30)]});
+		merger.take({instance: 'a', events: [event(7, 20), event(8, 30)]});
+		const order = merger.drain().map(({instance, sequence}) => `${instance}${sequence}`);
+		merger.take({instance: 'b', events: [event(2, 30), event(3, 40)]});
+		assert.deepEqual([order, merger.drain().map(({instance, sequence}) => `${instance}${sequence}`), merger.lastOf('a')], [['b1', 'a7', 'a8', 'b2'], ['b3'], 8]);
+	});
+});
--- a/config/settings/src/settings.ts
+++ b/config/settings/src/settings.ts
@@ -29,8 +29,8 @@
 	}).default({calls: 2000, bodyBytes: 8_388_608}),
 	/** Longest time that a stopping process waits for calls in flight, in milliseconds. */
 	shutdownTimeoutMs: z.int().min(0).max(600_000).default(30_000),
-	/** Namespaces of the `debug` library that are written. */
-	logNamespaces: z.string().default('pomelopick:*'),
+	/** Namespaces of the `debug` library that are written; the `DEBUG` variable of the environment goes before it. */
+	logNamespaces: z.string().default(''),
 });
 
 /** JSON Schema (2020-12) of a settings file, for editors. */
--- /dev/null
+++ b/core/table/src/index.ts
@@ -0,0 +1,2 @@
+/** Text tables for a person. */
+export * from './table.js';
--- a/core/telemetry/src/log.ts
+++ b/core/telemetry/src/log.ts
@@ -1,4 +1,5 @@
 /** Logs by the `debug` library, under the `pomelopick:` prefix. */
+import process from 'node:process';
 import createDebug from 'debug';
 
 /** Writes one line when the namespace is enabled. */
@@ -8,3 +9,10 @@
 export function createLog(part: string): Log & {readonly enabled: boolean} {
 	return createDebug(`pomelopick:${part}`);
 }
+
+/** Switches on the namespaces that the settings name, unless the `DEBUG` variable of the environment names some. */
+export function useLogNamespaces(namespaces: string): void {
+	if (process.env.DEBUG === undefined && namespaces !== '') {
+		createDebug.enable(namespaces);
+	}
+}
--- a/core/types/src/index.ts
+++ b/core/types/src/index.ts
@@ -4,5 +4,6 @@
 export type * from './ids.js';
 export type * from './instance.js';
 export type * from './objects.js';
+export type * from './operator-reports.js';
 export * from './reasons.js';
 export * from './refusal.js';
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -10,18 +10,21 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {Agent} from 'undici';
 import type {Endpoint, Instance} from '@pomelopick/core.types';
-import {Counters, createLog, EventRecord} from '@pomelopick/core.telemetry';
+import {
+	Counters, createLog, EventRecord, useLogNamespaces,
+} from '@pomelopick/core.telemetry';
 import {CallHandler, createLocalPlacement} from '@pomelopick/calls.forwarding';
 import {ConfigurationHolder, Distribution} from '@pomelopick/config.distribution';
 import type {Settings} from '@pomelopick/config.settings';
 import {HelloService} from '@pomelopick/peer.protocol';
 import {Membership} from '@pomelopick/peer.membership';
 import {PeerClients, startPeerServer} from '@pomelopick/peer.transport';
-import {ConsulStore} from '@pomelopick/platform.store';
+import {ConsulStore, ObservedStore} from '@pomelopick/platform.store';
 import {startFleetView} from './fleet-view.js';
 import {LookupView} from './lookup-view.js';
 import {answerLookup} from './lookup-handler.js';
 import {answerOperator} from './operator-handler.js';
+import {PlacementCounts} from './operators/placement-counts.js';
 
 const MOST_SEED = 2_147_483_647;
 const EVENTS_KEPT = 4096;
@@ -38,11 +41,12 @@
 
 /** Starts an entry instance. */
 export async function startEntry({settings}: {readonly settings: Settings}): Promise<EntryDaemon> {
+	useLogNamespaces(settings.logNamespaces);
 	const log = createLog('entry');
 	const now = (): number => performance.now();
 	const counters = new Counters({target: settings.metrics, tags: {instance: settings.instance, failureDomain: settings.failureDomain}});
 	const events = new EventRecord({capacity: EVENTS_KEPT, now: () => Date.now()});
-	const store = new ConsulStore({endpoint: settings.store});
+	const store = new ObservedStore({store: new ConsulStore({endpoint: settings.store}), now});
 	const holder = new ConfigurationHolder();
 	const clients = new PeerClients();
 	const random = xoroshiro128plus(randomInt(MOST_SEED));
@@ -57,10 +61,11 @@
 	});
 	const dispatcher = new Agent({connections: CONNECTIONS_PER_SERVER, pipelining: 1});
 	const currentSet = () => holder.view?.configuration.set;
+	const placementCounts = new PlacementCounts();
 	const handler = new CallHandler({
 		currentSet,
 		findSite: address => lookup.findSite(address),
-		placeCall: createLocalPlacement({currentSet, draw: below => uniformInt(random, 0, below - 1)}),
+		placeCall: placementCounts.around(createLocalPlacement({currentSet, draw: below => uniformInt(random, 0, below - 1)})),
 		dispatcher,
 		counters,
 		events,
@@ -75,7 +80,16 @@
 	});
 	const operators = createServer((request, response) => {
 		answerOperator({
-			request, response, settings, holder, counters, events, lookup, now,
+			request,
+			response,
+			settings,
+			holder,
+			counters,
+			events,
+			lookup,
+			sources: {listCallsInProgress: () => placementCounts.inProgress, storeState: () => store.report},
+			callsInProgress: () => handler.inProgress,
+			now,
 		});
 	});
 	const peers = await startPeerServer({
--- /dev/null
+++ b/daemons/entry/src/operators/explain-servers.ts
@@ -0,0 +1,77 @@
+/** Explains which backend servers a call could be sent to. */
+import type {
+	BackendServer, BackendServerName, ConfigurationSet, DrainTarget, ExplainedServer, RegionName, Service,
+} from '@pomelopick/core.types';
+import type {Topology} from '@pomelopick/steering.lookup';
+import type {ExplainSources} from './explain-sources.js';
+
+/** Options of {@link listRegionOrder}. */
+export interface ListRegionOrderOptions {
+	readonly set: ConfigurationSet;
+	readonly service: Service;
+	readonly home: RegionName | undefined;
+}
+
+/** Regions in which a call of a home region may run, in the order in which they are tried. */
+export function listRegionOrder({set, service, home}: ListRegionOrderOptions): readonly RegionName[] {
+	const rule = set.spillRules.find(({service: name, from}) => name === service.name && from === home);
+	return [...(home === undefined ? [] : [home]), ...(rule?.to ?? [])];
+}
+
+/** Options of {@link explainServers}. */
+export interface ExplainServersOptions {
+	readonly set: ConfigurationSet;
+	readonly topology: Topology;
+	readonly service: Service;
+	readonly order: readonly RegionName[];
+	readonly sources: ExplainSources;
+}
+
+/** All backend servers of a service, those that are tried first in front. */
+export function explainServers({set, topology, service, order, sources}: ExplainServersOptions): ExplainedServer[] {
+	const inProgress = sources.listCallsInProgress();
+	const slotsInUse = sources.listSlotsInUse?.({service: service.name});
+	return set.backendServers
+		.filter(server => server.service === service.name)
+		.map(server => {
+			const region = topology.regionOfSite(server.site);
+			const position = region === undefined ? -1 : order.indexOf(region);
+			const drain = findDrain({set, topology, server});
+			const used = slotsInUse?.get(server.name);
+			return {
+				backendServer: server.name,
+				site: server.site,
+				region: region ?? '',
+				...(position !== -1 && {regionOrder: position + 1}),
+				slots: server.slots,
+				callsInProgress: inProgress.get(server.name) ?? 0,
+				...(used !== undefined && {slotsInUse: used}),
+				isCandidate: drain === undefined && position !== -1,
+				reason: explainServer({drain, position, isFull: used !== undefined && used >= server.slots}),
+			};
+		})
+		.sort((left, right) => Number(right.isCandidate) - Number(left.isCandidate)
+			|| (left.regionOrder ?? Number.POSITIVE_INFINITY) - (right.regionOrder ?? Number.POSITIVE_INFINITY)
+			|| left.backendServer.localeCompare(right.backendServer, 'en', {numeric: true}));
+}
+
+function explainServer({drain, position, isFull}: {readonly drain: string | undefined; readonly position: number; readonly isFull: boolean}): string {
+	if (drain !== undefined) {
+		return `left out: drain ${drain}`;
+	}
+
+	if (position === -1) {
+		return 'left out: no spill rule leads to its region';
+	}
+
+	const region = position === 0 ? 'home region' : `spill region ${position}`;
+	return isFull ? `candidate in the ${region}; all slots in use` : `candidate in the ${region}`;
+}
+
+/** Name of the first drain that covers a server. */
+function findDrain({set, topology, server}: {readonly set: ConfigurationSet; readonly topology: Topology; readonly server: BackendServer}): string | undefined {
+	const covered: Record<DrainTarget['kind'], BackendServerName | string | undefined> = {
+		backendServer: server.name, site: server.site, failureDomain: topology.domainOfSite(server.site),
+	};
+	return set.drains.find(({target}) => covered[target.kind] === target.name)?.name;
+}
--- /dev/null
+++ b/daemons/entry/src/operators/placement-counts.ts
@@ -0,0 +1,42 @@
+/** Counts the calls that this instance has at each backend server, whatever places them. */
+import type {BackendServerName} from '@pomelopick/core.types';
+import type {AttemptEnd, PlaceCall, Placement} from '@pomelopick/calls.forwarding';
+
+/** Counts around a placement. */
+export class PlacementCounts {
+	readonly #inProgress = new Map<BackendServerName, number>();
+
+	/** Calls in progress by backend server; servers without any are left out. */
+	get inProgress(): ReadonlyMap<BackendServerName, number> {
+		return this.#inProgress;
+	}
+
+	/** Wraps a placement so that what it places is counted until it is released. */
+	around(placeCall: PlaceCall): PlaceCall {
+		return async options => {
+			const placed = await placeCall(options);
+			return placed.map(placement => this.#count(placement));
+		};
+	}
+
+	#count(placement: Placement): Placement {
+		const {name} = placement.server;
+		this.#add(name, 1);
+		return {
+			...placement,
+			release: (end: AttemptEnd) => {
+				this.#add(name, -1);
+				placement.release(end);
+			},
+		};
+	}
+
+	#add(name: BackendServerName, change: number): void {
+		const count = (this.#inProgress.get(name) ?? 0) + change;
+		if (count === 0) {
+			this.#inProgress.delete(name);
+		} else {
+			this.#inProgress.set(name, count);
+		}
+	}
+}
--- /dev/null
+++ b/testing/bench/src/main.ts
@@ -0,0 +1,49 @@
+/** Runs measurements: `npm run bench [-- NAME…]`. Exit code 1 when a target is missed. The last line is JSON. */
+import process from 'node:process';
+import {measureEntry} from './entry.js';
+import {measureLookup} from './lookup.js';
+import {formatEntry, formatLookup} from './print.js';
+
+const SEED = 1;
+const USAGE_EXIT_CODE = 2;
+
+/** What one measurement gives. */
+interface BenchOutcome {
+	readonly text: string;
+	readonly result: unknown;
+	readonly isMet: boolean;
+}
+
+const report = (line: string): void => {
+	process.stderr.write(`${line}\n`);
+};
+
+/** Measurements by name. */
+const benches: Readonly<Record<string, () => Promise<BenchOutcome>>> = {
+	async entry() {
+		const result = await measureEntry({report});
+		return {text: formatEntry(result), result, isMet: result.isMet};
+	},
+	async lookup() {
+		const result = await measureLookup({seed: SEED, report});
+		return {text: formatLookup(result), result, isMet: result.isMet};
+	},
+};
+
+const defaultNames = ['entry', 'lookup'];
+const names = process.argv.length > 2 ? process.argv.slice(2) : defaultNames;
+const unknown = names.filter(name => !Object.hasOwn(benches, name));
+if (unknown.length > 0) {
+	process.stderr.write(`expected ${Object.keys(benches).join(', ')}; found ${unknown.join(', ')}\n`);
+	process.exitCode = USAGE_EXIT_CODE;
+} else {
+	const results: Record<string, unknown> = {seed: SEED};
+	for (const name of names) {
+		const {text, result, isMet} = await benches[name]!();
+		process.stdout.write(`\n${text}\n`);
+		results[name] = result;
+		process.exitCode = isMet ? process.exitCode : 1;
+	}
+
+	process.stdout.write(`\n${JSON.stringify(results)}\n`);
+}
--- /dev/null
+++ b/testing/bench/src/print.ts
@@ -0,0 +1,50 @@
+/** Prints measurements as tables for a person, judged against their targets. */
+import {formatTable} from '@pomelopick/core.table';
+import {LEAST_RATE_RATIO, MOST_P99_RATIO} from './entry.js';
+import type {EntryMeasurement} from './entry.js';
+import {LEAST_LOOK_UPS_PER_SECOND, MOST_TABLE_BYTES} from './lookup.js';
+import type {LookupMeasurement} from './lookup.js';
+
+const BYTES_PER_MEGABYTE = 1_000_000;
+
+/** Renders an entry instance beside the pass-through. */
+export function formatEntry({rounds, rateRatio, p50Ratio, p99Ratio, cpuRatio}: EntryMeasurement): string {
+	const columns = ['side', 'round', 'calls/s', 'p50 ms', 'p99 ms', 'CPU us/call', 'cores', 'failed'];
+	const rows = rounds.flatMap((round, index) => (['passThrough', 'entry'] as const).map(side => {
+		const load = round[side];
+		return [
+			side, index + 1, Math.round(load.perSecond), load.p50Ms.toFixed(2), load.p99Ms.toFixed(2), load.cpuMicroseconds.toFixed(0), load.cores.toFixed(2), load.failed,
+		];
+	}));
+	const judged = [
+		['rate', rateRatio.toFixed(2), `>= ${LEAST_RATE_RATIO}`, verdict(rateRatio >= LEAST_RATE_RATIO)],
+		['p50', p50Ratio.toFixed(2), '', ''],
+		['p99', p99Ratio.toFixed(2), `<= ${MOST_P99_RATIO}`, verdict(p99Ratio <= MOST_P99_RATIO)],
+		['CPU per call', cpuRatio.toFixed(2), '', ''],
+	];
+	return [
+		formatTable({columns, rows}),
+		formatTable({columns: ['entry / pass-through', 'median', 'target', ''], rows: judged}),
+	].join('\n\n');
+}
+
+/** Renders the look-ups. */
+export function formatLookup({clientBlocks, http, perCoreSecond, purePerSecond, tableBytes, buildMs}: LookupMeasurement): string {
+	return formatTable({
+		columns: [`look-up, ${clientBlocks} blocks`, 'measured', 'target', ''],
+		rows: [
+			['HTTP look-ups/s', Math.round(http.perSecond), `>= ${LEAST_LOOK_UPS_PER_SECOND}`, verdict(http.perSecond >= LEAST_LOOK_UPS_PER_SECOND)],
+			['HTTP look-ups/s of one core', Math.round(perCoreSecond), `>= ${LEAST_LOOK_UPS_PER_SECOND}`, verdict(perCoreSecond >= LEAST_LOOK_UPS_PER_SECOND)],
+			['HTTP p50 ms', http.p50Ms.toFixed(2), '', ''],
+			['HTTP p99 ms', http.p99Ms.toFixed(2), '', ''],
+			['failed', http.failed, '0', verdict(http.failed === 0)],
+			['table alone, look-ups/s', Math.round(purePerSecond), '', ''],
+			['table MB', (tableBytes / BYTES_PER_MEGABYTE).toFixed(2), `< ${MOST_TABLE_BYTES / BYTES_PER_MEGABYTE}`, verdict(tableBytes < MOST_TABLE_BYTES)],
+			['table build ms', Math.round(buildMs), '', ''],
+		],
+	});
+}
+
+function verdict(isMet: boolean): string {
+	return isMet ? 'met' : 'MISSED';
+}
--- a/testing/demo/src/main.ts
+++ b/testing/demo/src/main.ts
@@ -1,7 +1,7 @@
 /** Runs the demo: `npm run demo [-- SEED]`. Exit code 0 only when no call was silent, wrong or executed twice. */
 import process from 'node:process';
+import {formatTable} from '@pomelopick/core.table';
 import {runDemo} from './demo.js';
-import {formatTable} from './table.js';
 
 const DEFAULT_SEED = 1;
 
