--- a/calls/forwarding/src/call-handler.ts
+++ b/calls/forwarding/src/call-handler.ts
@@ -13,7 +13,7 @@
 import {sendAttempt} from './attempt.js';
 import type {AttemptAnswer, AttemptFailure} from './attempt.js';
 import {
-	CALL_ID_HEADER, TIMEOUT_HEADER, endToEndHeaders, readTimeoutMs,
+	CALL_ID_HEADER, DRAINING_HEADER, TIMEOUT_HEADER, endToEndHeaders, readTimeoutMs,
 } from './call-headers.js';
 import type {AttemptEnd, PlaceCall, Placement} from './placement.js';
 
@@ -238,9 +238,10 @@
 		if (answer.status === SHED_STATUS) {
 			answer.body.resume();
 			call.avoidServers.add(placement.server.name);
-			placement.release('shed');
+			const isLeaving = answer.headers[DRAINING_HEADER] === 'true';
+			placement.release(isLeaving ? 'leaving' : 'shed');
 			return {
-				kind: 'retry', reason: 'backend-shed', refusal: {
+				kind: 'retry', reason: isLeaving ? 'backend-leaving' : 'backend-shed', refusal: {
 					reason: 'backend-shed', execution: 'not-run', detail: `${placement.server.name} has no room`, retryAfterMs: SHED_RETRY_AFTER_MS,
 				},
 			};
--- a/calls/forwarding/src/call-headers.ts
+++ b/calls/forwarding/src/call-headers.ts
@@ -5,6 +5,8 @@
 export const TIMEOUT_HEADER = 'x-request-timeout-ms';
 /** Identifier of the call, sent to the backend server and back to the caller. */
 export const CALL_ID_HEADER = 'x-call-id';
+/** `true` on a 503 of a backend server that leaves. */
+export const DRAINING_HEADER = 'x-draining';
 /** Makes a write safe to send again (draft-ietf-httpapi-idempotency-key-header). */
 export const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
 
--- a/calls/forwarding/src/placement.ts
+++ b/calls/forwarding/src/placement.ts
@@ -20,7 +20,7 @@
 }
 
 /** How an attempt ended, told to the placement that it used. */
-export type AttemptEnd = 'answered' | 'shed' | 'failed' | 'connect-failed' | 'timed-out' | 'cancelled';
+export type AttemptEnd = 'answered' | 'shed' | 'leaving' | 'failed' | 'connect-failed' | 'timed-out' | 'cancelled';
 
 /** A slot of a backend server, held for one attempt. */
 export interface Placement {
--- /dev/null
+++ b/calls/placement/src/create-placement.ts
@@ -0,0 +1,68 @@
+/** Joins the parts of placement for a daemon. */
+import type {ConnectRouter} from '@connectrpc/connect';
+import xxhash from 'xxhash-wasm';
+import type {PlaceCall} from '@pomelopick/calls.forwarding';
+import type {
+	ConfigurationSet, FailureDomainName, Instance, InstanceId,
+} from '@pomelopick/core.types';
+import type {PeerClients} from '@pomelopick/peer.transport';
+import type {KeyValueStore} from '@pomelopick/platform.store';
+import type {DrawInteger} from '@pomelopick/steering.choice';
+import {LocalFallback} from './local-fallback.js';
+import {SlotAsker} from './slot-asker.js';
+import {SlotOwner} from './slot-owner.js';
+import {createSteeredPlacement} from './steered-placement.js';
+
+/** What a placement is made of. */
+export interface PlacementParts {
+	readonly instance: InstanceId;
+	readonly failureDomain: FailureDomainName;
+	readonly currentSet: () => ConfigurationSet | undefined;
+	readonly liveInstances: () => readonly Instance[];
+	readonly peers: PeerClients;
+	readonly store: KeyValueStore;
+	readonly draw: DrawInteger;
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+	readonly count: (counter: string) => void;
+}
+
+/** A placement as a daemon runs it. */
+export interface RunningPlacement {
+	readonly placeCall: PlaceCall;
+	/** Registers the messages between instances. */
+	readonly register: (router: ConnectRouter) => void;
+	/** Takes a newer configuration into use. */
+	readonly useSet: (set: ConfigurationSet) => void;
+	readonly start: () => void;
+	readonly stop: () => Promise<void>;
+}
+
+/** Creates a placement from its parts. */
+export type CreatePlacement = (parts: PlacementParts) => Promise<RunningPlacement>;
+
+/** Creates the placement by slot owners. */
+export const createOwnedPlacement: CreatePlacement = async parts => {
+	const {h32} = await xxhash();
+	const owner = new SlotOwner({
+		...parts, admitShift: () => undefined, onSpillEnd() {/* Shifts listen here. */},
+	});
+	const asker = new SlotAsker({...parts, owner, hash: text => h32(text)});
+	return {
+		placeCall: createSteeredPlacement({...parts, asker, fallback: new LocalFallback(parts)}),
+		register(router) {
+			owner.register(router);
+		},
+		useSet(set) {
+			owner.useSet(set);
+		},
+		start() {
+			owner.start();
+			asker.start();
+		},
+		async stop() {
+			asker.stop();
+			owner.stop();
+		},
+	};
+};
--- /dev/null
+++ b/calls/placement/src/index.ts
@@ -0,0 +1,8 @@
+/** Binds calls to backend servers by slot owners. */
+export * from './create-placement.js';
+export * from './local-fallback.js';
+export * from './owner-group.js';
+export * from './owner-rank.js';
+export * from './slot-asker.js';
+export * from './slot-owner.js';
+export * from './steered-placement.js';
--- /dev/null
+++ b/calls/placement/src/leaving-watch.ts
@@ -0,0 +1,61 @@
+/** Asks the backend servers of owned groups whether they leave. Only their own word counts, not their health status. */
+import {request} from 'undici';
+import type {BackendServer} from '@pomelopick/core.types';
+import type {OwnerGroup} from './owner-group.js';
+
+const INTERVAL_MS = 1000;
+const TIMEOUT_MS = 800;
+/** Rounds without an answer after which a leaving server is tried again. */
+const FORGET_AFTER_ROUNDS = 5;
+
+/** Options of {@link LeavingWatch}. */
+export interface LeavingWatchOptions {
+	readonly listGroups: () => readonly OwnerGroup[];
+}
+
+/** Polls `/health` once an interval. */
+export class LeavingWatch {
+	readonly #options: LeavingWatchOptions;
+	readonly #silentRounds = new Map<string, number>();
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(options: LeavingWatchOptions) {
+		this.#options = options;
+	}
+
+	/** Starts polling. */
+	start(): void {
+		this.#timer = setInterval(() => {
+			for (const group of this.#options.listGroups()) {
+				for (const server of group.servers) {
+					void this.#ask({group, server});
+				}
+			}
+		}, INTERVAL_MS);
+	}
+
+	/** Stops polling. */
+	stop(): void {
+		clearInterval(this.#timer);
+	}
+
+	async #ask({group, server}: {readonly group: OwnerGroup; readonly server: BackendServer}): Promise<void> {
+		const state = await readState(server);
+		const rounds = state === undefined ? (this.#silentRounds.get(server.name) ?? 0) + 1 : 0;
+		this.#silentRounds.set(server.name, rounds);
+		if (state !== undefined || rounds >= FORGET_AFTER_ROUNDS) {
+			group.noteLeaving({server: server.name, isLeaving: state === 'draining'});
+		}
+	}
+}
+
+async function readState({address, port}: BackendServer): Promise<string | undefined> {
+	try {
+		const host = address.includes(':') ? `[${address}]` : address;
+		const response = await request(`http://${host}:${port}/health`, {signal: AbortSignal.timeout(TIMEOUT_MS)});
+		const body = await response.body.json() as {readonly state?: unknown};
+		return typeof body.state === 'string' ? body.state : undefined;
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/calls/placement/src/owner-group.ts
@@ -0,0 +1,297 @@
+/** Slots of the backend servers of one service in one region, as their owner counts and hands them out. */
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import type {
+	BackendServer, BackendServerName, ConfigurationSet, FailureDomainName, InstanceId, RefusalReason, RegionName, Service,
+} from '@pomelopick/core.types';
+import {expectedWaitMs, spillSlots} from '@pomelopick/steering.capacity';
+import {listDrainedServers, SlotBook} from '@pomelopick/steering.choice';
+import type {DrawInteger, NamedSlot, SlotEnd} from '@pomelopick/steering.choice';
+import {LinkBudget, linkShareBytesPerSecond} from '@pomelopick/steering.links';
+import {FairQueue} from '@pomelopick/steering.queue';
+
+/** Time for which a new owner only listens to the holders of slots before it hands any out, in milliseconds. */
+const WARM_UP_MS = 300;
+/** Part of the proven slots that an owner hands out while a better ranked one may still be counting. */
+const SUBSTITUTE_SHARE = 0.5;
+/** Part of the queue that one caller may fill. */
+const CALLER_SHARE = 0.25;
+const UNKNOWN_HOLD_MS = 50;
+/** Time after which a call whose servers are all left alone may come back, in milliseconds. */
+const NO_SERVER_RETRY_MS = 1000;
+
+/** A request for a slot. */
+export interface SlotRequest {
+	readonly slotId: string;
+	readonly asker: InstanceId;
+	readonly caller: string;
+	readonly fromRegion: RegionName;
+	readonly patienceMs: number;
+	readonly timeLeftMs: number;
+	readonly avoidServers: ReadonlySet<BackendServerName>;
+	readonly avoidDomains: ReadonlySet<FailureDomainName>;
+	readonly isSubstitute: boolean;
+}
+
+/** A slot that was handed out. */
+export interface GrantedSlot {
+	readonly server: BackendServerName;
+	readonly waitedMs: number;
+}
+
+/** Why a slot was not handed out. Nothing was run. */
+export interface SlotRefusal {
+	readonly reason: RefusalReason;
+	readonly detail: string;
+	readonly retryAfterMs: number;
+}
+
+/** Answer to a request for a slot. */
+export type SlotAnswer = Either<SlotRefusal, GrantedSlot>;
+
+/** What an owner tells about its group. */
+export interface GroupState {
+	readonly spillSlots: number;
+	readonly expectedWaitMs: number;
+}
+
+/** Decides whether a call from another region may count against the cap of a shift; undefined when it may. */
+export type AdmitShift = (options: {readonly service: Service; readonly from: RegionName; readonly to: RegionName}) => SlotRefusal | undefined;
+
+/** Options of {@link OwnerGroup}. */
+export interface OwnerGroupOptions {
+	readonly set: ConfigurationSet;
+	readonly service: Service;
+	readonly region: RegionName;
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+	readonly draw: DrawInteger;
+	readonly admitShift: AdmitShift;
+	/** Called with the end of each attempt that came from another region. */
+	readonly onSpillEnd: (options: {readonly from: RegionName; readonly end: SlotEnd; readonly heldMs: number}) => void;
+}
+
+interface Waiter {
+	readonly request: SlotRequest;
+	readonly arrivedAtMs: number;
+	readonly answer: (answer: SlotAnswer) => void;
+}
+
+interface SpilledSlot {
+	readonly from: RegionName;
+	readonly takenAtMs: number;
+}
+
+/** One group. */
+export class OwnerGroup {
+	readonly #options: OwnerGroupOptions;
+	readonly #book: SlotBook;
+	readonly #queue: FairQueue<Waiter>;
+	readonly #links = new Map<RegionName, LinkBudget>();
+	readonly #spilled = new Map<string, SpilledSlot>();
+	readonly #readyAtMs: number;
+	#set: ConfigurationSet;
+	#isSubstitute = false;
+
+	constructor(options: OwnerGroupOptions) {
+		this.#options = options;
+		this.#set = options.set;
+		this.#book = new SlotBook({draw: options.draw});
+		this.#queue = new FairQueue({most: options.service.queueCalls, mostPerCaller: Math.max(1, Math.ceil(options.service.queueCalls * CALLER_SHARE))});
+		this.#readyAtMs = options.now() + WARM_UP_MS;
+		this.useSet(options.set);
+	}
+
+	/** Takes a newer configuration into use. */
+	useSet(set: ConfigurationSet): void {
+		this.#set = set;
+		const drained = listDrainedServers(set);
+		const domainBySite = new Map(set.sites.map(site => [site.name, site.failureDomain]));
+		this.#book.useServers(listGroupServers({set, service: this.#options.service, region: this.#options.region}).map(({name, site, slots}) => ({
+			name, slots, failureDomain: domainBySite.get(site)!, isDrained: drained.has(name),
+		})));
+		this.#links.clear();
+	}
+
+	/** Hands out a slot, lets the request wait for one, or refuses it at once. */
+	async acquire({request, signal}: {readonly request: SlotRequest; readonly signal: AbortSignal}): Promise<SlotAnswer> {
+		const nowMs = this.#options.now();
+		this.#isSubstitute = request.isSubstitute;
+		const isReady = nowMs >= this.#readyAtMs;
+		if (request.fromRegion !== this.#options.region) {
+			return isReady ? this.#acquireForSpill({request, nowMs}) : Left(this.#refusal({reason: 'region-headroom-exhausted', retryAfterMs: this.#readyAtMs - nowMs}));
+		}
+
+		const server = isReady && this.#queue.length === 0 ? this.#take({request, nowMs}) : undefined;
+		if (server) {
+			return Right({server, waitedMs: 0});
+		}
+
+		const refusal = isReady ? this.#refuseToWait({request, nowMs}) : undefined;
+		return refusal ? Left(refusal) : this.#wait({request, nowMs, signal});
+	}
+
+	/** Gives a slot back. */
+	release({slotId, end}: {readonly slotId: string; readonly end: SlotEnd}): void {
+		const nowMs = this.#options.now();
+		const spilled = this.#spilled.get(slotId);
+		if (spilled) {
+			this.#spilled.delete(slotId);
+			this.#options.onSpillEnd({from: spilled.from, end, heldMs: nowMs - spilled.takenAtMs});
+		}
+
+		this.#book.release({slotId, end, nowMs});
+		this.#serve(nowMs);
+	}
+
+	/** Takes an asker's word on the slots that it holds. */
+	renew({asker, held}: {readonly asker: InstanceId; readonly held: readonly NamedSlot[]}): GroupState {
+		const nowMs = this.#options.now();
+		this.#book.renew({asker, held, nowMs});
+		return this.state();
+	}
+
+	/** Room for other regions and the wait that a call would meet. */
+	state(): GroupState {
+		const load = this.#load(this.#options.now());
+		return {spillSlots: spillSlots(load), expectedWaitMs: expectedWaitMs(load)};
+	}
+
+	/** Notes a server's own word on whether it leaves. */
+	noteLeaving(options: {readonly server: BackendServerName; readonly isLeaving: boolean}): void {
+		this.#book.noteLeaving(options);
+	}
+
+	/** Servers of the group. */
+	get servers(): readonly BackendServer[] {
+		return listGroupServers({set: this.#set, service: this.#options.service, region: this.#options.region});
+	}
+
+	/** Gives back slots whose time is over and serves or refuses those who wait; called at short intervals. */
+	tick(): void {
+		const nowMs = this.#options.now();
+		this.#book.expire(nowMs);
+		for (const waiter of this.#queue.takeExpired(nowMs)) {
+			waiter.answer(Left(this.#refusal({reason: 'queue-timeout', retryAfterMs: this.state().expectedWaitMs})));
+		}
+
+		if (nowMs >= this.#readyAtMs) {
+			this.#serve(nowMs);
+		}
+	}
+
+	#acquireForSpill({request, nowMs}: {readonly request: SlotRequest; readonly nowMs: number}): SlotAnswer {
+		const {service, region, admitShift} = this.#options;
+		const load = this.#load(nowMs);
+		if (spillSlots(load) === 0) {
+			return Left(this.#refusal({reason: 'region-headroom-exhausted', retryAfterMs: Math.max(load.holdMs, expectedWaitMs(load))}));
+		}
+
+		const shiftRefusal = admitShift({service, from: request.fromRegion, to: region});
+		if (shiftRefusal) {
+			return Left(shiftRefusal);
+		}
+
+		const link = this.#linkFrom({region: request.fromRegion, nowMs});
+		if (!link?.tryTake({bytes: service.answerBytes, nowMs})) {
+			return Left(this.#refusal({reason: 'link-capacity-exhausted', retryAfterMs: link?.waitMs({bytes: service.answerBytes}) ?? NO_SERVER_RETRY_MS}));
+		}
+
+		const server = this.#take({request, nowMs});
+		if (!server) {
+			return Left(this.#refusal({reason: 'region-headroom-exhausted', retryAfterMs: load.holdMs}));
+		}
+
+		this.#spilled.set(request.slotId, {from: request.fromRegion, takenAtMs: nowMs});
+		return Right({server, waitedMs: 0});
+	}
+
+	#refuseToWait({request, nowMs}: {readonly request: SlotRequest; readonly nowMs: number}): SlotRefusal | undefined {
+		const load = this.#load(nowMs);
+		if (load.provenSlots === 0) {
+			return this.#refusal({reason: 'no-backend-server', retryAfterMs: NO_SERVER_RETRY_MS});
+		}
+
+		const waitMs = expectedWaitMs(load);
+		const patienceMs = Math.min(request.patienceMs, request.timeLeftMs - load.holdMs);
+		return waitMs > patienceMs ? this.#refusal({reason: 'queue-full', retryAfterMs: waitMs}) : undefined;
+	}
+
+	async #wait({request, nowMs, signal}: {readonly request: SlotRequest; readonly nowMs: number; readonly signal: AbortSignal}): Promise<SlotAnswer> {
+		return new Promise(resolve => {
+			const leave = (): void => {
+				this.#queue.remove({caller: request.caller, item: waiter});
+				resolve(Left(this.#refusal({reason: 'caller-cancelled', retryAfterMs: 0})));
+			};
+
+			const waiter: Waiter = {
+				request, arrivedAtMs: nowMs, answer(answer) {
+					signal.removeEventListener('abort', leave);
+					resolve(answer);
+				},
+			};
+			this.#queue.add({caller: request.caller, item: waiter, deadlineMs: nowMs + request.timeLeftMs}).ifLeft(reason => {
+				resolve(Left(this.#refusal({reason, retryAfterMs: this.state().expectedWaitMs})));
+			}).ifRight(() => {
+				signal.addEventListener('abort', leave, {once: true});
+			});
+		});
+	}
+
+	#serve(nowMs: number): void {
+		const serveOne = (waiter: Waiter): boolean => {
+			const server = this.#take({request: waiter.request, nowMs});
+			if (server) {
+				waiter.answer(Right({server, waitedMs: nowMs - waiter.arrivedAtMs}));
+			}
+
+			return server !== undefined;
+		};
+
+		while (this.#queue.length > 0 && this.#queue.serveNext(serveOne)) {
+			// Goes on until no slot is free.
+		}
+	}
+
+	#take({request, nowMs}: {readonly request: SlotRequest; readonly nowMs: number}): BackendServerName | undefined {
+		const {slotId, asker, avoidServers, avoidDomains, timeLeftMs} = request;
+		return this.#book.tryTake({
+			slotId, asker, avoidServers, avoidDomains, nowMs, expiresAtMs: nowMs + timeLeftMs, limitShare: this.#isSubstitute ? SUBSTITUTE_SHARE : 1,
+		});
+	}
+
+	#load(nowMs: number) {
+		return {
+			provenSlots: this.#book.provenSlots(nowMs), inUse: this.#book.inUse, waiting: this.#queue.length, holdMs: this.#book.holdMs ?? UNKNOWN_HOLD_MS,
+		};
+	}
+
+	#linkFrom({region, nowMs}: {readonly region: RegionName; readonly nowMs: number}): LinkBudget | undefined {
+		const known = this.#links.get(region);
+		if (known) {
+			return known;
+		}
+
+		const bytesPerSecond = linkShareBytesPerSecond({
+			set: this.#set, service: this.#options.service, from: region, to: this.#options.region,
+		});
+		const link = bytesPerSecond === undefined ? undefined : new LinkBudget({bytesPerSecond, nowMs});
+		if (link) {
+			this.#links.set(region, link);
+		}
+
+		return link;
+	}
+
+	#refusal({reason, retryAfterMs}: {readonly reason: RefusalReason; readonly retryAfterMs: number}): SlotRefusal {
+		const {service, region} = this.#options;
+		const {provenSlots, inUse, waiting} = this.#load(this.#options.now());
+		return {reason, retryAfterMs: Math.ceil(retryAfterMs), detail: `${service.name} in ${region}: ${inUse} of ${provenSlots} proven slots in use, ${waiting} calls waiting`};
+	}
+}
+
+function listGroupServers({set, service, region}: {readonly set: ConfigurationSet; readonly service: Service; readonly region: RegionName}): readonly BackendServer[] {
+	const domains = new Set(set.failureDomains.filter(domain => domain.region === region).map(({name}) => name));
+	const sites = new Set(set.sites.filter(({failureDomain}) => domains.has(failureDomain)).map(({name}) => name));
+	return set.backendServers.filter(server => server.service === service.name && sites.has(server.site));
+}
--- /dev/null
+++ b/calls/placement/src/slot-owner.ts
@@ -0,0 +1,149 @@
+/** The groups of slots that this instance counts, and their messages. */
+import type {ConnectRouter} from '@connectrpc/connect';
+import type {
+	BackendServerName, ConfigurationSet, FailureDomainName, InstanceId, RegionName, ServiceName,
+} from '@pomelopick/core.types';
+import {SlotsService} from '@pomelopick/peer.protocol';
+import type {AcquireRequest, AcquireResponse, RenewRequest} from '@pomelopick/peer.protocol';
+import type {SlotEnd} from '@pomelopick/steering.choice';
+import {OwnerGroup} from './owner-group.js';
+import type {
+	OwnerGroupOptions, SlotAnswer, SlotRequest,
+} from './owner-group.js';
+import {LeavingWatch} from './leaving-watch.js';
+
+const TICK_MS = 20;
+
+/** Names a group of slots. */
+export interface SlotGroupKey {
+	readonly service: ServiceName;
+	readonly region: RegionName;
+}
+
+/** Options of {@link SlotOwner}. */
+export interface SlotOwnerOptions extends Pick<OwnerGroupOptions, 'now' | 'draw' | 'admitShift'> {
+	readonly currentSet: () => ConfigurationSet | undefined;
+	readonly onSpillEnd: (options: SlotGroupKey & {readonly from: RegionName; readonly end: SlotEnd; readonly heldMs: number}) => void;
+}
+
+/** Owns groups of slots on demand: whoever is asked counts. */
+export class SlotOwner {
+	readonly #options: SlotOwnerOptions;
+	readonly #groups = new Map<string, OwnerGroup>();
+	readonly #watch = new LeavingWatch({listGroups: () => [...this.#groups.values()]});
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(options: SlotOwnerOptions) {
+		this.#options = options;
+	}
+
+	/** Starts the short intervals of all groups. */
+	start(): void {
+		this.#timer = setInterval(() => {
+			for (const group of this.#groups.values()) {
+				group.tick();
+			}
+		}, TICK_MS);
+		this.#watch.start();
+	}
+
+	/** Stops the intervals. */
+	stop(): void {
+		clearInterval(this.#timer);
+		this.#watch.stop();
+	}
+
+	/** Takes a newer configuration into use; groups that are no longer configured end. */
+	useSet(set: ConfigurationSet): void {
+		for (const [key, group] of this.#groups) {
+			const [service, region] = key.split(' ');
+			if (set.services.some(({name}) => name === service) && set.regions.some(({name}) => name === region)) {
+				group.useSet(set);
+			} else {
+				this.#groups.delete(key);
+			}
+		}
+	}
+
+	/** The group of a service in a region; undefined when it is not configured here. */
+	group({service, region}: SlotGroupKey): OwnerGroup | undefined {
+		const key = `${service} ${region}`;
+		const known = this.#groups.get(key);
+		const set = this.#options.currentSet();
+		const configured = set?.services.find(({name}) => name === service);
+		if (known) {
+			return known;
+		}
+
+		if (!set || !configured) {
+			return undefined;
+		}
+
+		const group = new OwnerGroup({
+			...this.#options, set, service: configured, region, onSpillEnd: end => {
+				this.#options.onSpillEnd({service, region, ...end});
+			},
+		});
+		this.#groups.set(key, group);
+		return group;
+	}
+
+	/** Registers the messages with the listener for peers. */
+	register(router: ConnectRouter): void {
+		router.service(SlotsService, {
+			acquire: async (request, {signal}) => this.#acquire({request, signal}),
+			release: request => {
+				const group = this.group(keyOf(request.group));
+				for (const {slotId, end} of request.slots) {
+					group?.release({slotId, end: end as SlotEnd});
+				}
+
+				return {};
+			},
+			renew: request => this.#renew(request),
+		});
+	}
+
+	async #acquire({request, signal}: {readonly request: AcquireRequest; readonly signal: AbortSignal}): Promise<Partial<Omit<AcquireResponse, '$typeName' | '$unknown'>>> {
+		const group = this.group(keyOf(request.group));
+		if (!group) {
+			return {refusal: 'no-backend-server', detail: `${request.group?.service} in ${request.group?.region} is not configured here`};
+		}
+
+		return toMessage(await group.acquire({request: toSlotRequest(request), signal}));
+	}
+
+	#renew({group: key, asker, held}: RenewRequest): {spillSlots: number; expectedWaitMs: number} {
+		const group = this.group(keyOf(key));
+		const nowMs = this.#options.now();
+		const state = group?.renew({
+			asker: asker as InstanceId, held: held.map(({slotId, server, timeLeftMs}) => ({slotId, server: server as BackendServerName, expiresAtMs: nowMs + timeLeftMs})),
+		});
+		return {spillSlots: state?.spillSlots ?? 0, expectedWaitMs: Math.ceil(state?.expectedWaitMs ?? 0)};
+	}
+}
+
+function keyOf(group: {readonly service: string; readonly region: string} | undefined): SlotGroupKey {
+	return {service: (group?.service ?? '') as ServiceName, region: (group?.region ?? '') as RegionName};
+}
+
+function toSlotRequest({slotId, asker, caller, fromRegion, patienceMs, timeLeftMs, avoidServers, avoidDomains, isSubstitute}: AcquireRequest): SlotRequest {
+	return {
+		slotId,
+		asker: asker as InstanceId,
+		caller,
+		fromRegion: fromRegion as RegionName,
+		patienceMs,
+		timeLeftMs,
+		avoidServers: new Set(avoidServers as BackendServerName[]),
+		avoidDomains: new Set(avoidDomains as FailureDomainName[]),
+		isSubstitute,
+	};
+}
+
+function toMessage(answer: SlotAnswer): Partial<Omit<AcquireResponse, '$typeName' | '$unknown'>> {
+	return answer.caseOf<Partial<Omit<AcquireResponse, '$typeName' | '$unknown'>>>({
+		Left: ({reason, detail, retryAfterMs}) => ({refusal: reason, detail, retryAfterMs: Math.ceil(retryAfterMs)}),
+		Right: ({server, waitedMs}) => ({server, waitedMs: Math.round(waitedMs)}),
+	});
+}
--- /dev/null
+++ b/calls/placement/src/steered-placement.ts
@@ -0,0 +1,164 @@
+/** Binds a call to a backend server: shifts, then its own region, then regions with headroom, then a bounded wait. */
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import type {PlaceCall, PlaceCallOptions, Placement} from '@pomelopick/calls.forwarding';
+import type {
+	ConfigurationSet, FailureDomainName, Refusal, RegionName, ServiceName, SiteName,
+} from '@pomelopick/core.types';
+import {listRegionChoices} from '@pomelopick/steering.capacity';
+import type {RegionChoice} from '@pomelopick/steering.capacity';
+import type {LocalFallback} from './local-fallback.js';
+import type {AskAnswer, HeldSlot, SlotAsker} from './slot-asker.js';
+
+/** Longest expected wait for a slot, in milliseconds, by the priority of the service. */
+const PATIENCE_MS = {interactive: 250, deferrable: 1000};
+/** Expected wait in the home region up to which a call does not go elsewhere, in milliseconds. */
+const HOME_PATIENCE_MS = 20;
+const RETRY_AFTER_MS = 1000;
+
+/** Options of {@link createSteeredPlacement}. */
+export interface CreateSteeredPlacementOptions {
+	readonly currentSet: () => ConfigurationSet | undefined;
+	readonly failureDomain: FailureDomainName;
+	readonly asker: SlotAsker;
+	readonly fallback: LocalFallback;
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+	readonly count: (counter: string) => void;
+}
+
+interface Ask {
+	readonly options: PlaceCallOptions;
+	readonly set: ConfigurationSet;
+	readonly home: RegionName;
+}
+
+/** Creates the placement. */
+export function createSteeredPlacement(options: CreateSteeredPlacementOptions): PlaceCall {
+	const placement = new SteeredPlacement(options);
+	return async call => placement.place(call);
+}
+
+class SteeredPlacement {
+	readonly #options: CreateSteeredPlacementOptions;
+	readonly #waiting = new Map<ServiceName, number>();
+
+	constructor(options: CreateSteeredPlacementOptions) {
+		this.#options = options;
+	}
+
+	async place(options: PlaceCallOptions): Promise<Either<Refusal, Placement>> {
+		const set = this.#options.currentSet();
+		const home = set && homeRegion({set, site: options.callerSite, failureDomain: this.#options.failureDomain});
+		if (!set || !home) {
+			return Left({
+				reason: 'configuration-missing', execution: 'not-run', detail: 'no configuration has arrived that names this place', retryAfterMs: RETRY_AFTER_MS,
+			});
+		}
+
+		const {name, queueCalls} = options.service;
+		const waiting = this.#waiting.get(name) ?? 0;
+		if (waiting >= queueCalls) {
+			return Left({
+				reason: 'queue-full', execution: 'not-run', detail: `${waiting} calls of ${name} wait at this instance`, retryAfterMs: RETRY_AFTER_MS,
+			});
+		}
+
+		this.#waiting.set(name, waiting + 1);
+		try {
+			return await this.#placeInOrder({options, set, home});
+		} finally {
+			this.#waiting.set(name, this.#waiting.get(name)! - 1);
+		}
+	}
+
+	async #placeInOrder(ask: Ask): Promise<Either<Refusal, Placement>> {
+		const {service} = ask.options;
+		const choices = listRegionChoices({set: ask.set, service: service.name, home: ask.home});
+		const fullPatienceMs = PATIENCE_MS[service.priority];
+		const hasSpill = choices.some(choice => choice.kind === 'spill' && this.#mayHaveRoom({service: service.name, choice}));
+		let last: AskAnswer | undefined;
+		for (const choice of choices) {
+			if (choice.kind === 'spill' && !this.#mayHaveRoom({service: service.name, choice})) {
+				continue;
+			}
+
+			const patienceMs = choice.kind === 'home' ? (hasSpill ? HOME_PATIENCE_MS : fullPatienceMs) : 0;
+			const answer = await this.#ask({ask, region: choice.region, patienceMs});
+			if (answer.isRight()) {
+				return Right(this.#toPlacement({ask, choice, held: answer.unsafeCoerce()}));
+			}
+
+			last = choice.kind === 'home' || last === undefined ? answer : last;
+		}
+
+		if (hasSpill) {
+			last = await this.#ask({ask, region: ask.home, patienceMs: fullPatienceMs});
+		}
+
+		return last!.isRight()
+			? Right(this.#toPlacement({ask, choice: {region: ask.home, kind: 'home', shift: undefined}, held: last.unsafeCoerce()}))
+			: this.#placeWithoutOwner({ask, refusal: last!.swap().unsafeCoerce()});
+	}
+
+	#mayHaveRoom({service, choice}: {readonly service: ServiceName; readonly choice: RegionChoice}): boolean {
+		const state = this.#options.asker.state({service, region: choice.region});
+		return state === undefined || state.spillSlots > 0;
+	}
+
+	async #ask({ask: {options, home}, region, patienceMs}: {readonly ask: Ask; readonly region: RegionName; readonly patienceMs: number}): Promise<AskAnswer> {
+		const {service, caller, deadlineMs, avoidServers, avoidDomains, signal} = options;
+		return this.#options.asker.acquire({
+			key: {service: service.name, region},
+			request: {
+				caller, fromRegion: home, patienceMs, timeLeftMs: deadlineMs - this.#options.now(), avoidServers, avoidDomains,
+			},
+			signal,
+		});
+	}
+
+	#toPlacement({ask: {set}, choice, held}: {readonly ask: Ask; readonly choice: RegionChoice; readonly held: HeldSlot}): Placement {
+		const server = set.backendServers.find(({name}) => name === held.server)!;
+		this.#options.count(`placement.${choice.kind}`);
+		return {
+			server,
+			failureDomain: set.sites.find(({name}) => name === server.site)!.failureDomain,
+			why: `${choice.kind} region ${choice.region}, slot of ${held.owner}`,
+			waitedMs: held.waitedMs,
+			release(end) {
+				held.release(end);
+			},
+		};
+	}
+
+	#placeWithoutOwner({ask: {options, set, home}, refusal}: {readonly ask: Ask; readonly refusal: {readonly reason: string; readonly detail: string; readonly retryAfterMs: number}}): Either<Refusal, Placement> {
+		const {service, avoidServers, avoidDomains} = options;
+		const slot = refusal.reason === 'unreachable'
+			? this.#options.fallback.tryTake({
+				set, service: service.name, region: home, avoidServers, avoidDomains,
+			})
+			: undefined;
+		if (!slot) {
+			const reason = refusal.reason === 'unreachable' ? 'no-backend-server' : refusal.reason as Refusal['reason'];
+			return Left({
+				reason, execution: 'not-run', detail: refusal.detail, retryAfterMs: refusal.retryAfterMs,
+			});
+		}
+
+		this.#options.count('placement.fallback');
+		return Right({
+			server: slot.server,
+			failureDomain: set.sites.find(({name}) => name === slot.server.site)!.failureDomain,
+			why: 'no owner reached: less used of two by own counts',
+			waitedMs: 0,
+			release(end) {
+				slot.release(end);
+			},
+		});
+	}
+}
+
+function homeRegion({set, site, failureDomain}: {readonly set: ConfigurationSet; readonly site: SiteName | undefined; readonly failureDomain: FailureDomainName}): RegionName | undefined {
+	const domain = set.sites.find(({name}) => name === site)?.failureDomain ?? failureDomain;
+	return set.failureDomains.find(({name}) => name === domain)?.region;
+}
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -11,11 +11,13 @@
 import {Agent} from 'undici';
 import type {Endpoint} from '@pomelopick/core.types';
 import {Counters, createLog, EventRecord} from '@pomelopick/core.telemetry';
-import {CallHandler, createLocalPlacement} from '@pomelopick/calls.forwarding';
+import {CallHandler} from '@pomelopick/calls.forwarding';
+import {createOwnedPlacement} from '@pomelopick/calls.placement';
+import type {CreatePlacement} from '@pomelopick/calls.placement';
 import {ConfigurationHolder, StoreWatcher} from '@pomelopick/config.distribution';
 import type {Settings} from '@pomelopick/config.settings';
 import {HelloService} from '@pomelopick/peer.protocol';
-import {startPeerServer} from '@pomelopick/peer.transport';
+import {PeerClients, startPeerServer} from '@pomelopick/peer.transport';
 import {ConsulInstanceList} from '@pomelopick/platform.instances';
 import {ConsulStore} from '@pomelopick/platform.store';
 import {LookupView} from './lookup-view.js';
@@ -35,8 +37,15 @@
 	stop(): Promise<void>;
 }
 
+/** Options of {@link startEntry}. */
+export interface StartEntryOptions {
+	readonly settings: Settings;
+	/** How calls are bound to backend servers; by slot owners when absent. */
+	readonly createPlacement?: CreatePlacement;
+}
+
 /** Starts an entry instance. */
-export async function startEntry({settings}: {readonly settings: Settings}): Promise<EntryDaemon> {
+export async function startEntry({settings, createPlacement = createOwnedPlacement}: StartEntryOptions): Promise<EntryDaemon> {
 	const log = createLog('entry');
 	const now = (): number => performance.now();
 	const counters = new Counters({target: settings.metrics, tags: {instance: settings.instance, failureDomain: settings.failureDomain}});
@@ -54,17 +63,32 @@
 			events.add({kind: 'membership', message});
 		},
 	});
+	const random = xoroshiro128plus(randomInt(MOST_SEED));
+	const currentSet = () => holder.view?.configuration.set;
+	const peerClients = new PeerClients();
+	const placement = await createPlacement({
+		instance: settings.instance,
+		failureDomain: settings.failureDomain,
+		currentSet,
+		liveInstances: () => lookup.instances,
+		peers: peerClients,
+		store,
+		draw: below => uniformInt(random, 0, below - 1),
+		now,
+		count(counter) {
+			counters.add(counter);
+		},
+	});
 	holder.onChange(({root, set}) => {
 		lookup.useSet(set);
+		placement.useSet(set);
 		events.add({kind: 'configuration', message: 'version in force', fields: {version: root.version}});
 	});
 	const dispatcher = new Agent({connections: CONNECTIONS_PER_SERVER, pipelining: 1});
-	const random = xoroshiro128plus(randomInt(MOST_SEED));
-	const currentSet = () => holder.view?.configuration.set;
 	const handler = new CallHandler({
 		currentSet,
 		findSite: address => lookup.findSite(address),
-		placeCall: createLocalPlacement({currentSet, draw: below => uniformInt(random, 0, below - 1)}),
+		placeCall: placement.placeCall,
 		dispatcher,
 		counters,
 		events,
@@ -84,6 +108,7 @@
 	});
 	const peers = await startPeerServer({
 		endpoint: settings.listen.peers, register(router) {
+			placement.register(router);
 			router.service(HelloService, {
 				hello: () => ({
 					instance: settings.instance, failureDomain: settings.failureDomain, configurationVersion: BigInt(holder.view?.configuration.root.version ?? 0),
@@ -93,6 +118,7 @@
 	});
 	watcher.start();
 	lookup.start();
+	placement.start();
 	await Promise.all([listen({server: callers, endpoint: settings.listen.callers}), listen({server: operators, endpoint: settings.listen.operators})]);
 	log('instance %s listens on %o', settings.instance, callers.address());
 	return {
@@ -101,8 +127,10 @@
 			log('instance %s stops; %d calls in flight', settings.instance, handler.inProgress);
 			await closeServer({server: callers, timeoutMs: settings.shutdownTimeoutMs});
 			lookup.stop();
+			await placement.stop();
 			await watcher.stop();
 			await closeServer({server: operators, timeoutMs: settings.shutdownTimeoutMs});
+			peerClients.close();
 			await Promise.all([peers.stop(), dispatcher.destroy(), store.close(), counters.close()]);
 			log('instance %s stopped', settings.instance);
 		},
--- a/peer/transport/src/peer-clients.ts
+++ b/peer/transport/src/peer-clients.ts
@@ -2,9 +2,11 @@
 import type {DescService} from '@bufbuild/protobuf';
 import {Code, ConnectError, createClient} from '@connectrpc/connect';
 import type {Client, Transport} from '@connectrpc/connect';
-import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {createConnectTransport} from '@connectrpc/connect-node';
+import type {Http2SessionManager} from '@connectrpc/connect-node';
 import {EitherAsync, Left, Right} from 'purify-ts';
 import type {Endpoint} from '@pomelopick/core.types';
+import {GuardedSessionManager} from './guarded-session-manager.js';
 
 const PING_INTERVAL_MS = 2000;
 const PING_TIMEOUT_MS = 1000;
@@ -64,7 +66,7 @@
 			return existing;
 		}
 
-		const sessions = new Http2SessionManager(origin, {pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: PING_TIMEOUT_MS, idleConnectionTimeoutMs: IDLE_TIMEOUT_MS});
+		const sessions = new GuardedSessionManager(origin, {pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: PING_TIMEOUT_MS, idleConnectionTimeoutMs: IDLE_TIMEOUT_MS});
 		const connection = {sessions, transport: createConnectTransport({baseUrl: origin, httpVersion: '2', sessionManager: sessions})};
 		this.#connections.set(origin, connection);
 		return connection;
--- a/peer/transport/test/peer-transport.test.ts
+++ b/peer/transport/test/peer-transport.test.ts
@@ -3,9 +3,9 @@
 	after, before, describe, it,
 } from 'node:test';
 import {HelloService} from '@pomelopick/peer.protocol';
+import {startFaultProxy} from '@pomelopick/testing.fault-proxy';
 import {PeerClients, startPeerServer} from '@pomelopick/peer.transport';
 import type {PeerServer} from '@pomelopick/peer.transport';
-import {startFaultProxy} from '@pomelopick/testing.fault-proxy';
 
 describe('peer transport', () => {
 	let server: PeerServer;
@@ -50,4 +50,32 @@
 		const code = (answer: Awaited<ReturnType<typeof hello>>) => answer.swap().map(error => error.code).orDefault('refused');
 		assert.deepEqual([first.isRight(), code(second), third.isRight()], [true, 'lost', true]);
 	});
+
+	it('survives peers that stop while calls go on', async () => {
+		const others = new PeerClients();
+		for (let round = 0; round < 20; round += 1) {
+			const stopping = await startPeerServer({
+				endpoint: {address: '127.0.0.1', port: 0}, register(router) {
+					router.service(HelloService, {hello: () => ({instance: 'stopping', failureDomain: 'north-1', configurationVersion: 1n})});
+				},
+			});
+			const hello = async () => others.call({
+				endpoint: stopping.endpoint, service: HelloService, timeoutMs: 500, invoke: async (client, options) => client.hello({}, options),
+			}).run();
+			const first = await hello();
+			assert.ok(first.isRight());
+			const stopped = stopping.stop();
+			for (let turn = 0; turn < round; turn += 1) {
+				await new Promise(resolve => {
+					setImmediate(resolve);
+				});
+			}
+
+			const last = await hello();
+			await stopped;
+			assert.ok(last.isLeft());
+		}
+
+		others.close();
+	});
 });
--- /dev/null
+++ b/steering/choice/src/slot-book.ts
@@ -0,0 +1,232 @@
+/** Exact counts of the slots in use at the backend servers of one service in one region. */
+import type {BackendServerName, FailureDomainName, InstanceId} from '@pomelopick/core.types';
+import type {DrawInteger} from './power-of-two.js';
+import {ServerLimit} from './server-limit.js';
+import type {SlotEnd} from './server-limit.js';
+import {listOutliers} from './outliers.js';
+
+/** Time after which a slot whose attempt ended without an answer is free; the server may still be busy with it. */
+const UNCERTAIN_RETURN_MS = 30;
+/** Age from which a slot that its holder no longer names comes back, in milliseconds. */
+const UNNAMED_RETURN_MS = 1000;
+/** Time between trial calls to a server that is far slower than the others, in milliseconds. */
+const OUTLIER_TRIAL_MS = 500;
+
+/** A backend server of the group. */
+export interface BookServer {
+	readonly name: BackendServerName;
+	readonly failureDomain: FailureDomainName;
+	readonly slots: number;
+	/** Set to leave by the configuration. */
+	readonly isDrained: boolean;
+}
+
+/** A slot as its holder names it. */
+export interface NamedSlot {
+	readonly slotId: string;
+	readonly server: BackendServerName;
+	/** Monotonic time by which the slot comes back whatever happens, in milliseconds. */
+	readonly expiresAtMs: number;
+}
+
+/** Options of {@link SlotBook.tryTake}. */
+export interface TryTakeOptions {
+	readonly slotId: string;
+	readonly asker: InstanceId;
+	readonly avoidServers: ReadonlySet<BackendServerName>;
+	readonly avoidDomains: ReadonlySet<FailureDomainName>;
+	readonly expiresAtMs: number;
+	readonly nowMs: number;
+	/** Part of each server's limit that may be used, from 0 to 1. */
+	readonly limitShare: number;
+}
+
+interface Entry extends NamedSlot {
+	readonly asker: InstanceId;
+	readonly takenAtMs: number;
+	readonly hasEnded: boolean;
+}
+
+interface ServerState {
+	readonly server: BookServer;
+	readonly limit: ServerLimit;
+	inUse: number;
+	/** The server itself said that it leaves. */
+	saysLeaving: boolean;
+	triedAtMs: number;
+}
+
+/** Options of {@link SlotBook}. */
+export interface SlotBookOptions {
+	readonly draw: DrawInteger;
+}
+
+/** Counts slots. Never gives a server more calls than its proven limit. */
+export class SlotBook {
+	readonly #draw: DrawInteger;
+	readonly #servers = new Map<BackendServerName, ServerState>();
+	readonly #entries = new Map<string, Entry>();
+	#outliers: ReadonlySet<BackendServerName> = new Set();
+
+	constructor({draw}: SlotBookOptions) {
+		this.#draw = draw;
+	}
+
+	/** Slots in use. */
+	get inUse(): number {
+		return this.#entries.size;
+	}
+
+	/** Calls that the servers that may get calls now have proven they can run at once. */
+	provenSlots(nowMs: number): number {
+		return this.#usable().filter(({limit}) => !limit.isPaused(nowMs)).reduce((sum, {limit}) => sum + limit.proven, 0);
+	}
+
+	/** Mean time for which a slot is held, in milliseconds; undefined before the first answer. */
+	get holdMs(): number | undefined {
+		const known = this.#usable().flatMap(({limit, server}) => limit.holdMs === undefined || this.#outliers.has(server.name) ? [] : [limit.holdMs]);
+		return known.length === 0 ? undefined : known.reduce((sum, value) => sum + value, 0) / known.length;
+	}
+
+	/** Takes a changed list of servers; counts of servers that stay are kept. */
+	useServers(servers: readonly BookServer[]): void {
+		const names = new Set(servers.map(({name}) => name));
+		for (const name of this.#servers.keys()) {
+			if (!names.has(name)) {
+				this.#servers.delete(name);
+			}
+		}
+
+		for (const server of servers) {
+			const known = this.#servers.get(server.name);
+			known?.limit.useSlots(server.slots);
+			this.#servers.set(server.name, known
+				? {...known, server}
+				: {
+					server, limit: new ServerLimit(server), inUse: this.#countEntries(server.name), saysLeaving: false, triedAtMs: Number.NEGATIVE_INFINITY,
+				});
+		}
+	}
+
+	/** Notes whether a server says of itself that it leaves. */
+	noteLeaving({server, isLeaving}: {readonly server: BackendServerName; readonly isLeaving: boolean}): void {
+		const state = this.#servers.get(server);
+		if (state) {
+			state.saysLeaving = isLeaving;
+		}
+	}
+
+	/** Whether a server said that it leaves. */
+	isLeaving(server: BackendServerName): boolean {
+		return this.#servers.get(server)?.saysLeaving ?? false;
+	}
+
+	/** Takes a slot of the server with most room; undefined when none has any. */
+	tryTake({slotId, asker, avoidServers, avoidDomains, expiresAtMs, nowMs, limitShare}: TryTakeOptions): BackendServerName | undefined {
+		const open = this.#usable().filter(({server, limit}) => !avoidServers.has(server.name) && !limit.isPaused(nowMs));
+		const elsewhere = open.filter(({server}) => !avoidDomains.has(server.failureDomain));
+		const chosen = this.#choose({states: elsewhere.length > 0 ? elsewhere : open, nowMs, limitShare});
+		if (!chosen) {
+			return undefined;
+		}
+
+		chosen.triedAtMs = nowMs;
+		this.#add({
+			slotId, asker, server: chosen.server.name, expiresAtMs, takenAtMs: nowMs, hasEnded: false,
+		});
+		return chosen.server.name;
+	}
+
+	/** Gives a slot back and learns from how it ended. Unknown slots are ignored. */
+	release({slotId, end, nowMs}: {readonly slotId: string; readonly end: SlotEnd; readonly nowMs: number}): void {
+		const entry = this.#entries.get(slotId);
+		if (!entry || entry.hasEnded) {
+			return;
+		}
+
+		const state = this.#servers.get(entry.server);
+		state?.limit.note({end, heldMs: nowMs - entry.takenAtMs, nowMs});
+		if (end === 'leaving') {
+			this.noteLeaving({server: entry.server, isLeaving: true});
+		}
+
+		this.#outliers = listOutliers([...this.#servers.values()].map(({server, limit}) => ({name: server.name, holdMs: limit.holdMs})));
+		const isCertain = end === 'answered' || end === 'shed' || end === 'leaving' || end === 'connect-failed';
+		if (isCertain) {
+			this.#remove(entry);
+		} else {
+			this.#entries.set(slotId, {...entry, hasEnded: true, expiresAtMs: Math.min(entry.expiresAtMs, nowMs + UNCERTAIN_RETURN_MS)});
+		}
+	}
+
+	/** Takes an asker's word on the slots that it holds: unknown ones are counted, old ones that it does not name come back. */
+	renew({asker, held, nowMs}: {readonly asker: InstanceId; readonly held: readonly NamedSlot[]; readonly nowMs: number}): void {
+		const named = new Set(held.map(({slotId}) => slotId));
+		for (const entry of this.#entries.values()) {
+			if (entry.asker === asker && !named.has(entry.slotId) && nowMs - entry.takenAtMs > UNNAMED_RETURN_MS) {
+				this.#remove(entry);
+			}
+		}
+
+		for (const slot of held) {
+			if (!this.#entries.has(slot.slotId)) {
+				this.#add({
+					...slot, asker, takenAtMs: nowMs, hasEnded: false,
+				});
+			}
+		}
+	}
+
+	/** Gives back the slots whose time is over. */
+	expire(nowMs: number): void {
+		for (const entry of this.#entries.values()) {
+			if (nowMs >= entry.expiresAtMs) {
+				this.#remove(entry);
+			}
+		}
+	}
+
+	/** Calls in flight at a server, as counted here. */
+	inUseAt(server: BackendServerName): number {
+		return this.#servers.get(server)?.inUse ?? 0;
+	}
+
+	/** Servers that do not leave. */
+	#usable(): ServerState[] {
+		return [...this.#servers.values()].filter(({server, saysLeaving}) => !server.isDrained && !saysLeaving);
+	}
+
+	#choose({states, nowMs, limitShare}: {readonly states: readonly ServerState[]; readonly nowMs: number; readonly limitShare: number}): ServerState | undefined {
+		const open = states.filter(({inUse, limit}) => inUse < Math.max(1, Math.floor(limit.proven * limitShare)));
+		const due = open.find(state => this.#outliers.has(state.server.name) && state.inUse === 0 && nowMs - state.triedAtMs >= OUTLIER_TRIAL_MS);
+		if (due) {
+			return due;
+		}
+
+		const inLine = open.filter(({server}) => !this.#outliers.has(server.name));
+		const fill = ({inUse, limit}: ServerState): number => inUse / limit.proven;
+		const least = Math.min(...inLine.map(state => fill(state)));
+		const best = inLine.filter(state => fill(state) === least);
+		return best.length === 0 ? undefined : best[this.#draw(best.length)];
+	}
+
+	#countEntries(server: BackendServerName): number {
+		return [...this.#entries.values()].filter(entry => entry.server === server).length;
+	}
+
+	#add(entry: Entry): void {
+		this.#entries.set(entry.slotId, entry);
+		const state = this.#servers.get(entry.server);
+		if (state) {
+			state.inUse += 1;
+		}
+	}
+
+	#remove({slotId, server}: Entry): void {
+		this.#entries.delete(slotId);
+		const state = this.#servers.get(server);
+		if (state) {
+			state.inUse -= 1;
+		}
+	}
+}
--- /dev/null
+++ b/steering/queue/src/index.ts
@@ -0,0 +1,2 @@
+/** Bounded waiting lines, fair between callers. */
+export * from './fair-queue.js';
--- /dev/null
+++ b/testing/experiment/src/main.ts
@@ -0,0 +1,57 @@
+/** `npm run experiment -- SCENARIO --seed N [--deployment NAME] [--policy NAME] [--load SHARE] [--seconds N]`. Exit code 0 when every target is met. */
+import {mkdir, writeFile} from 'node:fs/promises';
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {hebrides, popescuVlad} from '@pomelopick/testing.fleet';
+import {policies} from './baselines.js';
+import {renderPlot} from './plot.js';
+import {runScenario} from './run.js';
+import {scenarios} from './scenarios.js';
+
+const RESULTS_DIRECTORY = 'results';
+const MILLISECONDS_PER_SECOND = 1000;
+const BAD_ARGUMENTS_EXIT_CODE = 2;
+const TARGET_MISSED_EXIT_CODE = 1;
+
+const {positionals: [name = ''], values} = parseArgs({
+	allowPositionals: true, options: {
+		seed: {type: 'string', default: '1'},
+		deployment: {type: 'string', default: 'popescu-vlad'},
+		policy: {type: 'string', default: 'owner'},
+		load: {type: 'string'},
+		seconds: {type: 'string', default: '10'},
+	},
+});
+const scenario = scenarios[name];
+const deployment = [popescuVlad, hebrides].find(candidate => candidate.name === values.deployment);
+if (!scenario || !deployment || !policies[values.policy]) {
+	process.stderr.write(`usage: experiment SCENARIO --seed N --deployment NAME --policy NAME\nscenarios: ${Object.keys(scenarios).join(', ')}\ndeployments: ${popescuVlad.name}, ${hebrides.name}\npolicies: ${Object.keys(policies).join(', ')}\n`);
+	process.exit(BAD_ARGUMENTS_EXIT_CODE);
+}
+
+// Leaving by `exit` ends the processes of the fleet too.
+process.once('SIGTERM', () => {
+	process.exit(TARGET_MISSED_EXIT_CODE);
+});
+
+const figures = await runScenario({
+	name, scenario, deployment, policy: values.policy, seed: Number(values.seed), durationMs: Number(values.seconds) * MILLISECONDS_PER_SECOND, load: values.load === undefined ? undefined : Number(values.load),
+});
+const targets = scenario.targets(figures);
+const file = `${RESULTS_DIRECTORY}/${name}-${deployment.name}-${values.policy}-${values.seed}`;
+await mkdir(RESULTS_DIRECTORY, {recursive: true});
+await writeFile(`${file}.json`, `${JSON.stringify({...figures, targets}, undefined, '\t')}\n`);
+await writeFile(`${file}.svg`, renderPlot(figures));
+process.stdout.write(`${name} at ${deployment.name}, placement by ${values.policy}, seed ${values.seed}\n`);
+for (const {service, calls, answered, refused, silent, latencyMs, idealMs, p99Ratio, goodput, refusalMs} of figures.services) {
+	process.stdout.write(`  ${service}: calls ${calls}, answered ${answered}, refused ${refused}, silent ${silent}\n`);
+	process.stdout.write(`    p50 ${latencyMs.p50} p99 ${latencyMs.p99} p99.9 ${latencyMs.p999} ms; ideal p50 ${idealMs.p50} p99 ${idealMs.p99} p99.9 ${idealMs.p999} ms; p99 over ideal ${p99Ratio}\n`);
+	process.stdout.write(`    goodput ${goodput} of capacity; refusals answered p50 ${refusalMs.p50} p99 ${refusalMs.p99} p99.9 ${refusalMs.p999} ms\n`);
+}
+
+process.stdout.write(`  refusals ${JSON.stringify(figures.refusalsByReason)}\n  worst overload ${figures.worstOverload} calls, shed ${figures.shed}\n  ${JSON.stringify(figures.extra)}\n`);
+for (const {name: target, value, bound, isMet} of targets) {
+	process.stdout.write(`  ${isMet ? 'met   ' : 'MISSED'} ${target}: ${value} (bound ${bound})\n`);
+}
+
+process.exitCode = targets.every(({isMet}) => isMet) ? 0 : TARGET_MISSED_EXIT_CODE;
--- a/testing/fleet/src/fleet.ts
+++ b/testing/fleet/src/fleet.ts
@@ -34,6 +34,9 @@
 	readonly adjustSettings?: (settings: SettingsInput) => SettingsInput;
 	/** Changes the set before it is published. */
 	readonly adjustSet?: (set: ConfigurationSetInput) => ConfigurationSetInput;
+	/** Program of the entry instances, the entry daemon by default, and what follows the settings file on its command line. */
+	readonly entryModule?: string;
+	readonly entryArguments?: readonly string[];
 	/** `DEBUG` namespaces of the entries; silent by default. */
 	readonly debug?: string;
 }
@@ -142,7 +145,11 @@
 		};
 		const file = path.join(this.#directory, `${id}-${Date.now()}.json`);
 		await writeFile(file, JSON.stringify(this.#options.adjustSettings?.(settings) ?? settings));
-		const child = await startChild<EntryAnnouncement>({module: moduleOf('@pomelopick/daemons.entry'), arguments: [file], environment: {DEBUG: this.#options.debug ?? ''}});
+		const child = await startChild<EntryAnnouncement>({
+			module: this.#options.entryModule ?? moduleOf('@pomelopick/daemons.entry'),
+			arguments: [file, ...this.#options.entryArguments ?? []],
+			environment: {DEBUG: this.#options.debug ?? ''},
+		});
 		const {callers, operators, peers} = child.announcement;
 		const instance: Instance = {
 			id: id as InstanceId, failureDomain: failureDomain as FailureDomainName, state: 'live', callers, operators, peers,
@@ -190,6 +197,21 @@
 		return lists.flat();
 	}
 
+	/** Executions of the backend servers that are running, by server. */
+	async listExecutionsByServer(): Promise<ReadonlyMap<string, readonly Execution[]>> {
+		const live = this.backends.filter(({child}) => !child.hasExited());
+		return new Map(await Promise.all(live.map(async ({planned, endpoint}) => [planned.name, await getJson<Execution[]>({endpoint, path: '/stand-in/executions'})] as const)));
+	}
+
+	/** Counters of the entry instances that are running. */
+	async listCounters(): Promise<ReadonlyArray<Readonly<Record<string, number>>>> {
+		const live = this.entries.filter(({child}) => !child.hasExited());
+		return Promise.all(live.map(async ({instance}) => {
+			const {counters} = await getJson<{readonly counters: Record<string, number>}>({endpoint: instance.operators, path: '/v1/status'});
+			return counters;
+		}));
+	}
+
 	/** Statistics of all backend servers that are running. */
 	async listStatistics(): Promise<readonly BackendStatistics[]> {
 		const live = this.backends.filter(({child}) => !child.hasExited());
