--- /dev/null
+++ b/calls/journal/src/owner-order.ts
@@ -0,0 +1,17 @@
+/** Which instances own a shard, best first. */
+import {chooseOwners} from '@pomelopick/core.rendezvous';
+import type {Instance, InstanceId} from '@pomelopick/core.types';
+
+/** Options of {@link orderOwners}. */
+export interface OrderOwnersOptions {
+	readonly shard: number;
+	readonly instances: readonly Instance[];
+	/** Instances that lately gave no answer; they come last. */
+	readonly suspects: ReadonlySet<InstanceId>;
+}
+
+/** Orders the instances for a shard. Instances that leave come after live ones, suspects after both. */
+export function orderOwners({shard, instances, suspects}: OrderOwnersOptions): readonly Instance[] {
+	const rank = ({id, state}: Instance): number => suspects.has(id) ? 2 : (state === 'leaving' ? 1 : 0);
+	return [...chooseOwners({key: `journal/${shard}`, instances, count: instances.length})].sort((left, right) => rank(left) - rank(right));
+}
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -6,23 +6,28 @@
 import {randomInt} from 'node:crypto';
 import type {AddressInfo} from 'node:net';
 import {performance} from 'node:perf_hooks';
+import {setImmediate as pause} from 'node:timers/promises';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {Agent} from 'undici';
-import type {Endpoint} from '@pomelopick/core.types';
+import type {Endpoint, Instance} from '@pomelopick/core.types';
 import {Counters, createLog, EventRecord} from '@pomelopick/core.telemetry';
 import {CallHandler} from '@pomelopick/calls.forwarding';
 import {createOwnedPlacement} from '@pomelopick/calls.placement';
 import type {CreatePlacement} from '@pomelopick/calls.placement';
-import {ConfigurationHolder, StoreWatcher} from '@pomelopick/config.distribution';
+import {ConfigurationHolder, Distribution} from '@pomelopick/config.distribution';
 import type {Settings} from '@pomelopick/config.settings';
 import {HelloService} from '@pomelopick/peer.protocol';
+import {Membership} from '@pomelopick/peer.membership';
 import {PeerClients, startPeerServer} from '@pomelopick/peer.transport';
-import {ConsulInstanceList} from '@pomelopick/platform.instances';
 import {ConsulStore} from '@pomelopick/platform.store';
+import {startFleetView} from './fleet-view.js';
+import {createKeyedCalls} from './keyed-calls.js';
+import type {KeyedCalls} from './keyed-calls.js';
 import {LookupView} from './lookup-view.js';
 import {answerLookup} from './lookup-handler.js';
 import {answerOperator} from './operator-handler.js';
+import {answerOutcome, OUTCOME_PATH} from './outcome-handler.js';
 
 const MOST_SEED = 2_147_483_647;
 const EVENTS_KEPT = 4096;
@@ -52,26 +57,23 @@
 	const events = new EventRecord({capacity: EVENTS_KEPT, now: () => Date.now()});
 	const store = new ConsulStore({endpoint: settings.store});
 	const holder = new ConfigurationHolder();
-	const watcher = new StoreWatcher({
-		store, holder, now, onFailure(message) {
-			counters.add('store.failure');
-			events.add({kind: 'store', message});
-		},
-	});
-	const lookup = new LookupView({
-		instanceList: new ConsulInstanceList({endpoint: settings.instanceList}), onFailure(message) {
-			events.add({kind: 'membership', message});
-		},
-	});
+	const clients = new PeerClients();
 	const random = xoroshiro128plus(randomInt(MOST_SEED));
+	const drawPart = (): number => uniformInt(random, 0, MOST_SEED - 1) / MOST_SEED;
+	const fleet = startFleetView({
+		settings, store, holder, clients, counters, events, now, drawPart, load: () => handler.inProgress / settings.limits.calls, prepare: async set => lookup.prepare(set),
+	});
+	const {membership, distribution} = fleet;
+	const lookup = new LookupView({members: () => membership.members, pause});
 	const currentSet = () => holder.view?.configuration.set;
-	const peerClients = new PeerClients();
+	// Calls that wait for a slot have sessions of their own, which no other message's deadline closes.
+	const slotClients = new PeerClients();
 	const placement = await createPlacement({
 		instance: settings.instance,
 		failureDomain: settings.failureDomain,
 		currentSet,
-		liveInstances: () => lookup.instances,
-		peers: peerClients,
+		liveInstances: () => membership.liveInstances(),
+		peers: slotClients,
 		store,
 		draw: below => uniformInt(random, 0, below - 1),
 		now,
@@ -79,12 +81,14 @@
 			counters.add(counter);
 		},
 	});
-	holder.onChange(({root, set}) => {
+	holder.onChange(({set}) => {
 		lookup.useSet(set);
 		placement.useSet(set);
-		events.add({kind: 'configuration', message: 'version in force', fields: {version: root.version}});
 	});
 	const dispatcher = new Agent({connections: CONNECTIONS_PER_SERVER, pipelining: 1});
+	const keyedCalls = createKeyedCalls({
+		settings, clients, counters, liveInstances: () => membership.liveInstances(), now,
+	});
 	const handler = new CallHandler({
 		currentSet,
 		findSite: address => lookup.findSite(address),
@@ -94,11 +98,12 @@
 		events,
 		log: createLog('call'),
 		now,
+		keyGuard: keyedCalls.guard,
 	});
 
 	const callers = createServer((request, response) => {
 		void routeCaller({
-			request, response, handler, lookup, holder, now,
+			request, response, handler, lookup, holder, now, keyedCalls,
 		});
 	});
 	const operators = createServer((request, response) => {
@@ -108,30 +113,40 @@
 	});
 	const peers = await startPeerServer({
 		endpoint: settings.listen.peers, register(router) {
-			placement.register(router);
 			router.service(HelloService, {
 				hello: () => ({
 					instance: settings.instance, failureDomain: settings.failureDomain, configurationVersion: BigInt(holder.view?.configuration.root.version ?? 0),
 				}),
 			});
+			membership.register(router);
+			distribution.register(router);
+			keyedCalls.register(router);
+			placement.register(router);
 		},
 	});
-	watcher.start();
-	lookup.start();
-	placement.start();
 	await Promise.all([listen({server: callers, endpoint: settings.listen.callers}), listen({server: operators, endpoint: settings.listen.operators})]);
+	const endpoints = {callers: endpointOf(callers), peers: peers.endpoint, operators: endpointOf(operators)};
+	const self: Instance = {
+		id: settings.instance, failureDomain: settings.failureDomain, state: 'live', ...endpoints,
+	};
+	membership.start(self);
+	distribution.start();
+	placement.start();
 	log('instance %s listens on %o', settings.instance, callers.address());
 	return {
-		endpoints: {callers: endpointOf(callers), peers: peers.endpoint, operators: endpointOf(operators)},
+		endpoints,
 		async stop() {
 			log('instance %s stops; %d calls in flight', settings.instance, handler.inProgress);
+			membership.leave();
 			await closeServer({server: callers, timeoutMs: settings.shutdownTimeoutMs});
-			lookup.stop();
+			await keyedCalls.stop();
 			await placement.stop();
-			await watcher.stop();
+			membership.stop();
+			await distribution.stop();
 			await closeServer({server: operators, timeoutMs: settings.shutdownTimeoutMs});
-			peerClients.close();
-			await Promise.all([peers.stop(), dispatcher.destroy(), store.close(), counters.close()]);
+			clients.close();
+			slotClients.close();
+			await Promise.all([peers.stop(), fleet.stop(), dispatcher.destroy(), store.close(), counters.close()]);
 			log('instance %s stopped', settings.instance);
 		},
 	};
@@ -144,9 +159,10 @@
 	readonly lookup: LookupView;
 	readonly holder: ConfigurationHolder;
 	readonly now: () => number;
+	readonly keyedCalls: KeyedCalls;
 }
 
-async function routeCaller({request, response, handler, lookup, holder, now}: RouteCallerOptions): Promise<void> {
+async function routeCaller({request, response, handler, lookup, holder, now, keyedCalls}: RouteCallerOptions): Promise<void> {
 	const match = SERVICE_PATH.exec(request.url ?? '');
 	if (match) {
 		await handler.handle({
@@ -155,6 +171,11 @@
 		return;
 	}
 
+	if (OUTCOME_PATH.test(request.url ?? '')) {
+		await answerOutcome({request, response, keyGuard: keyedCalls.guard});
+		return;
+	}
+
 	answerLookup({
 		request, response, lookup, view: holder.view, now,
 	});
