--- /dev/null
+++ b/config/distribution/test/configuration-holder.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {ConfigurationHolder} from '@pomelopick/config.distribution';
+import type {PublishedConfiguration} from '@pomelopick/config.publishing';
+import type {ConfigurationSet, ConfigurationVersion, PublishId} from '@pomelopick/core.types';
+
+const SEED = 42;
+
+function createVersion(version: number): PublishedConfiguration {
+	return {
+		root: {
+			version: version as ConfigurationVersion, publishId: `publish-${version}` as PublishId, author: 'test', publishedAtMs: 0, chunks: [],
+		},
+		set: {} as ConfigurationSet,
+	};
+}
+
+describe('ConfigurationHolder', () => {
+	it('never goes back, in whatever order versions arrive, and tells each higher one once', () => {
+		fc.assert(fc.property(fc.array(fc.integer({min: 1, max: 20}), {minLength: 1}), versions => {
+			const holder = new ConfigurationHolder();
+			const told: number[] = [];
+			holder.onChange(({root}) => {
+				told.push(root.version);
+			});
+			let highest = 0;
+			for (const [nowMs, version] of versions.entries()) {
+				const isTaken = holder.offer({configuration: createVersion(version), nowMs});
+				assert.equal(isTaken, version > highest);
+				highest = Math.max(highest, version);
+				assert.equal(holder.version, highest);
+			}
+
+			assert.deepEqual(told, [...new Set(told)].sort((left, right) => left - right));
+		}), {seed: SEED});
+	});
+
+	it('takes only younger confirmations of the version in force', () => {
+		const holder = new ConfigurationHolder();
+		holder.offer({configuration: createVersion(2), nowMs: 100});
+		const steps = [
+			{version: 2, nowMs: 50, expected: 100},
+			{version: 1, nowMs: 200, expected: 100},
+			{version: 3, nowMs: 200, expected: 100},
+			{version: 2, nowMs: 150, expected: 150},
+		];
+		for (const {version, nowMs, expected} of steps) {
+			holder.confirm({version, nowMs});
+			assert.equal(holder.view?.confirmedAtMs, expected);
+		}
+	});
+
+	it('knows of a higher version before it is in force', () => {
+		const holder = new ConfigurationHolder();
+		holder.offer({configuration: createVersion(2), nowMs: 0});
+		holder.hearOf(5);
+		holder.hearOf(4);
+		assert.deepEqual([holder.version, holder.newestKnown], [2, 5]);
+		holder.offer({configuration: createVersion(6), nowMs: 0});
+		assert.deepEqual([holder.version, holder.newestKnown], [6, 6]);
+	});
+});
--- a/peer/membership/src/index.ts
+++ b/peer/membership/src/index.ts
@@ -5,3 +5,5 @@
 export type * from './member.js';
 export * from './membership.js';
 export * from './verdict.js';
+export * from './observer.js';
+export * from './overlay.js';
--- /dev/null
+++ b/peer/membership/test/observer.test.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import type {InstanceId} from '@pomelopick/core.types';
+import {Observer} from '@pomelopick/peer.membership';
+import type {HeartbeatOutcome} from '@pomelopick/peer.membership';
+
+/** Heartbeats as `subject: outcomes`, `.` answered, `x` lost, `r` refused. */
+type Heartbeats = Readonly<Record<string, string>>;
+
+const outcomes: Readonly<Record<string, HeartbeatOutcome>> = {'.': 'answered', x: 'lost', r: 'refused'};
+
+const cases: ReadonlyArray<{name: string; heartbeats: Heartbeats; expected: Readonly<Record<string, boolean>>}> = [
+	{name: 'two lost heartbeats are not enough', heartbeats: {a: '.xx', b: '...'}, expected: {}},
+	{name: 'three lost heartbeats in a row are', heartbeats: {a: '.xxx', b: '....'}, expected: {a: true}},
+	{name: 'an answer in between starts again', heartbeats: {a: 'xx.xx', b: '.....'}, expected: {}},
+	{name: 'two refused connections are enough', heartbeats: {a: 'rr', b: '..'}, expected: {a: true}},
+	{name: 'nothing is concluded when no subject answers', heartbeats: {a: 'xxx', b: 'xxx'}, expected: {}},
+	{name: 'refused connections count also when no subject answers', heartbeats: {a: 'rrr', b: 'xxx'}, expected: {a: true}},
+	{name: 'a single subject counts by itself', heartbeats: {a: 'xxx'}, expected: {a: true}},
+];
+
+const id = (text: string): InstanceId => text as InstanceId;
+
+function record({observer, heartbeats}: {readonly observer: Observer; readonly heartbeats: Heartbeats}): void {
+	for (const [subject, text] of Object.entries(heartbeats)) {
+		for (const sign of text) {
+			observer.record({subject: id(subject), outcome: outcomes[sign]!});
+		}
+	}
+}
+
+const unreachable = (observer: Observer): Record<string, boolean> => Object.fromEntries([...observer.takeChanges()].map(([subject, finding]) => [subject, finding.unreachable]));
+
+describe('Observer', () => {
+	for (const {name, heartbeats, expected} of cases) {
+		it(name, () => {
+			const observer = new Observer();
+			record({observer, heartbeats});
+			assert.deepEqual(unreachable(observer), expected);
+		});
+	}
+
+	it('tells a finding once, and takes it back after an answer', () => {
+		const observer = new Observer();
+		record({observer, heartbeats: {a: 'xxx', b: '...'}});
+		assert.deepEqual(unreachable(observer), {a: true});
+		assert.deepEqual(unreachable(observer), {});
+		record({observer, heartbeats: {a: '.'}});
+		assert.deepEqual(unreachable(observer), {a: false});
+	});
+
+	it('takes a finding back when it observes the subject no longer', () => {
+		const observer = new Observer();
+		record({observer, heartbeats: {a: 'xxx', b: '...'}});
+		unreachable(observer);
+		observer.keepOnly(new Set([id('b')]));
+		assert.deepEqual(unreachable(observer), {a: false});
+	});
+
+	it('forgets failures after this process stood still', () => {
+		const observer = new Observer();
+		record({observer, heartbeats: {a: 'xx', b: '..'}});
+		observer.forgiveFailures();
+		record({observer, heartbeats: {a: 'x', b: '.'}});
+		assert.deepEqual(unreachable(observer), {});
+	});
+});
