--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -122,6 +122,7 @@
 			lookup,
 			sources: {listCallsInProgress: () => placementCounts.inProgress, storeState: () => store.report},
 			callsInProgress: () => handler.inProgress,
+			isWatcher: () => distribution.isWatcher,
 			now,
 		});
 	});
--- a/daemons/entry/src/operator-handler.ts
+++ b/daemons/entry/src/operator-handler.ts
@@ -25,6 +25,8 @@
 	readonly lookup: LookupView;
 	readonly sources: ExplainSources;
 	readonly callsInProgress: () => number;
+	/** Whether this instance watches the key-value service for the others of its failure domain. */
+	readonly isWatcher: () => boolean;
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
 }
@@ -48,7 +50,7 @@
 
 const routes: Readonly<Record<string, Route>> = {
 	'/v1/status'({options}) {
-		sendJson({response: options.response, document: createStatus({...options, callsInProgress: options.callsInProgress(), nowMs: options.now()})});
+		sendJson({response: options.response, document: createStatus({...options, callsInProgress: options.callsInProgress(), isWatcher: options.isWatcher(), nowMs: options.now()})});
 	},
 	'/v1/explain'({options, parameters}) {
 		const {response, settings, lookup, sources, now} = options;
