Check histories of concurrent keyed calls under faults with real processes

Cause: nothing compared what callers were told with what backend servers ran while instances, the store, peers and backend servers fail. Change: `testing/history` runs callers that send copies of their calls to several instances, brings faults about behind proxies on every path, and checks five properties of the history: whole own answers, at most one execution a key, "not run" that is true, one outcome a key, answers that were executed. So a keyed call that is refused before its key was judged is told "not run" only when its caller says by `x-call-attempt: 1` that it has sent no copy before, else "unknown". Conclusion: the claims now hold by what is known, not by what is likely.

--- a/calls/forwarding/src/call-handler.ts
+++ b/calls/forwarding/src/call-handler.ts
@@ -18,8 +18,9 @@
 } from './call-headers.js';
 import type {KeyedOutcome, KeyGuard} from './key-guard.js';
 import {
-	isKeyed, MOST_KEYED_BODY_BYTES, readKeyedCall, readWhole, sendReplay,
+	MOST_KEYED_BODY_BYTES, readKeyedCall, readWhole, sendReplay,
 } from './keyed-call.js';
+import {isKeyed, limitClaim} from './key-claim.js';
 import type {AttemptEnd, PlaceCall, Placement} from './placement.js';
 
 const MOST_ATTEMPTS = 3;
@@ -110,13 +111,14 @@
 			const service = this.#options.currentSet()?.services.find(({name}) => name === serviceName);
 			const timeoutMs = readTimeoutMs(request.headers);
 			if (!service) {
-				this.#refuse({response, id, refusal: this.#unknownService(serviceName)});
+				this.#refuse({response, id, refusal: limitClaim({request, refusal: this.#unknownService(serviceName)})});
 				return;
 			}
 
 			if (Number.isNaN(timeoutMs)) {
 				const found = JSON.stringify(request.headers[TIMEOUT_HEADER]);
-				this.#refuse({response, id, refusal: {reason: 'bad-request', execution: 'not-run', detail: `${TIMEOUT_HEADER}: expected whole milliseconds, found ${found}`}});
+				const refusal: Refusal = {reason: 'bad-request', execution: 'not-run', detail: `${TIMEOUT_HEADER}: expected whole milliseconds, found ${found}`};
+				this.#refuse({response, id, refusal: limitClaim({request, refusal})});
 				return;
 			}
 
@@ -175,7 +177,7 @@
 			key, service: call.service.name, fingerprint, deadlineMs: call.deadlineMs, signal: call.cancelled.signal,
 		})).run();
 		if (begun.isLeft()) {
-			const refusal = begun.extract();
+			const refusal = limitClaim({request, refusal: begun.extract()});
 			this.#refuse({response, id: call.id, refusal});
 			this.#logCall({call, outcome: refusal.reason});
 			return false;
--- a/calls/forwarding/src/call-headers.ts
+++ b/calls/forwarding/src/call-headers.ts
@@ -8,6 +8,9 @@
 /** Makes a write safe to send again (draft-ietf-httpapi-idempotency-key-header). */
 export const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
 
+/** Number of this copy of a keyed call, from 1. A caller that says 1 says that it has sent no copy before. */
+export const ATTEMPT_HEADER = 'x-call-attempt';
+
 /** Headers that concern one connection only (RFC 9110, section 7.6.1). */
 const hopByHopHeaders = new Set(['connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'proxy-connection']);
 
--- a/calls/forwarding/src/keyed-call.ts
+++ b/calls/forwarding/src/keyed-call.ts
@@ -27,11 +27,6 @@
 	readonly path: string;
 }
 
-/** Whether the request brings a key that is to be kept: reads need none. */
-export function isKeyed({method, headers}: IncomingMessage): boolean {
-	return headers[IDEMPOTENCY_KEY_HEADER] !== undefined && method !== 'GET' && method !== 'HEAD';
-}
-
 /** Reads a keyed call whole. Left when its body is too large or breaks off. */
 export async function readKeyedCall({request, service, path}: ReadKeyedCallOptions): Promise<Either<Refusal, KeyedCall>> {
 	const body = await readWhole({stream: request, mostBytes: MOST_KEYED_BODY_BYTES});
--- a/calls/journal/src/journal-key-guard.ts
+++ b/calls/journal/src/journal-key-guard.ts
@@ -159,22 +159,19 @@
 			}
 
 			default: {
-				return Left(this.#giveUp({copy, isAbsent: response?.isAbsent ?? false}));
+				return Left(this.#giveUp(copy));
 			}
 		}
 	}
 
 	/** The intent is not known to be kept: this copy is never dispatched, and the journal is told so when it can be. */
-	#giveUp({copy, isAbsent}: {readonly copy: Copy; readonly isAbsent: boolean}): Refusal {
+	#giveUp(copy: Copy): Refusal {
 		if (copy.undecided > 0) {
 			void this.#finish({copy, outcome: {execution: 'not-run'}});
 		}
 
 		return {
-			reason: 'journal-unavailable',
-			execution: isAbsent ? 'not-run' : 'unknown',
-			detail: isAbsent ? 'the store cannot keep the intent now' : 'the store cannot be asked about earlier copies now; this copy was not run',
-			retryAfterMs: RETRY_AFTER_MS,
+			reason: 'journal-unavailable', execution: 'not-run', detail: 'the intent to run the call cannot be kept now', retryAfterMs: RETRY_AFTER_MS,
 		};
 	}
 
--- a/calls/journal/src/shard.ts
+++ b/calls/journal/src/shard.ts
@@ -320,7 +320,7 @@
 			case 'begin': {
 				const judgement = this.#isLoaded ? this.#judge(message) : undefined;
 				message.reply(judgement === undefined || judgement.kind === 'absent' || judgement.kind === 'granted'
-					? create(BeginResponseSchema, {verdict: BeginVerdict.UNAVAILABLE, isAbsent: judgement?.kind === 'absent', mayBeKept})
+					? create(BeginResponseSchema, {verdict: BeginVerdict.UNAVAILABLE, mayBeKept})
 					: toResponse(judgement));
 				break;
 			}
--- a/testing/callers/src/caller.ts
+++ b/testing/callers/src/caller.ts
@@ -68,6 +68,7 @@
 export class Caller {
 	readonly #options: CallerOptions;
 	readonly #agent: Agent;
+	readonly #copiesByKey = new Map<string, number>();
 	#lookUps = 0;
 	#cached: CachedEntries = {endpoints: [], untilMs: 0};
 
@@ -111,12 +112,17 @@
 
 	async #try({options, endpoint, timeLeftMs}: {readonly options: CallOptions; readonly endpoint: Endpoint; readonly timeLeftMs: number}): Promise<Try> {
 		const {service, method = 'GET', path, body, key} = options;
+		const copy = (this.#copiesByKey.get(key ?? '') ?? 0) + 1;
+		if (key !== undefined) {
+			this.#copiesByKey.set(key, copy);
+		}
+
 		try {
 			const response = await request(`http://${endpoint.address}:${endpoint.port}/v1/services/${service}${path}`, {
 				method: method as 'GET',
 				dispatcher: this.#agent,
 				body,
-				headers: {'x-request-timeout-ms': String(Math.max(1, Math.floor(timeLeftMs))), ...(key !== undefined && {'idempotency-key': key})},
+				headers: {'x-request-timeout-ms': String(Math.max(1, Math.floor(timeLeftMs))), ...(key !== undefined && {'idempotency-key': key, 'x-call-attempt': String(copy)})},
 				signal: AbortSignal.timeout(Math.max(1, timeLeftMs) + ANSWER_GRACE_MS),
 			});
 			const text = await response.body.text();
--- /dev/null
+++ b/testing/history/src/proxied-fleet.ts
@@ -0,0 +1,75 @@
+/** A fleet whose paths all lead through fault proxies. */
+import type {Endpoint, Instance} from '@pomelopick/core.types';
+import {startFaultProxy} from '@pomelopick/testing.fault-proxy';
+import type {FaultProxy} from '@pomelopick/testing.fault-proxy';
+import {startFleet} from '@pomelopick/testing.fleet';
+import type {
+	Deployment, EntryProcess, Fleet, StartFleetOptions,
+} from '@pomelopick/testing.fleet';
+import type {Target} from './workload.js';
+
+/** Proxies around one entry instance. */
+export interface EntryPaths {
+	/** From callers. */
+	readonly callers: FaultProxy;
+	/** From the other instances. */
+	readonly peers: FaultProxy;
+	/** To the store and the list of instances. */
+	readonly store: FaultProxy;
+}
+
+/** Options of {@link startProxiedFleet}. */
+export interface StartProxiedFleetOptions {
+	readonly deployment: Deployment;
+	readonly entries: number;
+	readonly seed: number;
+	readonly behaviour?: StartFleetOptions['behaviour'];
+	readonly debug?: string;
+}
+
+/** A fleet and the proxies on its paths. */
+export interface ProxiedFleet {
+	readonly fleet: Fleet;
+	/** Proxies around an entry instance. */
+	pathsOf(entry: EntryProcess): EntryPaths;
+	/** Instances that callers know. */
+	targets(): readonly Target[];
+	stop(): Promise<void>;
+}
+
+/** Starts a fleet behind fault proxies. */
+export async function startProxiedFleet({deployment, entries, seed, behaviour, debug}: StartProxiedFleetOptions): Promise<ProxiedFleet> {
+	const storePaths = new Map<string, FaultProxy>();
+	const paths = new Map<string, EntryPaths>();
+	let started = 0;
+	const startProxy = async (target: Endpoint): Promise<FaultProxy> => {
+		started += 1;
+		return startFaultProxy({target, seed: seed + started});
+	};
+
+	const fleet = await startFleet({
+		deployment,
+		entries,
+		behaviour,
+		debug,
+		async adjustSettings(settings) {
+			const proxy = await startProxy(settings.store);
+			storePaths.set(settings.instance, proxy);
+			return {...settings, store: proxy.endpoint, instanceList: proxy.endpoint};
+		},
+		async adjustInstance(instance): Promise<Instance> {
+			const around: EntryPaths = {callers: await startProxy(instance.callers), peers: await startProxy(instance.peers), store: storePaths.get(instance.id)!};
+			paths.set(instance.id, around);
+			return {...instance, callers: around.callers.endpoint, peers: around.peers.endpoint};
+		},
+	});
+	return {
+		fleet,
+		pathsOf: ({instance}) => paths.get(instance.id)!,
+		targets: () => fleet.entries.map(({instance}) => ({instance: instance.id, endpoint: instance.callers})),
+		async stop() {
+			await fleet.stop();
+			await Promise.all([...paths.values()].flatMap(({callers, peers, store}) => [callers.stop(), peers.stop(), store.stop()]));
+		},
+	};
+}
