--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -6,18 +6,23 @@
 import {randomInt} from 'node:crypto';
 import type {AddressInfo} from 'node:net';
 import {performance} from 'node:perf_hooks';
+import {setImmediate as pause} from 'node:timers/promises';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {Agent} from 'undici';
 import type {Endpoint, Instance} from '@pomelopick/core.types';
-import {Counters, createLog, EventRecord} from '@pomelopick/core.telemetry';
-import {CallHandler, createLocalPlacement} from '@pomelopick/calls.forwarding';
+import {
+	Counters, createLog, EventRecord, useLogNamespaces,
+} from '@pomelopick/core.telemetry';
+import {CallHandler} from '@pomelopick/calls.forwarding';
+import {createOwnedPlacement} from '@pomelopick/calls.placement';
+import type {CreatePlacement} from '@pomelopick/calls.placement';
 import {ConfigurationHolder, Distribution} from '@pomelopick/config.distribution';
 import type {Settings} from '@pomelopick/config.settings';
 import {HelloService} from '@pomelopick/peer.protocol';
 import {Membership} from '@pomelopick/peer.membership';
 import {PeerClients, startPeerServer} from '@pomelopick/peer.transport';
-import {ConsulStore} from '@pomelopick/platform.store';
+import {ConsulStore, ObservedStore} from '@pomelopick/platform.store';
 import {startFleetView} from './fleet-view.js';
 import {createKeyedCalls} from './keyed-calls.js';
 import type {KeyedCalls} from './keyed-calls.js';
@@ -25,6 +30,7 @@
 import {answerLookup} from './lookup-handler.js';
 import {answerOperator} from './operator-handler.js';
 import {answerOutcome, OUTCOME_PATH} from './outcome-handler.js';
+import {PlacementCounts} from './operators/placement-counts.js';
 
 const MOST_SEED = 2_147_483_647;
 const EVENTS_KEPT = 4096;
@@ -39,34 +45,59 @@
 	stop(): Promise<void>;
 }
 
+/** Options of {@link startEntry}. */
+export interface StartEntryOptions {
+	readonly settings: Settings;
+	/** How calls are bound to backend servers; by slot owners when absent. */
+	readonly createPlacement?: CreatePlacement;
+}
+
 /** Starts an entry instance. */
-export async function startEntry({settings}: {readonly settings: Settings}): Promise<EntryDaemon> {
+export async function startEntry({settings, createPlacement = createOwnedPlacement}: StartEntryOptions): Promise<EntryDaemon> {
+	useLogNamespaces(settings.logNamespaces);
 	const log = createLog('entry');
 	const now = (): number => performance.now();
 	const counters = new Counters({target: settings.metrics, tags: {instance: settings.instance, failureDomain: settings.failureDomain}});
 	const events = new EventRecord({capacity: EVENTS_KEPT, now: () => Date.now()});
-	const store = new ConsulStore({endpoint: settings.store});
+	const store = new ObservedStore({store: new ConsulStore({endpoint: settings.store}), now});
 	const holder = new ConfigurationHolder();
 	const clients = new PeerClients();
 	const random = xoroshiro128plus(randomInt(MOST_SEED));
 	const drawPart = (): number => uniformInt(random, 0, MOST_SEED - 1) / MOST_SEED;
 	const fleet = startFleetView({
-		settings, store, holder, clients, counters, events, now, drawPart, load: () => handler.inProgress / settings.limits.calls,
+		settings, store, holder, clients, counters, events, now, drawPart, load: () => handler.inProgress / settings.limits.calls, prepare: async set => lookup.prepare(set),
 	});
 	const {membership, distribution} = fleet;
-	const lookup = new LookupView({members: () => membership.members});
+	const lookup = new LookupView({members: () => membership.members, pause});
+	const currentSet = () => holder.view?.configuration.set;
+	// Calls that wait for a slot have sessions of their own, which no other message's deadline closes.
+	const slotClients = new PeerClients();
+	const placement = await createPlacement({
+		instance: settings.instance,
+		failureDomain: settings.failureDomain,
+		currentSet,
+		liveInstances: () => membership.liveInstances(),
+		peers: slotClients,
+		store,
+		draw: below => uniformInt(random, 0, below - 1),
+		now,
+		count(counter) {
+			counters.add(counter);
+		},
+	});
 	holder.onChange(({set}) => {
 		lookup.useSet(set);
+		placement.useSet(set);
 	});
 	const dispatcher = new Agent({connections: CONNECTIONS_PER_SERVER, pipelining: 1});
-	const currentSet = () => holder.view?.configuration.set;
 	const keyedCalls = createKeyedCalls({
 		settings, clients, counters, liveInstances: () => membership.liveInstances(), now,
 	});
+	const placementCounts = new PlacementCounts();
 	const handler = new CallHandler({
 		currentSet,
 		findSite: address => lookup.findSite(address),
-		placeCall: createLocalPlacement({currentSet, draw: below => uniformInt(random, 0, below - 1)}),
+		placeCall: placementCounts.around(placement.placeCall),
 		dispatcher,
 		counters,
 		events,
@@ -82,7 +113,16 @@
 	});
 	const operators = createServer((request, response) => {
 		answerOperator({
-			request, response, settings, holder, counters, events, lookup, now,
+			request,
+			response,
+			settings,
+			holder,
+			counters,
+			events,
+			lookup,
+			sources: {listCallsInProgress: () => placementCounts.inProgress, storeState: () => store.report},
+			callsInProgress: () => handler.inProgress,
+			now,
 		});
 	});
 	const peers = await startPeerServer({
@@ -95,6 +135,7 @@
 			membership.register(router);
 			distribution.register(router);
 			keyedCalls.register(router);
+			placement.register(router);
 		},
 	});
 	await Promise.all([listen({server: callers, endpoint: settings.listen.callers}), listen({server: operators, endpoint: settings.listen.operators})]);
@@ -104,6 +145,7 @@
 	};
 	membership.start(self);
 	distribution.start();
+	placement.start();
 	log('instance %s listens on %o', settings.instance, callers.address());
 	return {
 		endpoints,
@@ -112,10 +154,12 @@
 			membership.leave();
 			await closeServer({server: callers, timeoutMs: settings.shutdownTimeoutMs});
 			await keyedCalls.stop();
+			await placement.stop();
 			membership.stop();
 			await distribution.stop();
 			await closeServer({server: operators, timeoutMs: settings.shutdownTimeoutMs});
 			clients.close();
+			slotClients.close();
 			await Promise.all([peers.stop(), fleet.stop(), dispatcher.destroy(), store.close(), counters.close()]);
 			log('instance %s stopped', settings.instance);
 		},
