Keep the fleet's instances in order of their names

Ruled out: a fault of the status command; it named the right instance. Change: the harness sorts its instances by name. Conclusion: the test was right and stays as it is.

--- a/daemons/entry/src/operator-handler.ts
+++ b/daemons/entry/src/operator-handler.ts
@@ -50,7 +50,11 @@
 
 const routes: Readonly<Record<string, Route>> = {
 	'/v1/status'({options}) {
-		sendJson({response: options.response, document: createStatus({...options, callsInProgress: options.callsInProgress(), isWatcher: options.isWatcher(), nowMs: options.now()})});
+		sendJson({
+			response: options.response, document: createStatus({
+				...options, callsInProgress: options.callsInProgress(), isWatcher: options.isWatcher(), nowMs: options.now(),
+			}),
+		});
 	},
 	'/v1/explain'({options, parameters}) {
 		const {response, settings, lookup, sources, now} = options;
--- a/testing/fleet/src/fleet.ts
+++ b/testing/fleet/src/fleet.ts
@@ -158,6 +158,8 @@
 		const instance = await this.#options.adjustInstance?.(started) ?? started;
 		const entry: EntryProcess = {instance, child};
 		this.entries.push(entry);
+		// Instances start together and are ready in any order; tests pick them by position.
+		this.entries.sort((left, right) => left.instance.id.localeCompare(right.instance.id, 'en', {numeric: true}));
 		await this.list({entry, state: 'live'});
 		return entry;
 	}
--- a/testing/fleet/test/configuration.test.ts
+++ b/testing/fleet/test/configuration.test.ts
@@ -40,7 +40,18 @@
 	const storeProxy = new FaultProxy({target: storeTarget, seed: SEED});
 
 	const statusOf = async ({instance}: EntryProcess): Promise<Status> => getJson<Status>({endpoint: instance.operators, path: '/v1/status'});
-	const versionsOf = async (entries: readonly EntryProcess[]): Promise<readonly number[]> => Promise.all(entries.map(async entry => (await statusOf(entry)).configurationVersion ?? 0));
+	const versionOf = async (entry: EntryProcess): Promise<number> => {
+		const {configurationVersion} = await statusOf(entry);
+		return configurationVersion ?? 0;
+	};
+
+	const replaceEntry = async (entry: EntryProcess): Promise<void> => {
+		const {id, failureDomain} = entry.instance;
+		await fleet.killEntry(entry);
+		await fleet.startEntry({id, failureDomain});
+	};
+
+	const versionsOf = async (entries: readonly EntryProcess[]): Promise<readonly number[]> => Promise.all(entries.map(async entry => versionOf(entry)));
 	const nextSet = (): ConfigurationSetInput => {
 		serial += 1;
 		return {...fleet.configurationSet(), clientBlocks: [{prefix: `10.${serial}.0.0/16`, site: 'muntenia-1-site'}]};
@@ -57,7 +68,10 @@
 	};
 
 	const waitForVersion = async ({version, entries = fleet.entries}: {readonly version: number; readonly entries?: readonly EntryProcess[]}): Promise<void> => waitUntil({
-		description: `version ${version} in force`, boundMs: BOUND_MS, holds: async () => (await versionsOf(entries)).every(held => held >= version),
+		description: `version ${version} in force`, boundMs: BOUND_MS, async holds() {
+			const versions = await versionsOf(entries);
+			return versions.every(held => held >= version);
+		},
 	});
 	const waitForLive = async (): Promise<void> => waitUntil({
 		description: 'every instance knows the living ones', boundMs: BOUND_MS, async holds() {
@@ -91,12 +105,7 @@
 			await fleet.setPlatformFaults({loseNextWriteAnswers: operators});
 			const [outcomes] = await Promise.all([
 				Promise.all(Array.from({length: operators}, async () => publish(base))),
-				(async () => {
-					const [entry] = fleet.entries as [EntryProcess];
-					const {id, failureDomain} = entry.instance;
-					await fleet.killEntry(entry);
-					await fleet.startEntry({id, failureDomain});
-				})(),
+				replaceEntry(fleet.entries[0]!),
 			]);
 			assert.equal(outcomes.filter(({kind}) => kind === 'accepted').length, 1, JSON.stringify(outcomes));
 			await waitForVersion({version: base + 1});
@@ -168,7 +177,8 @@
 			store, set, author: 'test', nowMs: Date.now(),
 		}).run();
 		const key = `${CHUNK_PREFIX}${chunk.hash}`;
-		const {modifyIndex} = (await store.get(key).run()).unsafeCoerce()!;
+		const stored = await store.get(key).run();
+		const {modifyIndex} = stored.unsafeCoerce()!;
 		await store.compareAndSwap({key, value: chunk.content.slice(0, chunk.bytes / 2), expectedIndex: modifyIndex}).run();
 		storeProxy.set({frozen: false});
 		await waitUntil({
