--- a/cli/pomelopick/src/change-command.ts
+++ b/cli/pomelopick/src/change-command.ts
@@ -19,10 +19,12 @@
 import type {PreparedChange} from './publish-change.js';
 
 /** Details that the help of each such command ends with. */
-export const CHANGE_DETAILS = `
-	Without --yes, only the preview is printed. With --instance, the headroom is judged by the calls that the fleet has in progress,
-	and a change without headroom is published only with --force. The publish is refused when another one came between.
-`;
+export const CHANGE_DETAILS = [
+	'Without --yes, only the preview is printed.',
+	'With --instance, the headroom is judged by the calls that the fleet has in progress.',
+	'A change without headroom is published only with --force.',
+	'The publish is refused when another one came between.',
+].join(' ');
 
 interface RunChangeOptions {
 	readonly store: KeyValueStore;
--- a/cli/pomelopick/src/fleet-status.ts
+++ b/cli/pomelopick/src/fleet-status.ts
@@ -56,6 +56,7 @@
 	return [
 		`${instances.length} of ${instances.length + missing.length} instances answer; ${formatVersions(versions)}`,
 		...formatMissing(missing),
+		...formatStoreFailures(instances),
 		'',
 		formatInstances(instances),
 		'',
@@ -93,11 +94,24 @@
 			Math.round((report.instances.find(({id}) => id === report.instance)?.load ?? 0) * PERCENT),
 			Math.round(report.memoryBytes / BYTES_PER_MEGABYTE),
 			Math.round(report.uptimeMs / 1000),
-			report.store.state === 'failing' ? `failing: ${report.store.lastFailure ?? ''}` : report.store.state,
+			report.store.state,
 		]),
 	});
 }
 
+/** One line for each different failure of the store, with its youngest age. */
+function formatStoreFailures(instances: readonly StatusReport[]): string[] {
+	const failures = new Map<string, {count: number; ageMs: number}>();
+	for (const {store: {state, lastFailure = '', lastFailureAgeMs = 0}} of instances) {
+		if (state === 'failing') {
+			const {count = 0, ageMs = lastFailureAgeMs} = failures.get(lastFailure) ?? {};
+			failures.set(lastFailure, {count: count + 1, ageMs: Math.min(ageMs, lastFailureAgeMs)});
+		}
+	}
+
+	return [...failures].map(([failure, {count, ageMs}]) => `store: failing at ${count} instances, last ${ageMs} ms ago: ${failure}`);
+}
+
 function formatVersions(versions: FleetSummary['versions']): string {
 	if (versions.length === 0) {
 		return 'no configuration in force';
--- a/core/table/src/table.ts
+++ b/core/table/src/table.ts
@@ -6,11 +6,14 @@
 	readonly rows: ReadonlyArray<ReadonlyArray<string | number>>;
 }
 
-/** Aligns the columns: the first to the left, the others to the right. */
+const NUMERIC_CELL = /^(?:-?\d+(?:\.\d+)?|-|)$/u;
+
+/** Aligns the columns: those of numbers to the right, the others to the left. */
 export function formatTable({columns, rows}: FormatTableOptions): string {
 	const lines = [columns, ...rows].map(row => row.map(String));
 	const widths = columns.map((_, column) => Math.max(...lines.map(line => line[column]?.length ?? 0)));
+	const isNumeric = columns.map((_, column) => rows.length > 0 && lines.slice(1).every(line => NUMERIC_CELL.test(line[column] ?? '')));
 	return lines
-		.map(line => line.map((cell, column) => column === 0 ? cell.padEnd(widths[column]!) : cell.padStart(widths[column]!)).join('  '))
+		.map(line => line.map((cell, column) => isNumeric[column] ? cell.padStart(widths[column]!) : cell.padEnd(widths[column]!)).join('  ').trimEnd())
 		.join('\n');
 }
--- a/daemons/entry/src/operators/explain-servers.ts
+++ b/daemons/entry/src/operators/explain-servers.ts
@@ -65,7 +65,7 @@
 	}
 
 	const region = position === 0 ? 'home region' : `spill region ${position}`;
-	return isFull ? `candidate in the ${region}; all slots in use` : `candidate in the ${region}`;
+	return isFull ? `candidate in ${region}; all slots in use` : `candidate in ${region}`;
 }
 
 /** Name of the first drain that covers a server. */
