--- a/core/types/src/operator-reports.ts
+++ b/core/types/src/operator-reports.ts
@@ -68,6 +68,8 @@
 	/** Absent before the first version arrived. */
 	readonly configurationVersion?: number;
 	readonly newestKnownVersion: number;
+	/** Whether this instance watches the key-value service for the others of its failure domain. */
+	readonly isWatcher: boolean;
 	/** Time since the instance knew that its version is the newest, in milliseconds. */
 	readonly viewAgeMs?: number;
 	readonly uptimeMs: number;
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -14,7 +14,9 @@
 import {
 	Counters, createLog, EventRecord, useLogNamespaces,
 } from '@pomelopick/core.telemetry';
-import {CallHandler, createLocalPlacement} from '@pomelopick/calls.forwarding';
+import {CallHandler} from '@pomelopick/calls.forwarding';
+import {createOwnedPlacement} from '@pomelopick/calls.placement';
+import type {CreatePlacement} from '@pomelopick/calls.placement';
 import {ConfigurationHolder, Distribution} from '@pomelopick/config.distribution';
 import type {Settings} from '@pomelopick/config.settings';
 import {HelloService} from '@pomelopick/peer.protocol';
@@ -43,8 +45,15 @@
 	stop(): Promise<void>;
 }
 
+/** Options of {@link startEntry}. */
+export interface StartEntryOptions {
+	readonly settings: Settings;
+	/** How calls are bound to backend servers; by slot owners when absent. */
+	readonly createPlacement?: CreatePlacement;
+}
+
 /** Starts an entry instance. */
-export async function startEntry({settings}: {readonly settings: Settings}): Promise<EntryDaemon> {
+export async function startEntry({settings, createPlacement = createOwnedPlacement}: StartEntryOptions): Promise<EntryDaemon> {
 	useLogNamespaces(settings.logNamespaces);
 	const log = createLog('entry');
 	const now = (): number => performance.now();
@@ -60,11 +69,27 @@
 	});
 	const {membership, distribution} = fleet;
 	const lookup = new LookupView({members: () => membership.members, pause});
+	const currentSet = () => holder.view?.configuration.set;
+	// Calls that wait for a slot have sessions of their own, which no other message's deadline closes.
+	const slotClients = new PeerClients();
+	const placement = await createPlacement({
+		instance: settings.instance,
+		failureDomain: settings.failureDomain,
+		currentSet,
+		liveInstances: () => membership.liveInstances(),
+		peers: slotClients,
+		store,
+		draw: below => uniformInt(random, 0, below - 1),
+		now,
+		count(counter) {
+			counters.add(counter);
+		},
+	});
 	holder.onChange(({set}) => {
 		lookup.useSet(set);
+		placement.useSet(set);
 	});
 	const dispatcher = new Agent({connections: CONNECTIONS_PER_SERVER, pipelining: 1});
-	const currentSet = () => holder.view?.configuration.set;
 	const keyedCalls = createKeyedCalls({
 		settings, clients, counters, liveInstances: () => membership.liveInstances(), now,
 	});
@@ -72,7 +97,7 @@
 	const handler = new CallHandler({
 		currentSet,
 		findSite: address => lookup.findSite(address),
-		placeCall: placementCounts.around(createLocalPlacement({currentSet, draw: below => uniformInt(random, 0, below - 1)})),
+		placeCall: placementCounts.around(placement.placeCall),
 		dispatcher,
 		counters,
 		events,
@@ -97,6 +122,7 @@
 			lookup,
 			sources: {listCallsInProgress: () => placementCounts.inProgress, storeState: () => store.report},
 			callsInProgress: () => handler.inProgress,
+			isWatcher: () => distribution.isWatcher,
 			now,
 		});
 	});
@@ -110,6 +136,7 @@
 			membership.register(router);
 			distribution.register(router);
 			keyedCalls.register(router);
+			placement.register(router);
 		},
 	});
 	await Promise.all([listen({server: callers, endpoint: settings.listen.callers}), listen({server: operators, endpoint: settings.listen.operators})]);
@@ -119,6 +146,7 @@
 	};
 	membership.start(self);
 	distribution.start();
+	placement.start();
 	log('instance %s listens on %o', settings.instance, callers.address());
 	return {
 		endpoints,
@@ -127,10 +155,12 @@
 			membership.leave();
 			await closeServer({server: callers, timeoutMs: settings.shutdownTimeoutMs});
 			await keyedCalls.stop();
+			await placement.stop();
 			membership.stop();
 			await distribution.stop();
 			await closeServer({server: operators, timeoutMs: settings.shutdownTimeoutMs});
 			clients.close();
+			slotClients.close();
 			await Promise.all([peers.stop(), fleet.stop(), dispatcher.destroy(), store.close(), counters.close()]);
 			log('instance %s stopped', settings.instance);
 		},
