--- a/calls/forwarding/src/attempt.ts
+++ b/calls/forwarding/src/attempt.ts
@@ -1,7 +1,9 @@
 /** One attempt of a call: placed, sent over a connection of its own, and accounted for. */
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import type {Refusal, RetryReason} from '@pomelopick/core.types';
+import type {
+	BackendServerName, Refusal, RetryReason, ServiceName,
+} from '@pomelopick/core.types';
 import type {BackendConnections} from '@pomelopick/calls.connections';
 import type {DeathWatch} from '@pomelopick/calls.quarantine';
 import {ATTEMPTS_HEADER, CALL_ID_HEADER, TIMEOUT_HEADER} from './call-headers.js';
@@ -18,6 +20,8 @@
 /** What attempts need. */
 export interface AttemptParts {
 	readonly placeCall: PlaceCall;
+	/** Whether the service has a backend server besides those. */
+	readonly hasServerBesides: (options: {readonly service: ServiceName; readonly servers: ReadonlySet<BackendServerName>}) => boolean;
 	readonly connections: BackendConnections;
 	readonly deathWatch: DeathWatch;
 	/** Monotonic time, in milliseconds. */
@@ -180,8 +184,9 @@
 		}
 
 		const server = this.#placement!.server.name;
-		this.release('shed');
-		return Left(toShedAttempt({server, answer}));
+		const shed = toShedAttempt({server, answer});
+		this.release(shed.retryReason === 'backend-leaving' ? 'leaving' : 'shed');
+		return Left(shed);
 	}
 
 	async #onFailure(failure: AttemptFailure): Promise<Either<FailedAttempt, Answered>> {
--- a/calls/forwarding/src/call-handler.ts
+++ b/calls/forwarding/src/call-handler.ts
@@ -15,18 +15,19 @@
 import type {CallDemands} from './call-headers.js';
 import {CallRun} from './call-run.js';
 import {CallState} from './call-state.js';
+import {isKeyed, limitClaim} from './key-claim.js';
 import type {KeyedOutcome, KeyedRun, KeyGuard} from './key-guard.js';
 import type {PlaceCall} from './placement.js';
 import {sendRefusal} from './refuse.js';
 import {sendWhole} from './send-whole.js';
-import {readBody} from './request-body.js';
+import {HELD_BODY_BYTES, readBody} from './request-body.js';
 import {ServicePolicies} from './service-policies.js';
 
 const MOST_ATTEMPTS = 3;
 /** Bytes of an answer that are held, so that one that breaks off becomes a refusal or is tried again. */
 const HELD_ANSWER_BYTES = 32_768;
-/** Bytes of an answer to a keyed call that are held, so that its outcome can be recorded. */
-const HELD_KEYED_ANSWER_BYTES = 262_144;
+/** Bytes of a keyed call's body, and of its answer, that are held: copies are compared and answered by the whole. */
+const HELD_KEYED_BYTES = 8_388_608;
 
 /** Options of {@link CallHandler}. */
 export interface CallHandlerOptions {
@@ -77,10 +78,14 @@
 	#inProgress = 0;
 
 	constructor(options: CallHandlerOptions) {
-		const {placeCall, connections, deathWatch, now} = options;
+		const {placeCall, connections, deathWatch, now, currentSet} = options;
 		this.#options = options;
 		this.#parts = {
-			placeCall, connections, deathWatch, now,
+			placeCall,
+			hasServerBesides: ({service, servers}) => (currentSet()?.backendServers ?? []).some(server => server.service === service && !servers.has(server.name)),
+			connections,
+			deathWatch,
+			now,
 		};
 		this.#policies = new ServicePolicies({now});
 	}
@@ -97,7 +102,7 @@
 			...this.#options, inProgress: this.#inProgress, headers: options.request.headers, serviceName: options.serviceName,
 		});
 		if (refusal) {
-			this.#refuse({response: options.response, id, refusal});
+			this.#refuse({response: options.response, id, refusal: limitClaim({request: options.request, refusal})});
 			return;
 		}
 
@@ -117,9 +122,11 @@
 		const {now, findSite, limits} = this.#options;
 		const startedAtMs = now();
 		const timeoutMs = demands.timeoutMs ?? service.defaultTimeoutMs;
-		const body = await readBody({request, mostBytes: limits.bodyBytes, timeoutMs});
+		const body = await readBody({
+			request, mostBytes: limits.bodyBytes, heldBytes: isKeyed(request) ? HELD_KEYED_BYTES : HELD_BODY_BYTES, timeoutMs,
+		});
 		if (body.isLeft()) {
-			this.#refuse({response, id, refusal: body.extract()});
+			this.#refuse({response, id, refusal: limitClaim({request, refusal: body.extract()})});
 			return;
 		}
 
@@ -131,7 +138,7 @@
 			path,
 			headers: endToEndHeaders(request.headers),
 			body: body.unsafeCoerce(),
-			key: demands.key,
+			key: isKeyed(request) ? demands.key : undefined,
 			caller,
 			callerSite: findSite(caller),
 			startedAtMs,
@@ -144,11 +151,10 @@
 	/** Carries a call within its deadline and while its caller stays. */
 	async #carryWithin({response, call}: Omit<CarryOptions, 'run'>): Promise<void> {
 		const {quarantine, counters, now} = this.#options;
-		const isKeyed = call.options.key !== undefined && !call.isRead;
 		const policy = this.#policies.of(call.options.service.name);
 		policy.budget.noteCall();
 		const run = new CallRun({
-			call, parts: this.#parts, policy, quarantine, counters, heldBytes: isKeyed ? HELD_KEYED_ANSWER_BYTES : HELD_ANSWER_BYTES,
+			call, parts: this.#parts, policy, quarantine, counters, heldBytes: call.options.key === undefined ? HELD_ANSWER_BYTES : HELD_KEYED_BYTES,
 		});
 		const timer = setTimeout(() => {
 			run.end('deadline');
@@ -168,10 +174,10 @@
 		const {id, key} = call.options;
 		if (!quarantine.isEmpty && quarantine.standingOf(call.fingerprint()) === 'convicted') {
 			const refusal: Refusal = {reason: 'request-quarantined', execution: 'not-run', detail: 'the request is taken to crash backend servers'};
-			return this.#refuse({response, id, refusal});
+			return this.#refuse({response, id, refusal: limitClaim({request: response.req, refusal})});
 		}
 
-		if (!keyGuard || key === undefined || call.isRead) {
+		if (!keyGuard || key === undefined) {
 			return this.#deliver({response, call, result: await run.run()});
 		}
 
@@ -179,7 +185,7 @@
 			key, service: call.options.service.name, fingerprint: call.fingerprint(), deadlineMs: call.options.deadlineMs, signal: call.ended.signal,
 		});
 		return begun.isLeft()
-			? this.#refuse({response, id, refusal: begun.extract()})
+			? this.#refuse({response, id, refusal: limitClaim({request: response.req, refusal: begun.extract()})})
 			: this.#carryKeyed({
 				response, call, run, keyed: begun.unsafeCoerce(),
 			});
--- a/calls/forwarding/src/call-run.ts
+++ b/calls/forwarding/src/call-run.ts
@@ -94,6 +94,11 @@
 			return undefined;
 		}
 
+		if (!parts.hasServerBesides({service: call.options.service.name, servers: call.avoidServers})) {
+			counters.add('retry.no-other-server');
+			return undefined;
+		}
+
 		if (call.sentAttempts >= call.options.mostAttempts || call.attempts >= MOST_TRIES) {
 			counters.add('retry.attempts-used-up');
 			return undefined;
--- a/calls/forwarding/src/failed-attempt.ts
+++ b/calls/forwarding/src/failed-attempt.ts
@@ -1,11 +1,11 @@
 /** What a failed attempt means for its call. */
 import type {BackendServerName, RefusalReason, RetryReason} from '@pomelopick/core.types';
 import type {FailedAttempt} from './attempt.js';
+import {DRAINING_HEADER} from './call-headers.js';
 import type {AnswerHead, AttemptFailure, AttemptFailureKind} from './exchange.js';
 
 const SHED_RETRY_AFTER_MS = 1000;
 const MILLISECONDS_PER_SECOND = 1000;
-const DRAINING_HEADER = 'x-draining';
 
 interface Meaning {
 	readonly reason: RefusalReason;
--- a/calls/forwarding/src/index.ts
+++ b/calls/forwarding/src/index.ts
@@ -3,6 +3,7 @@
 export * from './call-handler.js';
 export * from './call-headers.js';
 export * from './exchange.js';
+export * from './key-claim.js';
 export type * from './key-guard.js';
 export * from './latency-tracker.js';
 export * from './local-placement.js';
--- a/calls/forwarding/src/request-body.ts
+++ b/calls/forwarding/src/request-body.ts
@@ -6,7 +6,7 @@
 import type {Either} from 'purify-ts';
 import type {Refusal} from '@pomelopick/core.types';
 
-/** Bytes of a body that are held before the call is sent on. */
+/** Bytes of the body of a call without a key that are held. */
 export const HELD_BODY_BYTES = 65_536;
 /** Time in which the held part must arrive, in milliseconds. */
 const BODY_TIMEOUT_MS = 10_000;
@@ -27,6 +27,8 @@
 export interface ReadBodyOptions {
 	readonly request: IncomingMessage;
 	readonly mostBytes: number;
+	/** Bytes that are held before the call is sent on; a larger body streams. */
+	readonly heldBytes: number;
 	/** Time left for the call, in milliseconds. */
 	readonly timeoutMs: number;
 }
@@ -41,7 +43,7 @@
 }
 
 /** Reads the held part of a body. Left: `body-too-large`, `body-too-slow` or `caller-cancelled`, all not run. */
-export async function readBody({request, mostBytes, timeoutMs}: ReadBodyOptions): Promise<Either<Refusal, RequestBody>> {
+export async function readBody({request, mostBytes, heldBytes, timeoutMs}: ReadBodyOptions): Promise<Either<Refusal, RequestBody>> {
 	if (!hasBody(request)) {
 		return Right(emptyBody);
 	}
@@ -51,7 +53,7 @@
 		return Left(tooLarge({found: `${declared}`, mostBytes, execution: 'not-run'}));
 	}
 
-	const start = await readStart({request, timeoutMs: Math.min(BODY_TIMEOUT_MS, timeoutMs)});
+	const start = await readStart({request, heldBytes, timeoutMs: Math.min(BODY_TIMEOUT_MS, timeoutMs)});
 	return start.chain(({bytes, isWhole}) => {
 		if (bytes.length > mostBytes) {
 			return Left(tooLarge({found: `more than ${mostBytes}`, mostBytes, execution: 'not-run'}));
@@ -66,7 +68,7 @@
 	readonly isWhole: boolean;
 }
 
-async function readStart({request, timeoutMs}: {readonly request: IncomingMessage; readonly timeoutMs: number}): Promise<Either<Refusal, BodyStart>> {
+async function readStart({request, heldBytes, timeoutMs}: {readonly request: IncomingMessage; readonly heldBytes: number; readonly timeoutMs: number}): Promise<Either<Refusal, BodyStart>> {
 	return new Promise(resolve => {
 		const pieces: Uint8Array[] = [];
 		let length = 0;
@@ -80,7 +82,7 @@
 		const onData = (piece: Uint8Array): void => {
 			pieces.push(piece);
 			length += piece.length;
-			if (length > HELD_BODY_BYTES) {
+			if (length > heldBytes) {
 				finish(Right({bytes: Buffer.concat(pieces), isWhole: false}));
 			}
 		};
--- a/config/settings/src/settings.ts
+++ b/config/settings/src/settings.ts
@@ -18,6 +18,8 @@
 	store: endpoint,
 	/** List of instances. */
 	instanceList: endpoint,
+	/** Peer listeners of other instances, asked while the list of instances does not answer. */
+	seeds: z.array(endpoint).default([]),
 	metrics: z.strictObject({host: address, port: z.int().min(1).max(65_535)}).optional(),
 	limits: z.strictObject({
 		/** Calls in progress at this instance, waiting ones included. */
@@ -27,10 +29,15 @@
 	}).default({calls: 2000, bodyBytes: 8_388_608}),
 	/** Longest time that a stopping process waits for calls in flight, in milliseconds. */
 	shutdownTimeoutMs: z.int().min(0).max(600_000).default(30_000),
-	/** Namespaces of the `debug` library that are written. */
-	logNamespaces: z.string().default('pomelopick:*'),
+	/** Namespaces of the `debug` library that are written; the `DEBUG` variable of the environment goes before it. */
+	logNamespaces: z.string().default(''),
 });
 
+/** JSON Schema (2020-12) of a settings file, for editors. */
+export function settingsJsonSchema(): Record<string, unknown> {
+	return z.toJSONSchema(settingsSchema, {io: 'input'});
+}
+
 /** Settings of one process. */
 export type Settings = z.output<typeof settingsSchema>;
 
--- a/daemons/entry/src/call-safety.ts
+++ b/daemons/entry/src/call-safety.ts
@@ -6,7 +6,7 @@
 	createPeerSharing, DeathWatch, learnFromPeers, Quarantine,
 } from '@pomelopick/calls.quarantine';
 import type {Settings} from '@pomelopick/config.settings';
-import type {PeerClients} from '@pomelopick/peer.transport';
+import {PeerClients} from '@pomelopick/peer.transport';
 
 const LEARN_RETRY_MS = 500;
 const MOST_LEARN_TRIES = 20;
@@ -16,7 +16,6 @@
 	readonly settings: Settings;
 	readonly counters: Counters;
 	readonly events: EventRecord;
-	readonly peerClients: PeerClients;
 	readonly listInstances: () => readonly Instance[];
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
@@ -32,7 +31,8 @@
 }
 
 /** Creates the parts. */
-export function createCallSafety({settings, counters, events, peerClients, listInstances, now}: CreateCallSafetyOptions): CallSafety {
+export function createCallSafety({settings, counters, events, listInstances, now}: CreateCallSafetyOptions): CallSafety {
+	const peerClients = new PeerClients();
 	const listPeers = (): readonly Endpoint[] => listInstances().filter(({id}) => id !== settings.instance).map(({peers}) => peers);
 	const connections = new BackendConnections({
 		now, onReplaced({server, connections: count}) {
@@ -80,6 +80,7 @@
 		},
 		async stop() {
 			clearTimeout(timer);
+			peerClients.close();
 			await connections.close();
 		},
 	};
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -4,24 +4,34 @@
 import {randomInt} from 'node:crypto';
 import type {AddressInfo} from 'node:net';
 import {performance} from 'node:perf_hooks';
+import {setImmediate as pause} from 'node:timers/promises';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
-import type {Endpoint} from '@pomelopick/core.types';
-import {Counters, createLog, EventRecord} from '@pomelopick/core.telemetry';
-import {CallHandler, createLocalPlacement} from '@pomelopick/calls.forwarding';
+import type {Endpoint, Instance} from '@pomelopick/core.types';
+import {
+	Counters, createLog, EventRecord, useLogNamespaces,
+} from '@pomelopick/core.telemetry';
+import {CallHandler} from '@pomelopick/calls.forwarding';
+import {createOwnedPlacement} from '@pomelopick/calls.placement';
+import type {CreatePlacement} from '@pomelopick/calls.placement';
 import {registerQuarantine} from '@pomelopick/calls.quarantine';
-import {ConfigurationHolder, StoreWatcher} from '@pomelopick/config.distribution';
+import {ConfigurationHolder, Distribution} from '@pomelopick/config.distribution';
 import type {Settings} from '@pomelopick/config.settings';
 import {HelloService} from '@pomelopick/peer.protocol';
+import {Membership} from '@pomelopick/peer.membership';
 import {PeerClients, startPeerServer} from '@pomelopick/peer.transport';
-import {ConsulInstanceList} from '@pomelopick/platform.instances';
-import {ConsulStore} from '@pomelopick/platform.store';
+import {ConsulStore, ObservedStore} from '@pomelopick/platform.store';
 import {answerBadTarget, parseTarget} from './call-target.js';
 import {CallerListener} from './caller-listener.js';
 import {createCallSafety} from './call-safety.js';
+import {startFleetView} from './fleet-view.js';
+import {createKeyedCalls} from './keyed-calls.js';
+import type {KeyedCalls} from './keyed-calls.js';
 import {LookupView} from './lookup-view.js';
 import {answerLookup} from './lookup-handler.js';
 import {answerOperator} from './operator-handler.js';
+import {answerOutcome, OUTCOME_PATH} from './outcome-handler.js';
+import {PlacementCounts} from './operators/placement-counts.js';
 
 const MOST_SEED = 2_147_483_647;
 const EVENTS_KEPT = 4096;
@@ -34,39 +44,61 @@
 	stop(): Promise<void>;
 }
 
+/** Options of {@link startEntry}. */
+export interface StartEntryOptions {
+	readonly settings: Settings;
+	/** How calls are bound to backend servers; by slot owners when absent. */
+	readonly createPlacement?: CreatePlacement;
+}
+
 /** Starts an entry instance. */
-export async function startEntry({settings}: {readonly settings: Settings}): Promise<EntryDaemon> {
+export async function startEntry({settings, createPlacement = createOwnedPlacement}: StartEntryOptions): Promise<EntryDaemon> {
+	useLogNamespaces(settings.logNamespaces);
 	const log = createLog('entry');
 	const now = (): number => performance.now();
 	const counters = new Counters({target: settings.metrics, tags: {instance: settings.instance, failureDomain: settings.failureDomain}});
 	const events = new EventRecord({capacity: EVENTS_KEPT, now: () => Date.now()});
-	const store = new ConsulStore({endpoint: settings.store});
+	const store = new ObservedStore({store: new ConsulStore({endpoint: settings.store}), now});
 	const holder = new ConfigurationHolder();
-	const watcher = new StoreWatcher({
-		store, holder, now, onFailure(message) {
-			counters.add('store.failure');
-			events.add({kind: 'store', message});
-		},
+	const clients = new PeerClients();
+	const random = xoroshiro128plus(randomInt(MOST_SEED));
+	const drawPart = (): number => uniformInt(random, 0, MOST_SEED - 1) / MOST_SEED;
+	const fleet = startFleetView({
+		settings, store, holder, clients, counters, events, now, drawPart, load: () => handler.inProgress / settings.limits.calls, prepare: async set => lookup.prepare(set),
 	});
-	const lookup = new LookupView({
-		instanceList: new ConsulInstanceList({endpoint: settings.instanceList}), onFailure(message) {
-			events.add({kind: 'membership', message});
+	const {membership, distribution} = fleet;
+	const lookup = new LookupView({members: () => membership.members, pause});
+	const currentSet = () => holder.view?.configuration.set;
+	// Calls that wait for a slot have sessions of their own, which no other message's deadline closes.
+	const slotClients = new PeerClients();
+	const placement = await createPlacement({
+		instance: settings.instance,
+		failureDomain: settings.failureDomain,
+		currentSet,
+		liveInstances: () => membership.liveInstances(),
+		peers: slotClients,
+		store,
+		draw: below => uniformInt(random, 0, below - 1),
+		now,
+		count(counter) {
+			counters.add(counter);
 		},
 	});
-	holder.onChange(({root, set}) => {
+	holder.onChange(({set}) => {
 		lookup.useSet(set);
-		events.add({kind: 'configuration', message: 'version in force', fields: {version: root.version}});
+		placement.useSet(set);
 	});
-	const peerClients = new PeerClients();
 	const safety = createCallSafety({
-		settings, counters, events, now, peerClients, listInstances: () => lookup.instances,
+		settings, counters, events, now, listInstances: () => membership.liveInstances(),
 	});
-	const random = xoroshiro128plus(randomInt(MOST_SEED));
-	const currentSet = () => holder.view?.configuration.set;
+	const keyedCalls = createKeyedCalls({
+		settings, clients, counters, liveInstances: () => membership.liveInstances(), now,
+	});
+	const placementCounts = new PlacementCounts();
 	const handler: CallHandler = new CallHandler({
 		currentSet,
 		findSite: address => lookup.findSite(address),
-		placeCall: createLocalPlacement({currentSet, draw: below => uniformInt(random, 0, below - 1)}),
+		placeCall: placementCounts.around(placement.placeCall),
 		connections: safety.connections,
 		quarantine: safety.quarantine,
 		deathWatch: safety.deathWatch,
@@ -76,46 +108,69 @@
 		events,
 		log: createLog('call'),
 		now,
+		keyGuard: keyedCalls.guard,
 	});
 
 	const callers: CallerListener = new CallerListener({
 		counters,
 		mostCalls: settings.limits.calls,
 		route: async ({request, response}) => routeCaller({
-			request, response, handler, lookup, holder, counters, now,
+			request, response, handler, lookup, holder, counters, now, keyedCalls,
 		}),
 	});
 	const operators = createServer((request, response) => {
 		answerOperator({
-			request, response, settings, holder, counters, events, lookup, now,
+			request,
+			response,
+			settings,
+			holder,
+			counters,
+			events,
+			lookup,
+			sources: {listCallsInProgress: () => placementCounts.inProgress, storeState: () => store.report},
+			callsInProgress: () => handler.inProgress,
+			isWatcher: () => distribution.isWatcher,
+			now,
 		});
 	});
 	const peers = await startPeerServer({
 		endpoint: settings.listen.peers, register(router) {
-			registerQuarantine({router, quarantine: safety.quarantine, now});
 			router.service(HelloService, {
 				hello: () => ({
 					instance: settings.instance, failureDomain: settings.failureDomain, configurationVersion: BigInt(holder.view?.configuration.root.version ?? 0),
 				}),
 			});
+			membership.register(router);
+			distribution.register(router);
+			keyedCalls.register(router);
+			placement.register(router);
+			registerQuarantine({router, quarantine: safety.quarantine, now});
 		},
 	});
-	watcher.start();
-	lookup.start();
-	safety.start();
 	await Promise.all([listen({server: callers.server, endpoint: settings.listen.callers}), listen({server: operators, endpoint: settings.listen.operators})]);
+	const endpoints = {callers: endpointOf(callers.server), peers: peers.endpoint, operators: endpointOf(operators)};
+	const self: Instance = {
+		id: settings.instance, failureDomain: settings.failureDomain, state: 'live', ...endpoints,
+	};
+	membership.start(self);
+	distribution.start();
+	placement.start();
+	safety.start();
 	log('instance %s listens on %o', settings.instance, callers.server.address());
 	return {
-		endpoints: {callers: endpointOf(callers.server), peers: peers.endpoint, operators: endpointOf(operators)},
+		endpoints,
 		async stop() {
 			log('instance %s stops; %d calls in flight', settings.instance, handler.inProgress);
-			lookup.leave(settings.instance);
+			membership.leave();
 			await callers.stop({timeoutMs: settings.shutdownTimeoutMs, inProgress: () => handler.inProgress});
-			lookup.stop();
-			await watcher.stop();
+			await keyedCalls.stop();
+			await placement.stop();
+			membership.stop();
+			await distribution.stop();
 			await closeServer({server: operators, timeoutMs: settings.shutdownTimeoutMs});
-			peerClients.close();
-			await Promise.all([peers.stop(), safety.stop(), store.close(), counters.close()]);
+			clients.close();
+			slotClients.close();
+			await Promise.all([peers.stop(), fleet.stop(), safety.stop(), store.close(), counters.close()]);
 			log('instance %s stopped', settings.instance);
 		},
 	};
@@ -129,9 +184,10 @@
 	readonly holder: ConfigurationHolder;
 	readonly counters: Counters;
 	readonly now: () => number;
+	readonly keyedCalls: KeyedCalls;
 }
 
-async function routeCaller({request, response, handler, lookup, holder, counters, now}: RouteCallerOptions): Promise<void> {
+async function routeCaller({request, response, handler, lookup, holder, counters, now, keyedCalls}: RouteCallerOptions): Promise<void> {
 	const target = parseTarget(request.url ?? '');
 	if (target.kind === 'malformed') {
 		answerBadTarget({request, response, counters});
@@ -145,6 +201,11 @@
 		return;
 	}
 
+	if (OUTCOME_PATH.test(request.url ?? '')) {
+		await answerOutcome({request, response, keyGuard: keyedCalls.guard});
+		return;
+	}
+
 	answerLookup({
 		request, response, lookup, view: holder.view, now,
 	});
--- /dev/null
+++ b/peer/membership/src/index.ts
@@ -0,0 +1,9 @@
+/** Knows which instances are alive, leaving or full. */
+export {
+	chooseOwner, chooseOwners,
+} from '@pomelopick/core.rendezvous';
+export type * from './member.js';
+export * from './membership.js';
+export * from './verdict.js';
+export * from './observer.js';
+export * from './overlay.js';
--- a/testing/callers/src/caller.ts
+++ b/testing/callers/src/caller.ts
@@ -47,7 +47,8 @@
 	readonly timeoutMs: number;
 }
 
-interface Answer {
+/** Answer of a backend server stand-in. */
+export interface Answer {
 	readonly callId: string;
 	readonly method: string;
 	readonly path: string;
@@ -67,6 +68,7 @@
 export class Caller {
 	readonly #options: CallerOptions;
 	readonly #agent: Agent;
+	readonly #copiesByKey = new Map<string, number>();
 	#lookUps = 0;
 	#cached: CachedEntries = {endpoints: [], untilMs: 0};
 
@@ -110,12 +112,17 @@
 
 	async #try({options, endpoint, timeLeftMs}: {readonly options: CallOptions; readonly endpoint: Endpoint; readonly timeLeftMs: number}): Promise<Try> {
 		const {service, method = 'GET', path, body, key} = options;
+		const copy = (this.#copiesByKey.get(key ?? '') ?? 0) + 1;
+		if (key !== undefined) {
+			this.#copiesByKey.set(key, copy);
+		}
+
 		try {
 			const response = await request(`http://${endpoint.address}:${endpoint.port}/v1/services/${service}${path}`, {
 				method: method as 'GET',
 				dispatcher: this.#agent,
 				body,
-				headers: {'x-request-timeout-ms': String(Math.max(1, Math.floor(timeLeftMs))), ...(key !== undefined && {'idempotency-key': key})},
+				headers: {'x-request-timeout-ms': String(Math.max(1, Math.floor(timeLeftMs))), ...(key !== undefined && {'idempotency-key': key, 'x-call-attempt': String(copy)})},
 				signal: AbortSignal.timeout(Math.max(1, timeLeftMs) + ANSWER_GRACE_MS),
 			});
 			const text = await response.body.text();
@@ -167,12 +174,23 @@
 	}
 }
 
-/** Creates a key that no other call uses. */
+/** Creates a key that no other call uses: a UUID of version 7 (RFC 9562), whose first 48 bits are the time. */
 export function createKey(): string {
-	return randomUUID();
+	const random = randomUUID();
+	const time = Date.now().toString(16).padStart(12, '0');
+	return `${time.slice(0, 8)}-${time.slice(8)}-7${random.slice(15)}`;
+}
+
+/** Options of {@link findFault}. */
+export interface FindFaultOptions {
+	readonly answer: Answer;
+	readonly options: Omit<CallOptions, 'timeoutMs'>;
+	/** Identifier in the answer's head. */
+	readonly callId: string;
 }
 
-function findFault({answer, options, callId}: {readonly answer: Answer; readonly options: CallOptions; readonly callId: string}): string | undefined {
+/** What is wrong with an answer; undefined when it is the whole own answer. */
+export function findFault({answer, options, callId}: FindFaultOptions): string | undefined {
 	if (answer.method !== (options.method ?? 'GET') || answer.path !== options.path) {
 		return `asked ${options.method ?? 'GET'} ${options.path}, got the answer to ${answer.method} ${answer.path}`;
 	}
