Find silent connections that hold their slots, and prove the rest of the call path by tests

A hedge timer that fired while its call waited for a slot was lost, and a silent connection was told to steering as a failure of its server. Ruled out: more tries a call; they wait for the same slots. Change: an overdue answer is checked again each 300 ms; two lent connections without a byte while a new one answers are silent too; the read that held one ends, which frees its slot; the hedge timer starts when the request is sent; latency leaves the wait for a slot out; the end of a silent connection is no mark against its server.

--- a/calls/connections/src/connection.ts
+++ b/calls/connections/src/connection.ts
@@ -6,7 +6,9 @@
 	readonly client: Client;
 	/** Called once when the connection is found to be silent while it is lent. */
 	onSilent: (() => void) | undefined;
-	/** Monotonic time of the last byte received on it, in milliseconds. */
+	/** Monotonic time at which it was made, in milliseconds. */
+	readonly createdAtMs: number;
+	/** Monotonic time of the last byte received on it, or at which it was lent since, in milliseconds. */
 	lastAnswerAtMs: number;
 	/** Set once the socket is connected, cleared when it closes. */
 	isOpen: boolean;
--- a/calls/connections/src/server-connections.ts
+++ b/calls/connections/src/server-connections.ts
@@ -45,6 +45,7 @@
 		const idle = isNew ? undefined : this.#idle.pop();
 		const connection = idle ?? (this.#lent.size < this.#options.most ? this.#create() : undefined);
 		if (connection) {
+			connection.lastAnswerAtMs = this.#options.now();
 			this.#lent.add(connection);
 		}
 
@@ -125,10 +126,15 @@
 		return isNewAnswered;
 	}
 
-	/** Without an idle connection to probe: several lent ones without a byte for a whole probe's time. */
+	/**
+	 * Without an idle connection to probe: at least two lent ones had not a byte for a whole probe's time, and no other
+	 * that is as old had one.
+	 */
 	#isLentSilent(nowMs: number): boolean {
-		const quiet = [...this.#lent].filter(({lastAnswerAtMs}) => nowMs - lastAnswerAtMs > this.#options.probeTimeoutMs);
-		return quiet.length > 1 && quiet.length === this.#lent.size;
+		const sinceMs = nowMs - this.#options.probeTimeoutMs;
+		const old = [...this.#lent].filter(({createdAtMs}) => createdAtMs < sinceMs);
+		const quiet = old.filter(({lastAnswerAtMs}) => lastAnswerAtMs < sinceMs);
+		return quiet.length > 1 && quiet.length === old.length;
 	}
 
 	#replace({kept, startedAtMs}: {readonly kept: Connection; readonly startedAtMs: number}): void {
@@ -139,7 +145,7 @@
 		}
 
 		// A lent connection that answered meanwhile is alive; the others are not lent again.
-		const silent = [...this.#lent].filter(connection => connection !== kept && connection.lastAnswerAtMs < startedAtMs);
+		const silent = [...this.#lent].filter(connection => connection !== kept && connection.createdAtMs < startedAtMs && connection.lastAnswerAtMs < startedAtMs);
 		for (const connection of silent) {
 			this.#lent.delete(connection);
 			connection.onSilent?.();
@@ -162,7 +168,7 @@
 			pipelining: 1, connect: {timeout: connectTimeoutMs}, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: KEEP_ALIVE_MS,
 		});
 		const connection: Connection = {
-			client, onSilent: undefined, lastAnswerAtMs: now(), isOpen: false,
+			client, onSilent: undefined, createdAtMs: now(), lastAnswerAtMs: now(), isOpen: false,
 		};
 		client.on('connect', () => {
 			connection.isOpen = true;
--- a/calls/forwarding/src/attempt.ts
+++ b/calls/forwarding/src/attempt.ts
@@ -61,6 +61,7 @@
 	#exchange: Exchange | undefined;
 	#placement: Placement | undefined;
 	#isGivenUp = false;
+	#sentAtMs: number | undefined;
 
 	constructor(options: AttemptOptions) {
 		this.#options = options;
@@ -71,6 +72,11 @@
 		return this.#placement;
 	}
 
+	/** Monotonic time at which the request was handed to its connection, in milliseconds; undefined while it waits for a slot. */
+	get sentAtMs(): number | undefined {
+		return this.#sentAtMs;
+	}
+
 	/** Whether the request was sent and nothing has come back. */
 	get isUnanswered(): boolean {
 		return this.#exchange?.mayHaveRun === true && !this.#exchange.hasHead;
@@ -161,6 +167,7 @@
 
 		call.sentAttempts += 1;
 		parts.deathWatch.enter({server: server.name, call});
+		this.#sentAtMs = parts.now();
 		exchange.send();
 		const result = await exchange.result;
 		const isShed = result.map(({status}) => status === SHED_STATUS).orDefault(false);
@@ -210,7 +217,8 @@
 	failed: 'failed',
 	'timed-out': 'timed-out',
 	cancelled: 'cancelled',
-	'silent-connection': 'failed',
+	// The connection was at fault, not the backend server, which answers on new ones.
+	'silent-connection': 'cancelled',
 	truncated: 'failed',
 	mismatched: 'failed',
 };
--- a/calls/forwarding/src/call-handler.ts
+++ b/calls/forwarding/src/call-handler.ts
@@ -238,7 +238,7 @@
 		}
 
 		const nowMs = now();
-		this.#policies.of(call.options.service.name).latency.record({latencyMs: nowMs - call.options.startedAtMs, nowMs});
+		this.#policies.of(call.options.service.name).latency.record({latencyMs: nowMs - (attempt.sentAtMs ?? nowMs), nowMs});
 		return String(answer.status);
 	}
 
--- a/calls/forwarding/src/call-run.ts
+++ b/calls/forwarding/src/call-run.ts
@@ -11,6 +11,8 @@
 
 /** Attempts of one call in all, those included that could not connect and so cost no backend server anything. */
 const MOST_TRIES = 10;
+/** Time between two checks of a server whose answer is overdue, in milliseconds. */
+const CHECK_INTERVAL_MS = 300;
 /** Part of the time left after which a read is hedged at the latest. */
 const LATEST_HEDGE_SHARE = 1 / 3;
 
@@ -137,13 +139,17 @@
 				}
 			};
 
-			const timer = setTimeout(() => {
-				const reason = this.#findHedgeReason(first.attempt);
-				if (reason) {
+			const hedge = (): void => {
+				if (first.attempt.sentAtMs === undefined) {
+					// The time that a call waits for a slot says nothing of the backend server.
+					timer = setTimeout(hedge, delayMs);
+				} else if (this.#findHedgeReason(first.attempt)) {
 					live += 1;
 					void settleWith({result: this.#startAttempt({needsNewConnection: true}).result, settle});
 				}
-			}, delayMs);
+			};
+
+			let timer = setTimeout(hedge, delayMs);
 			void settleWith({result: first.result, settle});
 		});
 	}
@@ -155,7 +161,7 @@
 			return undefined;
 		}
 
-		void parts.connections.suspect(server);
+		this.#checkUntilAnswered(first);
 		const isSuspect = this.#isSuspect();
 		if (isSuspect || !policy.budget.tryTake({nowMs: parts.now()})) {
 			counters.add(isSuspect ? 'hedge.suspect' : 'hedge.budget-used-up');
@@ -167,6 +173,17 @@
 		return 'slow-answer';
 	}
 
+	/** Looks for silent connections while an answer is overdue. Found ones end the attempt, which frees its slot. */
+	#checkUntilAnswered(attempt: Attempt): void {
+		const server = attempt.placement?.server;
+		if (server && attempt.isUnanswered && this.#options.call.endedBy === undefined) {
+			void this.#options.parts.connections.suspect(server);
+			setTimeout(() => {
+				this.#checkUntilAnswered(attempt);
+			}, CHECK_INTERVAL_MS).unref();
+		}
+	}
+
 	#startAttempt({needsNewConnection}: {readonly needsNewConnection: boolean}): {readonly attempt: Attempt; readonly result: Promise<AttemptResult>} {
 		const {call, parts, heldBytes} = this.#options;
 		call.attempts += 1;
--- /dev/null
+++ b/calls/quarantine/test/crashing-request.test.ts
@@ -0,0 +1,77 @@
+import assert from 'node:assert/strict';
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {callDirectly} from '@pomelopick/testing.callers';
+import type {DirectAnswer} from '@pomelopick/testing.callers';
+import {startFleet} from '@pomelopick/testing.fleet';
+import type {Deployment, EntryProcess, Fleet} from '@pomelopick/testing.fleet';
+import {MOST_DEATHS_BEFORE_CONVICTION} from '@pomelopick/calls.quarantine';
+
+const SENDS = 16;
+const NEIGHBOURS = 24;
+
+const deployment: Deployment = {
+	name: 'crashes', regions: ['north', 'south'], domainsPerRegion: 1, megabitsPerSecond: 100, betweenRegionsMs: 0, betweenDomainsMs: 0, toClientsMs: 0,
+	services: [{
+		name: 'ledger', priority: 'interactive', servers: 10, slots: 4,
+	}],
+};
+
+const methods = [{method: 'GET'}, {method: 'POST'}] as const;
+
+for (const {method} of methods) {
+	describe(`a ${method} that crashes backend servers, sent again to each instance in turn`, () => {
+		let fleet: Fleet;
+		const crash = async (entry: EntryProcess): Promise<DirectAnswer> => callDirectly({
+			endpoint: entry.instance.callers, service: 'ledger', method, path: '/crash?crash=1', timeoutMs: 3000, ...(method === 'POST' && {body: '{}'}),
+		});
+		const countLost = (): number => fleet.backends.filter(({child}) => child.hasExited()).length;
+		before(async () => {
+			fleet = await startFleet({deployment, entries: 4});
+		});
+		after(async () => {
+			await fleet.stop();
+		});
+
+		it('takes down a bounded number of servers, gets a final answer everywhere, and its neighbours get theirs', async () => {
+			const done = new AbortController();
+			const neighbours = Array.from({length: NEIGHBOURS}, async (_, index) => {
+				const records: DirectAnswer[] = [];
+				const {instance} = fleet.entries[index % fleet.entries.length]!;
+				for (let number = 0; !done.signal.aborted; number += 1) {
+					records.push(await callDirectly({
+						endpoint: instance.callers, service: 'ledger', path: `/stock/${index}-${number}?workMs=30`, timeoutMs: 3000,
+					}));
+				}
+
+				return records;
+			});
+			await sleep(200);
+			const crashes: DirectAnswer[] = [];
+			for (let send = 0; send < SENDS; send += 1) {
+				crashes.push(await crash(fleet.entries[send % fleet.entries.length]!));
+			}
+
+			done.abort();
+			const lost = countLost();
+			const lists = await Promise.all(neighbours);
+			const neighbourRecords = lists.flat();
+			const refused = neighbourRecords.filter(({ended}) => ended !== 'answered');
+			assert.ok(lost >= 1 && lost <= MOST_DEATHS_BEFORE_CONVICTION, `${lost} servers lost`);
+			assert.deepEqual(new Set(crashes.slice(-fleet.entries.length * 2).map(({reason}) => reason)), new Set(['request-quarantined']));
+			assert.deepEqual(crashes.filter(({ended}) => ended !== 'refused'), []);
+			assert.deepEqual(refused.slice(0, 3), [], `${refused.length} of ${neighbourRecords.length} neighbours got no answer`);
+		});
+
+		it('is refused at once by an instance that started afterwards', async () => {
+			const entry = await fleet.startEntry({id: 'entry-late', failureDomain: 'north-1'});
+			await fleet.waitForInstances();
+			await sleep(1500);
+			const lost = countLost();
+			const {reason, execution} = await crash(entry);
+			assert.deepEqual([reason, execution, countLost()], ['request-quarantined', 'not-run', lost]);
+		});
+	});
+}
