Explain who counts the slots that a call would get

Cause: explain showed the configuration and this instance's own calls, but placement now goes by slot owners, which it did not name. A server that says it leaves is left out with that reason. Counters named through count() are held to the page too. Conclusion: explain shows each figure that the placement used.

--- a/calls/placement/src/create-placement.ts
+++ b/calls/placement/src/create-placement.ts
@@ -9,8 +9,10 @@
 import type {KeyValueStore} from '@pomelopick/platform.store';
 import type {DrawInteger} from '@pomelopick/steering.choice';
 import {LocalFallback} from './local-fallback.js';
+import type {GroupState, ServerSlots} from './owner-group.js';
 import {SlotAsker} from './slot-asker.js';
 import {SlotOwner} from './slot-owner.js';
+import type {SlotGroupKey} from './slot-owner.js';
 import {createSteeredPlacement} from './steered-placement.js';
 
 /** What a placement is made of. */
@@ -27,6 +29,16 @@
 	readonly count: (counter: string) => void;
 }
 
+/** What an instance knows of a group of slots. */
+export interface GroupSnapshot {
+	/** Instance that counts the group. */
+	readonly owner: InstanceId | undefined;
+	/** What the owner said last; undefined when no call of this instance used the group of late. */
+	readonly state: GroupState | undefined;
+	/** The counts, when this instance is the owner. */
+	readonly servers: readonly ServerSlots[];
+}
+
 /** A placement as a daemon runs it. */
 export interface RunningPlacement {
 	readonly placeCall: PlaceCall;
@@ -34,6 +46,8 @@
 	readonly register: (router: ConnectRouter) => void;
 	/** Takes a newer configuration into use. */
 	readonly useSet: (set: ConfigurationSet) => void;
+	/** What is known here of the slots of a service in a region. */
+	readonly snapshot?: (key: SlotGroupKey) => GroupSnapshot;
 	readonly start: () => void;
 	readonly stop: () => Promise<void>;
 }
@@ -56,6 +70,10 @@
 		useSet(set) {
 			owner.useSet(set);
 		},
+		snapshot(key) {
+			const ownerId = asker.ownerOf(key);
+			return {owner: ownerId, state: asker.state(key), servers: ownerId === parts.instance ? owner.findGroup(key)?.snapshot() ?? [] : []};
+		},
 		start() {
 			owner.start();
 			asker.start();
--- a/calls/placement/src/owner-group.ts
+++ b/calls/placement/src/owner-group.ts
@@ -49,6 +49,17 @@
 /** Answer to a request for a slot. */
 export type SlotAnswer = Either<SlotRefusal, GrantedSlot>;
 
+/** What an owner counts for one backend server. */
+export interface ServerSlots {
+	readonly server: BackendServerName;
+	/** Slots that the whole fleet has in use. */
+	readonly slotsInUse: number;
+	/** Calls that the server has proven it can run at once. */
+	readonly provenSlots: number;
+	/** Whether the server says of itself that it leaves. */
+	readonly isLeaving: boolean;
+}
+
 /** What an owner tells about its group. */
 export interface GroupState {
 	readonly spillSlots: number;
@@ -157,6 +168,13 @@
 		return {spillSlots: spillSlots(load), expectedWaitMs: expectedWaitMs(load)};
 	}
 
+	/** What the group counts, server by server. */
+	snapshot(): readonly ServerSlots[] {
+		return this.servers.map(({name}) => ({
+			server: name, slotsInUse: this.#book.inUseAt(name), provenSlots: this.#book.provenAt(name), isLeaving: this.#book.isLeaving(name),
+		}));
+	}
+
 	/** Notes a server's own word on whether it leaves. */
 	noteLeaving(options: {readonly server: BackendServerName; readonly isLeaving: boolean}): void {
 		this.#book.noteLeaving(options);
--- a/calls/placement/src/slot-asker.ts
+++ b/calls/placement/src/slot-asker.ts
@@ -101,6 +101,11 @@
 		return use && this.#options.now() - use.stateAtMs < STATE_AGE_MS ? use.state : undefined;
 	}
 
+	/** The instance that this one would ask for a slot of a group now. */
+	ownerOf(key: SlotGroupKey): InstanceId | undefined {
+		return this.#rank(key).find(({id}) => !this.#isSuspect(id))?.id;
+	}
+
 	/** Asks for a slot; tries the next ranked owner when one does not answer. */
 	async acquire({key, request, signal}: {readonly key: SlotGroupKey; readonly request: Omit<SlotRequest, 'slotId' | 'asker' | 'isSubstitute'>; readonly signal: AbortSignal}): Promise<AskAnswer> {
 		const {now, count} = this.#options;
--- a/calls/placement/src/slot-owner.ts
+++ b/calls/placement/src/slot-owner.ts
@@ -88,6 +88,11 @@
 		return group;
 	}
 
+	/** A group that this instance counts already; undefined when it counts none. */
+	findGroup({service, region}: SlotGroupKey): OwnerGroup | undefined {
+		return this.#groups.get(`${service} ${region}`);
+	}
+
 	/** Registers the messages with the listener for peers. */
 	register(router: ConnectRouter): void {
 		router.service(SlotsService, {
--- a/cli/pomelopick/src/format-explanation.ts
+++ b/cli/pomelopick/src/format-explanation.ts
@@ -18,9 +18,9 @@
 		}),
 		'',
 		formatTable({
-			columns: ['backend server', 'site', 'region', 'slots', 'calls here', ...(knowsSlots ? ['in use'] : []), 'why'],
-			rows: backendServers.map(({backendServer, site, region, slots, callsInProgress, slotsInUse, reason}) => [
-				backendServer, site, region, slots, callsInProgress, ...(knowsSlots ? [slotsInUse ?? '-'] : []), reason,
+			columns: ['backend server', 'site', 'region', 'slots', 'calls here', ...(knowsSlots ? ['in use', 'proven'] : []), 'why'],
+			rows: backendServers.map(({backendServer, site, region, slots, callsInProgress, slotsInUse, provenSlots, reason}) => [
+				backendServer, site, region, slots, callsInProgress, ...(knowsSlots ? [slotsInUse ?? '-', provenSlots ?? '-'] : []), reason,
 			]),
 		}),
 	].join('\n');
--- a/cli/pomelopick/test/operators.test.ts
+++ b/cli/pomelopick/test/operators.test.ts
@@ -57,6 +57,8 @@
 				block: '127.0.2.0/24', site: 'muntenia-1-site', region: 'muntenia', named: 3, first: 'muntenia-1',
 			},
 		);
+		const slots = explanation.steps.find(({rule}) => rule === 'slots of corrections in muntenia');
+		assert.match(slots?.result ?? '', /^counted by entry-\d; /u);
 		assert.equal(explanation.backendServers.length, 6);
 		assert.equal(explanation.backendServers[0]?.region, 'muntenia');
 	});
@@ -130,7 +132,7 @@
 		const {code, output} = await run('status', '--instance', instance);
 		assert.equal(code, 3);
 		assert.match(output, /2 of 3 instances answer/u);
-		assert.match(output, /missing: entry-3 at 127\.0\.0\.1:\d+: .*does not answer/u);
+		assert.match(output, new RegExp(String.raw`missing: ${killed.instance.id} at 127\.0\.0\.1:\d+: .*does not answer`, 'u'));
 	});
 });
 
--- a/core/types/src/operator-reports.ts
+++ b/core/types/src/operator-reports.ts
@@ -116,8 +116,10 @@
 	readonly slots: number;
 	/** Calls that the reporting instance has at it. */
 	readonly callsInProgress: number;
-	/** Slots in use by the whole fleet, where the instance knows. */
+	/** Slots in use by the whole fleet, where the instance counts them. */
 	readonly slotsInUse?: number;
+	/** Calls that the server has proven it can run at once, where the instance counts them. */
+	readonly provenSlots?: number;
 	/** Whether a call could be sent there by the configuration. */
 	readonly isCandidate: boolean;
 	readonly reason: string;
--- a/core/types/test/counters-page.test.ts
+++ b/core/types/test/counters-page.test.ts
@@ -7,7 +7,7 @@
 
 const ROOT = fileURLToPath(new URL('../../..', import.meta.url));
 const ROW = /^\| `(?<name>[^`]+)` \| (?<meaning>[^|]+) \| (?<action>[^|]+) \|$/gmu;
-const LITERAL_COUNTER = /\bcounters\.add\(\s*(?<arguments>[^;]*?)\);/gu;
+const LITERAL_COUNTER = /\b(?:counters\.add|count)\(\s*(?<arguments>[^;]*?)\);/gu;
 const QUOTED = /'(?<name>[a-z][a-z.-]+)'/gu;
 
 /** Names with a row below a heading that starts with the given word. */
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -120,7 +120,7 @@
 			counters,
 			events,
 			lookup,
-			sources: {listCallsInProgress: () => placementCounts.inProgress, storeState: () => store.report},
+			sources: {listCallsInProgress: () => placementCounts.inProgress, readSlots: placement.snapshot, storeState: () => store.report},
 			callsInProgress: () => handler.inProgress,
 			isWatcher: () => distribution.isWatcher,
 			now,
--- a/daemons/entry/src/operators/explain-servers.ts
+++ b/daemons/entry/src/operators/explain-servers.ts
@@ -2,6 +2,7 @@
 import type {
 	BackendServer, BackendServerName, ConfigurationSet, DrainTarget, ExplainedServer, RegionName, Service,
 } from '@pomelopick/core.types';
+import type {ServerSlots} from '@pomelopick/calls.placement';
 import type {Topology} from '@pomelopick/steering.lookup';
 import type {ExplainSources} from './explain-sources.js';
 
@@ -30,14 +31,14 @@
 /** All backend servers of a service, those that are tried first in front. */
 export function explainServers({set, topology, service, order, sources}: ExplainServersOptions): ExplainedServer[] {
 	const inProgress = sources.listCallsInProgress();
-	const slotsInUse = sources.listSlotsInUse?.({service: service.name});
+	const counted = new Map(order.flatMap(region => sources.readSlots?.({service: service.name, region}).servers ?? []).map(slots => [slots.server, slots]));
 	return set.backendServers
 		.filter(server => server.service === service.name)
 		.map(server => {
 			const region = topology.regionOfSite(server.site);
 			const position = region === undefined ? -1 : order.indexOf(region);
 			const drain = findDrain({set, topology, server});
-			const used = slotsInUse?.get(server.name);
+			const slots = counted.get(server.name);
 			return {
 				backendServer: server.name,
 				site: server.site,
@@ -45,9 +46,9 @@
 				...(position !== -1 && {regionOrder: position + 1}),
 				slots: server.slots,
 				callsInProgress: inProgress.get(server.name) ?? 0,
-				...(used !== undefined && {slotsInUse: used}),
-				isCandidate: drain === undefined && position !== -1,
-				reason: explainServer({drain, position, isFull: used !== undefined && used >= server.slots}),
+				...(slots && {slotsInUse: slots.slotsInUse, provenSlots: slots.provenSlots}),
+				isCandidate: drain === undefined && position !== -1 && !slots?.isLeaving,
+				reason: explainServer({drain, position, slots}),
 			};
 		})
 		.sort((left, right) => Number(right.isCandidate) - Number(left.isCandidate)
@@ -55,7 +56,7 @@
 			|| left.backendServer.localeCompare(right.backendServer, 'en', {numeric: true}));
 }
 
-function explainServer({drain, position, isFull}: {readonly drain: string | undefined; readonly position: number; readonly isFull: boolean}): string {
+function explainServer({drain, position, slots}: {readonly drain: string | undefined; readonly position: number; readonly slots: ServerSlots | undefined}): string {
 	if (drain !== undefined) {
 		return `left out: drain ${drain}`;
 	}
@@ -64,8 +65,12 @@
 		return 'left out: no spill rule leads to its region';
 	}
 
+	if (slots?.isLeaving) {
+		return 'left out: it says that it leaves';
+	}
+
 	const region = position === 0 ? 'home region' : `spill region ${position}`;
-	return isFull ? `candidate in ${region}; all slots in use` : `candidate in ${region}`;
+	return slots && slots.slotsInUse >= slots.provenSlots ? `candidate in ${region}; all proven slots in use` : `candidate in ${region}`;
 }
 
 /** Name of the first drain that covers a server. */
--- a/daemons/entry/src/operators/explain-sources.ts
+++ b/daemons/entry/src/operators/explain-sources.ts
@@ -1,10 +1,11 @@
 /** What parts of an instance show of their state to operators. A part that is not there is left out. */
 import type {
-	BackendServerName, QuarantineReport, ServiceName, ShiftName, StoreReport,
+	BackendServerName, QuarantineReport, RegionName, ServiceName, ShiftName, StoreReport,
 } from '@pomelopick/core.types';
+import type {GroupSnapshot} from '@pomelopick/calls.placement';
 
-/** Slots of a service's backend servers in use by the whole fleet, as this instance knows them. */
-export type ListSlotsInUse = (options: {readonly service: ServiceName}) => ReadonlyMap<BackendServerName, number>;
+/** What the placement knows of the slots of a service in a region. */
+export type ReadSlots = (options: {readonly service: ServiceName; readonly region: RegionName}) => GroupSnapshot;
 
 /** Calls per second under each shift over the last seconds, as this instance knows them. */
 export type ListShiftUse = () => ReadonlyMap<ShiftName, number>;
@@ -13,7 +14,7 @@
 export interface ExplainSources {
 	/** Calls that this instance has in progress at each backend server. */
 	readonly listCallsInProgress: () => ReadonlyMap<BackendServerName, number>;
-	readonly listSlotsInUse?: ListSlotsInUse;
+	readonly readSlots?: ReadSlots;
 	readonly listShiftUse?: ListShiftUse;
 	readonly listQuarantines?: () => readonly QuarantineReport[];
 	readonly storeState: () => StoreReport;
--- a/daemons/entry/src/operators/explain.ts
+++ b/daemons/entry/src/operators/explain.ts
@@ -101,6 +101,7 @@
 	return [
 		{rule: 'home region of the call', result: `${home ?? 'unknown'}, ${isKnown ? 'of the client\'s site' : 'of this instance, since the client\'s site is not known'}`},
 		{rule: rule ? `spill rule ${rule.name}` : 'no spill rule', result: `regions in order: ${order.join(', ')}`},
+		...order.flatMap(region => explainSlots({service, region, sources})),
 		...shifts.map(({name, to, capCallsPerSecond}) => ({
 			rule: `shift ${name}`, result: `to ${to}, cap ${capCallsPerSecond} calls/s, ${use ? `${(use.get(name) ?? 0).toFixed(1)} calls/s in use` : 'use not known here'}`,
 		})),
@@ -108,6 +109,16 @@
 	];
 }
 
+function explainSlots({service, region, sources}: {readonly service: Service; readonly region: RegionName; readonly sources: ExplainSources}): ExplanationStep[] {
+	const slots = sources.readSlots?.({service: service.name, region});
+	if (!slots) {
+		return [];
+	}
+
+	const state = slots.state ? `room for ${slots.state.spillSlots} calls of other regions, expected wait ${Math.round(slots.state.expectedWaitMs)} ms` : 'no calls from here of late';
+	return [{rule: `slots of ${service.name} in ${region}`, result: `counted by ${slots.owner ?? 'nobody'}; ${state}`}];
+}
+
 interface ExplainEntriesOptions {
 	readonly lookup: LookupView;
 	readonly topology: Topology;
--- a/steering/choice/src/slot-book.ts
+++ b/steering/choice/src/slot-book.ts
@@ -116,6 +116,11 @@
 		}
 	}
 
+	/** Calls that a server has proven it can run at once; 0 when it is not in the book. */
+	provenAt(server: BackendServerName): number {
+		return this.#servers.get(server)?.limit.proven ?? 0;
+	}
+
 	/** Whether a server said that it leaves. */
 	isLeaving(server: BackendServerName): boolean {
 		return this.#servers.get(server)?.saysLeaving ?? false;
