--- a/cli/pomelopick/src/preview.ts
+++ b/cli/pomelopick/src/preview.ts
@@ -134,7 +134,7 @@
 
 		if (left > 0) {
 			shortages.push({
-				service, region, missing: left, detail: `${left} of ${count} calls in progress find no room in ${to.join(', ') || 'any region, since no spill rule leads on'}`,
+				service, region, missing: left, detail: `${service}: ${left} of ${count} calls in ${region} find no room in ${to.join(', ') || 'any region, since no spill rule leads on'}`,
 			});
 		}
 	}
@@ -159,7 +159,7 @@
 		const reachable = [region, ...to].reduce((sum, name) => sum + (after.get(keyOf({service, region: name})) ?? 0), 0);
 		return lost > 0 && reachable === 0
 			? [{
-				service, region, missing: lost, detail: `no slot of ${service} is left that calls of ${region} may use`,
+				service, region, missing: lost, detail: `${service}: no slot is left that calls of ${region} may use`,
 			}]
 			: [];
 	});
