Bound what heartbeats cost when instances lack processor time

Cause: with 60 nodes in one process the news of unreachable and returned neighbours grew from 41 to 54,302 items in two seconds and 26 of 60 nodes were left alive in some views: findings cost messages, messages cost time, lost time made findings. A heartbeat cost 2.9 ms with both ends, two a second to each of four neighbours. An instance without a version waited 10 to 20 s after a first read that failed. Ruled out: a longer timeout alone; the circle closes at a higher load. Change: a heartbeat a second, sent again after 250 ms when it is not answered; a process whose own timer is 300 ms late counts no failures for two seconds; a finding that had to be taken back needs eight lost heartbeats the next time; news ahead of heartbeats goes at most five times a second and only to those who lack it; conclusions are drawn once for news that arrives together; the digest is kept. The first read is tried again after one to two seconds.

--- a/cli/pomelopick/test/config-commands.test.ts
+++ b/cli/pomelopick/test/config-commands.test.ts
@@ -6,9 +6,9 @@
 import {
 	after, before, describe, it,
 } from 'node:test';
-import {createCli} from '@pomelopick/cli.pomelopick';
 import {startPlatformStandIn} from '@pomelopick/testing.platform-stand-in';
 import type {PlatformStandIn} from '@pomelopick/testing.platform-stand-in';
+import {createCli} from '@pomelopick/cli.pomelopick';
 
 const createSet = (service: string): unknown => ({
 	regions: [{name: 'north'}],
--- a/config/distribution/src/store-watcher.ts
+++ b/config/distribution/src/store-watcher.ts
@@ -10,6 +10,8 @@
 const ROLE_POLL_MS = 500;
 /** Age of the view from which an instance that does not watch reads the root by itself, in milliseconds. */
 const STALE_VIEW_MS = 20_000;
+/** Time between reads of an instance that has no version yet, in milliseconds. */
+const NO_VIEW_INTERVAL_MS = 2000;
 
 /** Options of {@link StoreWatcher}. */
 export interface StoreWatcherOptions {
@@ -69,7 +71,7 @@
 		const nowMs = now();
 		const isStale = !holder.view || nowMs - holder.view.confirmedAtMs > STALE_VIEW_MS;
 		if (isStale && nowMs >= this.#nextReadMs) {
-			this.#nextReadMs = nowMs + (STALE_VIEW_MS * (0.5 + (random() / 2)));
+			this.#nextReadMs = nowMs + ((holder.view ? STALE_VIEW_MS : NO_VIEW_INTERVAL_MS) * (0.5 + (random() / 2)));
 			await this.#step(0);
 		}
 	}
--- a/config/publishing/test/collect.test.ts
+++ b/config/publishing/test/collect.test.ts
@@ -2,15 +2,15 @@
 import {
 	afterEach, beforeEach, describe, it,
 } from 'node:test';
-import {
-	CHUNK_PREFIX, collectChunks, PUBLISH_PREFIX, publishConfiguration, readRoot, readSet, ROOT_KEY,
-} from '@pomelopick/config.publishing';
-import type {CollectOutcome, CollectStep} from '@pomelopick/config.publishing';
 import {checkConfigurationSet} from '@pomelopick/config.schema';
 import type {ConfigurationSet, PublishId} from '@pomelopick/core.types';
 import {startPlatformStandIn} from '@pomelopick/testing.platform-stand-in';
 import type {PlatformStandIn} from '@pomelopick/testing.platform-stand-in';
 import {HookedStore} from './hooked-store.js';
+import type {CollectOutcome, CollectStep} from '@pomelopick/config.publishing';
+import {
+	CHUNK_PREFIX, collectChunks, PUBLISH_PREFIX, publishConfiguration, readRoot, readSet, ROOT_KEY,
+} from '@pomelopick/config.publishing';
 
 const PUBLISH_TIMEOUT_MS = 60_000;
 const LATER_MS = 10 * PUBLISH_TIMEOUT_MS;
@@ -90,6 +90,7 @@
 
 			return write();
 		};
+
 		const published = await publish({service: 'fourth'});
 		assert.equal(published.map(({kind}) => kind).orDefault('undecided'), 'accepted');
 		assert.equal(await readNewest(), 'fourth');
@@ -106,6 +107,7 @@
 
 			return written;
 		};
+
 		await collect({
 			async onStep(step) {
 				if (step === 'checked' && !hasStoodStill) {
--- a/peer/membership/src/member-table.ts
+++ b/peer/membership/src/member-table.ts
@@ -25,6 +25,7 @@
 	#listed: ReadonlyMap<InstanceId, Instance> = new Map();
 	#known: ReadonlyMap<InstanceId, Instance> | undefined;
 	#overlay: Overlay | undefined;
+	#digest: bigint | undefined;
 	#verdicts: ReadonlyMap<InstanceId, Verdict> = new Map();
 
 	constructor({regionOf}: MemberTableOptions) {
@@ -43,16 +44,8 @@
 
 	/** Digest of everything but the loads; equal at instances that know the same. */
 	get digest(): bigint {
-		let digest = 0n;
-		for (const {instance, incarnation, leaving} of this.#records.values()) {
-			digest = combine({digest, text: `${instance.id} ${incarnation} ${leaving}`});
-		}
-
-		for (const {subject, observer, sequence, unreachable} of this.everything.observations) {
-			digest = combine({digest, text: `${subject} ${observer} ${sequence} ${unreachable}`});
-		}
-
-		return digest;
+		this.#digest ??= this.#computeDigest();
+		return this.#digest;
 	}
 
 	/** Number of instances known. */
@@ -146,6 +139,7 @@
 		}
 
 		byObserver.set(observer, observation);
+		this.#digest = undefined;
 		this.#observations.set(subject, byObserver);
 		return true;
 	}
@@ -168,6 +162,19 @@
 		this.#verdicts = this.hasSuspects ? judgeMembers({members: judged, nowMs}) : new Map();
 	}
 
+	#computeDigest(): bigint {
+		let digest = 0n;
+		for (const {instance, incarnation, leaving} of this.#records.values()) {
+			digest = combine({digest, text: `${instance.id} ${incarnation} ${leaving}`});
+		}
+
+		for (const {subject, observer, sequence, unreachable} of this.everything.observations) {
+			digest = combine({digest, text: `${subject} ${observer} ${sequence} ${unreachable}`});
+		}
+
+		return digest;
+	}
+
 	#votesAgainst(id: InstanceId): readonly Observation[] {
 		const incarnation = this.#records.get(id)?.incarnation ?? 0;
 		return [...this.#observations.get(id)?.values() ?? []]
@@ -210,6 +217,7 @@
 	#forgetDerived(): void {
 		this.#known = undefined;
 		this.#overlay = undefined;
+		this.#digest = undefined;
 	}
 
 	#toMember(instance: Instance): Member {
--- a/peer/membership/src/membership.ts
+++ b/peer/membership/src/membership.ts
@@ -17,12 +17,18 @@
 	fromHeldMessage, fromNewsMessage, toHeldMessage, toNewsMessage,
 } from './wire.js';
 
-const HEARTBEAT_INTERVAL_MS = 500;
-const HEARTBEAT_TIMEOUT_MS = 700;
+const HEARTBEAT_INTERVAL_MS = 1000;
+const HEARTBEAT_TIMEOUT_MS = 1000;
+/** Pause before a heartbeat that was not answered is sent again. */
+const DOUBT_PAUSE_MS = 250;
 /** Delay that gathers news before it is sent ahead of the next heartbeat. */
 const URGENT_DELAY_MS = 20;
-/** A tick that comes this much late shows that the process stood still. */
-const STANDSTILL_MS = 1500;
+/** Least time between two sendings ahead of heartbeats, so that a flood of news costs a bounded rate of messages. */
+const URGENT_INTERVAL_MS = 200;
+/** Delay that gathers news before conclusions are drawn from it. */
+const REFRESH_DELAY_MS = 10;
+/** A tick that comes this much late shows that the process stood still or has no processor time. */
+const STANDSTILL_MS = 300;
 /** Time after a standstill in which failed heartbeats are not counted. */
 const STANDSTILL_GRACE_MS = 2000;
 /** Time for which an instance that called counts as a neighbour. */
@@ -98,6 +104,7 @@
 	readonly #listeners: Array<(members: readonly Member[]) => void> = [];
 	readonly #callers = new Map<InstanceId, number>();
 	readonly #inFlight = new Set<InstanceId>();
+	readonly #doubtTimers = new Map<InstanceId, NodeJS.Timeout>();
 	readonly #differences = new Map<InstanceId, number>();
 	readonly #statistics = {exchanges: 0, newsSent: 0, everythingSent: 0};
 	#self: MemberRecord | undefined;
@@ -105,6 +112,9 @@
 	#signature = '';
 	#timer: NodeJS.Timeout | undefined;
 	#urgentTimer: NodeJS.Timeout | undefined;
+	#refreshTimer: NodeJS.Timeout | undefined;
+	#nextUrgentMs = 0;
+	#mustAnnounce = false;
 	#lastTickMs = 0;
 	#graceUntilMs = 0;
 	#nextEverythingMs = 0;
@@ -174,6 +184,7 @@
 
 	/** Sends the version in force to the neighbours without waiting for the next heartbeat. */
 	announceVersion(): void {
+		this.#mustAnnounce = true;
 		this.#scheduleFlush();
 	}
 
@@ -188,6 +199,11 @@
 		this.#isStopped = true;
 		clearInterval(this.#timer);
 		clearTimeout(this.#urgentTimer);
+		clearTimeout(this.#refreshTimer);
+		for (const timer of this.#doubtTimers.values()) {
+			clearTimeout(timer);
+		}
+
 		this.#reader.stop();
 	}
 
@@ -206,18 +222,20 @@
 		}
 	}
 
-	/** Sends a heartbeat to each subject that is not still being asked. */
-	#flush(): void {
+	/** Sends a heartbeat to each subject that is not still being asked; when it is urgent, only to those that lack news. */
+	#flush({isUrgent = false}: {readonly isUrgent?: boolean} = {}): void {
 		if (this.#isStopped) {
 			return;
 		}
 
+		const isForAll = !isUrgent || this.#mustAnnounce;
+		this.#mustAnnounce = false;
 		const subjects = this.#subjects();
 		this.#observer.keepOnly(subjects);
 		this.#outbox.keepOnly(this.#neighbours());
 		for (const id of subjects) {
 			const known = this.#table.describe(id);
-			if (known && !this.#inFlight.has(id)) {
+			if (known && !this.#inFlight.has(id) && (isForAll || this.#outbox.has(id))) {
 				void this.#exchange({id, endpoint: known.instance.peers});
 			}
 		}
@@ -243,6 +261,7 @@
 
 		if (error) {
 			this.#outbox.putBack({neighbour: id, news: told});
+			this.#askAgain(id);
 		}
 
 		answer.ifRight(response => {
@@ -253,6 +272,21 @@
 		this.#reportFindings();
 	}
 
+	/** Settles a doubt sooner than the next heartbeat would. */
+	#askAgain(id: InstanceId): void {
+		if (this.#table.isDead(id) || this.#doubtTimers.has(id) || this.#isStopped) {
+			return;
+		}
+
+		this.#doubtTimers.set(id, setTimeout(() => {
+			this.#doubtTimers.delete(id);
+			const known = this.#table.describe(id);
+			if (known && !this.#inFlight.has(id) && !this.#isStopped) {
+				void this.#exchange({id, endpoint: known.instance.peers});
+			}
+		}, DOUBT_PAUSE_MS));
+	}
+
 	async #askSeed(endpoint: Endpoint): Promise<void> {
 		const sentAtMs = this.#options.now();
 		const answer = await this.#call({endpoint, news: this.#table.everything, wantsEverything: true});
@@ -325,7 +359,10 @@
 			this.#scheduleFlush();
 		}
 
-		this.#refresh();
+		this.#refreshTimer ??= setTimeout(() => {
+			this.#refreshTimer = undefined;
+			this.#refresh();
+		}, REFRESH_DELAY_MS);
 	}
 
 	#reportFindings(): void {
@@ -375,10 +412,12 @@
 	}
 
 	#scheduleFlush(): void {
+		const nowMs = this.#options.now();
 		this.#urgentTimer ??= setTimeout(() => {
 			this.#urgentTimer = undefined;
-			this.#flush();
-		}, URGENT_DELAY_MS);
+			this.#nextUrgentMs = this.#options.now() + URGENT_INTERVAL_MS;
+			this.#flush({isUrgent: true});
+		}, Math.max(URGENT_DELAY_MS, this.#nextUrgentMs - nowMs));
 	}
 
 	#refresh(): void {
--- a/peer/membership/src/outbox.ts
+++ b/peer/membership/src/outbox.ts
@@ -28,6 +28,11 @@
 		}
 	}
 
+	/** Whether a neighbour has yet to be told something. */
+	has(neighbour: InstanceId): boolean {
+		return this.#pending.has(neighbour);
+	}
+
 	/** Takes out what a neighbour has yet to be told. */
 	take(neighbour: InstanceId): News {
 		const pending = this.#pending.get(neighbour);
--- a/peer/membership/test/observer.test.ts
+++ b/peer/membership/test/observer.test.ts
@@ -57,6 +57,22 @@
 		assert.deepEqual(unreachable(observer), {a: false});
 	});
 
+	it('asks for more after it had to take a finding back, until the subject has answered for long', () => {
+		const observer = new Observer();
+		record({observer, heartbeats: {a: 'xxx', b: '...'}});
+		unreachable(observer);
+		record({observer, heartbeats: {a: '.'}});
+		unreachable(observer);
+		record({observer, heartbeats: {a: 'xxxxxxx'}});
+		assert.deepEqual(unreachable(observer), {});
+		record({observer, heartbeats: {a: 'x'}});
+		assert.deepEqual(unreachable(observer), {a: true});
+		record({observer, heartbeats: {a: '.'.repeat(30)}});
+		assert.deepEqual(unreachable(observer), {a: false});
+		record({observer, heartbeats: {a: `${'.'.repeat(30)}xxx`}});
+		assert.deepEqual(unreachable(observer), {a: true});
+	});
+
 	it('forgets failures after this process stood still', () => {
 		const observer = new Observer();
 		record({observer, heartbeats: {a: 'xx', b: '..'}});
