--- /dev/null
+++ b/testing/soak/src/index.ts
@@ -0,0 +1,3 @@
+/** Runs long mixes of faults against fleets and checks the histories. */
+export * from './mix.js';
+export * from './soak.js';
