--- /dev/null
+++ b/calls/placement/src/create-placement.ts
@@ -0,0 +1,86 @@
+/** Joins the parts of placement for a daemon. */
+import type {ConnectRouter} from '@connectrpc/connect';
+import xxhash from 'xxhash-wasm';
+import type {PlaceCall} from '@pomelopick/calls.forwarding';
+import type {
+	ConfigurationSet, FailureDomainName, Instance, InstanceId,
+} from '@pomelopick/core.types';
+import type {PeerClients} from '@pomelopick/peer.transport';
+import type {KeyValueStore} from '@pomelopick/platform.store';
+import type {DrawInteger} from '@pomelopick/steering.choice';
+import {LocalFallback} from './local-fallback.js';
+import type {GroupState, ServerSlots} from './owner-group.js';
+import {SlotAsker} from './slot-asker.js';
+import {SlotOwner} from './slot-owner.js';
+import type {SlotGroupKey} from './slot-owner.js';
+import {createSteeredPlacement} from './steered-placement.js';
+
+/** What a placement is made of. */
+export interface PlacementParts {
+	readonly instance: InstanceId;
+	readonly failureDomain: FailureDomainName;
+	readonly currentSet: () => ConfigurationSet | undefined;
+	readonly liveInstances: () => readonly Instance[];
+	readonly peers: PeerClients;
+	readonly store: KeyValueStore;
+	readonly draw: DrawInteger;
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+	readonly count: (counter: string) => void;
+}
+
+/** What an instance knows of a group of slots. */
+export interface GroupSnapshot {
+	/** Instance that counts the group. */
+	readonly owner: InstanceId | undefined;
+	/** What the owner said last; undefined when no call of this instance used the group of late. */
+	readonly state: GroupState | undefined;
+	/** The counts, when this instance is the owner. */
+	readonly servers: readonly ServerSlots[];
+}
+
+/** A placement as a daemon runs it. */
+export interface RunningPlacement {
+	readonly placeCall: PlaceCall;
+	/** Registers the messages between instances. */
+	readonly register: (router: ConnectRouter) => void;
+	/** Takes a newer configuration into use. */
+	readonly useSet: (set: ConfigurationSet) => void;
+	/** What is known here of the slots of a service in a region. */
+	readonly snapshot?: (key: SlotGroupKey) => GroupSnapshot;
+	readonly start: () => void;
+	readonly stop: () => Promise<void>;
+}
+
+/** Creates a placement from its parts. */
+export type CreatePlacement = (parts: PlacementParts) => Promise<RunningPlacement>;
+
+/** Creates the placement by slot owners. */
+export const createOwnedPlacement: CreatePlacement = async parts => {
+	const {h32} = await xxhash();
+	const owner = new SlotOwner({
+		...parts, admitShift: () => undefined, onSpillEnd() {/* Shifts listen here. */},
+	});
+	const asker = new SlotAsker({...parts, owner, hash: text => h32(text)});
+	return {
+		placeCall: createSteeredPlacement({...parts, asker, fallback: new LocalFallback(parts)}),
+		register(router) {
+			owner.register(router);
+		},
+		useSet(set) {
+			owner.useSet(set);
+		},
+		snapshot(key) {
+			const ownerId = asker.ownerOf(key);
+			return {owner: ownerId, state: asker.state(key), servers: ownerId === parts.instance ? owner.findGroup(key)?.snapshot() ?? [] : []};
+		},
+		start() {
+			owner.start();
+			asker.start();
+		},
+		async stop() {
+			asker.stop();
+			owner.stop();
+		},
+	};
+};
--- a/testing/demo/src/index.ts
+++ b/testing/demo/src/index.ts
@@ -1,3 +1,3 @@
 /** Runs both deployments' shape on loopback, with faults, and judges the outcome. */
 export * from './demo.js';
-export * from './table.js';
+export * from './traffic.js';
