Order entry instances once for each place instead of at each look-up

Cause: each look-up mapped, filtered, grouped and sorted the whole membership, which at 920 members took 1,735 us of CPU, so that one core gave fewer than 600 look-ups a second whatever the block table did. Ruled out: a time to live for the order; the membership's list changes its identity when anything in it does, so the order is kept until then. Change: groups of equal delay are kept by the nearest failure domain; a look-up only takes the first four from its own start. Conclusion: the look-up no longer grows with the fleet between changes of the membership; how often loads change it is the next thing to measure.

--- a/daemons/entry/src/lookup-view.ts
+++ b/daemons/entry/src/lookup-view.ts
@@ -1,9 +1,12 @@
 /** What the look-up needs: the block table, the topology and the members of the fleet. */
 import type {
-	ClientBlock, ConfigurationSet, Instance, InstanceId, ServiceName, SiteName,
+	ClientBlock, ConfigurationSet, FailureDomainName, Instance, InstanceId, ServiceName, SiteName,
 } from '@pomelopick/core.types';
 import type {Member} from '@pomelopick/peer.membership';
-import {BlockTable, orderEntries, Topology} from '@pomelopick/steering.lookup';
+import {
+	BlockTable, groupEntries, nameEntries, Topology,
+} from '@pomelopick/steering.lookup';
+import type {EntryGroups} from '@pomelopick/steering.lookup';
 
 const MOST_NAMED = 4;
 
@@ -23,6 +26,10 @@
 	#prepared = BlockTable.empty;
 	#topology: Topology | undefined;
 	#services = new Set<ServiceName>();
+	readonly #groups = new Map<FailureDomainName | undefined, EntryGroups>();
+	#groupedMembers: readonly Member[] | undefined;
+	#groupedTopology: Topology | undefined;
+	#isolated: ReadonlySet<InstanceId> = new Set();
 
 	constructor(options: LookupViewOptions) {
 		this.#options = options;
@@ -60,28 +67,43 @@
 
 	/** Instances for a caller, best first. */
 	entriesFor(address: string): readonly Instance[] {
-		const site = this.findSite(address);
-		if (!this.#topology) {
+		const topology = this.#topology;
+		if (!topology) {
 			return [];
 		}
 
-		const members = this.#options.members();
-		const ordered = orderEntries({
-			candidates: members.map(({instance, load, alive}) => ({instance, load, alive})),
-			near: site && this.#topology.domainOfSite(site),
-			topology: this.#topology,
-			spread: hashAddress(address),
-			most: members.length,
-		});
-		return nameReachable({ordered, isolated: new Set(members.filter(({isolated}) => isolated).map(({instance}) => instance.id))});
+		const site = this.findSite(address);
+		const groups = this.#groupsNear({topology, near: site && topology.domainOfSite(site)});
+		const spread = hashAddress(address);
+		const named = nameEntries({groups, spread, most: MOST_NAMED});
+		if (named.some(({id}) => !this.#isolated.has(id))) {
+			return named;
+		}
+
+		// All of them stand in regions that are cut off from here: the best other one takes the last place.
+		const reachable = nameEntries({groups, spread, most: Number.POSITIVE_INFINITY}).find(({id}) => !this.#isolated.has(id));
+		return reachable === undefined ? named : [...named.slice(0, MOST_NAMED - 1), reachable];
 	}
-}
 
-/** The first of the order; when all of them stand in regions that are cut off from here, the best other one takes the last place. */
-function nameReachable({ordered, isolated}: {readonly ordered: readonly Instance[]; readonly isolated: ReadonlySet<InstanceId>}): readonly Instance[] {
-	const named = ordered.slice(0, MOST_NAMED);
-	const reachable = ordered.find(({id}) => !isolated.has(id));
-	return reachable === undefined || named.includes(reachable) ? named : [...named.slice(0, MOST_NAMED - 1), reachable];
+	/** Groups of a place, kept until the membership or the topology changes. */
+	#groupsNear({topology, near}: {readonly topology: Topology; readonly near: FailureDomainName | undefined}): EntryGroups {
+		const members = this.#options.members();
+		if (members !== this.#groupedMembers || topology !== this.#groupedTopology) {
+			this.#groups.clear();
+			this.#groupedMembers = members;
+			this.#groupedTopology = topology;
+			this.#isolated = new Set(members.filter(({isolated}) => isolated).map(({instance}) => instance.id));
+		}
+
+		const known = this.#groups.get(near);
+		if (known) {
+			return known;
+		}
+
+		const groups = groupEntries({candidates: members, near, topology});
+		this.#groups.set(near, groups);
+		return groups;
+	}
 }
 
 const HASH_MULTIPLIER = 31;
--- a/steering/lookup/src/entry-order.ts
+++ b/steering/lookup/src/entry-order.ts
@@ -11,44 +11,68 @@
 	readonly alive: boolean;
 }
 
-/** Options of {@link orderEntries}. */
-export interface OrderEntriesOptions {
+/** Options of {@link groupEntries}. */
+export interface GroupEntriesOptions {
 	readonly candidates: readonly EntryCandidate[];
 	/** Failure domain nearest to the caller; undefined when it is not known. */
 	readonly near: FailureDomainName | undefined;
 	readonly topology: Topology;
+}
+
+/** Usable instances in groups of equal delay, nearest first. */
+export type EntryGroups = ReadonlyArray<readonly Instance[]>;
+
+/** Options of {@link nameEntries}. */
+export interface NameEntriesOptions {
+	readonly groups: EntryGroups;
 	/** Number derived from the caller, so that callers of one place start at different instances. */
 	readonly spread: number;
 	readonly most: number;
 }
 
+/** Options of {@link orderEntries}. */
+export type OrderEntriesOptions = GroupEntriesOptions & Omit<NameEntriesOptions, 'groups'>;
+
 /** Load from which an instance is not named while others have room. */
 const FULL_LOAD = 0.95;
 
 /** The nearest usable instances first; callers of one place are spread over those at the same delay. */
-export function orderEntries({candidates, near, topology, spread, most}: OrderEntriesOptions): readonly Instance[] {
+export function orderEntries({spread, most, ...options}: OrderEntriesOptions): readonly Instance[] {
+	return nameEntries({groups: groupEntries(options), spread, most});
+}
+
+/** Groups what callers of one place may be told; the same for all of them until a candidate changes. */
+export function groupEntries({candidates, near, topology}: GroupEntriesOptions): EntryGroups {
 	const usable = candidates.filter(({instance, alive}) => alive && instance.state === 'live');
 	const withRoom = usable.filter(({load}) => load < FULL_LOAD);
-	const named = withRoom.length > 0 ? withRoom : usable;
-	const byDelay = groupBy({items: named, keyOf: ({instance}) => near === undefined ? 0 : topology.delayMs({from: near, to: instance.failureDomain})});
+	const byDelay = new Map<number, Instance[]>();
+	for (const {instance} of withRoom.length > 0 ? withRoom : usable) {
+		const delayMs = near === undefined ? 0 : topology.delayMs({from: near, to: instance.failureDomain});
+		const group = byDelay.get(delayMs);
+		if (group) {
+			group.push(instance);
+		} else {
+			byDelay.set(delayMs, [instance]);
+		}
+	}
+
 	return [...byDelay]
 		.sort(([left], [right]) => left - right)
-		.flatMap(([, group]) => rotate({group: [...group].sort((left, right) => left.instance.id.localeCompare(right.instance.id)), by: spread}))
-		.slice(0, most)
-		.map(({instance}) => instance);
+		.map(([, group]) => group.sort((left, right) => left.id.localeCompare(right.id)));
 }
 
-function rotate<Item>({group, by}: {readonly group: readonly Item[]; readonly by: number}): Item[] {
-	const start = by % group.length;
-	return [...group.slice(start), ...group.slice(0, start)];
-}
+/** Names instances group by group, each group from the caller's own start. */
+export function nameEntries({groups, spread, most}: NameEntriesOptions): readonly Instance[] {
+	const named: Instance[] = [];
+	for (const group of groups) {
+		for (let index = 0; index < group.length; index += 1) {
+			if (named.length >= most) {
+				return named;
+			}
 
-function groupBy<Item, Key>({items, keyOf}: {readonly items: readonly Item[]; readonly keyOf: (item: Item) => Key}): Map<Key, Item[]> {
-	const groups = new Map<Key, Item[]>();
-	for (const item of items) {
-		const key = keyOf(item);
-		groups.set(key, [...(groups.get(key) ?? []), item]);
+			named.push(group[(spread + index) % group.length]!);
+		}
 	}
 
-	return groups;
+	return named;
 }
