Keep chunks that arrived and ask peers first for a whole set

Cause: loading a version threw away all chunks when one read failed. Ruled out: reading all chunks as one prefix, a single answer of 8 MB. Change: a source gives what it read before it failed; the loader goes on from there and gives peers what arrived so far; more than 16 missing chunks are asked of two peers before the store.

--- a/config/distribution/src/distribution.ts
+++ b/config/distribution/src/distribution.ts
@@ -18,12 +18,15 @@
 import {StoreWatcher} from './store-watcher.js';
 import {VersionLoader} from './version-loader.js';
 import {PeerSource, StoreSource} from './version-source.js';
+import type {ChunkSource} from './version-source.js';
 
 /** Instances of one failure domain that watch the key-value service. */
 const WATCHERS_PER_FAILURE_DOMAIN = 2;
 const WATCH_KEY = 'configuration-watch';
 /** Size from which an answer with chunks is cut, in bytes. */
 const MOST_ANSWER_BYTES = 524_288;
+/** Missing chunks up to which the store is asked before peers. */
+const MOST_CHUNKS_FROM_STORE = 16;
 /** Peers asked for chunks that neither the teller nor the store has. */
 const FALLBACK_PEERS = 2;
 
@@ -74,7 +77,7 @@
 		const {store, holder, now, random, prepare, onFailure, onDamagedChunk} = options;
 		this.#options = options;
 		this.#loader = new VersionLoader({
-			holder, now, prepare, onFailure, onDamagedChunk, sources: () => [new StoreSource({store}), ...this.#fallbackPeers()],
+			holder, now, prepare, onFailure, onDamagedChunk, sources: ({missing}) => this.#listSources({missing}),
 		});
 		this.#watcher = new StoreWatcher({
 			store, holder, loader: this.#loader, now, random, onFailure, isWatcher: () => this.isWatcher,
@@ -139,6 +142,13 @@
 		}
 	}
 
+	/** A few chunks are new to everyone and come from the store; many are those of a whole set, which peers hold. */
+	#listSources({missing}: {readonly missing: number}): readonly ChunkSource[] {
+		const store = new StoreSource({store: this.#options.store});
+		const peers = this.#fallbackPeers();
+		return missing > MOST_CHUNKS_FROM_STORE ? [...peers, store] : [store, ...peers];
+	}
+
 	#fallbackPeers(): readonly PeerSource[] {
 		const {self, clients, liveInstances} = this.#options;
 		const others = liveInstances().filter(({id}) => id !== self);
@@ -155,7 +165,7 @@
 		const chunks = [];
 		let bytes = 0;
 		for (const hash of hashes) {
-			const content = this.#loader.chunks.get(hash);
+			const content = this.#loader.chunkOf(hash);
 			if (content && (bytes === 0 || bytes + content.length <= MOST_ANSWER_BYTES)) {
 				bytes += content.length;
 				chunks.push(create(ChunkSchema, {hash, content}));
--- a/config/distribution/src/version-loader.ts
+++ b/config/distribution/src/version-loader.ts
@@ -17,7 +17,7 @@
 export interface VersionLoaderOptions {
 	readonly holder: ConfigurationHolder;
 	/** Where chunks are looked for, in order, after the peer that told of the version. */
-	readonly sources: () => readonly ChunkSource[];
+	readonly sources: (options: {readonly missing: number}) => readonly ChunkSource[];
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
 	readonly onFailure: (message: string) => void;
@@ -35,15 +35,17 @@
 	readonly #actor;
 	#isStopped = false;
 	#chunks: ReadonlyMap<string, Uint8Array> = new Map();
+	/** Chunks of the last load when some were still missing; the next load goes on from them. */
+	#arrived: ReadonlyMap<string, Uint8Array> = new Map();
 
 	constructor(options: VersionLoaderOptions) {
 		this.#options = options;
 		this.#actor = spawn(this.#system, async (_: undefined, request: LoadRequest) => this.#load(request), 'version-loader');
 	}
 
-	/** Chunks of the version in force, by hash. */
-	get chunks(): ReadonlyMap<string, Uint8Array> {
-		return this.#chunks;
+	/** A chunk of the version in force or of one that is being loaded. */
+	chunkOf(hash: string): Uint8Array | undefined {
+		return this.#chunks.get(hash) ?? this.#arrived.get(hash);
 	}
 
 	/** Loads a version unless it is in force already by the time it is its turn. */
@@ -89,8 +91,9 @@
 
 	async #loadRoot({root, first, confirmedAtMs}: {readonly root: ConfigurationRoot; readonly first: readonly ChunkSource[]; readonly confirmedAtMs: number}): Promise<boolean> {
 		const {holder, onFailure, prepare} = this.#options;
-		const chunks = await this.#collect({root, sources: [...first, ...this.#options.sources()]});
+		const chunks = await this.#collect({root, first});
 		const missing = root.chunks.filter(({hash}) => !chunks.has(hash));
+		this.#arrived = missing.length > 0 ? chunks : new Map();
 		if (missing.length > 0) {
 			onFailure(`version ${root.version}: ${missing.length} chunk(s) cannot be read, the first is ${missing[0]!.hash}`);
 			return false;
@@ -111,17 +114,17 @@
 	}
 
 	/** Gathers the chunks of a root: those held already, then from each source what is still missing. */
-	async #collect({root, sources}: {readonly root: ConfigurationRoot; readonly sources: readonly ChunkSource[]}): Promise<ReadonlyMap<string, Uint8Array>> {
+	async #collect({root, first}: {readonly root: ConfigurationRoot; readonly first: readonly ChunkSource[]}): Promise<ReadonlyMap<string, Uint8Array>> {
 		const chunks = new Map<string, Uint8Array>();
 		const hashes = new Set(root.chunks.map(({hash}) => hash));
 		for (const hash of hashes) {
-			const held = this.#chunks.get(hash);
+			const held = this.chunkOf(hash);
 			if (held) {
 				chunks.set(hash, held);
 			}
 		}
 
-		for (const source of sources) {
+		for (const source of [...first, ...this.#options.sources({missing: hashes.size - chunks.size})]) {
 			const missing = [...hashes].filter(hash => !chunks.has(hash));
 			if (missing.length === 0) {
 				break;
--- a/config/distribution/src/version-source.ts
+++ b/config/distribution/src/version-source.ts
@@ -17,7 +17,7 @@
 	readonly message: string;
 }
 
-/** Reads chunks by their hash. Chunks that the source lacks are left out of the answer. */
+/** Reads chunks by their hash. Chunks that the source lacks, or fails to give after others arrived, are left out of the answer. */
 export interface ChunkSource {
 	readonly name: string;
 	getChunks(hashes: readonly string[]): EitherAsync<SourceError, ReadonlyMap<string, Uint8Array>>;
@@ -41,7 +41,7 @@
 			for (const hash of hashes) {
 				const found = await this.#store.get(`${CHUNK_PREFIX}${hash}`).run();
 				if (found.isLeft()) {
-					return found;
+					return chunks.size > 0 ? Right(chunks) : found;
 				}
 
 				const stored = found.unsafeCoerce();
@@ -86,7 +86,7 @@
 					endpoint: this.#endpoint, service: ConfigurationService, timeoutMs: CHUNKS_TIMEOUT_MS, invoke: async (client, options) => client.getChunks({hashes: [...asked]}, options),
 				}).run();
 				if (answer.isLeft()) {
-					return Left(answer.extract() as SourceError);
+					return chunks.size > 0 ? Right(chunks) : Left(answer.extract() as SourceError);
 				}
 
 				const found = answer.unsafeCoerce().chunks;
