--- a/testing/bench/src/control.ts
+++ b/testing/bench/src/control.ts
@@ -49,7 +49,7 @@
 	readonly callsPerChange: number;
 	/** Bytes that one change adds at a node. */
 	readonly bytesPerNodePerChange: number;
-	/** Time from the publisher's answer until a change was in force at a node, in milliseconds. */
+	/** Time from the publisher's answer until a change was in force at a node, in milliseconds; one processor carries all nodes. */
 	readonly arrivalMs: {readonly median: number; readonly p99: number; readonly most: number};
 }
 
@@ -70,7 +70,7 @@
 }
 
 const DEFAULT_NODE_COUNTS = [9, 18, 27, 36];
-const DEFAULT_STEADY_MS = 3000;
+const DEFAULT_STEADY_MS = 6000;
 const DEFAULT_CHANGES = 3;
 const DEFAULT_CLIENT_BLOCKS = 2000;
 
@@ -190,18 +190,35 @@
 
 function fitSlopes(rows: readonly ControlRow[]): readonly MeasuredSlope[] {
 	const changesPerSecond = plannedSize.changesPerDay / SECONDS_PER_DAY;
-	const quantities: ReadonlyArray<{readonly quantity: string; readonly unit: string; readonly pick: (row: ControlRow) => number}> = [
+	const byExchanges: readonly Quantity[] = [
 		{quantity: 'bytes a node without changes', unit: 'bytes/s', pick: ({bytesPerNodePerSecond}) => bytesPerNodePerSecond},
 		{quantity: 'bytes a node at the planned rate of changes', unit: 'bytes/s', pick: ({bytesPerNodePerSecond, bytesPerNodePerChange}) => bytesPerNodePerSecond + (bytesPerNodePerChange * changesPerSecond)},
+	];
+	const byNodes: readonly Quantity[] = [
 		{quantity: 'platform calls without changes, less those of watchers', unit: 'calls/s', pick: ({platformCallsPerSecond, watchers}) => platformCallsPerSecond - watcherCallsPerSecond(watchers)},
-		{quantity: 'processor time a node', unit: '% of a core', pick: ({corePercentPerNode}) => corePercentPerNode},
-		{quantity: 'arrival of a change, p99', unit: 'ms', pick: ({arrivalMs}) => arrivalMs.p99},
 	];
-	return quantities.map(({quantity, unit, pick}) => fitSlope({
-		role: 'control', quantity, unit, variable: 'nodes', points: rows.map(row => ({x: row.nodes, y: pick(row)})), plannedX: plannedSize.nodes,
+	const fit = ({quantities, variable, pickX, plannedX}: {readonly quantities: readonly Quantity[]; readonly variable: string; readonly pickX: (row: ControlRow) => number; readonly plannedX: number}): MeasuredSlope[] => quantities.map(({quantity, unit, pick}) => fitSlope({
+		role: 'control', quantity, unit, variable, points: rows.map(row => ({x: pickX(row), y: pick(row)})), plannedX,
 	}));
+	return [
+		...fit({
+			quantities: byExchanges, variable: 'heartbeats a node sends a second', pickX: ({exchangesPerNodePerSecond}) => exchangesPerNodePerSecond, plannedX: MOST_SUBJECTS,
+		}),
+		...fit({
+			quantities: byNodes, variable: 'nodes', pickX: ({nodes}) => nodes, plannedX: plannedSize.nodes,
+		}),
+	];
 }
 
+interface Quantity {
+	readonly quantity: string;
+	readonly unit: string;
+	readonly pick: (row: ControlRow) => number;
+}
+
+/** Heartbeats that a node sends a second at any size: one to its successor on each ring. */
+const MOST_SUBJECTS = 4;
+
 /** Time that a watch waits, in seconds. */
 const WATCH_SECONDS = 10;
 
