--- /dev/null
+++ b/core/telemetry/test/log.test.ts
@@ -0,0 +1,35 @@
+import assert from 'node:assert/strict';
+import process from 'node:process';
+import {describe, it} from 'node:test';
+import createDebug from 'debug';
+import {createLog, useLogNamespaces} from '@pomelopick/core.telemetry';
+
+const cases: ReadonlyArray<{name: string; environment: string | undefined; namespaces: string; expected: boolean}> = [
+	{
+		name: 'the settings switch a namespace on', environment: undefined, namespaces: 'pomelopick:part', expected: true,
+	},
+	{
+		name: 'settings for another namespace leave it off', environment: undefined, namespaces: 'pomelopick:other', expected: false,
+	},
+	{
+		name: 'empty settings leave it off', environment: undefined, namespaces: '', expected: false,
+	},
+	{
+		name: 'the environment goes before the settings', environment: 'elsewhere', namespaces: 'pomelopick:part', expected: false,
+	},
+];
+
+describe('useLogNamespaces', () => {
+	for (const {name, environment, namespaces, expected} of cases) {
+		it(name, () => {
+			createDebug.disable();
+			if (environment !== undefined) {
+				process.env.DEBUG = environment;
+			}
+
+			useLogNamespaces(namespaces);
+			assert.equal(createLog('part').enabled, expected);
+			delete process.env.DEBUG;
+		});
+	}
+});
