Test that a change is refused when another publish came between

Cause: the commands publish on top of the version that they read, but no test brought about a publish in between. Ruled out: a race of two processes, which is not the same at each run. Change: a test prepares a change, publishes another one, then publishes.

--- a/cli/pomelopick/src/index.ts
+++ b/cli/pomelopick/src/index.ts
@@ -47,3 +47,4 @@
 export * from './change-set.js';
 export * from './fleet-events.js';
 export * from './preview.js';
+export * from './publish-change.js';
--- a/cli/pomelopick/test/operators.test.ts
+++ b/cli/pomelopick/test/operators.test.ts
@@ -5,9 +5,12 @@
 import {PassThrough} from 'node:stream';
 import {text} from 'node:stream/consumers';
 import type {Explanation} from '@pomelopick/core.types';
+import {ConsulStore} from '@pomelopick/platform.store';
 import {popescuVlad, startFleet} from '@pomelopick/testing.fleet';
 import type {Deployment, Fleet} from '@pomelopick/testing.fleet';
-import {createCli} from '@pomelopick/cli.pomelopick';
+import {
+	addDrain, createCli, prepareChange, publishChange,
+} from '@pomelopick/cli.pomelopick';
 
 const small: Deployment = {
 	...popescuVlad,
@@ -93,6 +96,19 @@
 		assert.match(added.output, /cap of shift late: none -> 50 calls\/s\n.*accepted as version 4/su);
 	});
 
+	it('a change is refused when another publish came between, and changes nothing', async () => {
+		const client = new ConsulStore({endpoint: fleet.platform});
+		const change = addDrain({target: {kind: 'site', name: 'moldova-1-site' as never}, name: 'overtaken'});
+		const prepared = await prepareChange({store: client, change}).run();
+		const other = await run('drain', 'site', 'moldova-2-site', '--store', store, '--yes');
+		const outcome = await publishChange({store: client, prepared: prepared.unsafeCoerce()}).run();
+		const shown = await run('config', 'show', '--store', store);
+		await run('undrain', 'moldova-2-site', '--store', store, '--yes');
+		await client.close();
+		assert.deepEqual([other.code, outcome.unsafeCoerce().kind], [0, 'refused']);
+		assert.doesNotMatch(shown.output, /"overtaken"/u);
+	});
+
 	it('a change without headroom is published only with force', async () => {
 		const domains = ['transilvania-1', 'muntenia-1', 'moldova-1', 'transilvania-2', 'muntenia-2'];
 		for (const domain of domains) {
