--- a/config/publishing/src/publish.ts
+++ b/config/publishing/src/publish.ts
@@ -121,7 +121,9 @@
 
 	const chunks = splitIntoChunks(set);
 	const root = toRoot({options, found, chunks});
-	const prepared = await EitherAsync.fromPromise(async () => writeIntent({store, root, startedAtMs: nowMs}))
+	const prepared = await EitherAsync.fromPromise(async () => writeIntent({
+		store, root, startedAtMs: nowMs, base: found?.root,
+	}))
 		.chain(() => readCondemned(store))
 		.chain(condemned => EitherAsync.fromPromise(async (): Promise<Either<ReadConfigurationError, number>> => writeChunks({
 			store, chunks, condemned, inForce: new Set(repairs ? [] : found?.root.chunks.map(({hash}) => hash)),
@@ -141,11 +143,21 @@
 	};
 }
 
+interface WriteIntentOptions {
+	readonly store: KeyValueStore;
+	readonly root: ConfigurationRoot;
+	/** Newest root; as long as the swap can succeed, its chunks are needed anyway. */
+	readonly base: ConfigurationRoot | undefined;
+	/** Wall-clock time, in milliseconds since the epoch. */
+	readonly startedAtMs: number;
+}
+
 /** Notes what the publish attempts before it relies on any chunk. */
-async function writeIntent({store, root, startedAtMs}: {readonly store: KeyValueStore; readonly root: ConfigurationRoot; readonly startedAtMs: number}): Promise<Either<ReadConfigurationError, true>> {
+async function writeIntent({store, root, base, startedAtMs}: WriteIntentOptions): Promise<Either<ReadConfigurationError, true>> {
 	const {publishId, version, chunks} = root;
+	const inBase = new Set(base?.chunks.map(({hash}) => hash));
 	const intent: PublishIntent = {
-		publishId, version, startedAtMs, hashes: chunks.map(({hash}) => hash),
+		publishId, version, startedAtMs, hashes: chunks.map(({hash}) => hash).filter(hash => !inBase.has(hash)),
 	};
 	return ensureValue({
 		store, key: `${PUBLISH_PREFIX}${publishId}`, value: encodeJson(intent), replaces: true,
--- a/config/publishing/src/stored-configuration.ts
+++ b/config/publishing/src/stored-configuration.ts
@@ -51,7 +51,7 @@
 	readonly version: ConfigurationVersion;
 	/** Wall-clock time, in milliseconds since the epoch. */
 	readonly startedAtMs: number;
-	/** Chunks that it relies on; no collection deletes them. */
+	/** Chunks that it relies on besides those of the version that it replaces; no collection deletes them. */
 	readonly hashes: readonly string[];
 }
 
