Lose the answer of the swap itself in the race of operators

Cause: with a publisher that takes a lost swap for refused, the process test passed: the lost answers were those of the writes before the swap. Change: the answers of all four writes of a publish are lost, in both races and for a publisher that is alone, which must be told its version.

--- a/testing/fleet/test/configuration.test.ts
+++ b/testing/fleet/test/configuration.test.ts
@@ -17,6 +17,8 @@
 const ENTRIES = 9;
 /** Time within which an accepted version must be in force everywhere. */
 const BOUND_MS = 13_000;
+/** Writes of a publish that changes one chunk: what it attempts, the chunk, the copy of the root and the swap. */
+const WRITES_PER_PUBLISH = 4;
 /** Shorter than the 60 s of the requirement; the bench runs the whole time. */
 const OUTAGE_MS = 6000;
 
@@ -103,7 +105,7 @@
 	it('lets two and ten operators race while instances are restarted, and answers of the store are lost', async () => {
 		for (const operators of [2, 10]) {
 			const base = Math.max(...await versionsOf(fleet.entries));
-			await fleet.setPlatformFaults({loseNextWriteAnswers: operators});
+			await fleet.setPlatformFaults({loseNextWriteAnswers: operators * WRITES_PER_PUBLISH});
 			const [outcomes] = await Promise.all([
 				Promise.all(Array.from({length: operators}, async () => publish(base))),
 				replaceFirstEntry(),
@@ -112,6 +114,10 @@
 			await waitForVersion({version: base + 1});
 		}
 
+		const base = Math.max(...await versionsOf(fleet.entries));
+		await fleet.setPlatformFaults({loseNextWriteAnswers: WRITES_PER_PUBLISH});
+		const alone = await publish(base);
+		assert.equal(alone.kind === 'accepted' && alone.version, base + 1, JSON.stringify(alone));
 		await fleet.setPlatformFaults({loseNextWriteAnswers: 0});
 		const versions = await Promise.all(Array.from({length: 5}, async () => publishUntilAccepted()));
 		await waitForVersion({version: Math.max(...versions)});
