Keep one owner of slots in place and ask it once; bound shifts by grants

The callers of the tests and of the load also all came from 127.0.0.1: undici takes localAddress beside `connect`, not in it. Nothing bounded a shift. Ruled out: lost slots; the counts of each group, printed once a second, followed the calls. Event loop delay; it was below 30 ms while a request took 30 to 700 ms. Change: timeouts are rounded up; an owner counts as silent after 1.5 s; a slot that ended is not counted again by a renewal sent before; clients are kept by service; a call goes to another region only where its owner told of two free slots or was never asked; an idle region may prove itself with one call. Owners of the target's slots hold grants of a shift's cap from the store, with an epoch and an expiry on their own clock; a guard ramps a shift up and closes it when its calls fail or slow down. Deterministic subsets for connections.

--- a/calls/placement/src/create-placement.ts
+++ b/calls/placement/src/create-placement.ts
@@ -3,12 +3,13 @@
 import xxhash from 'xxhash-wasm';
 import type {PlaceCall} from '@pomelopick/calls.forwarding';
 import type {
-	ConfigurationSet, FailureDomainName, Instance, InstanceId,
+	ConfigurationSet, FailureDomainName, Instance, InstanceId, ShiftName,
 } from '@pomelopick/core.types';
 import type {PeerClients} from '@pomelopick/peer.transport';
 import type {KeyValueStore} from '@pomelopick/platform.store';
 import type {DrawInteger} from '@pomelopick/steering.choice';
 import {LocalFallback} from './local-fallback.js';
+import {ShiftGrants} from './shift-grants.js';
 import {SlotAsker} from './slot-asker.js';
 import {SlotOwner} from './slot-owner.js';
 import {createSteeredPlacement} from './steered-placement.js';
@@ -25,6 +26,8 @@
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
 	readonly count: (counter: string) => void;
+	/** Told when a shift closed itself. */
+	readonly onAbort: (options: {readonly shift: ShiftName; readonly detail: string}) => void;
 }
 
 /** A placement as a daemon runs it. */
@@ -44,8 +47,15 @@
 /** Creates the placement by slot owners. */
 export const createOwnedPlacement: CreatePlacement = async parts => {
 	const {h32} = await xxhash();
+	const shifts = new ShiftGrants(parts);
 	const owner = new SlotOwner({
-		...parts, admitShift: () => undefined, onSpillEnd() {/* Shifts listen here. */},
+		...parts,
+		admitShift: traffic => shifts.admit(traffic),
+		onSpillEnd({service, region, from, end, heldMs}) {
+			shifts.note({
+				service, from, to: region, heldMs, isGood: end === 'answered' || end === 'cancelled',
+			});
+		},
 	});
 	const asker = new SlotAsker({...parts, owner, hash: text => h32(text)});
 	return {
@@ -57,12 +67,14 @@
 			owner.useSet(set);
 		},
 		start() {
+			shifts.start();
 			owner.start();
 			asker.start();
 		},
 		async stop() {
 			asker.stop();
 			owner.stop();
+			await shifts.stop();
 		},
 	};
 };
--- a/calls/placement/src/index.ts
+++ b/calls/placement/src/index.ts
@@ -3,6 +3,7 @@
 export * from './local-fallback.js';
 export * from './owner-group.js';
 export * from './owner-rank.js';
+export * from './shift-grants.js';
 export * from './slot-asker.js';
 export * from './slot-owner.js';
 export * from './steered-placement.js';
--- a/calls/placement/src/owner-rank.ts
+++ b/calls/placement/src/owner-rank.ts
@@ -17,6 +17,35 @@
 	readonly hash: HashText;
 }
 
+/** Keeps the ranking of each group until the instances or the configuration change. */
+export class OwnerRanks {
+	readonly #hash: HashText;
+	#instances: readonly Instance[] = [];
+	#set: ConfigurationSet | undefined;
+	readonly #ranks = new Map<string, readonly Instance[]>();
+
+	constructor({hash}: {readonly hash: HashText}) {
+		this.#hash = hash;
+	}
+
+	/** Live instances, the owner of the group first. */
+	rank({group, instances, set}: Omit<RankOwnersOptions, 'hash'>): readonly Instance[] {
+		const isSame = set === this.#set && instances.length === this.#instances.length && instances.every((instance, index) => instance === this.#instances[index]);
+		if (!isSame) {
+			this.#ranks.clear();
+			this.#instances = instances;
+			this.#set = set;
+		}
+
+		const key = `${group.service} ${group.region}`;
+		const ranked = this.#ranks.get(key) ?? rankOwners({
+			group, instances, set, hash: this.#hash,
+		});
+		this.#ranks.set(key, ranked);
+		return ranked;
+	}
+}
+
 /** Live instances, the owner first; those of the group's region come before all others. */
 export function rankOwners({group, instances, set, hash}: RankOwnersOptions): readonly Instance[] {
 	const regionByDomain = new Map(set.failureDomains.map(({name, region}) => [name, region]));
--- /dev/null
+++ b/calls/placement/src/shift-grants.ts
@@ -0,0 +1,207 @@
+/** Gets this instance's shares of shifts from the store and keeps them renewed: one nact actor, off the path of calls. */
+import {
+	dispatch, spawn, start, stop,
+} from 'nact';
+import type {ActorSystemRef, Ref} from 'nact';
+import type {
+	ConfigurationSet, InstanceId, RegionName, Service, ServiceName, Shift, ShiftName,
+} from '@pomelopick/core.types';
+import type {KeyValueStore} from '@pomelopick/platform.store';
+import {
+	emptyLedger, findGrant, GrantObserver, planGrant, SHIFT_WINDOW_MS, ShiftBudget, ShiftGuard,
+} from '@pomelopick/steering.shifts';
+import type {ShiftLedger} from '@pomelopick/steering.shifts';
+import type {SlotRefusal} from './owner-group.js';
+
+const RENEW_INTERVAL_MS = 3000;
+const GRANT_DURATION_MS = 20_000;
+/** Time after its last use for which a shift's grant is kept, in milliseconds. */
+const IDLE_AFTER_MS = 10_000;
+const RETRY_AFTER_MS = 1000;
+const STORE_PREFIX = 'pomelopick/shifts/';
+
+/** Options of {@link ShiftGrants}. */
+export interface ShiftGrantsOptions {
+	readonly instance: InstanceId;
+	readonly store: KeyValueStore;
+	readonly currentSet: () => ConfigurationSet | undefined;
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+	readonly count: (counter: string) => void;
+	/** Told when a shift closed itself. */
+	readonly onAbort: (options: {readonly shift: ShiftName; readonly detail: string}) => void;
+}
+
+/** Names the traffic that a shift bounds. */
+export interface ShiftedTraffic {
+	readonly service: Service;
+	readonly from: RegionName;
+	readonly to: RegionName;
+}
+
+/** The end of a call that may have been sent under a shift. */
+export interface ShiftedEndOf {
+	readonly service: ServiceName;
+	readonly from: RegionName;
+	readonly to: RegionName;
+	/** Neither shed nor failed nor timed out. */
+	readonly isGood: boolean;
+	/** In milliseconds. */
+	readonly heldMs: number;
+}
+
+interface WriteOptions {
+	readonly state: ShiftState;
+	readonly wantedCallsPerSecond: number;
+	readonly capCallsPerSecond: number;
+}
+
+interface ShiftState {
+	readonly shift: Shift;
+	readonly budget: ShiftBudget;
+	readonly guard: ShiftGuard;
+	readonly observer: GrantObserver;
+	usedAtMs: number;
+}
+
+/** Shares of shifts. Without a grant in force nothing is sent under a shift. */
+export class ShiftGrants {
+	readonly #options: ShiftGrantsOptions;
+	readonly #states = new Map<ShiftName, ShiftState>();
+	#system: ActorSystemRef | undefined;
+	#renewer: Ref<ShiftName> | undefined;
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(options: ShiftGrantsOptions) {
+		this.#options = options;
+	}
+
+	/** Starts renewing. */
+	start(): void {
+		this.#system = start();
+		this.#renewer = spawn(this.#system, async (_state: undefined, shift: ShiftName) => {
+			await this.#renew(shift);
+			return undefined;
+		}, 'shift-grants');
+		this.#timer = setInterval(() => {
+			for (const name of this.#states.keys()) {
+				this.#ask(name);
+			}
+		}, RENEW_INTERVAL_MS);
+	}
+
+	/** Gives all grants back and stops. */
+	async stop(): Promise<void> {
+		clearInterval(this.#timer);
+		await Promise.all([...this.#states.values()].filter(({budget}) => budget.callsPerSecond > 0).map(async state => this.#giveBack(state)));
+		if (this.#system) {
+			stop(this.#system);
+		}
+	}
+
+	/** Admits one call under the shift that joins the regions; a refusal when its cap or grant does not allow it. */
+	admit({service, from, to}: ShiftedTraffic): SlotRefusal | undefined {
+		const shift = this.#options.currentSet()?.shifts.find(candidate => candidate.service === service.name && candidate.from === from && candidate.to === to);
+		if (!shift) {
+			return undefined;
+		}
+
+		const state = this.#state(shift);
+		const nowMs = this.#options.now();
+		state.usedAtMs = nowMs;
+		const refused = state.budget.tryAdmit({nowMs, capCallsPerSecond: shift.capCallsPerSecond, rampShare: state.guard.share(nowMs)}).swap().toMaybe().extract();
+		if (refused === undefined) {
+			return undefined;
+		}
+
+		this.#options.count(`shift.${refused}`);
+		return {reason: refused, detail: `shift ${shift.name} from ${from} to ${to}`, retryAfterMs: RETRY_AFTER_MS};
+	}
+
+	/** Learns from the end of a call that was sent under a shift. */
+	note({service, from, to, isGood, heldMs}: ShiftedEndOf): void {
+		for (const {shift, guard} of this.#states.values()) {
+			if (shift.service === service && shift.from === from && shift.to === to) {
+				guard.note({isGood, heldMs, nowMs: this.#options.now()});
+			}
+		}
+	}
+
+	#state(shift: Shift): ShiftState {
+		const known = this.#states.get(shift.name);
+		if (known) {
+			return known;
+		}
+
+		const state: ShiftState = {
+			shift,
+			budget: new ShiftBudget(),
+			guard: new ShiftGuard({
+				rampMs: shift.rampMs, nowMs: this.#options.now(), onAbort: detail => {
+					this.#options.count('shift.aborted');
+					this.#options.onAbort({shift: shift.name, detail});
+				},
+			}),
+			observer: new GrantObserver({windowMs: SHIFT_WINDOW_MS}),
+			usedAtMs: this.#options.now(),
+		};
+		this.#states.set(shift.name, state);
+		this.#ask(shift.name);
+		return state;
+	}
+
+	#ask(name: ShiftName): void {
+		if (this.#renewer) {
+			dispatch(this.#renewer, name);
+		}
+	}
+
+	async #renew(name: ShiftName): Promise<void> {
+		const state = this.#states.get(name);
+		const cap = this.#options.currentSet()?.shifts.find(shift => shift.name === name)?.capCallsPerSecond;
+		if (!state) {
+			return;
+		}
+
+		if (cap === undefined || this.#options.now() - state.usedAtMs > IDLE_AFTER_MS) {
+			await this.#giveBack(state);
+			this.#states.delete(name);
+			return;
+		}
+
+		await this.#write({state, wantedCallsPerSecond: cap, capCallsPerSecond: cap});
+	}
+
+	/** Stops using the grant, waits until its last calls have left the window, and takes it out of the store. */
+	async #giveBack(state: ShiftState): Promise<void> {
+		state.budget.shrinkTo(0);
+		await new Promise(resolve => {
+			setTimeout(resolve, SHIFT_WINDOW_MS);
+		});
+		await this.#write({state, wantedCallsPerSecond: 0, capCallsPerSecond: state.shift.capCallsPerSecond});
+	}
+
+	async #write({state: {shift, budget, observer}, wantedCallsPerSecond, capCallsPerSecond}: WriteOptions): Promise<void> {
+		const {store, now, instance, count} = this.#options;
+		const key = `${STORE_PREFIX}${shift.name}`;
+		const read = await store.get(key).run();
+		if (read.isLeft()) {
+			count('shift.store-failure');
+			return;
+		}
+
+		const stored = read.unsafeCoerce();
+		const ledger = stored ? JSON.parse(new TextDecoder().decode(stored.value)) as ShiftLedger : emptyLedger;
+		const askedAtMs = now();
+		const planned = planGrant({
+			ledger, holder: instance, wantedCallsPerSecond, capCallsPerSecond, durationMs: GRANT_DURATION_MS, ended: observer.observe({ledger, nowMs: askedAtMs}),
+		});
+		const written = await store.compareAndSwap({key, value: new TextEncoder().encode(JSON.stringify(planned)), expectedIndex: stored?.modifyIndex ?? 0}).run();
+		// A lost answer leaves the grant in use as it was: it is at most what the store had before, or runs out.
+		if (written.orDefault(false)) {
+			budget.useGrant({grant: findGrant({ledger: planned, holder: instance}), askedAtMs});
+		} else {
+			count('shift.store-failure');
+		}
+	}
+}
--- a/calls/placement/src/slot-asker.ts
+++ b/calls/placement/src/slot-asker.ts
@@ -9,19 +9,20 @@
 import type {Either} from 'purify-ts';
 import type {RefusalReason} from '@pomelopick/core.types';
 import type {GroupState, SlotAnswer, SlotRequest} from './owner-group.js';
-import {rankOwners} from './owner-rank.js';
+import {OwnerRanks} from './owner-rank.js';
 import type {HashText} from './owner-rank.js';
 import type {SlotGroupKey, SlotOwner} from './slot-owner.js';
 
-const RENEW_INTERVAL_MS = 200;
-const RENEW_TIMEOUT_MS = 500;
+const RENEW_INTERVAL_MS = 400;
+/** Silence after which an owner is no longer asked; shorter ones come with a busy processor. */
+const RENEW_TIMEOUT_MS = 1500;
 /** Added to a call's time left before the owner's answer counts as lost, in milliseconds; renewals notice a silent owner long before. */
 const ANSWER_MARGIN_MS = 100;
 const SUSPECT_MS = 2000;
 /** Time after its last use for which a group's owner is still told of nothing held, in milliseconds. */
 const IDLE_AFTER_MS = 5000;
 /** Age from which a group's state is no longer believed, in milliseconds. */
-const STATE_AGE_MS = 1000;
+const STATE_AGE_MS = 1200;
 const MOST_OWNERS_ASKED = 2;
 
 /** Options of {@link SlotAsker}. */
@@ -53,6 +54,7 @@
 	readonly held: Map<string, {readonly server: BackendServerName; readonly expiresAtMs: number}>;
 	readonly ended: Array<{readonly slotId: string; readonly end: SlotEnd}>;
 	usedAtMs: number;
+	isRenewing: boolean;
 	state: GroupState | undefined;
 	stateAtMs: number;
 }
@@ -75,12 +77,14 @@
 export class SlotAsker {
 	readonly #options: SlotAskerOptions;
 	readonly #groups = new Map<string, GroupUse>();
+	readonly #ranks: OwnerRanks;
 	readonly #suspicions = new Map<InstanceId, Suspicion>();
 	#nextSlot = 0;
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor(options: SlotAskerOptions) {
 		this.#options = options;
+		this.#ranks = new OwnerRanks(options);
 	}
 
 	/** Starts naming held slots to their owners. */
@@ -101,6 +105,13 @@
 		return use && this.#options.now() - use.stateAtMs < STATE_AGE_MS ? use.state : undefined;
 	}
 
+	/** Starts asking a group's owner for its state; whether this is the first time. */
+	isUnasked(key: SlotGroupKey): boolean {
+		const isKnown = this.#groups.has(`${key.service} ${key.region}`);
+		this.#use(key);
+		return !isKnown;
+	}
+
 	/** Asks for a slot; tries the next ranked owner when one does not answer. */
 	async acquire({key, request, signal}: {readonly key: SlotGroupKey; readonly request: Omit<SlotRequest, 'slotId' | 'asker' | 'isSubstitute'>; readonly signal: AbortSignal}): Promise<AskAnswer> {
 		const {now, count} = this.#options;
@@ -207,7 +218,7 @@
 		for (const [name, use] of this.#groups) {
 			if (use.held.size === 0 && nowMs - use.usedAtMs > IDLE_AFTER_MS) {
 				this.#groups.delete(name);
-			} else {
+			} else if (!use.isRenewing) {
 				void this.#renew(use);
 			}
 		}
@@ -227,11 +238,13 @@
 			return;
 		}
 
+		use.isRenewing = true;
 		const answer = await peers.call({
 			endpoint: owner.peers, service: SlotsService, timeoutMs: RENEW_TIMEOUT_MS, invoke: async (client, options) => client.renew({
 				group: use.key, asker: instance, held: held.map(({slotId, server, expiresAtMs}) => ({slotId, server, timeLeftMs: Math.max(0, Math.floor(expiresAtMs - nowMs))})),
 			}, options),
 		}).run();
+		use.isRenewing = false;
 		answer.ifLeft(() => {
 			this.#suspect(owner.id);
 		}).ifRight(({spillSlots, expectedWaitMs}) => {
@@ -246,17 +259,13 @@
 
 	#rank(key: SlotGroupKey): readonly Instance[] {
 		const set = this.#options.currentSet();
-		return set
-			? rankOwners({
-				group: key, instances: this.#options.liveInstances(), set, hash: this.#options.hash,
-			})
-			: [];
+		return set ? this.#ranks.rank({group: key, instances: this.#options.liveInstances(), set}) : [];
 	}
 
 	#use(key: SlotGroupKey): GroupUse {
 		const name = `${key.service} ${key.region}`;
 		const use = this.#groups.get(name) ?? {
-			key, held: new Map(), ended: [], usedAtMs: 0, state: undefined, stateAtMs: Number.NEGATIVE_INFINITY,
+			key, held: new Map(), ended: [], usedAtMs: 0, isRenewing: false, state: undefined, stateAtMs: Number.NEGATIVE_INFINITY,
 		};
 		use.usedAtMs = this.#options.now();
 		this.#groups.set(name, use);
--- a/calls/placement/src/steered-placement.ts
+++ b/calls/placement/src/steered-placement.ts
@@ -13,7 +13,9 @@
 /** Longest expected wait for a slot, in milliseconds, by the priority of the service. */
 const PATIENCE_MS = {interactive: 250, deferrable: 1000};
 /** Expected wait in the home region up to which a call does not go elsewhere, in milliseconds. */
-const HOME_PATIENCE_MS = 20;
+const HOME_PATIENCE_MS = 50;
+/** Free slots that another region must have told of before calls are sent there. */
+const LEAST_SPILL_SLOTS = 2;
 const RETRY_AFTER_MS = 1000;
 
 /** Options of {@link createSteeredPlacement}. */
@@ -103,7 +105,7 @@
 
 	#mayHaveRoom({service, choice}: {readonly service: ServiceName; readonly choice: RegionChoice}): boolean {
 		const state = this.#options.asker.state({service, region: choice.region});
-		return state === undefined || state.spillSlots > 0;
+		return state === undefined ? this.#options.asker.isUnasked({service, region: choice.region}) : state.spillSlots >= LEAST_SPILL_SLOTS;
 	}
 
 	async #ask({ask: {options, home}, region, patienceMs}: {readonly ask: Ask; readonly region: RegionName; readonly patienceMs: number}): Promise<AskAnswer> {
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -80,6 +80,9 @@
 		count(counter) {
 			counters.add(counter);
 		},
+		onAbort({shift, detail}) {
+			events.add({kind: 'shift', message: 'shift closed itself', fields: {shift, detail}});
+		},
 	});
 	holder.onChange(({set}) => {
 		lookup.useSet(set);
--- a/peer/transport/src/peer-clients.ts
+++ b/peer/transport/src/peer-clients.ts
@@ -35,6 +35,8 @@
 interface PeerConnection {
 	readonly sessions: Http2SessionManager;
 	readonly transport: Transport;
+	/** Clients by service; creating one costs more than a call. */
+	readonly clients: Map<DescService, Client<DescService>>;
 }
 
 /** Calls other instances. Every call has a deadline. */
@@ -46,8 +48,9 @@
 		return EitherAsync.fromPromise(async () => {
 			const origin = `http://${endpoint.address.includes(':') ? `[${endpoint.address}]` : endpoint.address}:${endpoint.port}`;
 			try {
-				const client = createClient(service, this.#connectionTo(origin).transport);
-				return Right(await invoke(client, {timeoutMs, signal}));
+				const client = clientOf({connection: this.#connectionTo(origin), service});
+				// The protocol carries whole milliseconds only.
+				return Right(await invoke(client, {timeoutMs: Math.max(1, Math.ceil(timeoutMs)), signal}));
 			} catch (error) {
 				return Left(this.#toPeerError({origin, error}));
 			}
@@ -70,7 +73,7 @@
 		}
 
 		const sessions = new GuardedSessionManager(origin, {pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: PING_TIMEOUT_MS, idleConnectionTimeoutMs: IDLE_TIMEOUT_MS});
-		const connection = {sessions, transport: createConnectTransport({baseUrl: origin, httpVersion: '2', sessionManager: sessions})};
+		const connection = {sessions, transport: createConnectTransport({baseUrl: origin, httpVersion: '2', sessionManager: sessions}), clients: new Map()};
 		this.#connections.set(origin, connection);
 		return connection;
 	}
@@ -98,3 +101,9 @@
 		this.#connections.delete(origin);
 	}
 }
+
+function clientOf<Service extends DescService>({connection, service}: {readonly connection: PeerConnection; readonly service: Service}): Client<Service> {
+	const client = connection.clients.get(service) as Client<Service> | undefined ?? createClient(service, connection.transport);
+	connection.clients.set(service, client);
+	return client;
+}
--- a/peer/transport/test/peer-transport.test.ts
+++ b/peer/transport/test/peer-transport.test.ts
@@ -29,6 +29,13 @@
 		assert.equal(answer.map(({configurationVersion}) => configurationVersion).orDefault(0n), 7n);
 	});
 
+	it('carries a call whose timeout is not a whole number', async () => {
+		const answer = await clients.call({
+			endpoint: server.endpoint, service: HelloService, timeoutMs: 2000.4, invoke: async (client, options) => client.hello({instance: 'two'}, options),
+		}).run();
+		assert.equal(answer.map(({instance}) => instance).orDefault('none'), 'one');
+	});
+
 	it('says not-sent when nothing listens', async () => {
 		const answer = await clients.call({
 			endpoint: {address: '127.0.0.1', port: 1}, service: HelloService, timeoutMs: 2000, invoke: async (client, options) => client.hello({}, options),
--- a/steering/capacity/src/headroom.ts
+++ b/steering/capacity/src/headroom.ts
@@ -14,7 +14,9 @@
 
 /** Slots that calls of other regions may take now. Retries and hedges hold slots and so count as load. */
 export function spillSlots({provenSlots, inUse, waiting}: RegionLoad): number {
-	return Math.max(0, Math.floor(provenSlots * SPILL_SHARE) - inUse - waiting);
+	// An idle region may always prove itself with one call.
+	const open = provenSlots === 0 ? 0 : Math.max(1, Math.floor(provenSlots * SPILL_SHARE));
+	return Math.max(0, open - inUse - waiting);
 }
 
 /** Options of {@link expectedWaitMs}. */
--- a/steering/choice/src/slot-book.ts
+++ b/steering/choice/src/slot-book.ts
@@ -9,6 +9,8 @@
 const UNCERTAIN_RETURN_MS = 30;
 /** Age from which a slot that its holder no longer names comes back, in milliseconds. */
 const UNNAMED_RETURN_MS = 1000;
+/** Time for which an ended slot is remembered, in milliseconds. */
+const ENDED_KEPT_MS = 5000;
 /** Time between trial calls to a server that is far slower than the others, in milliseconds. */
 const OUTLIER_TRIAL_MS = 500;
 
@@ -66,6 +68,8 @@
 	readonly #draw: DrawInteger;
 	readonly #servers = new Map<BackendServerName, ServerState>();
 	readonly #entries = new Map<string, Entry>();
+	/** Slots that ended and when, so that a renewal sent before the end does not count them again. */
+	readonly #endedAtMs = new Map<string, number>();
 	#outliers: ReadonlySet<BackendServerName> = new Set();
 
 	constructor({draw}: SlotBookOptions) {
@@ -140,6 +144,7 @@
 	/** Gives a slot back and learns from how it ended. Unknown slots are ignored. */
 	release({slotId, end, nowMs}: {readonly slotId: string; readonly end: SlotEnd; readonly nowMs: number}): void {
 		const entry = this.#entries.get(slotId);
+		this.#endedAtMs.set(slotId, nowMs);
 		if (!entry || entry.hasEnded) {
 			return;
 		}
@@ -169,7 +174,7 @@
 		}
 
 		for (const slot of held) {
-			if (!this.#entries.has(slot.slotId)) {
+			if (!this.#entries.has(slot.slotId) && !this.#endedAtMs.has(slot.slotId)) {
 				this.#add({
 					...slot, asker, takenAtMs: nowMs, hasEnded: false,
 				});
@@ -179,6 +184,14 @@
 
 	/** Gives back the slots whose time is over. */
 	expire(nowMs: number): void {
+		for (const [slotId, endedAtMs] of this.#endedAtMs) {
+			if (nowMs - endedAtMs < ENDED_KEPT_MS) {
+				break;
+			}
+
+			this.#endedAtMs.delete(slotId);
+		}
+
 		for (const entry of this.#entries.values()) {
 			if (nowMs >= entry.expiresAtMs) {
 				this.#remove(entry);
--- /dev/null
+++ b/steering/shifts/src/index.ts
@@ -0,0 +1,5 @@
+/** Caps of traffic shifts over the whole fleet. */
+export * from './grant-observer.js';
+export * from './shift-budget.js';
+export * from './shift-guard.js';
+export * from './shift-ledger.js';
--- /dev/null
+++ b/steering/shifts/src/shift-ledger.ts
@@ -0,0 +1,55 @@
+/** What the store holds of a shift: which instance may send how much of its cap. Pure functions on the stored value. */
+import type {InstanceId} from '@pomelopick/core.types';
+
+/** Calls per second that one instance may send. */
+export interface ShiftGrant {
+	readonly holder: InstanceId;
+	readonly callsPerSecond: number;
+	/** Cap under which it was granted; a lower cap in force shrinks it in proportion. */
+	readonly ofCap: number;
+	/** Time for which it is valid, in milliseconds from before its holder asked. */
+	readonly durationMs: number;
+	/** Grows with each write of this grant, so that an observer sees that it was renewed. */
+	readonly epoch: number;
+}
+
+/** All grants of one shift. */
+export interface ShiftLedger {
+	readonly epoch: number;
+	readonly grants: readonly ShiftGrant[];
+}
+
+/** A shift that nothing was granted of. */
+export const emptyLedger: ShiftLedger = {epoch: 0, grants: []};
+
+/** Options of {@link planGrant}. */
+export interface PlanGrantOptions {
+	readonly ledger: ShiftLedger;
+	readonly holder: InstanceId;
+	readonly wantedCallsPerSecond: number;
+	readonly capCallsPerSecond: number;
+	readonly durationMs: number;
+	/** Holders whose grants have surely ended. */
+	readonly ended: ReadonlySet<InstanceId>;
+}
+
+/** The ledger with the holder's grant renewed, as large as the other grants leave room for. */
+export function planGrant({ledger, holder, wantedCallsPerSecond, capCallsPerSecond, durationMs, ended}: PlanGrantOptions): ShiftLedger {
+	const others = ledger.grants.filter(grant => grant.holder !== holder && !ended.has(grant.holder));
+	const room = Math.floor(capCallsPerSecond) - others.reduce((sum, grant) => sum + grant.callsPerSecond, 0);
+	const callsPerSecond = Math.max(0, Math.min(Math.floor(wantedCallsPerSecond), room));
+	const epoch = ledger.epoch + 1;
+	return {
+		epoch,
+		grants: callsPerSecond === 0
+			? others
+			: [...others, {
+				holder, callsPerSecond, ofCap: capCallsPerSecond, durationMs, epoch,
+			}],
+	};
+}
+
+/** The grant of a holder. */
+export function findGrant({ledger, holder}: {readonly ledger: ShiftLedger; readonly holder: InstanceId}): ShiftGrant | undefined {
+	return ledger.grants.find(grant => grant.holder === holder);
+}
--- /dev/null
+++ b/steering/subsets/src/index.ts
@@ -0,0 +1,2 @@
+/** Deterministic subsets of backend servers for connections. */
+export * from './subset.js';
--- a/testing/callers/src/caller.ts
+++ b/testing/callers/src/caller.ts
@@ -73,7 +73,9 @@
 
 	constructor(options: CallerOptions) {
 		this.#options = options;
-		this.#agent = new Agent({connect: {localAddress: options.localAddress, timeout: LOOKUP_TIMEOUT_MS}, connections: 64, pipelining: 1});
+		this.#agent = new Agent({
+			localAddress: options.localAddress, connect: {timeout: LOOKUP_TIMEOUT_MS}, connections: 64, pipelining: 1,
+		});
 	}
 
 	/** Sends one call and waits for its final answer. Never rejects. */
--- a/testing/experiment/src/load.ts
+++ b/testing/experiment/src/load.ts
@@ -40,7 +40,7 @@
 /** Runs the arrivals and waits for all their answers. */
 export async function runLoad({fleet, arrivals, callers, timeoutMs}: RunLoadOptions): Promise<readonly CallResult[]> {
 	const states = callers.map((address): CallerState => ({
-		address, agent: new Agent({connect: {localAddress: address}, connections: 256, pipelining: 1}), endpoints: [], untilMs: 0,
+		address, agent: new Agent({localAddress: address, connections: 256, pipelining: 1}), endpoints: [], untilMs: 0,
 	}));
 	await Promise.all(states.map(async state => lookUp({fleet, state})));
 	const startedAtMs = performance.now();
