--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -11,7 +11,9 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {Agent} from 'undici';
 import type {Endpoint, Instance} from '@pomelopick/core.types';
-import {Counters, createLog, EventRecord} from '@pomelopick/core.telemetry';
+import {
+	Counters, createLog, EventRecord, useLogNamespaces,
+} from '@pomelopick/core.telemetry';
 import {CallHandler} from '@pomelopick/calls.forwarding';
 import {createOwnedPlacement} from '@pomelopick/calls.placement';
 import type {CreatePlacement} from '@pomelopick/calls.placement';
@@ -20,7 +22,7 @@
 import {HelloService} from '@pomelopick/peer.protocol';
 import {Membership} from '@pomelopick/peer.membership';
 import {PeerClients, startPeerServer} from '@pomelopick/peer.transport';
-import {ConsulStore} from '@pomelopick/platform.store';
+import {ConsulStore, ObservedStore} from '@pomelopick/platform.store';
 import {startFleetView} from './fleet-view.js';
 import {createKeyedCalls} from './keyed-calls.js';
 import type {KeyedCalls} from './keyed-calls.js';
@@ -28,6 +30,7 @@
 import {answerLookup} from './lookup-handler.js';
 import {answerOperator} from './operator-handler.js';
 import {answerOutcome, OUTCOME_PATH} from './outcome-handler.js';
+import {PlacementCounts} from './operators/placement-counts.js';
 
 const MOST_SEED = 2_147_483_647;
 const EVENTS_KEPT = 4096;
@@ -51,11 +54,12 @@
 
 /** Starts an entry instance. */
 export async function startEntry({settings, createPlacement = createOwnedPlacement}: StartEntryOptions): Promise<EntryDaemon> {
+	useLogNamespaces(settings.logNamespaces);
 	const log = createLog('entry');
 	const now = (): number => performance.now();
 	const counters = new Counters({target: settings.metrics, tags: {instance: settings.instance, failureDomain: settings.failureDomain}});
 	const events = new EventRecord({capacity: EVENTS_KEPT, now: () => Date.now()});
-	const store = new ConsulStore({endpoint: settings.store});
+	const store = new ObservedStore({store: new ConsulStore({endpoint: settings.store}), now});
 	const holder = new ConfigurationHolder();
 	const clients = new PeerClients();
 	const random = xoroshiro128plus(randomInt(MOST_SEED));
@@ -92,10 +96,11 @@
 	const keyedCalls = createKeyedCalls({
 		settings, clients, counters, liveInstances: () => membership.liveInstances(), now,
 	});
+	const placementCounts = new PlacementCounts();
 	const handler = new CallHandler({
 		currentSet,
 		findSite: address => lookup.findSite(address),
-		placeCall: placement.placeCall,
+		placeCall: placementCounts.around(placement.placeCall),
 		dispatcher,
 		counters,
 		events,
@@ -111,7 +116,17 @@
 	});
 	const operators = createServer((request, response) => {
 		answerOperator({
-			request, response, settings, holder, counters, events, lookup, now,
+			request,
+			response,
+			settings,
+			holder,
+			counters,
+			events,
+			lookup,
+			sources: {listCallsInProgress: () => placementCounts.inProgress, readSlots: placement.snapshot, storeState: () => store.report},
+			callsInProgress: () => handler.inProgress,
+			isWatcher: () => distribution.isWatcher,
+			now,
 		});
 	});
 	const peers = await startPeerServer({
--- a/peer/membership/src/membership.ts
+++ b/peer/membership/src/membership.ts
@@ -17,12 +17,18 @@
 	fromHeldMessage, fromNewsMessage, toHeldMessage, toNewsMessage,
 } from './wire.js';
 
-const HEARTBEAT_INTERVAL_MS = 500;
-const HEARTBEAT_TIMEOUT_MS = 700;
+const HEARTBEAT_INTERVAL_MS = 1000;
+const HEARTBEAT_TIMEOUT_MS = 1000;
+/** Pause before a heartbeat that was not answered is sent again. */
+const DOUBT_PAUSE_MS = 250;
 /** Delay that gathers news before it is sent ahead of the next heartbeat. */
 const URGENT_DELAY_MS = 20;
-/** A tick that comes this much late shows that the process stood still. */
-const STANDSTILL_MS = 1500;
+/** Least time between two sendings ahead of heartbeats, so that a flood of news costs a bounded rate of messages. */
+const URGENT_INTERVAL_MS = 200;
+/** Delay that gathers news before conclusions are drawn from it. */
+const REFRESH_DELAY_MS = 10;
+/** A tick that comes this much late shows that the process stood still or has no processor time. */
+const STANDSTILL_MS = 300;
 /** Time after a standstill in which failed heartbeats are not counted. */
 const STANDSTILL_GRACE_MS = 2000;
 /** Time for which an instance that called counts as a neighbour. */
@@ -50,8 +56,8 @@
 	readonly load: () => number;
 	/** Version in force here. */
 	readonly heldVersion: () => HeldVersion;
-	/** Told of the version of every peer that is heard. */
-	readonly onPeerVersion: (peer: {readonly endpoint: Endpoint; readonly held: HeldVersion}) => void;
+	/** Told of the version of every peer that is heard; its age is never taken for less than it is. */
+	readonly onPeerVersion: (peer: PeerVersionHeard) => void;
 	readonly onFailure: (message: string) => void;
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
@@ -61,6 +67,15 @@
 	readonly random: () => number;
 }
 
+/** The version of a peer that was heard. */
+export interface PeerVersionHeard {
+	readonly endpoint: Endpoint;
+	/** The age includes the time that the message may have taken. */
+	readonly held: HeldVersion;
+	/** Whether the age is an upper bound; it is none for a peer's own request, which may have waited for any time. */
+	readonly isAgeBounded: boolean;
+}
+
 /** Bytes and messages of this instance's exchanges since the start. */
 export interface MembershipStatistics {
 	readonly exchanges: number;
@@ -68,6 +83,17 @@
 	readonly everythingSent: number;
 }
 
+interface HearAnswerOptions {
+	readonly endpoint: Endpoint;
+	readonly response: ExchangeResponse;
+	/** Monotonic time at which the request was sent, in milliseconds. */
+	readonly sentAtMs: number;
+}
+
+interface TakeAnswerOptions extends HearAnswerOptions {
+	readonly id: InstanceId;
+}
+
 /** The fleet as this instance sees it. */
 export class Membership {
 	readonly #options: MembershipOptions;
@@ -78,6 +104,7 @@
 	readonly #listeners: Array<(members: readonly Member[]) => void> = [];
 	readonly #callers = new Map<InstanceId, number>();
 	readonly #inFlight = new Set<InstanceId>();
+	readonly #doubtTimers = new Map<InstanceId, NodeJS.Timeout>();
 	readonly #differences = new Map<InstanceId, number>();
 	readonly #statistics = {exchanges: 0, newsSent: 0, everythingSent: 0};
 	#self: MemberRecord | undefined;
@@ -85,10 +112,14 @@
 	#signature = '';
 	#timer: NodeJS.Timeout | undefined;
 	#urgentTimer: NodeJS.Timeout | undefined;
+	#refreshTimer: NodeJS.Timeout | undefined;
+	#nextUrgentMs = 0;
+	#mustAnnounce = false;
 	#lastTickMs = 0;
 	#graceUntilMs = 0;
 	#nextEverythingMs = 0;
 	#lastSequence = 0;
+	#isStopped = false;
 
 	constructor(options: MembershipOptions) {
 		this.#options = options;
@@ -153,6 +184,7 @@
 
 	/** Sends the version in force to the neighbours without waiting for the next heartbeat. */
 	announceVersion(): void {
+		this.#mustAnnounce = true;
 		this.#scheduleFlush();
 	}
 
@@ -164,8 +196,14 @@
 
 	/** Stops heartbeats. */
 	stop(): void {
+		this.#isStopped = true;
 		clearInterval(this.#timer);
 		clearTimeout(this.#urgentTimer);
+		clearTimeout(this.#refreshTimer);
+		for (const timer of this.#doubtTimers.values()) {
+			clearTimeout(timer);
+		}
+
 		this.#reader.stop();
 	}
 
@@ -184,14 +222,20 @@
 		}
 	}
 
-	/** Sends a heartbeat to each subject that is not still being asked. */
-	#flush(): void {
+	/** Sends a heartbeat to each subject that is not still being asked; when it is urgent, only to those that lack news. */
+	#flush({isUrgent = false}: {readonly isUrgent?: boolean} = {}): void {
+		if (this.#isStopped) {
+			return;
+		}
+
+		const isForAll = !isUrgent || this.#mustAnnounce;
+		this.#mustAnnounce = false;
 		const subjects = this.#subjects();
 		this.#observer.keepOnly(subjects);
 		this.#outbox.keepOnly(this.#neighbours());
 		for (const id of subjects) {
 			const known = this.#table.describe(id);
-			if (known && !this.#inFlight.has(id)) {
+			if (known && !this.#inFlight.has(id) && (isForAll || this.#outbox.has(id))) {
 				void this.#exchange({id, endpoint: known.instance.peers});
 			}
 		}
@@ -207,6 +251,7 @@
 		const wantsEverything = this.#shouldExchangeEverything(id);
 		const told = this.#outbox.take(id);
 		this.#inFlight.add(id);
+		const sentAtMs = this.#options.now();
 		const answer = await this.#call({endpoint, news: wantsEverything ? this.#table.everything : told, wantsEverything});
 		this.#inFlight.delete(id);
 		const error = answer.swap().toMaybe().extract();
@@ -216,19 +261,38 @@
 
 		if (error) {
 			this.#outbox.putBack({neighbour: id, news: told});
+			this.#askAgain(id);
 		}
 
 		answer.ifRight(response => {
-			this.#takeAnswer({id, endpoint, response});
+			this.#takeAnswer({
+				id, endpoint, response, sentAtMs,
+			});
 		});
 		this.#reportFindings();
 	}
 
+	/** Settles a doubt sooner than the next heartbeat would. */
+	#askAgain(id: InstanceId): void {
+		if (this.#table.isDead(id) || this.#doubtTimers.has(id) || this.#isStopped) {
+			return;
+		}
+
+		this.#doubtTimers.set(id, setTimeout(() => {
+			this.#doubtTimers.delete(id);
+			const known = this.#table.describe(id);
+			if (known && !this.#inFlight.has(id) && !this.#isStopped) {
+				void this.#exchange({id, endpoint: known.instance.peers});
+			}
+		}, DOUBT_PAUSE_MS));
+	}
+
 	async #askSeed(endpoint: Endpoint): Promise<void> {
+		const sentAtMs = this.#options.now();
 		const answer = await this.#call({endpoint, news: this.#table.everything, wantsEverything: true});
 		answer.ifRight(response => {
 			this.#takeNews({news: fromNewsMessage(response.news)});
-			this.#options.onPeerVersion({endpoint, held: fromHeldMessage(response.configuration)});
+			this.#hearAnswer({endpoint, response, sentAtMs});
 		});
 	}
 
@@ -250,7 +314,7 @@
 		this.#takeNews({news: fromNewsMessage(request.news), from: sender});
 		const known = this.#table.describe(sender);
 		if (known) {
-			this.#options.onPeerVersion({endpoint: known.instance.peers, held: fromHeldMessage(request.configuration)});
+			this.#options.onPeerVersion({endpoint: known.instance.peers, held: fromHeldMessage(request.configuration), isAgeBounded: false});
 		}
 
 		const news = request.wantsEverything ? this.#table.everything : this.#outbox.take(sender);
@@ -258,10 +322,16 @@
 		return create(ExchangeResponseSchema, {news: toNewsMessage(news), digest: this.#table.digest, configuration: toHeldMessage(this.#options.heldVersion())});
 	}
 
-	#takeAnswer({id, endpoint, response}: {readonly id: InstanceId; readonly endpoint: Endpoint; readonly response: ExchangeResponse}): void {
+	#takeAnswer({id, endpoint, response, sentAtMs}: TakeAnswerOptions): void {
 		this.#takeNews({news: fromNewsMessage(response.news), from: id});
 		this.#differences.set(id, response.digest === this.#table.digest ? 0 : (this.#differences.get(id) ?? MOST_DIFFERENCES - 1) + 1);
-		this.#options.onPeerVersion({endpoint, held: fromHeldMessage(response.configuration)});
+		this.#hearAnswer({endpoint, response, sentAtMs});
+	}
+
+	/** The answer was made after the request was sent, so that the whole round trip bounds its age. */
+	#hearAnswer({endpoint, response, sentAtMs}: HearAnswerOptions): void {
+		const held = fromHeldMessage(response.configuration);
+		this.#options.onPeerVersion({endpoint, held: {...held, ageMs: held.ageMs + this.#options.now() - sentAtMs}, isAgeBounded: true});
 	}
 
 	/** Repairs lost news: when digests keep differing, both sides tell everything, at a bounded rate. */
@@ -289,7 +359,10 @@
 			this.#scheduleFlush();
 		}
 
-		this.#refresh();
+		this.#refreshTimer ??= setTimeout(() => {
+			this.#refreshTimer = undefined;
+			this.#refresh();
+		}, REFRESH_DELAY_MS);
 	}
 
 	#reportFindings(): void {
@@ -339,10 +412,12 @@
 	}
 
 	#scheduleFlush(): void {
+		const nowMs = this.#options.now();
 		this.#urgentTimer ??= setTimeout(() => {
 			this.#urgentTimer = undefined;
-			this.#flush();
-		}, URGENT_DELAY_MS);
+			this.#nextUrgentMs = this.#options.now() + URGENT_INTERVAL_MS;
+			this.#flush({isUrgent: true});
+		}, Math.max(URGENT_DELAY_MS, this.#nextUrgentMs - nowMs));
 	}
 
 	#refresh(): void {
