Keep chunk contents out of the roots that a publisher holds

Change: a publisher's root names its chunks by hash, size and kind alone. Before / after: the encoded root is the same; the one in memory held the whole set.

--- a/config/publishing/src/publish.ts
+++ b/config/publishing/src/publish.ts
@@ -139,7 +139,7 @@
 function toRoot({options, found, chunks}: {readonly options: Attempt; readonly found: RootAndIndex | undefined; readonly chunks: readonly ChunkReference[]}): ConfigurationRoot {
 	const {publishId, author, nowMs, restores} = options;
 	return {
-		version: ((found?.root.version ?? 0) + 1) as ConfigurationVersion, publishId, author, publishedAtMs: nowMs, restores, chunks,
+		version: ((found?.root.version ?? 0) + 1) as ConfigurationVersion, publishId, author, publishedAtMs: nowMs, restores, chunks: chunks.map(({hash, bytes, kind}) => ({hash, bytes, kind})),
 	};
 }
 
