--- a/peer/protocol/src/index.ts
+++ b/peer/protocol/src/index.ts
@@ -4,3 +4,4 @@
 export * from './generated/pomelopick/peer/v1/journal_pb.js';
 export * from './generated/pomelopick/peer/v1/configuration_pb.js';
 export * from './generated/pomelopick/peer/v1/membership_pb.js';
+export * from './generated/pomelopick/peer/v1/quarantine_pb.js';
