--- a/calls/placement/src/create-placement.ts
+++ b/calls/placement/src/create-placement.ts
@@ -10,7 +10,7 @@
 import type {DrawInteger} from '@pomelopick/steering.choice';
 import {LocalFallback} from './local-fallback.js';
 import {ShiftGrants} from './shift-grants.js';
-import type {GroupState, ServerSlots} from './owner-group.js';
+import type {GroupState, ServerSlots} from './slot-types.js';
 import {SlotAsker} from './slot-asker.js';
 import {SlotOwner} from './slot-owner.js';
 import type {SlotGroupKey} from './slot-owner.js';
--- a/calls/placement/src/index.ts
+++ b/calls/placement/src/index.ts
@@ -6,4 +6,5 @@
 export * from './shift-grants.js';
 export * from './slot-asker.js';
 export * from './slot-owner.js';
+export type * from './slot-types.js';
 export * from './steered-placement.js';
--- a/calls/placement/src/owner-group.ts
+++ b/calls/placement/src/owner-group.ts
@@ -1,14 +1,16 @@
 /** Slots of the backend servers of one service in one region, as their owner counts and hands them out. */
 import {Left, Right} from 'purify-ts';
-import type {Either} from 'purify-ts';
 import type {
-	BackendServer, BackendServerName, ConfigurationSet, FailureDomainName, InstanceId, RefusalReason, RegionName, Service,
+	BackendServer, BackendServerName, ConfigurationSet, InstanceId, RefusalReason, RegionName, Service,
 } from '@pomelopick/core.types';
 import {expectedWaitMs, spillSlots} from '@pomelopick/steering.capacity';
 import {listDrainedServers, SlotBook} from '@pomelopick/steering.choice';
 import type {DrawInteger, NamedSlot, SlotEnd} from '@pomelopick/steering.choice';
 import {LinkBudget, linkShareBytesPerSecond} from '@pomelopick/steering.links';
 import {FairQueue} from '@pomelopick/steering.queue';
+import type {
+	AdmitShift, GroupState, ServerSlots, SlotAnswer, SlotRefusal, SlotRequest,
+} from './slot-types.js';
 
 /** Time for which a new owner only listens to the holders of slots before it hands any out, in milliseconds. */
 const WARM_UP_MS = 300;
@@ -20,55 +22,6 @@
 /** Time after which a call whose servers are all left alone may come back, in milliseconds. */
 const NO_SERVER_RETRY_MS = 1000;
 
-/** A request for a slot. */
-export interface SlotRequest {
-	readonly slotId: string;
-	readonly asker: InstanceId;
-	readonly caller: string;
-	readonly fromRegion: RegionName;
-	readonly patienceMs: number;
-	readonly timeLeftMs: number;
-	readonly avoidServers: ReadonlySet<BackendServerName>;
-	readonly avoidDomains: ReadonlySet<FailureDomainName>;
-	readonly isSubstitute: boolean;
-}
-
-/** A slot that was handed out. */
-export interface GrantedSlot {
-	readonly server: BackendServerName;
-	readonly waitedMs: number;
-}
-
-/** Why a slot was not handed out. Nothing was run. */
-export interface SlotRefusal {
-	readonly reason: RefusalReason;
-	readonly detail: string;
-	readonly retryAfterMs: number;
-}
-
-/** Answer to a request for a slot. */
-export type SlotAnswer = Either<SlotRefusal, GrantedSlot>;
-
-/** What an owner counts for one backend server. */
-export interface ServerSlots {
-	readonly server: BackendServerName;
-	/** Slots that the whole fleet has in use. */
-	readonly slotsInUse: number;
-	/** Calls that the server has proven it can run at once. */
-	readonly provenSlots: number;
-	/** Whether the server says of itself that it leaves. */
-	readonly isLeaving: boolean;
-}
-
-/** What an owner tells about its group. */
-export interface GroupState {
-	readonly spillSlots: number;
-	readonly expectedWaitMs: number;
-}
-
-/** Decides whether a call from another region may count against the cap of a shift; undefined when it may. */
-export type AdmitShift = (options: {readonly service: Service; readonly from: RegionName; readonly to: RegionName}) => SlotRefusal | undefined;
-
 /** Options of {@link OwnerGroup}. */
 export interface OwnerGroupOptions {
 	readonly set: ConfigurationSet;
--- a/calls/placement/src/shift-grants.ts
+++ b/calls/placement/src/shift-grants.ts
@@ -11,7 +11,7 @@
 	emptyLedger, findGrant, GrantObserver, planGrant, SHIFT_WINDOW_MS, ShiftBudget, ShiftGuard,
 } from '@pomelopick/steering.shifts';
 import type {ShiftLedger} from '@pomelopick/steering.shifts';
-import type {SlotRefusal} from './owner-group.js';
+import type {SlotRefusal} from './slot-types.js';
 
 const RENEW_INTERVAL_MS = 3000;
 const GRANT_DURATION_MS = 20_000;
--- a/calls/placement/src/slot-asker.ts
+++ b/calls/placement/src/slot-asker.ts
@@ -8,7 +8,7 @@
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {RefusalReason} from '@pomelopick/core.types';
-import type {GroupState, SlotAnswer, SlotRequest} from './owner-group.js';
+import type {GroupState, SlotAnswer, SlotRequest} from './slot-types.js';
 import {OwnerRanks} from './owner-rank.js';
 import type {HashText} from './owner-rank.js';
 import type {SlotGroupKey, SlotOwner} from './slot-owner.js';
--- a/calls/placement/src/slot-owner.ts
+++ b/calls/placement/src/slot-owner.ts
@@ -7,9 +7,8 @@
 import type {AcquireRequest, AcquireResponse, RenewRequest} from '@pomelopick/peer.protocol';
 import type {SlotEnd} from '@pomelopick/steering.choice';
 import {OwnerGroup} from './owner-group.js';
-import type {
-	OwnerGroupOptions, SlotAnswer, SlotRequest,
-} from './owner-group.js';
+import type {OwnerGroupOptions} from './owner-group.js';
+import type {SlotAnswer, SlotRequest} from './slot-types.js';
 import {LeavingWatch} from './leaving-watch.js';
 
 const TICK_MS = 20;
