--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -1,7 +1,5 @@
 /** The entry daemon: wires the library's parts to sockets. */
-import {
-	createServer,
-} from 'node:http';
+import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {randomInt} from 'node:crypto';
 import type {AddressInfo} from 'node:net';
@@ -9,7 +7,6 @@
 import {setImmediate as pause} from 'node:timers/promises';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
-import {Agent} from 'undici';
 import type {Endpoint, Instance} from '@pomelopick/core.types';
 import {
 	Counters, createLog, EventRecord, useLogNamespaces,
@@ -17,12 +14,16 @@
 import {CallHandler} from '@pomelopick/calls.forwarding';
 import {createOwnedPlacement} from '@pomelopick/calls.placement';
 import type {CreatePlacement} from '@pomelopick/calls.placement';
+import {registerQuarantine} from '@pomelopick/calls.quarantine';
 import {ConfigurationHolder, Distribution} from '@pomelopick/config.distribution';
 import type {Settings} from '@pomelopick/config.settings';
 import {HelloService} from '@pomelopick/peer.protocol';
 import {Membership} from '@pomelopick/peer.membership';
 import {PeerClients, startPeerServer} from '@pomelopick/peer.transport';
 import {ConsulStore, ObservedStore} from '@pomelopick/platform.store';
+import {answerBadTarget, parseTarget} from './call-target.js';
+import {CallerListener} from './caller-listener.js';
+import {createCallSafety} from './call-safety.js';
 import {startFleetView} from './fleet-view.js';
 import {createKeyedCalls} from './keyed-calls.js';
 import type {KeyedCalls} from './keyed-calls.js';
@@ -34,8 +35,6 @@
 
 const MOST_SEED = 2_147_483_647;
 const EVENTS_KEPT = 4096;
-const CONNECTIONS_PER_SERVER = 32;
-const SERVICE_PATH = /^\/v1\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/u;
 
 /** A running entry instance. */
 export interface EntryDaemon {
@@ -92,16 +91,22 @@
 		lookup.useSet(set);
 		placement.useSet(set);
 	});
-	const dispatcher = new Agent({connections: CONNECTIONS_PER_SERVER, pipelining: 1});
+	const safety = createCallSafety({
+		settings, counters, events, now, listInstances: () => membership.liveInstances(),
+	});
 	const keyedCalls = createKeyedCalls({
 		settings, clients, counters, liveInstances: () => membership.liveInstances(), now,
 	});
 	const placementCounts = new PlacementCounts();
-	const handler = new CallHandler({
+	const handler: CallHandler = new CallHandler({
 		currentSet,
 		findSite: address => lookup.findSite(address),
 		placeCall: placementCounts.around(placement.placeCall),
-		dispatcher,
+		connections: safety.connections,
+		quarantine: safety.quarantine,
+		deathWatch: safety.deathWatch,
+		limits: settings.limits,
+		isLeaving: () => callers.isRefusing,
 		counters,
 		events,
 		log: createLog('call'),
@@ -109,10 +114,12 @@
 		keyGuard: keyedCalls.guard,
 	});
 
-	const callers = createServer((request, response) => {
-		void routeCaller({
-			request, response, handler, lookup, holder, now, keyedCalls,
-		});
+	const callers: CallerListener = new CallerListener({
+		counters,
+		mostCalls: settings.limits.calls,
+		route: async ({request, response}) => routeCaller({
+			request, response, handler, lookup, holder, counters, now, keyedCalls,
+		}),
 	});
 	const operators = createServer((request, response) => {
 		answerOperator({
@@ -140,23 +147,25 @@
 			distribution.register(router);
 			keyedCalls.register(router);
 			placement.register(router);
+			registerQuarantine({router, quarantine: safety.quarantine, now});
 		},
 	});
-	await Promise.all([listen({server: callers, endpoint: settings.listen.callers}), listen({server: operators, endpoint: settings.listen.operators})]);
-	const endpoints = {callers: endpointOf(callers), peers: peers.endpoint, operators: endpointOf(operators)};
+	await Promise.all([listen({server: callers.server, endpoint: settings.listen.callers}), listen({server: operators, endpoint: settings.listen.operators})]);
+	const endpoints = {callers: endpointOf(callers.server), peers: peers.endpoint, operators: endpointOf(operators)};
 	const self: Instance = {
 		id: settings.instance, failureDomain: settings.failureDomain, state: 'live', ...endpoints,
 	};
 	membership.start(self);
 	distribution.start();
 	placement.start();
-	log('instance %s listens on %o', settings.instance, callers.address());
+	safety.start();
+	log('instance %s listens on %o', settings.instance, callers.server.address());
 	return {
 		endpoints,
 		async stop() {
 			log('instance %s stops; %d calls in flight', settings.instance, handler.inProgress);
 			membership.leave();
-			await closeServer({server: callers, timeoutMs: settings.shutdownTimeoutMs});
+			await callers.stop({timeoutMs: settings.shutdownTimeoutMs, inProgress: () => handler.inProgress});
 			await keyedCalls.stop();
 			await placement.stop();
 			membership.stop();
@@ -164,7 +173,7 @@
 			await closeServer({server: operators, timeoutMs: settings.shutdownTimeoutMs});
 			clients.close();
 			slotClients.close();
-			await Promise.all([peers.stop(), fleet.stop(), dispatcher.destroy(), store.close(), counters.close()]);
+			await Promise.all([peers.stop(), fleet.stop(), safety.stop(), store.close(), counters.close()]);
 			log('instance %s stopped', settings.instance);
 		},
 	};
@@ -176,15 +185,21 @@
 	readonly handler: CallHandler;
 	readonly lookup: LookupView;
 	readonly holder: ConfigurationHolder;
+	readonly counters: Counters;
 	readonly now: () => number;
 	readonly keyedCalls: KeyedCalls;
 }
 
-async function routeCaller({request, response, handler, lookup, holder, now, keyedCalls}: RouteCallerOptions): Promise<void> {
-	const match = SERVICE_PATH.exec(request.url ?? '');
-	if (match) {
+async function routeCaller({request, response, handler, lookup, holder, counters, now, keyedCalls}: RouteCallerOptions): Promise<void> {
+	const target = parseTarget(request.url ?? '');
+	if (target.kind === 'malformed') {
+		answerBadTarget({request, response, counters});
+		return;
+	}
+
+	if (target.kind === 'call') {
 		await handler.handle({
-			request, response, serviceName: decodeURIComponent(match[1]!), path: `${match[2] ?? '/'}${match[3] ?? ''}`,
+			request, response, serviceName: target.serviceName, path: target.path,
 		});
 		return;
 	}
