--- a/calls/placement/src/create-placement.ts
+++ b/calls/placement/src/create-placement.ts
@@ -3,14 +3,17 @@
 import xxhash from 'xxhash-wasm';
 import type {PlaceCall} from '@pomelopick/calls.forwarding';
 import type {
-	ConfigurationSet, FailureDomainName, Instance, InstanceId,
+	ConfigurationSet, FailureDomainName, Instance, InstanceId, ShiftName,
 } from '@pomelopick/core.types';
 import type {PeerClients} from '@pomelopick/peer.transport';
 import type {KeyValueStore} from '@pomelopick/platform.store';
 import type {DrawInteger} from '@pomelopick/steering.choice';
 import {LocalFallback} from './local-fallback.js';
+import {ShiftGrants} from './shift-grants.js';
+import type {GroupState, ServerSlots} from './slot-types.js';
 import {SlotAsker} from './slot-asker.js';
 import {SlotOwner} from './slot-owner.js';
+import type {SlotGroupKey} from './slot-owner.js';
 import {createSteeredPlacement} from './steered-placement.js';
 
 /** What a placement is made of. */
@@ -25,6 +28,18 @@
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
 	readonly count: (counter: string) => void;
+	/** Told when a shift closed itself. */
+	readonly onAbort: (options: {readonly shift: ShiftName; readonly detail: string}) => void;
+}
+
+/** What an instance knows of a group of slots. */
+export interface GroupSnapshot {
+	/** Instance that counts the group. */
+	readonly owner: InstanceId | undefined;
+	/** What the owner said last; undefined when no call of this instance used the group of late. */
+	readonly state: GroupState | undefined;
+	/** The counts, when this instance is the owner. */
+	readonly servers: readonly ServerSlots[];
 }
 
 /** A placement as a daemon runs it. */
@@ -34,6 +49,8 @@
 	readonly register: (router: ConnectRouter) => void;
 	/** Takes a newer configuration into use. */
 	readonly useSet: (set: ConfigurationSet) => void;
+	/** What is known here of the slots of a service in a region. */
+	readonly snapshot?: (key: SlotGroupKey) => GroupSnapshot;
 	readonly start: () => void;
 	readonly stop: () => Promise<void>;
 }
@@ -44,8 +61,15 @@
 /** Creates the placement by slot owners. */
 export const createOwnedPlacement: CreatePlacement = async parts => {
 	const {h32} = await xxhash();
+	const shifts = new ShiftGrants(parts);
 	const owner = new SlotOwner({
-		...parts, admitShift: () => undefined, onSpillEnd() {/* Shifts listen here. */},
+		...parts,
+		admitShift: traffic => shifts.admit(traffic),
+		onSpillEnd({service, region, from, end, heldMs}) {
+			shifts.note({
+				service, from, to: region, heldMs, isGood: end === 'answered' || end === 'cancelled',
+			});
+		},
 	});
 	const asker = new SlotAsker({...parts, owner, hash: text => h32(text)});
 	return {
@@ -56,13 +80,19 @@
 		useSet(set) {
 			owner.useSet(set);
 		},
+		snapshot(key) {
+			const ownerId = asker.ownerOf(key);
+			return {owner: ownerId, state: asker.state(key), servers: ownerId === parts.instance ? owner.findGroup(key)?.snapshot() ?? [] : []};
+		},
 		start() {
+			shifts.start();
 			owner.start();
 			asker.start();
 		},
 		async stop() {
 			asker.stop();
 			owner.stop();
+			await shifts.stop();
 		},
 	};
 };
--- a/config/publishing/test/publish.test.ts
+++ b/config/publishing/test/publish.test.ts
@@ -39,8 +39,8 @@
 	};
 
 	const newestVersion = async (): Promise<number> => {
-		const read = await readRoot(other).run();
-		return read.unsafeCoerce()?.root.version ?? 0;
+		const newest = await readRoot(other).run();
+		return newest.unsafeCoerce()?.root.version ?? 0;
 	};
 
 	/** Acts on the first swap of the root only. */
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -83,6 +83,9 @@
 		count(counter) {
 			counters.add(counter);
 		},
+		onAbort({shift, detail}) {
+			events.add({kind: 'shift', message: 'shift closed itself', fields: {shift, detail}});
+		},
 	});
 	holder.onChange(({set}) => {
 		lookup.useSet(set);
@@ -127,7 +130,7 @@
 			counters,
 			events,
 			lookup,
-			sources: {listCallsInProgress: () => placementCounts.inProgress, storeState: () => store.report},
+			sources: {listCallsInProgress: () => placementCounts.inProgress, readSlots: placement.snapshot, storeState: () => store.report},
 			callsInProgress: () => handler.inProgress,
 			isWatcher: () => distribution.isWatcher,
 			now,
