Use no slot under a shift that comes late

Cause: the fleet test of a shift's cap saw 9 calls in a second under a cap of 8, once, on a machine with a load average over 30: calls were admitted within their second at the owner, and sent up to a second later. Change: an answer that came over 400 ms after it was asked for is not used under a shift, and calls are counted in a window of 1.5 s in place of 1.25 s. Conclusion: sending is bounded.

--- a/calls/placement/src/steered-placement.ts
+++ b/calls/placement/src/steered-placement.ts
@@ -7,6 +7,7 @@
 } from '@pomelopick/core.types';
 import {listRegionChoices} from '@pomelopick/steering.capacity';
 import type {RegionChoice} from '@pomelopick/steering.capacity';
+import {SHIFT_ANSWER_LIMIT_MS} from '@pomelopick/steering.shifts';
 import type {LocalFallback} from './local-fallback.js';
 import type {AskAnswer, HeldSlot, SlotAsker} from './slot-asker.js';
 
@@ -86,12 +87,17 @@
 			}
 
 			const patienceMs = choice.kind === 'home' ? (hasSpill ? HOME_PATIENCE_MS : fullPatienceMs) : 0;
+			const askedAtMs = this.#options.now();
 			const answer = await this.#ask({ask, region: choice.region, patienceMs});
-			if (answer.isRight()) {
+			if (answer.isRight() && this.#isLate({choice, askedAtMs})) {
+				// The call would fall into a later second than the one that it was counted in.
+				answer.unsafeCoerce().release('cancelled');
+				this.#options.count('placement.stale');
+			} else if (answer.isRight()) {
 				return Right(this.#toPlacement({ask, choice, held: answer.unsafeCoerce()}));
 			}
 
-			last = choice.kind === 'home' || last === undefined ? answer : last;
+			last = choice.kind === 'home' || (last === undefined && answer.isLeft()) ? answer : last;
 		}
 
 		if (hasSpill) {
@@ -103,6 +109,10 @@
 			: this.#placeWithoutOwner({ask, refusal: last!.swap().unsafeCoerce()});
 	}
 
+	#isLate({choice, askedAtMs}: {readonly choice: RegionChoice; readonly askedAtMs: number}): boolean {
+		return choice.shift !== undefined && this.#options.now() - askedAtMs > SHIFT_ANSWER_LIMIT_MS;
+	}
+
 	#mayHaveRoom({service, choice}: {readonly service: ServiceName; readonly choice: RegionChoice}): boolean {
 		const state = this.#options.asker.state({service, region: choice.region});
 		return state === undefined ? this.#options.asker.isUnasked({service, region: choice.region}) : state.spillSlots >= LEAST_SPILL_SLOTS;
--- a/steering/shifts/src/shift-budget.ts
+++ b/steering/shifts/src/shift-budget.ts
@@ -3,8 +3,10 @@
 import type {Either} from 'purify-ts';
 import type {ShiftGrant} from './shift-ledger.js';
 
-/** Window in which calls are counted against a grant, in milliseconds: one second, and some for calls that are held up on their way. */
-export const SHIFT_WINDOW_MS = 1250;
+/** Longest time from asking for admission to sending the call, in milliseconds; later answers are not used. */
+export const SHIFT_ANSWER_LIMIT_MS = 400;
+/** Window in which calls are counted against a grant, in milliseconds: one second, and the time for which a call may be held up on its way. */
+export const SHIFT_WINDOW_MS = 1500;
 
 /** Why a call may not go under a shift. */
 export type ShiftRefusal = 'shift-cap-reached' | 'grant-expired';
