Show shift use and quarantines, and count refused look-ups

Ruled out: reading grants from the store for the status; it would cost a read a shift and instance. Change: both plug into ExplainSources; status sums the use of a shift over the fleet. Before / after: used/s was "unknown", now 0.0 for a shift without traffic, which the operators' test expects. Conclusion: quarantines are shown but no test brings one about through the commands.

--- a/calls/placement/src/create-placement.ts
+++ b/calls/placement/src/create-placement.ts
@@ -51,6 +51,8 @@
 	readonly useSet: (set: ConfigurationSet) => void;
 	/** What is known here of the slots of a service in a region. */
 	readonly snapshot?: (key: SlotGroupKey) => GroupSnapshot;
+	/** Calls per second under each shift that this instance lets through. */
+	readonly listShiftUse?: () => ReadonlyMap<ShiftName, number>;
 	readonly start: () => void;
 	readonly stop: () => Promise<void>;
 }
@@ -84,6 +86,7 @@
 			const ownerId = asker.ownerOf(key);
 			return {owner: ownerId, state: asker.state(key), servers: ownerId === parts.instance ? owner.findGroup(key)?.snapshot() ?? [] : []};
 		},
+		listShiftUse: () => shifts.listUse(),
 		start() {
 			shifts.start();
 			owner.start();
--- a/calls/placement/src/shift-grants.ts
+++ b/calls/placement/src/shift-grants.ts
@@ -13,6 +13,7 @@
 import type {ShiftLedger} from '@pomelopick/steering.shifts';
 import type {SlotRefusal} from './owner-group.js';
 
+const MILLISECONDS_PER_SECOND = 1000;
 const RENEW_INTERVAL_MS = 3000;
 const GRANT_DURATION_MS = 20_000;
 /** Time after its last use for which a shift's grant is kept, in milliseconds. */
@@ -118,6 +119,12 @@
 		return {reason: refused, detail: `shift ${shift.name} from ${from} to ${to}`, retryAfterMs: RETRY_AFTER_MS};
 	}
 
+	/** Calls per second that this instance let through under each shift in the last window. */
+	listUse(): ReadonlyMap<ShiftName, number> {
+		const nowMs = this.#options.now();
+		return new Map([...this.#states].map(([name, {budget}]) => [name, budget.recentCalls(nowMs) * MILLISECONDS_PER_SECOND / SHIFT_WINDOW_MS]));
+	}
+
 	/** Learns from the end of a call that was sent under a shift. */
 	note({service, from, to, isGood, heldMs}: ShiftedEndOf): void {
 		for (const {shift, guard} of this.#states.values()) {
--- a/cli/pomelopick/test/operators.test.ts
+++ b/cli/pomelopick/test/operators.test.ts
@@ -94,6 +94,9 @@
 		assert.deepEqual([impossible.code, impossible.errors.includes('impossible-cap')], [1, true]);
 		const added = await run(...words, '--cap', '50');
 		assert.match(added.output, /cap of shift late: none -> 50 calls\/s\n.*accepted as version 4/su);
+		await fleet.waitForVersion(4 as never);
+		const status = await run('status', '--instance', instance);
+		assert.match(status.output, /late +corrections +muntenia +moldova +50 +0\.0/u);
 	});
 
 	it('a change is refused when another publish came between, and changes nothing', async () => {
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -31,6 +31,7 @@
 import {answerLookup} from './lookup-handler.js';
 import {answerOperator} from './operator-handler.js';
 import {answerOutcome, OUTCOME_PATH} from './outcome-handler.js';
+import {listQuarantines} from './operators/list-quarantines.js';
 import {PlacementCounts} from './operators/placement-counts.js';
 
 const MOST_SEED = 2_147_483_647;
@@ -130,7 +131,13 @@
 			counters,
 			events,
 			lookup,
-			sources: {listCallsInProgress: () => placementCounts.inProgress, readSlots: placement.snapshot, storeState: () => store.report},
+			sources: {
+				listCallsInProgress: () => placementCounts.inProgress,
+				readSlots: placement.snapshot,
+				listShiftUse: placement.listShiftUse,
+				listQuarantines: () => listQuarantines({table: safety.quarantine.table, nowMs: now()}),
+				storeState: () => store.report,
+			},
 			callsInProgress: () => handler.inProgress,
 			isWatcher: () => distribution.isWatcher,
 			now,
@@ -210,7 +217,7 @@
 	}
 
 	answerLookup({
-		request, response, lookup, view: holder.view, now,
+		request, response, lookup, view: holder.view, counters, now,
 	});
 }
 
--- a/daemons/entry/src/lookup-handler.ts
+++ b/daemons/entry/src/lookup-handler.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {isIP} from 'node:net';
 import type {CallId, Refusal} from '@pomelopick/core.types';
+import type {Counters} from '@pomelopick/core.telemetry';
 import {sendRefusal} from '@pomelopick/calls.forwarding';
 import type {ConfigurationView} from '@pomelopick/config.distribution';
 import type {LookupView} from './lookup-view.js';
@@ -15,11 +16,12 @@
 	readonly response: ServerResponse;
 	readonly lookup: LookupView;
 	readonly view: ConfigurationView | undefined;
+	readonly counters: Counters;
 	readonly now: () => number;
 }
 
 /** Answers a look-up, or refuses it with a problem document. */
-export function answerLookup({request, response, lookup, view, now}: AnswerLookupOptions): void {
+export function answerLookup({request, response, lookup, view, counters, now}: AnswerLookupOptions): void {
 	const url = new URL(request.url ?? '/', 'http://entry');
 	const service = url.searchParams.get('service') ?? '';
 	const client = url.searchParams.get('client') ?? request.socket.remoteAddress ?? '';
@@ -28,6 +30,7 @@
 	});
 	if (refusal) {
 		request.resume();
+		counters.refused(refusal.reason);
 		sendRefusal({response, id: randomUUID() as CallId, refusal});
 		return;
 	}
