Keep findings about instances that have left the list here

An observer that had read the shorter list first no longer observed the instance and took its finding back, which revived it where the list was older. Ruled out: the rule for regions; the views had one instance too many, none too few. Change: a finding is taken back only of an instance that is still known. Conclusion: the process of the fault is read from the code and the counts; it was not brought about again on purpose.

--- a/peer/membership/src/membership.ts
+++ b/peer/membership/src/membership.ts
@@ -231,7 +231,7 @@
 		const isForAll = !isUrgent || this.#mustAnnounce;
 		this.#mustAnnounce = false;
 		const subjects = this.#subjects();
-		this.#observer.keepOnly(subjects);
+		this.#observer.keepOnly({subjects, isKnown: id => this.#table.describe(id) !== undefined});
 		this.#outbox.keepOnly(this.#neighbours());
 		for (const id of subjects) {
 			const known = this.#table.describe(id);
--- a/peer/membership/src/observer.ts
+++ b/peer/membership/src/observer.ts
@@ -60,8 +60,12 @@
 		this.#subjects.clear();
 	}
 
-	/** Forgets subjects other than these, and takes back what was found of them. */
-	keepOnly(subjects: ReadonlySet<InstanceId>): void {
+	/**
+	 * Forgets subjects other than these, and takes back what was found of those that are still known.
+	 *
+	 * Others may still know an instance that has left the list here: taking its finding back would revive it there.
+	 */
+	keepOnly({subjects, isKnown}: {readonly subjects: ReadonlySet<InstanceId>; readonly isKnown: (id: InstanceId) => boolean}): void {
 		for (const id of this.#subjects.keys()) {
 			if (!subjects.has(id)) {
 				this.#subjects.delete(id);
@@ -72,7 +76,7 @@
 		for (const [id, {unreachable}] of this.#reported) {
 			if (!subjects.has(id)) {
 				this.#reported.delete(id);
-				this.#takenBack.push(...unreachable ? [id] : []);
+				this.#takenBack.push(...unreachable && isKnown(id) ? [id] : []);
 			}
 		}
 	}
--- a/peer/membership/test/observer.test.ts
+++ b/peer/membership/test/observer.test.ts
@@ -53,10 +53,18 @@
 		const observer = new Observer();
 		record({observer, heartbeats: {a: 'xxx', b: '...'}});
 		unreachable(observer);
-		observer.keepOnly(new Set([id('b')]));
+		observer.keepOnly({subjects: new Set([id('b')]), isKnown: () => true});
 		assert.deepEqual(unreachable(observer), {a: false});
 	});
 
+	it('does not take a finding back when the subject has left the list', () => {
+		const observer = new Observer();
+		record({observer, heartbeats: {a: 'xxx', b: '...'}});
+		unreachable(observer);
+		observer.keepOnly({subjects: new Set([id('b')]), isKnown: () => false});
+		assert.deepEqual(unreachable(observer), {});
+	});
+
 	it('asks for more after it had to take a finding back, until the subject has answered for long', () => {
 		const observer = new Observer();
 		record({observer, heartbeats: {a: 'xxx', b: '...'}});
