--- a/calls/journal/src/journal-key-guard.ts
+++ b/calls/journal/src/journal-key-guard.ts
@@ -9,10 +9,10 @@
 } from '@pomelopick/calls.forwarding';
 import type {Refusal, ServiceName} from '@pomelopick/core.types';
 import {
-	BeginRequestSchema, BeginVerdict, ReadOutcomeRequestSchema, OutcomeState, FinishRequestSchema,
+	BeginRequestSchema, BeginVerdict, FinishRequestSchema, ReadOutcomeRequestSchema,
 } from '@pomelopick/peer.protocol';
 import type {
-	BeginResponse, ReadOutcomeResponse, FinishResponse, JournalKey,
+	BeginResponse, JournalKey, ReadOutcomeResponse,
 } from '@pomelopick/peer.protocol';
 import {SHARDS} from './journal.js';
 import {toJournalKey} from './journal-key.js';
@@ -81,14 +81,13 @@
 	/** Reads what is known of a key; undefined for a malformed key or when no owner answers. */
 	async readOutcome({key, service}: {readonly key: string; readonly service: ServiceName}): Promise<ReadOutcomeResponse | undefined> {
 		const journalKey = toJournalKey({key, service, shards: this.#options.shards ?? SHARDS});
-		const request = journalKey && create(ReadOutcomeRequestSchema, {key: journalKey});
-		return request && this.#options.owners.ask<ReadOutcomeResponse>({
-			shard: request.key!.shard,
-			deadlineMs: this.#options.now() + READ_BUDGET_MS,
-			local: async journal => journal.readOutcome(request),
-			remote: async (client, options) => client.readOutcome(request, options),
-			isFinal: ({state}) => state !== OutcomeState.UNAVAILABLE,
-		});
+		if (!journalKey) {
+			return undefined;
+		}
+
+		const request = create(ReadOutcomeRequestSchema, {key: journalKey});
+		const {answers} = await this.#options.owners.readOutcome({request, deadlineMs: this.#options.now() + READ_BUDGET_MS});
+		return answers.at(-1);
 	}
 
 	/** Resolves when all outcomes handed over so far are kept or given up. */
@@ -99,24 +98,13 @@
 	async #ask(copy: Copy): Promise<BeginResponse | undefined> {
 		const {key, fingerprint, token, deadlineMs} = copy;
 		const {owners, now} = this.#options;
-		const note = async (asking: Promise<BeginResponse>): Promise<BeginResponse> => {
-			copy.undecided += 1;
-			const response = await asking;
-			copy.undecided -= response.mayBeKept ? 0 : 1;
-			return response;
-		};
-
 		const timeLeftMs = Math.max(0, Math.floor(deadlineMs - now()));
 		const request = create(BeginRequestSchema, {
 			key, fingerprint, token, timeLeftMs,
 		});
-		return owners.ask<BeginResponse>({
-			shard: key.shard,
-			deadlineMs: Math.min(deadlineMs - ANSWER_RESERVE_MS, now() + BEGIN_BUDGET_MS),
-			local: async (journal, options) => note(journal.begin({request, ...options})),
-			remote: async (client, options) => note(client.begin(request, options)),
-			isFinal: ({verdict}) => verdict !== BeginVerdict.UNAVAILABLE,
-		});
+		const {answers, unanswered} = await owners.begin({request, deadlineMs: Math.min(deadlineMs - ANSWER_RESERVE_MS, now() + BEGIN_BUDGET_MS)});
+		copy.undecided += unanswered + answers.filter(({mayBeKept}) => mayBeKept).length;
+		return answers.at(-1);
 	}
 
 	#conclude({copy, response}: {readonly copy: Copy; readonly response: BeginResponse | undefined}): Either<Refusal, KeyedRun> {
@@ -192,14 +180,8 @@
 		const request = create(FinishRequestSchema, {key, token, outcome: toKeptOutcome(outcome)});
 		const untilMs = now() + RECORD_BUDGET_MS;
 		while (now() < untilMs) {
-			const response = await owners.ask<FinishResponse>({
-				shard: key.shard,
-				deadlineMs: untilMs,
-				local: async journal => journal.finish(request),
-				remote: async (client, options) => client.finish(request, options),
-				isFinal: ({isKept}) => isKept,
-			});
-			if (response?.isKept) {
+			const {answers} = await owners.finish({request, deadlineMs: untilMs});
+			if (answers.at(-1)?.isKept) {
 				return;
 			}
 
--- a/calls/journal/src/journal.ts
+++ b/calls/journal/src/journal.ts
@@ -18,7 +18,7 @@
 /** Time for which a key's record is kept, in milliseconds. */
 export const KEY_LIFETIME_MS = 600_000;
 
-const WRITES_PER_SECOND = 160;
+const WRITES_PER_SECOND = 150;
 const MILLISECONDS_PER_SECOND = 1000;
 const ACTIVE_FOR_MS = 1000;
 
@@ -48,6 +48,7 @@
 	readonly #options: JournalOptions;
 	readonly #system: ActorSystemRef;
 	readonly #actors = new Map<number, ShardActor>();
+	#isStopped = false;
 
 	constructor(options: JournalOptions) {
 		this.#options = options;
@@ -57,8 +58,8 @@
 	/** Registers the answers to other instances. */
 	register(router: ConnectRouter): void {
 		router.service(JournalService, {
-			begin: async (request, {signal}) => this.begin({request, signal}),
-			finish: async request => this.finish(request),
+			beginMany: async ({requests}, {signal}) => ({responses: await Promise.all(requests.map(async request => this.begin({request, signal})))}),
+			finishMany: async ({requests}) => ({responses: await Promise.all(requests.map(async request => this.finish(request)))}),
 			readOutcome: async request => this.readOutcome(request),
 		});
 	}
@@ -90,10 +91,16 @@
 
 	/** Stops all actors. */
 	stop(): void {
+		this.#isStopped = true;
 		stop(this.#system);
 	}
 
 	#send({shard, message}: {readonly shard: number; readonly message: ShardMessage}): void {
+		if (this.#isStopped) {
+			// The asking side's own timeout answers for it.
+			return;
+		}
+
 		const actor = this.#actors.get(shard) ?? this.#spawn(shard);
 		actor.activeAtMs = this.#options.now();
 		dispatch(actor.reference, message);
--- a/calls/journal/src/shard-log.ts
+++ b/calls/journal/src/shard-log.ts
@@ -5,6 +5,7 @@
  * read, so a writer that has been overtaken cannot append. A head that has grown large is copied to a segment, named
  * by the head's index and never changed; the swap that empties the head lists it.
  */
+import {Buffer} from 'node:buffer';
 import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
 import {EitherAsync, Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
@@ -14,7 +15,8 @@
 import type {ShardTable} from './shard-table.js';
 
 const PREFIX = 'pomelopick/journal';
-const MOST_HEAD_BYTES = 65_536;
+const MOST_HEAD_BYTES = 131_072;
+const MOST_HEAD_FRAMES = 64;
 const MOST_VALUE_BYTES = 900_000;
 const LISTED_AT_ONCE = 4;
 const MOST_READS = 4;
@@ -37,6 +39,13 @@
 	readonly horizonMs: number;
 }
 
+/** A value that was sent to the store, with what it holds. */
+interface SentHead {
+	readonly head: ShardHead;
+	readonly value: Uint8Array;
+	readonly frames: readonly Uint8Array[];
+}
+
 interface TakeOptions {
 	readonly head: ShardHead;
 	readonly headBytes: number;
@@ -50,8 +59,11 @@
 export class ShardLog {
 	readonly #options: ShardLogOptions;
 	readonly #headKey: string;
-	readonly #applied = new Set<string>();
+	readonly #applied = new Set<bigint>();
 	#head: ShardHead = create(ShardHeadSchema);
+	/** The head's frames, encoded, so that a frame is encoded once. */
+	#encodedFrames: readonly Uint8Array[] = [];
+	#sent: SentHead | undefined;
 	#headBytes = 0;
 	#index = 0;
 	#isFresh = false;
@@ -96,7 +108,8 @@
 			return Left({code: 'unavailable', message: `shard ${this.#options.shard}: the head could not be archived`});
 		}
 
-		const isArchived = this.#headBytes > (this.#options.mostHeadBytes ?? MOST_HEAD_BYTES) && await this.#archive();
+		const isLarge = this.#headBytes > (this.#options.mostHeadBytes ?? MOST_HEAD_BYTES) || this.#head.frames.length >= MOST_HEAD_FRAMES;
+		const isArchived = isLarge && await this.#archive();
 		const newHorizonMs = Math.max(this.horizonMs, horizonMs);
 		const kept = this.#head.segments.filter(({newestAtMs}) => Number(newestAtMs) > newHorizonMs);
 		const dropped = this.#head.segments.filter(({newestAtMs}) => Number(newestAtMs) <= newHorizonMs);
@@ -105,9 +118,12 @@
 			segments: isArchived ? [...kept, this.#nextSegment()] : kept,
 			frames: isArchived ? [frame] : [...this.#head.frames, frame],
 		});
+		const frames = [...(isArchived ? [] : this.#encodedFrames), encodeFrame(frame)];
+		const value = encodeHead({head: next, frames});
 		const expectedIndex = this.#index;
 		this.#isFresh = false;
-		const swapped = await this.#options.store.compareAndSwap({key: this.#headKey, value: toBinary(ShardHeadSchema, next), expectedIndex}).run();
+		this.#sent = {head: next, value, frames};
+		const swapped = await this.#options.store.compareAndSwap({key: this.#headKey, value, expectedIndex}).run();
 		if (swapped.orDefault(false)) {
 			this.#collect(dropped);
 		}
@@ -116,27 +132,27 @@
 	}
 
 	async #archive(): Promise<boolean> {
-		const {name} = this.#nextSegment();
-		const value = toBinary(ShardHeadSchema, create(ShardHeadSchema, {frames: this.#head.frames}));
+		const {index} = this.#nextSegment();
+		const value = Buffer.concat(this.#encodedFrames);
 		// The head at one index has one content, so a segment that exists already is the same one.
-		const written = await this.#options.store.compareAndSwap({key: this.#segmentKey(name), value, expectedIndex: 0}).run();
+		const written = await this.#options.store.compareAndSwap({key: this.#segmentKey(index), value, expectedIndex: 0}).run();
 		return written.isRight();
 	}
 
 	#nextSegment(): JournalSegment {
 		const times = this.#head.frames.flatMap(({entries}) => entries).map(({change}) => change.case === 'intent' ? Number(change.value.atMs) : 0);
-		return create(JournalSegmentSchema, {name: String(this.#index).padStart(INDEX_DIGITS, '0'), newestAtMs: BigInt(Math.max(0, ...times))});
+		return create(JournalSegmentSchema, {index: BigInt(this.#index), newestAtMs: BigInt(Math.max(0, ...times))});
 	}
 
 	#collect(segments: readonly JournalSegment[]): void {
-		for (const {name} of segments) {
-			void this.#deleteSegment(name);
+		for (const {index} of segments) {
+			void this.#deleteSegment(index);
 		}
 	}
 
-	async #deleteSegment(name: string): Promise<void> {
-		this.#applied.delete(name);
-		const found = await this.#options.store.get(this.#segmentKey(name)).run();
+	async #deleteSegment(index: bigint): Promise<void> {
+		this.#applied.delete(index);
+		const found = await this.#options.store.get(this.#segmentKey(index)).run();
 		const value = found.orDefault(undefined);
 		if (value) {
 			await this.#options.store.compareAndDelete({key: value.key, expectedIndex: value.modifyIndex}).run();
@@ -151,8 +167,13 @@
 			}
 
 			const value = found.orDefault(undefined);
+			if (value && this.#sent && Buffer.compare(value.value, this.#sent.value) === 0) {
+				this.#takeSent({sent: this.#sent, index: value.modifyIndex, table});
+				return Right(undefined);
+			}
+
 			const head = value ? fromBinary(ShardHeadSchema, value.value) : create(ShardHeadSchema);
-			const segments = await this.#readSegments(head.segments.filter(({name}) => !this.#applied.has(name)));
+			const segments = await this.#readSegments(head.segments.filter(({index}) => !this.#applied.has(index)));
 			if (segments.isLeft()) {
 				return Left(segments.extract());
 			}
@@ -170,6 +191,24 @@
 		return Left({code: 'unavailable', message: `shard ${this.#options.shard}: segments kept vanishing while they were read`});
 	}
 
+	/** The store holds what was sent last: only its last frame may be news to the table. */
+	#takeSent({sent, index, table}: {readonly sent: SentHead; readonly index: number; readonly table: ShardTable}): void {
+		const nowMs = this.#options.now();
+		for (const entry of sent.head.frames.at(-1)!.entries) {
+			table.apply({entry, nowMs});
+		}
+
+		table.expire(Number(sent.head.horizonMs));
+		this.#head = sent.head;
+		this.#encodedFrames = sent.frames;
+		this.#headBytes = sent.value.length;
+		this.#index = index;
+		this.#isFresh = true;
+		for (const segment of sent.head.segments) {
+			this.#applied.add(segment.index);
+		}
+	}
+
 	#take({head, headBytes, index, frames, table}: TakeOptions): void {
 		const nowMs = this.#options.now();
 		for (const entry of frames.flatMap(({entries}) => entries)) {
@@ -177,21 +216,22 @@
 		}
 
 		table.expire(Number(head.horizonMs));
-		for (const {name} of head.segments) {
-			this.#applied.add(name);
+		for (const segment of head.segments) {
+			this.#applied.add(segment.index);
 		}
 
 		this.#head = head;
+		this.#encodedFrames = head.frames.map(frame => encodeFrame(frame));
 		this.#headBytes = headBytes;
 		this.#index = index;
 		this.#isFresh = true;
 	}
 
 	async #readSegments(segments: readonly JournalSegment[]): Promise<Either<StoreError, readonly JournalFrame[] | undefined>> {
-		const names = new Set(segments.map(({name}) => this.#segmentKey(name)));
+		const names = new Set(segments.map(({index}) => this.#segmentKey(index)));
 		const reads = segments.length > LISTED_AT_ONCE
 			? [await this.#options.store.list(`${PREFIX}/${this.#options.shard}/segments/`).run()]
-			: await Promise.all(segments.map(async ({name}) => this.#options.store.get(this.#segmentKey(name)).map(value => value ? [value] : []).run()));
+			: await Promise.all(segments.map(async ({index}) => this.#options.store.get(this.#segmentKey(index)).map(value => value ? [value] : []).run()));
 		const failed = reads.find(read => read.isLeft());
 		if (failed) {
 			return Left(failed.extract());
@@ -201,7 +241,16 @@
 		return Right(values.length === segments.length ? values.flatMap(({value}) => fromBinary(ShardHeadSchema, value).frames) : undefined);
 	}
 
-	#segmentKey(name: string): string {
-		return `${PREFIX}/${this.#options.shard}/segments/${name}`;
+	#segmentKey(index: bigint): string {
+		return `${PREFIX}/${this.#options.shard}/segments/${String(index).padStart(INDEX_DIGITS, '0')}`;
 	}
 }
+
+/** Encodes a head of one frame; such encodings may be joined, because repeated fields add up. */
+function encodeFrame(frame: JournalFrame): Uint8Array {
+	return toBinary(ShardHeadSchema, create(ShardHeadSchema, {frames: [frame]}));
+}
+
+function encodeHead({head: {horizonMs, segments}, frames}: {readonly head: ShardHead; readonly frames: readonly Uint8Array[]}): Uint8Array {
+	return Buffer.concat([toBinary(ShardHeadSchema, create(ShardHeadSchema, {horizonMs, segments})), ...frames]);
+}
--- a/calls/journal/src/shard.ts
+++ b/calls/journal/src/shard.ts
@@ -15,10 +15,12 @@
 import {ShardTable} from './shard-table.js';
 import type {JournalRecord, Judgement} from './shard-table.js';
 
-const MOST_WAITING = 4096;
+const MOST_WAITING = 1024;
 const MOST_ENTRIES_PER_FRAME = 512;
 const MOST_TRIES = 6;
 const RATE_LIMITED_PAUSE_MS = 100;
+/** A round of outcomes alone waits this many write intervals for an intent that it can go with. */
+const OUTCOME_INTERVALS = 3;
 const OUTAGE_PAUSE_MS = 200;
 const EARLY_TOLERANCE_MS = 60_000;
 const HORIZON_STEP_SHARE = 0.05;
@@ -59,6 +61,7 @@
 	#isBusy = false;
 	#isLoaded = false;
 	#lastWriteMs = Number.NEGATIVE_INFINITY;
+	#wakesAtMs = Number.POSITIVE_INFINITY;
 	#failingUntilMs = Number.NEGATIVE_INFINITY;
 	/** Whether a frame of the round under way may have been written although its answer is lost. */
 	#isUndecided = false;
@@ -106,19 +109,36 @@
 	}
 
 	#start(): void {
-		if (!this.#isBusy && this.#waiting.length > 0) {
+		if (this.#isBusy || this.#waiting.length === 0) {
+			return;
+		}
+
+		const {now, writeIntervalMs} = this.#options;
+		const intervals = this.#waiting.every(({kind}) => kind === 'finish') ? OUTCOME_INTERVALS : 1;
+		const dueMs = this.#lastWriteMs + (writeIntervalMs() * intervals);
+		if (dueMs <= now()) {
 			this.#isBusy = true;
 			void this.#run();
+		} else if (dueMs < this.#wakesAtMs) {
+			this.#wakesAtMs = dueMs;
+			void this.#wake(dueMs);
 		}
 	}
 
+	async #wake(dueMs: number): Promise<void> {
+		const {sleep, now, schedule} = this.#options;
+		await sleep(Math.ceil(dueMs - now()));
+		schedule(() => {
+			if (this.#wakesAtMs === dueMs) {
+				this.#wakesAtMs = Number.POSITIVE_INFINITY;
+			}
+
+			this.#start();
+		});
+	}
+
 	/** Serves all that waits, one round of the store at a time. */
 	async #run(): Promise<void> {
-		const waitMs = this.#lastWriteMs + this.#options.writeIntervalMs() - this.#options.now();
-		if (waitMs > 0) {
-			await this.#options.sleep(waitMs);
-		}
-
 		const round = this.#waiting.splice(0, MOST_ENTRIES_PER_FRAME);
 		this.#isUndecided = false;
 		const left = await this.#serve(round);
