--- a/calls/placement/src/steered-placement.ts
+++ b/calls/placement/src/steered-placement.ts
@@ -7,13 +7,16 @@
 } from '@pomelopick/core.types';
 import {listRegionChoices} from '@pomelopick/steering.capacity';
 import type {RegionChoice} from '@pomelopick/steering.capacity';
+import {SHIFT_ANSWER_LIMIT_MS} from '@pomelopick/steering.shifts';
 import type {LocalFallback} from './local-fallback.js';
 import type {AskAnswer, HeldSlot, SlotAsker} from './slot-asker.js';
 
 /** Longest expected wait for a slot, in milliseconds, by the priority of the service. */
 const PATIENCE_MS = {interactive: 250, deferrable: 1000};
 /** Expected wait in the home region up to which a call does not go elsewhere, in milliseconds. */
-const HOME_PATIENCE_MS = 20;
+const HOME_PATIENCE_MS = 50;
+/** Free slots that another region must have told of before calls are sent there. */
+const LEAST_SPILL_SLOTS = 2;
 const RETRY_AFTER_MS = 1000;
 
 /** Options of {@link createSteeredPlacement}. */
@@ -84,12 +87,17 @@
 			}
 
 			const patienceMs = choice.kind === 'home' ? (hasSpill ? HOME_PATIENCE_MS : fullPatienceMs) : 0;
+			const askedAtMs = this.#options.now();
 			const answer = await this.#ask({ask, region: choice.region, patienceMs});
-			if (answer.isRight()) {
+			if (answer.isRight() && this.#isLate({choice, askedAtMs})) {
+				// The call would fall into a later second than the one that it was counted in.
+				answer.unsafeCoerce().release('cancelled');
+				this.#options.count('placement.stale');
+			} else if (answer.isRight()) {
 				return Right(this.#toPlacement({ask, choice, held: answer.unsafeCoerce()}));
 			}
 
-			last = choice.kind === 'home' || last === undefined ? answer : last;
+			last = choice.kind === 'home' || (last === undefined && answer.isLeft()) ? answer : last;
 		}
 
 		if (hasSpill) {
@@ -101,9 +109,13 @@
 			: this.#placeWithoutOwner({ask, refusal: last!.swap().unsafeCoerce()});
 	}
 
+	#isLate({choice, askedAtMs}: {readonly choice: RegionChoice; readonly askedAtMs: number}): boolean {
+		return choice.shift !== undefined && this.#options.now() - askedAtMs > SHIFT_ANSWER_LIMIT_MS;
+	}
+
 	#mayHaveRoom({service, choice}: {readonly service: ServiceName; readonly choice: RegionChoice}): boolean {
 		const state = this.#options.asker.state({service, region: choice.region});
-		return state === undefined || state.spillSlots > 0;
+		return state === undefined ? this.#options.asker.isUnasked({service, region: choice.region}) : state.spillSlots >= LEAST_SPILL_SLOTS;
 	}
 
 	async #ask({ask: {options, home}, region, patienceMs}: {readonly ask: Ask; readonly region: RegionName; readonly patienceMs: number}): Promise<AskAnswer> {
--- a/cli/pomelopick/test/operators.test.ts
+++ b/cli/pomelopick/test/operators.test.ts
@@ -5,9 +5,12 @@
 import {PassThrough} from 'node:stream';
 import {text} from 'node:stream/consumers';
 import type {Explanation} from '@pomelopick/core.types';
+import {ConsulStore} from '@pomelopick/platform.store';
 import {popescuVlad, startFleet} from '@pomelopick/testing.fleet';
 import type {Deployment, Fleet} from '@pomelopick/testing.fleet';
-import {createCli} from '@pomelopick/cli.pomelopick';
+import {
+	addDrain, createCli, prepareChange, publishChange,
+} from '@pomelopick/cli.pomelopick';
 
 const small: Deployment = {
 	...popescuVlad,
@@ -57,6 +60,8 @@
 				block: '127.0.2.0/24', site: 'muntenia-1-site', region: 'muntenia', named: 3, first: 'muntenia-1',
 			},
 		);
+		const slots = explanation.steps.find(({rule}) => rule === 'slots of corrections in muntenia');
+		assert.match(slots?.result ?? '', /^counted by entry-\d; /u);
 		assert.equal(explanation.backendServers.length, 6);
 		assert.equal(explanation.backendServers[0]?.region, 'muntenia');
 	});
@@ -89,6 +94,22 @@
 		assert.deepEqual([impossible.code, impossible.errors.includes('impossible-cap')], [1, true]);
 		const added = await run(...words, '--cap', '50');
 		assert.match(added.output, /cap of shift late: none -> 50 calls\/s\n.*accepted as version 4/su);
+		await fleet.waitForVersion(4 as never);
+		const status = await run('status', '--instance', instance);
+		assert.match(status.output, /late +corrections +muntenia +moldova +50 +0\.0/u);
+	});
+
+	it('a change is refused when another publish came between, and changes nothing', async () => {
+		const client = new ConsulStore({endpoint: fleet.platform});
+		const change = addDrain({target: {kind: 'site', name: 'moldova-1-site' as never}, name: 'overtaken'});
+		const prepared = await prepareChange({store: client, change}).run();
+		const other = await run('drain', 'site', 'moldova-2-site', '--store', store, '--yes');
+		const outcome = await publishChange({store: client, prepared: prepared.unsafeCoerce()}).run();
+		const shown = await run('config', 'show', '--store', store);
+		await run('undrain', 'moldova-2-site', '--store', store, '--yes');
+		await client.close();
+		assert.deepEqual([other.code, outcome.unsafeCoerce().kind], [0, 'refused']);
+		assert.doesNotMatch(shown.output, /"overtaken"/u);
 	});
 
 	it('a change without headroom is published only with force', async () => {
@@ -130,7 +151,7 @@
 		const {code, output} = await run('status', '--instance', instance);
 		assert.equal(code, 3);
 		assert.match(output, /2 of 3 instances answer/u);
-		assert.match(output, /missing: entry-3 at 127\.0\.0\.1:\d+: .*does not answer/u);
+		assert.match(output, new RegExp(String.raw`missing: ${killed.instance.id} at 127\.0\.0\.1:\d+: .*does not answer`, 'u'));
 	});
 });
 
--- a/config/distribution/src/distribution.ts
+++ b/config/distribution/src/distribution.ts
@@ -18,15 +18,21 @@
 import {StoreWatcher} from './store-watcher.js';
 import {VersionLoader} from './version-loader.js';
 import {PeerSource, StoreSource} from './version-source.js';
+import type {ChunkSource} from './version-source.js';
 
 /** Instances of one failure domain that watch the key-value service. */
 const WATCHERS_PER_FAILURE_DOMAIN = 2;
 const WATCH_KEY = 'configuration-watch';
 /** Size from which an answer with chunks is cut, in bytes. */
 const MOST_ANSWER_BYTES = 524_288;
+/** Missing chunks up to which the store is asked before peers. */
+const MOST_CHUNKS_FROM_STORE = 16;
 /** Peers asked for chunks that neither the teller nor the store has. */
 const FALLBACK_PEERS = 2;
 
+/** Added to the age of a version whose message may have waited, in milliseconds. */
+const UNBOUNDED_AGE_MS = 1000;
+
 /** Version that a peer has in force. */
 export interface PeerVersion {
 	readonly version: number;
@@ -35,6 +41,14 @@
 	readonly ageMs: number;
 }
 
+/** Options of {@link Distribution.hearPeer}. */
+export interface HearPeerOptions {
+	readonly endpoint: Endpoint;
+	readonly held: PeerVersion;
+	/** Whether the age is an upper bound. */
+	readonly isAgeBounded: boolean;
+}
+
 /** Options of {@link Distribution}. */
 export interface DistributionOptions {
 	readonly self: InstanceId;
@@ -63,7 +77,7 @@
 		const {store, holder, now, random, prepare, onFailure, onDamagedChunk} = options;
 		this.#options = options;
 		this.#loader = new VersionLoader({
-			holder, now, prepare, onFailure, onDamagedChunk, sources: () => [new StoreSource({store}), ...this.#fallbackPeers()],
+			holder, now, prepare, onFailure, onDamagedChunk, sources: ({missing}) => this.#listSources({missing}),
 		});
 		this.#watcher = new StoreWatcher({
 			store, holder, loader: this.#loader, now, random, onFailure, isWatcher: () => this.isWatcher,
@@ -104,11 +118,12 @@
 
 	/** Stops following. */
 	async stop(): Promise<void> {
+		this.#loader.stop();
 		await this.#watcher.stop();
 	}
 
 	/** Compares a peer's version with the one in force: fetches a higher one, and takes over a younger confirmation of the same. */
-	hearPeer({endpoint, held}: {readonly endpoint: Endpoint; readonly held: PeerVersion}): void {
+	hearPeer({endpoint, held, isAgeBounded}: HearPeerOptions): void {
 		const {holder, clients, now, onFailure} = this.#options;
 		holder.hearOf(held.version);
 		if (held.version > holder.version) {
@@ -117,13 +132,23 @@
 			});
 		} else if (held.version === holder.version && holder.view) {
 			if (held.digest === holder.view.digest) {
-				holder.confirm({version: held.version, nowMs: now() - held.ageMs});
+				if (isAgeBounded) {
+					// Ages that leave out the time on the way would make views younger with every message.
+					holder.confirm({version: held.version, nowMs: now() - held.ageMs});
+				}
 			} else {
 				onFailure(`version ${held.version} has digest ${holder.view.digest} here and ${held.digest} at ${endpoint.address}:${endpoint.port}`);
 			}
 		}
 	}
 
+	/** A few chunks are new to everyone and come from the store; many are those of a whole set, which peers hold. */
+	#listSources({missing}: {readonly missing: number}): readonly ChunkSource[] {
+		const store = new StoreSource({store: this.#options.store});
+		const peers = this.#fallbackPeers();
+		return missing > MOST_CHUNKS_FROM_STORE ? [...peers, store] : [store, ...peers];
+	}
+
 	#fallbackPeers(): readonly PeerSource[] {
 		const {self, clients, liveInstances} = this.#options;
 		const others = liveInstances().filter(({id}) => id !== self);
@@ -140,7 +165,7 @@
 		const chunks = [];
 		let bytes = 0;
 		for (const hash of hashes) {
-			const content = this.#loader.chunks.get(hash);
+			const content = this.#loader.chunkOf(hash);
 			if (content && (bytes === 0 || bytes + content.length <= MOST_ANSWER_BYTES)) {
 				bytes += content.length;
 				chunks.push(create(ChunkSchema, {hash, content}));
--- a/config/publishing/src/publish.ts
+++ b/config/publishing/src/publish.ts
@@ -34,6 +34,8 @@
 	readonly publishId?: PublishId;
 	/** Version whose content the set repeats. */
 	readonly restores?: ConfigurationVersion;
+	/** Reads also the chunks of the version in force, and writes damaged ones again. */
+	readonly repairs?: boolean;
 	/** Waits between tries, in milliseconds. */
 	readonly pause?: (durationMs: number) => Promise<void>;
 }
@@ -112,17 +114,19 @@
 }
 
 async function prepareAndSwap({options, found}: {readonly options: Attempt; readonly found: RootAndIndex | undefined}): Promise<PublishResult> {
-	const {store, set, basedOn, nowMs} = options;
+	const {store, set, basedOn, nowMs, repairs = false} = options;
 	if (found && basedOn !== undefined && found.root.version !== basedOn) {
 		return Right({kind: 'refused', winner: found.root});
 	}
 
 	const chunks = splitIntoChunks(set);
 	const root = toRoot({options, found, chunks});
-	const prepared = await EitherAsync.fromPromise(async () => writeIntent({store, root, startedAtMs: nowMs}))
+	const prepared = await EitherAsync.fromPromise(async () => writeIntent({
+		store, root, startedAtMs: nowMs, base: found?.root,
+	}))
 		.chain(() => readCondemned(store))
 		.chain(condemned => EitherAsync.fromPromise(async (): Promise<Either<ReadConfigurationError, number>> => writeChunks({
-			store, chunks, condemned, inForce: new Set(found?.root.chunks.map(({hash}) => hash)),
+			store, chunks, condemned, inForce: new Set(repairs ? [] : found?.root.chunks.map(({hash}) => hash)),
 		})))
 		.chain(() => EitherAsync.fromPromise(async () => archiveRoot({store, found})))
 		.run();
@@ -135,15 +139,25 @@
 function toRoot({options, found, chunks}: {readonly options: Attempt; readonly found: RootAndIndex | undefined; readonly chunks: readonly ChunkReference[]}): ConfigurationRoot {
 	const {publishId, author, nowMs, restores} = options;
 	return {
-		version: ((found?.root.version ?? 0) + 1) as ConfigurationVersion, publishId, author, publishedAtMs: nowMs, restores, chunks,
+		version: ((found?.root.version ?? 0) + 1) as ConfigurationVersion, publishId, author, publishedAtMs: nowMs, restores, chunks: chunks.map(({hash, bytes, kind}) => ({hash, bytes, kind})),
 	};
 }
 
+interface WriteIntentOptions {
+	readonly store: KeyValueStore;
+	readonly root: ConfigurationRoot;
+	/** Newest root; as long as the swap can succeed, its chunks are needed anyway. */
+	readonly base: ConfigurationRoot | undefined;
+	/** Wall-clock time, in milliseconds since the epoch. */
+	readonly startedAtMs: number;
+}
+
 /** Notes what the publish attempts before it relies on any chunk. */
-async function writeIntent({store, root, startedAtMs}: {readonly store: KeyValueStore; readonly root: ConfigurationRoot; readonly startedAtMs: number}): Promise<Either<ReadConfigurationError, true>> {
+async function writeIntent({store, root, base, startedAtMs}: WriteIntentOptions): Promise<Either<ReadConfigurationError, true>> {
 	const {publishId, version, chunks} = root;
+	const inBase = new Set(base?.chunks.map(({hash}) => hash));
 	const intent: PublishIntent = {
-		publishId, version, startedAtMs, hashes: chunks.map(({hash}) => hash),
+		publishId, version, startedAtMs, hashes: chunks.map(({hash}) => hash).filter(hash => !inBase.has(hash)),
 	};
 	return ensureValue({
 		store, key: `${PUBLISH_PREFIX}${publishId}`, value: encodeJson(intent), replaces: true,
--- a/daemons/entry/src/operators/status.ts
+++ b/daemons/entry/src/operators/status.ts
@@ -19,12 +19,13 @@
 	readonly lookup: LookupView;
 	readonly sources: ExplainSources;
 	readonly callsInProgress: number;
+	readonly isWatcher: boolean;
 	/** Monotonic time, in milliseconds. */
 	readonly nowMs: number;
 }
 
 /** Takes a snapshot of the instance. */
-export function createStatus({settings, holder, counters, lookup, sources, callsInProgress, nowMs}: CreateStatusOptions): StatusReport {
+export function createStatus({settings, holder, counters, lookup, sources, callsInProgress, isWatcher, nowMs}: CreateStatusOptions): StatusReport {
 	const {view} = holder;
 	const set = view?.configuration.set;
 	const inProgress = sources.listCallsInProgress();
@@ -33,6 +34,7 @@
 		failureDomain: settings.failureDomain,
 		...(view && {configurationVersion: view.configuration.root.version, viewAgeMs: Math.round(nowMs - view.confirmedAtMs)}),
 		newestKnownVersion: holder.newestKnown,
+		isWatcher,
 		uptimeMs: Math.round(process.uptime() * 1000),
 		callsInProgress,
 		instances: lookup.members.map(({instance: {id, failureDomain, state, operators}, alive, isolated, load}) => ({
