Add the capacity page and the command that measures it

Cause: the planned size decides the design, and no page said what each role costs there. Ruled out: figures written by hand into the page; they part from the code.

--- a/testing/bench/src/capacity/publishing-role.ts
+++ b/testing/bench/src/capacity/publishing-role.ts
@@ -1,6 +1,6 @@
 /** Publishing and holding a set: store calls, bytes, processor time and memory against the number of client blocks. */
 import {checkConfigurationSet} from '@pomelopick/config.schema';
-import {publishConfiguration} from '@pomelopick/config.publishing';
+import {publishConfiguration, splitIntoChunks} from '@pomelopick/config.publishing';
 import {ConsulStore} from '@pomelopick/platform.store';
 import {startPlatformStandIn} from '@pomelopick/testing.platform-stand-in';
 import type {ConfigurationSet} from '@pomelopick/core.types';
@@ -17,6 +17,8 @@
 	readonly x: number;
 	readonly checkMs: number;
 	readonly heldBytes: number;
+	readonly chunks: number;
+	readonly chunkBytes: number;
 	readonly firstWrites: number;
 	readonly changeCalls: number;
 	readonly changeBytes: number;
@@ -41,6 +43,12 @@
 		fit({
 			role: 'configuration distribution', quantity: 'held set', unit: 'bytes', pick: ({heldBytes}) => heldBytes,
 		}),
+		fit({
+			role: 'configuration distribution', quantity: 'stored chunks', unit: 'bytes', pick: ({chunkBytes}) => chunkBytes,
+		}),
+		fit({
+			role: 'configuration distribution', quantity: 'chunks of a set', unit: 'chunks', pick: ({chunks}) => chunks,
+		}),
 		fit({
 			role: 'publishing', quantity: 'store writes of a first publish', unit: 'calls', pick: ({firstWrites}) => firstWrites,
 		}),
@@ -64,6 +72,7 @@
 	const checkMs = await measureCpuMs(() => {
 		set = checkConfigurationSet(input).unsafeCoerce();
 	});
+	const chunks = splitIntoChunks(set);
 	const text = JSON.stringify(set);
 	const heldBytes = measureRetainedBytes(() => JSON.parse(text) as unknown);
 	const publish = async (next: ConfigurationSet): Promise<void> => {
@@ -82,6 +91,6 @@
 	await store.close();
 	await platform.stop();
 	return {
-		x: clientBlocks, checkMs, heldBytes, firstWrites, changeCalls, changeBytes, changeMs,
+		x: clientBlocks, checkMs, heldBytes, chunks: chunks.length, chunkBytes: chunks.reduce((sum, {bytes}) => sum + bytes, 0), firstWrites, changeCalls, changeBytes, changeMs,
 	};
 }
--- a/testing/bench/src/main.ts
+++ b/testing/bench/src/main.ts
@@ -2,10 +2,13 @@
 import process from 'node:process';
 import {measureEntry} from './entry.js';
 import {measureLookup} from './lookup.js';
+import {runCapacity} from './capacity/run-capacity.js';
 import {formatEntry, formatLookup} from './print.js';
 
 const SEED = 1;
 const USAGE_EXIT_CODE = 2;
+/** Writes the capacity page's tables into the page. */
+const WRITE_FLAG = '--write';
 
 /** What one measurement gives. */
 interface BenchOutcome {
@@ -28,10 +31,15 @@
 		const result = await measureLookup({seed: SEED, report});
 		return {text: formatLookup(result), result, isMet: result.isMet};
 	},
+	async capacity() {
+		const {text, budgets} = await runCapacity({seed: SEED, report, writesPage: process.argv.includes(WRITE_FLAG)});
+		return {text, result: budgets, isMet: budgets.every(({found, most}) => found <= most)};
+	},
 };
 
 const defaultNames = ['entry', 'lookup'];
-const names = process.argv.length > 2 ? process.argv.slice(2) : defaultNames;
+const words = process.argv.slice(2).filter(word => word !== WRITE_FLAG);
+const names = words.length > 0 ? words : defaultNames;
 const unknown = names.filter(name => !Object.hasOwn(benches, name));
 if (unknown.length > 0) {
 	process.stderr.write(`expected ${Object.keys(benches).join(', ')}; found ${unknown.join(', ')}\n`);
