--- a/calls/connections/test/long-calls.test.ts
+++ b/calls/connections/test/long-calls.test.ts
@@ -4,7 +4,7 @@
 } from 'node:test';
 import {Agent} from 'undici';
 import {callDirectly} from '@pomelopick/testing.callers';
-import type {CallRecord} from '@pomelopick/testing.callers';
+import type {DirectAnswer} from '@pomelopick/testing.callers';
 import {getJson, startFleet} from '@pomelopick/testing.fleet';
 import type {Deployment, Fleet} from '@pomelopick/testing.fleet';
 
@@ -38,8 +38,8 @@
 		endpoint: fleet.entries[0]!.instance.callers, service: 'ledger', timeoutMs: CALL_TIMEOUT_MS, dispatcher: agent, ...options,
 	});
 
-	const drive = async ({method, workMs}: {readonly method: 'GET' | 'POST'; readonly workMs: number}): Promise<CallRecord[]> => {
-		const records: CallRecord[] = [];
+	const drive = async ({method, workMs}: {readonly method: 'GET' | 'POST'; readonly workMs: number}): Promise<DirectAnswer[]> => {
+		const records: DirectAnswer[] = [];
 		for (let round = 0; round < ROUNDS; round += 1) {
 			records.push(await call({method, path: `/${method}/${round}?workMs=${workMs}`}));
 		}
@@ -47,12 +47,13 @@
 		return records;
 	};
 
+	const readStatus = async () => getJson<{counters: Record<string, number>}>({endpoint: fleet.entries[0]!.instance.operators, path: '/v1/status'});
+
 	for (const {name, method, workMs} of cases) {
 		it(`are neither taken for silent nor leave hedges in the queue: ${name}`, async () => {
-			const {operators} = fleet.entries[0]!.instance;
 			const records = await drive({method, workMs});
 			assert.deepEqual(records.filter(record => record.ended !== 'answered'), []);
-			const {counters} = await getJson<{counters: Record<string, number>}>({endpoint: operators, path: '/v1/status'});
+			const {counters} = await readStatus();
 			assert.equal(counters['connections.replaced'] ?? 0, 0, JSON.stringify(counters));
 		});
 	}
