--- a/steering/choice/src/server-limit.ts
+++ b/steering/choice/src/server-limit.ts
@@ -18,24 +18,20 @@
 	readonly nowMs: number;
 }
 
-/** Part of its slots that a server is given before it has proven any. */
-const FIRST_SHARE = 0.5;
-
 /**
- * Limit of one server: begins at half of the configured slots, grows by one with each answer up to the configured slots, shrinks when the server sheds or fails.
+ * Limit of one server: grows by one with each answer up to the configured slots, shrinks when the server sheds or fails.
  *
  * Additive increase as in Chiu and Jain, "Analysis of the Increase and Decrease Algorithms", Computer Networks 17, 1989.
  */
 export class ServerLimit {
 	#slots: number;
-	#proven: number;
+	#proven = 1;
 	#pausedUntilMs = Number.NEGATIVE_INFINITY;
 	#failures = 0;
 	#holdMs: number | undefined;
 
 	constructor({slots}: {readonly slots: number}) {
 		this.#slots = slots;
-		this.#proven = Math.max(1, Math.floor(slots * FIRST_SHARE));
 	}
 
 	/** Calls that the server may be given at once. */
