Put the 24 neighbours of the crashing request back

Cause: the test had been cut from 24 to 8 innocent calls beside the crashing one because some were refused as queue-full. Change: 24 again. Conclusion: the check is as strict as it was.

--- a/calls/quarantine/test/crashing-request.test.ts
+++ b/calls/quarantine/test/crashing-request.test.ts
@@ -10,7 +10,7 @@
 import {MOST_DEATHS_BEFORE_CONVICTION} from '@pomelopick/calls.quarantine';
 
 const SENDS = 16;
-const NEIGHBOURS = 8;
+const NEIGHBOURS = 24;
 
 const deployment: Deployment = {
 	name: 'crashes', regions: ['north', 'south'], domainsPerRegion: 1, megabitsPerSecond: 100, betweenRegionsMs: 0, betweenDomainsMs: 0, toClientsMs: 0,
