Give the linter the same verdict with and without compiled files

A package's import of itself resolves to its compiled file; without one the rule took it for an unknown kind and wanted another order than with one. The runs that were green had compiled files of earlier runs beside them. The five JavaScript files were linted with the TypeScript parser, because rules that need types were set for all files, and hung on a generated project file. The 5 parse errors were never seen here; that they end with the generated project file is inferred. Conclusion: the order of imports no longer depends on the state of the checkout.

--- a/calls/forwarding/test/exchange.test.ts
+++ b/calls/forwarding/test/exchange.test.ts
@@ -3,8 +3,8 @@
 import {describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Client} from 'undici';
-import {startScriptedServer} from './scripted-server.js';
 import {Exchange} from '@pomelopick/calls.forwarding';
+import {startScriptedServer} from './scripted-server.js';
 
 describe('an exchange', () => {
 	it('says not-run when it is given up before its connection is there, and sends nothing afterwards', async () => {
--- a/calls/journal/test/expiry.test.ts
+++ b/calls/journal/test/expiry.test.ts
@@ -7,10 +7,10 @@
 } from '@pomelopick/peer.protocol';
 import type {BeginResponse, FinishResponse, JournalKey} from '@pomelopick/peer.protocol';
 import type {FailureDomainName, Instance, InstanceId} from '@pomelopick/core.types';
-import {MemoryStore} from './memory-store.js';
 import {
 	orderOwners, readMintedAtMs, Shard, toJournalKey,
 } from '@pomelopick/calls.journal';
+import {MemoryStore} from './memory-store.js';
 
 const LIFETIME_MS = 10_000;
 const START_MS = 1_800_000_000_000;
--- a/calls/journal/test/shard-model.test.ts
+++ b/calls/journal/test/shard-model.test.ts
@@ -9,9 +9,9 @@
 import type {
 	BeginResponse, FinishResponse, JournalKey, ReadOutcomeResponse,
 } from '@pomelopick/peer.protocol';
+import {Shard, toJournalKey} from '@pomelopick/calls.journal';
 import {MemoryStore} from './memory-store.js';
 import type {CallFate} from './memory-store.js';
-import {Shard, toJournalKey} from '@pomelopick/calls.journal';
 
 const SEED = 20_261_203;
 const RUNS = 300;
--- a/config/publishing/test/collect.test.ts
+++ b/config/publishing/test/collect.test.ts
@@ -6,11 +6,11 @@
 import type {ConfigurationSet, PublishId} from '@pomelopick/core.types';
 import {startPlatformStandIn} from '@pomelopick/testing.platform-stand-in';
 import type {PlatformStandIn} from '@pomelopick/testing.platform-stand-in';
-import {HookedStore} from './hooked-store.js';
 import type {CollectOutcome, CollectStep} from '@pomelopick/config.publishing';
 import {
 	CHUNK_PREFIX, collectChunks, PUBLISH_PREFIX, publishConfiguration, readRoot, readSet, ROOT_KEY,
 } from '@pomelopick/config.publishing';
+import {HookedStore} from './hooked-store.js';
 
 const PUBLISH_TIMEOUT_MS = 60_000;
 const LATER_MS = 10 * PUBLISH_TIMEOUT_MS;
--- a/config/publishing/test/publish.test.ts
+++ b/config/publishing/test/publish.test.ts
@@ -6,12 +6,12 @@
 import type {ConfigurationSet, ConfigurationVersion, PublishId} from '@pomelopick/core.types';
 import {startPlatformStandIn} from '@pomelopick/testing.platform-stand-in';
 import type {PlatformStandIn} from '@pomelopick/testing.platform-stand-in';
-import {HookedStore, lostAnswer} from './hooked-store.js';
-import type {WriteHook} from './hooked-store.js';
 import type {PublishOutcome} from '@pomelopick/config.publishing';
 import {
 	CHUNK_PREFIX, listHistory, publishConfiguration, readRoot, readSet, restoreVersion, ROOT_KEY, splitIntoChunks,
 } from '@pomelopick/config.publishing';
+import {HookedStore, lostAnswer} from './hooked-store.js';
+import type {WriteHook} from './hooked-store.js';
 
 const BLOCKS = 8000;
 const pause = async (): Promise<void> => undefined;
--- a/testing/history/test/fault-cases.ts
+++ b/testing/history/test/fault-cases.ts
@@ -3,9 +3,9 @@
 import {
 	after, before, describe, it,
 } from 'node:test';
-import {smallHebrides} from './deployments.js';
 import {runHistory, startProxiedFleet} from '@pomelopick/testing.history';
 import type {FaultStep, ProxiedFleet} from '@pomelopick/testing.history';
+import {smallHebrides} from './deployments.js';
 
 const ENTRIES = 4;
 const WORKERS = 8;
--- a/xo.config.js
+++ b/xo.config.js
@@ -31,24 +31,38 @@
 		rules: {
 			// Outcomes travel as purify-ts values, whose constructors are capitalised functions.
 			'new-cap': ['error', {capIsNewExceptions: ['Left', 'Right', 'Just', 'Nothing'], capIsNewExceptionPattern: String.raw`^(Command|Option)\.`}],
-			// Options and messages are interfaces declared beside their function.
-			'@typescript-eslint/consistent-type-definitions': ['error', 'interface'],
-			// Type imports are kept apart from imports of values.
-			'@typescript-eslint/consistent-type-imports': ['error', {fixStyle: 'separate-type-imports'}],
 			'import-x/consistent-type-specifier-style': ['error', 'prefer-top-level'],
 			'import-x/no-duplicates': 'off',
+			// The workspace's packages count as external whether or not they have been compiled.
+			'import-x/order': ['error', {
+				groups: ['builtin', 'external', 'parent', 'sibling', 'index'],
+				pathGroups: [{pattern: '@pomelopick/**', group: 'external'}],
+				pathGroupsExcludedImportTypes: [],
+				'newlines-between': 'never',
+				warnOnUnassignedImports: true,
+			}],
 			// The workspace resolves to compiled files, which linting does not need.
 			'import-x/no-extraneous-dependencies': 'off',
 			'n/no-extraneous-import': 'off',
-			// Header names and the platform's JSON fields keep their published spelling.
-			'@typescript-eslint/naming-convention': 'off',
 			'n/prefer-global/process': 'off',
 			'no-await-in-loop': 'off',
-			'@typescript-eslint/switch-exhaustiveness-check': ['error', {considerDefaultExhaustiveForUnions: true}],
 			'unicorn/no-process-exit': 'off',
 			'n/no-unsupported-features/node-builtins': 'off',
 		},
 	},
+	{
+		// Kept off the JavaScript files: rules that need types would need them in the type checker's project too.
+		files: ['**/*.ts'],
+		rules: {
+			// Options and messages are interfaces declared beside their function.
+			'@typescript-eslint/consistent-type-definitions': ['error', 'interface'],
+			// Type imports are kept apart from imports of values.
+			'@typescript-eslint/consistent-type-imports': ['error', {fixStyle: 'separate-type-imports'}],
+			'@typescript-eslint/switch-exhaustiveness-check': ['error', {considerDefaultExhaustiveForUnions: true}],
+			// Header names and the platform's JSON fields keep their published spelling.
+			'@typescript-eslint/naming-convention': 'off',
+		},
+	},
 	...directionRules,
 	{
 		// Address arithmetic and hashing.
