--- a/cli/pomelopick/src/operator-client.ts
+++ b/cli/pomelopick/src/operator-client.ts
@@ -1,6 +1,7 @@
 /** Reads JSON from an instance's listener. */
 import {request} from 'undici';
 import {EitherAsync, Left, Right} from 'purify-ts';
+import {originOf} from '@pomelopick/core.types';
 import type {CodedError, Endpoint} from '@pomelopick/core.types';
 
 const CALL_TIMEOUT_MS = 3000;
@@ -15,8 +16,7 @@
 /** Left `instance-unavailable` when nothing answers, `refused` when the instance refuses. */
 export function getJson<Shape>({endpoint, path}: GetJsonOptions): EitherAsync<CodedError, Shape> {
 	return EitherAsync.fromPromise(async () => {
-		const {address, port} = endpoint;
-		const origin = address.includes(':') ? `http://[${address}]:${port}` : `http://${address}:${port}`;
+		const origin = originOf(endpoint);
 		try {
 			const response = await request(`${origin}${path}`, {signal: AbortSignal.timeout(CALL_TIMEOUT_MS)});
 			const body = await response.body.json() as Shape & {title?: string; detail?: string};
--- a/core/types/src/index.ts
+++ b/core/types/src/index.ts
@@ -1,6 +1,7 @@
 /** Branded ids, the named objects of a configuration, outcomes and reason codes. */
 export type * from './brand.js';
 export type * from './coded-error.js';
+export * from './endpoint.js';
 export type * from './ids.js';
 export type * from './instance.js';
 export type * from './objects.js';
--- a/core/types/src/instance.ts
+++ b/core/types/src/instance.ts
@@ -1,12 +1,7 @@
 /** One of the system's own instances, as the platform's list names it. */
+import type {Endpoint} from './endpoint.js';
 import type {FailureDomainName, InstanceId} from './ids.js';
 
-/** IP address and port. */
-export interface Endpoint {
-	readonly address: string;
-	readonly port: number;
-}
-
 /** State of an instance in the platform's list. */
 export type InstanceState = 'live' | 'leaving';
 
--- a/core/types/src/operator-reports.ts
+++ b/core/types/src/operator-reports.ts
@@ -1,5 +1,6 @@
 /** What an instance tells operators: its status, its explanations and what its parts hold. */
-import type {Endpoint, InstanceState} from './instance.js';
+import type {Endpoint} from './endpoint.js';
+import type {InstanceState} from './instance.js';
 import type {DrainTarget} from './objects.js';
 
 /** A member of the fleet as one instance sees it. */
