Forget peers whose sessions have ended

Cause: a client kept its session manager, transport and clients of every address that it had ever called, and dropped them only after a call had timed out there. Ruled out: dropping by age alone, which would need a clock for what the state of the session says already. Change: a new connection drops those that have ended and carry no call. Conclusion: what is kept follows the peers that answer.

--- a/peer/transport/src/peer-clients.ts
+++ b/peer/transport/src/peer-clients.ts
@@ -5,6 +5,7 @@
 import {createConnectTransport} from '@connectrpc/connect-node';
 import type {Http2SessionManager} from '@connectrpc/connect-node';
 import {EitherAsync, Left, Right} from 'purify-ts';
+import {originOf} from '@pomelopick/core.types';
 import type {Endpoint} from '@pomelopick/core.types';
 import {GuardedSessionManager} from './guarded-session-manager.js';
 
@@ -12,6 +13,8 @@
 const PING_TIMEOUT_MS = 1000;
 const IDLE_TIMEOUT_MS = 30_000;
 
+const endedStates: ReadonlySet<ReturnType<Http2SessionManager['state']>> = new Set(['closed', 'error']);
+
 /** Why a peer gave no answer. */
 export interface PeerError {
 	/** `not-sent`: surely not run. `lost`: may have been run. `refused`: the peer answered with an error. */
@@ -37,6 +40,7 @@
 	readonly transport: Transport;
 	/** Clients by service; creating one costs more than a call. */
 	readonly clients: Map<DescService, Client<DescService>>;
+	callsInProgress: number;
 }
 
 /** Calls other instances. Every call has a deadline. */
@@ -46,17 +50,26 @@
 	/** Calls one method of a peer. Never rejects. */
 	call<Service extends DescService, Answer>({endpoint, service, timeoutMs, invoke, signal}: PeerCallOptions<Service, Answer>): EitherAsync<PeerError, Answer> {
 		return EitherAsync.fromPromise(async () => {
-			const origin = `http://${endpoint.address.includes(':') ? `[${endpoint.address}]` : endpoint.address}:${endpoint.port}`;
+			const origin = originOf(endpoint);
+			const connection = this.#connectionTo(origin);
+			connection.callsInProgress += 1;
 			try {
-				const client = clientOf({connection: this.#connectionTo(origin), service});
+				const client = clientOf({connection, service});
 				// The protocol carries whole milliseconds only.
 				return Right(await invoke(client, {timeoutMs: Math.max(1, Math.ceil(timeoutMs)), signal}));
 			} catch (error) {
 				return Left(this.#toPeerError({origin, error}));
+			} finally {
+				connection.callsInProgress -= 1;
 			}
 		});
 	}
 
+	/** Peers to which a session is kept. */
+	get connectionCount(): number {
+		return this.#connections.size;
+	}
+
 	/** Closes all sessions. */
 	close(): void {
 		for (const {sessions} of this.#connections.values()) {
@@ -72,8 +85,12 @@
 			return existing;
 		}
 
+		this.#dropEnded();
 		const sessions = new GuardedSessionManager(origin, {pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: PING_TIMEOUT_MS, idleConnectionTimeoutMs: IDLE_TIMEOUT_MS});
-		const connection = {sessions, transport: createConnectTransport({baseUrl: origin, httpVersion: '2', sessionManager: sessions}), clients: new Map()};
+		const transport = createConnectTransport({baseUrl: origin, httpVersion: '2', sessionManager: sessions});
+		const connection = {
+			sessions, transport, clients: new Map(), callsInProgress: 0,
+		};
 		this.#connections.set(origin, connection);
 		return connection;
 	}
@@ -96,6 +113,15 @@
 		return {code: isTransportFault ? 'lost' : 'refused', message};
 	}
 
+	/** Instances are replaced all the time, at other addresses; what is kept for them must not pile up. */
+	#dropEnded(): void {
+		for (const [origin, {sessions, callsInProgress}] of this.#connections) {
+			if (callsInProgress === 0 && endedStates.has(sessions.state())) {
+				this.#connections.delete(origin);
+			}
+		}
+	}
+
 	#drop(origin: string): void {
 		this.#connections.get(origin)?.sessions.abort();
 		this.#connections.delete(origin);
--- a/peer/transport/test/peer-transport.test.ts
+++ b/peer/transport/test/peer-transport.test.ts
@@ -2,6 +2,7 @@
 import {
 	after, before, describe, it,
 } from 'node:test';
+import type {Endpoint} from '@pomelopick/core.types';
 import {HelloService} from '@pomelopick/peer.protocol';
 import {startFaultProxy} from '@pomelopick/testing.fault-proxy';
 import {PeerClients, startPeerServer} from '@pomelopick/peer.transport';
@@ -85,4 +86,27 @@
 
 		others.close();
 	});
+
+	it('forgets peers whose sessions have ended', async () => {
+		const others = new PeerClients();
+		const sayHello = async (endpoint: Endpoint) => others.call({
+			endpoint, service: HelloService, timeoutMs: 2000, invoke: async (client, options) => client.hello({}, options),
+		}).run();
+		for (let round = 0; round < 10; round += 1) {
+			const stopping = await startPeerServer({
+				endpoint: {address: '127.0.0.1', port: 0}, register(router) {
+					router.service(HelloService, {hello: () => ({instance: 'stopping', failureDomain: 'north-1', configurationVersion: 1n})});
+				},
+			});
+			const answer = await sayHello(stopping.endpoint);
+			assert.ok(answer.isRight());
+			await stopping.stop();
+			await sayHello(stopping.endpoint);
+		}
+
+		await sayHello(server.endpoint);
+		// The session to the last one may still be ending.
+		assert.ok(others.connectionCount <= 2, `${others.connectionCount} sessions are kept`);
+		others.close();
+	});
 });
