Send the callers of a failed entry instance to all others of its group

Cause: the order in a group was a rotation, so every caller whose first choice was an instance had the same second choice. When that instance failed, its one neighbour took all of its callers. Ruled out: shuffling per look-up, which would move callers between instances without need and cost an allocation for each. Change: the choices after the first start at a second place drawn from the rest of the caller's number. Conclusion: the load of a failed instance is spread over its group.

--- a/steering/lookup/src/entry-order.ts
+++ b/steering/lookup/src/entry-order.ts
@@ -61,7 +61,7 @@
 		.map(([, group]) => group.sort((left, right) => left.id.localeCompare(right.id)));
 }
 
-/** Names instances group by group, each group from the caller's own start. */
+/** Names instances group by group, each group in the caller's own order. */
 export function nameEntries({groups, spread, most}: NameEntriesOptions): readonly Instance[] {
 	const named: Instance[] = [];
 	for (const group of groups) {
@@ -70,9 +70,21 @@
 				return named;
 			}
 
-			named.push(group[(spread + index) % group.length]!);
+			named.push(group[indexAt({position: index, size: group.length, spread})]!);
 		}
 	}
 
 	return named;
 }
+
+/** Index of a caller's choice in a group: the first by its number, the others from a second start, so that the callers of an instance that fails go to all the others. */
+function indexAt({position, size, spread}: {readonly position: number; readonly size: number; readonly spread: number}): number {
+	const first = spread % size;
+	if (position === 0) {
+		return first;
+	}
+
+	const others = size - 1;
+	const secondStart = Math.floor(spread / size) % others;
+	return (first + 1 + ((secondStart + position - 1) % others)) % size;
+}
--- a/steering/lookup/test/entry-order.test.ts
+++ b/steering/lookup/test/entry-order.test.ts
@@ -69,4 +69,17 @@
 			assert.deepEqual(nameEntries({groups, spread, most}), whole.slice(0, most));
 		}), {seed: 1});
 	});
+
+	it('spreads the callers of an instance that fails over all others of its group', () => {
+		const size = 5;
+		const groups = groupEntries({candidates: Array.from({length: size}, (_, index) => candidate({id: `i${index}`, domain: 0})), near: domains[0], topology});
+		const pairs = new Map<string, number>();
+		for (let spread = 0; spread < size * (size - 1) * 3; spread += 1) {
+			const [first, second] = nameEntries({groups, spread, most: 2});
+			const pair = `${first!.id} then ${second!.id}`;
+			pairs.set(pair, (pairs.get(pair) ?? 0) + 1);
+		}
+
+		assert.deepEqual([pairs.size, new Set(pairs.values())], [size * (size - 1), new Set([3])]);
+	});
 });
