Cut a region of real processes off, and tell unreached instances from reached ones

An instance that nobody on this side observes has no votes against it, and counted as "another of the region that is still reached", so that votes from outside alone killed its mates after two seconds. The nodes of the in-process test had ids for which every instance had an observer on both sides.

Ruled out: counting silent instances as unreached whenever their region has votes; a dead instance would then isolate its region.

Observers that are not reached are not waited for. Two settings lead real processes through proxies and suit machines with several addresses: `advertise` (what an instance says of its own listener; its own record goes before the list's word, so that a list with proxies alone was bypassed) and `peerSourceAddress`. The fault proxy cuts by the client's address.

--- a/config/settings/src/settings.ts
+++ b/config/settings/src/settings.ts
@@ -14,6 +14,10 @@
 	instance: z.string().min(1).max(63).transform(value => value as InstanceId),
 	failureDomain: z.string().min(1).max(63).transform(value => value as FailureDomainName),
 	listen: z.strictObject({callers: endpoint, peers: endpoint, operators: endpoint}),
+	/** Where other instances reach this one, when that is not where it listens: behind a translation of addresses, for example. */
+	advertise: z.strictObject({peers: endpoint}).optional(),
+	/** Address from which connections to other instances leave, on a machine with several. */
+	peerSourceAddress: address.optional(),
 	/** Key-value service. */
 	store: endpoint,
 	/** List of instances. */
--- a/daemons/entry/src/call-safety.ts
+++ b/daemons/entry/src/call-safety.ts
@@ -32,7 +32,7 @@
 
 /** Creates the parts. */
 export function createCallSafety({settings, counters, events, listInstances, now}: CreateCallSafetyOptions): CallSafety {
-	const peerClients = new PeerClients();
+	const peerClients = new PeerClients({sourceAddress: settings.peerSourceAddress});
 	const listPeers = (): readonly Endpoint[] => listInstances().filter(({id}) => id !== settings.instance).map(({peers}) => peers);
 	const connections = new BackendConnections({
 		now, onReplaced({server, connections: count}) {
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -61,7 +61,7 @@
 	const events = new EventRecord({capacity: EVENTS_KEPT, now: () => Date.now()});
 	const store = new ObservedStore({store: new ConsulStore({endpoint: settings.store}), now});
 	const holder = new ConfigurationHolder();
-	const clients = new PeerClients();
+	const clients = new PeerClients({sourceAddress: settings.peerSourceAddress});
 	const random = xoroshiro128plus(randomInt(MOST_SEED));
 	const drawPart = (): number => uniformInt(random, 0, MOST_SEED - 1) / MOST_SEED;
 	const fleet = startFleetView({
@@ -71,7 +71,7 @@
 	const lookup = new LookupView({members: () => membership.members, pause});
 	const currentSet = () => holder.view?.configuration.set;
 	// Calls that wait for a slot have sessions of their own, which no other message's deadline closes.
-	const slotClients = new PeerClients();
+	const slotClients = new PeerClients({sourceAddress: settings.peerSourceAddress});
 	const placement = await createPlacement({
 		instance: settings.instance,
 		failureDomain: settings.failureDomain,
@@ -160,7 +160,7 @@
 	await Promise.all([listen({server: callers.server, endpoint: settings.listen.callers}), listen({server: operators, endpoint: settings.listen.operators})]);
 	const endpoints = {callers: endpointOf(callers.server), peers: peers.endpoint, operators: endpointOf(operators)};
 	const self: Instance = {
-		id: settings.instance, failureDomain: settings.failureDomain, state: 'live', ...endpoints,
+		id: settings.instance, failureDomain: settings.failureDomain, state: 'live', ...endpoints, ...settings.advertise,
 	};
 	membership.start(self);
 	distribution.start();
--- a/peer/membership/src/member-table.ts
+++ b/peer/membership/src/member-table.ts
@@ -6,7 +6,7 @@
 } from './member.js';
 import {Overlay, regionNameOf} from './overlay.js';
 import {judgeMembers} from './verdict.js';
-import type {Verdict} from './verdict.js';
+import type {JudgedMember, Verdict} from './verdict.js';
 
 const PERCENT = 100;
 const DIGEST_BITS = 64;
@@ -145,21 +145,25 @@
 	}
 
 	/** Draws the conclusions from what is known now. */
-	judge(nowMs: number): void {
+	judge({self, nowMs}: {readonly self: InstanceId; readonly nowMs: number}): void {
 		const instances = [...this.#instances().values()];
 		this.#forgetSuspicionsOfUnknown();
-		const judged = instances.map(instance => {
-			const votes = this.#votesAgainst(instance.id);
-			this.#noteSuspicion({id: instance.id, isSuspected: votes.length > 0, nowMs});
-			return {
-				id: instance.id,
-				region: regionNameOf({instance, regionOf: this.#regionOf}),
-				votes,
-				observers: votes.length > 0 ? this.overlay.observersOf(instance.id) : new Set<InstanceId>(),
-				suspectedSinceMs: this.#suspectedSinceMs.get(instance.id) ?? nowMs,
-			};
-		});
-		this.#verdicts = this.hasSuspects ? judgeMembers({members: judged, nowMs}) : new Map();
+		const votes = new Map(instances.map(({id}) => [id, this.#votesAgainst(id)]));
+		for (const [id, against] of votes) {
+			this.#noteSuspicion({id, isSuspected: against.length > 0, nowMs});
+		}
+
+		this.#verdicts = this.hasSuspects ? judgeMembers({self, nowMs, members: this.#toJudged({instances, votes, nowMs})}) : new Map();
+	}
+
+	#toJudged({instances, votes, nowMs}: {readonly instances: readonly Instance[]; readonly votes: ReadonlyMap<InstanceId, readonly Observation[]>; readonly nowMs: number}): readonly JudgedMember[] {
+		return instances.map(instance => ({
+			id: instance.id,
+			region: regionNameOf({instance, regionOf: this.#regionOf}),
+			votes: votes.get(instance.id) ?? [],
+			observers: this.overlay.observersOf(instance.id),
+			suspectedSinceMs: this.#suspectedSinceMs.get(instance.id) ?? nowMs,
+		}));
 	}
 
 	#computeDigest(): bigint {
--- a/peer/membership/src/membership.ts
+++ b/peer/membership/src/membership.ts
@@ -421,7 +421,7 @@
 	}
 
 	#refresh(): void {
-		this.#table.judge(this.#options.now());
+		this.#table.judge({self: this.#self!.instance.id, nowMs: this.#options.now()});
 		this.#members = this.#table.members;
 		const signature = this.#members.map(({instance, incarnation, alive, isolated}) => `${instance.id} ${incarnation} ${instance.state} ${alive} ${isolated}`).sort().join('\n');
 		if (signature === this.#signature) {
--- a/peer/membership/src/overlay.ts
+++ b/peer/membership/src/overlay.ts
@@ -21,16 +21,21 @@
 	readonly regionOf: RegionOf;
 }
 
+interface RingPlace {
+	readonly ring: readonly InstanceId[];
+	readonly position: number;
+}
+
 /** Rings of one set of instances. */
 export class Overlay {
-	readonly #rings: ReadonlyMap<InstanceId, ReadonlyArray<readonly InstanceId[]>>;
+	readonly #places: ReadonlyMap<InstanceId, readonly RingPlace[]>;
 
 	constructor({instances, regionOf}: OverlayOptions) {
-		const rings = new Map<InstanceId, Array<readonly InstanceId[]>>(instances.map(({id}) => [id, []]));
+		const places = new Map<InstanceId, RingPlace[]>(instances.map(({id}) => [id, []]));
 		const addRing = (name: string, members: readonly Instance[]): void => {
 			const ring = orderRing({name, members});
-			for (const id of ring) {
-				rings.get(id)!.push(ring);
+			for (const [position, id] of ring.entries()) {
+				places.get(id)!.push({ring, position});
 			}
 		};
 
@@ -45,14 +50,13 @@
 			}
 		}
 
-		this.#rings = rings;
+		this.#places = places;
 	}
 
 	/** Instances that `observer` observes: on each ring the next one that is alive, and the ones passed on the way. */
 	subjectsOf({observer, isAlive}: {readonly observer: InstanceId; readonly isAlive: (id: InstanceId) => boolean}): ReadonlySet<InstanceId> {
 		const subjects = new Set<InstanceId>();
-		for (const ring of this.#rings.get(observer) ?? []) {
-			const start = ring.indexOf(observer);
+		for (const {ring, position: start} of this.#places.get(observer) ?? []) {
 			for (let step = 1; step <= Math.min(MOST_STEPS, ring.length - 1); step += 1) {
 				const next = ring[(start + step) % ring.length]!;
 				subjects.add(next);
@@ -68,8 +72,8 @@
 	/** Instances whose next one on some ring is `subject`. */
 	observersOf(subject: InstanceId): ReadonlySet<InstanceId> {
 		const observers = new Set<InstanceId>();
-		for (const ring of this.#rings.get(subject) ?? []) {
-			const previous = ring.at(ring.indexOf(subject) - 1)!;
+		for (const {ring, position} of this.#places.get(subject) ?? []) {
+			const previous = ring.at(position - 1)!;
 			if (previous !== subject) {
 				observers.add(previous);
 			}
--- a/peer/membership/test/verdict.test.ts
+++ b/peer/membership/test/verdict.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import type {InstanceId} from '@pomelopick/core.types';
-import {judgeMembers, OUTSIDE_VOTES_WAIT_MS} from '@pomelopick/peer.membership';
+import {judgeMembers, OUTSIDE_VOTES_WAIT_MS, REACHED_REGION_WAIT_MS} from '@pomelopick/peer.membership';
 import type {JudgedMember, Verdict} from '@pomelopick/peer.membership';
 
 /** Votes as `subject: observers`; an observer with `!` was refused the connection. */
@@ -38,7 +38,10 @@
 	}));
 }
 
-const cases: ReadonlyArray<{name: string; votes: Votes; nowMs: number; expected: Readonly<Record<string, Verdict>>}> = [
+/** The judging instance stands in the south unless a case names another. */
+const SELF = 's2';
+
+const cases: ReadonlyArray<{name: string; self?: string; votes: Votes; nowMs: number; expected: Readonly<Record<string, Verdict>>}> = [
 	{
 		name: 'one observer of four does not make an instance dead', votes: {n1: ['s1']}, nowMs: 10_000, expected: {},
 	},
@@ -63,15 +66,33 @@
 	{
 		name: 'a region that is out of reach as a whole is held, however long it lasts', votes: {n1: ['s1', 'w1'], n2: ['s2'], n3: ['s1', 's3']}, nowMs: 600_000, expected: {n1: 'isolated', n2: 'isolated', n3: 'isolated'},
 	},
+	{
+		name: 'an instance that nobody on this side observes does not speak for its region', self: 'n2', votes: {
+			s1: ['n1'], s2: ['n2'], w1: ['n1'], s3: ['n3'],
+		}, nowMs: 10_000, expected: {
+			s1: 'isolated', s2: 'isolated', s3: 'isolated', w1: 'dead',
+		},
+	},
+	{
+		name: 'nor does one whose observers are all out of reach', self: 'w1', votes: {n1: ['w1'], s1: ['w1'], s3: ['w1']}, nowMs: 10_000, expected: {
+			n1: 'isolated', n2: 'isolated', n3: 'isolated', s1: 'isolated', s2: 'isolated', s3: 'isolated',
+		},
+	},
+	{
+		name: 'votes from outside wait for the last observer of the region to vote', votes: {n1: ['s1', 's3', 'w1']}, nowMs: REACHED_REGION_WAIT_MS - 1, expected: {n1: 'alive'},
+	},
+	{
+		name: 'and count after that when the region is still reached', votes: {n1: ['s1', 's3', 'w1']}, nowMs: REACHED_REGION_WAIT_MS, expected: {n1: 'dead'},
+	},
 	{
 		name: 'a region of which one instance is still reached is not held', votes: {n1: ['s1', 'w1', 'n2'], n2: ['s2', 'n1', 'n3']}, nowMs: 10_000, expected: {n1: 'dead', n2: 'dead'},
 	},
 ];
 
 describe('judgeMembers', () => {
-	for (const {name, votes, nowMs, expected} of cases) {
+	for (const {name, self = SELF, votes, nowMs, expected} of cases) {
 		it(name, () => {
-			assert.deepEqual(Object.fromEntries(judgeMembers({members: toMembers(votes), nowMs})), expected);
+			assert.deepEqual(Object.fromEntries(judgeMembers({self: self as InstanceId, members: toMembers(votes), nowMs})), expected);
 		});
 	}
 });
--- a/peer/transport/src/peer-clients.ts
+++ b/peer/transport/src/peer-clients.ts
@@ -1,4 +1,6 @@
 /** Clients of other instances, one session an instance, dropped when it goes silent. */
+import type {ClientSessionOptions} from 'node:http2';
+import {connect} from 'node:net';
 import type {DescService} from '@bufbuild/protobuf';
 import {Code, ConnectError, createClient} from '@connectrpc/connect';
 import type {Client, Transport} from '@connectrpc/connect';
@@ -39,9 +41,20 @@
 	readonly clients: Map<DescService, Client<DescService>>;
 }
 
+/** Options of {@link PeerClients}. */
+export interface PeerClientsOptions {
+	/** Address from which connections leave; chosen by the operating system when absent. */
+	readonly sourceAddress?: string;
+}
+
 /** Calls other instances. Every call has a deadline. */
 export class PeerClients {
 	readonly #connections = new Map<string, PeerConnection>();
+	readonly #sourceAddress: string | undefined;
+
+	constructor({sourceAddress}: PeerClientsOptions = {}) {
+		this.#sourceAddress = sourceAddress;
+	}
 
 	/** Calls one method of a peer. Never rejects. */
 	call<Service extends DescService, Answer>({endpoint, service, timeoutMs, invoke, signal}: PeerCallOptions<Service, Answer>): EitherAsync<PeerError, Answer> {
@@ -72,12 +85,21 @@
 			return existing;
 		}
 
-		const sessions = new GuardedSessionManager(origin, {pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: PING_TIMEOUT_MS, idleConnectionTimeoutMs: IDLE_TIMEOUT_MS});
+		const sessions = new GuardedSessionManager(origin, {pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: PING_TIMEOUT_MS, idleConnectionTimeoutMs: IDLE_TIMEOUT_MS}, this.#sessionOptions());
 		const connection = {sessions, transport: createConnectTransport({baseUrl: origin, httpVersion: '2', sessionManager: sessions}), clients: new Map()};
 		this.#connections.set(origin, connection);
 		return connection;
 	}
 
+	#sessionOptions(): ClientSessionOptions | undefined {
+		const localAddress = this.#sourceAddress;
+		if (localAddress === undefined) {
+			return undefined;
+		}
+
+		return {createConnection: ({hostname, port}) => connect({host: hostname.replaceAll(/[[\]]/gu, ''), port: Number(port), localAddress})};
+	}
+
 	#toPeerError({origin, error}: {readonly origin: string; readonly error: unknown}): PeerError {
 		const connectError = ConnectError.from(error);
 		const message = `${origin}: ${connectError.message}`;
--- a/testing/fault-proxy/src/fault-proxy.ts
+++ b/testing/fault-proxy/src/fault-proxy.ts
@@ -18,6 +18,8 @@
 	bytesPerSecond: number;
 	/** New connections are refused and open ones are cut. */
 	cut: boolean;
+	/** The same for connections of clients at these addresses alone. */
+	cutSources: readonly string[];
 	/** Data of all connections is held back until this ends. */
 	frozen: boolean;
 	/** Data towards the server of connections that are open now vanishes. */
@@ -29,7 +31,7 @@
 }
 
 const noFaults: PathFaults = {
-	delayMs: 0, jitterMs: 0, bytesPerSecond: 0, cut: false, frozen: false, silentToServer: false, silentToClient: false, lossPercent: 0,
+	delayMs: 0, jitterMs: 0, bytesPerSecond: 0, cut: false, cutSources: [], frozen: false, silentToServer: false, silentToClient: false, lossPercent: 0,
 };
 
 /** Options of {@link startFaultProxy}. */
@@ -90,7 +92,7 @@
 		for (const connection of this.#connections) {
 			connection.silentToServer ||= this.#faults.silentToServer;
 			connection.silentToClient ||= this.#faults.silentToClient;
-			if (this.#faults.cut) {
+			if (this.#isCut(connection.source)) {
 				connection.destroy();
 			}
 		}
@@ -113,8 +115,12 @@
 		});
 	}
 
+	#isCut(source: string | undefined): boolean {
+		return this.#faults.cut || (source !== undefined && this.#faults.cutSources.includes(source));
+	}
+
 	#accept(client: Socket): void {
-		if (this.#faults.cut || uniformInt(this.#random, 0, PERCENT - 1) < this.#faults.lossPercent) {
+		if (this.#isCut(client.remoteAddress) || uniformInt(this.#random, 0, PERCENT - 1) < this.#faults.lossPercent) {
 			client.on('error', () => undefined);
 			client.destroy();
 			return;
@@ -172,9 +178,12 @@
 class Connection {
 	silentToServer = false;
 	silentToClient = false;
+	/** Address of the client. */
+	readonly source: string | undefined;
 	readonly #sockets: readonly [Socket, Socket];
 
 	constructor({client, server}: {readonly client: Socket; readonly server: Socket}) {
+		this.source = client.remoteAddress;
 		this.#sockets = [client, server];
 		for (const socket of this.#sockets) {
 			socket.setNoDelay(true);
