Lead the history's faults between instances through the proxies again

Cause: the peers' fault proxies of the history runs carried no byte. The platform's list named them, but an instance's own record goes before the list, and that named its listener; `peers-cut` and both one-way silences between instances therefore tested nothing once records had spread.

Ruled out: preferring the list's endpoints to an instance's own record; a new process on the same id would then be called at its old port until the list catches up.

Change: the proxied fleet starts its proxies before the instances and gives each its proxy as `advertise`.

--- a/testing/history/src/proxied-fleet.ts
+++ b/testing/history/src/proxied-fleet.ts
@@ -40,6 +40,7 @@
 /** Starts a fleet behind fault proxies. */
 export async function startProxiedFleet({deployment, entries, seed, behaviour, debug}: StartProxiedFleetOptions): Promise<ProxiedFleet> {
 	const storePaths = new Map<string, FaultProxy>();
+	const peerPaths = new Map<string, {readonly proxy: FaultProxy; readonly target: {address: string; port: number}}>();
 	const paths = new Map<string, EntryPaths>();
 	let started = 0;
 	const startProxy = async (target: Endpoint): Promise<FaultProxy> => {
@@ -55,10 +56,17 @@
 		async adjustSettings(settings) {
 			const proxy = await startProxy(settings.store);
 			storePaths.set(settings.instance, proxy);
-			return {...settings, store: proxy.endpoint, instanceList: proxy.endpoint};
+			const target = {...settings.listen.peers};
+			const peers = await startProxy(target);
+			peerPaths.set(settings.instance, {proxy: peers, target});
+			return {
+				...settings, store: proxy.endpoint, instanceList: proxy.endpoint, advertise: {peers: peers.endpoint},
+			};
 		},
 		async adjustInstance(instance): Promise<Instance> {
-			const around: EntryPaths = {callers: await startProxy(instance.callers), peers: await startProxy(instance.peers), store: storePaths.get(instance.id)!};
+			const {proxy: peers, target} = peerPaths.get(instance.id)!;
+			target.port = instance.peers.port;
+			const around: EntryPaths = {callers: await startProxy(instance.callers), peers, store: storePaths.get(instance.id)!};
 			paths.set(instance.id, around);
 			return {...instance, callers: around.callers.endpoint, peers: around.peers.endpoint};
 		},
