Answer calls whose input turns out malformed

Malformed bytes behind a whole call cost that call its answer.

Change: a malformed body gets a problem document, with execution unknown because a streamed body may have reached a server. A whole call is answered and its connection then ends; nothing behind the malformed bytes is read. New tests with real sockets: heads and bodies that come byte by byte, ten smuggling shapes with a hidden request behind them, bare line feeds, and 400 slow connections at once.

Conclusion: every hostile connection of the table is closed in bounded time, counted with its reason, and has nothing run.

--- a/daemons/entry/src/caller-listener.ts
+++ b/daemons/entry/src/caller-listener.ts
@@ -49,6 +49,8 @@
 	readonly server: Server;
 	readonly #options: CallerListenerOptions;
 	readonly #lastResponses = new WeakMap<Socket, ServerResponse>();
+	/** Connections whose input is no longer read because it was malformed. */
+	readonly #malformed = new WeakSet<Socket>();
 	#state: ListenerState = 'serving';
 
 	constructor(options: CallerListenerOptions) {
@@ -139,16 +141,41 @@
 	}
 
 	#onMalformed({error, socket}: {readonly error: Error & {code?: string}; readonly socket: Socket}): void {
-		const isInCall = this.#lastResponses.get(socket)?.writableFinished === false;
-		if (error.code === 'ECONNRESET' || !socket.writable || isInCall) {
-			// A call in progress on this connection ends with it; nothing may be written between parts of its answer.
+		if (error.code === 'ECONNRESET' || !socket.writable) {
 			socket.destroy();
 			return;
 		}
 
+		const lastResponse = this.#lastResponses.get(socket);
+		if (lastResponse?.writableFinished === false) {
+			this.#endInput({error, socket, lastResponse});
+			return;
+		}
+
 		this.#refuseRaw({socket, refusal: toMalformedRefusal(error)});
 	}
 
+	/** Takes no more input of a connection with a call in progress; nothing may be written between parts of its answer. */
+	#endInput({error, socket, lastResponse}: {readonly error: Error & {code?: string}; readonly socket: Socket; readonly lastResponse: ServerResponse}): void {
+		if (this.#malformed.has(socket)) {
+			return;
+		}
+
+		this.#malformed.add(socket);
+		const refusal = toMalformedRefusal(error);
+		this.#options.counters.refused(refusal.reason);
+		if (lastResponse.req.complete) {
+			// What follows a whole call is malformed: the call is answered, then the connection ends.
+			socket.pause();
+			if (!lastResponse.headersSent) {
+				lastResponse.setHeader('connection', 'close');
+			}
+		} else {
+			// A body that is passed on as it arrives may have reached a backend server.
+			sendRefusal({response: lastResponse, id: randomUUID() as CallId, refusal: {...refusal, execution: 'unknown'}});
+		}
+	}
+
 	/** Answers on a connection that has no request, then closes it. */
 	#refuseRaw({socket, refusal}: {readonly socket: Socket; readonly refusal: Refusal}): void {
 		this.#options.counters.refused(refusal.reason);
--- /dev/null
+++ b/daemons/entry/test/hostile-connections.test.ts
@@ -0,0 +1,171 @@
+import assert from 'node:assert/strict';
+import {readFile} from 'node:fs/promises';
+import {connect} from 'node:net';
+import type {Socket} from 'node:net';
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {callDirectly} from '@pomelopick/testing.callers';
+import {getJson, startFleet} from '@pomelopick/testing.fleet';
+import type {Deployment, Fleet} from '@pomelopick/testing.fleet';
+
+const deployment: Deployment = {
+	name: 'hostile', regions: ['north', 'south'], domainsPerRegion: 1, megabitsPerSecond: 100, betweenRegionsMs: 0, betweenDomainsMs: 0, toClientsMs: 0,
+	services: [{
+		name: 'ledger', priority: 'interactive', servers: 2, slots: 4,
+	}],
+};
+
+const MOST_BODY_BYTES = 100_000;
+const SLOW_CONNECTIONS = 200;
+const TRICKLE_MS = 200;
+/** Longer than any time that the listener gives a slow sender; a connection that outlives it is a failure. */
+const GIVE_UP_MS = 20_000;
+const MOST_GROWTH_BYTES = 48 * 1024 * 1024;
+
+const path = '/v1/services/ledger/hostile';
+const host = 'host: entry\r\n';
+const hidden = `GET ${path}/hidden HTTP/1.1\r\n${host}\r\n`;
+
+interface Received {
+	readonly text: string;
+	readonly isClosed: boolean;
+}
+
+interface SendOptions {
+	readonly socket: Socket;
+	/** Sent in turn, with a pause between two. */
+	readonly pieces: readonly string[];
+	/** Whether the last piece is repeated until the connection ends. */
+	readonly repeatsLast?: boolean;
+}
+
+/** Sends pieces slowly and collects what comes back until the other end closes the connection. */
+async function trickle({socket, pieces, repeatsLast = false}: SendOptions): Promise<Received> {
+	let text = '';
+	let isClosed = false;
+	socket.on('data', (piece: Uint8Array) => {
+		text += new TextDecoder().decode(piece);
+	});
+	socket.on('error', () => undefined);
+	socket.once('close', () => {
+		isClosed = true;
+	});
+	const endsAtMs = performance.now() + GIVE_UP_MS;
+	for (let index = 0; !isClosed && performance.now() < endsAtMs; index += 1) {
+		const piece = pieces[repeatsLast ? Math.min(index, pieces.length - 1) : index];
+		if (piece !== undefined && socket.writable) {
+			socket.write(piece);
+		}
+
+		await sleep(TRICKLE_MS);
+	}
+
+	socket.destroy();
+	return {text, isClosed};
+}
+
+/** Reasons of the refusals in a stream of answers, in order. */
+function reasonsIn(text: string): readonly string[] {
+	return [...text.matchAll(/"title":"([a-z-]+)"/gu)].map(match => match[1]!);
+}
+
+function countAnswers(text: string): number {
+	return [...text.matchAll(/HTTP\/1\.1 \d{3} /gu)].length;
+}
+
+const slow: ReadonlyArray<{name: string; pieces: readonly string[]; reason: string}> = [
+	{name: 'a head that never ends', pieces: [`GET ${path} HTTP/1.1\r\n${host}`, 'x-one: a\r\n'], reason: 'headers-too-slow'},
+	{name: 'a head that comes byte by byte', pieces: ['G', 'E', 'T', ' ', '/'], reason: 'headers-too-slow'},
+	{name: 'a body that comes byte by byte', pieces: [`POST ${path} HTTP/1.1\r\n${host}x-request-timeout-ms: 1500\r\ncontent-length: 1000\r\n\r\n`, 'a'], reason: 'body-too-slow'},
+	{name: 'chunks that come byte by byte', pieces: [`POST ${path} HTTP/1.1\r\n${host}x-request-timeout-ms: 1500\r\ntransfer-encoding: chunked\r\n\r\n`, '1\r\na\r\n'], reason: 'body-too-slow'},
+];
+
+const smuggled: ReadonlyArray<{name: string; bytes: string; reasons: readonly string[]}> = [
+	{name: 'behind a length and chunks', bytes: `POST ${path} HTTP/1.1\r\n${host}content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n${hidden}`, reasons: ['bad-request']},
+	{name: 'behind chunks and a length', bytes: `POST ${path} HTTP/1.1\r\n${host}transfer-encoding: chunked\r\ncontent-length: 5\r\n\r\n0\r\n\r\n${hidden}`, reasons: ['bad-request']},
+	{name: 'behind two lengths', bytes: `POST ${path} HTTP/1.1\r\n${host}content-length: 0\r\ncontent-length: 40\r\n\r\n${hidden}`, reasons: ['bad-request']},
+	{name: 'behind two lengths in one header', bytes: `POST ${path} HTTP/1.1\r\n${host}content-length: 0, 40\r\n\r\n${hidden}`, reasons: ['bad-request']},
+	{name: 'behind a length that is no number', bytes: `POST ${path} HTTP/1.1\r\n${host}content-length: +0\r\n\r\n${hidden}`, reasons: ['bad-request']},
+	{name: 'behind an unknown encoding', bytes: `POST ${path} HTTP/1.1\r\n${host}transfer-encoding: xchunked\r\n\r\n${hidden}`, reasons: ['bad-request']},
+	{name: 'behind a chunk whose length is no number', bytes: `POST ${path} HTTP/1.1\r\n${host}transfer-encoding: chunked\r\n\r\n0x0\r\n\r\n${hidden}`, reasons: ['bad-request']},
+	{name: 'behind a line that ends in a bare line feed', bytes: `GET ${path} HTTP/1.1\n${host}\r\n${hidden}`, reasons: ['bad-request']},
+	{name: 'behind headers that end in bare line feeds', bytes: `GET ${path} HTTP/1.1\r\nhost: entry\nx-one: a\n\n${hidden}`, reasons: ['bad-request']},
+	{name: 'behind no HTTP at all', bytes: `hello\r\n\r\n${hidden}`, reasons: ['bad-request']},
+];
+
+describe('connections that mean harm', () => {
+	let fleet: Fleet;
+	const open = (): Socket => {
+		const {address, port} = fleet.entries[0]!.instance.callers;
+		return connect(port, address);
+	};
+
+	const readCounter = async (name: string): Promise<number> => {
+		const {counters} = await getJson<{counters: Record<string, number>}>({endpoint: fleet.entries[0]!.instance.operators, path: '/v1/status'});
+		return counters[name] ?? 0;
+	};
+
+	const readMemoryBytes = async (): Promise<number> => {
+		const status = await readFile(`/proc/${fleet.entries[0]!.child.processId}/status`, 'utf8');
+		return Number(/VmRSS:\s+(\d+)/u.exec(status)![1]) * 1024;
+	};
+
+	before(async () => {
+		fleet = await startFleet({deployment, entries: 1, adjustSettings: settings => ({...settings, limits: {calls: 400, bodyBytes: MOST_BODY_BYTES}})});
+	});
+	after(async () => {
+		await fleet.stop();
+	});
+
+	for (const {name, pieces, reason} of slow) {
+		it(`are refused and closed: ${name}`, async () => {
+			const before = await readCounter(`refusal.${reason}`);
+			const {text, isClosed} = await trickle({socket: open(), pieces, repeatsLast: true});
+			assert.deepEqual(reasonsIn(text), [reason]);
+			assert.match(text, /"execution":"not-run"/u);
+			assert.ok(isClosed, 'the connection stays open');
+			assert.equal(await readCounter(`refusal.${reason}`) - before, 1);
+		});
+	}
+
+	for (const {name, bytes, reasons} of smuggled) {
+		it(`get nothing run ${name}`, async () => {
+			const before = await readCounter(`refusal.${reasons[0]!}`);
+			const {text, isClosed} = await trickle({socket: open(), pieces: [bytes]});
+			assert.ok(countAnswers(text) <= 1, text);
+			assert.deepEqual(reasonsIn(text), reasons);
+			assert.ok(isClosed, 'the connection stays open');
+			assert.equal(await readCounter(`refusal.${reasons[0]!}`) - before, 1);
+			const executions = await fleet.listExecutions();
+			assert.deepEqual(executions.filter(execution => execution.path.includes('hidden')), []);
+		});
+	}
+
+	it('do not cost the answer of a whole call that malformed bytes follow, and get nothing run behind them', async () => {
+		const {text, isClosed} = await trickle({socket: open(), pieces: [`GET ${path}/whole?workMs=600 HTTP/1.1\r\n${host}\r\n`, `hello\r\n\r\n${hidden}`]});
+		assert.match(text, /^HTTP\/1\.1 200 /u);
+		assert.ok(isClosed, 'the connection stays open');
+		const executions = await fleet.listExecutions();
+		assert.deepEqual(executions.filter(execution => execution.path.includes('hidden')), []);
+	});
+
+	it('take bounded memory while others are served', async () => {
+		const before = await readMemoryBytes();
+		const heads = Array.from({length: SLOW_CONNECTIONS}, async () => trickle({socket: open(), pieces: [`GET ${path} HTTP/1.1\r\n${host}`, `x-one: ${'a'.repeat(300)}\r\n`], repeatsLast: true}));
+		const bodies = Array.from({length: SLOW_CONNECTIONS}, async () => trickle({
+			socket: open(), pieces: [`POST ${path} HTTP/1.1\r\n${host}x-request-timeout-ms: 3000\r\ncontent-length: ${MOST_BODY_BYTES}\r\n\r\n`, 'a'.repeat(500)], repeatsLast: true,
+		}));
+		await sleep(1000);
+		const served = await callDirectly({
+			endpoint: fleet.entries[0]!.instance.callers, service: 'ledger', path: '/served', timeoutMs: 5000,
+		});
+		const growth = await readMemoryBytes() - before;
+		const ended = await Promise.all([...heads, ...bodies]);
+		assert.equal(served.ended, 'answered');
+		assert.ok(growth < MOST_GROWTH_BYTES, `grew by ${growth} bytes`);
+		assert.deepEqual(ended.filter(({isClosed}) => !isClosed), []);
+		assert.deepEqual(new Set(ended.flatMap(({text}) => reasonsIn(text))), new Set(['headers-too-slow', 'body-too-slow']));
+	});
+});
--- a/testing/bench/src/keyed.ts
+++ b/testing/bench/src/keyed.ts
@@ -1,23 +1,17 @@
 /** Keyed calls over a real fleet: what a key adds to a call's latency, and what the journal asks of the store. */
-import {performance} from 'node:perf_hooks';
-import {setTimeout as sleep} from 'node:timers/promises';
-import {build} from 'hdr-histogram-js';
-import {Agent, request} from 'undici';
-import {createKey} from '@pomelopick/testing.callers';
 import {getJson, hebrides, startFleet} from '@pomelopick/testing.fleet';
 import type {Fleet} from '@pomelopick/testing.fleet';
+import {driveKeyed} from './keyed-load-process.js';
+import type {DriveKeyedOptions, KeyedLoad} from './keyed-load-process.js';
 
 const ENTRIES = 8;
 const SLOTS = 16;
 const WORK_MS = 20;
-const CALL_RATES = [50, 200, 600, 1200];
+const CALL_RATES = [50, 200, 600, 1200, 2400];
+const LOAD_PROCESSES = 3;
 const DURATION_MS = 3000;
 const WARM_UP_MS = 6000;
 const WARM_UP_CALLS_PER_SECOND = 500;
-const TICK_MS = 5;
-const CALL_TIMEOUT_MS = 3000;
-const BODY = JSON.stringify({note: 'x'.repeat(200)});
-const MICROSECONDS_PER_MILLISECOND = 1000;
 const MOST_WRITES_PER_SECOND = 200;
 
 /** What one rate gave, without and with keys. */
@@ -31,14 +25,6 @@
 	readonly storeBytesPerSecond: number;
 }
 
-/** Calls at one rate. */
-export interface KeyedLoad {
-	readonly answered: number;
-	readonly refused: number;
-	readonly p50Ms: number;
-	readonly p99Ms: number;
-}
-
 /** Results of {@link measureKeyed}. */
 export interface KeyedMeasurement {
 	readonly rows: readonly KeyedRow[];
@@ -57,8 +43,8 @@
 	const deployment = {...hebrides, services: hebrides.services.slice(0, 1).map(service => ({...service, slots: SLOTS}))};
 	const fleet = await startFleet({deployment, entries: ENTRIES, behaviour: {workMs: WORK_MS}});
 	try {
-		await drive({
-			fleet, callsPerSecond: WARM_UP_CALLS_PER_SECOND, durationMs: WARM_UP_MS, isKeyed: true,
+		await driveKeyed({
+			...loadOn(fleet), callsPerSecond: WARM_UP_CALLS_PER_SECOND, durationMs: WARM_UP_MS, isKeyed: true,
 		});
 		const rows: KeyedRow[] = [];
 		for (const callsPerSecond of CALL_RATES) {
@@ -80,19 +66,20 @@
 		`${plain.p50Ms}, ${plain.p99Ms}`,
 		`${keyed.p50Ms}, ${keyed.p99Ms}`,
 		`${(keyed.p50Ms - plain.p50Ms).toFixed(1)}, ${(keyed.p99Ms - plain.p99Ms).toFixed(1)}`,
-		`${plain.refused}, ${keyed.refused}`,
+		`${plain.refused} ${JSON.stringify(plain.refusals)}, ${keyed.refused} ${JSON.stringify(keyed.refusals)}`,
 		`${storeWritesPerSecond}, ${storeReadsPerSecond}, ${Math.round(storeBytesPerSecond / 1000)}`,
 	].join(' | '))].join('\n');
 }
 
 async function measureRate({fleet, callsPerSecond}: {readonly fleet: Fleet; readonly callsPerSecond: number}): Promise<KeyedRow> {
-	const plain = await drive({
-		fleet, callsPerSecond, durationMs: DURATION_MS, isKeyed: false,
-	});
+	const load = {...loadOn(fleet), callsPerSecond, durationMs: DURATION_MS};
+	const plain = await driveKeyed({...load, isKeyed: false});
 	const countsOf = async (): Promise<PlatformCounts> => getJson<PlatformCounts>({endpoint: fleet.platform, path: '/stand-in/counters'});
-	const before = await countsOf();
-	const keyed = await drive({
-		fleet, callsPerSecond, durationMs: DURATION_MS, isKeyed: true,
+	let before: PlatformCounts = {reads: 0, writes: 0, bytes: 0};
+	const keyed = await driveKeyed({
+		...load, isKeyed: true, async onStart() {
+			before = await countsOf();
+		},
 	});
 	const after = await countsOf();
 	const perSecond = (name: keyof PlatformCounts): number => Math.round((after[name] - before[name]) * 1000 / DURATION_MS);
@@ -101,49 +88,6 @@
 	};
 }
 
-interface DriveOptions {
-	readonly fleet: Fleet;
-	readonly callsPerSecond: number;
-	readonly durationMs: number;
-	readonly isKeyed: boolean;
-}
-
-/** Calls arrive evenly whatever becomes of those before. */
-async function drive({fleet, callsPerSecond, durationMs, isKeyed}: DriveOptions): Promise<KeyedLoad> {
-	const agent = new Agent({pipelining: 1});
-	const histogram = build({highestTrackableValue: 60_000_000});
-	let answered = 0;
-	let refused = 0;
-	const call = async (index: number): Promise<void> => {
-		const {address, port} = fleet.entries[index % fleet.entries.length]!.instance.callers;
-		const startedAtMs = performance.now();
-		const response = await request(`http://${address}:${port}/v1/services/ledger/bookings/${index}`, {
-			method: 'POST', body: BODY, dispatcher: agent, headers: {'x-request-timeout-ms': String(CALL_TIMEOUT_MS), ...(isKeyed && {'idempotency-key': createKey(), 'x-call-attempt': '1'})},
-		});
-		await response.body.dump();
-		if (response.statusCode === 200) {
-			answered += 1;
-			histogram.recordValue(Math.round((performance.now() - startedAtMs) * MICROSECONDS_PER_MILLISECOND));
-		} else {
-			refused += 1;
-		}
-	};
-
-	const running: Array<Promise<void>> = [];
-	const startedAtMs = performance.now();
-	while (performance.now() - startedAtMs < durationMs) {
-		const due = Math.floor((performance.now() - startedAtMs) * callsPerSecond / 1000);
-		while (running.length < due) {
-			running.push(call(running.length));
-		}
-
-		await sleep(TICK_MS);
-	}
-
-	await Promise.all(running);
-	await agent.destroy();
-	const at = (percentile: number): number => Math.round(histogram.getValueAtPercentile(percentile) / 100) / 10;
-	return {
-		answered, refused, p50Ms: at(50), p99Ms: at(99),
-	};
+function loadOn({entries}: Fleet): Pick<DriveKeyedOptions, 'endpoints' | 'processes'> {
+	return {endpoints: entries.map(({instance}) => instance.callers), processes: LOAD_PROCESSES};
 }
