Hold the cap of a shift through changes of the cap and lost answers

Cause: a lower cap in force shrank each grant in proportion to the cap under which it was written. Grants written under different caps then summed to more than the cap: 4 of 4 and 6 of 10 under a cap of 5 let 4 and 3 calls through (worked out). A renewal under a lower cap was stored while the calls of the last window were still more than it allowed, so another holder could use the difference in the same second. After a write whose answer was lost the old grant stayed in use, although the store could hold a smaller one or none. The model under the property kept one cap and let no holder ask for less, and so saw none of it. Ruled out: expiry and observation of ended grants; both held in the model. Change: a grant says what the others held when it was written and leaves them that much of the cap in force; a write binds the budget when it is planned and is made once the last window fits under it. The property changes caps, gives back and loses answers; four schedules are cases of their own. Conclusion: no calls over the highest cap in force at any holder around a second.

--- a/calls/placement/src/shift-grants.ts
+++ b/calls/placement/src/shift-grants.ts
@@ -1,4 +1,5 @@
 /** Gets this instance's shares of shifts from the store and keeps them renewed: one nact actor, off the path of calls. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	dispatch, spawn, start, stop,
 } from 'nact';
@@ -179,17 +180,14 @@
 		await this.#write({state, wantedCallsPerSecond: cap, capCallsPerSecond: cap});
 	}
 
-	/** Stops using the grant, waits until its last calls have left the window, and takes it out of the store. */
+	/** Takes the grant out of the store once its last calls have left the window. */
 	async #giveBack(state: ShiftState): Promise<void> {
-		state.budget.shrinkTo(0);
-		await new Promise(resolve => {
-			setTimeout(resolve, SHIFT_WINDOW_MS);
-		});
 		await this.#write({state, wantedCallsPerSecond: 0, capCallsPerSecond: state.shift.capCallsPerSecond});
 	}
 
-	async #write({state: {shift, budget, observer}, wantedCallsPerSecond, capCallsPerSecond}: WriteOptions): Promise<void> {
+	async #write({state, wantedCallsPerSecond, capCallsPerSecond}: WriteOptions): Promise<void> {
 		const {store, now, instance, count} = this.#options;
+		const {shift, budget, observer} = state;
 		const key = `${STORE_PREFIX}${shift.name}`;
 		const read = await store.get(key).run();
 		if (read.isLeft()) {
@@ -203,10 +201,17 @@
 		const planned = planGrant({
 			ledger, holder: instance, wantedCallsPerSecond, capCallsPerSecond, durationMs: GRANT_DURATION_MS, ended: observer.observe({ledger, nowMs: askedAtMs}),
 		});
+		const grant = findGrant({ledger: planned, holder: instance});
+		if (!budget.mayStore({grant, nowMs: askedAtMs})) {
+			await sleep(SHIFT_WINDOW_MS);
+			await this.#write({state, wantedCallsPerSecond, capCallsPerSecond});
+			return;
+		}
+
 		const written = await store.compareAndSwap({key, value: new TextEncoder().encode(JSON.stringify(planned)), expectedIndex: stored?.modifyIndex ?? 0}).run();
-		// A lost answer leaves the grant in use as it was: it is at most what the store had before, or runs out.
+		// After a lost answer the budget keeps to the grant in use and to the one planned, until the next write or the end of its time.
 		if (written.orDefault(false)) {
-			budget.useGrant({grant: findGrant({ledger: planned, holder: instance}), askedAtMs});
+			budget.useGrant({grant, askedAtMs});
 		} else {
 			count('shift.store-failure');
 		}
--- a/steering/shifts/src/shift-budget.ts
+++ b/steering/shifts/src/shift-budget.ts
@@ -1,6 +1,7 @@
 /** Share of a shift's cap that this instance may use. */
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
+import {allowedUnder} from './shift-ledger.js';
 import type {ShiftGrant} from './shift-ledger.js';
 
 /** Longest time from asking for admission to sending the call, in milliseconds; later answers are not used. */
@@ -21,12 +22,22 @@
 	readonly rampShare: number;
 }
 
+/** Options of {@link ShiftBudget.mayStore}. */
+export interface MayStoreOptions {
+	/** Grant that is about to be written; undefined when none is left to the holder. */
+	readonly grant: ShiftGrant | undefined;
+	/** Monotonic time, in milliseconds. */
+	readonly nowMs: number;
+}
+
 /** Counts the calls of the last window; never lets more through than the grant allows in any window. */
 export class ShiftBudget {
 	#grant: ShiftGrant | undefined;
 	#expiresAtMs = Number.NEGATIVE_INFINITY;
-	/** Limit that a grant being given back still allows. */
-	#mostCallsPerSecond = Number.POSITIVE_INFINITY;
+	/** Grants that the store may hold instead, of which it is not known whether they were written. */
+	#planned: ShiftGrant[] = [];
+	/** Whether the store may hold no grant for this instance. */
+	#mayHaveNone = false;
 	#admittedAtMs: number[] = [];
 
 	/** Calls that were admitted in the last window. */
@@ -44,12 +55,22 @@
 	useGrant({grant, askedAtMs}: {readonly grant: ShiftGrant | undefined; readonly askedAtMs: number}): void {
 		this.#grant = grant;
 		this.#expiresAtMs = askedAtMs + (grant?.durationMs ?? 0);
-		this.#mostCallsPerSecond = Number.POSITIVE_INFINITY;
+		this.#planned = [];
+		this.#mayHaveNone = false;
 	}
 
-	/** Uses no more than this from now on, one window before the rest is given back. */
-	shrinkTo(callsPerSecond: number): void {
-		this.#mostCallsPerSecond = Math.min(this.#mostCallsPerSecond, callsPerSecond);
+	/**
+	 * Keeps to a grant that is about to be written, besides the one in use, until one is confirmed.
+	 *
+	 * @returns False while the calls of the last window are more than it allows: others could use the difference at once.
+	 */
+	mayStore({grant, nowMs}: MayStoreOptions): boolean {
+		this.#mayHaveNone ||= grant === undefined;
+		if (grant && !this.#planned.some(known => isAsStrict({known, grant}))) {
+			this.#planned.push(grant);
+		}
+
+		return this.recentCalls(nowMs) <= (grant?.callsPerSecond ?? 0);
 	}
 
 	/** Admits one call, or says why not. */
@@ -58,8 +79,8 @@
 			return Left('grant-expired');
 		}
 
-		const granted = Math.min(this.#grant.callsPerSecond, this.#mostCallsPerSecond);
-		const limit = Math.floor(granted * Math.min(1, capCallsPerSecond / this.#grant.ofCap) * rampShare);
+		const bounds = [this.#grant, ...this.#planned].map(grant => allowedUnder({grant, capCallsPerSecond}));
+		const limit = this.#mayHaveNone ? 0 : Math.floor(Math.min(...bounds) * rampShare);
 		this.#forget(nowMs);
 		if (this.#admittedAtMs.length >= limit) {
 			return Left('shift-cap-reached');
@@ -74,3 +95,7 @@
 		this.#admittedAtMs = kept === -1 ? [] : this.#admittedAtMs.slice(kept);
 	}
 }
+
+function isAsStrict({known, grant}: {readonly known: ShiftGrant; readonly grant: ShiftGrant}): boolean {
+	return known.callsPerSecond <= grant.callsPerSecond && known.othersCallsPerSecond >= grant.othersCallsPerSecond;
+}
--- a/steering/shifts/src/shift-ledger.ts
+++ b/steering/shifts/src/shift-ledger.ts
@@ -5,8 +5,8 @@
 export interface ShiftGrant {
 	readonly holder: InstanceId;
 	readonly callsPerSecond: number;
-	/** Cap under which it was granted; a lower cap in force shrinks it in proportion. */
-	readonly ofCap: number;
+	/** Granted to the others when it was written; a lower cap in force leaves of the grant what these leave of the cap. */
+	readonly othersCallsPerSecond: number;
 	/** Time for which it is valid, in milliseconds from before its holder asked. */
 	readonly durationMs: number;
 	/** Grows with each write of this grant, so that an observer sees that it was renewed. */
@@ -36,7 +36,8 @@
 /** The ledger with the holder's grant renewed, as large as the other grants leave room for. */
 export function planGrant({ledger, holder, wantedCallsPerSecond, capCallsPerSecond, durationMs, ended}: PlanGrantOptions): ShiftLedger {
 	const others = ledger.grants.filter(grant => grant.holder !== holder && !ended.has(grant.holder));
-	const room = Math.floor(capCallsPerSecond) - others.reduce((sum, grant) => sum + grant.callsPerSecond, 0);
+	const othersCallsPerSecond = others.reduce((sum, grant) => sum + grant.callsPerSecond, 0);
+	const room = Math.floor(capCallsPerSecond) - othersCallsPerSecond;
 	const callsPerSecond = Math.max(0, Math.min(Math.floor(wantedCallsPerSecond), room));
 	const epoch = ledger.epoch + 1;
 	return {
@@ -44,11 +45,21 @@
 		grants: callsPerSecond === 0
 			? others
 			: [...others, {
-				holder, callsPerSecond, ofCap: capCallsPerSecond, durationMs, epoch,
+				holder, callsPerSecond, othersCallsPerSecond, durationMs, epoch,
 			}],
 	};
 }
 
+/**
+ * Calls per second that a grant allows under the cap in force.
+ *
+ * In the order of their epochs, each grant leaves those before it what they allow; so the sum over all grants of a
+ * ledger is at most the cap, also when the cap was another when they were written.
+ */
+export function allowedUnder({grant, capCallsPerSecond}: {readonly grant: ShiftGrant; readonly capCallsPerSecond: number}): number {
+	return Math.min(grant.callsPerSecond, Math.max(0, Math.floor(capCallsPerSecond) - grant.othersCallsPerSecond));
+}
+
 /** The grant of a holder. */
 export function findGrant({ledger, holder}: {readonly ledger: ShiftLedger; readonly holder: InstanceId}): ShiftGrant | undefined {
 	return ledger.grants.find(grant => grant.holder === holder);
--- a/steering/shifts/test/shift-cap.test.ts
+++ b/steering/shifts/test/shift-cap.test.ts
@@ -9,6 +9,7 @@
 
 const SEED = 11;
 const CAP = 20;
+const MOST_CAP = 40;
 const DURATION_MS = 5000;
 const HOLDERS = 4;
 
@@ -18,55 +19,106 @@
 	readonly observer: GrantObserver;
 	/** Monotonic clocks start anywhere. */
 	readonly clockOffsetMs: number;
-	/** Ledger that was read, its version, and when by the holder's clock; a write may follow much later. */
-	read: {readonly ledger: ShiftLedger; readonly version: number; readonly askedAtMs: number} | undefined;
+	/** Cap of the configuration that is in force here. */
+	cap: number;
+	/** Write that was planned, from which version of the ledger, and when by the holder's clock; it may be made much later. */
+	planned: {readonly ledger: ShiftLedger; readonly version: number; readonly askedAtMs: number} | undefined;
+}
+
+/** A time from which a cap was the highest in force at any holder. */
+interface CapInForce {
+	readonly fromMs: number;
+	readonly cap: number;
 }
 
 interface World {
 	ledger: ShiftLedger;
 	version: number;
 	nowMs: number;
+	/** Cap that operators published last. */
+	cap: number;
 	readonly holders: readonly Holder[];
 	readonly sentAtMs: number[];
+	readonly caps: CapInForce[];
 }
 
 const step = fc.record({
 	holder: fc.nat(HOLDERS - 1),
-	kind: fc.constantFrom('read', 'write', 'write-lost', 'ask', 'ask', 'send', 'send', 'pass'),
-	wanted: fc.integer({min: 0, max: CAP * 2}),
+	kind: fc.constantFrom('plan', 'write', 'write-lost', 'ask', 'ask', 'send', 'send', 'send', 'publish', 'learn', 'learn-all', 'pass'),
+	wanted: fc.oneof(fc.constant(0), fc.integer({min: 0, max: MOST_CAP})),
 	passedMs: fc.oneof(fc.integer({min: 1, max: 300}), fc.integer({min: 0, max: 6000})),
 });
 
 type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never;
 
+function createWorld(offsets: readonly number[]): World {
+	return {
+		ledger: emptyLedger,
+		version: 0,
+		nowMs: 0,
+		cap: CAP,
+		holders: offsets.map((clockOffsetMs, index) => ({
+			id: `entry-${index}` as InstanceId, budget: new ShiftBudget(), observer: new GrantObserver({windowMs: SHIFT_WINDOW_MS}), clockOffsetMs, cap: CAP, planned: undefined,
+		})),
+		sentAtMs: [],
+		caps: [{fromMs: 0, cap: CAP}],
+	};
+}
+
+const by = (holder: number, kind: Step['kind'], wanted = 0): Step => ({
+	holder, kind, wanted, passedMs: 0,
+});
+const pass = (passedMs: number): Step => ({
+	holder: 0, kind: 'pass', wanted: 0, passedMs,
+});
+const changeCap = (cap: number): readonly Step[] => [by(0, 'publish', cap), by(0, 'learn-all')];
+
+const schedules: ReadonlyArray<{readonly name: string; readonly steps: readonly Step[]; readonly sent: number}> = [
+	{
+		name: 'a cap that was raised between two grants and lowered after them',
+		steps: [...changeCap(4), by(0, 'ask', MOST_CAP), ...changeCap(10), by(1, 'ask', MOST_CAP), ...changeCap(5), pass(SHIFT_WINDOW_MS + 1), by(0, 'send', MOST_CAP), by(1, 'send', MOST_CAP)],
+		sent: 5,
+	},
+	{
+		name: 'a grant that was given back by a write whose answer was lost',
+		steps: [by(0, 'ask', CAP), by(0, 'plan', 0), by(0, 'write-lost'), by(1, 'ask', CAP), by(0, 'send', CAP), by(1, 'send', CAP)],
+		sent: CAP,
+	},
+	{
+		name: 'the last calls of a grant that ran out',
+		steps: [by(0, 'ask', CAP), by(1, 'plan', CAP), pass(DURATION_MS - 1), by(0, 'send', CAP), pass((DURATION_MS * 0.1) + 10), by(1, 'ask', CAP), by(1, 'send', CAP)],
+		sent: CAP,
+	},
+	{
+		name: 'a lowered cap that is raised again before the last calls left the window',
+		steps: [by(0, 'ask', CAP), by(0, 'send', CAP), ...changeCap(5), by(0, 'ask', CAP), ...changeCap(CAP), by(1, 'ask', CAP), by(1, 'send', CAP)],
+		sent: CAP,
+	},
+];
+
 function apply({world, step: {holder: index, kind, wanted, passedMs}}: {readonly world: World; readonly step: Step}): void {
 	const holder = world.holders[index]!;
-	const nowMs = world.nowMs + holder.clockOffsetMs;
 	switch (kind) {
-		case 'read': {
-			holder.read = {ledger: world.ledger, version: world.version, askedAtMs: nowMs};
+		case 'plan': {
+			plan({world, holder, wanted});
 			break;
 		}
 
 		case 'ask': {
-			holder.read = {ledger: world.ledger, version: world.version, askedAtMs: nowMs};
-			write({
-				world, holder, wanted, isLost: false,
-			});
+			plan({world, holder, wanted});
+			write({world, holder, isLost: false});
 			break;
 		}
 
 		case 'write':
 		case 'write-lost': {
-			write({
-				world, holder, wanted, isLost: kind === 'write-lost',
-			});
+			write({world, holder, isLost: kind === 'write-lost'});
 			break;
 		}
 
 		case 'send': {
 			for (let call = 0; call < wanted; call += 1) {
-				holder.budget.tryAdmit({nowMs, capCallsPerSecond: CAP, rampShare: 1}).ifRight(() => {
+				holder.budget.tryAdmit({nowMs: world.nowMs + holder.clockOffsetMs, capCallsPerSecond: holder.cap, rampShare: 1}).ifRight(() => {
 					world.sentAtMs.push(world.nowMs);
 				});
 			}
@@ -74,61 +126,91 @@
 			break;
 		}
 
+		case 'publish': {
+			world.cap = wanted;
+			break;
+		}
+
+		case 'learn':
+		case 'learn-all': {
+			for (const learner of kind === 'learn' ? [holder] : world.holders) {
+				learner.cap = world.cap;
+			}
+
+			world.caps.push({fromMs: world.nowMs, cap: Math.max(...world.holders.map(({cap}) => cap))});
+			break;
+		}
+
 		default: {
 			world.nowMs += passedMs;
 		}
 	}
 }
 
-function write({world, holder, wanted, isLost}: {readonly world: World; readonly holder: Holder; readonly wanted: number; readonly isLost: boolean}): void {
-	if (!holder.read) {
-		return;
-	}
-
-	const {ledger, version, askedAtMs} = holder.read;
-	// A holder never asks for less than it holds without a window's rest; the daemon shrinks its budget first.
-	const planned = planGrant({
-		ledger, holder: holder.id, wantedCallsPerSecond: Math.max(wanted, holder.budget.callsPerSecond), capCallsPerSecond: CAP, durationMs: DURATION_MS, ended: holder.observer.observe({ledger, nowMs: askedAtMs}),
+/** Reads the ledger and plans a write as the daemon does: what is planned binds the budget at once. */
+function plan({world, holder, wanted}: {readonly world: World; readonly holder: Holder; readonly wanted: number}): void {
+	const askedAtMs = world.nowMs + holder.clockOffsetMs;
+	const ledger = planGrant({
+		ledger: world.ledger, holder: holder.id, wantedCallsPerSecond: wanted, capCallsPerSecond: holder.cap, durationMs: DURATION_MS, ended: holder.observer.observe({ledger: world.ledger, nowMs: askedAtMs}),
 	});
-	holder.read = undefined;
-	if (version !== world.version) {
+	holder.planned = holder.budget.mayStore({grant: findGrant({ledger, holder: holder.id}), nowMs: askedAtMs}) ? {ledger, version: world.version, askedAtMs} : undefined;
+}
+
+function write({world, holder, isLost}: {readonly world: World; readonly holder: Holder; readonly isLost: boolean}): void {
+	const {planned} = holder;
+	holder.planned = undefined;
+	if (planned?.version !== world.version) {
 		return;
 	}
 
-	world.ledger = planned;
+	world.ledger = planned.ledger;
 	world.version += 1;
 	if (!isLost) {
-		holder.budget.useGrant({grant: findGrant({ledger: planned, holder: holder.id}), askedAtMs});
+		holder.budget.useGrant({grant: findGrant({ledger: planned.ledger, holder: holder.id}), askedAtMs: planned.askedAtMs});
 	}
 }
 
-function mostInAnySecond(times: readonly number[]): number {
-	return Math.max(0, ...times.map((time, index) => times.slice(index).filter(other => other - time < 1000).length));
+/** Highest cap that was in force anywhere from the window before a time until a second after it. */
+function capAround({caps, atMs}: {readonly caps: readonly CapInForce[]; readonly atMs: number}): number {
+	const fromMs = atMs - SHIFT_WINDOW_MS;
+	return Math.max(...caps.filter(({fromMs: startMs}, index) => startMs <= atMs + 1000 && (caps[index + 1]?.fromMs ?? Number.POSITIVE_INFINITY) >= fromMs).map(({cap}) => cap));
+}
+
+/** Sends that were more than the cap within the second that they began. */
+function findExcess({sentAtMs, caps}: World): readonly string[] {
+	return sentAtMs
+		.map((atMs, index) => ({atMs, calls: sentAtMs.slice(index).filter(other => other - atMs < 1000).length, cap: capAround({caps, atMs})}))
+		.filter(({calls, cap}) => calls > cap)
+		.map(({atMs, calls, cap}) => `${calls} calls in the second from ${atMs} ms under a cap of ${cap}`);
 }
 
 describe('the cap of a shift', () => {
-	it('holds over the fleet under any order of grants, pauses, lost answers and expiries', () => {
+	it('holds over the fleet under any order of grants, pauses, lost answers, expiries and changes of the cap', () => {
 		fc.assert(fc.property(fc.array(step, {minLength: 20, maxLength: 150}), fc.array(fc.nat(1_000_000), {minLength: HOLDERS, maxLength: HOLDERS}), (steps, offsets) => {
-			const world: World = {
-				ledger: emptyLedger,
-				version: 0,
-				nowMs: 0,
-				holders: offsets.map((clockOffsetMs, index) => ({
-					id: `entry-${index}` as InstanceId, budget: new ShiftBudget(), observer: new GrantObserver({windowMs: SHIFT_WINDOW_MS}), clockOffsetMs, read: undefined,
-				})),
-				sentAtMs: [],
-			};
+			const world = createWorld(offsets);
 			for (const next of steps) {
 				apply({world, step: next});
 				const granted = world.ledger.grants.reduce((sum, {callsPerSecond}) => sum + callsPerSecond, 0);
-				assert.ok(granted <= CAP, `${granted} granted of ${CAP}`);
+				const highestCap = Math.max(...world.caps.map(({cap}) => cap));
+				assert.ok(granted <= highestCap, `${granted} granted of ${highestCap}`);
 			}
 
-			const most = mostInAnySecond(world.sentAtMs);
-			assert.ok(most <= CAP, `${most} calls in a second under a cap of ${CAP}`);
-		}), {seed: SEED, numRuns: 2000});
+			assert.deepEqual(findExcess(world), []);
+		}), {seed: SEED, numRuns: 3000});
 	});
 
+	for (const {name, steps, sent} of schedules) {
+		it(`holds through ${name}`, () => {
+			const world = createWorld([0, 0]);
+			for (const next of steps) {
+				apply({world, step: next});
+			}
+
+			assert.deepEqual(findExcess(world), []);
+			assert.equal(world.sentAtMs.length, sent);
+		});
+	}
+
 	it('frees the share of a holder that is gone, one duration and one window after it was seen', () => {
 		const observer = new GrantObserver({windowMs: SHIFT_WINDOW_MS});
 		const ledger = planGrant({
