Fence a shift's grants by the version of the configuration, and check the stored ledger

Cause: an instance that had not heard of a lower cap yet could take a grant under the higher one after others had written theirs under the lower. The stored ledger was used as it was parsed; one that was no ledger threw inside the actor that renews all shifts. Ruled out: waiting for all instances to hold the version before a grant; nothing counts them. A codec reads the ledger, and one that cannot be read counts as a failure of the store. Before: with the comparison taken out the new case is red. Conclusion: after the first grant under a lower cap nobody is granted by the older one.

--- a/calls/placement/src/create-placement.ts
+++ b/calls/placement/src/create-placement.ts
@@ -20,6 +20,8 @@
 	readonly instance: InstanceId;
 	readonly failureDomain: FailureDomainName;
 	readonly currentSet: () => ConfigurationSet | undefined;
+	/** Version of the configuration in force; 0 without one. */
+	readonly currentVersion: () => number;
 	readonly liveInstances: () => readonly Instance[];
 	readonly peers: PeerClients;
 	readonly store: KeyValueStore;
--- a/calls/placement/src/shift-grants.ts
+++ b/calls/placement/src/shift-grants.ts
@@ -4,12 +4,14 @@
 	dispatch, spawn, start, stop,
 } from 'nact';
 import type {ActorSystemRef, Ref} from 'nact';
+import {Right} from 'purify-ts';
+import type {EitherAsync} from 'purify-ts';
 import type {
 	ConfigurationSet, InstanceId, RegionName, Service, ServiceName, Shift, ShiftName,
 } from '@pomelopick/core.types';
 import type {KeyValueStore} from '@pomelopick/platform.store';
 import {
-	emptyLedger, findGrant, GrantObserver, planGrant, SHIFT_WINDOW_MS, ShiftBudget, ShiftGuard,
+	decodeLedger, emptyLedger, encodeLedger, findGrant, GrantObserver, planGrant, SHIFT_WINDOW_MS, ShiftBudget, ShiftGuard,
 } from '@pomelopick/steering.shifts';
 import type {ShiftLedger} from '@pomelopick/steering.shifts';
 import type {SlotRefusal} from './slot-types.js';
@@ -27,6 +29,8 @@
 	readonly instance: InstanceId;
 	readonly store: KeyValueStore;
 	readonly currentSet: () => ConfigurationSet | undefined;
+	/** Version of the configuration in force. */
+	readonly currentVersion: () => number;
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
 	readonly count: (counter: string) => void;
@@ -186,21 +190,25 @@
 	}
 
 	async #write({state, wantedCallsPerSecond, capCallsPerSecond}: WriteOptions): Promise<void> {
-		const {store, now, instance, count} = this.#options;
+		const {store, now, instance, count, currentVersion} = this.#options;
 		const {shift, budget, observer} = state;
 		const key = `${STORE_PREFIX}${shift.name}`;
-		const read = await store.get(key).run();
+		const read = await readLedger({store, key}).run();
 		if (read.isLeft()) {
 			count('shift.store-failure');
 			return;
 		}
 
-		const stored = read.unsafeCoerce();
-		const ledger = stored ? JSON.parse(new TextDecoder().decode(stored.value)) as ShiftLedger : emptyLedger;
+		const {ledger, index} = read.unsafeCoerce();
 		const askedAtMs = now();
 		const planned = planGrant({
-			ledger, holder: instance, wantedCallsPerSecond, capCallsPerSecond, durationMs: GRANT_DURATION_MS, ended: observer.observe({ledger, nowMs: askedAtMs}),
-		});
+			ledger, holder: instance, wantedCallsPerSecond, capCallsPerSecond, configurationVersion: currentVersion(), durationMs: GRANT_DURATION_MS, ended: observer.observe({ledger, nowMs: askedAtMs}),
+		}).toMaybe().extract();
+		if (!planned) {
+			count('shift.configuration-outdated');
+			return;
+		}
+
 		const grant = findGrant({ledger: planned, holder: instance});
 		if (!budget.mayStore({grant, nowMs: askedAtMs})) {
 			await sleep(SHIFT_WINDOW_MS);
@@ -208,7 +216,7 @@
 			return;
 		}
 
-		const written = await store.compareAndSwap({key, value: new TextEncoder().encode(JSON.stringify(planned)), expectedIndex: stored?.modifyIndex ?? 0}).run();
+		const written = await store.compareAndSwap({key, value: new TextEncoder().encode(encodeLedger(planned)), expectedIndex: index}).run();
 		// After a lost answer the budget keeps to the grant in use and to the one planned, until the next write or the end of its time.
 		if (written.orDefault(false)) {
 			budget.useGrant({grant, askedAtMs});
@@ -217,3 +225,17 @@
 		}
 	}
 }
+
+interface StoredLedger {
+	readonly ledger: ShiftLedger;
+	/** Index of the write that made it; 0 when there is none. */
+	readonly index: number;
+}
+
+function readLedger({store, key}: {readonly store: KeyValueStore; readonly key: string}): EitherAsync<string, StoredLedger> {
+	return store.get(key)
+		.mapLeft(({message}) => message)
+		.chain(async stored => stored
+			? decodeLedger(new TextDecoder().decode(stored.value)).map(ledger => ({ledger, index: stored.modifyIndex}))
+			: Right({ledger: emptyLedger, index: 0}));
+}
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -76,6 +76,7 @@
 		instance: settings.instance,
 		failureDomain: settings.failureDomain,
 		currentSet,
+		currentVersion: () => holder.view?.configuration.root.version ?? 0,
 		liveInstances: () => membership.liveInstances(),
 		peers: slotClients,
 		store,
--- a/steering/shifts/src/shift-ledger.ts
+++ b/steering/shifts/src/shift-ledger.ts
@@ -1,4 +1,6 @@
 /** What the store holds of a shift: which instance may send how much of its cap. Pure functions on the stored value. */
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
 import type {InstanceId} from '@pomelopick/core.types';
 
 /** Calls per second that one instance may send. */
@@ -16,11 +18,13 @@
 /** All grants of one shift. */
 export interface ShiftLedger {
 	readonly epoch: number;
+	/** Highest version of the configuration under which a grant was written. */
+	readonly configurationVersion: number;
 	readonly grants: readonly ShiftGrant[];
 }
 
 /** A shift that nothing was granted of. */
-export const emptyLedger: ShiftLedger = {epoch: 0, grants: []};
+export const emptyLedger: ShiftLedger = {epoch: 0, configurationVersion: 0, grants: []};
 
 /** Options of {@link planGrant}. */
 export interface PlanGrantOptions {
@@ -28,26 +32,40 @@
 	readonly holder: InstanceId;
 	readonly wantedCallsPerSecond: number;
 	readonly capCallsPerSecond: number;
+	/** Version of the configuration that gives the cap. */
+	readonly configurationVersion: number;
 	readonly durationMs: number;
 	/** Holders whose grants have surely ended. */
 	readonly ended: ReadonlySet<InstanceId>;
 }
 
-/** The ledger with the holder's grant renewed, as large as the other grants leave room for. */
-export function planGrant({ledger, holder, wantedCallsPerSecond, capCallsPerSecond, durationMs, ended}: PlanGrantOptions): ShiftLedger {
+/**
+ * The ledger with the holder's grant renewed, as large as the other grants leave room for.
+ *
+ * @returns Left `configuration-outdated` when a grant was written under a later configuration, whose cap is not known here.
+ */
+export function planGrant(options: PlanGrantOptions): Either<'configuration-outdated', ShiftLedger> {
+	const {
+		ledger, holder, wantedCallsPerSecond, capCallsPerSecond, configurationVersion, durationMs, ended,
+	} = options;
+	if (configurationVersion < ledger.configurationVersion) {
+		return Left('configuration-outdated');
+	}
+
 	const others = ledger.grants.filter(grant => grant.holder !== holder && !ended.has(grant.holder));
 	const othersCallsPerSecond = others.reduce((sum, grant) => sum + grant.callsPerSecond, 0);
 	const room = Math.floor(capCallsPerSecond) - othersCallsPerSecond;
 	const callsPerSecond = Math.max(0, Math.min(Math.floor(wantedCallsPerSecond), room));
 	const epoch = ledger.epoch + 1;
-	return {
+	return Right({
 		epoch,
+		configurationVersion,
 		grants: callsPerSecond === 0
 			? others
 			: [...others, {
 				holder, callsPerSecond, othersCallsPerSecond, durationMs, epoch,
 			}],
-	};
+	});
 }
 
 /**
--- a/steering/shifts/test/shift-cap.test.ts
+++ b/steering/shifts/test/shift-cap.test.ts
@@ -19,8 +19,9 @@
 	readonly observer: GrantObserver;
 	/** Monotonic clocks start anywhere. */
 	readonly clockOffsetMs: number;
-	/** Cap of the configuration that is in force here. */
+	/** Cap and version of the configuration that is in force here. */
 	cap: number;
+	configurationVersion: number;
 	/** Write that was planned, from which version of the ledger, and when by the holder's clock; it may be made much later. */
 	planned: {readonly ledger: ShiftLedger; readonly version: number; readonly askedAtMs: number} | undefined;
 }
@@ -35,8 +36,9 @@
 	ledger: ShiftLedger;
 	version: number;
 	nowMs: number;
-	/** Cap that operators published last. */
+	/** Cap and version that operators published last. */
 	cap: number;
+	configurationVersion: number;
 	readonly holders: readonly Holder[];
 	readonly sentAtMs: number[];
 	readonly caps: CapInForce[];
@@ -57,8 +59,9 @@
 		version: 0,
 		nowMs: 0,
 		cap: CAP,
+		configurationVersion: 1,
 		holders: offsets.map((clockOffsetMs, index) => ({
-			id: `entry-${index}` as InstanceId, budget: new ShiftBudget(), observer: new GrantObserver({windowMs: SHIFT_WINDOW_MS}), clockOffsetMs, cap: CAP, planned: undefined,
+			id: `entry-${index}` as InstanceId, budget: new ShiftBudget(), observer: new GrantObserver({windowMs: SHIFT_WINDOW_MS}), clockOffsetMs, cap: CAP, configurationVersion: 1, planned: undefined,
 		})),
 		sentAtMs: [],
 		caps: [{fromMs: 0, cap: CAP}],
@@ -128,6 +131,7 @@
 
 		case 'publish': {
 			world.cap = wanted;
+			world.configurationVersion += 1;
 			break;
 		}
 
@@ -135,6 +139,7 @@
 		case 'learn-all': {
 			for (const learner of kind === 'learn' ? [holder] : world.holders) {
 				learner.cap = world.cap;
+				learner.configurationVersion = world.configurationVersion;
 			}
 
 			world.caps.push({fromMs: world.nowMs, cap: Math.max(...world.holders.map(({cap}) => cap))});
@@ -151,8 +156,13 @@
 function plan({world, holder, wanted}: {readonly world: World; readonly holder: Holder; readonly wanted: number}): void {
 	const askedAtMs = world.nowMs + holder.clockOffsetMs;
 	const ledger = planGrant({
-		ledger: world.ledger, holder: holder.id, wantedCallsPerSecond: wanted, capCallsPerSecond: holder.cap, durationMs: DURATION_MS, ended: holder.observer.observe({ledger: world.ledger, nowMs: askedAtMs}),
-	});
+		ledger: world.ledger, holder: holder.id, wantedCallsPerSecond: wanted, capCallsPerSecond: holder.cap, configurationVersion: holder.configurationVersion, durationMs: DURATION_MS, ended: holder.observer.observe({ledger: world.ledger, nowMs: askedAtMs}),
+	}).toMaybe().extract();
+	if (!ledger) {
+		holder.planned = undefined;
+		return;
+	}
+
 	holder.planned = holder.budget.mayStore({grant: findGrant({ledger, holder: holder.id}), nowMs: askedAtMs}) ? {ledger, version: world.version, askedAtMs} : undefined;
 }
 
@@ -211,11 +221,21 @@
 		});
 	}
 
+	it('is not granted from by a holder whose configuration is older than the last grant', () => {
+		const world = createWorld([0, 0]);
+		for (const next of [...changeCap(CAP), by(0, 'publish', 5), by(0, 'learn'), by(0, 'ask', 1), by(1, 'ask', CAP), by(1, 'send', CAP)]) {
+			apply({world, step: next});
+		}
+
+		assert.deepEqual(world.ledger.grants.map(({holder, callsPerSecond}) => [holder, callsPerSecond]), [['entry-0', 1]]);
+		assert.equal(world.sentAtMs.length, 0);
+	});
+
 	it('frees the share of a holder that is gone, one duration and one window after it was seen', () => {
 		const observer = new GrantObserver({windowMs: SHIFT_WINDOW_MS});
 		const ledger = planGrant({
-			ledger: emptyLedger, holder: 'gone' as InstanceId, wantedCallsPerSecond: CAP, capCallsPerSecond: CAP, durationMs: DURATION_MS, ended: new Set(),
-		});
+			ledger: emptyLedger, holder: 'gone' as InstanceId, wantedCallsPerSecond: CAP, capCallsPerSecond: CAP, configurationVersion: 1, durationMs: DURATION_MS, ended: new Set(),
+		}).unsafeCoerce();
 		assert.equal(observer.observe({ledger, nowMs: 0}).size, 0);
 		assert.equal(observer.observe({ledger, nowMs: DURATION_MS}).size, 0);
 		assert.deepEqual([...observer.observe({ledger, nowMs: (DURATION_MS * 1.1) + SHIFT_WINDOW_MS + 1})], ['gone']);
