Hold client blocks encoded and keep the heap of an entry process small

No collection of the whole heap comes at rest.

Change: client blocks stay in the chunks that are held for peers and are decoded when read; the young generation keeps its first size, the heap grows by half before it is collected, and garbage is collected once when the first version is in force. The command that runs an instance loads the daemon's libraries only when it runs. The capacity bench measures control and the whole process apart, at rest and after changes.

--- a/cli/pomelopick/src/commands/entry.ts
+++ b/cli/pomelopick/src/commands/entry.ts
@@ -2,7 +2,7 @@
 import {Command, Option} from 'clipanion';
 import {readSettings} from '@pomelopick/config.settings';
 import type {Settings} from '@pomelopick/config.settings';
-import {startEntry} from '@pomelopick/daemons.entry';
+import {collectGarbage, limitHeap} from '@pomelopick/daemons.entry/limit-heap';
 import {exitCodes, PomelopickCommand} from '../context.js';
 
 /** `pomelopick entry SETTINGS`: runs one entry instance until SIGTERM. */
@@ -25,7 +25,10 @@
 	}
 
 	async #run(settings: Settings): Promise<number> {
-		const daemon = await startEntry({settings});
+		// Loaded here, so that the other commands start without the daemon's libraries.
+		limitHeap();
+		const {startEntry} = await import('@pomelopick/daemons.entry');
+		const daemon = await startEntry({settings, onFirstVersion: collectGarbage});
 		this.context.stdout.write(`${JSON.stringify({instance: settings.instance, ...daemon.endpoints})}\n`);
 		await new Promise<void>(resolve => {
 			process.once('SIGTERM', resolve);
--- a/config/publishing/src/difference.ts
+++ b/config/publishing/src/difference.ts
@@ -17,7 +17,7 @@
 /** Lists the objects that differ, list by list. */
 export function compareSets({before, after}: {readonly before: ConfigurationSet; readonly after: ConfigurationSet}): readonly ObjectDifference[] {
 	const kinds = Object.keys(after) as Array<keyof ConfigurationSet>;
-	return kinds.flatMap(kind => compareLists({kind, before: toMap(before[kind]), after: toMap(after[kind])}));
+	return kinds.flatMap(kind => compareLists({kind, before: toMap([...before[kind]]), after: toMap([...after[kind]])}));
 }
 
 type ObjectsByName = ReadonlyMap<string, unknown>;
--- a/config/publishing/src/index.ts
+++ b/config/publishing/src/index.ts
@@ -2,6 +2,7 @@
 export * from './chunks.js';
 export * from './collect.js';
 export * from './difference.js';
+export * from './encoded-list.js';
 export * from './history.js';
 export * from './publish.js';
 export * from './read.js';
--- a/config/publishing/src/set-assembler.ts
+++ b/config/publishing/src/set-assembler.ts
@@ -1,11 +1,17 @@
 /** Puts versions together from chunks and does again only what changed since the last one. */
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import type {ConfigurationSet} from '@pomelopick/core.types';
+import type {ConfigurationSet, ObjectList} from '@pomelopick/core.types';
 import {checkObjects} from '@pomelopick/config.schema';
+import {EncodedList} from './encoded-list.js';
+import type {EncodedPart} from './encoded-list.js';
 import type {PublishedConfiguration, ReadConfigurationError} from './read.js';
+import {decodeJson} from './stored-configuration.js';
 import type {ChunkReference, ConfigurationRoot} from './stored-configuration.js';
 
+/** Kinds whose lists are too long to be held as objects. */
+const ENCODED_KINDS: ReadonlySet<string> = new Set<keyof ConfigurationSet>(['clientBlocks']);
+
 /** Options of {@link SetAssembler.assemble}. */
 export interface AssembleOptions {
 	readonly root: ConfigurationRoot;
@@ -13,67 +19,78 @@
 	readonly chunks: ReadonlyMap<string, Uint8Array>;
 }
 
+/** A chunk whose objects were found sound. */
+interface CheckedChunk extends EncodedPart {
+	/** Undefined for a kind that is held encoded. */
+	readonly objects: readonly unknown[] | undefined;
+}
+
 /** One list of a set and the hashes of the chunks that it was joined from. */
 interface AssembledList {
 	readonly hashes: string;
-	readonly objects: readonly unknown[];
+	readonly objects: ObjectList<unknown>;
 }
 
 /**
- * Assembles sets. Objects of a chunk are parsed once; a list whose chunks are the same as before is the same array,
+ * Assembles sets. Objects of a chunk are checked once; a list whose chunks are the same as before is the same array,
  * so that users of the set can tell by identity that it did not change.
  *
  * The publisher checked the set as a whole before its root was swapped in, and chunks are verified by their hash,
  * so only the shape of new chunks is checked here.
  */
 export class SetAssembler {
-	#objectsByHash: ReadonlyMap<string, readonly unknown[]> = new Map();
+	#checkedByHash: ReadonlyMap<string, CheckedChunk> = new Map();
 	#lists: ReadonlyMap<string, AssembledList> = new Map();
 
 	/** Left `damaged-chunk` when a chunk holds no valid objects; the assembler is then as it was. */
 	assemble({root, chunks}: AssembleOptions): Either<ReadConfigurationError, PublishedConfiguration> {
-		const objectsByHash = new Map<string, readonly unknown[]>();
+		const checkedByHash = new Map<string, CheckedChunk>();
 		for (const {kind, hash} of root.chunks) {
-			const parsed = this.#parse({kind, hash, content: chunks.get(hash)!});
-			if (parsed.isLeft()) {
-				return Left({code: 'damaged-chunk', message: `version ${root.version}, chunk ${hash}: ${parsed.extract()}`});
+			const checked = this.#check({kind, hash, content: chunks.get(hash)!});
+			if (checked.isLeft()) {
+				return Left({code: 'damaged-chunk', message: `version ${root.version}, chunk ${hash}: ${checked.extract()}`});
 			}
 
-			objectsByHash.set(hash, parsed.unsafeCoerce());
+			checkedByHash.set(hash, checked.unsafeCoerce());
 		}
 
-		const lists = this.#join({root, objectsByHash});
-		this.#objectsByHash = objectsByHash;
+		const lists = this.#join({root, checkedByHash});
+		this.#checkedByHash = checkedByHash;
 		this.#lists = lists;
 		const set = Object.fromEntries([...lists].map(([kind, {objects}]) => [kind, objects])) as unknown as ConfigurationSet;
 		return Right({root, set});
 	}
 
-	#parse({kind, hash, content}: {readonly kind: string; readonly hash: string; readonly content: Uint8Array}): Either<string, readonly unknown[]> {
-		const known = this.#objectsByHash.get(hash);
+	#check({kind, hash, content}: {readonly kind: string; readonly hash: string; readonly content: Uint8Array}): Either<string, CheckedChunk> {
+		const known = this.#checkedByHash.get(hash);
 		if (known) {
 			return Right(known);
 		}
 
 		try {
-			return checkObjects({kind, objects: JSON.parse(new TextDecoder().decode(content))});
+			return checkObjects({kind, objects: decodeJson(content)})
+				.map(objects => ({content, length: objects.length, objects: ENCODED_KINDS.has(kind) ? undefined : objects}));
 		} catch (error) {
 			return Left((error as Error).message);
 		}
 	}
 
-	#join({root, objectsByHash}: {readonly root: ConfigurationRoot; readonly objectsByHash: ReadonlyMap<string, readonly unknown[]>}): ReadonlyMap<string, AssembledList> {
+	#join({root, checkedByHash}: {readonly root: ConfigurationRoot; readonly checkedByHash: ReadonlyMap<string, CheckedChunk>}): ReadonlyMap<string, AssembledList> {
 		const lists = new Map<string, AssembledList>();
 		for (const [kind, references] of groupByKind(root.chunks)) {
 			const hashes = references.map(({hash}) => hash).join(' ');
 			const before = this.#lists.get(kind);
-			lists.set(kind, before?.hashes === hashes ? before : {hashes, objects: references.flatMap(({hash}) => objectsByHash.get(hash)!)});
+			lists.set(kind, before?.hashes === hashes ? before : {hashes, objects: joinObjects({kind, chunks: references.map(({hash}) => checkedByHash.get(hash)!)})});
 		}
 
 		return lists;
 	}
 }
 
+function joinObjects({kind, chunks}: {readonly kind: string; readonly chunks: readonly CheckedChunk[]}): ObjectList<unknown> {
+	return ENCODED_KINDS.has(kind) ? new EncodedList(chunks) : chunks.flatMap(({objects}) => objects ?? []);
+}
+
 function groupByKind(references: readonly ChunkReference[]): ReadonlyMap<string, readonly ChunkReference[]> {
 	const groups = new Map<string, ChunkReference[]>();
 	for (const reference of references) {
--- a/config/publishing/test/publish.test.ts
+++ b/config/publishing/test/publish.test.ts
@@ -72,7 +72,7 @@
 		await publish({set});
 		assert.equal(store.writtenBytes.get(CHUNK_PREFIX), wholeBytes);
 		store.writtenBytes.clear();
-		const changed = {...set, clientBlocks: set.clientBlocks.toSpliced(BLOCKS / 2, 1)};
+		const changed = {...set, clientBlocks: [...set.clientBlocks].toSpliced(BLOCKS / 2, 1)};
 		await publish({set: changed});
 		const changedBytes = store.writtenBytes.get(CHUNK_PREFIX) ?? 0;
 		assert.ok(changedBytes > 0 && changedBytes < wholeBytes / 2, `${changedBytes} of ${wholeBytes} bytes were written`);
--- a/config/publishing/test/set-assembler.test.ts
+++ b/config/publishing/test/set-assembler.test.ts
@@ -39,7 +39,8 @@
 			const first = assembler.assemble(toVersion({change: {}, version: 1})).unsafeCoerce();
 			const next = toVersion({change, version: 2});
 			const second = assembler.assemble(next).unsafeCoerce();
-			assert.deepEqual(second.set, next.set);
+			assert.deepEqual({...second.set, clientBlocks: [...second.set.clientBlocks]}, next.set);
+			assert.equal(second.set.clientBlocks.length, next.set.clientBlocks.length);
 			assert.deepEqual(same.filter(kind => first.set[kind] !== second.set[kind]), []);
 			assert.deepEqual(other.filter(kind => first.set[kind] === second.set[kind]), []);
 		});
--- a/config/schema/src/references.ts
+++ b/config/schema/src/references.ts
@@ -66,6 +66,6 @@
 			...(object.shift ? [{path: `spillRules[${index}].shift`, kind: 'shifts' as const, name: object.shift}] : []),
 		]),
 		...set.drains.map((object, index): Reference => ({path: `drains[${index}].target.name`, kind: kindByDrainTarget[object.target.kind], name: object.target.name})),
-		...set.clientBlocks.map((object, index): Reference => ({path: `clientBlocks[${index}].site`, kind: 'sites', name: object.site})),
+		...Array.from(set.clientBlocks, (object, index): Reference => ({path: `clientBlocks[${index}].site`, kind: 'sites', name: object.site})),
 	];
 }
--- a/config/schema/src/rules.ts
+++ b/config/schema/src/rules.ts
@@ -106,7 +106,7 @@
 function checkClientBlocks(set: ConfigurationSet): ConfigurationFault[] {
 	const firstIndex = new Map<string, number>();
 	const faults: ConfigurationFault[] = [];
-	for (const [index, {prefix}] of set.clientBlocks.entries()) {
+	for (const [index, {prefix}] of [...set.clientBlocks].entries()) {
 		const {family, bytes, bits, hasHostBits} = parsePrefix(prefix);
 		const path = `clientBlocks[${index}].prefix`;
 		if (hasHostBits) {
--- a/core/types/src/objects.ts
+++ b/core/types/src/objects.ts
@@ -101,6 +101,11 @@
 	readonly site: SiteName;
 }
 
+/** A list of objects that may be decoded each time it is read; a plain array is one. */
+export interface ObjectList<Shape> extends Iterable<Shape> {
+	readonly length: number;
+}
+
 /** The whole set of objects, checked and published as one. */
 export interface ConfigurationSet {
 	readonly regions: readonly Region[];
@@ -112,5 +117,6 @@
 	readonly shifts: readonly Shift[];
 	readonly spillRules: readonly SpillRule[];
 	readonly drains: readonly Drain[];
-	readonly clientBlocks: readonly ClientBlock[];
+	/** By far the longest list; instances hold it encoded. */
+	readonly clientBlocks: ObjectList<ClientBlock>;
 }
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -50,10 +50,12 @@
 	readonly settings: Settings;
 	/** How calls are bound to backend servers; by slot owners when absent. */
 	readonly createPlacement?: CreatePlacement;
+	/** Called once, when the first version is in force and before the instance tells others that it has it. */
+	readonly onFirstVersion?: () => void;
 }
 
 /** Starts an entry instance. */
-export async function startEntry({settings, createPlacement = createOwnedPlacement}: StartEntryOptions): Promise<EntryDaemon> {
+export async function startEntry({settings, createPlacement = createOwnedPlacement, onFirstVersion}: StartEntryOptions): Promise<EntryDaemon> {
 	useLogNamespaces(settings.logNamespaces);
 	const log = createLog('entry');
 	const now = (): number => performance.now();
@@ -88,9 +90,14 @@
 			events.add({kind: 'shift', message: 'shift closed itself', fields: {shift, detail}});
 		},
 	});
+	let isFirstVersion = true;
 	holder.onChange(({set}) => {
 		lookup.useSet(set);
 		placement.useSet(set);
+		if (isFirstVersion) {
+			isFirstVersion = false;
+			onFirstVersion?.();
+		}
 	});
 	const safety = createCallSafety({
 		settings, counters, events, now, listInstances: () => membership.liveInstances(),
--- a/daemons/entry/src/lookup-view.ts
+++ b/daemons/entry/src/lookup-view.ts
@@ -1,6 +1,6 @@
 /** What the look-up needs: the block table, the topology and the members of the fleet. */
 import type {
-	ClientBlock, ConfigurationSet, FailureDomainName, Instance, InstanceId, ServiceName, SiteName,
+	ClientBlock, ConfigurationSet, FailureDomainName, Instance, InstanceId, ObjectList, ServiceName, SiteName,
 } from '@pomelopick/core.types';
 import type {Member} from '@pomelopick/peer.membership';
 import {
@@ -21,7 +21,7 @@
 /** Answers which entry instances a caller should use. */
 export class LookupView {
 	readonly #options: LookupViewOptions;
-	#blocks: readonly ClientBlock[] = [];
+	#blocks: ObjectList<ClientBlock> = [];
 	#table = BlockTable.empty;
 	#prepared = BlockTable.empty;
 	#topology: Topology | undefined;
@@ -43,7 +43,7 @@
 	/** Builds the block table of a set that is about to come into force; nothing to do when its blocks are the same list. */
 	async prepare({clientBlocks}: ConfigurationSet): Promise<void> {
 		if (clientBlocks !== this.#blocks) {
-			this.#prepared = await BlockTable.build({blocks: clientBlocks, pause: this.#options.pause});
+			this.#prepared = await BlockTable.build({blocks: [...clientBlocks], pause: this.#options.pause});
 			this.#blocks = clientBlocks;
 		}
 	}
--- a/daemons/entry/src/main.ts
+++ b/daemons/entry/src/main.ts
@@ -1,10 +1,13 @@
 /** Runs one entry instance: `node main.js SETTINGS.json`. SIGTERM and SIGINT stop it gracefully. */
 import process from 'node:process';
 import {readSettings} from '@pomelopick/config.settings';
-import {startEntry} from './entry.js';
+import {collectGarbage, limitHeap} from './limit-heap.js';
 
 const BAD_SETTINGS_EXIT_CODE = 2;
 
+limitHeap();
+const {startEntry} = await import('./entry.js');
+
 const [path] = process.argv.slice(2);
 if (path === undefined) {
 	process.stderr.write('usage: entry SETTINGS.json\n');
@@ -17,7 +20,7 @@
 			process.exitCode = BAD_SETTINGS_EXIT_CODE;
 		},
 		async Right(checked) {
-			const daemon = await startEntry({settings: checked});
+			const daemon = await startEntry({settings: checked, onFirstVersion: collectGarbage});
 			process.stdout.write(`${JSON.stringify({instance: checked.instance, ...daemon.endpoints})}\n`);
 			for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 				process.once(signal, () => {
--- a/daemons/entry/src/operators/matching-block.ts
+++ b/daemons/entry/src/operators/matching-block.ts
@@ -1,6 +1,6 @@
 /** Finds the client block that decides the site of an address. */
 import ipaddr from 'ipaddr.js';
-import type {ClientBlock} from '@pomelopick/core.types';
+import type {ClientBlock, ObjectList} from '@pomelopick/core.types';
 
 type Address = ipaddr.IPv4 | ipaddr.IPv6;
 
@@ -9,11 +9,11 @@
  *
  * Blocks are compared by their text first, which is quick; only when a block is written in another form are all parsed.
  */
-export function findMatchingBlock({blocks, client}: {readonly blocks: readonly ClientBlock[]; readonly client: string}): ClientBlock | undefined {
+export function findMatchingBlock({blocks, client}: {readonly blocks: ObjectList<ClientBlock>; readonly client: string}): ClientBlock | undefined {
 	const address = ipaddr.process(client);
 	const prefixes = listPrefixes(address);
-	const longest = pickLongest(blocks.filter(({prefix}) => prefixes.has(prefix)));
-	return longest ?? pickLongest(blocks.filter(({prefix}) => holds({prefix, address})));
+	const longest = pickLongest({blocks, fits: ({prefix}) => prefixes.has(prefix)});
+	return longest ?? pickLongest({blocks, fits: ({prefix}) => holds({prefix, address})});
 }
 
 /** Text of each prefix that holds the address. */
@@ -32,7 +32,18 @@
 	return network.kind() === address.kind() && address.match(network, bits);
 }
 
-function pickLongest(blocks: readonly ClientBlock[]): ClientBlock | undefined {
-	const lengthOf = ({prefix}: ClientBlock): number => Number(prefix.slice(prefix.indexOf('/') + 1));
-	return [...blocks].sort((left, right) => lengthOf(right) - lengthOf(left))[0];
+/** Longest block that fits, the first of equal ones; reads the list without a copy. */
+function pickLongest({blocks, fits}: {readonly blocks: ObjectList<ClientBlock>; readonly fits: (block: ClientBlock) => boolean}): ClientBlock | undefined {
+	let longest: ClientBlock | undefined;
+	for (const block of blocks) {
+		if (fits(block) && (longest === undefined || lengthOf(block) > lengthOf(longest))) {
+			longest = block;
+		}
+	}
+
+	return longest;
+}
+
+function lengthOf({prefix}: ClientBlock): number {
+	return Number(prefix.slice(prefix.indexOf('/') + 1));
 }
--- a/testing/bench/src/capacity/budgets.ts
+++ b/testing/bench/src/capacity/budgets.ts
@@ -2,6 +2,7 @@
 import type {ControlMeasurement} from '../control.js';
 import {plannedWatchers, watcherCallsPerSecond} from '../control.js';
 import type {MeasuredSlope} from './figure.js';
+import type {IdleProcessBytes} from './processes-role.js';
 import {
 	controlBudget, plannedSize, SECONDS_PER_DAY, storeBudget,
 } from './planned-size.js';
@@ -26,22 +27,25 @@
 /** Options of {@link listBudgets}. */
 export interface ListBudgetsOptions {
 	readonly slopes: readonly MeasuredSlope[];
-	/** Resident memory of a Node process that does nothing, in bytes. */
-	readonly bareProcessBytes: number;
+	readonly idleBytes: IdleProcessBytes;
 	readonly control: ControlMeasurement;
 }
 
 /** Works out each budget from the slopes. */
-export function listBudgets({slopes, bareProcessBytes, control}: ListBudgetsOptions): readonly BudgetRow[] {
-	const planned = (quantity: string): number => {
+export function listBudgets({slopes, idleBytes, control}: ListBudgetsOptions): readonly BudgetRow[] {
+	const slopeOf = (quantity: string): MeasuredSlope => {
 		const slope = slopes.find(candidate => candidate.quantity === quantity);
 		if (!slope) {
 			throw new Error(`no slope was measured for ${quantity}`);
 		}
 
-		return slope.plannedY;
+		return slope;
 	};
 
+	const planned = (quantity: string): number => slopeOf(quantity).plannedY;
+	/** What the variable adds from 0 to the planned size. */
+	const added = (quantity: string): number => slopeOf(quantity).line.slope * slopeOf(quantity).plannedX;
+
 	const changesPerSecond = plannedSize.changesPerDay / SECONDS_PER_DAY;
 	const tablePercent = planned('building the table') * changesPerSecond / MILLISECONDS_PER_SECOND * PERCENT;
 	const largestRun = control.rows.at(-1)!;
@@ -53,10 +57,16 @@
 			name: 'processor time of control', found: planned('processor time a node') + tablePercent, most: controlBudget.corePercent, unit: '% of a core', from: 'membership and distribution, and a new block table at every change',
 		},
 		{
-			name: 'state of control', found: (planned('held set') + planned('stored chunks') + planned('block table')) / BYTES_PER_MEGABYTE, most: controlBudget.memoryMegabytes, unit: 'MB', from: 'objects, chunks and table of the configuration',
+			name: 'state of control', found: (planned('stored chunks') + planned('block table')) / BYTES_PER_MEGABYTE, most: controlBudget.memoryMegabytes, unit: 'MB', from: 'chunks and table of the configuration',
+		},
+		{
+			name: 'control over a bare Node process', found: (idleBytes.controlLibraries - idleBytes.bare + added('resident memory after changes of client blocks')) / BYTES_PER_MEGABYTE, most: controlBudget.memoryMegabytes, unit: 'MB', from: 'libraries of control, and what the blocks add to an entry process after changes, garbage included',
+		},
+		{
+			name: 'whole process over a bare Node process, at rest', found: (planned('resident memory of an entry process') - idleBytes.bare) / BYTES_PER_MEGABYTE, most: controlBudget.memoryMegabytes, unit: 'MB', from: 'the call path with its libraries included',
 		},
 		{
-			name: 'whole process over a bare Node process', found: (planned('resident memory of an entry process') - bareProcessBytes) / BYTES_PER_MEGABYTE, most: controlBudget.memoryMegabytes, unit: 'MB', from: 'libraries, code, call path and garbage included',
+			name: 'whole process over a bare Node process, after changes', found: (planned('resident memory after changes of client blocks') - idleBytes.bare) / BYTES_PER_MEGABYTE, most: controlBudget.memoryMegabytes, unit: 'MB', from: 'the call path with its libraries included',
 		},
 		{
 			name: 'bytes of control', found: (planned('bytes a node without changes') + (changeBytes * changesPerSecond)) / BYTES_PER_KILOBYTE, most: controlBudget.kilobytesPerSecond, unit: 'KB/s', from: 'heartbeats, and one root and one chunk a change, taken once and given once',
--- a/testing/bench/src/capacity/lookup-role.ts
+++ b/testing/bench/src/capacity/lookup-role.ts
@@ -23,7 +23,7 @@
 		const set = checkConfigurationSet(generateSet({clientBlocks, seed})).unsafeCoerce();
 		let table = BlockTable.empty;
 		const buildMs = await measureCpuMs(async () => {
-			table = await BlockTable.build({blocks: set.clientBlocks, pause});
+			table = await BlockTable.build({blocks: [...set.clientBlocks], pause});
 		});
 		rows.push({
 			x: clientBlocks, bytes: table.byteLength, buildMs, searchMicroseconds: measureSearch({table, seed}),
--- a/testing/bench/src/capacity/processes-role.ts
+++ b/testing/bench/src/capacity/processes-role.ts
@@ -17,14 +17,28 @@
 const REQUEST_COUNTS = [4000, 8000, 12_000];
 const CONCURRENT_REQUESTS = 16;
 const SETTLE_MS = 2000;
+const CHANGES = 3;
 const WARM_UP_REQUESTS = 4000;
 const MICROSECONDS_PER_MILLISECOND = 1000;
 
 const smallDeployment: Deployment = {...popescuVlad, services: popescuVlad.services.map(service => ({...service, servers: 4, slots: 16}))};
 
-/** Resident memory of a Node process that does nothing, in bytes. */
-export async function measureBareProcess(): Promise<number> {
-	const child = await startChild<Record<string, never>>({module: fileURLToPath(new URL('bare-process.js', import.meta.url)), arguments: []});
+/** Memory of processes that hold no state, in bytes. */
+export interface IdleProcessBytes {
+	/** A Node process that does nothing. */
+	readonly bare: number;
+	/** One that loaded what control needs. */
+	readonly controlLibraries: number;
+}
+
+/** Resident memory of processes that do nothing. */
+export async function measureIdleProcesses(): Promise<IdleProcessBytes> {
+	return {bare: await measureIdleProcess('bare-process.js'), controlLibraries: await measureIdleProcess('control-libraries-process.js')};
+}
+
+async function measureIdleProcess(file: string): Promise<number> {
+	const child = await startChild<Record<string, never>>({module: fileURLToPath(new URL(file, import.meta.url)), arguments: []});
+	await sleep(SETTLE_MS);
 	const bytes = await readResidentBytes(child.processId);
 	await child.kill();
 	return bytes;
@@ -33,6 +47,7 @@
 /** Measures one entry process at several sizes. */
 export async function measureProcessesRole({seed}: {readonly seed: number}): Promise<readonly MeasuredSlope[]> {
 	const memory: Array<{x: number; y: number}> = [];
+	const memoryAfterChanges: Array<{x: number; y: number}> = [];
 	const requestCosts: MeasuredSlope[] = [];
 	for (const clientBlocks of BLOCK_COUNTS) {
 		const fleet = await startFleet({
@@ -42,6 +57,8 @@
 			await sleep(SETTLE_MS);
 			const entry = fleet.entries[0]!;
 			memory.push({x: clientBlocks, y: await readResidentBytes(entry.child.processId)});
+			await publishChanges(fleet);
+			memoryAfterChanges.push({x: clientBlocks, y: await readResidentBytes(entry.child.processId)});
 			if (clientBlocks === BLOCK_COUNTS.at(-1)) {
 				requestCosts.push(...await measureRequests({fleet, entry}));
 			}
@@ -50,9 +67,23 @@
 		}
 	}
 
-	return [...requestCosts, fitSlope({
-		role: 'configuration distribution', quantity: 'resident memory of an entry process', unit: 'bytes', variable: 'client blocks', plannedX: plannedSize.clientBlocks, points: memory,
-	})];
+	const shared = {
+		role: 'configuration distribution', unit: 'bytes', variable: 'client blocks', plannedX: plannedSize.clientBlocks,
+	};
+	return [
+		...requestCosts,
+		fitSlope({...shared, quantity: 'resident memory of an entry process', points: memory}),
+		fitSlope({...shared, quantity: 'resident memory after changes of client blocks', points: memoryAfterChanges}),
+	];
+}
+
+/** Publishes versions that each take one client block away, so that the table is built again each time. */
+async function publishChanges(fleet: Fleet): Promise<void> {
+	const set = fleet.configurationSet();
+	for (let change = 1; change <= CHANGES; change += 1) {
+		await fleet.waitForVersion(await fleet.publish({...set, clientBlocks: set.clientBlocks?.slice(0, -change)}));
+		await sleep(SETTLE_MS);
+	}
 }
 
 function addBlocks({set, clientBlocks, seed}: {readonly set: ConfigurationSetInput; readonly clientBlocks: number; readonly seed: number}): ConfigurationSetInput {
--- a/testing/bench/src/capacity/run-capacity.ts
+++ b/testing/bench/src/capacity/run-capacity.ts
@@ -9,7 +9,7 @@
 import type {MeasuredSlope} from './figure.js';
 import {measureJournalRole} from './journal-role.js';
 import {measureLookupRole} from './lookup-role.js';
-import {measureBareProcess, measureProcessesRole} from './processes-role.js';
+import {measureIdleProcesses, measureProcessesRole} from './processes-role.js';
 import {measurePublishingRole} from './publishing-role.js';
 import {renderSlopes, replaceMarkedPart} from './report.js';
 
@@ -61,10 +61,10 @@
 		points: control.rows.map(({exchangesPerNodePerSecond, corePercentPerNode}) => ({x: exchangesPerNodePerSecond, y: corePercentPerNode})),
 	}));
 
-	const bareProcessBytes = await measureBareProcess();
-	const budgets = listBudgets({slopes, bareProcessBytes, control});
+	const idleBytes = await measureIdleProcesses();
+	const budgets = listBudgets({slopes, idleBytes, control});
 	const text = [
-		`Seed ${seed}. A bare Node process holds ${Math.round(bareProcessBytes / BYTES_PER_MEGABYTE)} MB.`,
+		`Seed ${seed}. A bare Node process holds ${Math.round(idleBytes.bare / BYTES_PER_MEGABYTE)} MB, one with the libraries of control ${Math.round(idleBytes.controlLibraries / BYTES_PER_MEGABYTE)} MB.`,
 		'### Budgets',
 		renderBudgets(budgets),
 		'### Slopes',
--- a/testing/bench/src/lookup.ts
+++ b/testing/bench/src/lookup.ts
@@ -64,7 +64,7 @@
 async function measureTable({planned, clients}: {readonly planned: ConfigurationSetInput; readonly clients: readonly string[]}): Promise<{purePerSecond: number; tableBytes: number; buildMs: number}> {
 	const {clientBlocks: blocks} = checkConfigurationSet(planned).unsafeCoerce();
 	const buildStartedAtMs = performance.now();
-	const table = await BlockTable.build({blocks, pause});
+	const table = await BlockTable.build({blocks: [...blocks], pause});
 	const buildMs = performance.now() - buildStartedAtMs;
 	const startedAtMs = performance.now();
 	let found = 0;
