--- a/testing/bench/src/capacity/control-libraries-process.ts
+++ b/testing/bench/src/capacity/control-libraries-process.ts
@@ -12,6 +12,6 @@
 ];
 
 limitHeap();
-await Promise.all(CONTROL_PACKAGES.map(async name => import(name)));
+await Promise.all(CONTROL_PACKAGES.map(async name => import(name) as Promise<unknown>));
 process.stdout.write('{}\n');
 setInterval(() => undefined, KEEP_ALIVE_MS);
