Judge links, shifts and entry instances in previews, and show slot counts in the status

Cause: a preview of a drain or shift judged slots alone. It said nothing of the links that moved calls cross, of the calls that a shift itself moves, or of entry instances in a drained failure domain; and slot counts were shown only by the instance that keeps them.

Moved calls are weighed as answers against the service's share of the link, a shift's calls as slots at the target, and entry instances of a newly drained domain are named. The status merges slots in use and proven with the instance that counts them.

Ruled out: judging a shift by its cap alone, which names load that is not there.

Conclusion: what a link carries already is still not known to the preview; only what a change adds is held against the share. The table of cases covers both sides of each bound.

--- a/cli/pomelopick/src/change-command.ts
+++ b/cli/pomelopick/src/change-command.ts
@@ -4,14 +4,15 @@
 import type {Either} from 'purify-ts';
 import type {PublishOutcome} from '@pomelopick/config.publishing';
 import type {
-	CodedError, Endpoint, ServiceUseReport, StatusReport,
+	CodedError, Endpoint,
 } from '@pomelopick/core.types';
 import {ConsulStore} from '@pomelopick/platform.store';
 import type {KeyValueStore} from '@pomelopick/platform.store';
 import type {ChangeSet} from './change-set.js';
 import {exitCodes, parseEndpoint, PomelopickCommand} from './context.js';
-import {askFleet, formatMissing} from './fleet-client.js';
-import {mergeUse} from './fleet-status.js';
+import {formatMissing} from './fleet-client.js';
+import {readFleetUse} from './fleet-use.js';
+import type {FleetUse} from './fleet-use.js';
 import {formatPreview} from './format-preview.js';
 import {previewChange} from './preview.js';
 import type {Preview} from './preview.js';
@@ -79,18 +80,18 @@
 		return this.yes ? this.#publish({store, prepared, preview}) : this.#showPreview({prepared, preview});
 	}
 
-	async #readUse(instance: Endpoint): Promise<Either<CodedError, readonly ServiceUseReport[]>> {
-		const asked = await askFleet<StatusReport>({
-			instance, path: '/v1/status', onProgress: line => {
+	async #readUse(instance: Endpoint): Promise<Either<CodedError, FleetUse>> {
+		const read = await readFleetUse({
+			instance, onProgress: line => {
 				this.progress(line);
 			},
 		}).run();
-		return asked.map(({answers, missing}) => {
+		return read.map(({use, missing}) => {
 			for (const line of formatMissing(missing)) {
 				this.context.stderr.write(`${line}\n`);
 			}
 
-			return mergeUse(answers.map(({answer}) => answer));
+			return use;
 		});
 	}
 
--- a/cli/pomelopick/src/fleet-status.ts
+++ b/cli/pomelopick/src/fleet-status.ts
@@ -40,12 +40,15 @@
 	};
 }
 
-/** Sums the calls in progress of all instances by service and region. */
+/** Sums the calls of all instances by service and region; the slots are those of the instance that counts them. */
 export function mergeUse(instances: readonly StatusReport[]): ServiceUseReport[] {
 	const uses = new Map<string, ServiceUseReport>();
 	for (const use of instances.flatMap(({serviceUse}) => serviceUse)) {
 		const key = `${use.service} ${use.region}`;
-		uses.set(key, {...use, callsInProgress: (uses.get(key)?.callsInProgress ?? 0) + use.callsInProgress});
+		const before = uses.get(key);
+		uses.set(key, {
+			...before, ...use, callsInProgress: (before?.callsInProgress ?? 0) + use.callsInProgress, callsPlaced: (before?.callsPlaced ?? 0) + use.callsPlaced,
+		});
 	}
 
 	return [...uses.values()];
@@ -60,7 +63,10 @@
 		'',
 		formatInstances(instances),
 		'',
-		formatTable({columns: ['service', 'region', 'calls in progress'], rows: serviceUse.map(({service, region, callsInProgress}) => [service, region, callsInProgress])}),
+		formatTable({
+			columns: ['service', 'region', 'calls in progress', 'slots in use', 'slots proven', 'counted by'],
+			rows: serviceUse.map(({service, region, callsInProgress, slots}) => [service, region, callsInProgress, slots?.inUse ?? '-', slots?.proven ?? '-', slots?.countedBy ?? '-']),
+		}),
 		'',
 		section({
 			title: 'no drains',
--- a/cli/pomelopick/src/format-preview.ts
+++ b/cli/pomelopick/src/format-preview.ts
@@ -1,9 +1,12 @@
 /** Renders a preview for a person. */
 import {formatTable} from '@pomelopick/core.table';
 import type {Preview} from './preview.js';
+import type {LinkRow} from './preview-links.js';
 
 /** Renders what moves and what is missing. */
-export function formatPreview({rows, shortages, isUseKnown, caps}: Preview): string {
+export function formatPreview({
+	rows, shortages, isUseKnown, caps, shiftMoves, links, entriesInDrainedDomains,
+}: Preview): string {
 	const changed = rows.filter(({slotsBefore, slotsAfter, displaced, taken}) => slotsBefore !== slotsAfter || displaced + taken > 0);
 	return [
 		...(changed.length === 0
@@ -15,12 +18,20 @@
 				]),
 			})]),
 		...caps.map(({shift, before, after}) => `cap of shift ${shift}: ${formatCap(before)} -> ${formatCap(after)}`),
+		...shiftMoves.map(({shift, service, from, to, callsPerSecond, slots}) => `shift ${shift}: ${callsPerSecond.toFixed(1)} of the calls/s of ${service} in ${from} go to ${to}, about ${slots} slots`),
+		...links.map(link => formatLink(link)),
+		...entriesInDrainedDomains.map(({id, failureDomain, callsInProgress}) => `${id} in ${failureDomain} goes on taking callers, ${callsInProgress} calls now: a drain empties backend servers alone`),
 		...(isUseKnown ? [] : ['use of the fleet not known; name a live instance with --instance to have the headroom judged']),
 		...shortages.map(({detail}) => `no headroom: ${detail}`),
 		...(isUseKnown && shortages.length === 0 ? ['headroom is there'] : []),
 	].join('\n');
 }
 
+function formatLink({service, from, to, addedBytesPerSecond, shareBytesPerSecond}: LinkRow): string {
+	const share = shareBytesPerSecond === undefined ? 'no link is configured' : `${service} may use ${Math.floor(shareBytesPerSecond)} B/s of it`;
+	return `link from ${from} to ${to}: ${addedBytesPerSecond} B/s more; ${share}`;
+}
+
 function formatCap(cap: number | undefined): string {
 	return cap === undefined ? 'none' : `${cap} calls/s`;
 }
--- a/cli/pomelopick/src/index.ts
+++ b/cli/pomelopick/src/index.ts
@@ -46,5 +46,6 @@
 
 export * from './change-set.js';
 export * from './fleet-events.js';
+export * from './fleet-use.js';
 export * from './preview.js';
 export * from './publish-change.js';
--- /dev/null
+++ b/cli/pomelopick/src/preview-links.ts
@@ -0,0 +1,48 @@
+/** What a change adds to the links between regions. */
+import type {ConfigurationSet, RegionName} from '@pomelopick/core.types';
+import {linkShareBytesPerSecond} from '@pomelopick/steering.links';
+
+/** Calls of one service that go from one region to another after a change and did not before. */
+export interface RegionMove {
+	readonly service: string;
+	readonly from: string;
+	readonly to: string;
+	readonly callsPerSecond: number;
+}
+
+/** Load that a change adds to one direction of a link. */
+export interface LinkRow {
+	readonly service: string;
+	readonly from: string;
+	readonly to: string;
+	/** Answers of the moved calls, at the size that the service states. */
+	readonly addedBytesPerSecond: number;
+	/** What the service may use of the link; undefined where no link is configured. */
+	readonly shareBytesPerSecond: number | undefined;
+}
+
+/** Options of {@link weighLinks}. */
+export interface WeighLinksOptions {
+	readonly set: ConfigurationSet;
+	readonly moves: readonly RegionMove[];
+}
+
+/** Sums the moves by service and pair of regions and names the share of the link that they may use. */
+export function weighLinks({set, moves}: WeighLinksOptions): readonly LinkRow[] {
+	const rows = new Map<string, LinkRow>();
+	for (const {service: name, from, to, callsPerSecond} of moves) {
+		const service = set.services.find(found => found.name === name);
+		if (service && callsPerSecond > 0) {
+			const key = `${name} ${from} ${to}`;
+			const added = (rows.get(key)?.addedBytesPerSecond ?? 0) + (callsPerSecond * service.answerBytes);
+			const shareBytesPerSecond = linkShareBytesPerSecond({
+				set, service, from: from as RegionName, to: to as RegionName,
+			});
+			rows.set(key, {
+				service: name, from, to, addedBytesPerSecond: Math.round(added), shareBytesPerSecond,
+			});
+		}
+	}
+
+	return [...rows.values()];
+}
--- /dev/null
+++ b/cli/pomelopick/src/preview-shifts.ts
@@ -0,0 +1,43 @@
+/** What the shifts of a changed set move by themselves. */
+import type {ConfigurationSet, Shift} from '@pomelopick/core.types';
+import type {ServiceUse} from './fleet-use.js';
+
+/** Calls that a shift moves after a change and did not move before. */
+export interface ShiftMove {
+	readonly shift: string;
+	readonly service: string;
+	readonly from: string;
+	readonly to: string;
+	readonly callsPerSecond: number;
+	/** Slots that these calls hold on average, at the time that calls are held in the region they leave. */
+	readonly slots: number;
+}
+
+/** Options of {@link listShiftMoves}. */
+export interface ListShiftMovesOptions {
+	readonly before: ConfigurationSet;
+	readonly after: ConfigurationSet;
+	readonly services: readonly ServiceUse[];
+}
+
+/** Shifts whose cap grows move as many calls as their region has, up to the growth. A shift that a spill rule names moves none by itself. */
+export function listShiftMoves({before, after, services}: ListShiftMovesOptions): readonly ShiftMove[] {
+	return after.shifts.filter(shift => !isOfRule({set: after, shift})).flatMap((shift): ShiftMove[] => {
+		const {name, service, from, to, capCallsPerSecond} = shift;
+		const use = services.find(found => found.service === service && found.region === from);
+		const earlierCap = before.shifts.find(other => other.name === name && other.from === from && other.to === to)?.capCallsPerSecond ?? 0;
+		const callsPerSecond = Math.min(Math.max(0, capCallsPerSecond - earlierCap), use?.callsPerSecond ?? 0);
+		if (!use || callsPerSecond === 0) {
+			return [];
+		}
+
+		const slots = Math.ceil(callsPerSecond * use.callsInProgress / use.callsPerSecond);
+		return [{
+			shift: name, service, from, to, callsPerSecond, slots,
+		}];
+	});
+}
+
+function isOfRule({set, shift}: {readonly set: ConfigurationSet; readonly shift: Shift}): boolean {
+	return set.spillRules.some(rule => rule.shift === shift.name);
+}
--- a/cli/pomelopick/src/preview.ts
+++ b/cli/pomelopick/src/preview.ts
@@ -1,9 +1,12 @@
 /** What a change of the set moves, and whether the slots that stay have room for it. */
-import type {
-	ConfigurationSet, RegionName, ServiceName, ServiceUseReport,
-} from '@pomelopick/core.types';
+import type {ConfigurationSet, RegionName, ServiceName} from '@pomelopick/core.types';
 import {listDrainedServers} from '@pomelopick/steering.choice';
 import {Topology} from '@pomelopick/steering.lookup';
+import type {EntryUse, FleetUse, ServiceUse} from './fleet-use.js';
+import {weighLinks} from './preview-links.js';
+import type {LinkRow, RegionMove} from './preview-links.js';
+import {listShiftMoves} from './preview-shifts.js';
+import type {ShiftMove} from './preview-shifts.js';
 
 /** Part of the slots that the preview fills at most, so that a burst still finds room. */
 const MOST_FILL = 0.9;
@@ -40,26 +43,39 @@
 	readonly isUseKnown: boolean;
 	/** Caps that change. */
 	readonly caps: ReadonlyArray<{readonly shift: string; readonly before: number | undefined; readonly after: number | undefined}>;
+	/** Calls that shifts move. */
+	readonly shiftMoves: readonly ShiftMove[];
+	/** Load that is added to links. */
+	readonly links: readonly LinkRow[];
+	/** Entry instances in failure domains that the change drains; they go on taking callers. */
+	readonly entriesInDrainedDomains: readonly EntryUse[];
 }
 
 /** Options of {@link previewChange}. */
 export interface PreviewChangeOptions {
 	readonly before: ConfigurationSet;
 	readonly after: ConfigurationSet;
-	/** Calls in progress over the fleet; undefined when no instance was asked. */
-	readonly use: readonly ServiceUseReport[] | undefined;
+	/** What the fleet carries; undefined when no instance was asked. */
+	readonly use: FleetUse | undefined;
 }
 
-/** Compares two sets. Displaced calls go along the spill rules, as calls of a full region do. */
+/**
+ * Compares two sets. Displaced calls go along the spill rules, as calls of a full region do, and take the rate of their
+ * region with them. What a link carries already is not known here; a change is refused when it adds more than the share.
+ */
 export function previewChange({before, after, use}: PreviewChangeOptions): Preview {
 	const slotsBefore = countSlots(before);
 	const slotsAfter = countSlots(after);
 	const rows: PreviewRow[] = [];
 	const shortages: Shortage[] = [];
+	const regionMoves: RegionMove[] = [];
+	const shiftMoves = listShiftMoves({before, after, services: use?.services ?? []});
 	for (const {name: service} of after.services) {
 		const moved = moveCalls({
-			set: after, service, slots: slotsAfter, use,
+			set: after, service, slots: slotsAfter, use: use?.services,
 		});
+		regionMoves.push(...moved.moves);
+		shortages.push(...findFullTargets({moves: shiftMoves.filter(move => move.service === service), room: moved.room}));
 		for (const {name: region} of after.regions) {
 			const key = keyOf({service, region});
 			const row: PreviewRow = {
@@ -79,8 +95,15 @@
 		}));
 	}
 
+	const links = weighLinks({set: after, moves: [...regionMoves, ...shiftMoves]});
 	return {
-		rows, shortages, isUseKnown: use !== undefined, caps: compareCaps({before, after}),
+		rows,
+		shortages: [...shortages, ...findFullLinks(links)],
+		isUseKnown: use !== undefined,
+		caps: compareCaps({before, after}),
+		shiftMoves,
+		links,
+		entriesInDrainedDomains: findEntries({before, after, entries: use?.entries ?? []}),
 	};
 }
 
@@ -103,13 +126,16 @@
 	readonly displaced: ReadonlyMap<RegionName, number>;
 	readonly taken: ReadonlyMap<RegionName, number>;
 	readonly shortages: readonly Shortage[];
+	readonly moves: readonly RegionMove[];
+	/** Slots that calls of other regions may still take. */
+	readonly room: ReadonlyMap<RegionName, number>;
 }
 
 interface MoveCallsOptions {
 	readonly set: ConfigurationSet;
 	readonly service: ServiceName;
 	readonly slots: ReadonlyMap<string, number>;
-	readonly use: readonly ServiceUseReport[] | undefined;
+	readonly use: readonly ServiceUse[] | undefined;
 }
 
 /** Keeps each region's calls where they fit and moves the rest to the regions that its spill rule names. */
@@ -120,7 +146,9 @@
 	const displaced = new Map<RegionName, number>();
 	const taken = new Map<RegionName, number>();
 	const shortages: Shortage[] = [];
+	const moves: RegionMove[] = [];
 	for (const [region, count] of calls) {
+		const callsPerSecond = use.find(entry => entry.service === service && entry.region === region)?.callsPerSecond ?? 0;
 		const slotsHere = slots.get(keyOf({service, region})) ?? 0;
 		let left = Math.max(0, count - slotsHere);
 		displaced.set(region, left);
@@ -130,6 +158,9 @@
 			room.set(target, (room.get(target) ?? 0) - fitting);
 			taken.set(target, (taken.get(target) ?? 0) + fitting);
 			left -= fitting;
+			moves.push({
+				service, from: region, to: target, callsPerSecond: count === 0 ? 0 : callsPerSecond * fitting / count,
+			});
 		}
 
 		if (left > 0) {
@@ -140,7 +171,7 @@
 	}
 
 	return {
-		calls, displaced, taken, shortages,
+		calls, displaced, taken, shortages, moves, room,
 	};
 }
 
@@ -165,6 +196,41 @@
 	});
 }
 
+/** Regions that have no room for what shifts move there. */
+function findFullTargets({moves, room}: {readonly moves: readonly ShiftMove[]; readonly room: ReadonlyMap<RegionName, number>}): Shortage[] {
+	return moves.flatMap(({shift, service, to, callsPerSecond, slots}) => {
+		const free = room.get(to as RegionName) ?? 0;
+		return slots > free
+			? [{
+				service, region: to, missing: slots - free, detail: `${service}: shift ${shift} brings ${callsPerSecond.toFixed(1)} calls/s to ${to}, about ${slots} slots; ${free} are free`,
+			}]
+			: [];
+	});
+}
+
+/** Links that a change fills beyond the service's share. */
+function findFullLinks(links: readonly LinkRow[]): Shortage[] {
+	return links.flatMap(({service, from, to, addedBytesPerSecond, shareBytesPerSecond = Number.POSITIVE_INFINITY}) => addedBytesPerSecond > shareBytesPerSecond
+		? [{
+			service, region: to, missing: 0, detail: `${service}: the link from ${from} to ${to} would carry ${addedBytesPerSecond} B/s more; the service may use ${Math.floor(shareBytesPerSecond)}`,
+		}]
+		: []);
+}
+
+interface FindEntriesOptions {
+	readonly before: ConfigurationSet;
+	readonly after: ConfigurationSet;
+	readonly entries: readonly EntryUse[];
+}
+
+/** Entry instances in failure domains that are drained after the change and were not before. */
+function findEntries({before, after, entries}: FindEntriesOptions): readonly EntryUse[] {
+	const drainedIn = (set: ConfigurationSet): ReadonlySet<string> => new Set(set.drains.filter(({target}) => target.kind === 'failureDomain').map(({target}) => target.name));
+	const earlier = drainedIn(before);
+	const drained = drainedIn(after);
+	return entries.filter(({failureDomain}) => drained.has(failureDomain) && !earlier.has(failureDomain));
+}
+
 function compareCaps({before, after}: {readonly before: ConfigurationSet; readonly after: ConfigurationSet}): Preview['caps'] {
 	const names = new Set([...before.shifts, ...after.shifts].map(({name}) => name));
 	const capOf = (set: ConfigurationSet, name: string): number | undefined => set.shifts.find(shift => shift.name === name)?.capCallsPerSecond;
--- a/cli/pomelopick/test/preview.test.ts
+++ b/cli/pomelopick/test/preview.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {checkConfigurationSet} from '@pomelopick/config.schema';
-import type {ConfigurationSet, ServiceUseReport} from '@pomelopick/core.types';
+import type {ConfigurationSet, StatusReport} from '@pomelopick/core.types';
 import {
-	addDrain, EventMerger, previewChange, removeDrain, setShift,
+	addDrain, compareReports, EventMerger, previewChange, removeDrain, setShift,
 } from '@pomelopick/cli.pomelopick';
-import type {ChangeSet} from '@pomelopick/cli.pomelopick';
+import type {ChangeSet, FleetUse} from '@pomelopick/cli.pomelopick';
 
 const set: ConfigurationSet = checkConfigurationSet({
 	regions: [{name: 'north'}, {name: 'south'}],
@@ -23,15 +23,24 @@
 	}],
 }).unsafeCoerce();
 
-const useOf = (north: number, south: number): ServiceUseReport[] => [
-	{service: 'desk', region: 'north', callsInProgress: north}, {service: 'desk', region: 'south', callsInProgress: south},
-];
+/** Each call is held for half a second. */
+const useOf = (north: number, south: number): FleetUse => ({
+	services: [
+		{
+			service: 'desk', region: 'north', callsInProgress: north, callsPerSecond: north * 2,
+		},
+		{
+			service: 'desk', region: 'south', callsInProgress: south, callsPerSecond: south * 2,
+		},
+	],
+	entries: [{id: 'entry-1', failureDomain: 'north-1', callsInProgress: north}, {id: 'entry-2', failureDomain: 'south-1', callsInProgress: south}],
+});
 
 const drainNorth = addDrain({target: {kind: 'failureDomain', name: 'north-1' as never}});
 const drainSouth = addDrain({target: {kind: 'failureDomain', name: 'south-1' as never}});
 const drainOne = addDrain({target: {kind: 'backendServer', name: 'north-1' as never}});
 
-const cases: ReadonlyArray<{name: string; change: ChangeSet; use: ServiceUseReport[] | undefined; expected: {slotsAfter: number[]; displaced: number; missing: number}}> = [
+const cases: ReadonlyArray<{name: string; change: ChangeSet; use: FleetUse | undefined; expected: {slotsAfter: number[]; displaced: number; missing: number}}> = [
 	{
 		name: 'calls that still fit stay', change: drainOne, use: useOf(9, 0), expected: {slotsAfter: [10, 20], displaced: 0, missing: 0},
 	},
@@ -73,6 +82,117 @@
 	});
 });
 
+const linked: ConfigurationSet = {
+	...set,
+	links: [{
+		name: 'north-south' as never, between: ['north', 'south'] as never, megabitsPerSecond: 0.08, oneWayMs: 1,
+	}],
+	services: set.services.map(service => ({...service, answerBytes: 1000})),
+	shifts: [],
+};
+const newShift = (cap: number): ChangeSet => setShift({
+	name: 'move', service: 'desk', from: 'north', to: 'south', capCallsPerSecond: cap,
+});
+
+interface Judged {
+	readonly links: ReadonlyArray<{readonly added: number; readonly share: number | undefined}>;
+	readonly shiftMoves: ReadonlyArray<{readonly callsPerSecond: number; readonly slots: number}>;
+	readonly entries: readonly string[];
+	readonly shortages: readonly RegExp[];
+}
+
+const judgements: ReadonlyArray<{name: string; before: ConfigurationSet; change: ChangeSet; use: FleetUse | undefined; expected: Judged}> = [
+	{
+		name: 'displaced calls load the link that they cross, and entry instances of a drained domain are named',
+		before: linked,
+		change: drainNorth,
+		use: useOf(4, 0),
+		expected: {
+			links: [{added: 8000, share: 10_000}], shiftMoves: [], entries: ['entry-1'], shortages: [],
+		},
+	},
+	{
+		name: 'displaced calls that the link cannot carry are a shortage',
+		before: linked,
+		change: drainNorth,
+		use: useOf(8, 0),
+		expected: {
+			links: [{added: 16_000, share: 10_000}], shiftMoves: [], entries: ['entry-1'], shortages: [/the link from north to south would carry 16000 B\/s more; the service may use 10000/u],
+		},
+	},
+	{
+		name: 'a new shift moves calls up to its cap, and they hold slots',
+		before: linked,
+		change: newShift(8),
+		use: useOf(10, 0),
+		expected: {
+			links: [{added: 8000, share: 10_000}], shiftMoves: [{callsPerSecond: 8, slots: 4}], entries: [], shortages: [],
+		},
+	},
+	{
+		name: 'a shift moves no more calls than there are',
+		before: linked,
+		change: newShift(1000),
+		use: useOf(2, 0),
+		expected: {
+			links: [{added: 4000, share: 10_000}], shiftMoves: [{callsPerSecond: 4, slots: 2}], entries: [], shortages: [],
+		},
+	},
+	{
+		name: 'a shift to a region without room is a shortage',
+		before: set,
+		change: newShift(1000),
+		use: useOf(10, 15),
+		expected: {
+			links: [{added: 81_920, share: undefined}], shiftMoves: [{callsPerSecond: 20, slots: 10}], entries: [], shortages: [/shift move brings 20\.0 calls\/s to south, about 10 slots; 3 are free/u],
+		},
+	},
+	{
+		name: 'nothing is judged without a live instance',
+		before: linked,
+		change: newShift(1000),
+		use: undefined,
+		expected: {
+			links: [], shiftMoves: [], entries: [], shortages: [],
+		},
+	},
+];
+
+describe('previewChange on links, shifts and entry instances', () => {
+	for (const {name, before, change, use, expected} of judgements) {
+		it(name, () => {
+			const {links, shiftMoves, entriesInDrainedDomains, shortages} = previewChange({before, after: change(before).unsafeCoerce(), use});
+			assert.deepEqual({
+				links: links.map(({addedBytesPerSecond: added, shareBytesPerSecond: share}) => ({added, share})),
+				shiftMoves: shiftMoves.map(({callsPerSecond, slots}) => ({callsPerSecond, slots})),
+				entries: entriesInDrainedDomains.map(({id}) => id),
+			}, {links: expected.links, shiftMoves: expected.shiftMoves, entries: expected.entries});
+			assert.equal(shortages.length, expected.shortages.length);
+			for (const [index, pattern] of expected.shortages.entries()) {
+				assert.match(shortages[index]!.detail, pattern);
+			}
+		});
+	}
+});
+
+describe('compareReports', () => {
+	it('takes rates by each instance\'s own clock and leaves out one that started in between', () => {
+		const report = (instance: string, uptimeMs: number, callsPlaced: number): StatusReport => ({
+			instance,
+			failureDomain: 'north-1',
+			uptimeMs,
+			callsInProgress: 1,
+			serviceUse: [{
+				service: 'desk', region: 'north', callsInProgress: 1, callsPlaced,
+			}],
+		} as unknown as StatusReport);
+		const {services} = compareReports({first: [report('a', 1000, 10), report('b', 9000, 500)], second: [report('a', 3000, 50), report('b', 500, 40)]});
+		assert.deepEqual(services, [{
+			service: 'desk', region: 'north', callsInProgress: 2, callsPerSecond: 20,
+		}]);
+	});
+});
+
 const refused: ReadonlyArray<{name: string; change: ChangeSet; code: string; message: RegExp}> = [
 	{
 		name: 'a second drain of one target', change: addDrain({target: {kind: 'site', name: 'north-site' as never}}), code: 'already-drained', message: /drain-north-site/u,
--- a/core/types/src/operator-reports.ts
+++ b/core/types/src/operator-reports.ts
@@ -59,6 +59,18 @@
 	readonly service: string;
 	readonly region: string;
 	readonly callsInProgress: number;
+	/** Calls sent there since the process started. */
+	readonly callsPlaced: number;
+	/** What the whole fleet uses, where this instance counts the slots. */
+	readonly slots?: SlotUseReport;
+}
+
+/** Slots of one service in one region, as the instance that counts them knows them. */
+export interface SlotUseReport {
+	readonly countedBy: string;
+	readonly inUse: number;
+	/** Calls that the servers have proven they can run at once. */
+	readonly proven: number;
 }
 
 /** Answer to `GET /v1/status` at an instance's listener for operators. */
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -140,6 +140,7 @@
 			lookup,
 			sources: {
 				listCallsInProgress: () => placementCounts.inProgress,
+				listCallsPlaced: () => placementCounts.placed,
 				readSlots: placement.snapshot,
 				listShiftUse: placement.listShiftUse,
 				listQuarantines: () => listQuarantines({table: safety.quarantine.table, nowMs: now()}),
--- a/daemons/entry/src/operators/explain-sources.ts
+++ b/daemons/entry/src/operators/explain-sources.ts
@@ -14,6 +14,8 @@
 export interface ExplainSources {
 	/** Calls that this instance has in progress at each backend server. */
 	readonly listCallsInProgress: () => ReadonlyMap<BackendServerName, number>;
+	/** Calls that this instance placed at each backend server since it started. */
+	readonly listCallsPlaced: () => ReadonlyMap<BackendServerName, number>;
 	readonly readSlots?: ReadSlots;
 	readonly listShiftUse?: ListShiftUse;
 	readonly listQuarantines?: () => readonly QuarantineReport[];
--- a/daemons/entry/src/operators/placement-counts.ts
+++ b/daemons/entry/src/operators/placement-counts.ts
@@ -5,12 +5,18 @@
 /** Counts around a placement. */
 export class PlacementCounts {
 	readonly #inProgress = new Map<BackendServerName, number>();
+	readonly #placed = new Map<BackendServerName, number>();
 
 	/** Calls in progress by backend server; servers without any are left out. */
 	get inProgress(): ReadonlyMap<BackendServerName, number> {
 		return this.#inProgress;
 	}
 
+	/** Calls placed since the start by backend server. */
+	get placed(): ReadonlyMap<BackendServerName, number> {
+		return this.#placed;
+	}
+
 	/** Wraps a placement so that what it places is counted until it is released. */
 	around(placeCall: PlaceCall): PlaceCall {
 		return async options => {
@@ -22,6 +28,7 @@
 	#count(placement: Placement): Placement {
 		const {name} = placement.server;
 		this.#add(name, 1);
+		this.#placed.set(name, (this.#placed.get(name) ?? 0) + 1);
 		return {
 			...placement,
 			release: (end: AttemptEnd) => {
--- a/daemons/entry/src/operators/status.ts
+++ b/daemons/entry/src/operators/status.ts
@@ -1,15 +1,15 @@
 /** The status of one instance. */
 import process from 'node:process';
 import type {
-	BackendServerName, ConfigurationSet, Drain, DrainReport, ServiceUseReport, ShiftReport, StatusReport,
+	BackendServerName, ConfigurationSet, Drain, DrainReport, ShiftReport, StatusReport,
 } from '@pomelopick/core.types';
 import type {Counters} from '@pomelopick/core.telemetry';
 import type {ConfigurationHolder} from '@pomelopick/config.distribution';
 import type {Settings} from '@pomelopick/config.settings';
 import {listDrainedServers} from '@pomelopick/steering.choice';
-import {Topology} from '@pomelopick/steering.lookup';
 import type {LookupView} from '../lookup-view.js';
 import type {ExplainSources} from './explain-sources.js';
+import {listServiceUse} from './service-use.js';
 
 /** Options of {@link createStatus}. */
 export interface CreateStatusOptions {
@@ -43,7 +43,7 @@
 		drains: set ? set.drains.map(drain => reportDrain({set, drain, inProgress})) : [],
 		shifts: set ? listShifts({set, sources}) : [],
 		quarantines: sources.listQuarantines?.() ?? [],
-		serviceUse: set ? listServiceUse({set, inProgress}) : [],
+		serviceUse: set ? listServiceUse({instance: settings.instance, set, sources}) : [],
 		store: sources.storeState(),
 		counters: counters.snapshot(),
 		memoryBytes: process.memoryUsage().rss,
@@ -69,16 +69,3 @@
 		};
 	});
 }
-
-function listServiceUse({set, inProgress}: {readonly set: ConfigurationSet; readonly inProgress: ReadonlyMap<BackendServerName, number>}): ServiceUseReport[] {
-	const topology = new Topology(set);
-	const uses = new Map<string, ServiceUseReport>();
-	for (const {name, service, site} of set.backendServers) {
-		const count = inProgress.get(name) ?? 0;
-		const region = topology.regionOfSite(site) ?? '';
-		const key = `${service} ${region}`;
-		uses.set(key, {service, region, callsInProgress: (uses.get(key)?.callsInProgress ?? 0) + count});
-	}
-
-	return [...uses.values()];
-}
