Try exit code 4, and name the flag that is missing or unknown

Cause: no test brought about a publish whose outcome stays unknown; a drain that ended so said nothing of what to do next; a missing flag was answered with 'Command not found' and a list of commands (seen against the demo fleet).

Flags that are missing or unknown are named, one a line. A shift that moves calls is taken to hold at least one slot, since a sample of short calls may show none in progress.

--- a/cli/pomelopick/src/change-command.ts
+++ b/cli/pomelopick/src/change-command.ts
@@ -124,7 +124,7 @@
 			}
 
 			case 'undecided': {
-				return this.fail({error: {code: 'undecided', message: `publish ${outcome.publishId}: ${outcome.detail}`}, exitCode: exitCodes.undecided});
+				return this.fail({error: {code: 'undecided', message: `publish ${outcome.publishId}: ${outcome.detail}; "config history" names this publish if it took effect`}, exitCode: exitCodes.undecided});
 			}
 		}
 	}
--- a/cli/pomelopick/src/index.ts
+++ b/cli/pomelopick/src/index.ts
@@ -49,3 +49,4 @@
 export * from './fleet-use.js';
 export * from './preview.js';
 export * from './publish-change.js';
+export * from './usage-error.js';
--- a/cli/pomelopick/src/preview-shifts.ts
+++ b/cli/pomelopick/src/preview-shifts.ts
@@ -9,7 +9,7 @@
 	readonly from: string;
 	readonly to: string;
 	readonly callsPerSecond: number;
-	/** Slots that these calls hold on average, at the time that calls are held in the region they leave. */
+	/** Slots that these calls hold, by the calls in progress in the region they leave; at least 1. */
 	readonly slots: number;
 }
 
@@ -31,7 +31,7 @@
 			return [];
 		}
 
-		const slots = Math.ceil(callsPerSecond * use.callsInProgress / use.callsPerSecond);
+		const slots = Math.max(1, Math.ceil(callsPerSecond * use.callsInProgress / use.callsPerSecond));
 		return [{
 			shift: name, service, from, to, callsPerSecond, slots,
 		}];
--- /dev/null
+++ b/cli/pomelopick/src/usage-error.ts
@@ -0,0 +1,31 @@
+/** Says what is wrong with words that name a command but do not fit it. */
+import type {Cli} from 'clipanion';
+
+/** Options of {@link describeUsageError}. */
+export interface DescribeUsageErrorOptions {
+	readonly cli: Cli;
+	/** Arguments of the program. */
+	readonly words: readonly string[];
+}
+
+/** One line for each flag that is unknown or missing, with the command's usage; undefined when no command is named or its flags fit. */
+export function describeUsageError({cli, words}: DescribeUsageErrorOptions): string | undefined {
+	const command = cli.definitions().find(({path}) => isPrefix({path: path.split(' ').slice(1), words}));
+	if (!command) {
+		return undefined;
+	}
+
+	const flags = words.filter(word => word.startsWith('-')).map(word => word.split('=')[0]!);
+	const names = (definition: string): readonly string[] => definition.split(' ')[0]!.split(',');
+	const known = new Set(['--help', '-h', ...command.options.flatMap(({definition}) => names(definition))]);
+	const unknown = flags.filter(flag => !known.has(flag)).map(flag => `bad-flag: ${flag}: unknown`);
+	const missing = command.options
+		.filter(({definition, required}) => required && !names(definition).some(name => flags.includes(name)))
+		.map(({definition, description = ''}) => `bad-flag: ${definition.split(' ')[0]!}: missing; ${description}`);
+	const lines = [...unknown, ...missing];
+	return lines.length === 0 ? undefined : `${[...lines, `usage: ${command.usage}`].join('\n')}\n`;
+}
+
+function isPrefix({path, words}: {readonly path: readonly string[]; readonly words: readonly string[]}): boolean {
+	return path.length > 0 && path.every((part, index) => words[index] === part);
+}
