--- a/testing/bench/src/capacity/publishing-role.ts
+++ b/testing/bench/src/capacity/publishing-role.ts
@@ -41,7 +41,7 @@
 			role: 'configuration distribution', quantity: 'checking a whole set', unit: 'ms of a core', pick: ({checkMs}) => checkMs,
 		}),
 		fit({
-			role: 'configuration distribution', quantity: 'held set', unit: 'bytes', pick: ({heldBytes}) => heldBytes,
+			role: 'configuration distribution', quantity: 'a set as objects', unit: 'bytes', pick: ({heldBytes}) => heldBytes,
 		}),
 		fit({
 			role: 'configuration distribution', quantity: 'stored chunks', unit: 'bytes', pick: ({chunkBytes}) => chunkBytes,
