--- a/cli/pomelopick/src/index.ts
+++ b/cli/pomelopick/src/index.ts
@@ -46,5 +46,7 @@
 
 export * from './change-set.js';
 export * from './fleet-events.js';
+export * from './fleet-use.js';
 export * from './preview.js';
 export * from './publish-change.js';
+export * from './usage-error.js';
