--- a/calls/placement/src/owner-group.ts
+++ b/calls/placement/src/owner-group.ts
@@ -3,9 +3,12 @@
 import type {
 	BackendServer, BackendServerName, ConfigurationSet, InstanceId, RefusalReason, RegionName, Service,
 } from '@pomelopick/core.types';
+import type {Cancellation} from '@pomelopick/calls.forwarding';
 import {expectedWaitMs, spillSlots} from '@pomelopick/steering.capacity';
 import {listDrainedServers, SlotBook} from '@pomelopick/steering.choice';
-import type {DrawInteger, NamedSlot, SlotEnd} from '@pomelopick/steering.choice';
+import type {
+	DrawInteger, NamedSlot, ReleaseOptions, SlotEnd,
+} from '@pomelopick/steering.choice';
 import {LinkBudget, linkShareBytesPerSecond} from '@pomelopick/steering.links';
 import {FairQueue} from '@pomelopick/steering.queue';
 import type {
@@ -35,6 +38,9 @@
 	readonly onSpillEnd: (options: {readonly from: RegionName; readonly end: SlotEnd; readonly heldMs: number}) => void;
 }
 
+/** Options of {@link OwnerGroup.release}. */
+export type ReleaseSlotOptions = Omit<ReleaseOptions, 'nowMs'>;
+
 interface Waiter {
 	readonly request: SlotRequest;
 	readonly arrivedAtMs: number;
@@ -78,7 +84,7 @@
 	}
 
 	/** Hands out a slot, lets the request wait for one, or refuses it at once. */
-	async acquire({request, signal}: {readonly request: SlotRequest; readonly signal: AbortSignal}): Promise<SlotAnswer> {
+	async acquire({request, cancellation}: {readonly request: SlotRequest; readonly cancellation: Pick<Cancellation, 'signal'>}): Promise<SlotAnswer> {
 		const nowMs = this.#options.now();
 		this.#isSubstitute = request.isSubstitute;
 		const isReady = nowMs >= this.#readyAtMs;
@@ -97,11 +103,11 @@
 		}
 
 		const refusal = isReady ? this.#refuseToWait({request, nowMs}) : undefined;
-		return refusal ? Left(refusal) : this.#wait({request, nowMs, signal});
+		return refusal ? Left(refusal) : this.#wait({request, nowMs, signal: cancellation.signal});
 	}
 
 	/** Gives a slot back. */
-	release({slotId, end}: {readonly slotId: string; readonly end: SlotEnd}): void {
+	release({slotId, end, mayBeNamedLater = true}: ReleaseSlotOptions): void {
 		const nowMs = this.#options.now();
 		const spilled = this.#spilled.get(slotId);
 		if (spilled) {
@@ -109,7 +115,9 @@
 			this.#options.onSpillEnd({from: spilled.from, end, heldMs: nowMs - spilled.takenAtMs});
 		}
 
-		this.#book.release({slotId, end, nowMs});
+		this.#book.release({
+			slotId, end, nowMs, mayBeNamedLater,
+		});
 		this.#serve(nowMs);
 	}
 
--- a/daemons/entry/src/operators/placement-counts.ts
+++ b/daemons/entry/src/operators/placement-counts.ts
@@ -26,11 +26,15 @@
 	}
 
 	#count(placement: Placement): Placement {
-		const {name} = placement.server;
+		const {server, failureDomain, why, waitedMs} = placement;
+		const {name} = server;
 		this.#add(name, 1);
 		this.#placed.set(name, (this.#placed.get(name) ?? 0) + 1);
 		return {
-			...placement,
+			server,
+			failureDomain,
+			why,
+			waitedMs,
 			release: (end: AttemptEnd) => {
 				this.#add(name, -1);
 				placement.release(end);
