Stop real publishers and collectors between their steps, and count what a collection deleted

Cause: that a paused publisher or collector does no harm was shown with hooks inside one process alone. A collection also reported every old version as deleted, those included that another collection had deleted first.

Ruled out: stopping the processes at drawn times; the steps take under a millisecond each and most draws would miss them.

A collection counts the versions that it deleted itself.

--- a/config/publishing/src/collect.ts
+++ b/config/publishing/src/collect.ts
@@ -129,8 +129,10 @@
 	return deletedChunks.caseOf<Promise<Either<ReadConfigurationError, CollectOutcome>>>({
 		Left: async error => Left(error),
 		async Right(chunkCount) {
-			const deleted = await deleteAll({store, keys: [...forgotten, ...ended]});
-			return deleted.map(() => ({deletedChunks: chunkCount, deletedVersions: forgotten.length, sparedChunks: garbage.size - chunkCount}));
+			const deletedVersions = await deleteAll({store, keys: forgotten});
+			const deletedIntents = await deleteAll({store, keys: ended});
+			return deletedIntents.chain(() => deletedVersions)
+				.map(versionCount => ({deletedChunks: chunkCount, deletedVersions: versionCount, sparedChunks: garbage.size - chunkCount}));
 		},
 	});
 }
--- a/testing/platform-stand-in/src/faults.ts
+++ b/testing/platform-stand-in/src/faults.ts
@@ -14,6 +14,20 @@
 	instanceListLagMs: number;
 }
 
+/** A write of a key. */
+export interface PlatformWrite {
+	readonly method: 'PUT' | 'DELETE';
+	readonly key: string;
+}
+
+/** What a test does around writes; the write, or its answer, waits for it. */
+export interface WriteHooks {
+	/** Before a write takes effect. */
+	before?: (write: PlatformWrite) => Promise<void>;
+	/** After it took effect and before it is answered. */
+	after?: (write: PlatformWrite) => Promise<void>;
+}
+
 /** Calls served since the start. */
 export interface PlatformCounters {
 	reads: number;
--- a/testing/platform-stand-in/src/platform-stand-in.ts
+++ b/testing/platform-stand-in/src/platform-stand-in.ts
@@ -12,7 +12,9 @@
 import {
 	RateLimiter,
 } from './faults.js';
-import type {PlatformCounters, PlatformFaults, RateLimits} from './faults.js';
+import type {
+	PlatformCounters, PlatformFaults, PlatformWrite, RateLimits, WriteHooks,
+} from './faults.js';
 import {LaggingInstances, toHealthEntry} from './instances.js';
 import {KeyValues, MOST_VALUE_BYTES} from './key-values.js';
 import type {StoredEntry} from './key-values.js';
@@ -30,6 +32,7 @@
 export interface PlatformStandIn {
 	readonly endpoint: Endpoint;
 	readonly faults: PlatformFaults;
+	readonly writeHooks: WriteHooks;
 	readonly counters: PlatformCounters;
 	readonly keyValues: KeyValues;
 	readonly instances: LaggingInstances;
@@ -61,6 +64,7 @@
 	return {
 		endpoint: {address: '127.0.0.1', port: (server.address() as AddressInfo).port},
 		faults: platform.faults,
+		writeHooks: platform.writeHooks,
 		counters: platform.counters,
 		keyValues: platform.keyValues,
 		instances: platform.instances,
@@ -73,6 +77,8 @@
 		outage: false, slownessMs: 0, loseNextWriteAnswers: 0, silent: false, instanceListLagMs: 0,
 	};
 
+	readonly writeHooks: WriteHooks = {};
+
 	readonly counters: PlatformCounters = {
 		reads: 0, writes: 0, watches: 0, rateLimited: 0, bytes: 0,
 	};
@@ -113,7 +119,16 @@
 			return;
 		}
 
+		const write = describeWrite({request, url, body});
+		if (write) {
+			await this.writeHooks.before?.(write);
+		}
+
 		const answer = await this.#answer({request, url, body});
+		if (write) {
+			await this.writeHooks.after?.(write);
+		}
+
 		if (this.faults.outage || this.faults.silent) {
 			if (this.faults.outage) {
 				request.socket.destroy();
@@ -262,6 +277,17 @@
 	}
 }
 
+/** Undefined for reads and calls about sessions. */
+function describeWrite({request, url, body}: {readonly request: IncomingMessage; readonly url: URL; readonly body: Uint8Array}): PlatformWrite | undefined {
+	if (url.pathname === '/v1/txn') {
+		const [operation] = JSON.parse(new TextDecoder().decode(body)) as [TransactionOperation];
+		return {method: 'PUT', key: operation.KV.Key};
+	}
+
+	const isWrite = url.pathname.startsWith('/v1/kv/') && request.method !== 'GET';
+	return isWrite ? {method: request.method === 'DELETE' ? 'DELETE' : 'PUT', key: decodeURIComponent(url.pathname.slice('/v1/kv/'.length))} : undefined;
+}
+
 function send({response, answer}: {readonly response: ServerResponse; readonly answer: Answer}): number {
 	const text = typeof answer.body === 'string' ? answer.body : JSON.stringify(answer.body);
 	response.writeHead(answer.status, {'content-type': 'application/json', ...(answer.index !== undefined && {'x-consul-index': String(answer.index)})});
