Say ran where the head of a successful answer came

Cause: ran was never said as an outcome of a call; a write whose 200 answer was cut was told unknown, although the server had run it.

Change: a failed attempt whose answer began with a status from 200 to 299 is ran, also when the deadline passed before its body was whole. Other statuses stay unknown. Three cases of the answer test now expect ran instead of unknown, which is stricter; two cases are new.

Conclusion: callers hear that a write was run wherever its server said so before the answer broke off.

--- a/calls/forwarding/src/attempt.ts
+++ b/calls/forwarding/src/attempt.ts
@@ -175,6 +175,7 @@
 		const result = await exchange.result;
 		const isShed = result.map(({status}) => status === SHED_STATUS).orDefault(false);
 		call.mayHaveRun ||= exchange.mayHaveRun && !isShed;
+		call.hasRun ||= result.swap().map(({execution}) => execution === 'ran').orDefault(false);
 		if (!exchange.mayHaveRun) {
 			call.sentAttempts -= 1;
 		}
@@ -201,7 +202,7 @@
 
 	async #onFailure(failure: AttemptFailure): Promise<Either<FailedAttempt, Answered>> {
 		const {server} = this.#placement!;
-		if ((failure.kind === 'failed' || failure.kind === 'truncated') && failure.execution === 'unknown') {
+		if ((failure.kind === 'failed' || failure.kind === 'truncated') && failure.execution !== 'not-run') {
 			await this.#options.parts.deathWatch.judgeLoss(server);
 		}
 
--- a/calls/forwarding/src/call-run.ts
+++ b/calls/forwarding/src/call-run.ts
@@ -71,7 +71,7 @@
 
 	#finalRefusal(refusal: Refusal): Refusal {
 		const {call} = this.#options;
-		const execution = call.mayHaveRun ? 'unknown' : refusal.execution;
+		const execution = call.hasRun ? 'ran' : (call.mayHaveRun ? 'unknown' : refusal.execution);
 		if (this.#isConvicted()) {
 			return {reason: 'request-quarantined', execution, detail: `the request is taken to crash backend servers (${refusal.detail})`};
 		}
--- a/calls/forwarding/src/call-state.ts
+++ b/calls/forwarding/src/call-state.ts
@@ -40,6 +40,8 @@
 	isSuspect = false;
 	/** Whether any attempt may have been run; once set, no refusal says "not run". */
 	mayHaveRun = false;
+	/** Whether any attempt surely was run: the head of its successful answer came. */
+	hasRun = false;
 	waitedMs = 0;
 	lastServer: BackendServerName | undefined;
 	why = '';
--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -16,8 +16,8 @@
 /** An attempt without an answer. */
 export interface AttemptFailure {
 	readonly kind: AttemptFailureKind;
-	/** Whether the backend server may have run the call. */
-	readonly execution: Exclude<Execution, 'ran'>;
+	/** Whether the backend server ran the call: `ran` when the head of a successful answer came and only its body is missing. */
+	readonly execution: Execution;
 	readonly detail: string;
 }
 
@@ -125,13 +125,13 @@
 			return;
 		}
 
+		this.#head = {status, headers: endToEndHeaders(headers)};
 		const hasBody = method !== 'HEAD' && status !== NO_CONTENT && status !== NOT_MODIFIED;
 		if (hasBody && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined) {
 			this.abort({kind: 'truncated', detail: 'the answer has neither a length nor chunks, so its end cannot be told from a cut'});
 			return;
 		}
 
-		this.#head = {status, headers: endToEndHeaders(headers)};
 		if (hasBody && Number(headers['content-length'] ?? 0) > this.#options.heldBytes) {
 			this.#startForwarding(controller);
 		}
@@ -177,8 +177,13 @@
 		this.#fail({kind, execution: this.#execution, detail});
 	}
 
-	get #execution(): 'not-run' | 'unknown' {
-		return this.mayHaveRun ? 'unknown' : 'not-run';
+	get #execution(): Execution {
+		if (!this.mayHaveRun) {
+			return 'not-run';
+		}
+
+		const status = this.#head?.status ?? 0;
+		return status >= FIRST_SUCCESS && status <= LAST_SUCCESS ? 'ran' : 'unknown';
 	}
 
 	#noteLife(): void {
@@ -211,6 +216,8 @@
 	}
 }
 
+const FIRST_SUCCESS = 200;
+const LAST_SUCCESS = 299;
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
 
--- a/calls/forwarding/test/answer.test.ts
+++ b/calls/forwarding/test/answer.test.ts
@@ -40,20 +40,30 @@
 		},
 	},
 	{
-		name: 'refuses an answer shorter than its length', expected: {status: 502, reason: 'answer-truncated', execution: 'unknown'}, script({socket}) {
+		name: 'refuses an answer shorter than its length', expected: {status: 502, reason: 'answer-truncated', execution: 'ran'}, script({socket}) {
 			socket.end('HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nhalf');
 		},
 	},
 	{
-		name: 'refuses chunks without an end', expected: {status: 502, reason: 'answer-truncated', execution: 'unknown'}, script({socket}) {
+		name: 'refuses chunks without an end', expected: {status: 502, reason: 'answer-truncated', execution: 'ran'}, script({socket}) {
 			socket.end('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nwho\r\n');
 		},
 	},
 	{
-		name: 'refuses an answer whose end cannot be told', expected: {status: 502, reason: 'answer-truncated', execution: 'unknown'}, script({socket}) {
+		name: 'refuses an answer whose end cannot be told', expected: {status: 502, reason: 'answer-truncated', execution: 'ran'}, script({socket}) {
 			socket.end('HTTP/1.1 200 OK\r\n\r\nhalf or whole?');
 		},
 	},
+	{
+		name: 'says unknown of a write whose failed answer was cut', method: 'POST', expected: {status: 502, reason: 'answer-truncated', execution: 'unknown'}, script({socket}) {
+			socket.end('HTTP/1.1 500 Internal Server Error\r\ncontent-length: 50\r\n\r\nhalf');
+		},
+	},
+	{
+		name: 'says ran of a write whose body did not come by the deadline', method: 'POST', timeoutMs: 800, expected: {status: 504, reason: 'deadline-exceeded', execution: 'ran'}, script({socket}) {
+			socket.write('HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nhalf');
+		},
+	},
 	{
 		name: 'refuses the answer of another call', expected: {status: 502, reason: 'answer-mismatched', execution: 'unknown'}, script({socket}) {
 			socket.write(wholeAnswer({callId: 'another'}));
