Drive histories over failing server paths, planned stops, read outcomes and large bodies

Cause: histories had no fault between entry instances and backend servers, no planned stop under faults, no read of a key's outcome and no body beyond what a call without a key holds.

Change: a proxy before each backend server (cut, silence each way, delay); a planned stop as a fault; a third of the keys is read back at any instance and checked (not run, ran, the kept answer); one keyed body in twenty is 70 to 400 KB. The checker has a new property, ran-is-true.

--- a/testing/fleet/src/fleet.ts
+++ b/testing/fleet/src/fleet.ts
@@ -3,7 +3,6 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {request} from 'undici';
 import {checkConfigurationSet} from '@pomelopick/config.schema';
 import type {ConfigurationSetInput} from '@pomelopick/config.schema';
 import {publishConfiguration} from '@pomelopick/config.publishing';
@@ -20,6 +19,7 @@
 	listDomains, planServers, toConfigurationSet,
 } from './deployment.js';
 import {readExecutions} from './execution-file.js';
+import {getJson, postJson} from './json.js';
 import type {Deployment, PlannedServer} from './deployment.js';
 
 const LOOPBACK = '127.0.0.1';
@@ -35,6 +35,8 @@
 	readonly adjustSettings?: (settings: SettingsInput) => SettingsInput | Promise<SettingsInput>;
 	/** Changes what the platform's list says of an entry, for example to lead others to it through a fault proxy. */
 	readonly adjustInstance?: (instance: Instance) => Instance | Promise<Instance>;
+	/** Changes where entries find a backend server, for example to lead them through a fault proxy. */
+	readonly adjustBackend?: (endpoint: Endpoint) => Promise<Endpoint>;
 	/** Changes the set before it is published. */
 	readonly adjustSet?: (set: ConfigurationSetInput) => ConfigurationSetInput;
 	/** Program of the entry instances, the entry daemon by default, and what follows the settings file on its command line. */
@@ -67,6 +69,8 @@
 export interface BackendProcess {
 	readonly planned: PlannedServer;
 	readonly endpoint: Endpoint;
+	/** Where entries find it. */
+	readonly listed: Endpoint;
 	child: Child<Endpoint>;
 }
 
@@ -107,7 +111,7 @@
 
 	/** The set that describes this fleet. */
 	configurationSet(): ConfigurationSetInput {
-		const endpoints = new Map(this.backends.map(({planned, endpoint}) => [planned.name, endpoint]));
+		const endpoints = new Map(this.backends.map(({planned, listed}) => [planned.name, listed]));
 		const set = toConfigurationSet({deployment: this.#options.deployment, endpoints});
 		return this.#options.adjustSet?.(set) ?? set;
 	}
@@ -268,13 +272,17 @@
 	}
 
 	async #forget(entry: EntryProcess): Promise<void> {
-		this.entries.splice(this.entries.indexOf(entry), 1);
+		// Two faults at the same time may have ended the same instance.
+		this.entries.splice(0, this.entries.length, ...this.entries.filter(other => other !== entry));
 		await postJson({endpoint: this.platform, path: '/stand-in/deregister', body: {id: entry.instance.id}});
 	}
 
 	async #startBackend(planned: PlannedServer): Promise<BackendProcess> {
 		const child = await this.#spawnBackend({planned, port: 0});
-		return {planned, endpoint: child.announcement, child};
+		const endpoint = child.announcement;
+		return {
+			planned, endpoint, listed: await this.#options.adjustBackend?.(endpoint) ?? endpoint, child,
+		};
 	}
 
 	#executionFile({name}: PlannedServer): string {
@@ -290,15 +298,3 @@
 		});
 	}
 }
-
-/** Reads JSON from a process of the fleet. */
-export async function getJson<Shape>({endpoint, path: url}: {readonly endpoint: Endpoint; readonly path: string}): Promise<Shape> {
-	const response = await request(`http://${endpoint.address}:${endpoint.port}${url}`);
-	return await response.body.json() as Shape;
-}
-
-/** Sends JSON to a process of the fleet. */
-export async function postJson({endpoint, path: url, body}: {readonly endpoint: Endpoint; readonly path: string; readonly body: unknown}): Promise<void> {
-	const response = await request(`http://${endpoint.address}:${endpoint.port}${url}`, {method: 'POST', body: JSON.stringify(body)});
-	await response.body.dump();
-}
--- a/testing/history/src/check-history.ts
+++ b/testing/history/src/check-history.ts
@@ -3,7 +3,7 @@
 import type {CopyRecord, History} from './records.js';
 
 /** What must hold. */
-export type Property = 'whole-own-answer' | 'at-most-once' | 'not-run-is-true' | 'one-outcome-a-key' | 'answers-were-executed';
+export type Property = 'whole-own-answer' | 'at-most-once' | 'not-run-is-true' | 'ran-is-true' | 'one-outcome-a-key' | 'answers-were-executed';
 
 /** A breach of a property. */
 export interface Violation {
@@ -19,7 +19,9 @@
 		...checkAnswers(history),
 		...checkExecutions(history),
 		...checkNotRun(history),
+		...checkRan(history),
 		...checkOutcomes(history),
+		...checkRead(history),
 		...checkExecuted(history),
 	];
 }
@@ -54,6 +56,15 @@
 		});
 }
 
+/** A copy that was told "ran" was executed, or its key was. */
+function checkRan({copies, executions}: History): readonly Violation[] {
+	const calls = new Set(executions.map(({callId}) => callId));
+	const keys = new Set(executions.map(({idempotencyKey}) => idempotencyKey));
+	return copies
+		.filter(({execution, key, callId}) => execution === 'ran' && !calls.has(callId ?? '') && (key === undefined || !keys.has(key)))
+		.map(copy => ({property: 'ran-is-true', subject: subjectOf(copy), detail: `told ${copy.reason}, never executed`}));
+}
+
 /** All answers under one key are those of one execution. */
 function checkOutcomes({copies}: History): readonly Violation[] {
 	const answered = copies.filter(({key, ended}) => key !== undefined && ended === 'answered');
@@ -63,6 +74,20 @@
 		.map(({key, answers}) => ({property: 'one-outcome-a-key', subject: key, detail: `answered with the outcomes of the calls ${[...answers].join(', ')}`}));
 }
 
+/** What instances said of keys: "not run" of keys that had not been run, "ran" and kept answers of keys that had. */
+function checkRead({outcomes = [], executions}: History): readonly Violation[] {
+	const byKey = groupBy(executions, ({idempotencyKey}) => idempotencyKey ?? '');
+	return outcomes.flatMap(({key, execution, startedAtMs, answeredCallId}): readonly Violation[] => {
+		const ofKey = byKey.get(key) ?? [];
+		if (execution === 'not-run') {
+			return ofKey.filter(run => run.startedAtMs < startedAtMs).map(({callId}) => ({property: 'not-run-is-true', subject: key, detail: `read as not run, executed for call ${callId}`}));
+		}
+
+		const isKnown = answeredCallId === undefined ? ofKey.length > 0 : ofKey.some(({callId}) => callId === answeredCallId);
+		return execution === 'ran' && !isKnown ? [{property: 'ran-is-true', subject: key, detail: `read as run, with the answer of call ${answeredCallId}`}] : [];
+	});
+}
+
 /** Every answer is that of an execution. */
 function checkExecuted({copies, executions}: History): readonly Violation[] {
 	const executed = new Set(executions.map(({callId}) => callId));
--- a/testing/history/src/faults.ts
+++ b/testing/history/src/faults.ts
@@ -9,6 +9,7 @@
 export const faultNames = [
 	'entry-killed',
 	'entry-paused',
+	'entry-stopped',
 	'callers-cut',
 	'callers-silent',
 	'peers-cut',
@@ -23,6 +24,10 @@
 	'backend-drained',
 	'backend-late',
 	'backend-truncates',
+	'backend-path-cut',
+	'backend-path-silent-to-server',
+	'backend-path-silent-to-client',
+	'backend-path-delayed',
 ] as const;
 
 /** Name of a fault. */
@@ -41,7 +46,11 @@
 const SLOW_STORE_MS = 250;
 const LOST_ANSWERS = 6;
 const TRUNCATE_EVERY = 3;
-const noPathFaults: Partial<PathFaults> = {cut: false, silentToServer: false, silentToClient: false};
+const PATH_DELAY_MS = 150;
+const PATH_JITTER_MS = 300;
+const noPathFaults: Partial<PathFaults> = {
+	cut: false, silentToServer: false, silentToClient: false, delayMs: 0, jitterMs: 0,
+};
 
 let replacements = 0;
 
@@ -50,6 +59,11 @@
 	const {fleet} = proxied;
 	const pickEntry = (): EntryProcess => fleet.entries[draw(fleet.entries.length)]!;
 	const pickBackend = (): BackendProcess => fleet.backends[draw(fleet.backends.length)]!;
+	const replace = async ({instance}: EntryProcess): Promise<void> => {
+		replacements += 1;
+		await fleet.startEntry({id: `${instance.id.split('.')[0]}.${replacements}`, failureDomain: instance.failureDomain});
+	};
+
 	const onPath = async (path: keyof EntryPaths, faults: Partial<PathFaults>): Promise<void> => {
 		const proxy = proxied.pathsOf(pickEntry())[path];
 		proxy.set(faults);
@@ -57,6 +71,13 @@
 		proxy.set(noPathFaults);
 	};
 
+	const onBackendPath = async (faults: Partial<PathFaults>): Promise<void> => {
+		const proxy = proxied.pathOf(pickBackend());
+		proxy.set(faults);
+		await sleep(durationMs);
+		proxy.set(noPathFaults);
+	};
+
 	const onBackend = async (faulty: Partial<BackendBehaviour>, sound: Partial<BackendBehaviour>): Promise<void> => {
 		const backend = pickBackend();
 		await changeBehaviour({fleet, backend, behaviour: faulty});
@@ -70,8 +91,7 @@
 				const entry = pickEntry();
 				await fleet.killEntry(entry);
 				await sleep(durationMs);
-				replacements += 1;
-				await fleet.startEntry({id: `${entry.instance.id.split('.')[0]}.${replacements}`, failureDomain: entry.instance.failureDomain});
+				await replace(entry);
 			}
 		},
 		async 'entry-paused'() {
@@ -80,6 +100,13 @@
 			await sleep(durationMs);
 			child.signal('SIGCONT');
 		},
+		async 'entry-stopped'() {
+			if (fleet.entries.length > 2) {
+				const entry = pickEntry();
+				await Promise.all([fleet.stopEntry(entry), sleep(durationMs)]);
+				await replace(entry);
+			}
+		},
 		'callers-cut': async () => onPath('callers', {cut: true}),
 		'callers-silent': async () => onPath('callers', {silentToClient: true}),
 		'peers-cut': async () => onPath('peers', {cut: true}),
@@ -111,6 +138,10 @@
 		},
 		'backend-drained': async () => onBackend({draining: true}, {draining: false}),
 		'backend-late': async () => onBackend({workMs: LATE_WORK_MS}, {workMs: 20}),
+		'backend-path-cut': async () => onBackendPath({cut: true}),
+		'backend-path-silent-to-server': async () => onBackendPath({silentToServer: true}),
+		'backend-path-silent-to-client': async () => onBackendPath({silentToClient: true}),
+		'backend-path-delayed': async () => onBackendPath({delayMs: PATH_DELAY_MS, jitterMs: PATH_JITTER_MS}),
 		'backend-truncates': async () => onBackend({truncateEvery: TRUNCATE_EVERY}, {truncateEvery: 0}),
 	};
 	await faults[name]();
--- a/testing/history/src/index.ts
+++ b/testing/history/src/index.ts
@@ -2,6 +2,7 @@
 export * from './check-history.js';
 export * from './faults.js';
 export * from './proxied-fleet.js';
+export * from './read-outcome.js';
 export type * from './records.js';
 export * from './run.js';
 export * from './send-copy.js';
--- a/testing/history/src/proxied-fleet.ts
+++ b/testing/history/src/proxied-fleet.ts
@@ -4,7 +4,7 @@
 import type {FaultProxy} from '@pomelopick/testing.fault-proxy';
 import {startFleet} from '@pomelopick/testing.fleet';
 import type {
-	Deployment, EntryProcess, Fleet, StartFleetOptions,
+	BackendProcess, Deployment, EntryProcess, Fleet, StartFleetOptions,
 } from '@pomelopick/testing.fleet';
 import type {Target} from './workload.js';
 
@@ -32,6 +32,8 @@
 	readonly fleet: Fleet;
 	/** Proxies around an entry instance. */
 	pathsOf(entry: EntryProcess): EntryPaths;
+	/** Proxy between all entry instances and a backend server. */
+	pathOf(backend: BackendProcess): FaultProxy;
 	/** Instances that callers know. */
 	targets(): readonly Target[];
 	stop(): Promise<void>;
@@ -41,6 +43,7 @@
 export async function startProxiedFleet({deployment, entries, seed, behaviour, debug}: StartProxiedFleetOptions): Promise<ProxiedFleet> {
 	const storePaths = new Map<string, FaultProxy>();
 	const paths = new Map<string, EntryPaths>();
+	const backendPaths = new Map<number, FaultProxy>();
 	let started = 0;
 	const startProxy = async (target: Endpoint): Promise<FaultProxy> => {
 		started += 1;
@@ -57,6 +60,11 @@
 			storePaths.set(settings.instance, proxy);
 			return {...settings, store: proxy.endpoint, instanceList: proxy.endpoint};
 		},
+		async adjustBackend(endpoint) {
+			const proxy = await startProxy(endpoint);
+			backendPaths.set(endpoint.port, proxy);
+			return proxy.endpoint;
+		},
 		async adjustInstance(instance): Promise<Instance> {
 			const around: EntryPaths = {callers: await startProxy(instance.callers), peers: await startProxy(instance.peers), store: storePaths.get(instance.id)!};
 			paths.set(instance.id, around);
@@ -66,10 +74,12 @@
 	return {
 		fleet,
 		pathsOf: ({instance}) => paths.get(instance.id)!,
+		pathOf: ({endpoint}) => backendPaths.get(endpoint.port)!,
 		targets: () => fleet.entries.map(({instance}) => ({instance: instance.id, endpoint: instance.callers})),
 		async stop() {
 			await fleet.stop();
 			await Promise.all([...paths.values()].flatMap(({callers, peers, store}) => [callers.stop(), peers.stop(), store.stop()]));
+			await Promise.all([...backendPaths.values()].map(async proxy => proxy.stop()));
 		},
 	};
 }
--- a/testing/history/src/records.ts
+++ b/testing/history/src/records.ts
@@ -24,8 +24,20 @@
 	readonly detail?: string;
 }
 
+/** What an instance said of a key when it was asked for its outcome. */
+export interface OutcomeRecord {
+	readonly key: string;
+	readonly state: 'absent' | 'in-flight' | 'unknown' | 'ran' | 'expired';
+	readonly execution: ExecutionState;
+	/** Wall-clock time, in milliseconds since the epoch. */
+	readonly startedAtMs: number;
+	/** Identifier of the call whose answer was kept, as the backend server wrote it. */
+	readonly answeredCallId?: string;
+}
+
 /** All that one run left behind. */
 export interface History {
+	readonly outcomes?: readonly OutcomeRecord[];
 	readonly copies: readonly CopyRecord[];
 	readonly executions: readonly Execution[];
 }
--- a/testing/history/src/run.ts
+++ b/testing/history/src/run.ts
@@ -53,8 +53,8 @@
 
 	await sleep(SETTLE_MS);
 	ended.abort();
-	const copies = await running;
+	const {copies, outcomes} = await running;
 	const executions = await proxied.fleet.listExecutions();
-	const history = {copies, executions: executions.filter(execution => execution.startedAtMs >= startedAtMs)};
+	const history = {copies, outcomes, executions: executions.filter(execution => execution.startedAtMs >= startedAtMs)};
 	return {violations: checkHistory(history), summary: summarize(history)};
 }
--- a/testing/history/src/workload.ts
+++ b/testing/history/src/workload.ts
@@ -4,12 +4,18 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import type {Endpoint} from '@pomelopick/core.types';
 import {createKey} from '@pomelopick/testing.callers';
-import type {CopyRecord} from './records.js';
+import {readOutcome} from './read-outcome.js';
+import type {CopyRecord, OutcomeRecord} from './records.js';
 import {CopySender} from './send-copy.js';
 
 const RESEND_PAUSE_MS = 60;
 const MOST_RESENDS = 5;
 const PERCENT = 100;
+const READ_OUTCOME_PERCENT = 30;
+const LARGE_BODY_PERCENT = 5;
+/** More than is held of the body of a call without a key. */
+const LEAST_LARGE_BODY_BYTES = 70_000;
+const MOST_LARGE_BODY_BYTES = 400_000;
 /** Seeds of the workers lie apart by this much. */
 const SEED_STRIDE = 7919;
 
@@ -41,22 +47,42 @@
 
 type Draw = (below: number) => number;
 
-/** Runs the workload; answers every copy that was sent. */
-export async function runWorkload(options: RunWorkloadOptions): Promise<readonly CopyRecord[]> {
+/** What callers were told. */
+export interface WorkloadRecords {
+	readonly copies: readonly CopyRecord[];
+	readonly outcomes: readonly OutcomeRecord[];
+}
+
+/** Runs the workload; answers every copy that was sent and every outcome that was read. */
+export async function runWorkload(options: RunWorkloadOptions): Promise<WorkloadRecords> {
 	const sender = new CopySender();
 	const copies: CopyRecord[] = [];
+	const outcomes: OutcomeRecord[] = [];
 	await Promise.all(Array.from({length: options.workers}, async (_, worker) => {
 		const random = xoroshiro128plus(options.seed + (worker * SEED_STRIDE));
 		const draw: Draw = below => uniformInt(random, 0, below - 1);
 		for (let call = 0; !options.signal.aborted; call += 1) {
-			copies.push(...await runCall({
+			const sent = await runCall({
 				options, sender, draw, number: `${worker}-${call}`,
-			}));
+			});
+			copies.push(...sent);
+			outcomes.push(...await readSome({options, draw, key: sent[0]?.key}));
 			await sleep(draw(options.pauseMs * 2) + 1);
 		}
 	}));
 	await sender.close();
-	return copies;
+	return {copies, outcomes};
+}
+
+/** Reads the outcome of some keys from any instance. */
+async function readSome({options: {targets, service}, draw, key}: Pick<RunCallOptions, 'options' | 'draw'> & {readonly key: string | undefined}): Promise<readonly OutcomeRecord[]> {
+	if (key === undefined || draw(PERCENT) >= READ_OUTCOME_PERCENT) {
+		return [];
+	}
+
+	const known = targets();
+	const outcome = await readOutcome({endpoint: known[draw(known.length)]!.endpoint, service, key});
+	return outcome ? [outcome] : [];
 }
 
 interface RunCallOptions {
@@ -73,6 +99,7 @@
 	const isRead = part < mix.reads;
 	const isKeyed = part >= mix.reads + mix.unkeyedWrites;
 	const key = isKeyed ? createKey() : undefined;
+	const body = `{"call":"${number}","padding":"${'x'.repeat(isKeyed ? drawBodyBytes(draw) : 0)}"}`;
 	const hasDuplicates = isKeyed && part < mix.reads + mix.unkeyedWrites + mix.duplicates;
 	let sent = 0;
 	const send = async (): Promise<CopyRecord> => {
@@ -80,7 +107,7 @@
 		const known = targets();
 		const {instance, endpoint} = known[draw(known.length)]!;
 		return sender.send({
-			instance, endpoint, service, method: isRead ? 'GET' : 'POST', path: `/calls/${number}?bytes=${bytes}`, body: isRead ? undefined : `{"call":"${number}"}`, key, isFirst: sent === 1 && !hasDuplicates, timeoutMs,
+			instance, endpoint, service, method: isRead ? 'GET' : 'POST', path: `/calls/${number}?bytes=${bytes}`, body: isRead ? undefined : body, key, isFirst: sent === 1 && !hasDuplicates, timeoutMs,
 		});
 	};
 
@@ -95,6 +122,10 @@
 	return [...copies, ...await resend({copies, send, hasDuplicates})];
 }
 
+function drawBodyBytes(draw: Draw): number {
+	return draw(PERCENT) < LARGE_BODY_PERCENT ? LEAST_LARGE_BODY_BYTES + draw(MOST_LARGE_BODY_BYTES - LEAST_LARGE_BODY_BYTES) : 0;
+}
+
 interface ResendOptions {
 	readonly copies: readonly CopyRecord[];
 	readonly send: () => Promise<CopyRecord>;
--- a/testing/history/test/check-history.test.ts
+++ b/testing/history/test/check-history.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import type {Execution} from '@pomelopick/testing.backend-stand-in';
 import {checkHistory, summarize} from '@pomelopick/testing.history';
-import type {CopyRecord, Property} from '@pomelopick/testing.history';
+import type {CopyRecord, OutcomeRecord, Property} from '@pomelopick/testing.history';
 
 function copy(changes: Partial<CopyRecord>): CopyRecord {
 	return {
@@ -16,6 +16,12 @@
 	};
 }
 
+function outcome(changes: Partial<OutcomeRecord>): OutcomeRecord {
+	return {
+		key: 'key', state: 'absent', execution: 'not-run', startedAtMs: 300, ...changes,
+	};
+}
+
 const refused = {
 	ended: 'refused', answeredCallId: undefined, reason: 'journal-unavailable', execution: 'not-run',
 } as const;
@@ -62,7 +68,34 @@
 	},
 ];
 
+const ranCases: ReadonlyArray<{name: string; copies: readonly CopyRecord[]; outcomes?: readonly OutcomeRecord[]; executions: readonly Execution[]; expected: readonly Property[]}> = [
+	{
+		name: 'ran, and run', copies: [copy({...refused, reason: 'answer-truncated', execution: 'ran'})], executions: [execution({})], expected: [],
+	},
+	{
+		name: 'ran, and never run', copies: [copy({...refused, reason: 'answer-truncated', execution: 'ran'})], executions: [], expected: ['ran-is-true'],
+	},
+	{
+		name: 'a key read as not run after it was run', copies: [], outcomes: [outcome({})], executions: [execution({})], expected: ['not-run-is-true'],
+	},
+	{
+		name: 'a key read as not run before it was run', copies: [], outcomes: [outcome({})], executions: [execution({startedAtMs: 400})], expected: [],
+	},
+	{
+		name: 'a key read with its answer', copies: [], outcomes: [outcome({state: 'ran', execution: 'ran', answeredCallId: 'one'})], executions: [execution({})], expected: [],
+	},
+	{
+		name: 'a key read with the answer of another call', copies: [], outcomes: [outcome({state: 'ran', execution: 'ran', answeredCallId: 'two'})], executions: [execution({})], expected: ['ran-is-true'],
+	},
+];
+
 describe('checkHistory', () => {
+	for (const {name, copies, outcomes, executions, expected} of ranCases) {
+		it(`finds ${expected.join(' and ') || 'nothing'} in ${name}`, () => {
+			assert.deepEqual(checkHistory({copies, outcomes, executions}).map(({property}) => property), expected);
+		});
+	}
+
 	for (const {name, copies, executions, expected} of cases) {
 		it(`finds ${expected.join(' and ') || 'nothing'} in ${name}`, () => {
 			assert.deepEqual(checkHistory({copies, executions}).map(({property}) => property), expected);
