Let peer faults reach the path between instances

Cause: instances tell each other where they listen, and that word goes before the platform's list. The proxies around peers were only in the list, so the faults peers-cut and peers-silent of every history and soak held nothing up: a partition test lost 2 servers to one request where 3 groups of instances should have lost 6.

Change: a setting advertise.peers says where other instances reach this one; the proxied fleet sets it, and a proxy can be led to a target that is known later.

Before: faults of peers without effect (2 servers lost).

--- a/config/settings/src/settings.ts
+++ b/config/settings/src/settings.ts
@@ -14,6 +14,8 @@
 	instance: z.string().min(1).max(63).transform(value => value as InstanceId),
 	failureDomain: z.string().min(1).max(63).transform(value => value as FailureDomainName),
 	listen: z.strictObject({callers: endpoint, peers: endpoint, operators: endpoint}),
+	/** Where other instances reach this one, when that differs from where it listens. */
+	advertise: z.strictObject({peers: endpoint}).optional(),
 	/** Key-value service. */
 	store: endpoint,
 	/** List of instances. */
--- a/daemons/entry/src/call-safety.ts
+++ b/daemons/entry/src/call-safety.ts
@@ -40,11 +40,12 @@
 			events.add({kind: 'repair', message: 'silent connections replaced', fields: {server, connections: count}});
 		},
 	});
+	const stopped = new AbortController();
 	const quarantine = new Quarantine({
 		instance: settings.instance,
 		firstSequence: Date.now(),
 		sharing: createPeerSharing({
-			clients: peerClients, listPeers, now, onFailure(message) {
+			clients: peerClients, listPeers, now, signal: stopped.signal, onFailure(message) {
 				counters.add('quarantine.peer-not-told');
 				events.add({kind: 'quarantine', message: 'an instance was not told', fields: {message}});
 			},
@@ -80,6 +81,7 @@
 		},
 		async stop() {
 			clearTimeout(timer);
+			stopped.abort();
 			peerClients.close();
 			await connections.close();
 		},
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -160,7 +160,7 @@
 	await Promise.all([listen({server: callers.server, endpoint: settings.listen.callers}), listen({server: operators, endpoint: settings.listen.operators})]);
 	const endpoints = {callers: endpointOf(callers.server), peers: peers.endpoint, operators: endpointOf(operators)};
 	const self: Instance = {
-		id: settings.instance, failureDomain: settings.failureDomain, state: 'live', ...endpoints,
+		id: settings.instance, failureDomain: settings.failureDomain, state: 'live', ...endpoints, ...settings.advertise,
 	};
 	membership.start(self);
 	distribution.start();
--- a/testing/fault-proxy/src/fault-proxy.ts
+++ b/testing/fault-proxy/src/fault-proxy.ts
@@ -51,7 +51,7 @@
 
 /** A running proxy. */
 export class FaultProxy {
-	readonly #target: Endpoint;
+	#target: Endpoint;
 	readonly #random;
 	readonly #server: Server;
 	readonly #connections = new Set<Connection>();
@@ -96,6 +96,11 @@
 		}
 	}
 
+	/** Leads new connections to another target. */
+	retarget(target: Endpoint): void {
+		this.#target = target;
+	}
+
 	/** Cuts all open connections once. */
 	cutConnections(): void {
 		for (const connection of this.#connections) {
--- a/testing/history/src/proxied-fleet.ts
+++ b/testing/history/src/proxied-fleet.ts
@@ -42,6 +42,7 @@
 /** Starts a fleet behind fault proxies. */
 export async function startProxiedFleet({deployment, entries, seed, behaviour, debug}: StartProxiedFleetOptions): Promise<ProxiedFleet> {
 	const storePaths = new Map<string, FaultProxy>();
+	const peerPaths = new Map<string, FaultProxy>();
 	const paths = new Map<string, EntryPaths>();
 	const backendPaths = new Map<number, FaultProxy>();
 	let started = 0;
@@ -58,7 +59,12 @@
 		async adjustSettings(settings) {
 			const proxy = await startProxy(settings.store);
 			storePaths.set(settings.instance, proxy);
-			return {...settings, store: proxy.endpoint, instanceList: proxy.endpoint};
+			// Instances tell each other where they listen, so this one must know of the proxy before it starts.
+			const peers = await startProxy(settings.listen.peers);
+			peerPaths.set(settings.instance, peers);
+			return {
+				...settings, store: proxy.endpoint, instanceList: proxy.endpoint, advertise: {peers: peers.endpoint},
+			};
 		},
 		async adjustBackend(endpoint) {
 			const proxy = await startProxy(endpoint);
@@ -66,7 +72,8 @@
 			return proxy.endpoint;
 		},
 		async adjustInstance(instance): Promise<Instance> {
-			const around: EntryPaths = {callers: await startProxy(instance.callers), peers: await startProxy(instance.peers), store: storePaths.get(instance.id)!};
+			const around: EntryPaths = {callers: await startProxy(instance.callers), peers: peerPaths.get(instance.id)!, store: storePaths.get(instance.id)!};
+			around.peers.retarget(instance.peers);
 			paths.set(instance.id, around);
 			return {...instance, callers: around.callers.endpoint, peers: around.peers.endpoint};
 		},
