Repeat what other instances did not hear of a crashing request

Cause: a death was told once, for 250 ms. An instance that was cut off or busy never heard of it, and a busy one had the message withdrawn; after a partition healed its caller could take down further servers there.

Change: the message goes on for 2 s and is repeated each second, 30 times at most and for 256 messages at a time, while the receiver is listed. A refusal still waits 250 ms for it.

Conclusion: the bound of three servers holds for each group of instances that hear each other within 250 ms; k groups lose up to three times k.

--- a/calls/quarantine/src/peer-sharing.ts
+++ b/calls/quarantine/src/peer-sharing.ts
@@ -1,4 +1,5 @@
 /** Shares deaths and cleared suspects with the other instances. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {Client, ConnectRouter} from '@connectrpc/connect';
 import type {BackendServerName, Endpoint, InstanceId} from '@pomelopick/core.types';
 import {QuarantineService} from '@pomelopick/peer.protocol';
@@ -8,7 +9,14 @@
 import type {Quarantine, SuspicionSharing} from './quarantine.js';
 import type {ServerDeath} from './suspect-table.js';
 
-const SHARE_TIMEOUT_MS = 250;
+/** Time for which a call's refusal waits for the other instances to hear of a death, in milliseconds. */
+const SHARE_WAIT_MS = 250;
+/** A message that is late still arrives, so that a busy instance hears of it. */
+const SHARE_TIMEOUT_MS = 2000;
+const SHARE_RETRY_MS = 1000;
+const MOST_SHARE_TRIES = 30;
+/** Messages that wait to be sent again; more are sent once only. */
+const MOST_SHARE_RETRIES = 256;
 const LIST_TIMEOUT_MS = 1000;
 const MOST_FINGERPRINTS = 512;
 const FINGERPRINT_PATTERN = /^[\da-f]{64}$/u;
@@ -20,25 +28,49 @@
 	readonly clients: PeerClients;
 	/** Where the other instances listen for peers. */
 	readonly listPeers: () => readonly Endpoint[];
-	/** Called for each peer that was not told in time. */
+	/** Called for each message that did not arrive. */
 	readonly onFailure: (message: string) => void;
+	/** Ends the repetition of messages that did not arrive. */
+	readonly signal: AbortSignal;
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
 }
 
 /** Creates the sharing over messages to every other instance. */
-export function createPeerSharing({clients, listPeers, onFailure, now}: CreatePeerSharingOptions): SuspicionSharing {
-	const tell = async (endpoint: Endpoint, send: SendMessage): Promise<void> => {
+export function createPeerSharing({clients, listPeers, onFailure, now, signal}: CreatePeerSharingOptions): SuspicionSharing {
+	let retries = 0;
+	const tell = async (endpoint: Endpoint, send: SendMessage): Promise<boolean> => {
 		const told = await clients.call({
 			endpoint, service: QuarantineService, timeoutMs: SHARE_TIMEOUT_MS, invoke: send,
 		}).run();
 		told.ifLeft(error => {
 			onFailure(error.message);
 		});
+		return told.isRight();
+	};
+
+	const isListed = ({address, port}: Endpoint): boolean => listPeers().some(peer => peer.address === address && peer.port === port);
+
+	/** Says it again to an instance that is cut off or busy, until it has heard, has left the list or the tries are used up. */
+	const tellUntilHeard = async (endpoint: Endpoint, send: SendMessage): Promise<void> => {
+		if (await tell(endpoint, send) || retries >= MOST_SHARE_RETRIES) {
+			return;
+		}
+
+		retries += 1;
+		for (let tries = 1; tries < MOST_SHARE_TRIES && !signal.aborted; tries += 1) {
+			await sleep(SHARE_RETRY_MS, undefined, {ref: false});
+			if (!isListed(endpoint) || await tell(endpoint, send)) {
+				break;
+			}
+		}
+
+		retries -= 1;
 	};
 
 	const tellAll = async (send: SendMessage): Promise<void> => {
-		await Promise.all(listPeers().map(async endpoint => tell(endpoint, send)));
+		const told = Promise.all(listPeers().map(async endpoint => tellUntilHeard(endpoint, send)));
+		await Promise.race([told, sleep(SHARE_WAIT_MS, undefined, {ref: false})]);
 	};
 
 	return {
