--- a/calls/forwarding/test/retries.test.ts
+++ b/calls/forwarding/test/retries.test.ts
@@ -11,8 +11,13 @@
 import {startScriptedServer, wholeAnswer} from './scripted-server.js';
 import type {ScriptedRequest, ScriptedServer} from './scripted-server.js';
 
-const SERVICES = 7;
+const SERVICES = 8;
 const SERVERS = 8;
+const FAILING_CALLS = 800;
+const FAILING_AT_ONCE = 8;
+const FULL_BUDGET = 50;
+const BUDGET_SHARE = 0.1;
+const BUDGET_PER_SECOND = 5;
 
 const deployment: Deployment = {
 	name: 'eight-domains', regions: ['north', 'south'], domainsPerRegion: 4, megabitsPerSecond: 100, betweenRegionsMs: 0, betweenDomainsMs: 0, toClientsMs: 0,
@@ -110,6 +115,27 @@
 		assert.ok((counters['hedge.slow-answer'] ?? 0) >= 1);
 	});
 
+	it('stay within the retry budget when one of three requests fails', async () => {
+		// The answers keep the servers from being left out.
+		scriptAll(request => {
+			if (countRequests() % 3 === 0) {
+				breaks(request);
+			} else {
+				request.socket.write(wholeAnswer(request));
+			}
+		});
+		const startedAtMs = performance.now();
+		for (let sent = 0; sent < FAILING_CALLS; sent += FAILING_AT_ONCE) {
+			await Promise.all(Array.from({length: FAILING_AT_ONCE}, async () => call()));
+		}
+
+		const elapsedMs = performance.now() - startedAtMs;
+		const most = FAILING_CALLS + FULL_BUDGET + (FAILING_CALLS * BUDGET_SHARE) + (BUDGET_PER_SECOND * elapsedMs / 1000);
+		const {counters} = await getJson<{counters: Record<string, number>}>({endpoint: fleet.entries[0]!.instance.operators, path: '/v1/status'});
+		assert.ok(countRequests() <= most, `${countRequests()} requests for ${FAILING_CALLS} calls, at most ${most}`);
+		assert.ok((counters['retry.budget-used-up'] ?? 0) > 0, JSON.stringify(counters));
+	});
+
 	it('never hedge a write', async () => {
 		scriptAll(() => undefined);
 		await call({method: 'POST', body: '{}', timeoutMs: 900});
