--- a/testing/history/src/proxied-fleet.ts
+++ b/testing/history/src/proxied-fleet.ts
@@ -4,7 +4,7 @@
 import type {FaultProxy} from '@pomelopick/testing.fault-proxy';
 import {startFleet} from '@pomelopick/testing.fleet';
 import type {
-	Deployment, EntryProcess, Fleet, StartFleetOptions,
+	BackendProcess, Deployment, EntryProcess, Fleet, StartFleetOptions,
 } from '@pomelopick/testing.fleet';
 import type {Target} from './workload.js';
 
@@ -32,6 +32,8 @@
 	readonly fleet: Fleet;
 	/** Proxies around an entry instance. */
 	pathsOf(entry: EntryProcess): EntryPaths;
+	/** Proxy between all entry instances and a backend server. */
+	pathOf(backend: BackendProcess): FaultProxy;
 	/** Instances that callers know. */
 	targets(): readonly Target[];
 	stop(): Promise<void>;
@@ -40,8 +42,9 @@
 /** Starts a fleet behind fault proxies. */
 export async function startProxiedFleet({deployment, entries, seed, behaviour, debug}: StartProxiedFleetOptions): Promise<ProxiedFleet> {
 	const storePaths = new Map<string, FaultProxy>();
-	const peerPaths = new Map<string, {readonly proxy: FaultProxy; readonly target: {address: string; port: number}}>();
+	const peerPaths = new Map<string, FaultProxy>();
 	const paths = new Map<string, EntryPaths>();
+	const backendPaths = new Map<number, FaultProxy>();
 	let started = 0;
 	const startProxy = async (target: Endpoint): Promise<FaultProxy> => {
 		started += 1;
@@ -56,17 +59,21 @@
 		async adjustSettings(settings) {
 			const proxy = await startProxy(settings.store);
 			storePaths.set(settings.instance, proxy);
-			const target = {...settings.listen.peers};
-			const peers = await startProxy(target);
-			peerPaths.set(settings.instance, {proxy: peers, target});
+			// Instances tell each other where they listen, so this one must know of the proxy before it starts.
+			const peers = await startProxy(settings.listen.peers);
+			peerPaths.set(settings.instance, peers);
 			return {
 				...settings, store: proxy.endpoint, instanceList: proxy.endpoint, advertise: {peers: peers.endpoint},
 			};
 		},
+		async adjustBackend(endpoint) {
+			const proxy = await startProxy(endpoint);
+			backendPaths.set(endpoint.port, proxy);
+			return proxy.endpoint;
+		},
 		async adjustInstance(instance): Promise<Instance> {
-			const {proxy: peers, target} = peerPaths.get(instance.id)!;
-			target.port = instance.peers.port;
-			const around: EntryPaths = {callers: await startProxy(instance.callers), peers, store: storePaths.get(instance.id)!};
+			const around: EntryPaths = {callers: await startProxy(instance.callers), peers: peerPaths.get(instance.id)!, store: storePaths.get(instance.id)!};
+			around.peers.retarget(instance.peers);
 			paths.set(instance.id, around);
 			return {...instance, callers: around.callers.endpoint, peers: around.peers.endpoint};
 		},
@@ -74,10 +81,12 @@
 	return {
 		fleet,
 		pathsOf: ({instance}) => paths.get(instance.id)!,
+		pathOf: ({endpoint}) => backendPaths.get(endpoint.port)!,
 		targets: () => fleet.entries.map(({instance}) => ({instance: instance.id, endpoint: instance.callers})),
 		async stop() {
 			await fleet.stop();
 			await Promise.all([...paths.values()].flatMap(({callers, peers, store}) => [callers.stop(), peers.stop(), store.stop()]));
+			await Promise.all([...backendPaths.values()].map(async proxy => proxy.stop()));
 		},
 	};
 }
