Show where the time of the slots went in experiments

Change: the experiment reads the backend servers' own records and prints the share of slot time spent on answers and on work that was cancelled, prints the hedge counters, the slowest refusals with their times of arrival, and the longest stall of the load process itself. Ruled out: idle slots between a release and the next grant.

--- a/testing/experiment/src/load.ts
+++ b/testing/experiment/src/load.ts
@@ -1,10 +1,12 @@
 /** Sends drawn arrivals to a fleet at their times, whatever the answers do. */
+import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {Agent, request} from 'undici';
 import type {Endpoint} from '@pomelopick/core.types';
 import type {Fleet} from '@pomelopick/testing.fleet';
 import type {Arrival} from './workload.js';
 
 const TICK_MS = 1;
+const NANOSECONDS_PER_MILLISECOND = 1_000_000;
 const LOOK_UP_INTERVAL_MS = 2000;
 const LOOK_UP_TIMEOUT_MS = 1000;
 const ANSWER_GRACE_MS = 1500;
@@ -37,12 +39,23 @@
 	untilMs: number;
 }
 
+/** What a load gave. */
+export interface LoadResult {
+	readonly results: readonly CallResult[];
+	/** Wall clock at which the arrivals began, in milliseconds. */
+	readonly startedAtMs: number;
+	/** Longest time for which this process itself stood still, in milliseconds; it lies in the latencies. */
+	readonly longestStallMs: number;
+}
+
 /** Runs the arrivals and waits for all their answers. */
-export async function runLoad({fleet, arrivals, callers, timeoutMs}: RunLoadOptions): Promise<readonly CallResult[]> {
+export async function runLoad({fleet, arrivals, callers, timeoutMs}: RunLoadOptions): Promise<LoadResult> {
 	const states = callers.map((address): CallerState => ({
 		address, agent: new Agent({localAddress: address, connections: 256, pipelining: 1}), endpoints: [], untilMs: 0,
 	}));
 	await Promise.all(states.map(async state => lookUp({fleet, state})));
+	const delay = monitorEventLoopDelay({resolution: 1});
+	delay.enable();
 	const startedAtMs = performance.now();
 	const results: Array<Promise<CallResult>> = [];
 	let next = 0;
@@ -65,7 +78,7 @@
 	});
 	const ended = await Promise.all(results);
 	await Promise.all(states.map(async ({agent}) => agent.destroy()));
-	return ended;
+	return {results: ended, startedAtMs: performance.timeOrigin + startedAtMs, longestStallMs: Math.round(delay.max / NANOSECONDS_PER_MILLISECOND)};
 }
 
 interface SendOptions {
--- a/testing/experiment/src/main.ts
+++ b/testing/experiment/src/main.ts
@@ -43,10 +43,10 @@
 await writeFile(`${file}.json`, `${JSON.stringify({...figures, targets}, undefined, '\t')}\n`);
 await writeFile(`${file}.svg`, renderPlot(figures));
 process.stdout.write(`${name} at ${deployment.name}, placement by ${values.policy}, seed ${values.seed}\n`);
-for (const {service, calls, answered, refused, silent, latencyMs, idealMs, p99Ratio, goodput, refusalMs} of figures.services) {
+for (const {service, calls, answered, refused, silent, latencyMs, idealMs, p99Ratio, goodput, slotUse, refusalMs} of figures.services) {
 	process.stdout.write(`  ${service}: calls ${calls}, answered ${answered}, refused ${refused}, silent ${silent}\n`);
 	process.stdout.write(`    p50 ${latencyMs.p50} p99 ${latencyMs.p99} p99.9 ${latencyMs.p999} ms; ideal p50 ${idealMs.p50} p99 ${idealMs.p99} p99.9 ${idealMs.p999} ms; p99 over ideal ${p99Ratio}\n`);
-	process.stdout.write(`    goodput ${goodput} of capacity; refusals answered p50 ${refusalMs.p50} p99 ${refusalMs.p99} p99.9 ${refusalMs.p999} ms\n`);
+	process.stdout.write(`    goodput ${goodput} of capacity, slot time on answers ${slotUse.answered}, on lost work ${slotUse.lost}; refusals answered p50 ${refusalMs.p50} p99 ${refusalMs.p99} p99.9 ${refusalMs.p999} ms\n`);
 }
 
 process.stdout.write(`  refusals ${JSON.stringify(figures.refusalsByReason)}\n  worst overload ${figures.worstOverload} calls, shed ${figures.shed}\n  ${JSON.stringify(figures.extra)}\n`);
--- a/testing/experiment/src/report.ts
+++ b/testing/experiment/src/report.ts
@@ -4,10 +4,12 @@
 import type {BackendStatistics} from '@pomelopick/testing.backend-stand-in';
 import {idealLatencies} from './central-queue.js';
 import type {CallResult} from './load.js';
+import type {SlotUse} from './slot-use.js';
 
 const MILLISECONDS_PER_SECOND = 1000;
 const MICROSECONDS_PER_MILLISECOND = 1000;
 const HIGHEST_TRACKED = 60_000_000;
+const SLOWEST_SHOWN = 20;
 
 /** Percentiles, in milliseconds. */
 export interface Percentiles {
@@ -16,6 +18,15 @@
 	readonly p999: number;
 }
 
+/** One refusal. */
+export interface SlowRefusal {
+	/** Time of arrival from the start of the run, in milliseconds. */
+	readonly atMs: number;
+	/** Time from sending to the refusal, in milliseconds. */
+	readonly tookMs: number;
+	readonly reason: string | undefined;
+}
+
 /** Figures of one service. */
 export interface ServiceFigures {
 	readonly service: string;
@@ -29,8 +40,12 @@
 	readonly p99Ratio: number;
 	/** Work answered over the work that all slots could do in the time of the arrivals, from 0 to 1. */
 	readonly goodput: number;
+	/** Where the time of the slots went. */
+	readonly slotUse: SlotUse;
 	/** Time in which refusals were answered, in milliseconds. */
 	readonly refusalMs: Percentiles;
+	/** The refusals that took longest, slowest first. */
+	readonly slowestRefusals: readonly SlowRefusal[];
 }
 
 /** Figures of a run. */
@@ -56,10 +71,11 @@
 	/** Part of the run that is counted, in milliseconds from its start. */
 	readonly window: {readonly fromMs: number; readonly toMs: number};
 	readonly results: readonly CallResult[];
+	readonly slotUse: SlotUse;
 }
 
 /** Figures of one service's calls. Latencies go by the time of arrival, goodput by the time of the answer. */
-export function describeService({service, slots, window: {fromMs, toMs}, results}: DescribeServiceOptions): ServiceFigures {
+export function describeService({service, slots, window: {fromMs, toMs}, results, slotUse}: DescribeServiceOptions): ServiceFigures {
 	const all = results.filter(({arrival}) => arrival.service === service);
 	const ideal = idealLatencies({arrivals: all.map(({arrival}) => arrival), slots});
 	const own = all.filter(({arrival}) => arrival.atMs >= fromMs);
@@ -79,7 +95,10 @@
 		idealMs,
 		p99Ratio: round(latencyMs.p99 / idealMs.p99),
 		goodput: round(workDone / (slots * (toMs - fromMs))),
+		slotUse: {answered: round(slotUse.answered), lost: round(slotUse.lost)},
 		refusalMs: percentiles(refused.map(({lastTryMs}) => lastTryMs)),
+		slowestRefusals: [...refused].sort((left, right) => right.lastTryMs - left.lastTryMs).slice(0, SLOWEST_SHOWN)
+			.map(({arrival, lastTryMs, reason}) => ({atMs: round(arrival.atMs), tookMs: round(lastTryMs), reason})),
 	};
 }
 
--- a/testing/experiment/src/run.ts
+++ b/testing/experiment/src/run.ts
@@ -1,5 +1,6 @@
 /** Runs one scenario on a whole fleet. */
 import {fileURLToPath} from 'node:url';
+import type {Execution} from '@pomelopick/testing.backend-stand-in';
 import {listDomains, startFleet} from '@pomelopick/testing.fleet';
 import type {Deployment, Fleet} from '@pomelopick/testing.fleet';
 import {runLoad} from './load.js';
@@ -10,6 +11,7 @@
 import type {RunFigures} from './report.js';
 import {LONGEST_WORK_MS, MEAN_WORK_MS} from './scenario.js';
 import type {ExtraFigures, Scenario, ScenarioContext} from './scenario.js';
+import {measureSlotUse} from './slot-use.js';
 import {drawArrivals} from './workload.js';
 
 const ENTRIES = 8;
@@ -64,13 +66,13 @@
 		seed,
 	});
 	const context: ScenarioContext = {fleet, deployment, callersOf};
-	const [results] = await Promise.all([runLoad({
+	const [{results, startedAtMs, longestStallMs}] = await Promise.all([runLoad({
 		fleet, arrivals, callers, timeoutMs: CALL_TIMEOUT_MS,
 	}), scenario.during?.(context)]);
-	const extra = {...await scenario.after?.(context), ...await sumCounters(fleet)};
+	const extra = {longestStallMs, ...await scenario.after?.(context), ...await sumCounters(fleet)};
 	return {
 		scenario: name, deployment: deployment.name, policy, seed, ...await toFigures({
-			fleet, deployment, results, durationMs,
+			fleet, deployment, results, durationMs, startedAtMs,
 		}), extra,
 	};
 }
@@ -80,13 +82,19 @@
 	readonly deployment: Deployment;
 	readonly results: readonly CallResult[];
 	readonly durationMs: number;
+	/** Wall clock at which the arrivals began, in milliseconds. */
+	readonly startedAtMs: number;
 }
 
-async function toFigures({fleet, deployment, results, durationMs}: ToFiguresOptions): Promise<Pick<RunFigures, 'services' | 'refusalsByReason' | 'worstOverload' | 'shed'>> {
+async function toFigures({fleet, deployment, results, durationMs, startedAtMs}: ToFiguresOptions): Promise<Pick<RunFigures, 'services' | 'refusalsByReason' | 'worstOverload' | 'shed'>> {
 	const statistics = await fleet.listStatistics();
+	const executions = await fleet.listExecutionsByServer();
+	const executionsOf = (service: string): readonly Execution[] => [...executions].flatMap(([server, own]) => server.startsWith(`${service}-`) ? own : []);
 	return {
 		services: deployment.services.map(({name: service, servers, slots}) => describeService({
-			service, slots: servers * slots, window: {fromMs: WARM_UP_MS, toMs: durationMs}, results,
+			service, slots: servers * slots, window: {fromMs: WARM_UP_MS, toMs: durationMs}, results, slotUse: measureSlotUse({
+				executions: executionsOf(service), slots: servers * slots, window: {fromMs: startedAtMs + WARM_UP_MS, toMs: startedAtMs + durationMs},
+			}),
 		})),
 		refusalsByReason: countReasons(results),
 		worstOverload: worstOverload({deployment, statistics}),
@@ -99,7 +107,7 @@
 	const sums: Record<string, number> = {};
 	for (const counters of await fleet.listCounters()) {
 		for (const [counter, value] of Object.entries(counters)) {
-			if (counter.startsWith('placement.') || counter.startsWith('retry.') || counter.startsWith('shift.')) {
+			if (counter.startsWith('placement.') || counter.startsWith('retry.') || counter.startsWith('hedge.') || counter.startsWith('shift.')) {
 				sums[counter] = (sums[counter] ?? 0) + value;
 			}
 		}
