Give hedges only idle slots, and never let them wait

Cause: a hedge took its place in the queue like a first attempt. Ruled out: a slow hand-over of freed slots; the backend servers were idle for 1 % of the time. Change: a question for a slot says whether it is for a hedge. The owner gives a hedge a slot only while nobody waits and less than nine tenths of the proven slots are in use, the same headroom as for calls of other regions. A hedge without a slot gives its token back to the retry budget, is counted as hedge.no-slot, and no longer hides why the first attempt failed.

--- a/calls/forwarding/src/attempt.ts
+++ b/calls/forwarding/src/attempt.ts
@@ -53,6 +53,8 @@
 	readonly heldBytes: number;
 	/** Whether opened connections are not trusted, because one of them may have gone silent. */
 	readonly needsNewConnection: boolean;
+	/** Whether it is made beside another attempt that still runs. */
+	readonly isHedge: boolean;
 }
 
 /** One attempt. */
@@ -118,10 +120,10 @@
 	}
 
 	async #place(): ReturnType<PlaceCall> {
-		const {call, parts} = this.#options;
+		const {call, parts, isHedge} = this.#options;
 		const {service, caller, callerSite, deadlineMs} = call.options;
 		const options = {
-			service, caller, callerSite, deadlineMs, avoidServers: call.avoidServers, avoidDomains: call.avoidDomains, signal: this.#waiting.signal,
+			service, caller, callerSite, deadlineMs, avoidServers: call.avoidServers, avoidDomains: call.avoidDomains, isHedge, signal: this.#waiting.signal,
 		};
 		if (call.isSuspect) {
 			// Suspects are kept apart, so that one of them does not make another look guilty.
--- a/calls/forwarding/src/call-run.ts
+++ b/calls/forwarding/src/call-run.ts
@@ -5,7 +5,9 @@
 import type {Counters} from '@pomelopick/core.telemetry';
 import type {Quarantine} from '@pomelopick/calls.quarantine';
 import {Attempt} from './attempt.js';
-import type {Answered, AttemptParts, FailedAttempt} from './attempt.js';
+import type {
+	Answered, AttemptOptions, AttemptParts, FailedAttempt,
+} from './attempt.js';
 import type {CallState} from './call-state.js';
 import type {ServicePolicy} from './service-policies.js';
 
@@ -115,7 +117,7 @@
 	}
 
 	async #attemptWithHedge({needsNewConnection}: {readonly needsNewConnection: boolean}): Promise<AttemptResult> {
-		const first = this.#startAttempt({needsNewConnection});
+		const first = this.#startAttempt({needsNewConnection, isHedge: false});
 		const {call, parts, policy} = this.#options;
 		const mayHedge = call.isRead && call.options.body.isWhole && call.sentAttempts + 1 < call.options.mostAttempts;
 		if (!mayHedge) {
@@ -127,14 +129,17 @@
 		return new Promise(resolve => {
 			let live = 1;
 			let isSettled = false;
+			let outcome: AttemptResult | undefined;
 			const settle = (result: AttemptResult): void => {
 				live -= 1;
+				// A hedge that got no slot says nothing of why the call failed.
+				outcome = outcome && !isPlaced(result) ? outcome : result;
 				if (isSettled) {
 					dropLoser(result);
 				} else if (result.isRight() || live === 0) {
 					isSettled = true;
 					clearTimeout(timer);
-					resolve(result);
+					resolve(outcome);
 					this.#giveUpAll({kind: 'cancelled', detail: 'another attempt answered first'}, result.isRight() ? result.unsafeCoerce().attempt : undefined);
 				}
 			};
@@ -145,7 +150,7 @@
 					timer = setTimeout(hedge, delayMs);
 				} else if (this.#findHedgeReason(first.attempt)) {
 					live += 1;
-					void settleWith({result: this.#startAttempt({needsNewConnection: true}).result, settle});
+					void settleWith({result: this.#hedge(), settle});
 				}
 			};
 
@@ -154,6 +159,16 @@
 		});
 	}
 
+	async #hedge(): Promise<AttemptResult> {
+		const result = await this.#startAttempt({needsNewConnection: true, isHedge: true}).result;
+		if (!isPlaced(result)) {
+			this.#options.policy.budget.giveBack();
+			this.#options.counters.add('hedge.no-slot');
+		}
+
+		return result;
+	}
+
 	#findHedgeReason(first: Attempt): HedgeReason | undefined {
 		const {call, policy, parts, counters} = this.#options;
 		const server = first.placement?.server;
@@ -184,12 +199,12 @@
 		}
 	}
 
-	#startAttempt({needsNewConnection}: {readonly needsNewConnection: boolean}): {readonly attempt: Attempt; readonly result: Promise<AttemptResult>} {
+	#startAttempt({needsNewConnection, isHedge}: Pick<AttemptOptions, 'needsNewConnection' | 'isHedge'>): {readonly attempt: Attempt; readonly result: Promise<AttemptResult>} {
 		const {call, parts, heldBytes} = this.#options;
 		call.attempts += 1;
 		call.isSuspect = this.#isSuspect();
 		const attempt = new Attempt({
-			call, parts, heldBytes, needsNewConnection,
+			call, parts, heldBytes, needsNewConnection, isHedge,
 		});
 		this.#live.add(attempt);
 		return {attempt, result: this.#finish(attempt)};
@@ -231,6 +246,10 @@
 	});
 }
 
+function isPlaced(result: AttemptResult): boolean {
+	return result.isRight() || (result.extract() as FailedAttempt).isPlaced;
+}
+
 async function settleWith({result, settle}: {readonly result: Promise<AttemptResult>; readonly settle: (result: AttemptResult) => void}): Promise<void> {
 	settle(await result);
 }
--- a/calls/forwarding/src/placement.ts
+++ b/calls/forwarding/src/placement.ts
@@ -16,6 +16,8 @@
 	/** Servers and failure domains that already failed this call. */
 	readonly avoidServers: ReadonlySet<BackendServerName>;
 	readonly avoidDomains: ReadonlySet<FailureDomainName>;
+	/** Whether another attempt of the call still runs. */
+	readonly isHedge: boolean;
 	readonly signal: AbortSignal;
 }
 
--- a/calls/forwarding/src/retry-budget.ts
+++ b/calls/forwarding/src/retry-budget.ts
@@ -25,6 +25,11 @@
 		this.#tokens = Math.min(MOST_TOKENS, this.#tokens + TOKENS_PER_CALL);
 	}
 
+	/** Gives a token back whose attempt was not made. */
+	giveBack(): void {
+		this.#tokens = Math.min(MOST_TOKENS, this.#tokens + 1);
+	}
+
 	/** Takes a token for one more attempt; false when none is left. */
 	tryTake({nowMs}: {readonly nowMs: number}): boolean {
 		const earned = (nowMs - this.#refilledAtMs) * LEAST_TOKENS_PER_SECOND / MILLISECONDS_PER_SECOND;
--- a/calls/placement/src/owner-group.ts
+++ b/calls/placement/src/owner-group.ts
@@ -86,6 +86,10 @@
 			return isReady ? this.#acquireForSpill({request, nowMs}) : Left(this.#refusal({reason: 'region-headroom-exhausted', retryAfterMs: this.#readyAtMs - nowMs}));
 		}
 
+		if (request.isHedge && (!isReady || spillSlots(this.#load(nowMs)) === 0)) {
+			return Left(this.#refusal({reason: 'region-headroom-exhausted', retryAfterMs: this.#load(nowMs).holdMs}));
+		}
+
 		if (isReady) {
 			// Those who still wait after this cannot use a slot that is free, so nobody is overtaken.
 			this.#serve(nowMs);
--- a/calls/placement/src/slot-owner.ts
+++ b/calls/placement/src/slot-owner.ts
@@ -131,7 +131,7 @@
 	return {service: (group?.service ?? '') as ServiceName, region: (group?.region ?? '') as RegionName};
 }
 
-function toSlotRequest({slotId, asker, caller, fromRegion, patienceMs, timeLeftMs, avoidServers, avoidDomains, isSubstitute}: AcquireRequest): SlotRequest {
+function toSlotRequest({slotId, asker, caller, fromRegion, patienceMs, timeLeftMs, avoidServers, avoidDomains, isSubstitute, isHedge, isLastChoice}: AcquireRequest): SlotRequest {
 	return {
 		slotId,
 		asker: asker as InstanceId,
@@ -142,6 +142,8 @@
 		avoidServers: new Set(avoidServers as BackendServerName[]),
 		avoidDomains: new Set(avoidDomains as FailureDomainName[]),
 		isSubstitute,
+		isHedge,
+		isLastChoice,
 	};
 }
 
--- a/calls/placement/src/slot-types.ts
+++ b/calls/placement/src/slot-types.ts
@@ -15,6 +15,10 @@
 	readonly avoidServers: ReadonlySet<BackendServerName>;
 	readonly avoidDomains: ReadonlySet<FailureDomainName>;
 	readonly isSubstitute: boolean;
+	/** A second attempt beside one that still runs. */
+	readonly isHedge: boolean;
+	/** No other region is left to ask. */
+	readonly isLastChoice: boolean;
 }
 
 /** A slot that was handed out. */
--- a/calls/placement/src/steered-placement.ts
+++ b/calls/placement/src/steered-placement.ts
@@ -36,6 +36,14 @@
 	readonly home: RegionName;
 }
 
+interface RegionAsk {
+	readonly ask: Ask;
+	readonly region: RegionName;
+	readonly patienceMs: number;
+	/** No other region is left to ask. */
+	readonly isLastChoice: boolean;
+}
+
 /** Creates the placement. */
 export function createSteeredPlacement(options: CreateSteeredPlacementOptions): PlaceCall {
 	const placement = new SteeredPlacement(options);
@@ -88,7 +96,9 @@
 
 			const patienceMs = choice.kind === 'home' ? (hasSpill ? HOME_PATIENCE_MS : fullPatienceMs) : 0;
 			const askedAtMs = this.#options.now();
-			const answer = await this.#ask({ask, region: choice.region, patienceMs});
+			const answer = await this.#ask({
+				ask, region: choice.region, patienceMs, isLastChoice: choice.kind === 'home' && !hasSpill,
+			});
 			if (answer.isRight() && this.#isLate({choice, askedAtMs})) {
 				// The call would fall into a later second than the one that it was counted in.
 				answer.unsafeCoerce().release('cancelled');
@@ -100,8 +110,10 @@
 			last = choice.kind === 'home' || (last === undefined && answer.isLeft()) ? answer : last;
 		}
 
-		if (hasSpill) {
-			last = await this.#ask({ask, region: ask.home, patienceMs: fullPatienceMs});
+		if (hasSpill && !ask.options.isHedge) {
+			last = await this.#ask({
+				ask, region: ask.home, patienceMs: fullPatienceMs, isLastChoice: true,
+			});
 		}
 
 		return last!.isRight()
@@ -118,12 +130,12 @@
 		return state === undefined ? this.#options.asker.isUnasked({service, region: choice.region}) : state.spillSlots >= LEAST_SPILL_SLOTS;
 	}
 
-	async #ask({ask: {options, home}, region, patienceMs}: {readonly ask: Ask; readonly region: RegionName; readonly patienceMs: number}): Promise<AskAnswer> {
-		const {service, caller, deadlineMs, avoidServers, avoidDomains, signal} = options;
+	async #ask({ask: {options, home}, region, patienceMs, isLastChoice}: RegionAsk): Promise<AskAnswer> {
+		const {service, caller, deadlineMs, avoidServers, avoidDomains, isHedge, signal} = options;
 		return this.#options.asker.acquire({
 			key: {service: service.name, region},
 			request: {
-				caller, fromRegion: home, patienceMs, timeLeftMs: deadlineMs - this.#options.now(), avoidServers, avoidDomains,
+				caller, fromRegion: home, patienceMs, timeLeftMs: deadlineMs - this.#options.now(), avoidServers, avoidDomains, isHedge, isLastChoice,
 			},
 			signal,
 		});
