Hold the window that follows the end of a grant by tests

Cause: with the extra window of the grant observer taken out no test failed. Change: a case at the exact end of duration, clock margin and window, and a table in which a holder on a right clock and on one a tenth slow uses its grant to the end while the next holder takes over as soon as the observer allows it. Conclusion: the window is needed, because a slow clock's last calls and the next grant's first ones fall into one second.

--- a/steering/shifts/test/shift-cap.test.ts
+++ b/steering/shifts/test/shift-cap.test.ts
@@ -136,10 +136,46 @@
 		});
 		assert.equal(observer.observe({ledger, nowMs: 0}).size, 0);
 		assert.equal(observer.observe({ledger, nowMs: DURATION_MS}).size, 0);
+		assert.equal(observer.observe({ledger, nowMs: (DURATION_MS * 1.1) + SHIFT_WINDOW_MS}).size, 0);
 		assert.deepEqual([...observer.observe({ledger, nowMs: (DURATION_MS * 1.1) + SHIFT_WINDOW_MS + 1})], ['gone']);
 	});
 });
 
+describe('the end of a grant', () => {
+	const cases = [
+		{name: 'at its holder whose clock runs right', clockSpeed: 1},
+		{name: 'at its holder whose clock runs a tenth slow', clockSpeed: 1 / 1.1},
+	];
+	for (const {name, clockSpeed} of cases) {
+		it(`is followed by the next grant only when no second holds calls of both, ${name}`, () => {
+			const grant = (holder: string, ledger: ShiftLedger, ended: ReadonlySet<InstanceId>): ShiftLedger => planGrant({
+				ledger, holder: holder as InstanceId, wantedCallsPerSecond: CAP, capCallsPerSecond: CAP, durationMs: DURATION_MS, ended,
+			});
+			const first = grant('first', emptyLedger, new Set());
+			const budget = new ShiftBudget();
+			budget.useGrant({grant: findGrant({ledger: first, holder: 'first' as InstanceId}), askedAtMs: 0});
+			const observer = new GrantObserver({windowMs: SHIFT_WINDOW_MS});
+			const next = new ShiftBudget();
+			const sentAtMs: number[] = [];
+			for (let nowMs = 0; nowMs <= DURATION_MS * 2; nowMs += 10) {
+				const ended = observer.observe({ledger: first, nowMs});
+				if (ended.size > 0) {
+					next.useGrant({grant: findGrant({ledger: grant('next', first, ended), holder: 'next' as InstanceId}), askedAtMs: nowMs});
+				}
+
+				for (const {sender, senderMs} of [{sender: budget, senderMs: nowMs * clockSpeed}, {sender: next, senderMs: nowMs}]) {
+					while (sender.tryAdmit({nowMs: senderMs, capCallsPerSecond: CAP, rampShare: 1}).isRight()) {
+						sentAtMs.push(nowMs);
+					}
+				}
+			}
+
+			assert.ok(next.callsPerSecond === CAP, 'the next holder got no grant');
+			assert.ok(mostInAnySecond(sentAtMs) <= CAP);
+		});
+	}
+});
+
 describe('ShiftGuard', () => {
 	const cases = [
 		{
