Let a burst wait for one mean call, and a standing queue only as before

Cause: a call joined the queue only while the expected wait was below 250 ms or 1 s whatever the calls take. Change: a call with no other region left to ask may join while the expected wait is below one mean call (three for deferrable services), unless the queue has not been empty for twice that time; then the old bounds hold. CoDel's distinction of a good from a standing queue (Nichols and Jacobson, ACM Queue 2012; Maurer, Fail at Scale, ACM Queue 2015), decided at arrival from the measured rate, so nobody waits and is then refused. Seen failing first: without the burst one case, and without the standing bound another case of the owner's test fails.

--- a/calls/placement/src/owner-group.ts
+++ b/calls/placement/src/owner-group.ts
@@ -7,7 +7,7 @@
 import {listDrainedServers, SlotBook} from '@pomelopick/steering.choice';
 import type {DrawInteger, NamedSlot, SlotEnd} from '@pomelopick/steering.choice';
 import {LinkBudget, linkShareBytesPerSecond} from '@pomelopick/steering.links';
-import {FairQueue} from '@pomelopick/steering.queue';
+import {BurstPatience, FairQueue} from '@pomelopick/steering.queue';
 import type {
 	AdmitShift, GroupState, ServerSlots, SlotAnswer, SlotRefusal, SlotRequest,
 } from './slot-types.js';
@@ -18,6 +18,8 @@
 const SUBSTITUTE_SHARE = 0.5;
 /** Part of the queue that one caller may fill. */
 const CALLER_SHARE = 0.25;
+/** Wait that a burst may cause, in mean times of a call, by the priority of the service. */
+const BURST_HOLDS = {interactive: 1, deferrable: 3};
 const UNKNOWN_HOLD_MS = 50;
 /** Time after which a call whose servers are all left alone may come back, in milliseconds. */
 const NO_SERVER_RETRY_MS = 1000;
@@ -51,6 +53,7 @@
 	readonly #options: OwnerGroupOptions;
 	readonly #book: SlotBook;
 	readonly #queue: FairQueue<Waiter>;
+	readonly #burst: BurstPatience;
 	readonly #links = new Map<RegionName, LinkBudget>();
 	readonly #spilled = new Map<string, SpilledSlot>();
 	readonly #readyAtMs: number;
@@ -62,6 +65,7 @@
 		this.#set = options.set;
 		this.#book = new SlotBook({draw: options.draw});
 		this.#queue = new FairQueue({most: options.service.queueCalls, mostPerCaller: Math.max(1, Math.ceil(options.service.queueCalls * CALLER_SHARE))});
+		this.#burst = new BurstPatience({nowMs: options.now()});
 		this.#readyAtMs = options.now() + WARM_UP_MS;
 		this.useSet(options.set);
 	}
@@ -193,7 +197,9 @@
 		}
 
 		const waitMs = expectedWaitMs(load);
-		const patienceMs = Math.min(request.patienceMs, request.timeLeftMs - load.holdMs);
+		this.#burst.noteArrival({waiting: load.waiting, nowMs});
+		const wishedMs = request.isLastChoice ? this.#burst.patienceMs({leastMs: request.patienceMs, burstMs: BURST_HOLDS[this.#options.service.priority] * load.holdMs, nowMs}) : request.patienceMs;
+		const patienceMs = Math.min(wishedMs, request.timeLeftMs - load.holdMs);
 		return waitMs > patienceMs ? this.#refusal({reason: 'queue-full', retryAfterMs: waitMs}) : undefined;
 	}
 
--- a/calls/placement/test/owner-group.test.ts
+++ b/calls/placement/test/owner-group.test.ts
@@ -96,9 +96,18 @@
 		{
 			name: 'lets a call wait for one end of a call', inUse: 4, waiting: 0, ask: {isLastChoice: true}, expected: 'waits',
 		},
+		{
+			name: 'lets a burst wait for one mean call', inUse: 4, waiting: 3, ask: {isLastChoice: true}, expected: 'waits',
+		},
+		{
+			name: 'refuses at once what a burst may not add', inUse: 4, waiting: 4, ask: {isLastChoice: true}, expected: 'queue-full',
+		},
 		{
 			name: 'refuses at once a call that may go elsewhere', inUse: 4, waiting: 3, ask: {isLastChoice: false}, expected: 'queue-full',
 		},
+		{
+			name: 'refuses at once where the queue has not been empty for long', inUse: 4, waiting: 3, waitedMs: (2 * HOLD_MS) + 1, ask: {isLastChoice: true}, expected: 'queue-full',
+		},
 	];
 	for (const {name, inUse, waiting, waitedMs = 0, ask, expected} of cases) {
 		it(name, async () => {
