Bound the connections of the whole fleet to each backend server

Cause: each instance kept at most 36 connections in use to a server, whatever the size of the fleet, and its idle ones were not counted against that; the subsets were not used. Change: an instance may open connections / instances to a server, in use, idle and compared ones together, by the instances that it knows and the connections that the server is configured to accept, and never fewer than two. From more instances than half of a server's connections on (165 for 330), an instance places its calls only on its deterministic subset of each service; below that nothing changes. Ruled out: subsets at today's size. Nine instances with 36 connections each stay at 324 without any. Not measured on processes. Conclusion: the bound holds for the instances that the list shows. While the list lags, each unseen instance may add its own share. A service with fewer than six servers cannot hold it at 920 instances.

--- a/calls/connections/src/backend-connections.ts
+++ b/calls/connections/src/backend-connections.ts
@@ -20,8 +20,8 @@
 	readonly onReplaced: (options: {readonly server: BackendServerName; readonly connections: number}) => void;
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
-	/** Connections that may be open to one backend server; 36 by default, so that nine instances stay below 330. */
-	readonly mostPerServer?: number;
+	/** Connections that may be open to one backend server; asked for each new one. 36 by default. */
+	readonly mostPerServer?: (server: BackendServer) => number;
 	/** Time in which a live connection answers a probe, in milliseconds. */
 	readonly probeTimeoutMs?: number;
 	/** Time between two probes of idle connections to a server, in milliseconds; 0: no probes. */
@@ -109,10 +109,10 @@
 
 		// A server of this name that moved keeps none of its old connections.
 		void existing?.connections.retire();
-		const {now, onReplaced, mostPerServer = MOST_CONNECTIONS_PER_SERVER, probeTimeoutMs = PROBE_TIMEOUT_MS} = this.#options;
+		const {now, onReplaced, mostPerServer = () => MOST_CONNECTIONS_PER_SERVER, probeTimeoutMs = PROBE_TIMEOUT_MS} = this.#options;
 		const connections = new ServerConnections({
 			origin,
-			most: mostPerServer,
+			most: () => mostPerServer(server),
 			connectTimeoutMs: CONNECT_TIMEOUT_MS,
 			probeTimeoutMs,
 			healthPath: HEALTH_PATH,
--- a/calls/connections/src/server-connections.ts
+++ b/calls/connections/src/server-connections.ts
@@ -7,8 +7,8 @@
 /** Options of {@link ServerConnections}. */
 export interface ServerConnectionsOptions {
 	readonly origin: string;
-	/** Connections that may be open at once. */
-	readonly most: number;
+	/** Connections that may be open at once, at least 2; asked for each new one. */
+	readonly most: () => number;
 	readonly connectTimeoutMs: number;
 	/** Time in which a live connection answers a probe, in milliseconds. */
 	readonly probeTimeoutMs: number;
@@ -45,7 +45,7 @@
 	/** Lends an idle connection, the most recently used first, or a new one; undefined at the limit. */
 	acquire({isNew}: {readonly isNew: boolean}): Connection | undefined {
 		const idle = isNew ? undefined : this.#idle.pop();
-		const connection = idle ?? (this.#lent.size < this.#options.most ? this.#create() : undefined);
+		const connection = idle ?? (this.#lent.size < this.#options.most() - COMPARED_CONNECTIONS ? this.#create() : undefined);
 		if (connection) {
 			connection.lentAtMs = this.#options.now();
 			connection.lastAnswerAtMs = connection.lentAtMs;
@@ -172,7 +172,11 @@
 	}
 
 	#create(): Connection {
-		const {origin, connectTimeoutMs, now} = this.#options;
+		const {origin, connectTimeoutMs, now, most} = this.#options;
+		while (this.size >= most() && this.#idle.length > 0) {
+			void this.#idle.shift()!.client.destroy();
+		}
+
 		const client = new Client(origin, {
 			pipelining: 1, connect: {timeout: connectTimeoutMs}, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: KEEP_ALIVE_MS,
 		});
@@ -194,3 +198,5 @@
 }
 
 const KEEP_ALIVE_MS = 10_000;
+/** Room that is kept for the new connection of a comparison. */
+const COMPARED_CONNECTIONS = 1;
--- a/calls/placement/src/create-placement.ts
+++ b/calls/placement/src/create-placement.ts
@@ -14,6 +14,7 @@
 import {SlotOwner} from './slot-owner.js';
 import type {SlotGroupKey} from './slot-owner.js';
 import {createSteeredPlacement} from './steered-placement.js';
+import {ServerSubsets, withinSubset} from './subset-placement.js';
 
 /** What a placement is made of. */
 export interface PlacementParts {
@@ -73,7 +74,7 @@
 	});
 	const asker = new SlotAsker({...parts, owner});
 	return {
-		placeCall: createSteeredPlacement({...parts, asker, fallback: new LocalFallback(parts)}),
+		placeCall: withinSubset({placeCall: createSteeredPlacement({...parts, asker, fallback: new LocalFallback(parts)}), subsets: new ServerSubsets(parts)}),
 		register(router) {
 			owner.register(router);
 		},
--- a/calls/placement/src/index.ts
+++ b/calls/placement/src/index.ts
@@ -8,3 +8,4 @@
 export * from './slot-owner.js';
 export type * from './slot-types.js';
 export * from './steered-placement.js';
+export * from './subset-placement.js';
--- a/daemons/entry/src/call-safety.ts
+++ b/daemons/entry/src/call-safety.ts
@@ -2,6 +2,7 @@
 import type {Counters, EventRecord} from '@pomelopick/core.telemetry';
 import type {Endpoint, Instance} from '@pomelopick/core.types';
 import {BackendConnections} from '@pomelopick/calls.connections';
+import {connectionsPerInstance} from '@pomelopick/steering.subsets';
 import {
 	createPeerSharing, DeathWatch, learnFromPeers, Quarantine,
 } from '@pomelopick/calls.quarantine';
@@ -35,7 +36,7 @@
 	const peerClients = new PeerClients();
 	const listPeers = (): readonly Endpoint[] => listInstances().filter(({id}) => id !== settings.instance).map(({peers}) => peers);
 	const connections = new BackendConnections({
-		now, onReplaced({server, connections: count}) {
+		now, mostPerServer: server => connectionsPerInstance({instances: listInstances().length, connections: server.connections}), onReplaced({server, connections: count}) {
 			counters.add('connections.replaced', count);
 			events.add({kind: 'repair', message: 'silent connections replaced', fields: {server, connections: count}});
 		},
--- a/steering/subsets/src/subset.ts
+++ b/steering/subsets/src/subset.ts
@@ -41,6 +41,14 @@
 	return shuffled.slice(start, start + size);
 }
 
+/** Connections of one instance to one server for which there is always room: one in use, and one to compare with it. */
+export const LEAST_CONNECTIONS = 2;
+
+/** Connections that one instance may open to one server which accepts so many from so many instances. */
+export function connectionsPerInstance({instances, connections}: {readonly instances: number; readonly connections: number}): number {
+	return Math.max(LEAST_CONNECTIONS, Math.floor(connections / Math.max(1, instances)));
+}
+
 /** Options of {@link subsetSize}. */
 export interface SubsetSizeOptions {
 	readonly instances: number;
