Show operators how long each drain took

Cause: status showed a drain's calls in progress, but not how long after it the last new call came or the last call ended, which is what a short drain is judged by. Change: each instance keeps for each drain in force the time of the last new call placed on its servers and of the last call that ended there, from when it took the drain into force, on its own clock. The status shows both, the command line shows the latest over the fleet, and an event of kind drain is recorded when none of the instance's calls is left there. Conclusion: an operator reads the drain time in status. A drain that has been taken back is no longer shown; its events stay in the record.

--- a/cli/pomelopick/src/fleet-status.ts
+++ b/cli/pomelopick/src/fleet-status.ts
@@ -31,15 +31,26 @@
 		instances,
 		missing,
 		versions: listVersions(instances),
-		drains: (newest?.drains ?? []).map(drain => ({
-			...drain, callsInProgress: sumOf({reports: instances, listOf: report => report.drains.filter(({name}) => name === drain.name).map(({callsInProgress}) => callsInProgress)}),
-		})),
+		drains: (newest?.drains ?? []).map(drain => mergeDrain({drain, instances})),
 		shifts: (newest?.shifts ?? []).map(shift => mergeShift({shift, instances})),
 		quarantines: [...quarantines.values()],
 		serviceUse: mergeUse(instances),
 	};
 }
 
+/** Calls in progress of a drain are summed; of its times the latest counts. */
+function mergeDrain({drain, instances}: {readonly drain: DrainReport; readonly instances: readonly StatusReport[]}): DrainReport {
+	const reports = instances.flatMap(({drains}) => drains.filter(({name}) => name === drain.name));
+	const latest = (field: 'lastNewCallMs' | 'lastCallEndedMs'): Partial<DrainReport> => {
+		const times = reports.flatMap(report => report[field] ?? []);
+		return times.length === 0 ? {} : {[field]: Math.max(...times)};
+	};
+
+	return {
+		...drain, callsInProgress: reports.reduce((sum, {callsInProgress}) => sum + callsInProgress, 0), ...latest('lastNewCallMs'), ...latest('lastCallEndedMs'),
+	};
+}
+
 /** Sums the calls in progress of all instances by service and region. */
 export function mergeUse(instances: readonly StatusReport[]): ServiceUseReport[] {
 	const uses = new Map<string, ServiceUseReport>();
@@ -64,8 +75,10 @@
 		'',
 		section({
 			title: 'no drains',
-			columns: ['drain', 'target', 'servers', 'calls in progress'],
-			rows: drains.map(({name, target, backendServers, callsInProgress}) => [name, `${target.kind} ${target.name}`, backendServers, callsInProgress]),
+			columns: ['drain', 'target', 'servers', 'calls in progress', 'last new call after, ms', 'last call ended after, ms'],
+			rows: drains.map(({name, target, backendServers, callsInProgress, lastNewCallMs, lastCallEndedMs}) => [
+				name, `${target.kind} ${target.name}`, backendServers, callsInProgress, lastNewCallMs ?? 'none', callsInProgress === 0 ? lastCallEndedMs ?? 'none' : 'not yet',
+			]),
 		}),
 		section({
 			title: 'no shifts', columns: ['shift', 'service', 'from', 'to', 'cap/s', 'used/s'], rows: shifts.map(({name, service, from, to, capCallsPerSecond, usedCallsPerSecond}) => [
@@ -141,10 +154,6 @@
 	return known.length === 0 ? fixed : {...fixed, usedCallsPerSecond: known.reduce((sum, {usedCallsPerSecond = 0}) => sum + usedCallsPerSecond, 0)};
 }
 
-function sumOf({reports, listOf}: {readonly reports: readonly StatusReport[]; readonly listOf: (report: StatusReport) => readonly number[]}): number {
-	return reports.flatMap(report => listOf(report)).reduce((sum, value) => sum + value, 0);
-}
-
 function versionOf({configurationVersion = 0}: StatusReport): number {
 	return configurationVersion;
 }
--- a/core/types/src/operator-reports.ts
+++ b/core/types/src/operator-reports.ts
@@ -23,6 +23,12 @@
 	readonly backendServers: number;
 	/** Calls that the reporting instance still has at them. */
 	readonly callsInProgress: number;
+	/** Time since the reporting instance took it into force, in milliseconds. */
+	readonly ageMs?: number;
+	/** Age of the drain at the last new call that was placed on its servers, in milliseconds; left out when there was none. */
+	readonly lastNewCallMs?: number;
+	/** Age of the drain at the end of the last call at its servers, in milliseconds; left out when there was none. */
+	readonly lastCallEndedMs?: number;
 }
 
 /** A shift, its cap and what the reporting instance knows of its use. */
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -32,6 +32,7 @@
 import {answerOperator} from './operator-handler.js';
 import {answerOutcome, OUTCOME_PATH} from './outcome-handler.js';
 import {listQuarantines} from './operators/list-quarantines.js';
+import {DrainTimes} from './operators/drain-times.js';
 import {PlacementCounts} from './operators/placement-counts.js';
 
 const MOST_SEED = 2_147_483_647;
@@ -88,9 +89,23 @@
 			events.add({kind: 'shift', message: 'shift closed itself', fields: {shift, detail}});
 		},
 	});
+	const drainTimes: DrainTimes = new DrainTimes({
+		now, inProgress: () => placementCounts.inProgress, onEmpty({drain, timing}) {
+			events.add({kind: 'drain', message: 'no call of this instance is left', fields: {drain, ...timing}});
+		},
+	});
+	const placementCounts = new PlacementCounts({
+		onPlaced(server) {
+			drainTimes.notePlaced(server);
+		},
+		onEnded(server) {
+			drainTimes.noteEnded(server);
+		},
+	});
 	holder.onChange(({set}) => {
 		lookup.useSet(set);
 		placement.useSet(set);
+		drainTimes.useSet(set);
 	});
 	const safety = createCallSafety({
 		settings, counters, events, now, listInstances: () => membership.liveInstances(),
@@ -98,7 +113,6 @@
 	const keyedCalls = createKeyedCalls({
 		settings, clients, counters, liveInstances: () => membership.liveInstances(), now,
 	});
-	const placementCounts = new PlacementCounts();
 	const handler: CallHandler = new CallHandler({
 		currentSet,
 		findSite: address => lookup.findSite(address),
@@ -135,6 +149,7 @@
 				listCallsInProgress: () => placementCounts.inProgress,
 				readSlots: placement.snapshot,
 				listShiftUse: placement.listShiftUse,
+				drainTiming: name => drainTimes.timing(name),
 				listQuarantines: () => listQuarantines({table: safety.quarantine.table, nowMs: now()}),
 				storeState: () => store.report,
 			},
--- a/daemons/entry/src/operators/explain-sources.ts
+++ b/daemons/entry/src/operators/explain-sources.ts
@@ -3,6 +3,7 @@
 	BackendServerName, QuarantineReport, RegionName, ServiceName, ShiftName, StoreReport,
 } from '@pomelopick/core.types';
 import type {GroupSnapshot} from '@pomelopick/calls.placement';
+import type {DrainTiming} from './drain-times.js';
 
 /** What the placement knows of the slots of a service in a region. */
 export type ReadSlots = (options: {readonly service: ServiceName; readonly region: RegionName}) => GroupSnapshot;
@@ -16,6 +17,8 @@
 	readonly listCallsInProgress: () => ReadonlyMap<BackendServerName, number>;
 	readonly readSlots?: ReadSlots;
 	readonly listShiftUse?: ListShiftUse;
+	/** Times of a drain at this instance; undefined when it is not in force here. */
+	readonly drainTiming?: (name: string) => DrainTiming | undefined;
 	readonly listQuarantines?: () => readonly QuarantineReport[];
 	readonly storeState: () => StoreReport;
 }
--- a/daemons/entry/src/operators/placement-counts.ts
+++ b/daemons/entry/src/operators/placement-counts.ts
@@ -2,10 +2,23 @@
 import type {BackendServerName} from '@pomelopick/core.types';
 import type {AttemptEnd, PlaceCall, Placement} from '@pomelopick/calls.forwarding';
 
+/** Options of {@link PlacementCounts}. */
+export interface PlacementCountsOptions {
+	/** Told of each call that was placed, once it is counted. */
+	readonly onPlaced: (server: BackendServerName) => void;
+	/** Told of each call that ended, once it is no longer counted. */
+	readonly onEnded: (server: BackendServerName) => void;
+}
+
 /** Counts around a placement. */
 export class PlacementCounts {
+	readonly #options: PlacementCountsOptions;
 	readonly #inProgress = new Map<BackendServerName, number>();
 
+	constructor(options: PlacementCountsOptions) {
+		this.#options = options;
+	}
+
 	/** Calls in progress by backend server; servers without any are left out. */
 	get inProgress(): ReadonlyMap<BackendServerName, number> {
 		return this.#inProgress;
@@ -22,10 +35,12 @@
 	#count(placement: Placement): Placement {
 		const {name} = placement.server;
 		this.#add(name, 1);
+		this.#options.onPlaced(name);
 		return {
 			...placement,
 			release: (end: AttemptEnd) => {
 				this.#add(name, -1);
+				this.#options.onEnded(name);
 				placement.release(end);
 			},
 		};
--- a/daemons/entry/src/operators/status.ts
+++ b/daemons/entry/src/operators/status.ts
@@ -29,6 +29,7 @@
 	const {view} = holder;
 	const set = view?.configuration.set;
 	const inProgress = sources.listCallsInProgress();
+	const drainOf = (drain: Drain): Partial<DrainReport> => sources.drainTiming?.(drain.name) ?? {};
 	return {
 		instance: settings.instance,
 		failureDomain: settings.failureDomain,
@@ -40,7 +41,7 @@
 		instances: lookup.members.map(({instance: {id, failureDomain, state, operators}, alive, isolated, load}) => ({
 			id, failureDomain, state, alive, isolated, load, operators,
 		})),
-		drains: set ? set.drains.map(drain => reportDrain({set, drain, inProgress})) : [],
+		drains: set ? set.drains.map(drain => ({...reportDrain({set, drain, inProgress}), ...drainOf(drain)})) : [],
 		shifts: set ? listShifts({set, sources}) : [],
 		quarantines: sources.listQuarantines?.() ?? [],
 		serviceUse: set ? listServiceUse({set, inProgress}) : [],
