--- a/calls/forwarding/src/attempt.ts
+++ b/calls/forwarding/src/attempt.ts
@@ -56,6 +56,8 @@
 	readonly heldBytes: number;
 	/** Whether opened connections are not trusted, because one of them may have gone silent. */
 	readonly needsNewConnection: boolean;
+	/** Whether it is made beside another attempt that still runs. */
+	readonly isHedge: boolean;
 }
 
 /** One attempt. */
@@ -121,10 +123,10 @@
 	}
 
 	async #place(): ReturnType<PlaceCall> {
-		const {call, parts} = this.#options;
+		const {call, parts, isHedge} = this.#options;
 		const {service, caller, callerSite, deadlineMs} = call.options;
 		const options = {
-			service, caller, callerSite, deadlineMs, avoidServers: call.avoidServers, avoidDomains: call.avoidDomains, cancellation: this.#waiting,
+			service, caller, callerSite, deadlineMs, avoidServers: call.avoidServers, avoidDomains: call.avoidDomains, isHedge, cancellation: this.#waiting,
 		};
 		if (call.isSuspect) {
 			// Suspects are kept apart, so that one of them does not make another look guilty.
--- a/calls/forwarding/src/placement.ts
+++ b/calls/forwarding/src/placement.ts
@@ -17,6 +17,8 @@
 	/** Servers and failure domains that already failed this call. */
 	readonly avoidServers: ReadonlySet<BackendServerName>;
 	readonly avoidDomains: ReadonlySet<FailureDomainName>;
+	/** Whether another attempt of the call still runs. */
+	readonly isHedge: boolean;
 	readonly cancellation: Cancellation;
 }
 
--- a/calls/placement/src/owner-group.ts
+++ b/calls/placement/src/owner-group.ts
@@ -10,7 +10,7 @@
 	DrawInteger, NamedSlot, ReleaseOptions, SlotEnd,
 } from '@pomelopick/steering.choice';
 import {LinkBudget, linkShareBytesPerSecond} from '@pomelopick/steering.links';
-import {FairQueue} from '@pomelopick/steering.queue';
+import {BurstPatience, FairQueue} from '@pomelopick/steering.queue';
 import type {
 	AdmitShift, GroupState, ServerSlots, SlotAnswer, SlotRefusal, SlotRequest,
 } from './slot-types.js';
@@ -21,6 +21,8 @@
 const SUBSTITUTE_SHARE = 0.5;
 /** Part of the queue that one caller may fill. */
 const CALLER_SHARE = 0.25;
+/** Wait that a burst may cause, in mean times of a call, by the priority of the service. */
+const BURST_HOLDS = {interactive: 1, deferrable: 3};
 const UNKNOWN_HOLD_MS = 50;
 /** Time after which a call whose servers are all left alone may come back, in milliseconds. */
 const NO_SERVER_RETRY_MS = 1000;
@@ -57,6 +59,7 @@
 	readonly #options: OwnerGroupOptions;
 	readonly #book: SlotBook;
 	readonly #queue: FairQueue<Waiter>;
+	readonly #burst: BurstPatience;
 	readonly #links = new Map<RegionName, LinkBudget>();
 	readonly #spilled = new Map<string, SpilledSlot>();
 	readonly #readyAtMs: number;
@@ -68,6 +71,7 @@
 		this.#set = options.set;
 		this.#book = new SlotBook({draw: options.draw});
 		this.#queue = new FairQueue({most: options.service.queueCalls, mostPerCaller: Math.max(1, Math.ceil(options.service.queueCalls * CALLER_SHARE))});
+		this.#burst = new BurstPatience({nowMs: options.now()});
 		this.#readyAtMs = options.now() + WARM_UP_MS;
 		this.useSet(options.set);
 	}
@@ -92,6 +96,10 @@
 			return isReady ? this.#acquireForSpill({request, nowMs}) : Left(this.#refusal({reason: 'region-headroom-exhausted', retryAfterMs: this.#readyAtMs - nowMs}));
 		}
 
+		if (request.isHedge && (!isReady || spillSlots(this.#load(nowMs)) === 0)) {
+			return Left(this.#refusal({reason: 'region-headroom-exhausted', retryAfterMs: this.#load(nowMs).holdMs}));
+		}
+
 		if (isReady) {
 			// Those who still wait after this cannot use a slot that is free, so nobody is overtaken.
 			this.#serve(nowMs);
@@ -197,7 +205,9 @@
 		}
 
 		const waitMs = expectedWaitMs(load);
-		const patienceMs = Math.min(request.patienceMs, request.timeLeftMs - load.holdMs);
+		this.#burst.noteArrival({waiting: load.waiting, nowMs});
+		const wishedMs = request.isLastChoice ? this.#burst.patienceMs({leastMs: request.patienceMs, burstMs: BURST_HOLDS[this.#options.service.priority] * load.holdMs, nowMs}) : request.patienceMs;
+		const patienceMs = Math.min(wishedMs, request.timeLeftMs - load.holdMs);
 		return waitMs > patienceMs ? this.#refusal({reason: 'queue-full', retryAfterMs: waitMs}) : undefined;
 	}
 
--- a/calls/placement/src/slot-asker.ts
+++ b/calls/placement/src/slot-asker.ts
@@ -144,9 +144,8 @@
 
 			const slotId = this.#createSlotId();
 			const askedAtMs = now();
-			const {caller, fromRegion, patienceMs, avoidServers, avoidDomains} = request;
 			const slotRequest: SlotRequest = {
-				slotId, asker: this.#options.instance, caller, fromRegion, patienceMs, timeLeftMs, avoidServers, avoidDomains, isSubstitute: owner !== ranked[0],
+				...request, slotId, asker: this.#options.instance, timeLeftMs, isSubstitute: owner !== ranked[0],
 			};
 			const answer = await this.#ask({
 				key, owner, request: slotRequest, cancellation,
