Split the suspicions of owners and the book's types off

Change: The owners that have gone silent are kept by `OwnerSuspicions`, and what the book of slots takes is declared in `slot-book-types.ts`.

--- a/calls/placement/src/slot-asker.ts
+++ b/calls/placement/src/slot-asker.ts
@@ -11,6 +11,7 @@
 import type {RefusalReason} from '@pomelopick/core.types';
 import type {GroupState, SlotAnswer, SlotRequest} from './slot-types.js';
 import {OwnerRanks} from './owner-rank.js';
+import {OwnerSuspicions, SUSPECT_MS} from './owner-suspicions.js';
 import type {SlotGroupKey, SlotOwner} from './slot-owner.js';
 
 const RENEW_INTERVAL_MS = 400;
@@ -18,7 +19,6 @@
 const RENEW_TIMEOUT_MS = 1500;
 /** Added to a call's time left before the owner's answer counts as lost, in milliseconds; renewals notice a silent owner long before. */
 const ANSWER_MARGIN_MS = 100;
-const SUSPECT_MS = 2000;
 /** Time after its last use for which a group's owner is still told of nothing held, in milliseconds. */
 const IDLE_AFTER_MS = 5000;
 /** Age from which a group's state is no longer believed, in milliseconds. */
@@ -81,22 +81,18 @@
 	readonly expiresAtMs: number;
 }
 
-interface Suspicion {
-	untilMs: number;
-	readonly controller: AbortController;
-}
-
 /** The asking side of slots. */
 export class SlotAsker {
 	readonly #options: SlotAskerOptions;
 	readonly #groups = new Map<string, GroupUse>();
 	readonly #ranks = new OwnerRanks();
-	readonly #suspicions = new Map<InstanceId, Suspicion>();
+	readonly #suspicions: OwnerSuspicions;
 	#nextSlot = 0;
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor(options: SlotAskerOptions) {
 		this.#options = options;
+		this.#suspicions = new OwnerSuspicions(options);
 	}
 
 	/** Starts naming held slots to their owners. */
@@ -126,7 +122,7 @@
 
 	/** The instance that this one would ask for a slot of a group now. */
 	ownerOf(key: SlotGroupKey): InstanceId | undefined {
-		return this.#rank(key).find(({id}) => !this.#isSuspect(id))?.id;
+		return this.#rank(key).find(({id}) => !this.#suspicions.isSuspect(id))?.id;
 	}
 
 	/** Asks for a slot; tries the next ranked owner when one does not answer. */
@@ -136,7 +132,7 @@
 		const startedAtMs = now();
 		for (let tried = 0; tried < MOST_OWNERS_ASKED; tried += 1) {
 			const ranked = this.#rank(key);
-			const owner = ranked.find(({id}) => !this.#isSuspect(id));
+			const owner = ranked.find(({id}) => !this.#suspicions.isSuspect(id));
 			const timeLeftMs = request.timeLeftMs - (now() - startedAtMs);
 			if (!owner || timeLeftMs <= 0) {
 				break;
@@ -161,9 +157,9 @@
 				break;
 			}
 
-			if (!this.#isSuspect(owner.id)) {
+			if (!this.#suspicions.isSuspect(owner.id)) {
 				count('placement.owner-silent');
-				this.#suspect(owner.id);
+				this.#suspicions.suspect(owner.id);
 			}
 		}
 
@@ -179,7 +175,7 @@
 			endpoint: owner.peers,
 			service: SlotsService,
 			timeoutMs: request.timeLeftMs + ANSWER_MARGIN_MS,
-			signal: AbortSignal.any([cancellation.signal, this.#suspicion(owner.id).controller.signal]),
+			signal: AbortSignal.any([cancellation.signal, this.#suspicions.signalOf(owner.id)]),
 			invoke: async (client, options) => client.acquire({
 				...request,
 				group: key,
@@ -217,7 +213,7 @@
 
 	#sendReleases(use: GroupUse): void {
 		const slots = use.ended.splice(0);
-		const owner = this.#rank(use.key).find(({id}) => !this.#isSuspect(id));
+		const owner = this.#rank(use.key).find(({id}) => !this.#suspicions.isSuspect(id));
 		if (owner?.id === this.#options.instance) {
 			const group = this.#options.owner.group(use.key);
 			for (const {slotId, end} of slots) {
@@ -244,7 +240,7 @@
 
 	async #renew(use: GroupUse): Promise<void> {
 		const {instance, now, peers, owner: ownGroups} = this.#options;
-		const owner = this.#rank(use.key).find(({id}) => !this.#isSuspect(id));
+		const owner = this.#rank(use.key).find(({id}) => !this.#suspicions.isSuspect(id));
 		if (!owner) {
 			return;
 		}
@@ -264,7 +260,7 @@
 		}).run();
 		use.isRenewing = false;
 		answer.ifLeft(() => {
-			this.#suspect(owner.id);
+			this.#suspicions.suspect(owner.id);
 		}).ifRight(({spillSlots, expectedWaitMs}) => {
 			this.#noteState({use, state: {spillSlots, expectedWaitMs}});
 		});
@@ -290,22 +286,6 @@
 		return use;
 	}
 
-	#isSuspect(id: InstanceId): boolean {
-		return this.#options.now() < (this.#suspicions.get(id)?.untilMs ?? Number.NEGATIVE_INFINITY);
-	}
-
-	/** Requests that wait at a suspect owner are given up and placed elsewhere. */
-	#suspect(id: InstanceId): void {
-		this.#suspicions.get(id)?.controller.abort();
-		this.#suspicions.set(id, {untilMs: this.#options.now() + SUSPECT_MS, controller: new AbortController()});
-	}
-
-	#suspicion(id: InstanceId): Suspicion {
-		const known = this.#suspicions.get(id) ?? {untilMs: Number.NEGATIVE_INFINITY, controller: new AbortController()};
-		this.#suspicions.set(id, known);
-		return known;
-	}
-
 	#createSlotId(): string {
 		this.#nextSlot += 1;
 		return `${this.#options.instance} ${this.#nextSlot}`;
--- a/steering/choice/src/slot-book.ts
+++ b/steering/choice/src/slot-book.ts
@@ -1,9 +1,12 @@
 /** Exact counts of the slots in use at the backend servers of one service in one region. */
-import type {BackendServerName, FailureDomainName, InstanceId} from '@pomelopick/core.types';
+import type {BackendServerName, InstanceId} from '@pomelopick/core.types';
 import type {DrawInteger} from './power-of-two.js';
 import {ServerLimit} from './server-limit.js';
 import type {SlotEnd} from './server-limit.js';
 import {listOutliers, mayHoldOutliers} from './outliers.js';
+import type {
+	BookServer, NamedSlot, ReleaseOptions, TryTakeOptions,
+} from './slot-book-types.js';
 
 /** Time after which a slot whose attempt ended without an answer is free; the server may still be busy with it. */
 const UNCERTAIN_RETURN_MS = 30;
@@ -14,44 +17,6 @@
 /** Time between trial calls to a server that is far slower than the others, in milliseconds. */
 const OUTLIER_TRIAL_MS = 500;
 
-/** A backend server of the group. */
-export interface BookServer {
-	readonly name: BackendServerName;
-	readonly failureDomain: FailureDomainName;
-	readonly slots: number;
-	/** Set to leave by the configuration. */
-	readonly isDrained: boolean;
-}
-
-/** A slot as its holder names it. */
-export interface NamedSlot {
-	readonly slotId: string;
-	readonly server: BackendServerName;
-	/** Monotonic time by which the slot comes back whatever happens, in milliseconds. */
-	readonly expiresAtMs: number;
-}
-
-/** Options of {@link SlotBook.tryTake}. */
-export interface TryTakeOptions {
-	readonly slotId: string;
-	readonly asker: InstanceId;
-	readonly avoidServers: ReadonlySet<BackendServerName>;
-	readonly avoidDomains: ReadonlySet<FailureDomainName>;
-	readonly expiresAtMs: number;
-	readonly nowMs: number;
-	/** Part of each server's limit that may be used, from 0 to 1. */
-	readonly limitShare: number;
-}
-
-/** Options of {@link SlotBook.release}. */
-export interface ReleaseOptions {
-	readonly slotId: string;
-	readonly end: SlotEnd;
-	readonly nowMs: number;
-	/** Whether a renewal that was sent before the end may still arrive; not when asker and book are in one process. */
-	readonly mayBeNamedLater?: boolean;
-}
-
 interface Entry extends NamedSlot {
 	readonly asker: InstanceId;
 	readonly takenAtMs: number;
