Do not queue a request that was cancelled before

Cause: A request for a slot whose caller left while another region was asked came to the owner's queue with an aborted signal. No listener is told of that, so it held a place in the queue, and of its caller's share, until its deadline. Ruled out: an effect on the answer; the attempt sees afterwards that its call has ended. Change: The owner refuses it at once. Conclusion: A place in the queue is now held only by requests whose callers still wait for an answer.

--- a/calls/placement/src/owner-group.ts
+++ b/calls/placement/src/owner-group.ts
@@ -202,6 +202,10 @@
 	}
 
 	async #wait({request, nowMs, signal}: {readonly request: SlotRequest; readonly nowMs: number; readonly signal: AbortSignal}): Promise<SlotAnswer> {
+		if (signal.aborted) {
+			return Left(this.#refusal({reason: 'caller-cancelled', retryAfterMs: 0}));
+		}
+
 		return new Promise(resolve => {
 			const leave = (): void => {
 				this.#queue.remove({caller: request.caller, item: waiter});
