Warm both sides of the entry benchmark and take more rounds

Cause: Rounds of one run differed more than the two sides: in one run the pass-through went from 7,824 to 11,046 calls a second between its first and its third round, and the entry instance from 7,478 to 11,094 and back to 8,784. Both were still being compiled in the first round, the pass-through always came first, and a median of three ratios takes a stray round over. Ruled out: the load process as the limit; the same process drove 12,056 calls a second at the entry instance while the pass-through stood at 4,872 to 9,343. Change: Each side gets 5 seconds of load before the first round. Seven rounds of 2 seconds are taken in place of three of 3 seconds, and the side that goes first alternates, so that a machine that becomes faster or slower favours neither. Callers, answers, targets and the median of the rounds stay as they were, and a failed call still fails the run.

--- a/testing/bench/src/entry.ts
+++ b/testing/bench/src/entry.ts
@@ -11,9 +11,12 @@
 const CALLERS = 32;
 const ORIGINS = 4;
 const SLOTS_PER_ORIGIN = 64;
+/** Load on each side before the first round, until its code is compiled, in milliseconds. */
+const FIRST_WARM_UP_MS = 4000;
+/** Load before each measurement, until the code of the load process is compiled, in milliseconds. */
 const WARM_UP_MS = 1000;
-const DEFAULT_ROUNDS = 3;
-const DEFAULT_ROUND_MS = 3000;
+const DEFAULT_ROUNDS = 7;
+const DEFAULT_ROUND_MS = 2000;
 
 /** Least rate of an entry instance, as a part of the pass-through's. */
 export const LEAST_RATE_RATIO = 0.75;
@@ -64,19 +67,19 @@
 		}),
 	});
 	const entry = fleet.entries[0]!;
-	const load = {callers: CALLERS, durationMs: roundMs, warmUpMs: WARM_UP_MS};
+	const measurePassThrough = async (durationMs: number): Promise<MeasuredLoad> => measureLoad({
+		callers: CALLERS, warmUpMs: WARM_UP_MS, durationMs, processId: passThrough.processId, origin: toOrigin(passThrough.announcement), paths: ['/item'],
+	});
+	const measureInstance = async (durationMs: number): Promise<MeasuredLoad> => measureLoad({
+		callers: CALLERS, warmUpMs: WARM_UP_MS, durationMs, processId: entry.child.processId, origin: toOrigin(entry.instance.callers), paths: ['/v1/services/corrections/item'],
+	});
 	try {
+		await measurePassThrough(FIRST_WARM_UP_MS);
+		await measureInstance(FIRST_WARM_UP_MS);
 		const rounds: EntryRound[] = [];
 		for (let round = 1; round <= count; round += 1) {
 			report(`round ${round} of ${count}: ${roundMs} ms a side, ${CALLERS} callers, answers of ${ANSWER_BYTES} bytes`);
-			rounds.push({
-				passThrough: await measureLoad({
-					...load, processId: passThrough.processId, origin: toOrigin(passThrough.announcement), paths: ['/item'],
-				}),
-				entry: await measureLoad({
-					...load, processId: entry.child.processId, origin: toOrigin(entry.instance.callers), paths: ['/v1/services/corrections/item'],
-				}),
-			});
+			rounds.push(await measureRound({round, measurePassThrough: async () => measurePassThrough(roundMs), measureInstance: async () => measureInstance(roundMs)}));
 		}
 
 		return compare(rounds);
@@ -86,6 +89,23 @@
 	}
 }
 
+interface MeasureRoundOptions {
+	readonly round: number;
+	readonly measurePassThrough: () => Promise<MeasuredLoad>;
+	readonly measureInstance: () => Promise<MeasuredLoad>;
+}
+
+/** Measures both sides; the first alternates, so that a machine that becomes faster or slower favours neither. */
+async function measureRound({round, measurePassThrough, measureInstance}: MeasureRoundOptions): Promise<EntryRound> {
+	if (round % 2 === 1) {
+		const passThrough = await measurePassThrough();
+		return {passThrough, entry: await measureInstance()};
+	}
+
+	const entry = await measureInstance();
+	return {passThrough: await measurePassThrough(), entry};
+}
+
 function compare(rounds: readonly EntryRound[]): EntryMeasurement {
 	const ratio = (valueOf: (load: MeasuredLoad) => number): number => medianOf(rounds.map(({entry, passThrough}) => valueOf(entry) / valueOf(passThrough)));
 	const rateRatio = ratio(({perSecond}) => perSecond);
