Bound the bytes of bodies that all calls together hold

Cause: a keyed body is held up to 8 MiB and 2,000 calls may be in progress, so that bodies were bounded for each call only, at 16 GiB for a process.

Change: limits.heldBytes (128 MiB by default) bounds the held parts of all request bodies; a call beyond it is refused as instance-full, not run, before more of its body is read. Answers that are held are not counted yet.

Conclusion: slow or large bodies cost an instance a bounded amount of memory, whatever the number of their connections.

--- a/calls/forwarding/src/admission.ts
+++ b/calls/forwarding/src/admission.ts
@@ -11,6 +11,8 @@
 	readonly calls: number;
 	/** Size of a request body, in bytes. */
 	readonly bodyBytes: number;
+	/** Bytes of request bodies that all calls together hold. */
+	readonly heldBytes: number;
 }
 
 /** Options of {@link findEarlyRefusal}. */
--- a/calls/forwarding/src/call-handler.ts
+++ b/calls/forwarding/src/call-handler.ts
@@ -15,6 +15,8 @@
 import type {CallDemands} from './call-headers.js';
 import {CallRun} from './call-run.js';
 import {CallState} from './call-state.js';
+import {HeldBytes} from './held-bytes.js';
+import type {HeldPart} from './held-bytes.js';
 import {isKeyed, limitClaim} from './key-claim.js';
 import type {KeyedOutcome, KeyedRun, KeyGuard} from './key-guard.js';
 import type {PlaceCall} from './placement.js';
@@ -62,6 +64,7 @@
 	readonly id: CallId;
 	readonly service: Service;
 	readonly demands: CallDemands;
+	readonly held: HeldPart;
 }
 
 interface CarryOptions {
@@ -75,11 +78,13 @@
 	readonly #options: CallHandlerOptions;
 	readonly #parts: AttemptParts;
 	readonly #policies: ServicePolicies;
+	readonly #held: HeldBytes;
 	#inProgress = 0;
 
 	constructor(options: CallHandlerOptions) {
 		const {placeCall, connections, deathWatch, now, currentSet} = options;
 		this.#options = options;
+		this.#held = new HeldBytes({most: options.limits.heldBytes});
 		this.#parts = {
 			placeCall,
 			hasServerBesides: ({service, servers}) => (currentSet()?.backendServers ?? []).some(server => server.service === service && !servers.has(server.name)),
@@ -107,23 +112,25 @@
 		}
 
 		this.#inProgress += 1;
+		const held = this.#held.open();
 		try {
 			const service = findService({set: this.#options.currentSet(), name: options.serviceName})!;
 			const demands = readDemands(options.request.headers).unsafeCoerce();
 			await this.#begin({
-				...options, id, service, demands,
+				...options, id, service, demands, held,
 			});
 		} finally {
 			this.#inProgress -= 1;
+			held.release();
 		}
 	}
 
-	async #begin({request, response, path, id, service, demands}: CheckedCall): Promise<void> {
+	async #begin({request, response, path, id, service, demands, held}: CheckedCall): Promise<void> {
 		const {now, findSite, limits} = this.#options;
 		const startedAtMs = now();
 		const timeoutMs = demands.timeoutMs ?? service.defaultTimeoutMs;
 		const body = await readBody({
-			request, mostBytes: limits.bodyBytes, heldBytes: isKeyed(request) ? HELD_KEYED_BYTES : HELD_BODY_BYTES, timeoutMs,
+			request, mostBytes: limits.bodyBytes, heldBytes: isKeyed(request) ? HELD_KEYED_BYTES : HELD_BODY_BYTES, timeoutMs, tryHold: held.tryTake,
 		});
 		if (body.isLeft()) {
 			this.#refuse({response, id, refusal: limitClaim({request, refusal: body.extract()})});
--- a/calls/forwarding/src/request-body.ts
+++ b/calls/forwarding/src/request-body.ts
@@ -10,6 +10,7 @@
 export const HELD_BODY_BYTES = 65_536;
 /** Time in which the held part must arrive, in milliseconds. */
 const BODY_TIMEOUT_MS = 10_000;
+const RETRY_AFTER_MS = 1000;
 
 /** Body of a request. */
 export interface RequestBody {
@@ -31,6 +32,8 @@
 	readonly heldBytes: number;
 	/** Time left for the call, in milliseconds. */
 	readonly timeoutMs: number;
+	/** Takes bytes that the instance holds; false when it has none left. */
+	readonly tryHold: (bytes: number) => boolean;
 }
 
 const emptyBody: RequestBody = {
@@ -42,8 +45,8 @@
 	return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
 }
 
-/** Reads the held part of a body. Left: `body-too-large`, `body-too-slow` or `caller-cancelled`, all not run. */
-export async function readBody({request, mostBytes, heldBytes, timeoutMs}: ReadBodyOptions): Promise<Either<Refusal, RequestBody>> {
+/** Reads the held part of a body. Left: `body-too-large`, `body-too-slow`, `instance-full` or `caller-cancelled`, all not run. */
+export async function readBody({request, mostBytes, heldBytes, timeoutMs, tryHold}: ReadBodyOptions): Promise<Either<Refusal, RequestBody>> {
 	if (!hasBody(request)) {
 		return Right(emptyBody);
 	}
@@ -53,7 +56,9 @@
 		return Left(tooLarge({found: `${declared}`, mostBytes, execution: 'not-run'}));
 	}
 
-	const start = await readStart({request, heldBytes, timeoutMs: Math.min(BODY_TIMEOUT_MS, timeoutMs)});
+	const start = await readStart({
+		request, heldBytes, timeoutMs: Math.min(BODY_TIMEOUT_MS, timeoutMs), tryHold,
+	});
 	return start.chain(({bytes, isWhole}) => {
 		if (bytes.length > mostBytes) {
 			return Left(tooLarge({found: `more than ${mostBytes}`, mostBytes, execution: 'not-run'}));
@@ -68,7 +73,7 @@
 	readonly isWhole: boolean;
 }
 
-async function readStart({request, heldBytes, timeoutMs}: {readonly request: IncomingMessage; readonly heldBytes: number; readonly timeoutMs: number}): Promise<Either<Refusal, BodyStart>> {
+async function readStart({request, heldBytes, timeoutMs, tryHold}: Omit<ReadBodyOptions, 'mostBytes'>): Promise<Either<Refusal, BodyStart>> {
 	return new Promise(resolve => {
 		const pieces: Uint8Array[] = [];
 		let length = 0;
@@ -80,6 +85,13 @@
 		};
 
 		const onData = (piece: Uint8Array): void => {
+			if (!tryHold(piece.length)) {
+				finish(Left({
+					reason: 'instance-full', execution: 'not-run', detail: 'this instance holds as many bytes of bodies as it may', retryAfterMs: RETRY_AFTER_MS,
+				}));
+				return;
+			}
+
 			pieces.push(piece);
 			length += piece.length;
 			if (length > heldBytes) {
--- a/config/settings/src/settings.ts
+++ b/config/settings/src/settings.ts
@@ -28,7 +28,9 @@
 		calls: z.int().min(1).max(100_000).default(2000),
 		/** Size of a request body, in bytes. */
 		bodyBytes: z.int().min(0).max(1_073_741_824).default(8_388_608),
-	}).default({calls: 2000, bodyBytes: 8_388_608}),
+		/** Bytes of request bodies that all calls together hold. */
+		heldBytes: z.int().min(65_536).max(17_179_869_184).default(134_217_728),
+	}).default({calls: 2000, bodyBytes: 8_388_608, heldBytes: 134_217_728}),
 	/** Longest time that a stopping process waits for calls in flight, in milliseconds. */
 	shutdownTimeoutMs: z.int().min(0).max(600_000).default(30_000),
 	/** Namespaces of the `debug` library that are written; the `DEBUG` variable of the environment goes before it. */
--- a/daemons/entry/test/hostile-connections.test.ts
+++ b/daemons/entry/test/hostile-connections.test.ts
@@ -18,6 +18,11 @@
 };
 
 const MOST_BODY_BYTES = 100_000;
+const MOST_HELD_BYTES = 2_000_000;
+/** Bodies of which all but the last byte comes. */
+const HELD_BODIES = 40;
+/** Bytes of a body that is held whole. */
+const HELD_BODY_BYTES = 65_000;
 const SLOW_CONNECTIONS = 200;
 const TRICKLE_MS = 200;
 /** Longer than any time that the listener gives a slow sender; a connection that outlives it is a failure. */
@@ -119,7 +124,7 @@
 	};
 
 	before(async () => {
-		fleet = await startFleet({deployment, entries: 1, adjustSettings: settings => ({...settings, limits: {calls: 400, bodyBytes: MOST_BODY_BYTES}})});
+		fleet = await startFleet({deployment, entries: 1, adjustSettings: settings => ({...settings, limits: {calls: 400, bodyBytes: MOST_BODY_BYTES, heldBytes: MOST_HELD_BYTES}})});
 	});
 	after(async () => {
 		await fleet.stop();
@@ -155,6 +160,21 @@
 		assert.equal(await countHidden(), 0);
 	});
 
+	it('hold no more bytes of bodies than all calls together may', async () => {
+		const held = HELD_BODY_BYTES - 1;
+		const bodies = await Promise.all(Array.from({length: HELD_BODIES}, async () => trickle({
+			socket: open(), pieces: [`POST ${path} HTTP/1.1\r\n${host}x-request-timeout-ms: 2000\r\ncontent-length: ${HELD_BODY_BYTES}\r\n\r\n${'a'.repeat(held)}`],
+		})));
+		const reasons = bodies.flatMap(({text}) => reasonsIn(text));
+		const waited = reasons.filter(reason => reason === 'body-too-slow').length;
+		assert.deepEqual(new Set(reasons), new Set(['body-too-slow', 'instance-full']));
+		assert.ok(waited * held <= MOST_HELD_BYTES, `${waited} bodies were held`);
+		const served = await callDirectly({
+			endpoint: fleet.entries[0]!.instance.callers, service: 'ledger', method: 'POST', path: '/served', body: 'a'.repeat(held), timeoutMs: 5000,
+		});
+		assert.equal(served.ended, 'answered');
+	});
+
 	it('take bounded memory while others are served', async () => {
 		const before = await readMemoryBytes();
 		const heads = Array.from({length: SLOW_CONNECTIONS}, async () => trickle({socket: open(), pieces: [`GET ${path} HTTP/1.1\r\n${host}`, `x-one: ${'a'.repeat(300)}\r\n`], repeatsLast: true}));
