--- a/calls/forwarding/src/call-handler.ts
+++ b/calls/forwarding/src/call-handler.ts
@@ -14,6 +14,8 @@
 import {CALL_ID_HEADER, endToEndHeaders} from './call-headers.js';
 import {CallRun} from './call-run.js';
 import {CallState} from './call-state.js';
+import {HeldBytes} from './held-bytes.js';
+import type {HeldPart} from './held-bytes.js';
 import {isKeyed, limitClaim} from './key-claim.js';
 import type {KeyedOutcome, KeyedRun, KeyGuard} from './key-guard.js';
 import type {PlaceCall} from './placement.js';
@@ -61,6 +63,7 @@
 	readonly options: HandleCallOptions;
 	readonly id: CallId;
 	readonly admitted: AdmittedCall;
+	readonly held: HeldPart;
 }
 
 interface CarryOptions {
@@ -74,11 +77,13 @@
 	readonly #options: CallHandlerOptions;
 	readonly #parts: AttemptParts;
 	readonly #policies: ServicePolicies;
+	readonly #held: HeldBytes;
 	#inProgress = 0;
 
 	constructor(options: CallHandlerOptions) {
 		const {placeCall, connections, deathWatch, now, currentSet} = options;
 		this.#options = options;
+		this.#held = new HeldBytes({most: options.limits.heldBytes});
 		this.#parts = {
 			placeCall,
 			hasServerBesides: ({service, servers}) => (currentSet()?.backendServers ?? []).some(server => server.service === service && !servers.has(server.name)),
@@ -108,19 +113,23 @@
 		}
 
 		this.#inProgress += 1;
+		const held = this.#held.open();
 		try {
-			await this.#begin({options, id, admitted: admitted.unsafeCoerce()});
+			await this.#begin({
+				options, id, admitted: admitted.unsafeCoerce(), held,
+			});
 		} finally {
 			this.#inProgress -= 1;
+			held.release();
 		}
 	}
 
-	async #begin({options: {request, response, path}, id, admitted: {service, demands}}: BeginOptions): Promise<void> {
+	async #begin({options: {request, response, path}, id, admitted: {service, demands}, held}: BeginOptions): Promise<void> {
 		const {now, findSite, limits} = this.#options;
 		const startedAtMs = now();
 		const timeoutMs = demands.timeoutMs ?? service.defaultTimeoutMs;
 		const body = await readBody({
-			request, mostBytes: limits.bodyBytes, heldBytes: isKeyed(request) ? HELD_KEYED_BYTES : HELD_BODY_BYTES, timeoutMs,
+			request, mostBytes: limits.bodyBytes, heldBytes: isKeyed(request) ? HELD_KEYED_BYTES : HELD_BODY_BYTES, timeoutMs, tryHold: held.tryTake,
 		});
 		if (body.isLeft()) {
 			this.#refuse({response, id, refusal: limitClaim({request, refusal: body.extract()})});
