--- a/cli/pomelopick/src/change-command.ts
+++ b/cli/pomelopick/src/change-command.ts
@@ -120,11 +120,13 @@
 
 			case 'refused': {
 				const {version, author} = outcome.winner;
-				return this.fail({error: {code: 'refused', message: `version ${version} by ${author} was published in between; nothing was changed, run the command again`}, exitCode: exitCodes.refused});
+				const message = `version ${version} by ${author} was published in between; nothing was changed, run the command again`;
+				return this.fail({error: {code: 'refused', message}, exitCode: exitCodes.refused});
 			}
 
 			case 'undecided': {
-				return this.fail({error: {code: 'undecided', message: `publish ${outcome.publishId}: ${outcome.detail}; "config history" names this publish if it took effect`}, exitCode: exitCodes.undecided});
+				const message = `publish ${outcome.publishId}: ${outcome.detail}; "config history" names this publish if it took effect`;
+				return this.fail({error: {code: 'undecided', message}, exitCode: exitCodes.undecided});
 			}
 		}
 	}
--- a/cli/pomelopick/src/commands/config-history.ts
+++ b/cli/pomelopick/src/commands/config-history.ts
@@ -20,12 +20,7 @@
 	limit = Option.String('--limit', String(DEFAULT_LIMIT), {description: 'Most versions to list'});
 
 	async execute(): Promise<number> {
-		const limit = Number(this.limit);
-		if (!(Number.isSafeInteger(limit) && limit > 0 && limit <= MOST_LIMIT)) {
-			return this.fail({error: {code: 'bad-flag', message: `--limit: expected 1 to ${MOST_LIMIT}, found ${JSON.stringify(this.limit)}`}, exitCode: exitCodes.usage});
-		}
-
-		return this.withStore(async store => {
+		return this.withCount({flag: '--limit', text: this.limit, most: MOST_LIMIT}, async (store, limit) => {
 			const history = await listHistory({store, limit}).run();
 			return history.caseOf({
 				Left: error => this.failToRead(error),
--- a/cli/pomelopick/src/commands/config-rollback.ts
+++ b/cli/pomelopick/src/commands/config-rollback.ts
@@ -20,7 +20,8 @@
 	publishId = Option.String('--publish-id', {description: 'Identifier of an undecided attempt that is run again'});
 
 	async execute(): Promise<number> {
-		const versions = parseVersion({flag: 'VERSION', text: this.version}).chain(version => parseVersion({flag: '--based-on', text: this.basedOn}).chain(basedOn => Right({version: version!, basedOn})));
+		const versions = parseVersion({flag: 'VERSION', text: this.version})
+			.chain(version => parseVersion({flag: '--based-on', text: this.basedOn}).chain(basedOn => Right({version: version!, basedOn})));
 		return versions.caseOf<Promise<number>>({
 			Left: async error => this.fail({error, exitCode: exitCodes.usage}),
 			Right: async chosen => this.#restore(chosen),
--- a/cli/pomelopick/src/commands/demo.ts
+++ b/cli/pomelopick/src/commands/demo.ts
@@ -24,8 +24,15 @@
 				this.context.stderr.write(`${line}\n`);
 			},
 		});
-		const lines = results.map(({deployment, calls, answered, silent, wrongAnswers, doubleExecutions, falseNotRun, p50Ms, p99Ms}) =>
-			`${deployment}: ${answered} of ${calls} calls answered, ${silent} silent, ${wrongAnswers} wrong, ${doubleExecutions} executed twice, ${falseNotRun} falsely told "not run", p50 ${p50Ms} ms, p99 ${p99Ms} ms`);
+		const lines = results.map(({deployment, calls, answered, silent, wrongAnswers, doubleExecutions, falseNotRun, p50Ms, p99Ms}) => [
+			`${deployment}: ${answered} of ${calls} calls answered`,
+			`${silent} silent`,
+			`${wrongAnswers} wrong`,
+			`${doubleExecutions} executed twice`,
+			`${falseNotRun} falsely told "not run"`,
+			`p50 ${p50Ms} ms`,
+			`p99 ${p99Ms} ms`,
+		].join(', '));
 		this.print({document: results, text: lines.join('\n')});
 		return isClean(results) ? exitCodes.success : exitCodes.refused;
 	}
--- a/cli/pomelopick/src/format-preview.ts
+++ b/cli/pomelopick/src/format-preview.ts
@@ -18,9 +18,11 @@
 				]),
 			})]),
 		...caps.map(({shift, before, after}) => `cap of shift ${shift}: ${formatCap(before)} -> ${formatCap(after)}`),
-		...shiftMoves.map(({shift, service, from, to, callsPerSecond, slots}) => `shift ${shift}: ${callsPerSecond.toFixed(1)} of the calls/s of ${service} in ${from} go to ${to}, about ${slots} slots`),
+		...shiftMoves.map(({shift, service, from, to, callsPerSecond, slots}) =>
+			`shift ${shift}: ${callsPerSecond.toFixed(1)} of the calls/s of ${service} in ${from} go to ${to}, about ${slots} slots`),
 		...links.map(link => formatLink(link)),
-		...entriesInDrainedDomains.map(({id, failureDomain, callsInProgress}) => `${id} in ${failureDomain} goes on taking callers, ${callsInProgress} calls now: a drain empties backend servers alone`),
+		...entriesInDrainedDomains.map(({id, failureDomain, callsInProgress}) =>
+			`${id} in ${failureDomain} goes on taking callers, ${callsInProgress} calls now: a drain empties backend servers alone`),
 		...(isUseKnown ? [] : ['use of the fleet not known; name a live instance with --instance to have the headroom judged']),
 		...shortages.map(({detail}) => `no headroom: ${detail}`),
 		...(isUseKnown && shortages.length === 0 ? ['headroom is there'] : []),
--- a/cli/pomelopick/src/store-command.ts
+++ b/cli/pomelopick/src/store-command.ts
@@ -8,7 +8,10 @@
 import type {CodedError, ConfigurationVersion} from '@pomelopick/core.types';
 import {ConsulStore} from '@pomelopick/platform.store';
 import type {KeyValueStore} from '@pomelopick/platform.store';
-import {exitCodes, parseEndpoint, PomelopickCommand} from './context.js';
+import {
+	exitCodes, parseCount, parseEndpoint, PomelopickCommand,
+} from './context.js';
+import type {ParseCountOptions} from './context.js';
 
 const UNAVAILABLE_CODES: ReadonlySet<string> = new Set(['unavailable', 'rate-limited', 'undecided']);
 
@@ -29,6 +32,14 @@
 		});
 	}
 
+	/** As {@link withStore}, with a flag that holds a count. */
+	protected async withCount(options: ParseCountOptions, run: (store: KeyValueStore, count: number) => Promise<number>): Promise<number> {
+		return parseCount(options).caseOf<Promise<number>>({
+			Left: async error => this.fail({error, exitCode: exitCodes.usage}),
+			Right: async count => this.withStore(async store => run(store, count)),
+		});
+	}
+
 	/** Prints why something could not be read and answers the exit code. */
 	protected failToRead({code, message}: ReadConfigurationError): number {
 		return UNAVAILABLE_CODES.has(code)
--- a/cli/pomelopick/test/config-commands.test.ts
+++ b/cli/pomelopick/test/config-commands.test.ts
@@ -47,13 +47,22 @@
 			name: 'publishes a first version', flags: () => ['publish', path.join(directory, 'first')], exitCode: 0, output: /accepted as version 1/u,
 		},
 		{
-			name: 'publishes a second version once', flags: () => ['publish', path.join(directory, 'second'), '--based-on', '1', '--publish-id', 'second-try'], exitCode: 0, output: /accepted as version 2/u,
+			name: 'publishes a second version once',
+			flags: () => ['publish', path.join(directory, 'second'), '--based-on', '1', '--publish-id', 'second-try'],
+			exitCode: 0,
+			output: /accepted as version 2/u,
 		},
 		{
-			name: 'reports the same publish when it is run again', flags: () => ['publish', path.join(directory, 'second'), '--based-on', '1', '--publish-id', 'second-try'], exitCode: 0, output: /accepted as version 2/u,
+			name: 'reports the same publish when it is run again',
+			flags: () => ['publish', path.join(directory, 'second'), '--based-on', '1', '--publish-id', 'second-try'],
+			exitCode: 0,
+			output: /accepted as version 2/u,
 		},
 		{
-			name: 'refuses an edit of an earlier version', flags: () => ['publish', path.join(directory, 'first'), '--based-on', '1'], exitCode: 1, output: /refused: version 2 by .* was published first/u,
+			name: 'refuses an edit of an earlier version',
+			flags: () => ['publish', path.join(directory, 'first'), '--based-on', '1'],
+			exitCode: 1,
+			output: /refused: version 2 by .* was published first/u,
 		},
 		{
 			name: 'compares a version with the newest', flags: () => ['diff', '1'], exitCode: 0, output: /- services first .*\n\+ services second/u,
--- a/cli/pomelopick/test/operators.test.ts
+++ b/cli/pomelopick/test/operators.test.ts
@@ -54,7 +54,11 @@
 		assert.equal(code, 0);
 		assert.deepEqual(
 			{
-				block: explanation.block, site: explanation.site, region: explanation.region, named: explanation.entries.filter(({place}) => place !== undefined).length, first: explanation.entries[0]?.failureDomain,
+				block: explanation.block,
+				site: explanation.site,
+				region: explanation.region,
+				named: explanation.entries.filter(({place}) => place !== undefined).length,
+				first: explanation.entries[0]?.failureDomain,
 			},
 			{
 				block: '127.0.2.0/24', site: 'muntenia-1-site', region: 'muntenia', named: 3, first: 'muntenia-1',
--- a/cli/pomelopick/test/preview.test.ts
+++ b/cli/pomelopick/test/preview.test.ts
@@ -144,7 +144,10 @@
 		change: newShift(1000),
 		use: useOf(10, 15),
 		expected: {
-			links: [{added: 81_920, share: undefined}], shiftMoves: [{callsPerSecond: 20, slots: 10}], entries: [], shortages: [/shift move brings 20\.0 calls\/s to south, about 10 slots; 3 are free/u],
+			links: [{added: 81_920, share: undefined}],
+			shiftMoves: [{callsPerSecond: 20, slots: 10}],
+			entries: [],
+			shortages: [/shift move brings 20\.0 calls\/s to south, about 10 slots; 3 are free/u],
 		},
 	},
 	{
--- a/config/publishing/src/publish.ts
+++ b/config/publishing/src/publish.ts
@@ -259,8 +259,14 @@
 	return Right({kind: 'undecided', publishId, detail});
 }
 
+interface FindWinnerOptions {
+	readonly store: KeyValueStore;
+	readonly version: ConfigurationVersion;
+	readonly publishId: PublishId;
+}
+
 /** The version that took the place which the publish attempted; undefined while nothing has. */
-async function findWinner({store, version, publishId}: {readonly store: KeyValueStore; readonly version: ConfigurationVersion; readonly publishId: PublishId}): Promise<Either<ReadConfigurationError, PublishOutcome | undefined>> {
+async function findWinner({store, version, publishId}: FindWinnerOptions): Promise<Either<ReadConfigurationError, PublishOutcome | undefined>> {
 	const winner = await readVersion({store, version}).run();
 	return winner.caseOf<Either<ReadConfigurationError, PublishOutcome | undefined>>({
 		Left: error => error.code === 'unknown-version' ? Right(undefined) : Left(error),
--- a/config/publishing/test/publish.test.ts
+++ b/config/publishing/test/publish.test.ts
@@ -31,7 +31,16 @@
 	let platform: PlatformStandIn;
 	let store: HookedStore;
 	let other: HookedStore;
-	const publish = async ({from = store, set = createSet(), publishId, basedOn}: {readonly from?: HookedStore; readonly set?: ConfigurationSet; readonly publishId?: PublishId; readonly basedOn?: number} = {}): Promise<PublishOutcome | {readonly kind: 'failed'; readonly code: string}> => {
+	interface PublishOptions {
+		readonly from?: HookedStore;
+		readonly set?: ConfigurationSet;
+		readonly publishId?: PublishId;
+		readonly basedOn?: number;
+	}
+
+	type Published = PublishOutcome | {readonly kind: 'failed'; readonly code: string};
+
+	const publish = async ({from = store, set = createSet(), publishId, basedOn}: PublishOptions = {}): Promise<Published> => {
 		const result = await publishConfiguration({
 			store: from, set, author: 'test', nowMs: Date.now(), publishId, basedOn: basedOn as ConfigurationVersion | undefined, pause,
 		}).run();
--- a/config/publishing/test/set-assembler.test.ts
+++ b/config/publishing/test/set-assembler.test.ts
@@ -27,7 +27,10 @@
 describe('SetAssembler', () => {
 	const cases: ReadonlyArray<{name: string; change: Partial<ConfigurationSetInput>; same: ReadonlyArray<keyof ConfigurationSet>; other: ReadonlyArray<keyof ConfigurationSet>}> = [
 		{
-			name: 'keeps the client blocks when a drain comes', change: {drains: [{name: 'stop', target: {kind: 'site', name: 'site-1'}}]}, same: ['clientBlocks', 'backendServers', 'sites'], other: ['drains'],
+			name: 'keeps the client blocks when a drain comes',
+			change: {drains: [{name: 'stop', target: {kind: 'site', name: 'site-1'}}]},
+			same: ['clientBlocks', 'backendServers', 'sites'],
+			other: ['drains'],
 		},
 		{
 			name: 'makes a new list when one client block goes', change: {clientBlocks: input.clientBlocks!.slice(1)}, same: ['backendServers', 'drains'], other: ['clientBlocks'],
--- a/config/schema/test/check.test.ts
+++ b/config/schema/test/check.test.ts
@@ -29,7 +29,11 @@
 
 const cases: ReadonlyArray<{name: string; change: Partial<ConfigurationSetInput>; expected: ReadonlyArray<Pick<ConfigurationFault, 'code' | 'path'>>}> = [
 	{name: 'accepts a sound set with nested blocks', change: {}, expected: []},
-	{name: 'names an unknown region', change: {failureDomains: [{name: 'north-1', region: 'nowhere'}, {name: 'south-1', region: 'south'}]}, expected: [{code: 'unknown-name', path: 'failureDomains[0].region'}]},
+	{
+		name: 'names an unknown region',
+		change: {failureDomains: [{name: 'north-1', region: 'nowhere'}, {name: 'south-1', region: 'south'}]},
+		expected: [{code: 'unknown-name', path: 'failureDomains[0].region'}],
+	},
 	{name: 'names a double name', change: {regions: [{name: 'north'}, {name: 'south'}, {name: 'north'}]}, expected: [{code: 'double-name', path: 'regions[2].name'}]},
 	{
 		name: 'refuses a cap above what the slots can finish',
@@ -110,7 +114,12 @@
 	{
 		name: 'reports a bad shape together with faults across objects, at the positions of the input',
 		change: {
-			sites: [{name: 'North!', failureDomain: 'north-1'}, {name: 'north-site', failureDomain: 'nowhere'}, {name: 'south-site', failureDomain: 'south-1'}, {name: 'south-site', failureDomain: 'south-1'}],
+			sites: [
+				{name: 'North!', failureDomain: 'north-1'},
+				{name: 'north-site', failureDomain: 'nowhere'},
+				{name: 'south-site', failureDomain: 'south-1'},
+				{name: 'south-site', failureDomain: 'south-1'},
+			],
 		},
 		expected: [{code: 'bad-shape', path: 'sites[0].name'}, {code: 'double-name', path: 'sites[3].name'}, {code: 'unknown-name', path: 'sites[1].failureDomain'}],
 	},
--- a/testing/backend-stand-in/src/backend-stand-in.ts
+++ b/testing/backend-stand-in/src/backend-stand-in.ts
@@ -4,18 +4,18 @@
  * A call may carry `workMs`, `bytes`, `crash` in its query. The answer repeats the call's id, method and path and
  * carries a digest of its padding, so that a caller can tell a whole answer of its own from any other.
  */
-import {createHash} from 'node:crypto';
-import {
-	createServer,
-} from 'node:http';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {createServer} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
-import {buffer} from 'node:stream/consumers';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Endpoint} from '@pomelopick/core.types';
 import {defaultBehaviour} from './behaviour.js';
 import type {BackendBehaviour, Execution} from './behaviour.js';
+import {
+	digest, readBody, sendJson, stopServer,
+} from './http.js';
+import {LoadReports} from './load-reports.js';
 import {Slots} from './slots.js';
 
 const DEFAULT_CONNECTIONS = 330;
@@ -59,12 +59,6 @@
 	readonly openConnections: number;
 }
 
-interface Report {
-	readonly atMs: number;
-	readonly inFlight: number;
-	readonly draining: boolean;
-}
-
 /** Starts a backend server on loopback. */
 export async function startBackendStandIn(options: StartBackendStandInOptions): Promise<BackendStandIn> {
 	const backend = new Backend(options);
@@ -106,7 +100,7 @@
 	readonly #slots: Slots;
 	readonly #startedAtMs = performance.now();
 	readonly #sockets = new Set<Socket>();
-	readonly #reports: Report[] = [];
+	readonly #reports = new LoadReports();
 	#shed = 0;
 
 	constructor(options: StartBackendStandInOptions) {
@@ -250,8 +244,7 @@
 			return;
 		}
 
-		const atMs = performance.now() - this.behaviour.reportLagMs;
-		const report = this.#reports.findLast(candidate => candidate.atMs <= atMs) ?? {inFlight: 0, draining: this.behaviour.draining};
+		const report = this.#reports.read({lagMs: this.behaviour.reportLagMs}) ?? {inFlight: 0, draining: this.behaviour.draining};
 		if (path === '/health') {
 			const isHealthy = this.behaviour.reportedHealthy ?? !report.draining;
 			sendJson({response, status: isHealthy ? 200 : 503, body: {state: report.draining ? 'draining' : 'serving'}});
@@ -262,11 +255,9 @@
 	}
 
 	#noteReport(): void {
-		const atMs = performance.now();
-		this.#reports.push({atMs, inFlight: this.#slots.inUse + this.#slots.waiting, draining: this.behaviour.draining});
-		while (this.#reports.length > 2 && this.#reports[1]!.atMs < atMs - this.behaviour.reportLagMs) {
-			this.#reports.shift();
-		}
+		this.#reports.note({
+			inFlight: this.#slots.inUse + this.#slots.waiting, draining: this.behaviour.draining, lagMs: this.behaviour.reportLagMs,
+		});
 	}
 
 	async #control({request, response, url}: {readonly request: IncomingMessage; readonly response: ServerResponse; readonly url: URL}): Promise<void> {
@@ -306,32 +297,3 @@
 		}
 	}
 }
-
-async function readBody(request: IncomingMessage): Promise<Uint8Array> {
-	try {
-		return await buffer(request);
-	} catch {
-		// The caller left before its body was whole.
-		return new Uint8Array();
-	}
-}
-
-function sendJson({response, status, body, headers = {}}: {readonly response: ServerResponse; readonly status: number; readonly body: unknown; readonly headers?: Record<string, string>}): void {
-	if (!response.destroyed) {
-		response.writeHead(status, {'content-type': 'application/json', ...headers});
-		response.end(JSON.stringify(body));
-	}
-}
-
-function digest(content: string | Uint8Array): string {
-	return createHash('sha256').update(content).digest('hex');
-}
-
-async function stopServer(server: Server): Promise<void> {
-	await new Promise<void>(resolve => {
-		server.close(() => {
-			resolve();
-		});
-		server.closeAllConnections();
-	});
-}
--- a/testing/bench/src/capacity/bad-days.ts
+++ b/testing/bench/src/capacity/bad-days.ts
@@ -28,12 +28,17 @@
 	const lookupsPerNode = lookupsPerSecond / nodes;
 	const lookupPercent = planned('one look-up over HTTP, a second\'s worth for one node') / 1_000_000 * PERCENT;
 	const setBytes = planned('stored chunks');
-	const chunkReads = planned('chunks of a set');
+	const chunksOfSet = planned('chunks of a set');
+	const allReads = nodes * chunksOfSet;
+	const watcherReads = failureDomains * WATCHERS_PER_FAILURE_DOMAIN * chunksOfSet;
 	const withOneFewer = (lost: number): number => nodes / (nodes - lost);
 	return [
 		{
 			name: 'a failure domain lost',
-			figure: `${formatNumber(nodesPerDomain)} nodes of ${nodes}; ${formatNumber(lookupsPerNode * withOneFewer(nodesPerDomain))} look-ups/s at each other node, ${formatNumber(lookupPercent * withOneFewer(nodesPerDomain))} % of a core`,
+			figure: [
+				`${formatNumber(nodesPerDomain)} nodes of ${nodes}; ${formatNumber(lookupsPerNode * withOneFewer(nodesPerDomain))} look-ups/s at each other node`,
+				`${formatNumber(lookupPercent * withOneFewer(nodesPerDomain))} % of a core`,
+			].join(', '),
 			meaning: 'the domain\'s watchers are lost with it; every other domain keeps its own',
 		},
 		{
@@ -44,16 +49,25 @@
 		{
 			name: 'two regions apart for minutes',
 			figure: `${formatNumber(nodes / plannedSize.regions)} nodes in each`,
-			meaning: 'each domain watches the store itself, so versions arrive on both sides that reach it; a side that does not is told the age of its view, and its nodes are held as isolated, not dead',
+			meaning: [
+				'each domain watches the store itself, so versions arrive on both sides that reach it',
+				'a side that does not is told the age of its view, and its nodes are held as isolated, not dead',
+			].join('; '),
 		},
 		{
 			name: 'the store down an hour with replacements',
-			figure: `${formatNumber(replacementsPerDay / 24)} replaced in an average hour, ${replacementsPerDay} at the worst; ${formatNumber(replacementsPerDay * setBytes / BYTES_PER_MEGABYTE)} MB from peers for all of them`,
+			figure: [
+				`${formatNumber(replacementsPerDay / 24)} replaced in an average hour, ${replacementsPerDay} at the worst`,
+				`${formatNumber(replacementsPerDay * setBytes / BYTES_PER_MEGABYTE)} MB from peers for all of them`,
+			].join('; '),
 			meaning: 'no change is accepted; new instances take version and chunks from peers; keyed writes are refused at once as not run; shifts stop when their grants of 20 s end',
 		},
 		{
 			name: 'all nodes restart together',
-			figure: `${formatNumber(nodes * chunkReads)} chunk reads if each asks the store: ${formatNumber(nodes * chunkReads / storeBudget.readsPerSecond)} s at ${formatNumber(storeBudget.readsPerSecond)} reads/s; ${formatNumber(failureDomains * WATCHERS_PER_FAILURE_DOMAIN * chunkReads)} reads, ${formatNumber(failureDomains * WATCHERS_PER_FAILURE_DOMAIN * chunkReads / storeBudget.readsPerSecond)} s, if only the watchers do`,
+			figure: [
+				`${formatNumber(allReads)} chunk reads if each asks the store: ${formatNumber(allReads / storeBudget.readsPerSecond)} s at ${formatNumber(storeBudget.readsPerSecond)} reads/s`,
+				`${formatNumber(watcherReads)} reads, ${formatNumber(watcherReads / storeBudget.readsPerSecond)} s, if only the watchers do`,
+			].join('; '),
 			meaning: 'an instance that knows no list yet takes itself for a watcher; see "What is missed"',
 		},
 	];
--- a/testing/bench/src/capacity/budgets.ts
+++ b/testing/bench/src/capacity/budgets.ts
@@ -54,31 +54,67 @@
 	const changeBytes = GIVEN_AND_TAKEN * (rootBytes + meanBlockChunkBytes);
 	return [
 		{
-			name: 'processor time of control', found: planned('processor time a node') + tablePercent, most: controlBudget.corePercent, unit: '% of a core', from: 'membership and distribution, and a new block table at every change',
+			name: 'processor time of control',
+			found: planned('processor time a node') + tablePercent,
+			most: controlBudget.corePercent,
+			unit: '% of a core',
+			from: 'membership and distribution, and a new block table at every change',
 		},
 		{
-			name: 'state of control', found: (planned('stored chunks') + planned('block table')) / BYTES_PER_MEGABYTE, most: controlBudget.memoryMegabytes, unit: 'MB', from: 'chunks and table of the configuration',
+			name: 'state of control',
+			found: (planned('stored chunks') + planned('block table')) / BYTES_PER_MEGABYTE,
+			most: controlBudget.memoryMegabytes,
+			unit: 'MB',
+			from: 'chunks and table of the configuration',
 		},
 		{
-			name: 'control over a bare Node process', found: (idleBytes.controlLibraries - idleBytes.bare + added('resident memory after changes of client blocks')) / BYTES_PER_MEGABYTE, most: controlBudget.memoryMegabytes, unit: 'MB', from: 'libraries of control, and what the blocks add to an entry process after changes, garbage included',
+			name: 'control over a bare Node process',
+			found: (idleBytes.controlLibraries - idleBytes.bare + added('resident memory after changes of client blocks')) / BYTES_PER_MEGABYTE,
+			most: controlBudget.memoryMegabytes,
+			unit: 'MB',
+			from: 'libraries of control, and what the blocks add to an entry process after changes, garbage included',
 		},
 		{
-			name: 'whole process over a bare Node process, at rest', found: (planned('resident memory of an entry process') - idleBytes.bare) / BYTES_PER_MEGABYTE, most: controlBudget.memoryMegabytes, unit: 'MB', from: 'the call path with its libraries included',
+			name: 'whole process over a bare Node process, at rest',
+			found: (planned('resident memory of an entry process') - idleBytes.bare) / BYTES_PER_MEGABYTE,
+			most: controlBudget.memoryMegabytes,
+			unit: 'MB',
+			from: 'the call path with its libraries included',
 		},
 		{
-			name: 'whole process over a bare Node process, after changes', found: (planned('resident memory after changes of client blocks') - idleBytes.bare) / BYTES_PER_MEGABYTE, most: controlBudget.memoryMegabytes, unit: 'MB', from: 'the call path with its libraries included',
+			name: 'whole process over a bare Node process, after changes',
+			found: (planned('resident memory after changes of client blocks') - idleBytes.bare) / BYTES_PER_MEGABYTE,
+			most: controlBudget.memoryMegabytes,
+			unit: 'MB',
+			from: 'the call path with its libraries included',
 		},
 		{
-			name: 'bytes of control', found: (planned('bytes a node without changes') + (changeBytes * changesPerSecond)) / BYTES_PER_KILOBYTE, most: controlBudget.kilobytesPerSecond, unit: 'KB/s', from: 'heartbeats, and one root and one chunk a change, taken once and given once',
+			name: 'bytes of control',
+			found: (planned('bytes a node without changes') + (changeBytes * changesPerSecond)) / BYTES_PER_KILOBYTE,
+			most: controlBudget.kilobytesPerSecond,
+			unit: 'KB/s',
+			from: 'heartbeats, and one root and one chunk a change, taken once and given once',
 		},
 		{
-			name: 'arrival of a change', found: largestRun.arrivalMs.p99 / MILLISECONDS_PER_SECOND, most: plannedSize.changeInForceSeconds, unit: 's', from: `p99, measured with ${largestRun.nodes} nodes in one process, not worked out for ${plannedSize.nodes}`,
+			name: 'arrival of a change',
+			found: largestRun.arrivalMs.p99 / MILLISECONDS_PER_SECOND,
+			most: plannedSize.changeInForceSeconds,
+			unit: 's',
+			from: `p99, measured with ${largestRun.nodes} nodes in one process, not worked out for ${plannedSize.nodes}`,
 		},
 		{
-			name: 'platform calls of control', found: listReads + watcherCallsPerSecond(plannedWatchers), most: storeBudget.steadyCallsPerSecond, unit: 'calls/s', from: 'most reads of the instance list in any run, which spaces them by the number of instances, and watches; publishes not counted',
+			name: 'platform calls of control',
+			found: listReads + watcherCallsPerSecond(plannedWatchers),
+			most: storeBudget.steadyCallsPerSecond,
+			unit: 'calls/s',
+			from: 'most reads of the instance list in any run, which spaces them by the number of instances, and watches; publishes not counted',
 		},
 		{
-			name: 'store writes of the journal', found: planned('store writes'), most: storeBudget.steadyCallsPerSecond, unit: 'calls/s', from: 'at 200 keyed calls a second',
+			name: 'store writes of the journal',
+			found: planned('store writes'),
+			most: storeBudget.steadyCallsPerSecond,
+			unit: 'calls/s',
+			from: 'at 200 keyed calls a second',
 		},
 	];
 }
@@ -87,6 +123,9 @@
 export function renderBudgets(rows: readonly BudgetRow[]): string {
 	return renderTable({
 		header: ['budget', 'found', 'most', 'verdict', 'from'],
-		rows: rows.map(({name, found, most, unit, from}) => [name, `${formatNumber(found)} ${unit}`, `${formatNumber(most)} ${unit}`, found <= most ? 'met' : `missed by ${formatNumber(found - most)} ${unit}`, from]),
+		rows: rows.map(({name, found, most, unit, from}) => {
+			const verdict = found <= most ? 'met' : `missed by ${formatNumber(found - most)} ${unit}`;
+			return [name, `${formatNumber(found)} ${unit}`, `${formatNumber(most)} ${unit}`, verdict, from];
+		}),
 	});
 }
--- a/testing/bench/src/capacity/run-capacity.ts
+++ b/testing/bench/src/capacity/run-capacity.ts
@@ -36,6 +36,10 @@
 	readonly text: string;
 }
 
+function toMegabytes(bytes: number): number {
+	return Math.round(bytes / BYTES_PER_MEGABYTE);
+}
+
 /** Runs all measurements one after the other. */
 export async function runCapacity({seed, report, writesPage}: RunCapacityOptions): Promise<CapacityResult> {
 	const slopes: MeasuredSlope[] = [];
@@ -64,7 +68,7 @@
 	const idleBytes = await measureIdleProcesses();
 	const budgets = listBudgets({slopes, idleBytes, control});
 	const text = [
-		`Seed ${seed}. A bare Node process holds ${Math.round(idleBytes.bare / BYTES_PER_MEGABYTE)} MB, one with the libraries of control ${Math.round(idleBytes.controlLibraries / BYTES_PER_MEGABYTE)} MB.`,
+		`Seed ${seed}. A bare Node process holds ${toMegabytes(idleBytes.bare)} MB, one with the libraries of control ${toMegabytes(idleBytes.controlLibraries)} MB.`,
 		'### Budgets',
 		renderBudgets(budgets),
 		'### Slopes',
--- a/testing/bench/src/control.ts
+++ b/testing/bench/src/control.ts
@@ -75,7 +75,13 @@
 const DEFAULT_CLIENT_BLOCKS = 2000;
 
 /** Runs nodes in this process over real sockets, first without and then with changes. */
-export async function measureControl({seed, nodeCounts = DEFAULT_NODE_COUNTS, steadyMs = DEFAULT_STEADY_MS, changes = DEFAULT_CHANGES, clientBlocks = DEFAULT_CLIENT_BLOCKS}: MeasureControlOptions): Promise<ControlMeasurement> {
+export async function measureControl({
+	seed,
+	nodeCounts = DEFAULT_NODE_COUNTS,
+	steadyMs = DEFAULT_STEADY_MS,
+	changes = DEFAULT_CHANGES,
+	clientBlocks = DEFAULT_CLIENT_BLOCKS,
+}: MeasureControlOptions): Promise<ControlMeasurement> {
 	const rows: ControlRow[] = [];
 	for (const nodes of nodeCounts) {
 		rows.push(await measureRow({
@@ -105,7 +111,11 @@
 		regions: REGIONS, domainsPerRegion: DOMAINS_PER_REGION, nodes, seed, adjustSet: set => addBlocks({set, clientBlocks, moved: 0}),
 	});
 	try {
-		await waitUntil({description: `${nodes} nodes know each other`, boundMs: SETTLE_BOUND_MS, holds: () => network.nodes.every(node => node.fleetView.membership.liveInstances().length === nodes && node.holder.version === 1)});
+		await waitUntil({
+			description: `${nodes} nodes know each other`,
+			boundMs: SETTLE_BOUND_MS,
+			holds: () => network.nodes.every(({fleetView, holder}) => fleetView.membership.liveInstances().length === nodes && holder.version === 1),
+		});
 		await pause(SETTLE_PAUSE_MS);
 		const before = readTotals(network);
 		const cpuMs = await measureCpuMs(async () => pause(steadyMs));
@@ -192,9 +202,13 @@
 	const changesPerSecond = plannedSize.changesPerDay / SECONDS_PER_DAY;
 	const byExchanges: readonly Quantity[] = [
 		{quantity: 'bytes a node without changes', unit: 'bytes/s', pick: ({bytesPerNodePerSecond}) => bytesPerNodePerSecond},
-		{quantity: 'bytes a node at the planned rate of changes', unit: 'bytes/s', pick: ({bytesPerNodePerSecond, bytesPerNodePerChange}) => bytesPerNodePerSecond + (bytesPerNodePerChange * changesPerSecond)},
+		{
+			quantity: 'bytes a node at the planned rate of changes',
+			unit: 'bytes/s',
+			pick: ({bytesPerNodePerSecond, bytesPerNodePerChange}) => bytesPerNodePerSecond + (bytesPerNodePerChange * changesPerSecond),
+		},
 	];
-	const fit = ({quantities, variable, pickX, plannedX}: {readonly quantities: readonly Quantity[]; readonly variable: string; readonly pickX: (row: ControlRow) => number; readonly plannedX: number}): MeasuredSlope[] => quantities.map(({quantity, unit, pick}) => fitSlope({
+	const fit = ({quantities, variable, pickX, plannedX}: FitOptions): MeasuredSlope[] => quantities.map(({quantity, unit, pick}) => fitSlope({
 		role: 'control', quantity, unit, variable, points: rows.map(row => ({x: pickX(row), y: pick(row)})), plannedX,
 	}));
 	return fit({
@@ -202,6 +216,13 @@
 	});
 }
 
+interface FitOptions {
+	readonly quantities: readonly Quantity[];
+	readonly variable: string;
+	readonly pickX: (row: ControlRow) => number;
+	readonly plannedX: number;
+}
+
 interface Quantity {
 	readonly quantity: string;
 	readonly unit: string;
--- a/testing/bench/src/outage-main.ts
+++ b/testing/bench/src/outage-main.ts
@@ -28,10 +28,16 @@
 });
 const second = await sampler.publish({set: fleet.configurationSet(), publishId: 'after-the-outage'});
 const version = second.kind === 'accepted' ? second.version : 0;
-await waitUntil({description: 'the next version is in force everywhere', boundMs: BOUND_MS, holds: () => sampler.arrivals().filter(arrival => arrival.version === version && Number.isFinite(arrival.delayMs)).length >= ENTRIES});
+await waitUntil({
+	description: 'the next version is in force everywhere',
+	boundMs: BOUND_MS,
+	holds: () => sampler.arrivals().filter(arrival => arrival.version === version && Number.isFinite(arrival.delayMs)).length >= ENTRIES,
+});
 sampler.stop();
 const violations = await sampler.check({boundMs: BOUND_MS});
-const faults = answers.filter(({configurationVersion, viewAgeMs = 0, outageAgeMs, named}) => configurationVersion !== (first.kind === 'accepted' ? first.version : 0) || viewAgeMs < outageAgeMs - AGE_SLACK_MS || named.length === 0);
+const firstVersion = first.kind === 'accepted' ? first.version : 0;
+const faults = answers.filter(({configurationVersion, viewAgeMs = 0, outageAgeMs, named}) =>
+	configurationVersion !== firstVersion || viewAgeMs < outageAgeMs - AGE_SLACK_MS || named.length === 0);
 const delays = sampler.arrivals().filter(arrival => arrival.version === version).map(({delayMs}) => Math.round(delayMs));
 process.stdout.write(`${JSON.stringify({
 	outageMs, answers, violations, faults, delays,
--- a/testing/bench/src/overlay-comparison.ts
+++ b/testing/bench/src/overlay-comparison.ts
@@ -113,7 +113,12 @@
 	await Promise.all(clients.map(async (client, from) => {
 		for (const [, to] of edges.filter(edge => edge[0] === from)) {
 			const answer = await client.call({
-				endpoint: endpoints[to]!, service: MembershipService, timeoutMs: CALL_TIMEOUT_MS, invoke: async (peer, options) => peer.exchange({sender: `node-${from}`, digest: 1n, configuration: {version: 1n, digest: '0123456789abcdef', ageMs: 1n}}, options),
+				endpoint: endpoints[to]!,
+				service: MembershipService,
+				timeoutMs: CALL_TIMEOUT_MS,
+				invoke: async (peer, options) => peer.exchange({
+					sender: `node-${from}`, digest: 1n, configuration: {version: 1n, digest: '0123456789abcdef', ageMs: 1n},
+				}, options),
 			}).run();
 			if (answer.isLeft()) {
 				throw new Error(`heartbeat from ${from} to ${to} failed`);
--- a/testing/experiment/src/plot.ts
+++ b/testing/experiment/src/plot.ts
@@ -17,8 +17,18 @@
 	const bars = rows.map(({label, valueMs, colour}, index) => {
 		const y = MARGIN + ((index + 1) * ROW_HEIGHT);
 		const length = valueMs / longestMs * (WIDTH - LABEL_WIDTH - (4 * MARGIN));
-		return `<text x="${MARGIN}" y="${y}">${label}</text><rect x="${LABEL_WIDTH}" y="${y - 14}" width="${length.toFixed(1)}" height="18" fill="${colour}"/><text x="${LABEL_WIDTH + length + 6}" y="${y}">${valueMs.toFixed(1)} ms</text>`;
+		return [
+			`<text x="${MARGIN}" y="${y}">${label}</text>`,
+			`<rect x="${LABEL_WIDTH}" y="${y - 14}" width="${length.toFixed(1)}" height="18" fill="${colour}"/>`,
+			`<text x="${LABEL_WIDTH + length + 6}" y="${y}">${valueMs.toFixed(1)} ms</text>`,
+		].join('');
 	});
 	const height = ((rows.length + 2) * ROW_HEIGHT) + MARGIN;
-	return `<svg xmlns="http://www.w3.org/2000/svg" width="${WIDTH}" height="${height}" font-family="sans-serif" font-size="13"><text x="${MARGIN}" y="${MARGIN}">${figures.scenario}, ${figures.deployment}, ${figures.policy}, seed ${figures.seed}</text>${bars.join('')}</svg>\n`;
+	const title = [figures.scenario, figures.deployment, figures.policy, `seed ${figures.seed}`].join(', ');
+	return [
+		`<svg xmlns="http://www.w3.org/2000/svg" width="${WIDTH}" height="${height}" font-family="sans-serif" font-size="13">`,
+		`<text x="${MARGIN}" y="${MARGIN}">${title}</text>`,
+		...bars,
+		'</svg>\n',
+	].join('');
 }
--- a/testing/fleet/src/configuration-outage.ts
+++ b/testing/fleet/src/configuration-outage.ts
@@ -1,7 +1,7 @@
 /** The key-value service and the instance list are out while half of the instances are replaced. */
 import type {Endpoint} from '@pomelopick/core.types';
 import {pause, waitUntil} from './control-network.js';
-import {getJson} from './fleet.js';
+import {getJson} from './json-requests.js';
 import type {EntryProcess, Fleet} from './fleet.js';
 
 const START_BOUND_MS = 13_000;
--- a/testing/fleet/src/fleet.ts
+++ b/testing/fleet/src/fleet.ts
@@ -3,7 +3,6 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {request} from 'undici';
 import {checkConfigurationSet} from '@pomelopick/config.schema';
 import type {ConfigurationSetInput} from '@pomelopick/config.schema';
 import {publishConfiguration} from '@pomelopick/config.publishing';
@@ -20,6 +19,7 @@
 	listDomains, planServers, toConfigurationSet,
 } from './deployment.js';
 import {readExecutions} from './execution-file.js';
+import {getJson, postJson} from './json-requests.js';
 import type {Deployment, PlannedServer} from './deployment.js';
 
 const LOOPBACK = '127.0.0.1';
@@ -290,15 +290,3 @@
 		});
 	}
 }
-
-/** Reads JSON from a process of the fleet. */
-export async function getJson<Shape>({endpoint, path: url}: {readonly endpoint: Endpoint; readonly path: string}): Promise<Shape> {
-	const response = await request(`http://${endpoint.address}:${endpoint.port}${url}`);
-	return await response.body.json() as Shape;
-}
-
-/** Sends JSON to a process of the fleet. */
-export async function postJson({endpoint, path: url, body}: {readonly endpoint: Endpoint; readonly path: string; readonly body: unknown}): Promise<void> {
-	const response = await request(`http://${endpoint.address}:${endpoint.port}${url}`, {method: 'POST', body: JSON.stringify(body)});
-	await response.body.dump();
-}
--- a/testing/fleet/src/index.ts
+++ b/testing/fleet/src/index.ts
@@ -2,6 +2,7 @@
 export * from './child.js';
 export * from './deployment.js';
 export * from './fleet.js';
+export * from './json-requests.js';
 export * from './control-fleet.js';
 export * from './version-history.js';
 export * from './control-network.js';
--- a/testing/fleet/src/version-sampler.ts
+++ b/testing/fleet/src/version-sampler.ts
@@ -6,7 +6,7 @@
 import type {ConfigurationSetInput} from '@pomelopick/config.schema';
 import type {ConfigurationVersion, PublishId} from '@pomelopick/core.types';
 import {ConsulStore} from '@pomelopick/platform.store';
-import {getJson} from './fleet.js';
+import {getJson} from './json-requests.js';
 import type {EntryProcess, Fleet} from './fleet.js';
 import {checkVersionHistory, listArrivals} from './version-history.js';
 import type {
