Test that the status shows slots with the instance that counts them

Cause: the status merges slot counts over the fleet, and no test held it.

Change: a call is made, then the status asked of each of three instances names the slots of its service, their counter and one call placed over the fleet.

Seen failing first: with the counting instance reporting no slots, the test failed.

Conclusion: the count shows at every instance that is asked, not only at the owner's own explanation.

--- a/cli/pomelopick/test/operators.test.ts
+++ b/cli/pomelopick/test/operators.test.ts
@@ -4,7 +4,7 @@
 } from 'node:test';
 import {PassThrough} from 'node:stream';
 import {text} from 'node:stream/consumers';
-import type {Explanation} from '@pomelopick/core.types';
+import type {Explanation, ServiceUseReport} from '@pomelopick/core.types';
 import {ConsulStore} from '@pomelopick/platform.store';
 import {popescuVlad, startFleet} from '@pomelopick/testing.fleet';
 import type {Deployment, Fleet} from '@pomelopick/testing.fleet';
@@ -77,6 +77,20 @@
 		assert.match(output, /entry-3 .*answering/u);
 	});
 
+	it('status shows the slots of a service with the instance that counts them, whichever instances are asked', async () => {
+		const {callers} = fleet.entries[0]!.instance;
+		const answered = await fetch(`http://${callers.address}:${callers.port}/v1/services/corrections/notice`);
+		await answered.arrayBuffer();
+		const ids = new Set(fleet.entries.map(entry => entry.instance.id as string));
+		for (const {instance: {operators}} of fleet.entries) {
+			const {output} = await run('status', '--instance', `${operators.address}:${operators.port}`, '--json');
+			const {serviceUse} = JSON.parse(output) as {readonly serviceUse: readonly ServiceUseReport[]};
+			const counted = serviceUse.filter(({slots}) => slots !== undefined);
+			assert.ok(counted.some(({service, slots}) => service === 'corrections' && slots!.proven > 0 && ids.has(slots!.countedBy)), output);
+			assert.equal(serviceUse.reduce((sum, {callsPlaced}) => sum + callsPlaced, 0), 1);
+		}
+	});
+
 	it('drain previews, publishes, is seen by explain, and undrain ends it', async () => {
 		const words = ['drain', 'failure-domain', 'muntenia-1', '--store', store, '--instance', instance];
 		const preview = await run(...words);
