Read the newest version in one place of the command line

Cause: config show and the commands that change the set each read the root and the set in their own way, and gave a damaged chunk as 'store does not answer' with exit code 3.

Conclusion: the same error now has the same code and exit code in each command.

--- a/cli/pomelopick/src/change-command.ts
+++ b/cli/pomelopick/src/change-command.ts
@@ -18,6 +18,7 @@
 import type {Preview} from './preview.js';
 import {prepareChange, publishChange} from './publish-change.js';
 import type {PreparedChange} from './publish-change.js';
+import {exitCodeOfStoreError} from './read-published.js';
 
 /** Details that the help of each such command ends with. */
 export const CHANGE_DETAILS = [
@@ -106,7 +107,7 @@
 		this.progress('publishing');
 		const published = await publishChange({store, prepared}).run();
 		return published.caseOf({
-			Left: error => this.fail({error, exitCode: exitCodes.unavailable}),
+			Left: error => this.fail({error, exitCode: exitCodeOf(error)}),
 			Right: outcome => this.#report({outcome, preview}),
 		});
 	}
@@ -132,10 +133,6 @@
 	}
 }
 
-function exitCodeOf({code}: CodedError): number {
-	if (code.startsWith('store-')) {
-		return exitCodes.unavailable;
-	}
-
-	return code === 'bad-flag' || code === 'unknown-name' ? exitCodes.usage : exitCodes.refused;
+function exitCodeOf(error: CodedError): number {
+	return error.code === 'bad-flag' || error.code === 'unknown-name' ? exitCodes.usage : exitCodeOfStoreError(error);
 }
--- a/cli/pomelopick/src/publish-change.ts
+++ b/cli/pomelopick/src/publish-change.ts
@@ -4,12 +4,13 @@
 	EitherAsync, Left, Right,
 } from 'purify-ts';
 import type {Either} from 'purify-ts';
-import {publishConfiguration, readRoot, readSet} from '@pomelopick/config.publishing';
+import {publishConfiguration} from '@pomelopick/config.publishing';
 import type {PublishedConfiguration, PublishOutcome} from '@pomelopick/config.publishing';
 import {checkConfigurationSet, formatFault} from '@pomelopick/config.schema';
 import type {CodedError, ConfigurationSet} from '@pomelopick/core.types';
 import type {KeyValueStore} from '@pomelopick/platform.store';
 import type {ChangeSet} from './change-set.js';
+import {readNewest, toStoreError} from './read-published.js';
 
 /** A checked change of the version that was read. */
 export interface PreparedChange {
@@ -25,7 +26,7 @@
 
 /** Left `store-…` when the store does not answer, `nothing-published`, or why the change is refused. */
 export function prepareChange({store, change}: PrepareChangeOptions): EitherAsync<CodedError, PreparedChange> {
-	return readPublished(store).chain(published => EitherAsync.liftEither(change(published.set)
+	return readNewest(store).chain(published => EitherAsync.liftEither(change(published.set)
 		.chain(changed => checkChanged(changed))
 		.map(changed => ({published, changed}))));
 }
@@ -34,16 +35,7 @@
 export function publishChange({store, prepared: {published, changed}}: {readonly store: KeyValueStore; readonly prepared: PreparedChange}): EitherAsync<CodedError, PublishOutcome> {
 	return publishConfiguration({
 		store, set: changed, basedOn: published.root.version, author: `${userInfo().username}@${hostname()}`, nowMs: Date.now(),
-	}).mapLeft(({code, message}): CodedError => ({code: `store-${code}`, message}));
-}
-
-function readPublished(store: KeyValueStore): EitherAsync<CodedError, PublishedConfiguration> {
-	const toStoreError = ({code, message}: CodedError): CodedError => ({code: `store-${code}`, message});
-	return readRoot(store).mapLeft(error => toStoreError(error))
-		.chain(found => EitherAsync.liftEither(found
-			? Right(found.root)
-			: Left<CodedError>({code: 'nothing-published', message: 'no configuration was published yet'})))
-		.chain(root => readSet({store, root}).mapLeft(error => toStoreError(error)));
+	}).mapLeft(error => toStoreError(error));
 }
 
 function checkChanged(changed: ConfigurationSet): Either<CodedError, ConfigurationSet> {
--- a/cli/pomelopick/src/store-command.ts
+++ b/cli/pomelopick/src/store-command.ts
@@ -12,8 +12,7 @@
 	exitCodes, parseCount, parseEndpoint, PomelopickCommand,
 } from './context.js';
 import type {ParseCountOptions} from './context.js';
-
-const UNAVAILABLE_CODES: ReadonlySet<string> = new Set(['unavailable', 'rate-limited', 'undecided']);
+import {exitCodeOfStoreError, toStoreError} from './read-published.js';
 
 /** A command with `--store`. */
 export abstract class StoreCommand extends PomelopickCommand {
@@ -41,10 +40,9 @@
 	}
 
 	/** Prints why something could not be read and answers the exit code. */
-	protected failToRead({code, message}: ReadConfigurationError): number {
-		return UNAVAILABLE_CODES.has(code)
-			? this.fail({error: {code: `store-${code}`, message}, exitCode: exitCodes.unavailable})
-			: this.fail({error: {code, message}, exitCode: exitCodes.refused});
+	protected failToRead(failure: ReadConfigurationError): number {
+		const error = toStoreError(failure);
+		return this.fail({error, exitCode: exitCodeOfStoreError(error)});
 	}
 
 	/** Prints how a publish ended and answers the exit code. */
--- a/cli/pomelopick/test/config-commands.test.ts
+++ b/cli/pomelopick/test/config-commands.test.ts
@@ -43,6 +43,9 @@
 		{
 			name: 'says that nothing was published yet', flags: () => ['history'], exitCode: 0, output: /nothing was published yet/u,
 		},
+		{
+			name: 'has nothing to show yet', flags: () => ['show'], exitCode: 1, output: /nothing-published: no configuration was published yet/u,
+		},
 		{
 			name: 'publishes a first version', flags: () => ['publish', path.join(directory, 'first')], exitCode: 0, output: /accepted as version 1/u,
 		},
