--- a/calls/forwarding/src/attempt.ts
+++ b/calls/forwarding/src/attempt.ts
@@ -14,6 +14,7 @@
 import {Exchange} from './exchange.js';
 import type {AttemptAnswer, AttemptFailure} from './exchange.js';
 import {toFailedAttempt, toShedAttempt} from './failed-attempt.js';
+import type {FailedAttempt} from './failed-attempt.js';
 import type {AttemptEnd, PlaceCall, Placement} from './placement.js';
 
 const SHED_STATUS = 503;
@@ -31,17 +32,6 @@
 	readonly now: () => number;
 }
 
-/** An attempt that gave no answer to send on. */
-export interface FailedAttempt {
-	readonly refusal: Refusal;
-	/** Whether a backend server was found for it. */
-	readonly isPlaced: boolean;
-	/** Why it may be made again; undefined: it may not. */
-	readonly retryReason: RetryReason | undefined;
-	/** Whether making it again adds load to backend servers. */
-	readonly isCharged: boolean;
-}
-
 /** An answer, held with its placement until it was sent on. */
 export interface Answered {
 	readonly answer: AttemptAnswer;
--- a/calls/forwarding/src/failed-attempt.ts
+++ b/calls/forwarding/src/failed-attempt.ts
@@ -1,12 +1,24 @@
 /** What a failed attempt means for its call. */
-import type {BackendServerName, RefusalReason, RetryReason} from '@pomelopick/core.types';
-import type {FailedAttempt} from './attempt.js';
+import type {
+	BackendServerName, Refusal, RefusalReason, RetryReason,
+} from '@pomelopick/core.types';
 import {DRAINING_HEADER} from './call-headers.js';
 import type {AnswerHead, AttemptFailure, AttemptFailureKind} from './exchange.js';
 
 const SHED_RETRY_AFTER_MS = 1000;
 const MILLISECONDS_PER_SECOND = 1000;
 
+/** An attempt that gave no answer to send on. */
+export interface FailedAttempt {
+	readonly refusal: Refusal;
+	/** Whether a backend server was found for it. */
+	readonly isPlaced: boolean;
+	/** Why it may be made again; undefined: it may not. */
+	readonly retryReason: RetryReason | undefined;
+	/** Whether making it again adds load to backend servers. */
+	readonly isCharged: boolean;
+}
+
 interface Meaning {
 	readonly reason: RefusalReason;
 	readonly retryReason: RetryReason | undefined;
--- a/cli/pomelopick/src/change-command.ts
+++ b/cli/pomelopick/src/change-command.ts
@@ -18,6 +18,7 @@
 import type {Preview} from './preview.js';
 import {prepareChange, publishChange} from './publish-change.js';
 import type {PreparedChange} from './publish-change.js';
+import {exitCodeOfStoreError} from './read-published.js';
 
 /** Details that the help of each such command ends with. */
 export const CHANGE_DETAILS = [
@@ -106,7 +107,7 @@
 		this.progress('publishing');
 		const published = await publishChange({store, prepared}).run();
 		return published.caseOf({
-			Left: error => this.fail({error, exitCode: exitCodes.unavailable}),
+			Left: error => this.fail({error, exitCode: exitCodeOf(error)}),
 			Right: outcome => this.#report({outcome, preview}),
 		});
 	}
@@ -120,20 +121,18 @@
 
 			case 'refused': {
 				const {version, author} = outcome.winner;
-				return this.fail({error: {code: 'refused', message: `version ${version} by ${author} was published in between; nothing was changed, run the command again`}, exitCode: exitCodes.refused});
+				const message = `version ${version} by ${author} was published in between; nothing was changed, run the command again`;
+				return this.fail({error: {code: 'refused', message}, exitCode: exitCodes.refused});
 			}
 
 			case 'undecided': {
-				return this.fail({error: {code: 'undecided', message: `publish ${outcome.publishId}: ${outcome.detail}; "config history" names this publish if it took effect`}, exitCode: exitCodes.undecided});
+				const message = `publish ${outcome.publishId}: ${outcome.detail}; "config history" names this publish if it took effect`;
+				return this.fail({error: {code: 'undecided', message}, exitCode: exitCodes.undecided});
 			}
 		}
 	}
 }
 
-function exitCodeOf({code}: CodedError): number {
-	if (code.startsWith('store-')) {
-		return exitCodes.unavailable;
-	}
-
-	return code === 'bad-flag' || code === 'unknown-name' ? exitCodes.usage : exitCodes.refused;
+function exitCodeOf(error: CodedError): number {
+	return error.code === 'bad-flag' || error.code === 'unknown-name' ? exitCodes.usage : exitCodeOfStoreError(error);
 }
--- a/cli/pomelopick/src/store-command.ts
+++ b/cli/pomelopick/src/store-command.ts
@@ -8,9 +8,11 @@
 import type {CodedError, ConfigurationVersion} from '@pomelopick/core.types';
 import {ConsulStore} from '@pomelopick/platform.store';
 import type {KeyValueStore} from '@pomelopick/platform.store';
-import {exitCodes, parseEndpoint, PomelopickCommand} from './context.js';
-
-const UNAVAILABLE_CODES: ReadonlySet<string> = new Set(['unavailable', 'rate-limited', 'undecided']);
+import {
+	exitCodes, parseCount, parseEndpoint, PomelopickCommand,
+} from './context.js';
+import type {ParseCountOptions} from './context.js';
+import {exitCodeOfStoreError, toStoreError} from './read-published.js';
 
 /** A command with `--store`. */
 export abstract class StoreCommand extends PomelopickCommand {
@@ -29,11 +31,18 @@
 		});
 	}
 
+	/** As {@link withStore}, with a flag that holds a count. */
+	protected async withCount(options: ParseCountOptions, run: (store: KeyValueStore, count: number) => Promise<number>): Promise<number> {
+		return parseCount(options).caseOf<Promise<number>>({
+			Left: async error => this.fail({error, exitCode: exitCodes.usage}),
+			Right: async count => this.withStore(async store => run(store, count)),
+		});
+	}
+
 	/** Prints why something could not be read and answers the exit code. */
-	protected failToRead({code, message}: ReadConfigurationError): number {
-		return UNAVAILABLE_CODES.has(code)
-			? this.fail({error: {code: `store-${code}`, message}, exitCode: exitCodes.unavailable})
-			: this.fail({error: {code, message}, exitCode: exitCodes.refused});
+	protected failToRead(failure: ReadConfigurationError): number {
+		const error = toStoreError(failure);
+		return this.fail({error, exitCode: exitCodeOfStoreError(error)});
 	}
 
 	/** Prints how a publish ended and answers the exit code. */
--- a/testing/fleet/src/fleet.ts
+++ b/testing/fleet/src/fleet.ts
@@ -19,7 +19,7 @@
 	listDomains, planServers, toConfigurationSet,
 } from './deployment.js';
 import {readExecutions} from './execution-file.js';
-import {getJson, postJson} from './json.js';
+import {getJson, postJson} from './json-requests.js';
 import type {Deployment, PlannedServer} from './deployment.js';
 
 const LOOPBACK = '127.0.0.1';
