--- a/calls/forwarding/src/call-run.ts
+++ b/calls/forwarding/src/call-run.ts
@@ -6,9 +6,10 @@
 import type {Quarantine} from '@pomelopick/calls.quarantine';
 import {Attempt} from './attempt.js';
 import type {
-	Answered, AttemptOptions, AttemptParts, FailedAttempt,
+	Answered, AttemptOptions, AttemptParts,
 } from './attempt.js';
 import type {CallState} from './call-state.js';
+import type {FailedAttempt} from './failed-attempt.js';
 import type {ServicePolicy} from './service-policies.js';
 
 /** Attempts of one call in all, those included that could not connect and so cost no backend server anything. */
