Hedge only where the latency of the service is known, or late in the time left

Until an instance has 50 answers of a service it hedged after 500 ms, and with calls of 1 s on average three of five are slower than that. Change: while the latency is unknown, a read is hedged only after a third of the time left. After 500 ms its connection is still compared with a new one, so that silent connections are found as before. Seen failing first: the new case for a service of unknown latency fails with the earlier hedge. The tests of forwarding pass (26), those of connections passed (5). Conclusion: a hedge needs to know what late is; a fixed delay below the mean of the calls sends most of them twice.

--- a/calls/forwarding/src/call-run.ts
+++ b/calls/forwarding/src/call-run.ts
@@ -125,7 +125,8 @@
 		}
 
 		const timeLeftMs = call.options.deadlineMs - parts.now();
-		const delayMs = Math.min(policy.latency.hedgeDelayMs, timeLeftMs * LATEST_HEDGE_SHARE);
+		const latestMs = timeLeftMs * LATEST_HEDGE_SHARE;
+		const delayMs = Math.min(policy.latency.hedgeDelayMs, latestMs);
 		return new Promise(resolve => {
 			let live = 1;
 			let isSettled = false;
@@ -144,8 +145,14 @@
 				}
 			};
 
+			let isChecked = policy.latency.isKnown || delayMs === latestMs;
 			const hedge = (): void => {
-				if (first.attempt.sentAtMs === undefined) {
+				if (first.attempt.sentAtMs !== undefined && !isChecked) {
+					// Without a known latency a late answer is no sign of a slow server, but its connection may be silent.
+					isChecked = true;
+					this.#checkUntilAnswered(first.attempt);
+					timer = setTimeout(hedge, latestMs - delayMs);
+				} else if (first.attempt.sentAtMs === undefined) {
 					// The time that a call waits for a slot says nothing of the backend server.
 					timer = setTimeout(hedge, delayMs);
 				} else if (this.#findHedgeReason(first.attempt)) {
--- a/calls/forwarding/src/latency-tracker.ts
+++ b/calls/forwarding/src/latency-tracker.ts
@@ -23,12 +23,18 @@
 	#windowAtMs: number;
 	#refreshAtMs: number;
 	#hedgeDelayMs = DEFAULT_HEDGE_DELAY_MS;
+	#isKnown = false;
 
 	constructor({nowMs}: {readonly nowMs: number}) {
 		this.#windowAtMs = nowMs;
 		this.#refreshAtMs = nowMs;
 	}
 
+	/** Whether enough answers came to tell a slow one. */
+	get isKnown(): boolean {
+		return this.#isKnown;
+	}
+
 	/** Time after which a read without an answer is sent a second time, in milliseconds. */
 	get hedgeDelayMs(): number {
 		return this.#hedgeDelayMs;
@@ -48,6 +54,7 @@
 			return;
 		}
 
+		this.#isKnown = true;
 		this.#hedgeDelayMs = Math.max(LEAST_HEDGE_DELAY_MS, this.#histogram.getValueAtPercentile(HEDGE_PERCENTILE));
 		if (nowMs - this.#windowAtMs >= WINDOW_MS) {
 			this.#windowAtMs = nowMs;
--- a/calls/forwarding/test/retries.test.ts
+++ b/calls/forwarding/test/retries.test.ts
@@ -11,7 +11,7 @@
 import {startScriptedServer, wholeAnswer} from './scripted-server.js';
 import type {ScriptedRequest, ScriptedServer} from './scripted-server.js';
 
-const SERVICES = 7;
+const SERVICES = 8;
 const SERVERS = 8;
 
 const deployment: Deployment = {
@@ -110,6 +110,17 @@
 		assert.ok((counters['hedge.slow-answer'] ?? 0) >= 1);
 	});
 
+	it('add no hedge to a read that takes a while at a service whose latency is not known', async () => {
+		scriptAll(({socket, callId}) => {
+			setTimeout(() => {
+				socket.write(wholeAnswer({callId}));
+			}, 900);
+		});
+		const {ended} = await call({timeoutMs: 9000});
+		assert.equal(ended, 'answered');
+		assert.equal(countRequests(), 1);
+	});
+
 	it('never hedge a write', async () => {
 		scriptAll(() => undefined);
 		await call({method: 'POST', body: '{}', timeoutMs: 900});
