--- a/calls/forwarding/test/retries.test.ts
+++ b/calls/forwarding/test/retries.test.ts
@@ -136,6 +136,17 @@
 		assert.ok((counters['retry.budget-used-up'] ?? 0) > 0, JSON.stringify(counters));
 	});
 
+	it('add no hedge to a read that takes a while at a service whose latency is not known', async () => {
+		scriptAll(({socket, callId}) => {
+			setTimeout(() => {
+				socket.write(wholeAnswer({callId}));
+			}, 900);
+		});
+		const {ended} = await call({timeoutMs: 9000});
+		assert.equal(ended, 'answered');
+		assert.equal(countRequests(), 1);
+	});
+
 	it('never hedge a write', async () => {
 		scriptAll(() => undefined);
 		await call({method: 'POST', body: '{}', timeoutMs: 900});
