--- a/calls/forwarding/src/admission.ts
+++ b/calls/forwarding/src/admission.ts
@@ -1,6 +1,6 @@
 /** Admission of calls: what can be refused without the body of a call or a backend server. */
 import type {IncomingHttpHeaders} from 'node:http';
-import {Left, Right} from 'purify-ts';
+import {Left} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {ConfigurationSet, Refusal, Service} from '@pomelopick/core.types';
 import {readDemands} from './call-headers.js';
--- a/calls/forwarding/src/attempt.ts
+++ b/calls/forwarding/src/attempt.ts
@@ -89,7 +89,7 @@
 
 	/** Makes the attempt; never rejects. */
 	async run(): Promise<Either<FailedAttempt, Answered>> {
-		const {call, parts} = this.#options;
+		const {call} = this.#options;
 		const placed = await this.#place();
 		if (placed.isLeft()) {
 			return Left({
--- a/calls/placement/src/slot-asker.ts
+++ b/calls/placement/src/slot-asker.ts
@@ -1,7 +1,7 @@
 /** Asks owners for slots, names the held ones to them, and turns to the next ranked owner when one goes silent. */
 import type {Cancellation} from '@pomelopick/calls.forwarding';
 import type {
-	BackendServerName, ConfigurationSet, Instance, InstanceId, RegionName,
+	BackendServerName, ConfigurationSet, Instance, InstanceId,
 } from '@pomelopick/core.types';
 import {SlotsService} from '@pomelopick/peer.protocol';
 import type {PeerClients} from '@pomelopick/peer.transport';
@@ -222,7 +222,10 @@
 		} else if (owner) {
 			// A lost release heals itself: the next renewal no longer names the slot.
 			void this.#options.peers.call({
-				endpoint: owner.peers, service: SlotsService, timeoutMs: RENEW_TIMEOUT_MS, invoke: async (client, options) => client.release({group: use.key, asker: this.#options.instance, slots}, options),
+				endpoint: owner.peers,
+				service: SlotsService,
+				timeoutMs: RENEW_TIMEOUT_MS,
+				invoke: async (client, options) => client.release({group: use.key, asker: this.#options.instance, slots}, options),
 			}).run();
 		}
 	}
--- a/calls/placement/src/slot-owner.ts
+++ b/calls/placement/src/slot-owner.ts
@@ -26,6 +26,11 @@
 	readonly onSpillEnd: (options: SlotGroupKey & {readonly from: RegionName; readonly end: SlotEnd; readonly heldMs: number}) => void;
 }
 
+interface AnswerAcquireOptions {
+	readonly request: AcquireRequest;
+	readonly cancellation: Pick<Cancellation, 'signal'>;
+}
+
 /** Owns groups of slots on demand: whoever is asked counts. */
 export class SlotOwner {
 	readonly #options: SlotOwnerOptions;
@@ -109,7 +114,7 @@
 		});
 	}
 
-	async #acquire({request, cancellation}: {readonly request: AcquireRequest; readonly cancellation: Pick<Cancellation, 'signal'>}): Promise<Partial<Omit<AcquireResponse, '$typeName' | '$unknown'>>> {
+	async #acquire({request, cancellation}: AnswerAcquireOptions): Promise<Partial<Omit<AcquireResponse, '$typeName' | '$unknown'>>> {
 		const group = this.group(keyOf(request.group));
 		if (!group) {
 			return {refusal: 'no-backend-server', detail: `${request.group?.service} in ${request.group?.region} is not configured here`};
--- a/calls/placement/test/owner-group.test.ts
+++ b/calls/placement/test/owner-group.test.ts
@@ -22,7 +22,15 @@
 	});
 	return group.acquire({
 		request: {
-			slotId: 'entry-1 1', asker: 'entry-1' as InstanceId, caller: '10.0.0.1', fromRegion: region, patienceMs: 100, timeLeftMs: 1000, avoidServers: new Set(), avoidDomains: new Set(), isSubstitute: false,
+			slotId: 'entry-1 1',
+			asker: 'entry-1' as InstanceId,
+			caller: '10.0.0.1',
+			fromRegion: region,
+			patienceMs: 100,
+			timeLeftMs: 1000,
+			avoidServers: new Set(),
+			avoidDomains: new Set(),
+			isSubstitute: false,
 		},
 		cancellation,
 	});
--- a/calls/placement/test/placement.test.ts
+++ b/calls/placement/test/placement.test.ts
@@ -46,8 +46,15 @@
 		await fleet.stop();
 	});
 
+	interface LoadOptions {
+		readonly calls: number;
+		readonly intervalMs: number;
+		readonly path?: string;
+		readonly timeoutMs?: number;
+	}
+
 	/** Starts a call every interval, callers in turn. */
-	async function load({calls, intervalMs, path = '/notices', timeoutMs = 5000}: {readonly calls: number; readonly intervalMs: number; readonly path?: string; readonly timeoutMs?: number}): Promise<readonly CallRecord[]> {
+	async function load({calls, intervalMs, path = '/notices', timeoutMs = 5000}: LoadOptions): Promise<readonly CallRecord[]> {
 		const records: Array<Promise<CallRecord>> = [];
 		for (let index = 0; index < calls; index += 1) {
 			records.push(callers[index % callers.length]!.call({service: 'archive', path: `${path}?n=${index}`, timeoutMs}));
--- a/steering/choice/src/slot-book.ts
+++ b/steering/choice/src/slot-book.ts
@@ -2,7 +2,6 @@
 import type {BackendServerName, InstanceId} from '@pomelopick/core.types';
 import type {DrawInteger} from './power-of-two.js';
 import {ServerLimit} from './server-limit.js';
-import type {SlotEnd} from './server-limit.js';
 import {listOutliers, mayHoldOutliers} from './outliers.js';
 import type {
 	BookServer, NamedSlot, ReleaseOptions, TryTakeOptions,
