--- a/calls/journal/src/owner-calls.ts
+++ b/calls/journal/src/owner-calls.ts
@@ -11,8 +11,6 @@
 
 const SUSPECT_FOR_MS = 2000;
 const OWNER_TIMEOUT_MS = 600;
-/** Shorter than the time of a question, so that a question whose owner is silent finds it suspected. */
-const MESSAGE_TIMEOUT_MS = 500;
 const BEGIN_GATHER_MS = 5;
 /** No caller waits for an outcome to be kept. */
 const FINISH_GATHER_MS = 20;
@@ -102,7 +100,7 @@
 	}
 
 	async #ask<Answer>({shard, deadlineMs, local, remote, isFinal}: AskOptions<Answer>): Promise<OwnersSaid<Answer>> {
-		const {self, now, onEvent} = this.#options;
+		const {self, now} = this.#options;
 		const answers: Answer[] = [];
 		let unanswered = 0;
 		for (const owner of this.#owners(shard)) {
@@ -114,11 +112,6 @@
 			const answer = await within({timeoutMs, ask: async signal => owner === undefined || owner.id === self ? local(signal) : remote(owner, signal)});
 			if (answer === undefined) {
 				unanswered += 1;
-				if (this.#isSlowOnly(owner)) {
-					onEvent('journal.owner-slow');
-					break;
-				}
-
 				continue;
 			}
 
@@ -142,15 +135,6 @@
 		return owners.length > 0 ? owners : [undefined];
 	}
 
-	/**
-	 * Whether another instance answers messages and is only late with this one. A second owner would then write at the
-	 * same time, which makes both slower.
-	 */
-	#isSlowOnly(owner: Instance | undefined): boolean {
-		const {self, now} = this.#options;
-		return owner !== undefined && owner.id !== self && (this.#suspectedUntilMs.get(owner.id) ?? Number.NEGATIVE_INFINITY) <= now();
-	}
-
 	#batchersOf(owner: Instance): Batchers {
 		const receiver = `${owner.peers.address} ${owner.peers.port}`;
 		const existing = this.#batchers.get(receiver);
@@ -183,7 +167,7 @@
 	async #call<Answer>({owner, invoke}: {readonly owner: Instance; readonly invoke: PeerCallOptions<typeof JournalService, Answer>['invoke']}): Promise<Answer | undefined> {
 		const {peers, now, onEvent} = this.#options;
 		const answered = await peers.call({
-			endpoint: owner.peers, service: JournalService, timeoutMs: MESSAGE_TIMEOUT_MS, invoke,
+			endpoint: owner.peers, service: JournalService, timeoutMs: OWNER_TIMEOUT_MS, invoke,
 		}).run();
 		if (answered.isLeft()) {
 			onEvent('journal.owner-silent');
