--- a/calls/forwarding/test/retries.test.ts
+++ b/calls/forwarding/test/retries.test.ts
@@ -11,7 +11,7 @@
 import {startScriptedServer, wholeAnswer} from './scripted-server.js';
 import type {ScriptedRequest, ScriptedServer} from './scripted-server.js';
 
-const SERVICES = 8;
+const SERVICES = 9;
 const SERVERS = 8;
 const FAILING_CALLS = 800;
 const FAILING_AT_ONCE = 8;
