Split the membership's view, callers and digests from its heartbeats

Ruled out: an actor for the whole membership; its heartbeats run side by side and its messages are answered at once, so a mailbox would add a turn to each. Change: options, the comparison of digests, the list of members with its listeners and the recent callers stand in modules of their own. No behaviour was changed. Conclusion: what remains in the file is the exchange of heartbeats and news.

--- a/peer/membership/src/index.ts
+++ b/peer/membership/src/index.ts
@@ -4,6 +4,7 @@
 } from '@pomelopick/core.rendezvous';
 export type * from './member.js';
 export * from './membership.js';
+export type * from './membership-options.js';
 export * from './reach.js';
 export * from './verdict.js';
 export * from './observer.js';
--- a/peer/membership/src/membership.ts
+++ b/peer/membership/src/membership.ts
@@ -1,18 +1,23 @@
 /** Keeps this instance's view of the fleet by the platform's list and by heartbeats with a few neighbours. */
 import type {ConnectRouter} from '@connectrpc/connect';
 import {create} from '@bufbuild/protobuf';
-import type {Either, EitherAsync} from 'purify-ts';
+import type {Either} from 'purify-ts';
 import type {Endpoint, Instance, InstanceId} from '@pomelopick/core.types';
 import {ExchangeRequestSchema, ExchangeResponseSchema, MembershipService} from '@pomelopick/peer.protocol';
 import type {ExchangeRequest, ExchangeResponse} from '@pomelopick/peer.protocol';
-import type {PeerCaller, PeerError} from '@pomelopick/peer.transport';
+import type {PeerError} from '@pomelopick/peer.transport';
+import {DifferenceTracker} from './difference-tracker.js';
 import {ListReader} from './list-reader.js';
+import {MemberList} from './member-list.js';
+import type {MembersListener} from './member-list.js';
 import {MemberTable} from './member-table.js';
 import type {
-	HeldVersion, Member, MemberRecord, News, Observation, RegionOf,
+	Member, MemberRecord, News, Observation,
 } from './member.js';
+import type {MembershipOptions, MembershipStatistics} from './membership-options.js';
 import {Observer} from './observer.js';
 import {Outbox} from './outbox.js';
+import {RecentCallers} from './recent-callers.js';
 import {
 	fromHeldMessage, fromNewsMessage, toHeldMessage, toNewsMessage,
 } from './wire.js';
@@ -31,58 +36,12 @@
 const STANDSTILL_MS = 300;
 /** Time after a standstill in which failed heartbeats are not counted. */
 const STANDSTILL_GRACE_MS = 2000;
-/** Time for which an instance that called counts as a neighbour. */
-const CALLER_KEPT_MS = 5000;
-/** Differing digests in a row before everything is exchanged. */
-const MOST_DIFFERENCES = 3;
-/** Least time between two exchanges of everything, in milliseconds an instance of the fleet. */
-const EVERYTHING_INTERVAL_PER_INSTANCE_MS = 50;
-const LEAST_EVERYTHING_INTERVAL_MS = 1000;
 /** Least change of the load that is told, in percent. */
 const LOAD_STEP_PERCENT = 10;
 /** Load that is told at once, in percent. */
 const FULL_PERCENT = 95;
 const PERCENT = 100;
 
-/** Options of {@link Membership}. */
-export interface MembershipOptions {
-	readonly clients: PeerCaller;
-	/** Reads the platform's list. */
-	readonly readList: () => EitherAsync<{readonly message: string}, readonly Instance[]>;
-	/** Endpoints of peers asked while no instance is known. */
-	readonly seeds?: readonly Endpoint[];
-	readonly regionOf: RegionOf;
-	/** Part of the call limit in use, from 0 to 1. */
-	readonly load: () => number;
-	/** Version in force here. */
-	readonly heldVersion: () => HeldVersion;
-	/** Told of the version of every peer that is heard; its age is never taken for less than it is. */
-	readonly onPeerVersion: (peer: PeerVersionHeard) => void;
-	readonly onFailure: (message: string) => void;
-	/** Monotonic time, in milliseconds. */
-	readonly now: () => number;
-	/** Wall-clock time, in milliseconds since the epoch. */
-	readonly wallClock: () => number;
-	/** Number from 0 up to 1 that spreads heartbeats and reads of the list over time. */
-	readonly random: () => number;
-}
-
-/** The version of a peer that was heard. */
-export interface PeerVersionHeard {
-	readonly endpoint: Endpoint;
-	/** The age includes the time that the message may have taken. */
-	readonly held: HeldVersion;
-	/** Whether the age is an upper bound; it is none for a peer's own request, which may have waited for any time. */
-	readonly isAgeBounded: boolean;
-}
-
-/** Bytes and messages of this instance's exchanges since the start. */
-export interface MembershipStatistics {
-	readonly exchanges: number;
-	readonly newsSent: number;
-	readonly everythingSent: number;
-}
-
 interface HearAnswerOptions {
 	readonly endpoint: Endpoint;
 	readonly response: ExchangeResponse;
@@ -101,18 +60,13 @@
 	readonly #observer = new Observer();
 	readonly #outbox = new Outbox();
 	readonly #reader: ListReader;
-	readonly #listeners: Array<(members: readonly Member[]) => void> = [];
-	readonly #callers = new Map<InstanceId, number>();
+	readonly #list = new MemberList();
+	readonly #callers = new RecentCallers();
 	readonly #inFlight = new Set<InstanceId>();
 	readonly #doubtTimers = new Map<InstanceId, NodeJS.Timeout>();
-	readonly #differences = new Map<InstanceId, number>();
+	readonly #differences = new DifferenceTracker();
 	readonly #statistics = {exchanges: 0, newsSent: 0, everythingSent: 0};
 	#self: MemberRecord | undefined;
-	#members: readonly Member[] = [];
-	#live: readonly Instance[] = [];
-	/** Members that {@link #live} was listed from. */
-	#listedMembers: readonly Member[] = [];
-	#signature = '';
 	#timer: NodeJS.Timeout | undefined;
 	#urgentTimer: NodeJS.Timeout | undefined;
 	#refreshTimer: NodeJS.Timeout | undefined;
@@ -120,7 +74,6 @@
 	#mustAnnounce = false;
 	#lastTickMs = 0;
 	#graceUntilMs = 0;
-	#nextEverythingMs = 0;
 	#lastSequence = 0;
 	#isStopped = false;
 
@@ -140,7 +93,7 @@
 
 	/** All known instances, this one included. */
 	get members(): readonly Member[] {
-		return this.#members;
+		return this.#list.members;
 	}
 
 	/** Counters of the exchanges. */
@@ -150,17 +103,12 @@
 
 	/** Instances that can take work: alive and not leaving. */
 	liveInstances(): readonly Instance[] {
-		if (this.#listedMembers !== this.#members) {
-			this.#live = this.#members.filter(({alive, instance}) => alive && instance.state === 'live').map(({instance}) => instance);
-			this.#listedMembers = this.#members;
-		}
-
-		return this.#live;
+		return this.#list.live;
 	}
 
 	/** Registers a listener for changes of the instances, their states and whether they are alive. */
-	onChange(listener: (members: readonly Member[]) => void): void {
-		this.#listeners.push(listener);
+	onChange(listener: MembersListener): void {
+		this.#list.onChange(listener);
 	}
 
 	/** Registers the service that answers heartbeats. */
@@ -261,7 +209,7 @@
 	}
 
 	async #exchange({id, endpoint}: {readonly id: InstanceId; readonly endpoint: Endpoint}): Promise<void> {
-		const wantsEverything = this.#shouldExchangeEverything(id);
+		const wantsEverything = this.#differences.shouldExchangeEverything({id, nowMs: this.#options.now(), size: this.#table.size});
 		const told = this.#outbox.take(id);
 		this.#inFlight.add(id);
 		const sentAtMs = this.#options.now();
@@ -328,7 +276,7 @@
 
 	#answer(request: ExchangeRequest): ExchangeResponse {
 		const sender = request.sender as InstanceId;
-		this.#callers.set(sender, this.#options.now());
+		this.#callers.note({id: sender, nowMs: this.#options.now()});
 		this.#takeNews({news: fromNewsMessage(request.news), from: sender});
 		const known = this.#table.describe(sender);
 		if (known) {
@@ -342,7 +290,7 @@
 
 	#takeAnswer({id, endpoint, response, sentAtMs}: TakeAnswerOptions): void {
 		this.#takeNews({news: fromNewsMessage(response.news), from: id});
-		this.#differences.set(id, response.digest === this.#table.digest ? 0 : (this.#differences.get(id) ?? MOST_DIFFERENCES - 1) + 1);
+		this.#differences.note({id, isEqual: response.digest === this.#table.digest});
 		this.#hearAnswer({endpoint, response, sentAtMs});
 	}
 
@@ -352,18 +300,6 @@
 		this.#options.onPeerVersion({endpoint, held: {...held, ageMs: held.ageMs + this.#options.now() - sentAtMs}, isAgeBounded: true});
 	}
 
-	/** Repairs lost news: when digests keep differing, both sides tell everything, at a bounded rate. */
-	#shouldExchangeEverything(id: InstanceId): boolean {
-		const nowMs = this.#options.now();
-		if ((this.#differences.get(id) ?? 0) < MOST_DIFFERENCES || nowMs < this.#nextEverythingMs) {
-			return false;
-		}
-
-		this.#differences.set(id, 0);
-		this.#nextEverythingMs = nowMs + Math.max(LEAST_EVERYTHING_INTERVAL_MS, this.#table.size * EVERYTHING_INTERVAL_PER_INSTANCE_MS);
-		return true;
-	}
-
 	#takeNews({news, from}: {readonly news: News; readonly from?: InstanceId}): void {
 		const isOwn = ({instance}: MemberRecord): boolean => instance.id === this.#self?.instance.id;
 		const records = news.records.filter(record => !isOwn(record) && this.#table.applyRecord(record));
@@ -419,14 +355,7 @@
 
 	/** Subjects, and the instances that observe this one. */
 	#neighbours(): ReadonlySet<InstanceId> {
-		const oldestMs = this.#options.now() - CALLER_KEPT_MS;
-		for (const [id, calledAtMs] of this.#callers) {
-			if (calledAtMs < oldestMs) {
-				this.#callers.delete(id);
-			}
-		}
-
-		return new Set([...this.#subjects(), ...this.#callers.keys()]);
+		return new Set([...this.#subjects(), ...this.#callers.list(this.#options.now())]);
 	}
 
 	#scheduleFlush(): void {
@@ -440,15 +369,6 @@
 
 	#refresh(): void {
 		this.#table.judge({self: this.#self!.instance.id, nowMs: this.#options.now()});
-		this.#members = this.#table.members;
-		const signature = this.#members.map(({instance, incarnation, alive, isolated}) => `${instance.id} ${incarnation} ${instance.state} ${alive} ${isolated}`).sort().join('\n');
-		if (signature === this.#signature) {
-			return;
-		}
-
-		this.#signature = signature;
-		for (const listener of this.#listeners) {
-			listener(this.#members);
-		}
+		this.#list.replace(this.#table.members);
 	}
 }
