Keep the order of bytes in the fault proxy

Cause: each piece that passed had a timer of its own, and a piece that was due at once was written past one whose timer had not fired. TCP never reorders, so the proxy made faults that no network makes. A body of several pieces over a delayed path then reaches its server in another order. Ruled out: the entry instance sending a cut body as a whole one; read in its code, a caller that leaves while its body is held is refused and a streamed body fails. Change: one queue and one timer a direction.

--- a/testing/fault-proxy/src/fault-proxy.ts
+++ b/testing/fault-proxy/src/fault-proxy.ts
@@ -7,6 +7,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import type {Endpoint} from '@pomelopick/core.types';
+import {OrderedDelivery} from './ordered-delivery.js';
 
 /** Faults of the path; changed while it runs. */
 export interface PathFaults {
@@ -42,7 +43,6 @@
 }
 
 const PERCENT = 100;
-const FROZEN_POLL_MS = 10;
 
 /** Starts a proxy on loopback. */
 export async function startFaultProxy({target, seed, faults}: StartFaultProxyOptions): Promise<FaultProxy> {
@@ -143,6 +143,7 @@
 
 	#relay({from, to, isSilent}: {readonly from: Socket; readonly to: Socket; readonly isSilent: () => boolean}): void {
 		let freeAtMs = 0;
+		const delivery = new OrderedDelivery({isFrozen: () => this.#faults.frozen, isSilent});
 		const deliver = (action: () => void, size: number): void => {
 			const {delayMs, jitterMs, bytesPerSecond} = this.#faults;
 			const nowMs = performance.now();
@@ -150,20 +151,7 @@
 			const transferMs = bytesPerSecond > 0 ? size * 1000 / bytesPerSecond : 0;
 			// Pieces keep their order: each leaves no earlier than the one before it.
 			freeAtMs = Math.max(freeAtMs + transferMs, nowMs + delayMs + jitter + transferMs);
-			const run = (): void => {
-				if (this.#faults.frozen) {
-					setTimeout(run, FROZEN_POLL_MS);
-				} else if (!isSilent()) {
-					action();
-				}
-			};
-
-			const waitMs = freeAtMs - nowMs;
-			if (waitMs < 0.5 && !this.#faults.frozen) {
-				run();
-			} else {
-				setTimeout(run, waitMs);
-			}
+			delivery.add({dueAtMs: freeAtMs, action});
 		};
 
 		from.on('data', (piece: Uint8Array) => {
