--- a/testing/demo/src/fleet-main.ts
+++ b/testing/demo/src/fleet-main.ts
@@ -33,16 +33,17 @@
 	}
 
 	process.stdout.write(`up for ${seconds} s\n`);
-	const interrupted = new Promise<void>(resolve => {
-		process.once('SIGINT', resolve);
-		process.once('SIGTERM', resolve);
-	});
-	const calling = driveCallers({
-		fleet, deployment: kept, seed: SEED, callers: CALLERS, endsAtMs: Date.now() + (seconds * 1000),
+	const interrupted = new AbortController();
+	const interrupt = (): void => {
+		interrupted.abort();
+	};
+
+	process.once('SIGINT', interrupt);
+	process.once('SIGTERM', interrupt);
+	await driveCallers({
+		fleet, deployment: kept, seed: SEED, callers: CALLERS, endsAtMs: Date.now() + (seconds * 1000), signal: interrupted.signal,
 	});
-	await Promise.race([interrupted, calling]);
 	await fleet.stop();
-	process.exit(0);
 }
 
 function formatEndpoint({address, port}: Endpoint): string {
--- a/testing/demo/src/traffic.ts
+++ b/testing/demo/src/traffic.ts
@@ -21,6 +21,8 @@
 	readonly callers: number;
 	/** Wall-clock time, in milliseconds since the epoch. */
 	readonly endsAtMs: number;
+	/** Ends the callers sooner, each after its call in progress. */
+	readonly signal?: AbortSignal;
 }
 
 /** Drives all callers until the end and answers how each call ended. */
@@ -37,12 +39,12 @@
 	readonly records: CallRecord[];
 }
 
-async function driveCaller({fleet, deployment, seed, index, endsAtMs, records}: DriveCallerOptions): Promise<void> {
+async function driveCaller({fleet, deployment, seed, index, endsAtMs, signal, records}: DriveCallerOptions): Promise<void> {
 	const random = xoroshiro128plus(seed);
 	const draw = (below: number): number => uniformInt(random, 0, below - 1);
 	const domain = index % listDomains(deployment).length;
 	const caller = new Caller({localAddress: `127.0.${domain + 1}.${index + 1}`, bootstrap: () => fleet.entries.map(({instance}) => instance.callers)});
-	while (Date.now() < endsAtMs) {
+	while (Date.now() < endsAtMs && !signal?.aborted) {
 		const service = deployment.services[draw(deployment.services.length)]!;
 		const isWrite = service.priority === 'interactive' && draw(PERCENT) < WRITE_PERCENT;
 		const path = `/items/${draw(100_000)}`;
