Tell what each instance holds, uses and refuses of the retry budget

Cause: the hypotheses of the incident could not be told apart: no line said how much of the budget an instance had, by how many instances it divided, how old its process was, or how many sends it refused. Ruled out: a line for each send; it would grow with the trouble. Change: the windows move from the wiring into RetryBudgets, without a change of logic.

--- a/calls/relay/src/index.ts
+++ b/calls/relay/src/index.ts
@@ -4,3 +4,4 @@
 export type * from './relay-format.js';
 export * from './relay-handler.js';
 export * from './relayed-request.js';
+export * from './retry-budgets.js';
--- a/core/telemetry/src/served-counters.ts
+++ b/core/telemetry/src/served-counters.ts
@@ -59,6 +59,18 @@
 		});
 	}
 
+	/** Adds values by label that are read whenever the metrics are. */
+	gauges({name, help, label, read}: {readonly name: string; readonly help: string; readonly label: string; readonly read: () => ReadonlyMap<string, number>}): void {
+		const gauge: Gauge = new Gauge({
+			name: `pomelopick_${name}`, help, labelNames: [label], registers: [this.#registry], collect() {
+				gauge.reset();
+				for (const [value, number] of read()) {
+					gauge.set({[label]: value}, number);
+				}
+			},
+		});
+	}
+
 	/** All metrics as text. */
 	async text(): Promise<string> {
 		return this.#registry.metrics();
--- a/daemons/gateway/src/create-relay.ts
+++ b/daemons/gateway/src/create-relay.ts
@@ -4,13 +4,13 @@
 import type {LiveView, SuspicionRecord} from '@pomelopick/calls.live';
 import {DeathWatch, Quarantine} from '@pomelopick/calls.quarantine';
 import type {SuspicionSharing} from '@pomelopick/calls.quarantine';
-import {CallerDepartures, RelayHandler} from '@pomelopick/calls.relay';
+import {CallerDepartures, RelayHandler, RetryBudgets} from '@pomelopick/calls.relay';
 import type {GatewaySettings} from '@pomelopick/config.settings';
 import {EventRecord} from '@pomelopick/core.telemetry';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
-import type {BackendServerName, ServiceName} from '@pomelopick/core.types';
+import type {BackendServerName} from '@pomelopick/core.types';
 import {decodeServerLoad, encodeRetryAfter, platformHeaders} from '@pomelopick/platform.wire';
-import {RetryWindow, WarmupShares} from '@pomelopick/steering.limits';
+import {WarmupShares} from '@pomelopick/steering.limits';
 import {ObjectPlacer} from '@pomelopick/steering.objects';
 import {ObservationTable} from '@pomelopick/steering.servers';
 import type {KnownServer} from '@pomelopick/steering.servers';
@@ -43,6 +43,8 @@
 export interface RelayParts {
 	readonly handler: RelayHandler;
 	readonly quarantine: Quarantine;
+	/** Further sends in the window of each service. */
+	readonly retriesUsed: () => ReadonlyMap<string, number>;
 	/** Takes what an instance saw of requests that crash servers; what this one saw it knows already. */
 	readonly hear: (record: SuspicionRecord) => void;
 	/** Forgets what is known of a server's process. */
@@ -55,23 +57,12 @@
 	const {instance, failureDomain, region, regions, limits} = settings();
 	const observations = new ObservationTable();
 	const warmups = new WarmupShares({self: instance});
-	const retries = new Map<ServiceName, RetryWindow>();
 	const warmupOf = ({server}: KnownServer) => ({
 		server: server.name,
 		requestsPerSecond: view.routeSet?.services.find(({name}) => name === server.service)?.warmupRequestsPerSecond ?? 0,
 		instances: [...new Set([instance, ...view.instances.list().map(({id}) => id)])],
 		nowMs: now(),
 	});
-	const retriesOf = (service: ServiceName): RetryWindow => {
-		let window = retries.get(service);
-		if (!window) {
-			window = new RetryWindow(settings().retries);
-			retries.set(service, window);
-		}
-
-		return window;
-	};
-
 	const placer = new ObjectPlacer({
 		servers: view.servers,
 		observations,
@@ -101,6 +92,9 @@
 	});
 	/** Instances that a shared allowance is divided by: no fewer than there were at once, and one for each failure domain. */
 	const countInstances = (): number => Math.max(view.instances.most, regions.size);
+	const retryBudgets = new RetryBudgets({
+		bounds: () => settings().retries, countInstances, counters, log, now,
+	});
 	const handler = new RelayHandler({
 		view,
 		parts: {
@@ -114,7 +108,7 @@
 				return Math.max(LEAST_CONNECTIONS, Math.floor(most * CONNECTION_SHARE / countInstances()));
 			},
 			counters,
-			tryTakeRetry: ({options: {service}}) => retriesOf(service).tryTake({nowMs: now(), instances: countInstances()}),
+			tryTakeRetry: ({options: {service}}) => retryBudgets.tryTake(service),
 			tryTakeWarmup: known => now() >= known.coldUntilMs || warmups.tryTake(warmupOf(known)),
 			viewAgeMs,
 			now,
@@ -124,7 +118,7 @@
 		log,
 		limits,
 		noteRequest(service) {
-			retriesOf(service).noteRequest(now());
+			retryBudgets.noteRequest(service);
 		},
 		endsAtMs,
 		random,
@@ -132,6 +126,7 @@
 	return {
 		handler,
 		quarantine,
+		retriesUsed: () => retryBudgets.used(),
 		hear(record) {
 			if (record.origin === instance) {
 				return;
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -104,6 +104,9 @@
 	counters.gauge({name: 'requests_in_progress', help: 'Requests in progress.', read: () => relay.handler.inProgress});
 	counters.gauge({name: 'view_age_seconds', help: 'Time since the store last answered.', read: () => feed.ageMs / MILLISECONDS_PER_SECOND});
 	counters.gauge({name: 'log_lines_dropped', help: 'Log lines dropped because standard output was not read.', read: () => log.dropped});
+	counters.gauges({
+		name: 'retries_in_window', help: 'Sends to a further backend server in the window of the retry budget.', label: 'service', read: () => relay.retriesUsed(),
+	});
 	viewParts.start();
 	const [callersAt, readinessAt, directoryAt, metricsAt] = await Promise.all([
 		listen({server: listener.server, endpoint: callers}), readiness.start(), directory.start(), metrics.start(),
--- a/steering/limits/src/retry-window.ts
+++ b/steering/limits/src/retry-window.ts
@@ -29,6 +29,15 @@
 	readonly instances: number;
 }
 
+/** How much of its part of the budget an instance has used. */
+export interface RetryUse {
+	/** Requests and further sends in the window. */
+	readonly requests: number;
+	readonly retries: number;
+	/** Further sends that the window allows this instance. */
+	readonly most: number;
+}
+
 interface Bucket {
 	number: number;
 	requests: number;
@@ -53,9 +62,7 @@
 
 	/** Takes one further send; false when the bound does not allow it. */
 	tryTake({nowMs, instances}: TryTakeRetryOptions): boolean {
-		const {ratio, allowance} = this.#bounds;
-		const {requests, retries} = this.#count(nowMs);
-		const most = (ratio * requests * RATIO_SHARE) + (allowance * ALLOWANCE_SHARE / Math.max(1, instances));
+		const {retries, most} = this.use({nowMs, instances});
 		if (retries + 1 > most) {
 			return false;
 		}
@@ -64,6 +71,13 @@
 		return true;
 	}
 
+	/** How much of the budget is used. */
+	use({nowMs, instances}: TryTakeRetryOptions): RetryUse {
+		const {ratio, allowance} = this.#bounds;
+		const counts = this.#count(nowMs);
+		return {...counts, most: (ratio * counts.requests * RATIO_SHARE) + (allowance * ALLOWANCE_SHARE / Math.max(1, instances))};
+	}
+
 	/** Gives a further send back that was not made. */
 	giveBack(nowMs: number): void {
 		const bucket = this.#bucketAt(nowMs);
--- a/testing/gateway-fleet/src/gateway-fleet.ts
+++ b/testing/gateway-fleet/src/gateway-fleet.ts
@@ -52,7 +52,7 @@
 
 /** A store and servers. */
 export class GatewayFleet {
-	readonly records: ServerRecords = {executions: [], arrivals: new Map()};
+	readonly records: ServerRecords = {executions: [], arrivals: new Map(), arrivalLog: []};
 	readonly servers: RegisteredServer[] = [];
 	#heartbeat = 0;
 
--- a/testing/gateway-fleet/src/registered-server.ts
+++ b/testing/gateway-fleet/src/registered-server.ts
@@ -7,6 +7,7 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
 import {buffer} from 'node:stream/consumers';
 import {setTimeout as sleep} from 'node:timers/promises';
 
@@ -50,11 +51,21 @@
 	wasCancelled: boolean;
 }
 
+/** A request that reached a server, whether it was run or not. */
+export interface ArrivalRecord {
+	readonly requestId: string;
+	readonly server: string;
+	/** Monotonic time, in milliseconds. */
+	readonly atMs: number;
+}
+
 /** What the servers of a fleet share. */
 export interface ServerRecords {
 	readonly executions: ExecutionRecord[];
 	/** Arrivals of each request, those that were not run included. */
 	readonly arrivals: Map<string, number>;
+	/** Every arrival in its order. */
+	readonly arrivalLog: ArrivalRecord[];
 }
 
 /** Options of {@link startRegisteredServer}. */
@@ -127,6 +138,7 @@
 
 	const body = await buffer(request);
 	const requestId = String(request.headers['x-request-id']);
+	records.arrivalLog.push({requestId, server: name, atMs: performance.now()});
 	const expectedServer = request.headers['x-expect-instance'] as string | undefined;
 	if (expectedServer !== undefined && expectedServer !== name) {
 		response.writeHead(421, {'x-instance-id': name, 'x-request-id': requestId}).end();
