Bound retries by the requests that an instance has itself, and claim the allowance in the store

Cause: each process had a part of the allowance in its memory, by the number of instances that it had seen. A restart forgot what was used of it, so n restarts in a window used n parts; a process that had just started counted three instances and took 9 where 3 was its part. Class: a share of a fleet-wide limit that lives in one process and that nothing bounds over its lives. Servers saw up to 28 repeats too many in 10 s; callers saw nothing. Change: an instance sends, in any window, at most the ratio of the mean of its own requests of that window and the one before. Such bounds add up to the fleet's, over instances and over the lives of one. The allowance comes in ten parts that are keys of the store, claimed by compare-and-swap, used for 5 s, claimed again by who has seen one unchanged for 20 s: no lease, no clock of another machine, no number of instances. A pause of the monotonic clock drops credit and parts. A send counts until a window after its end. Hedges may use the allowance too, else a first request after a start would wait for a silent server until its timeout (relay.test showed that).

--- a/calls/live/src/live-view.ts
+++ b/calls/live/src/live-view.ts
@@ -7,9 +7,8 @@
 import {decodeInstance, INSTANCE_PREFIX, instanceKey} from './instance-record.js';
 import {InstanceTable} from './instance-table.js';
 import type {PlatformFormat, Subject} from './platform-format.js';
+import type {RecordReader} from './record-reader.js';
 import {RoutesInForce} from './routes-in-force.js';
-import {decodeSuspicion, SUSPICION_PREFIX} from './suspicion-records.js';
-import type {SuspicionRecord} from './suspicion-records.js';
 
 /** Options of {@link LiveView}. */
 export interface LiveViewOptions {
@@ -18,8 +17,8 @@
 	readonly onChange: (change: BeliefChange) => void;
 	/** Called when another version of the routes came into force. */
 	readonly onRoutes: (set: RouteSet) => void;
-	/** Called for each record of what an instance saw of requests that crash servers, this one's own included. */
-	readonly onSuspicion: (record: SuspicionRecord) => void;
+	/** Readers of the other records that instances share, this one's own included. */
+	readonly records: readonly RecordReader[];
 	/** Called when a server started anew or is gone. */
 	readonly onServerLost: (name: BackendServerName) => void;
 }
@@ -160,8 +159,8 @@
 			this.#writeSubject({subject, value, nowMs});
 		} else if (value.key.startsWith(INSTANCE_PREFIX)) {
 			this.#writeInstance(value);
-		} else if (value.key.startsWith(SUSPICION_PREFIX)) {
-			this.#writeSuspicion(value);
+		} else {
+			this.#options.records.find(({prefix}) => value.key.startsWith(prefix))?.write(value);
 		}
 	}
 
@@ -234,16 +233,6 @@
 		});
 	}
 
-	#writeSuspicion({key, value, modifyIndex}: StoredValue): void {
-		decodeSuspicion(value).ifLeft(({message}) => {
-			this.#tell({
-				event: 'suspicion-refused', subject: key, detail: message, storeIndex: modifyIndex,
-			});
-		}).ifRight(record => {
-			this.#options.onSuspicion(record);
-		});
-	}
-
 	#remove({key, storeIndex, holds, nowMs}: {readonly key: string; readonly storeIndex: number; readonly holds: Holds; readonly nowMs: number}): void {
 		const subject = this.#options.format.readSubject(key);
 		if (subject?.kind === 'server') {
--- a/calls/live/src/suspicion-records.ts
+++ b/calls/live/src/suspicion-records.ts
@@ -4,6 +4,8 @@
 import type {RequestFingerprint, ServerDeath, SuspicionSharing} from '@pomelopick/calls.quarantine';
 import type {KeyValueStore, LeaseId, StoreError} from '@pomelopick/platform.store';
 import type {BackendServerName, CodedError, InstanceId} from '@pomelopick/core.types';
+import type {BeliefChange} from './belief-change.js';
+import type {RecordReader} from './record-reader.js';
 
 /** Prefix of the keys under which instances write what they saw. */
 export const SUSPICION_PREFIX = 'pomelopick/suspicions/';
@@ -36,6 +38,29 @@
 	}
 }
 
+/** Options of {@link suspicionReader}. */
+export interface SuspicionReaderOptions {
+	readonly onRecord: (record: SuspicionRecord) => void;
+	/** Told of each record that cannot be read. */
+	readonly onRefused: (change: BeliefChange) => void;
+}
+
+/** Reads the records of all instances, this one's own included. */
+export function suspicionReader({onRecord, onRefused}: SuspicionReaderOptions): RecordReader {
+	return {
+		prefix: SUSPICION_PREFIX,
+		write({key, value, modifyIndex}) {
+			decodeSuspicion(value).ifLeft(({message}) => {
+				onRefused({
+					event: 'suspicion-refused', subject: key, detail: message, storeIndex: modifyIndex,
+				});
+			}).ifRight(record => {
+				onRecord(record);
+			});
+		},
+	};
+}
+
 function isFingerprint(text: unknown): boolean {
 	return typeof text === 'string' && FINGERPRINT_PATTERN.test(text);
 }
--- /dev/null
+++ b/calls/live/test/allowance-parts.test.ts
@@ -0,0 +1,173 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {EitherAsync, Left, Right} from 'purify-ts';
+import {ALLOWANCE_PREFIX, AllowanceParts} from '@pomelopick/calls.live';
+import type {ClaimedPart, ClaimFailure} from '@pomelopick/calls.live';
+import type {KeyValueStore, StoredValue, StoreError} from '@pomelopick/platform.store';
+import {ALLOWANCE_PARTS, GRANT_USABLE_MS, partReuseMs} from '@pomelopick/steering.limits';
+import type {InstanceId, ServiceName} from '@pomelopick/core.types';
+
+const SEED = 71_003;
+const WINDOW_MS = 10_000;
+const INSTANCES = 12;
+/** Time for which a send may be on its way, in milliseconds. */
+const LATEST_ARRIVAL_MS = 5000;
+const service = 'ledger' as ServiceName;
+
+type StoreOutcome = 'answered' | 'done-and-lost' | 'lost' | 'refused';
+
+/** The part of a store that claims use, whose answers may be lost. */
+class ScriptedStore {
+	readonly values = new Map<string, StoredValue>();
+	next: StoreOutcome = 'answered';
+	writes = 0;
+	#index = 0;
+
+	readonly compareAndSwapForIndex: KeyValueStore['compareAndSwapForIndex'] = ({key, value, expectedIndex}) => {
+		this.writes += 1;
+		const outcome = this.next;
+		if (outcome === 'refused') {
+			return failed({code: 'rate-limited', message: 'too many calls'});
+		}
+
+		const isMatch = (this.values.get(key)?.modifyIndex ?? 0) === expectedIndex;
+		if (isMatch && outcome !== 'lost') {
+			this.#index += 1;
+			this.values.set(key, {key, value, modifyIndex: this.#index});
+		}
+
+		return outcome === 'answered' ? EitherAsync.liftEither(Right(isMatch ? this.#index : undefined)) : failed({code: 'undecided', message: 'no answer'});
+	};
+}
+
+function failed(error: StoreError): EitherAsync<StoreError, never> {
+	return EitherAsync.liftEither(Left(error));
+}
+
+/** Instances that hear of writes whenever they are told to, on a clock of the test's own. */
+class Fleet {
+	nowMs = 0;
+	readonly store = new ScriptedStore();
+	readonly #instances = Array.from({length: INSTANCES}, (_, index) => this.#create(index));
+
+	async claim(index: number): Promise<ClaimedPart | undefined> {
+		const claimed = await this.#instances[index]!.claim(service);
+		return claimed.toMaybe().extract();
+	}
+
+	hear(index: number): void {
+		for (const value of this.store.values.values()) {
+			this.#instances[index]!.write(value);
+		}
+	}
+
+	restart(index: number): void {
+		this.#instances[index] = this.#create(index);
+		this.hear(index);
+	}
+
+	#create(index: number): AllowanceParts {
+		return new AllowanceParts({
+			store: this.store as unknown as KeyValueStore,
+			instance: `gateway-${index}` as InstanceId,
+			reuseMs: () => partReuseMs({windowMs: WINDOW_MS}),
+			countInstances: () => 1,
+			now: () => this.nowMs,
+			random: () => (index % ALLOWANCE_PARTS) / ALLOWANCE_PARTS,
+		});
+	}
+}
+
+const step = fc.record({
+	instance: fc.nat({max: INSTANCES - 1}),
+	afterMs: fc.nat({max: 1500}),
+	kind: fc.constantFrom('claim', 'claim', 'claim', 'hear', 'restart'),
+	outcome: fc.constantFrom<StoreOutcome>('answered', 'answered', 'answered', 'done-and-lost', 'lost', 'refused'),
+	usedAfterMs: fc.nat({max: GRANT_USABLE_MS + LATEST_ARRIVAL_MS - 1}),
+});
+
+type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never;
+
+/** Whether sorted times are farther apart than a window. */
+function areApart(times: readonly number[]): boolean {
+	return times.every((atMs, index) => index === 0 || atMs - times[index - 1]! > WINDOW_MS);
+}
+
+function createParts({store, countInstances = () => 1, random = () => 0}: {readonly store: ScriptedStore; readonly countInstances?: () => number; readonly random?: () => number}): AllowanceParts {
+	return new AllowanceParts({
+		store: store as unknown as KeyValueStore, instance: 'a' as InstanceId, reuseMs: () => partReuseMs({windowMs: WINDOW_MS}), countInstances, now: () => 0, random,
+	});
+}
+
+describe(`AllowanceParts (seed ${SEED})`, () => {
+	it('keeps a window between two uses of a part, whatever instances restart, hear late or lose answers', async () => {
+		let uses = 0;
+		const useParts = async (steps: readonly Step[]): Promise<ReadonlyArray<readonly number[]>> => {
+			const fleet = new Fleet();
+			const usedAtMs = Array.from({length: ALLOWANCE_PARTS}, (): number[] => []);
+			for (const {instance, afterMs, kind, outcome, usedAfterMs} of steps) {
+				fleet.nowMs += afterMs;
+				fleet.store.next = outcome;
+				if (kind !== 'claim') {
+					fleet[kind](instance);
+					continue;
+				}
+
+				const claimed = await fleet.claim(instance);
+				if (claimed) {
+					uses += 1;
+					usedAtMs[claimed.part]!.push(claimed.claimedAtMs + usedAfterMs);
+				}
+			}
+
+			return usedAtMs;
+		};
+
+		await fc.assert(fc.asyncProperty(fc.array(step, {minLength: 100, maxLength: 300}), async steps => {
+			const usedAtMs = await useParts(steps);
+			return usedAtMs.every(times => areApart(times.toSorted((a, b) => a - b)));
+		}), {seed: SEED, numRuns: 100, endOnFailure: true});
+		assert.ok(uses > ALLOWANCE_PARTS, `${uses} parts used`);
+	});
+
+	it('lets an instance claim all parts, one after the other, and no more', async () => {
+		const parts = createParts({store: new ScriptedStore()});
+		const claimed = [];
+		for (let number = 0; number <= ALLOWANCE_PARTS; number += 1) {
+			claimed.push(await parts.claim(service));
+		}
+
+		assert.deepEqual(new Set(claimed.slice(0, -1).map(either => either.map(({part}) => part).extract())).size, ALLOWANCE_PARTS);
+		assert.equal(claimed.at(-1)!.swap().map(({reason}) => reason).extract(), 'all-in-use');
+	});
+
+	const failures: ReadonlyArray<{name: string; outcome: StoreOutcome; isTaken: boolean; random: number; instances: number; expected: ClaimFailure['reason']; writes: number}> = [
+		{
+			name: 'the store refuses the call', outcome: 'refused', isTaken: false, random: 0, instances: 1, expected: 'store-failed', writes: 1,
+		},
+		{
+			name: 'the answer is lost', outcome: 'done-and-lost', isTaken: false, random: 0, instances: 1, expected: 'store-failed', writes: 1,
+		},
+		{
+			name: 'another instance was faster', outcome: 'answered', isTaken: true, random: 0, instances: 1, expected: 'claimed-by-another', writes: 1,
+		},
+		{
+			name: 'the fleet is so large that others claim', outcome: 'answered', isTaken: false, random: 0.9, instances: 920, expected: 'left-to-others', writes: 0,
+		},
+	];
+	for (const {name, outcome, isTaken, random, instances, expected, writes} of failures) {
+		it(`claims nothing when ${name}`, async () => {
+			const store = new ScriptedStore();
+			store.next = outcome;
+			const key = `${ALLOWANCE_PREFIX}${service}/0`;
+			if (isTaken) {
+				store.values.set(key, {key, value: new Uint8Array(), modifyIndex: 7});
+			}
+
+			const claimed = await createParts({store, countInstances: () => instances, random: () => random}).claim(service);
+			assert.equal(claimed.swap().map(({reason}) => reason).extract(), expected);
+			assert.equal(store.writes, writes);
+		});
+	}
+});
--- a/calls/live/test/fixture.ts
+++ b/calls/live/test/fixture.ts
@@ -35,7 +35,7 @@
 			told.push(change);
 		},
 		onRoutes() {/* Told already. */},
-		onSuspicion() {/* Not in these tests. */},
+		records: [],
 		onServerLost() {/* Told already. */},
 	});
 	const feed = new StoreFeed({
--- a/calls/relay/src/index.ts
+++ b/calls/relay/src/index.ts
@@ -5,3 +5,4 @@
 export * from './relay-handler.js';
 export * from './relayed-request.js';
 export * from './retry-budgets.js';
+export * from './retry-permit.js';
--- a/calls/relay/src/relay-attempt.ts
+++ b/calls/relay/src/relay-attempt.ts
@@ -37,19 +37,22 @@
 	readonly parts: AttemptParts;
 }
 
+/** An attempt without a usable answer. */
+export interface AttemptFailureResult {
+	readonly kind: 'failure';
+	readonly reason: RefusalReason;
+	readonly retryReason: RetryReason;
+	/** Whether the server may have run the request. */
+	readonly mayHaveRun: boolean;
+	/** Whether a byte of the request may have reached the server. */
+	readonly wasSent: boolean;
+	readonly detail: string;
+}
+
 /** How an attempt ended. */
 export type AttemptResult =
 	| {readonly kind: 'answer'; readonly answer: AttemptAnswer; readonly verdict: 'deliver' | 'server-failure'}
-	| {
-		readonly kind: 'failure';
-		readonly reason: RefusalReason;
-		readonly retryReason: RetryReason;
-		/** Whether the server may have run the request. */
-		readonly mayHaveRun: boolean;
-		/** Whether a byte of the request may have reached the server. */
-		readonly wasSent: boolean;
-		readonly detail: string;
-	};
+	| AttemptFailureResult;
 
 /** One attempt. */
 export class RelayAttempt {
--- a/calls/relay/src/relay-run.ts
+++ b/calls/relay/src/relay-run.ts
@@ -7,9 +7,13 @@
 import {reasonWithoutPromise} from '@pomelopick/core.types';
 import type {KnownServer} from '@pomelopick/steering.servers';
 import type {ObjectPlacement, PlacementRefusal} from '@pomelopick/steering.objects';
+import {endsWithin, takeFirstGood} from './attempt-race.js';
+import type {RunningAttempt} from './attempt-race.js';
 import {RelayAttempt} from './relay-attempt.js';
-import type {AttemptParts, AttemptResult} from './relay-attempt.js';
+import type {AttemptFailureResult, AttemptParts, AttemptResult} from './relay-attempt.js';
 import type {AttemptNote, RelayedRequest} from './relayed-request.js';
+import {RequestPermits} from './retry-permit.js';
+import type {RetryPermit} from './retry-permit.js';
 
 /** Attempts of one request in all, those included that reached no server. */
 const MOST_TRIES = 6;
@@ -22,21 +26,20 @@
 /** What a run may use beyond what its attempts do. */
 export interface RunParts extends AttemptParts {
 	readonly counters: CallCounters;
-	/** Takes one send to a further server out of the service's budget; false when none is left. */
-	readonly tryTakeRetry: (request: RelayedRequest) => boolean;
+	/** Leave to send to a further server, for which it may wait a short time; undefined: the service's budget has none left. */
+	readonly takeRetry: (request: RelayedRequest) => Promise<RetryPermit | undefined>;
 	/** Takes one request to a server that warms up; true for one that does not. */
 	readonly tryTakeWarmup: (known: KnownServer) => boolean;
 	/** Age of this instance's view of the store, in milliseconds. */
 	readonly viewAgeMs: () => number;
 }
 
-type Failure = Extract<AttemptResult, {readonly kind: 'failure'}>;
-
 /** Runs one request. */
 export class RelayRun {
 	readonly #request: RelayedRequest;
 	readonly #parts: RunParts;
 	readonly #live = new Set<RelayAttempt>();
+	readonly #permits = new RequestPermits();
 	/** A failure that a server itself answered, kept while another server is tried. */
 	#serverFailure: AttemptAnswer | undefined;
 
@@ -55,6 +58,12 @@
 
 	/** Runs the request. Left: its final refusal, whose execution counts every attempt. */
 	async run(): Promise<Either<Refusal, AttemptAnswer>> {
+		const result = await this.#runAttempts();
+		this.#permits.close();
+		return result;
+	}
+
+	async #runAttempts(): Promise<Either<Refusal, AttemptAnswer>> {
 		for (let tries = 1; ; tries += 1) {
 			const placed = this.#place();
 			if (placed.isLeft()) {
@@ -73,7 +82,7 @@
 
 			const failure = result.kind === 'failure' ? result : failureOf(result.answer);
 			this.#request.mayHaveRun ||= failure.mayHaveRun;
-			if (tries >= MOST_TRIES || !this.#mayRetry(failure)) {
+			if (tries >= MOST_TRIES || !await this.#mayRetry(failure)) {
 				return this.#finish(this.#refuse(failure));
 			}
 
@@ -107,7 +116,7 @@
 			return first.result;
 		}
 
-		const second = this.#startHedge();
+		const second = await this.#startHedge(first);
 		return second ? takeFirstGood({first, second}) : first.result;
 	}
 
@@ -122,7 +131,7 @@
 		};
 		request.attempts.push(note);
 		const attempt = new RelayAttempt({request, placement, parts: this.#parts});
-		return {attempt, result: this.#runToItsEnd({attempt, note})};
+		return {attempt, result: this.#runToItsEnd({attempt, note, permit: this.#permits.use()}), hasEnded: () => note.outcome !== undefined};
 	}
 
 	/** Time since the request arrived, in whole milliseconds. */
@@ -130,9 +139,13 @@
 		return Math.round(this.#parts.now() - this.#request.options.arrivedAtMs);
 	}
 
-	async #runToItsEnd({attempt, note}: {readonly attempt: RelayAttempt; readonly note: AttemptNote}): Promise<AttemptResult> {
+	async #runToItsEnd({attempt, note, permit}: {readonly attempt: RelayAttempt; readonly note: AttemptNote; readonly permit: RetryPermit | undefined}): Promise<AttemptResult> {
 		this.#live.add(attempt);
 		const result = await attempt.run();
+		if (permit) {
+			this.#permits.settle({permit, wasSent: result.kind === 'answer' || result.wasSent});
+		}
+
 		note.heldMs = this.#elapsedMs() - note.startedAfterMs;
 		note.outcome = result.kind === 'answer' ? `answered ${result.answer.status}` : result.detail;
 		const isStillSent = result.kind === 'answer' && result.answer.kind === 'partial';
@@ -151,28 +164,31 @@
 		return mayHedge && this.#parts.now() + afterMs < answerByMs ? afterMs : undefined;
 	}
 
-	#startHedge(): RunningAttempt | undefined {
+	async #startHedge(first: RunningAttempt): Promise<RunningAttempt | undefined> {
 		const request = this.#request;
-		const {route} = request.options;
-		const {counters, tryTakeRetry} = this.#parts;
-		if (request.endedBy !== undefined || request.sentTo.size === 0 || request.sentTo.size >= route.mostServers) {
+		if (!this.#mayHedge()) {
 			return undefined;
 		}
 
 		const placed = this.#place();
 		const hasRoom = placed.map(({waitMs}) => waitMs === 0).orDefault(false);
-		if (!hasRoom || !tryTakeRetry(request)) {
+		if (!hasRoom || !await this.#takePermit() || first.hasEnded() || request.hasEnded) {
 			return undefined;
 		}
 
-		counters.hedged('slow-answer');
+		this.#parts.counters.hedged('slow-answer');
 		request.extraAttempts.push('slow-answer');
 		return this.#start(placed.unsafeCoerce());
 	}
 
-	#mayRetry(failure: Failure): boolean {
+	#mayHedge(): boolean {
+		const {hasEnded, sentTo, options: {route}} = this.#request;
+		return !hasEnded && sentTo.size > 0 && sentTo.size < route.mostServers;
+	}
+
+	async #mayRetry(failure: AttemptFailureResult): Promise<boolean> {
 		const request = this.#request;
-		const {counters, tryTakeRetry} = this.#parts;
+		const {counters} = this.#parts;
 		const {body, route} = request.options;
 		const isSafe = request.isIdempotent || !failure.mayHaveRun;
 		if (request.endedBy !== undefined || !isSafe || !body.isWhole) {
@@ -189,15 +205,25 @@
 			return false;
 		}
 
-		if (!tryTakeRetry(request)) {
+		if (!this.#permits.hasUnused && !await this.#takePermit()) {
 			counters.add('retry.budget-used-up');
 			return false;
 		}
 
-		return true;
+		// The caller may have left, or its time run out, while a permit was waited for.
+		return !request.hasEnded;
 	}
 
-	#refuse({reason, detail, mayHaveRun, wasSent}: Failure): Refusal {
+	async #takePermit(): Promise<boolean> {
+		const permit = await this.#parts.takeRetry(this.#request);
+		if (permit) {
+			this.#permits.add(permit);
+		}
+
+		return permit !== undefined;
+	}
+
+	#refuse({reason, detail, mayHaveRun, wasSent}: AttemptFailureResult): Refusal {
 		const retryAfterMs = mayHaveRun ? undefined : (wasSent ? SHED_RETRY_AFTER_MS : NEVER_SENT_RETRY_AFTER_MS);
 		return {
 			reason: !wasSent && reason === 'connect-failed' ? 'no-backend-server' : reason, execution: 'not-run', detail, ...(retryAfterMs !== undefined && {retryAfterMs}),
@@ -221,58 +247,13 @@
 	}
 }
 
-interface RunningAttempt {
-	readonly attempt: RelayAttempt;
-	readonly result: Promise<AttemptResult>;
-}
-
-/** Whether an attempt ends within a time. */
-async function endsWithin({result, timeoutMs}: {readonly result: Promise<AttemptResult>; readonly timeoutMs: number}): Promise<boolean> {
-	return new Promise(resolve => {
-		const timer = setTimeout(() => {
-			resolve(false);
-		}, timeoutMs);
-		const end = async (): Promise<void> => {
-			await result;
-			clearTimeout(timer);
-			resolve(true);
-		};
-
-		void end();
-	});
-}
-
-/** The first answer of two attempts that can be delivered; the other attempt is then given up. Two failures count together. */
-async function takeFirstGood({first, second}: {readonly first: RunningAttempt; readonly second: RunningAttempt}): Promise<AttemptResult> {
-	const settle = async (own: RunningAttempt, other: RunningAttempt) => ({result: await own.result, other});
-	const {result, other} = await Promise.race([settle(first, second), settle(second, first)]);
-	if (result.kind === 'answer' && result.verdict === 'deliver') {
-		other.attempt.giveUp({kind: 'cancelled', detail: 'another server answered first'});
-		return result;
-	}
-
-	const otherResult = await other.result;
-	if (otherResult.kind === 'answer' || result.kind === 'answer') {
-		return otherResult.kind === 'answer' ? otherResult : result;
-	}
-
-	return joinFailures({first: result, second: otherResult});
-}
-
-/** One failure for two attempts: the request may have run, or reached a server, when it may have at either. */
-function joinFailures({first, second}: {readonly first: Failure; readonly second: Failure}): Failure {
-	return {
-		...(second.mayHaveRun ? second : first), mayHaveRun: first.mayHaveRun || second.mayHaveRun, wasSent: first.wasSent || second.wasSent,
-	};
-}
-
 function toRefusal({reason, detail, retryAfterMs}: PlacementRefusal): Refusal {
 	return {
 		reason, execution: 'not-run', detail, retryAfterMs,
 	};
 }
 
-function failureOf(answer: AttemptAnswer): Failure {
+function failureOf(answer: AttemptAnswer): AttemptFailureResult {
 	return {
 		kind: 'failure', reason: 'backend-failed', retryReason: 'backend-failed', mayHaveRun: true, wasSent: true, detail: `the backend server answered ${answer.status}`,
 	};
--- a/calls/relay/src/relayed-request.ts
+++ b/calls/relay/src/relayed-request.ts
@@ -68,6 +68,11 @@
 		return this.options.route.repeatability === 'idempotent';
 	}
 
+	/** Whether its caller left or its time is up. */
+	get hasEnded(): boolean {
+		return this.endedBy !== undefined;
+	}
+
 	/** Fingerprint of the request. */
 	fingerprint(): RequestFingerprint {
 		const {method, service, path, body, headers, caller} = this.options;
--- a/calls/relay/src/retry-budgets.ts
+++ b/calls/relay/src/retry-budgets.ts
@@ -1,99 +1,174 @@
-/** Retry budgets of all services at this instance, and what an engineer is told of them. */
+/**
+ * Retry budgets of all services at this instance: the credit that its own requests earn, then claimed parts of the
+ * allowance. Tells an engineer what is held, used and refused.
+ */
+import type {Either} from 'purify-ts';
+import type {ClaimedPart, ClaimFailure} from '@pomelopick/calls.live';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
 import type {ServiceName} from '@pomelopick/core.types';
-import {RetryWindow} from '@pomelopick/steering.limits';
-import type {RetryBounds} from '@pomelopick/steering.limits';
+import {PauseDetector, partSize} from '@pomelopick/steering.limits';
+import type {ClockReadings, RetryBounds} from '@pomelopick/steering.limits';
+import {endsWithin} from './attempt-race.js';
+import type {RetryPermit} from './retry-permit.js';
+import {ServiceRetries} from './service-retries.js';
 
 /** Time between two log lines about the budget of one service, in milliseconds. */
 const LINE_INTERVAL_MS = 1000;
+/** Longest time for which a request waits for a part of the allowance, in milliseconds. */
+const CLAIM_WAIT_MS = 250;
+/** Time after a failed claim in which none is made, in milliseconds. */
+const CLAIM_PAUSE_MS = 1000;
 
 /** Options of {@link RetryBudgets}. */
 export interface RetryBudgetsOptions {
 	/** Bounds of each service over the whole fleet. */
 	readonly bounds: () => RetryBounds;
-	/** Instances that share the allowance, this one included. */
-	readonly countInstances: () => number;
+	/** Claims a part of a service's allowance. */
+	readonly claim: (service: ServiceName) => Promise<Either<ClaimFailure, ClaimedPart>>;
 	readonly counters: CallCounters;
 	readonly log: DecisionLog;
-	/** Monotonic time, in milliseconds. */
-	readonly now: () => number;
-}
-
-interface ServiceBudget {
-	readonly window: RetryWindow;
-	/** Further sends since the last log line. */
-	taken: number;
-	refused: number;
-	lineAtMs: number;
+	readonly clocks: () => ClockReadings;
 }
 
 /** Budgets by service. */
 export class RetryBudgets {
 	readonly #options: RetryBudgetsOptions;
 	readonly #startedAtMs: number;
-	readonly #services = new Map<ServiceName, ServiceBudget>();
+	readonly #services = new Map<ServiceName, ServiceRetries>();
+	readonly #pauses: PauseDetector;
+	/** Pauses of the process that were found; a claim that was made before one is not used after it. */
+	#pauseCount = 0;
 
 	constructor(options: RetryBudgetsOptions) {
 		this.#options = options;
-		this.#startedAtMs = options.now();
+		this.#startedAtMs = options.clocks().monotonicMs;
+		this.#pauses = new PauseDetector(options.clocks());
 	}
 
 	/** Notes a request of a service. */
 	noteRequest(service: ServiceName): void {
-		this.#of(service).window.noteRequest(this.#options.now());
+		this.#of(service).window.noteRequest(this.#lookAtClocks());
 	}
 
-	/** Takes one send to a further server; false when the budget does not allow it. */
-	tryTake(service: ServiceName): boolean {
-		const {counters, countInstances, now} = this.#options;
-		const budget = this.#of(service);
-		const isTaken = budget.window.tryTake({nowMs: now(), instances: countInstances()});
-		if (isTaken) {
-			budget.taken += 1;
-			counters.add('retry-budget.taken');
-		} else {
-			budget.refused += 1;
-			counters.add('retry-budget.refused');
+	/** A permit out of the credit or the allowance, for which it waits a short time; undefined: there is none. Never rejects. */
+	async take(service: ServiceName): Promise<RetryPermit | undefined> {
+		const untilMs = this.#lookAtClocks() + CLAIM_WAIT_MS;
+		let permit = this.#tryTake(service);
+		while (!permit && this.#lookAtClocks() < untilMs && await this.#claim({service, untilMs})) {
+			permit = this.#tryTake(service);
 		}
 
-		this.#tell({service, budget});
-		return isTaken;
+		return this.#note({service, permit});
 	}
 
 	/** Further sends in the window of each service. */
 	used(): ReadonlyMap<string, number> {
-		const options = {nowMs: this.#options.now(), instances: this.#options.countInstances()};
+		const options = {nowMs: this.#options.clocks().monotonicMs, ratio: this.#options.bounds().ratio};
 		return new Map([...this.#services].map(([service, {window}]) => [service, window.use(options).retries]));
 	}
 
+	/** Further sends that claimed parts still allow, by service. */
+	granted(): ReadonlyMap<string, number> {
+		const nowMs = this.#options.clocks().monotonicMs;
+		return new Map([...this.#services].map(([service, retries]) => [service, retries.granted(nowMs)]));
+	}
+
+	#tryTake(service: ServiceName): RetryPermit | undefined {
+		const nowMs = this.#lookAtClocks();
+		const retries = this.#of(service);
+		return retries.tryTakeCredit({nowMs, ratio: this.#options.bounds().ratio}) ?? retries.tryTakeGrant(nowMs);
+	}
+
+	/** Claims a part, unless that failed lately; answers whether one was claimed in time. Requests at the same time share one claim. */
+	async #claim({service, untilMs}: {readonly service: ServiceName; readonly untilMs: number}): Promise<boolean> {
+		const retries = this.#of(service);
+		const nowMs = this.#lookAtClocks();
+		if (partSize(this.#options.bounds()) === 0 || (!retries.claiming && nowMs < retries.claimAfterMs)) {
+			return false;
+		}
+
+		retries.claiming ??= this.#claimOnce({service, retries});
+		const hasEnded = await endsWithin({result: retries.claiming, timeoutMs: untilMs - nowMs});
+		return hasEnded && retries.granted(this.#lookAtClocks()) > 0;
+	}
+
+	async #claimOnce({service, retries}: {readonly service: ServiceName; readonly retries: ServiceRetries}): Promise<void> {
+		const {claim, counters, log, bounds} = this.#options;
+		const pauseCount = this.#pauseCount;
+		const claimed = await claim(service);
+		const nowMs = this.#lookAtClocks();
+		retries.claiming = undefined;
+		claimed.ifLeft(({reason, detail}) => {
+			retries.claimAfterMs = nowMs + CLAIM_PAUSE_MS;
+			counters.add(`retry-allowance.${reason}`);
+			log.line('retry-allowance-refused', {service, reason, detail});
+		}).ifRight(({part, claimedAtMs}) => {
+			const size = pauseCount === this.#pauseCount ? partSize(bounds()) : 0;
+			retries.useGrant({size, claimedAtMs});
+			counters.add('retry-allowance.claimed');
+			log.line('retry-allowance-claimed', {
+				service, part, size, tookMs: Math.round(nowMs - claimedAtMs),
+			});
+		});
+	}
+
+	#note({service, permit}: {readonly service: ServiceName; readonly permit: RetryPermit | undefined}): RetryPermit | undefined {
+		const retries = this.#of(service);
+		if (permit) {
+			retries.taken += 1;
+			this.#options.counters.add('retry-budget.taken');
+		} else {
+			retries.refused += 1;
+			this.#options.counters.add('retry-budget.refused');
+		}
+
+		this.#tell({service, retries});
+		return permit;
+	}
+
 	/** Writes the state of a budget that was asked, once in an interval. */
-	#tell({service, budget}: {readonly service: ServiceName; readonly budget: ServiceBudget}): void {
-		const {countInstances, log, now} = this.#options;
-		const nowMs = now();
-		if (nowMs - budget.lineAtMs < LINE_INTERVAL_MS) {
+	#tell({service, retries}: {readonly service: ServiceName; readonly retries: ServiceRetries}): void {
+		const {log, clocks, bounds} = this.#options;
+		const nowMs = clocks().monotonicMs;
+		if (nowMs - retries.lineAtMs < LINE_INTERVAL_MS) {
 			return;
 		}
 
-		const {taken, refused, window} = budget;
-		const instances = countInstances();
-		const {requests, retries, most} = window.use({nowMs, instances});
+		const {taken, refused, window} = retries;
+		const {requests, retries: inWindow, most} = window.use({nowMs, ratio: bounds().ratio});
 		log.line('retry-budget', {
-			service, taken, refused, requests, retries, most, instances, sinceStartMs: Math.round(nowMs - this.#startedAtMs),
+			service, taken, refused, requests, retries: inWindow, most, granted: retries.granted(nowMs), sinceStartMs: Math.round(nowMs - this.#startedAtMs),
 		});
-		budget.taken = 0;
-		budget.refused = 0;
-		budget.lineAtMs = nowMs;
+		retries.taken = 0;
+		retries.refused = 0;
+		retries.lineAtMs = nowMs;
+	}
+
+	/** Monotonic time, in milliseconds; what was earned before a pause of the process is forgotten. */
+	#lookAtClocks(): number {
+		const readings = this.#options.clocks();
+		const pausedMs = this.#pauses.look(readings);
+		if (pausedMs > 0) {
+			this.#pauseCount += 1;
+			for (const retries of this.#services.values()) {
+				retries.forgetCredit();
+			}
+
+			this.#options.counters.add('retry-budget.forgotten');
+			this.#options.log.line('retry-credit-forgotten', {pausedMs: Math.round(pausedMs)});
+		}
+
+		return readings.monotonicMs;
 	}
 
-	#of(service: ServiceName): ServiceBudget {
-		let budget = this.#services.get(service);
-		if (!budget) {
-			budget = {
-				window: new RetryWindow(this.#options.bounds()), taken: 0, refused: 0, lineAtMs: Number.NEGATIVE_INFINITY,
-			};
-			this.#services.set(service, budget);
+	#of(service: ServiceName): ServiceRetries {
+		let retries = this.#services.get(service);
+		if (!retries) {
+			const {bounds, clocks} = this.#options;
+			retries = new ServiceRetries({windowMs: bounds().windowMs, now: () => clocks().monotonicMs});
+			this.#services.set(service, retries);
 		}
 
-		return budget;
+		return retries;
 	}
 }
--- a/daemons/gateway/src/create-relay.ts
+++ b/daemons/gateway/src/create-relay.ts
@@ -5,6 +5,7 @@
 import {DeathWatch, Quarantine} from '@pomelopick/calls.quarantine';
 import type {SuspicionSharing} from '@pomelopick/calls.quarantine';
 import {CallerDepartures, RelayHandler, RetryBudgets} from '@pomelopick/calls.relay';
+import type {RetryBudgetsOptions} from '@pomelopick/calls.relay';
 import type {GatewaySettings} from '@pomelopick/config.settings';
 import {EventRecord} from '@pomelopick/core.telemetry';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
@@ -27,6 +28,8 @@
 	readonly settings: () => GatewaySettings;
 	readonly view: LiveView;
 	readonly sharing: SuspicionSharing;
+	/** Claims a part of a service's allowance of further sends. */
+	readonly claimAllowance: RetryBudgetsOptions['claim'];
 	readonly counters: CallCounters;
 	readonly log: DecisionLog;
 	/** Age of the view, in milliseconds. */
@@ -43,8 +46,7 @@
 export interface RelayParts {
 	readonly handler: RelayHandler;
 	readonly quarantine: Quarantine;
-	/** Further sends in the window of each service. */
-	readonly retriesUsed: () => ReadonlyMap<string, number>;
+	readonly retryBudgets: RetryBudgets;
 	/** Takes what an instance saw of requests that crash servers; what this one saw it knows already. */
 	readonly hear: (record: SuspicionRecord) => void;
 	/** Forgets what is known of a server's process. */
@@ -53,7 +55,7 @@
 }
 
 /** Creates the relay. */
-export function createRelay({settings, view, sharing, counters, log, viewAgeMs, endsAtMs, now, random}: CreateRelayOptions): RelayParts {
+export function createRelay({settings, view, sharing, claimAllowance, counters, log, viewAgeMs, endsAtMs, now, random}: CreateRelayOptions): RelayParts {
 	const {instance, failureDomain, region, regions, limits} = settings();
 	const observations = new ObservationTable();
 	const warmups = new WarmupShares({self: instance});
@@ -90,10 +92,10 @@
 		reportDeath: async death => quarantine.reportDeath(death),
 		now,
 	});
-	/** Instances that a shared allowance is divided by: no fewer than there were at once, and one for each failure domain. */
+	/** Instances that a server's connections are divided by: no fewer than there were at once, and one for each failure domain. */
 	const countInstances = (): number => Math.max(view.instances.most, regions.size);
 	const retryBudgets = new RetryBudgets({
-		bounds: () => settings().retries, countInstances, counters, log, now,
+		bounds: () => settings().retries, claim: claimAllowance, counters, log, clocks: () => ({monotonicMs: now(), wallClockMs: Date.now()}),
 	});
 	const handler = new RelayHandler({
 		view,
@@ -108,7 +110,7 @@
 				return Math.max(LEAST_CONNECTIONS, Math.floor(most * CONNECTION_SHARE / countInstances()));
 			},
 			counters,
-			tryTakeRetry: ({options: {service}}) => retryBudgets.tryTake(service),
+			takeRetry: async ({options: {service}}) => retryBudgets.take(service),
 			tryTakeWarmup: known => now() >= known.coldUntilMs || warmups.tryTake(warmupOf(known)),
 			viewAgeMs,
 			now,
@@ -126,7 +128,7 @@
 	return {
 		handler,
 		quarantine,
-		retriesUsed: () => retryBudgets.used(),
+		retryBudgets,
 		hear(record) {
 			if (record.origin === instance) {
 				return;
--- a/daemons/gateway/src/create-view.ts
+++ b/daemons/gateway/src/create-view.ts
@@ -1,14 +1,16 @@
 /** Wires the store, the view of it that this instance keeps, and this instance's own record. */
 import {setTimeout as startTimeout} from 'node:timers/promises';
 import {
-	LiveView, Registration, StoreFeed, SuspicionWriter,
+	AllowanceParts, LiveView, Registration, StoreFeed, suspicionReader, SuspicionWriter,
 } from '@pomelopick/calls.live';
-import type {InstanceRecord, SuspicionRecord} from '@pomelopick/calls.live';
+import type {BeliefChange, InstanceRecord, SuspicionRecord} from '@pomelopick/calls.live';
 import type {SuspicionSharing} from '@pomelopick/calls.quarantine';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
 import type {BackendServerName, Endpoint, RouteSet} from '@pomelopick/core.types';
 import {PlatformStore} from '@pomelopick/platform.store';
 import {decodeRouteSet, decodeServer, readSubject} from '@pomelopick/platform.wire';
+import {partReuseMs} from '@pomelopick/steering.limits';
+import type {RetryBounds} from '@pomelopick/steering.limits';
 
 /** Deadline of a call to the store other than a watch, in milliseconds. */
 const STORE_CALL_TIMEOUT_MS = 1000;
@@ -21,6 +23,8 @@
 export interface CreateViewOptions {
 	readonly store: Endpoint;
 	readonly self: InstanceRecord;
+	/** Retry budget of each service over the whole fleet. */
+	readonly retries: () => RetryBounds;
 	readonly counters: CallCounters;
 	readonly log: DecisionLog;
 	readonly onRoutes: (set: RouteSet) => void;
@@ -38,6 +42,8 @@
 	readonly feed: StoreFeed;
 	/** Tells the other instances of requests that crash servers. */
 	readonly sharing: SuspicionSharing;
+	/** Claims a part of a service's allowance of further sends. */
+	readonly claimAllowance: AllowanceParts['claim'];
 	start(): void;
 	/** Takes this instance's record out, so that callers are no longer led here. */
 	leave(): Promise<void>;
@@ -45,21 +51,26 @@
 }
 
 /** Creates the view; it is kept up from {@link ViewParts.start} on. */
-export function createView({store: endpoint, self, counters, log, onRoutes, onSuspicion, onServerLost, now, random}: CreateViewOptions): ViewParts {
+export function createView({store: endpoint, self, retries, counters, log, onRoutes, onSuspicion, onServerLost, now, random}: CreateViewOptions): ViewParts {
 	// The listeners keep the process going, the pauses between calls do not.
 	const sleep = async (milliseconds: number): Promise<void> => startTimeout(milliseconds, undefined, {ref: false});
 	const store = new PlatformStore({endpoint, callTimeoutMs: STORE_CALL_TIMEOUT_MS, connectTimeoutMs: STORE_CONNECT_TIMEOUT_MS});
+	const allowance: AllowanceParts = new AllowanceParts({
+		store, instance: self.id, reuseMs: () => partReuseMs(retries()), countInstances: () => view.instances.most, now, random,
+	});
+	const onChange = (change: BeliefChange): void => {
+		counters.add(`belief.${change.event}`);
+		log.line(change.event, {subject: change.subject, detail: change.detail, storeIndex: change.storeIndex});
+		if (change.event === 'instance-left' && change.subject === self.id) {
+			registration.restore();
+		}
+	};
+
 	const view: LiveView = new LiveView({
 		format: {readSubject, decodeRouteSet, decodeServer},
-		onChange(change) {
-			counters.add(`belief.${change.event}`);
-			log.line(change.event, {subject: change.subject, detail: change.detail, storeIndex: change.storeIndex});
-			if (change.event === 'instance-left' && change.subject === self.id) {
-				registration.restore();
-			}
-		},
+		onChange,
 		onRoutes,
-		onSuspicion,
+		records: [allowance, suspicionReader({onRecord: onSuspicion, onRefused: onChange})],
 		onServerLost,
 	});
 	const feed = new StoreFeed({
@@ -105,6 +116,7 @@
 		view,
 		feed,
 		sharing,
+		claimAllowance: async service => allowance.claim(service),
 		start() {
 			void feed.run();
 			void registration.run();
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -61,6 +61,7 @@
 	const viewParts = createView({
 		store: settings.store,
 		self,
+		retries: () => settings.retries,
 		counters,
 		log,
 		onRoutes({limits}) {
@@ -78,7 +79,7 @@
 	const {view, feed} = viewParts;
 	const isReady = (): boolean => endsAtMs === undefined && view.routeSet !== undefined && feed.hasRead;
 	const relay = createRelay({
-		settings: () => settings, view, sharing: viewParts.sharing, counters, log, viewAgeMs: () => feed.ageMs, endsAtMs: () => endsAtMs, now, random,
+		settings: () => settings, view, sharing: viewParts.sharing, claimAllowance: viewParts.claimAllowance, counters, log, viewAgeMs: () => feed.ageMs, endsAtMs: () => endsAtMs, now, random,
 	});
 	const listener: CallerListener = new CallerListener({
 		counters,
@@ -105,7 +106,10 @@
 	counters.gauge({name: 'view_age_seconds', help: 'Time since the store last answered.', read: () => feed.ageMs / MILLISECONDS_PER_SECOND});
 	counters.gauge({name: 'log_lines_dropped', help: 'Log lines dropped because standard output was not read.', read: () => log.dropped});
 	counters.gauges({
-		name: 'retries_in_window', help: 'Sends to a further backend server in the window of the retry budget.', label: 'service', read: () => relay.retriesUsed(),
+		name: 'retries_in_window', help: 'Sends to a further backend server in the window of the retry budget.', label: 'service', read: () => relay.retryBudgets.used(),
+	});
+	counters.gauges({
+		name: 'retries_granted', help: 'Sends to a further backend server that claimed parts of the allowance still allow.', label: 'service', read: () => relay.retryBudgets.granted(),
 	});
 	viewParts.start();
 	const [callersAt, readinessAt, directoryAt, metricsAt] = await Promise.all([
--- a/steering/limits/src/retry-window.ts
+++ b/steering/limits/src/retry-window.ts
@@ -1,58 +1,50 @@
 /**
- * Bounds the requests of one service that are sent to a further backend server, over all instances together.
+ * Bounds the sends of one service to further backend servers by a ratio of its requests, over all instances together.
  *
- * Each instance keeps to the ratio of its own requests, and to an equal part of the allowance that holds however few
- * requests there are. Ratios add up whatever the instances know of each other; parts add up to no more than the
- * allowance as long as an instance counts at least as many instances as there are. A restart forgets the window, and
- * with it the part that was used: half of the allowance is kept for that, so that all may restart once in a window.
+ * An instance sends no more in any span of a window's length than the ratio of its own mean requests of that span and
+ * of the one before it. Both sides of this bound add up over instances, and over the lives of one instance, so that it
+ * holds for the fleet whatever the instances know of each other and however often they start anew: a new process has
+ * earned nothing yet. A send counts from its start until a window after its end, as it may arrive at any time between.
  */
-const ALLOWANCE_SHARE = 0.5;
-const RATIO_SHARE = 0.9;
+
 /** Buckets that a window is counted in. */
 const BUCKETS = 20;
+/** Windows whose requests count. */
+const COUNTED_WINDOWS = 2;
 
-/** Bounds of one service over the whole fleet. */
-export interface RetryBounds {
-	/** Further sends for each request. */
-	readonly ratio: number;
-	/** Further sends in a window that are allowed besides. */
-	readonly allowance: number;
-	/** Length of the sliding window, in milliseconds. */
-	readonly windowMs: number;
-}
-
-/** Options of {@link RetryWindow.tryTake}. */
-export interface TryTakeRetryOptions {
+/** Options of {@link RetryWindow.tryTake} and {@link RetryWindow.use}. */
+export interface RetryWindowOptions {
 	/** Monotonic time, in milliseconds. */
 	readonly nowMs: number;
-	/** Instances that share the allowance, this one included. */
-	readonly instances: number;
+	/** Further sends for each request. */
+	readonly ratio: number;
 }
 
-/** How much of its part of the budget an instance has used. */
+/** How much of its credit an instance has used. */
 export interface RetryUse {
-	/** Requests and further sends in the window. */
+	/** Requests that count now, those of the window and of the one before. */
 	readonly requests: number;
+	/** Further sends of the window, those that have not ended included. */
 	readonly retries: number;
-	/** Further sends that the window allows this instance. */
+	/** Further sends that those requests allow. */
 	readonly most: number;
 }
 
 interface Bucket {
 	number: number;
 	requests: number;
-	retries: number;
+	endedRetries: number;
 }
 
-/** Requests and further sends of one service at this instance in a sliding window. */
+/** Requests and further sends of one service at this instance. */
 export class RetryWindow {
-	readonly #bounds: RetryBounds;
 	readonly #bucketMs: number;
-	readonly #buckets: Bucket[] = Array.from({length: BUCKETS + 1}, () => ({number: Number.NEGATIVE_INFINITY, requests: 0, retries: 0}));
+	readonly #buckets: Bucket[] = Array.from({length: (COUNTED_WINDOWS * BUCKETS) + 1}, () => ({number: Number.NEGATIVE_INFINITY, requests: 0, endedRetries: 0}));
+	#openRetries = 0;
 
-	constructor(bounds: RetryBounds) {
-		this.#bounds = bounds;
-		this.#bucketMs = bounds.windowMs / BUCKETS;
+	/** The window's length, in milliseconds. */
+	constructor({windowMs}: {readonly windowMs: number}) {
+		this.#bucketMs = windowMs / BUCKETS;
 	}
 
 	/** Notes a request. */
@@ -60,51 +52,77 @@
 		this.#bucketAt(nowMs).requests += 1;
 	}
 
-	/** Takes one further send; false when the bound does not allow it. */
-	tryTake({nowMs, instances}: TryTakeRetryOptions): boolean {
-		const {retries, most} = this.use({nowMs, instances});
-		if (retries + 1 > most) {
-			return false;
+	/** Takes one further send, which {@link noteEnd} or {@link giveBack} must follow; false when the bound does not allow it. */
+	tryTake({nowMs, ratio}: RetryWindowOptions): boolean {
+		const current = this.#numberAt(nowMs);
+		for (let end = current; end <= current + BUCKETS; end += 1) {
+			if (this.#countRetries(end) + 1 > this.#mostRetries({end, ratio})) {
+				return false;
+			}
 		}
 
-		this.#bucketAt(nowMs).retries += 1;
+		this.#openRetries += 1;
 		return true;
 	}
 
-	/** How much of the budget is used. */
-	use({nowMs, instances}: TryTakeRetryOptions): RetryUse {
-		const {ratio, allowance} = this.#bounds;
-		const counts = this.#count(nowMs);
-		return {...counts, most: (ratio * counts.requests * RATIO_SHARE) + (allowance * ALLOWANCE_SHARE / Math.max(1, instances))};
+	/** Notes that a further send has ended: from now on it cannot arrive any more. */
+	noteEnd(nowMs: number): void {
+		this.#openRetries -= 1;
+		this.#bucketAt(nowMs).endedRetries += 1;
 	}
 
 	/** Gives a further send back that was not made. */
-	giveBack(nowMs: number): void {
-		const bucket = this.#bucketAt(nowMs);
-		bucket.retries = Math.max(0, bucket.retries - 1);
+	giveBack(): void {
+		this.#openRetries -= 1;
 	}
 
-	#count(nowMs: number): {readonly requests: number; readonly retries: number} {
-		const oldest = Math.floor(nowMs / this.#bucketMs) - BUCKETS;
-		let requests = 0;
-		let retries = 0;
+	/** Forgets the requests, but not what was sent: after a pause of unknown length it is not known when they came. */
+	forgetRequests(): void {
 		for (const bucket of this.#buckets) {
-			if (bucket.number >= oldest) {
-				requests += bucket.requests;
-				retries += bucket.retries;
-			}
+			bucket.requests = 0;
+		}
+	}
+
+	/** How much of the credit is used in the window that ends now. */
+	use({nowMs, ratio}: RetryWindowOptions): RetryUse {
+		const end = this.#numberAt(nowMs);
+		return {requests: this.#countRequests(end), retries: this.#countRetries(end), most: this.#mostRetries({end, ratio})};
+	}
+
+	/** Further sends that any window that ends in a bucket may hold. */
+	#countRetries(end: number): number {
+		return this.#openRetries + this.#sum({from: end - BUCKETS, read: bucket => bucket.endedRetries});
+	}
+
+	#mostRetries({end, ratio}: {readonly end: number; readonly ratio: number}): number {
+		return ratio * this.#countRequests(end) / COUNTED_WINDOWS;
+	}
+
+	/** Requests that lie in the two windows up to any time of a bucket. */
+	#countRequests(end: number): number {
+		return this.#sum({from: end - (COUNTED_WINDOWS * BUCKETS) + 1, read: bucket => bucket.requests});
+	}
+
+	#sum({from, read}: {readonly from: number; readonly read: (bucket: Bucket) => number}): number {
+		let sum = 0;
+		for (const bucket of this.#buckets) {
+			sum += bucket.number >= from ? read(bucket) : 0;
 		}
 
-		return {requests, retries};
+		return sum;
+	}
+
+	#numberAt(nowMs: number): number {
+		return Math.floor(nowMs / this.#bucketMs);
 	}
 
 	#bucketAt(nowMs: number): Bucket {
-		const number = Math.floor(nowMs / this.#bucketMs);
+		const number = this.#numberAt(nowMs);
 		const bucket = this.#buckets[number % this.#buckets.length]!;
 		if (bucket.number !== number) {
 			bucket.number = number;
 			bucket.requests = 0;
-			bucket.retries = 0;
+			bucket.endedRetries = 0;
 		}
 
 		return bucket;
