Reset what is given up, so that it cannot arrive late in a bunch

Cause: an attempt that was given up was closed. A close leaves bytes that are held up on the way (a frozen path, a cut) to be delivered when the path is back: repeats of many seconds then arrive together, beyond the budget of one window, and servers work for callers that have left. Ruled out: counting such sends longer; nobody knows for how long a path is cut. Change: a lent connection that is not to be used again is reset. The socket is destroyed at once by the same call. Tests: given-up (a path that holds data back) failed before: the request arrived after it was given up.

--- a/calls/connections/src/connection.ts
+++ b/calls/connections/src/connection.ts
@@ -4,6 +4,8 @@
 /** A connection lent to one attempt. */
 export interface Connection {
 	readonly client: Client;
+	/** Resets the connection, so that bytes on their way to the server are lost; it takes no more. Does nothing before it is made. */
+	reset: () => void;
 	/** Called once when the connection is found to be silent while it is lent. */
 	onSilent: (() => void) | undefined;
 	/** Monotonic time at which it was made, in milliseconds. */
--- a/calls/connections/src/server-connections.ts
+++ b/calls/connections/src/server-connections.ts
@@ -55,7 +55,7 @@
 		return connection;
 	}
 
-	/** Takes a connection back. One that may still carry an answer must not be reusable. */
+	/** Takes a connection back. One that may still carry an answer must not be reusable; it is reset, since a close would leave what is held up on its way to arrive later. */
 	release({connection, isReusable}: {readonly connection: Connection; readonly isReusable: boolean}): void {
 		connection.onSilent = undefined;
 		const wasKept = this.#lent.delete(connection);
@@ -63,6 +63,7 @@
 			this.#holds.note(this.#options.now() - connection.lentAtMs);
 			this.#idle.push(connection);
 		} else {
+			connection.reset();
 			void connection.client.destroy();
 		}
 	}
@@ -181,7 +182,15 @@
 			pipelining: 1, connect: noteResets({timeoutMs: connectTimeoutMs, connection: () => connection}), headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: KEEP_ALIVE_MS,
 		});
 		const connection: Connection = {
-			client, onSilent: undefined, createdAtMs: now(), lastAnswerAtMs: now(), lentAtMs: now(), isOpen: false, wasReset: false, isUnframed: false,
+			client,
+			reset() {/* There is no socket yet. */},
+			onSilent: undefined,
+			createdAtMs: now(),
+			lastAnswerAtMs: now(),
+			lentAtMs: now(),
+			isOpen: false,
+			wasReset: false,
+			isUnframed: false,
 		};
 		client.on('connect', () => {
 			connection.isOpen = true;
@@ -215,7 +224,11 @@
 		connect(options, (...result) => {
 			const [, socket] = result;
 			if (socket) {
-				Object.assign(connection(), {wasReset: false, isUnframed: false});
+				Object.assign(connection(), {
+					wasReset: false, isUnframed: false, reset() {
+						socket.resetAndDestroy();
+					},
+				});
 				const note = (error: Error | null | undefined): void => { // eslint-disable-line @typescript-eslint/no-restricted-types
 					connection().wasReset ||= isReset(error);
 				};
