Learn after a restart what the instance itself had told of requests that crash servers

Cause: an instance passes over its own records in the store, since it knows what it saw; a process that starts under the same name knows nothing of them and passed over them too. A request that this instance had convicted ran again after each restart and crashed further servers (its caller got 502 in place of 503). Ruled out: hearing all records again; a death that was heard twice would convict its neighbours. Change: only records with a number of this life are passed over. The number before the first is drawn once for both writers. Tests: crashing-request, gateway started again under its name: 502 before, 503 now and no further server. Conclusion: mended for restarts. Records are kept under a lease, which the platform may take away early; open.

--- a/calls/quarantine/src/quarantine.ts
+++ b/calls/quarantine/src/quarantine.ts
@@ -14,7 +14,7 @@
 /** Options of {@link Quarantine}. */
 export interface QuarantineOptions {
 	readonly instance: InstanceId;
-	/** Number before that of the first death; differs between lives of an instance. */
+	/** Number before that of the first death; grows from one life of an instance to the next. */
 	readonly firstSequence: number;
 	readonly sharing: SuspicionSharing;
 	readonly counters: CallCounters;
@@ -47,6 +47,12 @@
 		return this.#table;
 	}
 
+	/** Whether this life of the instance told of something; what an earlier life told has to be learnt again. */
+	isOwn({origin, sequence}: Pick<ServerDeath, 'origin' | 'sequence'>): boolean {
+		const {instance, firstSequence} = this.#options;
+		return origin === instance && sequence > firstSequence;
+	}
+
 	/** What is known of a request. */
 	standingOf(fingerprint: RequestFingerprint): Standing {
 		if (this.#table.isConvicted({fingerprint, nowMs: this.#options.now()})) {
--- a/daemons/gateway/src/create-relay.ts
+++ b/daemons/gateway/src/create-relay.ts
@@ -28,6 +28,8 @@
 	readonly settings: () => GatewaySettings;
 	readonly view: LiveView;
 	readonly sharing: SuspicionSharing;
+	/** Number before the first that this life of the instance gives to what it tells the others. */
+	readonly firstSequence: number;
 	/** Claims a part of a service's allowance of further sends. */
 	readonly claimAllowance: RetryBudgetsOptions['claim'];
 	readonly counters: CallCounters;
@@ -47,7 +49,7 @@
 	readonly handler: RelayHandler;
 	readonly quarantine: Quarantine;
 	readonly retryBudgets: RetryBudgets;
-	/** Takes what an instance saw of requests that crash servers; what this one saw it knows already. */
+	/** Takes what an instance saw of requests that crash servers, earlier lives of this one included. */
 	readonly hear: (record: SuspicionRecord) => void;
 	/** Forgets what is known of a server's process. */
 	readonly forget: (server: BackendServerName) => void;
@@ -55,7 +57,7 @@
 }
 
 /** Creates the relay. */
-export function createRelay({settings, view, sharing, claimAllowance, counters, log, viewAgeMs, endsAtMs, now, random}: CreateRelayOptions): RelayParts {
+export function createRelay({settings, view, sharing, firstSequence, claimAllowance, counters, log, viewAgeMs, endsAtMs, now, random}: CreateRelayOptions): RelayParts {
 	const {instance, failureDomain, region, regions, limits} = settings();
 	const observations = new ObservationTable();
 	const warmups = new WarmupShares({self: instance});
@@ -85,7 +87,7 @@
 		},
 	});
 	const quarantine = new Quarantine({
-		instance, firstSequence: Date.now(), sharing, counters, events, now,
+		instance, firstSequence, sharing, counters, events, now,
 	});
 	const deathWatch = new DeathWatch<ConnectedServer>({
 		isGone: async server => connections.isGone(server),
@@ -130,7 +132,7 @@
 		quarantine,
 		retryBudgets,
 		hear(record) {
-			if (record.origin === instance) {
+			if (quarantine.isOwn(record)) {
 				return;
 			}
 
--- a/daemons/gateway/src/create-view.ts
+++ b/daemons/gateway/src/create-view.ts
@@ -23,6 +23,8 @@
 export interface CreateViewOptions {
 	readonly store: Endpoint;
 	readonly self: InstanceRecord;
+	/** Number before the first that this life of the instance gives to what it tells the others. */
+	readonly firstSequence: number;
 	/** Retry budget of each service over the whole fleet. */
 	readonly retries: () => RetryBounds;
 	readonly counters: CallCounters;
@@ -51,7 +53,7 @@
 }
 
 /** Creates the view; it is kept up from {@link ViewParts.start} on. */
-export function createView({store: endpoint, self, retries, counters, log, onRoutes, onSuspicion, onServerLost, now, random}: CreateViewOptions): ViewParts {
+export function createView({store: endpoint, self, firstSequence, retries, counters, log, onRoutes, onSuspicion, onServerLost, now, random}: CreateViewOptions): ViewParts {
 	// The listeners keep the process going, the pauses between calls do not.
 	const sleep = async (milliseconds: number): Promise<void> => startTimeout(milliseconds, undefined, {ref: false});
 	const store = new PlatformStore({endpoint, callTimeoutMs: STORE_CALL_TIMEOUT_MS, connectTimeoutMs: STORE_CONNECT_TIMEOUT_MS});
@@ -105,7 +107,7 @@
 	const sharing = new SuspicionWriter({
 		store,
 		instance: self.id,
-		firstSequence: Date.now(),
+		firstSequence,
 		onFailure({code, message}) {
 			counters.add(`store.suspicion-${code}`);
 			log.line('suspicion-not-shared', {reason: code, detail: message});
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -49,6 +49,7 @@
 export async function startGateway({settings: startSettings, output}: StartGatewayOptions): Promise<Gateway> {
 	let settings = startSettings;
 	let endsAtMs: number | undefined;
+	const firstSequence = Date.now();
 	const now = (): number => performance.now();
 	const generator = xoroshiro128plus(randomInt(MOST_SEED));
 	const random = (): number => uniformInt(generator, 0, MOST_SEED - 1) / MOST_SEED;
@@ -61,6 +62,7 @@
 	const viewParts = createView({
 		store: settings.store,
 		self,
+		firstSequence,
 		retries: () => settings.retries,
 		counters,
 		log,
@@ -79,7 +81,7 @@
 	const {view, feed} = viewParts;
 	const isReady = (): boolean => endsAtMs === undefined && view.routeSet !== undefined && feed.hasRead;
 	const relay = createRelay({
-		settings: () => settings, view, sharing: viewParts.sharing, claimAllowance: viewParts.claimAllowance, counters, log, viewAgeMs: () => feed.ageMs, endsAtMs: () => endsAtMs, now, random,
+		settings: () => settings, view, sharing: viewParts.sharing, firstSequence, claimAllowance: viewParts.claimAllowance, counters, log, viewAgeMs: () => feed.ageMs, endsAtMs: () => endsAtMs, now, random,
 	});
 	const listener: CallerListener = new CallerListener({
 		counters,
--- a/daemons/gateway/test/crashing-request.test.ts
+++ b/daemons/gateway/test/crashing-request.test.ts
@@ -26,4 +26,25 @@
 			await fleet.stop();
 		}
 	});
+
+	it('is still refused by the gateway that convicted it once that one has started anew', async () => {
+		const fleet = await startGatewayFleet({servers: ['north-a', 'north-a', 'north-a', 'north-b', 'north-b', 'north-b']});
+		const settings = await fleet.settings({instance: 'alone'});
+		const before = await startReadyGateway(settings);
+		const crash = async (gateway: typeof before) => callGateway({endpoint: gateway.endpoints.callers, path: '/read/deadly', plays: ['crash']});
+		await crash(before);
+		await crash(before);
+		await until(() => before.lines.some(({event, detail}) => event === 'quarantine' && detail === 'request convicted'));
+		await before.stop();
+		const deaths = fleet.records.executions.length;
+		const after = await startReadyGateway(settings);
+		try {
+			const {status} = await crash(after);
+			assert.equal(status, 503);
+			assert.equal(fleet.records.executions.length, deaths);
+		} finally {
+			await after.stop();
+			await fleet.stop();
+		}
+	});
 });
