Let callers of the retry soak try other gateways, and share the series of faults

Cause: in rounds with many kills most requests met a gateway that was down, so that few repeats were asked for; the soak of gateways and that of retries each had a loop of their own that begins faults. Ruled out: fewer kills; that they come in series is the point.

--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -80,8 +80,9 @@
 	});
 	const {view, feed} = viewParts;
 	const isReady = (): boolean => endsAtMs === undefined && view.routeSet !== undefined && feed.hasRead;
+	const {sharing, claimAllowance} = viewParts;
 	const relay = createRelay({
-		settings: () => settings, view, sharing: viewParts.sharing, firstSequence, claimAllowance: viewParts.claimAllowance, counters, log, viewAgeMs: () => feed.ageMs, endsAtMs: () => endsAtMs, now, random,
+		settings: () => settings, view, sharing, firstSequence, claimAllowance, counters, log, viewAgeMs: () => feed.ageMs, endsAtMs: () => endsAtMs, now, random,
 	});
 	const listener: CallerListener = new CallerListener({
 		counters,
--- a/testing/gateway-soak/src/retry-round.ts
+++ b/testing/gateway-soak/src/retry-round.ts
@@ -7,6 +7,7 @@
 import type {Play} from '@pomelopick/testing.gateway-fleet';
 import {createDraw} from './draw.js';
 import type {Draw} from './draw.js';
+import {bringSeries} from './fault-series.js';
 import {judgeCalls} from './judge.js';
 import type {CallRecord, Violation} from './judge.js';
 import {bringRetryFault, retryFaultNames} from './retry-faults.js';
@@ -19,6 +20,8 @@
 const DEFAULT_GATEWAYS = 8;
 const DEFAULT_SERVERS = 12;
 const MOST_SERVERS_OF_A_REQUEST = 3;
+/** Gateways that a caller tries one after the other. */
+const MOST_CALLS_OF_A_REQUEST = 4;
 const OBJECTS = 24;
 const TIME_LEFT_MS = 2000;
 const SETTLE_MS = 2500;
@@ -57,6 +60,8 @@
 	readonly faults: readonly RetryFaultName[];
 	readonly calls: number;
 	readonly answered: number;
+	/** Calls by status; 0 stands for a connection that ended without an answer. */
+	readonly statuses: Readonly<Record<number, number>>;
 	readonly repeats: number;
 	readonly worst: WorstWindow | undefined;
 	readonly violations: readonly Violation[];
@@ -82,8 +87,14 @@
 		const calling = sendAll({
 			world, draw: createDraw(seed * CALLER_SEED_FACTOR), endMs, perSecond, failingPercent,
 		});
-		const faults = await bringFaults({
-			world, draw, seed, endMs, fixed: options.faults,
+		await sleep(draw(FAULT_PAUSE_MS));
+		const faults = await bringSeries({
+			next: count => performance.now() < endMs ? nextFault({fixed: options.faults, count, draw}) : undefined,
+			bring: async name => bringRetryFault({
+				world, name, draw, seed,
+			}),
+			draw,
+			pauseMs: FAULT_PAUSE_MS,
 		});
 		const calls = await calling;
 		await sleep(SETTLE_MS);
@@ -97,6 +108,7 @@
 			faults,
 			calls: calls.length,
 			answered: calls.filter(({answer}) => answer.status === 200).length,
+			statuses: countStatuses(calls),
 			repeats: arrivals.length - new Set(arrivals.map(({requestId}) => requestId)).size,
 			worst: findWorstWindow(judged),
 			violations: [...stuck, ...judgeRetries(judged), ...judgeCalls({calls, executions})],
@@ -107,30 +119,18 @@
 	}
 }
 
-interface BringFaultsOptions {
-	readonly world: World;
-	readonly draw: Draw;
-	readonly seed: number;
-	readonly endMs: number;
-	readonly fixed: readonly RetryFaultName[] | undefined;
-}
-
-/** Begins faults one after the other, while earlier ones last, until the end; resolves when all have ended. */
-async function bringFaults({world, draw, seed, endMs, fixed}: BringFaultsOptions): Promise<readonly RetryFaultName[]> {
-	const faults: RetryFaultName[] = [];
-	const running: Array<Promise<void>> = [];
-	await sleep(draw(FAULT_PAUSE_MS));
-	while (performance.now() < endMs && faults.length < (fixed?.length ?? Number.POSITIVE_INFINITY)) {
-		const name = fixed?.[faults.length] ?? retryFaultNames[draw(retryFaultNames.length)]!;
-		faults.push(name);
-		running.push(bringRetryFault({
-			world, name, draw, seed,
-		}));
-		await sleep(draw(FAULT_PAUSE_MS));
+function countStatuses(calls: readonly CallRecord[]): Readonly<Record<number, number>> {
+	const counts: Record<number, number> = {};
+	for (const {answer: {status}} of calls) {
+		counts[status] = (counts[status] ?? 0) + 1;
 	}
 
-	await Promise.all(running);
-	return faults;
+	return counts;
+}
+
+/** The next fault of a fixed list, or one that is drawn. */
+function nextFault({fixed, count, draw}: {readonly fixed: readonly RetryFaultName[] | undefined; readonly count: number; readonly draw: Draw}): RetryFaultName | undefined {
+	return fixed ? fixed[count] : retryFaultNames[draw(retryFaultNames.length)];
 }
 
 interface SendAllOptions {
@@ -143,26 +143,32 @@
 
 /** Sends requests at a rate, whether earlier ones were answered or not; resolves when all have ended. */
 async function sendAll({world, draw, endMs, perSecond, failingPercent}: SendAllOptions): Promise<readonly TimedCall[]> {
-	const calls: Array<Promise<TimedCall>> = [];
+	const calls: Array<Promise<readonly TimedCall[]>> = [];
 	while (performance.now() < endMs) {
 		const plays: readonly Play[] = draw(PERCENT) < failingPercent ? Array.from({length: MOST_SERVERS_OF_A_REQUEST}, () => failures[draw(failures.length)]!) : ['whole'];
 		calls.push(sendOne({world, draw, plays}));
 		await sleep(MILLISECONDS_PER_SECOND / perSecond);
 	}
 
-	return Promise.all(calls);
+	const lists = await Promise.all(calls);
+	return lists.flat();
 }
 
-async function sendOne({world, draw, plays}: {readonly world: World; readonly draw: Draw; readonly plays: readonly Play[]}): Promise<TimedCall> {
-	const running = world.members.filter(({process}) => !process.hasExited());
-	const members = running.length > 0 ? running : world.members;
-	const {settings} = members[draw(members.length)]!;
+/** Sends one request, and again to another gateway when one is not there. */
+async function sendOne({world, draw, plays}: {readonly world: World; readonly draw: Draw; readonly plays: readonly Play[]}): Promise<readonly TimedCall[]> {
 	const path = `/read/${draw(OBJECTS)}`;
-	const sentAtMs = performance.now();
-	const answer = await callGateway({
-		endpoint: endpointOf(settings.listen.callers), path, object: path, plays, timeLeftMs: TIME_LEFT_MS,
-	});
-	return {
-		method: 'GET', path, body: '', sentAtMs, answer,
-	};
+	const calls: TimedCall[] = [];
+	const offset = draw(world.members.length);
+	do {
+		const {settings} = world.members[(offset + calls.length) % world.members.length]!;
+		const sentAtMs = performance.now();
+		const answer = await callGateway({
+			endpoint: endpointOf(settings.listen.callers), path, object: path, plays, timeLeftMs: TIME_LEFT_MS,
+		});
+		calls.push({
+			method: 'GET', path, body: '', sentAtMs, answer,
+		});
+	} while (calls.at(-1)!.answer.status === 0 && calls.length < MOST_CALLS_OF_A_REQUEST);
+
+	return calls;
 }
--- a/testing/gateway-soak/src/soak.ts
+++ b/testing/gateway-soak/src/soak.ts
@@ -4,6 +4,7 @@
 import type {Play} from '@pomelopick/testing.gateway-fleet';
 import {createDraw} from './draw.js';
 import type {Draw} from './draw.js';
+import {bringSeries} from './fault-series.js';
 import {judgeCalls} from './judge.js';
 import type {CallRecord, Violation} from './judge.js';
 import {faultNames, startWorld} from './world.js';
@@ -54,7 +55,13 @@
 		const calling = Promise.all(Array.from({length: callers}, async (_, index) => keepCalling({
 			world, draw: createDraw((seed * CALLER_SEED_FACTOR) + index), calls, signal: stopped.signal,
 		})));
-		const faults = await bringFaults({world, draw: createDraw(seed), count});
+		const draw = createDraw(seed);
+		const faults = await bringSeries({
+			next: done => done < count ? faultNames[draw(faultNames.length)] : undefined,
+			bring: async name => world.bringAbout({name, draw}),
+			draw,
+			pauseMs: FAULT_PAUSE_MS,
+		});
 		const stuck = await world.listStuck();
 		stopped.abort();
 		await calling;
@@ -73,21 +80,6 @@
 	}
 }
 
-/** Begins one fault after the other while earlier ones last; resolves when all have ended. */
-async function bringFaults({world, draw, count}: {readonly world: World; readonly draw: Draw; readonly count: number}): Promise<readonly FaultName[]> {
-	const faults: FaultName[] = [];
-	const running: Array<Promise<void>> = [];
-	for (let number = 0; number < count; number += 1) {
-		const name = faultNames[draw(faultNames.length)]!;
-		faults.push(name);
-		running.push(world.bringAbout({name, draw}));
-		await sleep(draw(FAULT_PAUSE_MS));
-	}
-
-	await Promise.all(running);
-	return faults;
-}
-
 interface KeepCallingOptions {
 	readonly world: World;
 	readonly draw: Draw;
--- a/testing/gateway-soak/test/retry-budget.test.ts
+++ b/testing/gateway-soak/test/retry-budget.test.ts
@@ -11,6 +11,12 @@
 	{
 		name: 'when all gateways are killed again and again', seed: 21, faults: ['kill-series'], perSecond: 60,
 	},
+	{
+		name: 'when gateways are cut off, held up, paused, joined and killed at the same time',
+		seed: 22,
+		faults: ['paths-frozen', 'store-paths-cut', 'join', 'pause-half', 'kill-half', 'paths-delayed', 'kill-all'],
+		perSecond: 60,
+	},
 ];
 
 describe('the retry budget of gateway processes', () => {
