Write records of crashing requests until the store has them

Cause: what an instance saw of a request that crashes servers was written once. While the store was away, or when the platform took the lease's keys away early, the other instances never heard of it, and each of them let the request take down servers of its own. Ruled out: keys without a lease; instances come and go, and nobody would remove them. Change: SuspicionWriter keeps its last 64 records, writes them in order until the store has them, and again when the view tells of their removal. It has a module of its own. Conclusion: open is an instance that ends while the store is away.

--- a/calls/live/src/index.ts
+++ b/calls/live/src/index.ts
@@ -9,3 +9,4 @@
 export * from './registration.js';
 export * from './store-feed.js';
 export * from './suspicion-records.js';
+export * from './suspicion-writer.js';
--- a/calls/live/src/live-view.ts
+++ b/calls/live/src/live-view.ts
@@ -160,10 +160,14 @@
 		} else if (value.key.startsWith(INSTANCE_PREFIX)) {
 			this.#writeInstance(value);
 		} else {
-			this.#options.records.find(({prefix}) => value.key.startsWith(prefix))?.write(value);
+			this.#readerOf(value.key)?.write(value);
 		}
 	}
 
+	#readerOf(key: string): RecordReader | undefined {
+		return this.#options.records.find(({prefix}) => key.startsWith(prefix));
+	}
+
 	#writeSubject({subject, value, nowMs}: {readonly subject: Subject; readonly value: StoredValue; readonly nowMs: number}): void {
 		switch (subject.kind) {
 			case 'route-set': {
@@ -247,6 +251,8 @@
 			});
 		} else if (key.startsWith(INSTANCE_PREFIX)) {
 			this.#removeInstance({id: key.slice(INSTANCE_PREFIX.length) as InstanceId, storeIndex, heldUntilMs: holds.instancesUntilMs});
+		} else {
+			this.#readerOf(key)?.remove?.(key);
 		}
 	}
 
--- a/calls/live/src/record-reader.ts
+++ b/calls/live/src/record-reader.ts
@@ -6,4 +6,6 @@
 	readonly prefix: string;
 	/** Takes a record that was written. */
 	readonly write: (value: StoredValue) => void;
+	/** Takes note of a key that was removed. */
+	readonly remove?: (key: string) => void;
 }
--- a/calls/live/src/suspicion-records.ts
+++ b/calls/live/src/suspicion-records.ts
@@ -1,8 +1,7 @@
-/** Shares what instances saw of requests that crash backend servers, as records in the store. */
+/** Records of what instances saw of requests that crash backend servers. */
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import type {RequestFingerprint, ServerDeath, SuspicionSharing} from '@pomelopick/calls.quarantine';
-import type {KeyValueStore, LeaseId, StoreError} from '@pomelopick/platform.store';
+import type {RequestFingerprint} from '@pomelopick/calls.quarantine';
 import type {BackendServerName, CodedError, InstanceId} from '@pomelopick/core.types';
 import type {BeliefChange} from './belief-change.js';
 import type {RecordReader} from './record-reader.js';
@@ -10,12 +9,6 @@
 /** Prefix of the keys under which instances write what they saw. */
 export const SUSPICION_PREFIX = 'pomelopick/suspicions/';
 
-/** Records that one instance has in the store at most; the oldest are written over. */
-const MOST_RECORDS = 64;
-const TIME_TO_LIVE_MS = 600_000;
-/** Age of the lease from which on another one is used, in milliseconds, so that a record lasts at least the rest. */
-const LEASE_USED_MS = 300_000;
-const MOST_FINGERPRINTS = 64;
 const FINGERPRINT_PATTERN = /^[\da-f]{64}$/u;
 const SHOWN_CHARACTERS = 200;
 
@@ -39,16 +32,17 @@
 }
 
 /** Options of {@link suspicionReader}. */
-export interface SuspicionReaderOptions {
+export interface SuspicionReaderOptions extends Pick<RecordReader, 'remove'> {
 	readonly onRecord: (record: SuspicionRecord) => void;
 	/** Told of each record that cannot be read. */
 	readonly onRefused: (change: BeliefChange) => void;
 }
 
 /** Reads the records of all instances, this one's own included. */
-export function suspicionReader({onRecord, onRefused}: SuspicionReaderOptions): RecordReader {
+export function suspicionReader({onRecord, onRefused, remove}: SuspicionReaderOptions): RecordReader {
 	return {
 		prefix: SUSPICION_PREFIX,
+		remove,
 		write({key, value, modifyIndex}) {
 			decodeSuspicion(value).ifLeft(({message}) => {
 				onRefused({
@@ -64,70 +58,3 @@
 function isFingerprint(text: unknown): boolean {
 	return typeof text === 'string' && FINGERPRINT_PATTERN.test(text);
 }
-
-/** Options of {@link SuspicionWriter}. */
-export interface SuspicionWriterOptions {
-	readonly store: KeyValueStore;
-	readonly instance: InstanceId;
-	/** Number of the first record; differs between lives of an instance. */
-	readonly firstSequence: number;
-	readonly onFailure: (error: StoreError) => void;
-	/** Monotonic time, in milliseconds. */
-	readonly now: () => number;
-}
-
-/** Writes the records of this instance. */
-export class SuspicionWriter implements SuspicionSharing {
-	readonly #options: SuspicionWriterOptions;
-	#sequence: number;
-	#lease: {readonly id: LeaseId; readonly grantedAtMs: number} | undefined;
-
-	constructor(options: SuspicionWriterOptions) {
-		this.#options = options;
-		this.#sequence = options.firstSequence;
-	}
-
-	/** Tells the other instances of a death. */
-	readonly shareDeath = async ({death: {origin, sequence, server, fingerprints}}: {readonly death: ServerDeath}): Promise<void> => {
-		await this.#write({
-			kind: 'death', origin, sequence, server, fingerprints: fingerprints.slice(0, MOST_FINGERPRINTS),
-		});
-	};
-
-	/** Tells the other instances that a suspect was run to its end. */
-	readonly shareCleared = async (fingerprint: RequestFingerprint): Promise<void> => {
-		await this.#write({
-			kind: 'cleared', origin: this.#options.instance, sequence: this.#sequence, fingerprint,
-		});
-	};
-
-	async #write(record: SuspicionRecord): Promise<void> {
-		const {store, instance, onFailure} = this.#options;
-		this.#sequence += 1;
-		const key = `${SUSPICION_PREFIX}${instance}/${this.#sequence % MOST_RECORDS}`;
-		const lease = await this.#useLease();
-		if (lease === undefined) {
-			return;
-		}
-
-		const written = await store.put({key, value: new TextEncoder().encode(JSON.stringify(record)), lease}).run();
-		written.ifLeft(error => {
-			this.#lease = undefined;
-			onFailure(error);
-		});
-	}
-
-	async #useLease(): Promise<LeaseId | undefined> {
-		const {store, now, onFailure} = this.#options;
-		if (this.#lease && now() - this.#lease.grantedAtMs < LEASE_USED_MS) {
-			return this.#lease.id;
-		}
-
-		const grantedAtMs = now();
-		const granted = await store.grantLease({timeToLiveMs: TIME_TO_LIVE_MS}).run();
-		granted.ifLeft(onFailure).ifRight(id => {
-			this.#lease = {id, grantedAtMs};
-		});
-		return this.#lease?.id;
-	}
-}
--- /dev/null
+++ b/calls/live/src/suspicion-writer.ts
@@ -0,0 +1,156 @@
+/** Shares what this instance saw of requests that crash backend servers, as records in the store. */
+import type {ServerDeath, SuspicionSharing} from '@pomelopick/calls.quarantine';
+import type {KeyValueStore, LeaseId, StoreError} from '@pomelopick/platform.store';
+import type {InstanceId} from '@pomelopick/core.types';
+import type {RequestFingerprint} from '@pomelopick/calls.quarantine';
+import {SUSPICION_PREFIX} from './suspicion-records.js';
+import type {SuspicionRecord} from './suspicion-records.js';
+
+/** Records that one instance has in the store at most; the oldest are written over. */
+const MOST_RECORDS = 64;
+const TIME_TO_LIVE_MS = 600_000;
+/** Age of the lease from which on another one is used, in milliseconds, so that a record lasts at least the rest. */
+const LEASE_USED_MS = 300_000;
+const MOST_FINGERPRINTS = 64;
+/** Pause before records that the store did not take are written again, in milliseconds. */
+const RETRY_INTERVAL_MS = 500;
+
+/** Options of {@link SuspicionWriter}. */
+export interface SuspicionWriterOptions {
+	readonly store: KeyValueStore;
+	readonly instance: InstanceId;
+	/** Number of the first record; differs between lives of an instance. */
+	readonly firstSequence: number;
+	readonly onFailure: (error: StoreError) => void;
+	readonly sleep: (milliseconds: number) => Promise<void>;
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+}
+
+interface KeptRecord {
+	readonly record: SuspicionRecord;
+	/** Monotonic time until which others need it, in milliseconds. */
+	readonly neededUntilMs: number;
+}
+
+/** Writes the records of this instance. One that the store did not take, or that was taken away early, is written again. */
+export class SuspicionWriter implements SuspicionSharing {
+	readonly #options: SuspicionWriterOptions;
+	/** Records of this life by their keys. */
+	readonly #kept = new Map<string, KeptRecord>();
+	/** Keys of records that the store may not have, in the order in which they are to be written. */
+	readonly #unwritten = new Set<string>();
+	#sequence: number;
+	#lease: {readonly id: LeaseId; readonly grantedAtMs: number} | undefined;
+	#isRetrying = false;
+	#isStopped = false;
+
+	constructor(options: SuspicionWriterOptions) {
+		this.#options = options;
+		this.#sequence = options.firstSequence;
+	}
+
+	/** Tells the other instances of a death; resolves after the first try. */
+	readonly shareDeath = async ({death: {origin, sequence, server, fingerprints}}: {readonly death: ServerDeath}): Promise<void> => {
+		await this.#share({
+			kind: 'death', origin, sequence, server, fingerprints: fingerprints.slice(0, MOST_FINGERPRINTS),
+		});
+	};
+
+	/** Tells the other instances that a suspect was run to its end; resolves after the first try. */
+	readonly shareCleared = async (fingerprint: RequestFingerprint): Promise<void> => {
+		await this.#share({
+			kind: 'cleared', origin: this.#options.instance, sequence: this.#sequence + 1, fingerprint,
+		});
+	};
+
+	/** Notes that a key was removed from the store; a record of this instance that is still needed is written again. */
+	restore(key: string): void {
+		if (this.#kept.has(key)) {
+			this.#lease = undefined;
+			this.#unwritten.add(key);
+			void this.#retry();
+		}
+	}
+
+	/** Writes no more. */
+	stop(): void {
+		this.#isStopped = true;
+	}
+
+	async #share(record: SuspicionRecord): Promise<void> {
+		const {instance, now} = this.#options;
+		this.#sequence += 1;
+		const key = `${SUSPICION_PREFIX}${instance}/${this.#sequence % MOST_RECORDS}`;
+		this.#kept.set(key, {record, neededUntilMs: now() + TIME_TO_LIVE_MS});
+		this.#unwritten.add(key);
+		if (!await this.#write(key)) {
+			void this.#retry();
+		}
+	}
+
+	/** Writes what the store may not have until it has it all. */
+	async #retry(): Promise<void> {
+		if (this.#isRetrying) {
+			return;
+		}
+
+		this.#isRetrying = true;
+		while (this.#unwritten.size > 0 && !this.#isStopped) {
+			await this.#options.sleep(RETRY_INTERVAL_MS);
+			await this.#writeAll();
+		}
+
+		this.#isRetrying = false;
+	}
+
+	/** Writes in order until the store takes one no more. */
+	async #writeAll(): Promise<void> {
+		for (const key of this.#unwritten) {
+			if (this.#isStopped || !await this.#write(key)) {
+				return;
+			}
+		}
+	}
+
+	/** Writes one record; answers whether the store has it, or nobody needs it any more. */
+	async #write(key: string): Promise<boolean> {
+		const {store, onFailure, now} = this.#options;
+		const kept = this.#kept.get(key);
+		if (!kept || now() >= kept.neededUntilMs) {
+			this.#kept.delete(key);
+			this.#unwritten.delete(key);
+			return true;
+		}
+
+		const lease = await this.#useLease();
+		if (lease === undefined) {
+			return false;
+		}
+
+		const written = await store.put({key, value: new TextEncoder().encode(JSON.stringify(kept.record)), lease}).run();
+		written.ifLeft(error => {
+			this.#lease = undefined;
+			onFailure(error);
+		}).ifRight(() => {
+			if (this.#kept.get(key) === kept) {
+				this.#unwritten.delete(key);
+			}
+		});
+		return written.isRight();
+	}
+
+	async #useLease(): Promise<LeaseId | undefined> {
+		const {store, now, onFailure} = this.#options;
+		if (this.#lease && now() - this.#lease.grantedAtMs < LEASE_USED_MS) {
+			return this.#lease.id;
+		}
+
+		const grantedAtMs = now();
+		const granted = await store.grantLease({timeToLiveMs: TIME_TO_LIVE_MS}).run();
+		granted.ifLeft(onFailure).ifRight(id => {
+			this.#lease = {id, grantedAtMs};
+		});
+		return this.#lease?.id;
+	}
+}
--- a/daemons/gateway/src/create-view.ts
+++ b/daemons/gateway/src/create-view.ts
@@ -72,7 +72,11 @@
 		format: {readSubject, decodeRouteSet, decodeServer},
 		onChange,
 		onRoutes,
-		records: [allowance, suspicionReader({onRecord: onSuspicion, onRefused: onChange})],
+		records: [allowance, suspicionReader({
+			onRecord: onSuspicion, onRefused: onChange, remove(key) {
+				sharing.restore(key);
+			},
+		})],
 		onServerLost,
 	});
 	const feed = new StoreFeed({
@@ -104,7 +108,7 @@
 			}
 		},
 	});
-	const sharing = new SuspicionWriter({
+	const sharing: SuspicionWriter = new SuspicionWriter({
 		store,
 		instance: self.id,
 		firstSequence,
@@ -112,6 +116,7 @@
 			counters.add(`store.suspicion-${code}`);
 			log.line('suspicion-not-shared', {reason: code, detail: message});
 		},
+		sleep,
 		now,
 	});
 	return {
@@ -128,6 +133,7 @@
 		},
 		async stop() {
 			feed.stop();
+			sharing.stop();
 			await store.close();
 		},
 	};
