--- /dev/null
+++ b/peer/membership/src/exchange-calls.ts
@@ -0,0 +1,67 @@
+/** The messages of an exchange between two instances, and how many there were. */
+import {create} from '@bufbuild/protobuf';
+import type {Either} from 'purify-ts';
+import type {Endpoint, InstanceId} from '@pomelopick/core.types';
+import {ExchangeRequestSchema, ExchangeResponseSchema, MembershipService} from '@pomelopick/peer.protocol';
+import type {ExchangeResponse} from '@pomelopick/peer.protocol';
+import type {PeerError} from '@pomelopick/peer.transport';
+import type {MemberTable} from './member-table.js';
+import type {News} from './member.js';
+import type {MembershipOptions, MembershipStatistics} from './membership-options.js';
+import {toHeldMessage, toNewsMessage} from './wire.js';
+
+const HEARTBEAT_TIMEOUT_MS = 1000;
+
+/** Options of {@link ExchangeCalls}. */
+export interface ExchangeCallsOptions extends Pick<MembershipOptions, 'clients' | 'heldVersion'> {
+	readonly table: MemberTable;
+}
+
+/** Options of {@link ExchangeCalls.ask}. */
+export interface AskOptions {
+	readonly sender: InstanceId;
+	readonly endpoint: Endpoint;
+	readonly news: News;
+	/** Whether the other instance is to tell all that it knows. */
+	readonly wantsEverything: boolean;
+}
+
+/** Sends exchanges and makes their answers. */
+export class ExchangeCalls {
+	readonly #options: ExchangeCallsOptions;
+	readonly #statistics = {exchanges: 0, newsSent: 0, everythingSent: 0};
+
+	constructor(options: ExchangeCallsOptions) {
+		this.#options = options;
+	}
+
+	/** Counters of the exchanges. */
+	get statistics(): MembershipStatistics {
+		return {...this.#statistics};
+	}
+
+	/** Sends an exchange and waits for its answer. */
+	async ask({sender, endpoint, news, wantsEverything}: AskOptions): Promise<Either<PeerError, ExchangeResponse>> {
+		const {clients, heldVersion, table} = this.#options;
+		this.#statistics.exchanges += 1;
+		this.#statistics.everythingSent += wantsEverything ? 1 : 0;
+		this.#countNews(news);
+		const request = create(ExchangeRequestSchema, {
+			sender, news: toNewsMessage(news), digest: table.digest, configuration: toHeldMessage(heldVersion()), wantsEverything,
+		});
+		return clients.call({
+			endpoint, service: MembershipService, timeoutMs: HEARTBEAT_TIMEOUT_MS, invoke: async (client, options) => client.exchange(request, options),
+		}).run();
+	}
+
+	/** Makes the answer to an exchange. */
+	answer(news: News): ExchangeResponse {
+		const {heldVersion, table} = this.#options;
+		this.#countNews(news);
+		return create(ExchangeResponseSchema, {news: toNewsMessage(news), digest: table.digest, configuration: toHeldMessage(heldVersion())});
+	}
+
+	#countNews({records, observations}: News): void {
+		this.#statistics.newsSent += records.length + observations.length;
+	}
+}
--- a/peer/membership/src/index.ts
+++ b/peer/membership/src/index.ts
@@ -9,3 +9,4 @@
 export * from './verdict.js';
 export * from './observer.js';
 export * from './overlay.js';
+export * from './standstill.js';
--- a/peer/membership/src/membership.ts
+++ b/peer/membership/src/membership.ts
@@ -1,12 +1,14 @@
 /** Keeps this instance's view of the fleet by the platform's list and by heartbeats with a few neighbours. */
 import type {ConnectRouter} from '@connectrpc/connect';
-import {create} from '@bufbuild/protobuf';
 import type {Either} from 'purify-ts';
 import type {Endpoint, Instance, InstanceId} from '@pomelopick/core.types';
-import {ExchangeRequestSchema, ExchangeResponseSchema, MembershipService} from '@pomelopick/peer.protocol';
+import {MembershipService} from '@pomelopick/peer.protocol';
 import type {ExchangeRequest, ExchangeResponse} from '@pomelopick/peer.protocol';
 import type {PeerError} from '@pomelopick/peer.transport';
 import {DifferenceTracker} from './difference-tracker.js';
+import {DoubtTimers} from './doubt-timers.js';
+import {ExchangeCalls} from './exchange-calls.js';
+import type {AskOptions} from './exchange-calls.js';
 import {ListReader} from './list-reader.js';
 import {MemberList} from './member-list.js';
 import type {MembersListener} from './member-list.js';
@@ -17,30 +19,15 @@
 import type {MembershipOptions, MembershipStatistics} from './membership-options.js';
 import {Observer} from './observer.js';
 import {Outbox} from './outbox.js';
+import {isUrgent, OwnRecord} from './own-record.js';
 import {RecentCallers} from './recent-callers.js';
-import {
-	fromHeldMessage, fromNewsMessage, toHeldMessage, toNewsMessage,
-} from './wire.js';
+import {Standstill} from './standstill.js';
+import {UrgentFlush} from './urgent-flush.js';
+import {fromHeldMessage, fromNewsMessage} from './wire.js';
 
 const HEARTBEAT_INTERVAL_MS = 1000;
-const HEARTBEAT_TIMEOUT_MS = 1000;
-/** Pause before a heartbeat that was not answered is sent again. */
-const DOUBT_PAUSE_MS = 250;
-/** Delay that gathers news before it is sent ahead of the next heartbeat. */
-const URGENT_DELAY_MS = 20;
-/** Least time between two sendings ahead of heartbeats, so that a flood of news costs a bounded rate of messages. */
-const URGENT_INTERVAL_MS = 200;
 /** Delay that gathers news before conclusions are drawn from it. */
 const REFRESH_DELAY_MS = 10;
-/** A tick that comes this much late shows that the process stood still or has no processor time. */
-const STANDSTILL_MS = 300;
-/** Time after a standstill in which failed heartbeats are not counted. */
-const STANDSTILL_GRACE_MS = 2000;
-/** Least change of the load that is told, in percent. */
-const LOAD_STEP_PERCENT = 10;
-/** Load that is told at once, in percent. */
-const FULL_PERCENT = 95;
-const PERCENT = 100;
 
 interface HearAnswerOptions {
 	readonly endpoint: Endpoint;
@@ -63,23 +50,32 @@
 	readonly #list = new MemberList();
 	readonly #callers = new RecentCallers();
 	readonly #inFlight = new Set<InstanceId>();
-	readonly #doubtTimers = new Map<InstanceId, NodeJS.Timeout>();
+	readonly #doubts = new DoubtTimers({
+		ask: id => {
+			this.#exchangeWith(id);
+		},
+	});
+
+	readonly #urgent: UrgentFlush;
 	readonly #differences = new DifferenceTracker();
-	readonly #statistics = {exchanges: 0, newsSent: 0, everythingSent: 0};
-	#self: MemberRecord | undefined;
+	readonly #standstill = new Standstill({intervalMs: HEARTBEAT_INTERVAL_MS});
+	readonly #calls: ExchangeCalls;
+	readonly #self = new OwnRecord();
 	#timer: NodeJS.Timeout | undefined;
-	#urgentTimer: NodeJS.Timeout | undefined;
 	#refreshTimer: NodeJS.Timeout | undefined;
-	#nextUrgentMs = 0;
 	#mustAnnounce = false;
-	#lastTickMs = 0;
-	#graceUntilMs = 0;
 	#lastSequence = 0;
 	#isStopped = false;
 
 	constructor(options: MembershipOptions) {
 		this.#options = options;
 		this.#table = new MemberTable({regionOf: options.regionOf});
+		this.#urgent = new UrgentFlush({
+			flush: () => {
+				this.#flush({isUrgent: true});
+			}, now: options.now,
+		});
+		this.#calls = new ExchangeCalls({clients: options.clients, heldVersion: options.heldVersion, table: this.#table});
 		this.#reader = new ListReader({
 			read: options.readList,
 			random: options.random,
@@ -98,7 +94,7 @@
 
 	/** Counters of the exchanges. */
 	get statistics(): MembershipStatistics {
-		return {...this.#statistics};
+		return this.#calls.statistics;
 	}
 
 	/** Instances that can take work: alive and not leaving. */
@@ -118,16 +114,12 @@
 
 	/** Starts heartbeats as this instance. */
 	start(instance: Instance): void {
-		this.#self = {
-			instance, incarnation: this.#options.wallClock(), leaving: false, loadSequence: 0, loadPercent: 0,
-		};
-		this.#table.applyRecord(this.#self);
-		this.#lastTickMs = this.#options.now();
+		this.#table.applyRecord(this.#self.start({instance, incarnation: this.#options.wallClock()}));
 		this.#refresh();
 		this.#reader.start();
 		// Instances that start together do not send their heartbeats together.
 		this.#timer = setTimeout(() => {
-			this.#lastTickMs = this.#options.now();
+			this.#standstill.start(this.#options.now());
 			this.#tick();
 			this.#timer = setInterval(() => {
 				this.#tick();
@@ -137,8 +129,8 @@
 
 	/** Tells the neighbours that this instance leaves. */
 	leave(): void {
-		if (this.#self) {
-			this.#tellOfSelf({...this.#self, leaving: true});
+		if (this.#self.hasStarted) {
+			this.#tellOfSelf(this.#self.leave());
 			this.#flush();
 		}
 	}
@@ -146,7 +138,7 @@
 	/** Sends the version in force to the neighbours without waiting for the next heartbeat. */
 	announceVersion(): void {
 		this.#mustAnnounce = true;
-		this.#scheduleFlush();
+		this.#urgent.schedule();
 	}
 
 	/** Rebuilds what depends on the regions, after a configuration has changed them. */
@@ -159,24 +151,22 @@
 	stop(): void {
 		this.#isStopped = true;
 		clearInterval(this.#timer);
-		clearTimeout(this.#urgentTimer);
 		clearTimeout(this.#refreshTimer);
-		for (const timer of this.#doubtTimers.values()) {
-			clearTimeout(timer);
-		}
-
+		this.#urgent.stop();
+		this.#doubts.stop();
 		this.#reader.stop();
 	}
 
 	#tick(): void {
-		const nowMs = this.#options.now();
-		if (nowMs - this.#lastTickMs > HEARTBEAT_INTERVAL_MS + STANDSTILL_MS) {
-			this.#graceUntilMs = nowMs + STANDSTILL_GRACE_MS;
+		if (this.#standstill.tick(this.#options.now())) {
 			this.#observer.forgiveFailures();
 		}
 
-		this.#lastTickMs = nowMs;
-		this.#tellLoad();
+		const changed = this.#self.withLoad(this.#options.load());
+		if (changed) {
+			this.#tellOfSelf(changed);
+		}
+
 		this.#flush();
 		if (this.#table.hasSuspects) {
 			this.#refresh();
@@ -195,9 +185,8 @@
 		this.#observer.keepOnly({subjects, isKnown: id => this.#table.describe(id) !== undefined});
 		this.#outbox.keepOnly(this.#neighbours());
 		for (const id of subjects) {
-			const known = this.#table.describe(id);
-			if (known && !this.#inFlight.has(id) && (isForAll || this.#outbox.has(id))) {
-				void this.#exchange({id, endpoint: known.instance.peers});
+			if (isForAll || this.#outbox.has(id)) {
+				this.#exchangeWith(id);
 			}
 		}
 
@@ -213,22 +202,24 @@
 		const told = this.#outbox.take(id);
 		this.#inFlight.add(id);
 		const sentAtMs = this.#options.now();
-		const answer = await this.#call({endpoint, news: wantsEverything ? this.#table.everything : told, wantsEverything});
+		const answer = await this.#ask({endpoint, news: wantsEverything ? this.#table.everything : told, wantsEverything});
 		this.#inFlight.delete(id);
 		const error = answer.swap().toMaybe().extract();
-		if (this.#options.now() >= this.#graceUntilMs) {
+		if (!this.#standstill.isRecent(this.#options.now())) {
 			this.#observer.record({subject: id, outcome: error ? (error.code === 'not-sent' ? 'refused' : 'lost') : 'answered'});
 		}
 
 		if (error) {
 			this.#outbox.putBack({neighbour: id, news: told});
-			this.#askAgain(id);
+			if (!this.#table.isDead(id) && !this.#isStopped) {
+				this.#doubts.schedule(id);
+			}
 		}
 
 		answer.ifRight(response => {
 			this.#outbox.noteArrival(id);
 			if (this.#outbox.has(id)) {
-				this.#scheduleFlush();
+				this.#urgent.schedule();
 			}
 
 			this.#takeAnswer({
@@ -238,40 +229,25 @@
 		this.#reportFindings();
 	}
 
-	/** Settles a doubt sooner than the next heartbeat would. */
-	#askAgain(id: InstanceId): void {
-		if (this.#table.isDead(id) || this.#doubtTimers.has(id) || this.#isStopped) {
-			return;
+	/** Sends a heartbeat to an instance that is known and not being asked. */
+	#exchangeWith(id: InstanceId): void {
+		const known = this.#table.describe(id);
+		if (known && !this.#inFlight.has(id) && !this.#isStopped) {
+			void this.#exchange({id, endpoint: known.instance.peers});
 		}
-
-		this.#doubtTimers.set(id, setTimeout(() => {
-			this.#doubtTimers.delete(id);
-			const known = this.#table.describe(id);
-			if (known && !this.#inFlight.has(id) && !this.#isStopped) {
-				void this.#exchange({id, endpoint: known.instance.peers});
-			}
-		}, DOUBT_PAUSE_MS));
 	}
 
 	async #askSeed(endpoint: Endpoint): Promise<void> {
 		const sentAtMs = this.#options.now();
-		const answer = await this.#call({endpoint, news: this.#table.everything, wantsEverything: true});
+		const answer = await this.#ask({endpoint, news: this.#table.everything, wantsEverything: true});
 		answer.ifRight(response => {
 			this.#takeNews({news: fromNewsMessage(response.news)});
 			this.#hearAnswer({endpoint, response, sentAtMs});
 		});
 	}
 
-	async #call({endpoint, news, wantsEverything}: {readonly endpoint: Endpoint; readonly news: News; readonly wantsEverything: boolean}): Promise<Either<PeerError, ExchangeResponse>> {
-		this.#statistics.exchanges += 1;
-		this.#statistics.newsSent += news.records.length + news.observations.length;
-		this.#statistics.everythingSent += wantsEverything ? 1 : 0;
-		const request = create(ExchangeRequestSchema, {
-			sender: this.#self!.instance.id, news: toNewsMessage(news), digest: this.#table.digest, configuration: toHeldMessage(this.#options.heldVersion()), wantsEverything,
-		});
-		return this.#options.clients.call({
-			endpoint, service: MembershipService, timeoutMs: HEARTBEAT_TIMEOUT_MS, invoke: async (client, options) => client.exchange(request, options),
-		}).run();
+	async #ask(options: Omit<AskOptions, 'sender'>): Promise<Either<PeerError, ExchangeResponse>> {
+		return this.#calls.ask({sender: this.#self.id, ...options});
 	}
 
 	#answer(request: ExchangeRequest): ExchangeResponse {
@@ -283,9 +259,7 @@
 			this.#options.onPeerVersion({endpoint: known.instance.peers, held: fromHeldMessage(request.configuration), isAgeBounded: false});
 		}
 
-		const news = request.wantsEverything ? this.#table.everything : this.#outbox.take(sender);
-		this.#statistics.newsSent += news.records.length + news.observations.length;
-		return create(ExchangeResponseSchema, {news: toNewsMessage(news), digest: this.#table.digest, configuration: toHeldMessage(this.#options.heldVersion())});
+		return this.#calls.answer(request.wantsEverything ? this.#table.everything : this.#outbox.take(sender));
 	}
 
 	#takeAnswer({id, endpoint, response, sentAtMs}: TakeAnswerOptions): void {
@@ -301,16 +275,15 @@
 	}
 
 	#takeNews({news, from}: {readonly news: News; readonly from?: InstanceId}): void {
-		const isOwn = ({instance}: MemberRecord): boolean => instance.id === this.#self?.instance.id;
-		const records = news.records.filter(record => !isOwn(record) && this.#table.applyRecord(record));
+		const records = news.records.filter(record => !this.#self.isOf(record) && this.#table.applyRecord(record));
 		const observations = news.observations.filter(observation => this.#table.applyObservation(observation));
 		if (records.length === 0 && observations.length === 0) {
 			return;
 		}
 
 		this.#outbox.add({news: {records, observations}, neighbours: this.#neighbours(), except: from});
-		if (observations.length > 0 || records.some(({leaving, loadSequence, loadPercent}) => leaving || loadSequence === 0 || loadPercent >= FULL_PERCENT)) {
-			this.#scheduleFlush();
+		if (observations.length > 0 || records.some(record => isUrgent(record))) {
+			this.#urgent.schedule();
 		}
 
 		this.#refreshTimer ??= setTimeout(() => {
@@ -324,7 +297,7 @@
 		for (const [subject, {unreachable, refused}] of this.#observer.takeChanges()) {
 			this.#lastSequence = Math.max(this.#lastSequence + 1, this.#options.wallClock());
 			observations.push({
-				subject, subjectIncarnation: this.#table.describe(subject)?.incarnation ?? 0, observer: this.#self!.instance.id, sequence: this.#lastSequence, unreachable, refused,
+				subject, subjectIncarnation: this.#table.describe(subject)?.incarnation ?? 0, observer: this.#self.id, sequence: this.#lastSequence, unreachable, refused,
 			});
 		}
 
@@ -333,24 +306,15 @@
 		}
 	}
 
-	#tellLoad(): void {
-		const self = this.#self!;
-		const loadPercent = Math.min(PERCENT, Math.round(this.#options.load() * PERCENT));
-		const crossesFull = (loadPercent >= FULL_PERCENT) !== (self.loadPercent >= FULL_PERCENT);
-		if (crossesFull || Math.abs(loadPercent - self.loadPercent) >= LOAD_STEP_PERCENT) {
-			this.#tellOfSelf({...self, loadPercent, loadSequence: self.loadSequence + 1});
-		}
-	}
-
+	/** Takes a new record of this instance and tells it to the neighbours. */
 	#tellOfSelf(record: MemberRecord): void {
-		this.#self = record;
 		this.#table.applyRecord(record);
 		this.#outbox.add({news: {records: [record], observations: []}, neighbours: this.#neighbours()});
 		this.#refresh();
 	}
 
 	#subjects(): ReadonlySet<InstanceId> {
-		return this.#table.overlay.subjectsOf({observer: this.#self!.instance.id, isAlive: id => !this.#table.isDead(id)});
+		return this.#table.overlay.subjectsOf({observer: this.#self.id, isAlive: id => !this.#table.isDead(id)});
 	}
 
 	/** Subjects, and the instances that observe this one. */
@@ -358,17 +322,8 @@
 		return new Set([...this.#subjects(), ...this.#callers.list(this.#options.now())]);
 	}
 
-	#scheduleFlush(): void {
-		const nowMs = this.#options.now();
-		this.#urgentTimer ??= setTimeout(() => {
-			this.#urgentTimer = undefined;
-			this.#nextUrgentMs = this.#options.now() + URGENT_INTERVAL_MS;
-			this.#flush({isUrgent: true});
-		}, Math.max(URGENT_DELAY_MS, this.#nextUrgentMs - nowMs));
-	}
-
 	#refresh(): void {
-		this.#table.judge({self: this.#self!.instance.id, nowMs: this.#options.now()});
+		this.#table.judge({self: this.#self.id, nowMs: this.#options.now()});
 		this.#list.replace(this.#table.members);
 	}
 }
