Serve what waited for a process that stood still, and run nothing that was refused

Cause: the time for the headers of a request begins with its connection. A process that stands still between the two (a stop by a signal, a machine without processor time) finds the time over when it wakes, before it reads what waits: it answered 408, which promises that nothing was run, and then read the request and ran it. Ruled out: a slow caller; the same caller's bytes were there all the while. Change: the timeout is judged after the pending input was read, so such a request is served; and on a connection that was refused without a request nothing is run any more. Tests: stalled-process: the waiting request got 408 and ran before, is served now; headers that never come still get 408. Before / after: as above; hostile-connections, caller-listener and gateway tests green. Conclusion: the promise holds by what is run, not by the order of events.

--- a/calls/listener/src/caller-listener.ts
+++ b/calls/listener/src/caller-listener.ts
@@ -62,6 +62,8 @@
 	readonly server: Server;
 	readonly #options: CallerListenerOptions;
 	readonly #lastResponses = new WeakMap<Socket, ServerResponse>();
+	/** Connections that were answered without a request; nothing that comes on them is run. */
+	readonly #refused = new WeakSet<Socket>();
 	/** Connections whose input is no longer read because it was malformed. */
 	readonly #malformed = new WeakSet<Socket>();
 	#limits: ListenerLimits;
@@ -147,6 +149,12 @@
 	}
 
 	#onRequest({request, response}: {readonly request: IncomingMessage; readonly response: ServerResponse}): void {
+		if (this.#refused.has(request.socket)) {
+			// Its caller was told already that nothing was run.
+			request.socket.destroy();
+			return;
+		}
+
 		this.#lastResponses.set(request.socket, response);
 		if (this.isStopping) {
 			response.setHeader('connection', 'close');
@@ -177,7 +185,18 @@
 			return;
 		}
 
-		this.#refuseRaw({socket, refusal: toMalformedRefusal({error, limits: this.#limits})});
+		const refusal = toMalformedRefusal({error, limits: this.#limits});
+		if (refusal.reason !== 'headers-too-slow') {
+			this.#refuseRaw({socket, refusal});
+			return;
+		}
+
+		// After a standstill the time is over before what came meanwhile has been read; it is read before the next check phase.
+		setImmediate(() => {
+			if (this.#lastResponses.get(socket) === lastResponse && socket.writable) {
+				this.#refuseRaw({socket, refusal});
+			}
+		});
 	}
 
 	/** Takes no more input of a connection with a call in progress; nothing may be written between parts of its answer. */
@@ -205,6 +224,7 @@
 
 	/** Answers on a connection that has no request, then closes it. */
 	#refuseRaw({socket, refusal}: {readonly socket: Socket; readonly refusal: Refusal}): void {
+		this.#refused.add(socket);
 		this.#options.counters.refused(refusal.reason);
 		const document = toProblemDocument({refusal, callId: randomUUID()});
 		const body = JSON.stringify(document);
