--- a/calls/relay/src/retry-budgets.ts
+++ b/calls/relay/src/retry-budgets.ts
@@ -137,7 +137,7 @@
 		const {taken, refused, window} = retries;
 		const {requests, retries: inWindow, most} = window.use({nowMs, ratio: bounds().ratio});
 		log.line('retry-budget', {
-			service, taken, refused, requests, retries: inWindow, most, granted: retries.granted(nowMs), sinceStartMs: Math.round(nowMs - this.#startedAtMs),
+			service, taken, refused, requests, retries: inWindow, most: Number(most.toFixed(1)), granted: retries.granted(nowMs), sinceStartMs: Math.round(nowMs - this.#startedAtMs),
 		});
 		retries.taken = 0;
 		retries.refused = 0;
