Show the fields of events of their own when logs are read

Cause: pomelopick events read printed a line of the retry budget without its counts, so that an engineer needed another tool. Ruled out: a column for each; events differ. Tests: a case of its own in logs.test, which failed before as the counts were not printed.

--- a/cli/pomelopick/src/logs/format-story.ts
+++ b/cli/pomelopick/src/logs/format-story.ts
@@ -43,10 +43,12 @@
 	return `${formatTime(atMs)} ${event}, told by ${instances} ${instances === 1 ? 'instance' : 'instances'}: ${detail}`;
 }
 
-/** Renders any line: its time, instance, event and what it is about, then how a request ended. */
-export function formatLine({atMs, instance, event, subject, requestId, server, outcome, reason, detail, totalMs}: LogLine): string {
+/** Renders any line: its time, instance, event and what it is about, then how a request ended, or the fields of its own. */
+export function formatLine({atMs, instance, event, subject, requestId, service, server, outcome, reason, detail, totalMs, others = {}}: LogLine): string {
+	const about = subject ?? requestId ?? service;
+	const time = totalMs === undefined ? undefined : `${totalMs} ms`;
 	const parts = [
-		formatTime(atMs), instance, event, subject ?? requestId, server, outcome, reason, totalMs === undefined ? undefined : `${totalMs} ms`, detail,
+		formatTime(atMs), instance, event, about, server, outcome, reason, time, detail, ...Object.entries(others).map(([name, value]) => `${name}=${value}`),
 	];
 	return parts.filter(part => part !== undefined && part !== '').join(' ');
 }
--- a/cli/pomelopick/src/logs/log-line.ts
+++ b/cli/pomelopick/src/logs/log-line.ts
@@ -42,6 +42,8 @@
 	readonly retryAfterMs?: number | undefined;
 	readonly totalMs?: number | undefined;
 	readonly allowedMs?: number | undefined;
+	/** Fields that only some events have, such as the counts of a retry budget. */
+	readonly others?: Readonly<Record<string, string | number | boolean>> | undefined;
 }
 
 const attemptSchema = z.object({
@@ -52,7 +54,7 @@
 	outcome: z.string().optional(),
 });
 
-const lineSchema = z.object({
+const lineSchema = z.looseObject({
 	time: z.iso.datetime(),
 	event: z.string(),
 	instance: z.string(),
@@ -89,7 +91,14 @@
 	}
 
 	const {time, ...fields} = checked.data;
-	return {atMs: Date.parse(time), ...fields};
+	const others = listOthers(fields);
+	return {...fields, atMs: Date.parse(time), ...(Object.keys(others).length > 0 && {others})};
+}
+
+/** Simple values of the fields that are not among those that all lines share. */
+function listOthers(fields: Readonly<Record<string, unknown>>): Record<string, string | number | boolean> {
+	const isSimple = (entry: [string, unknown]): entry is [string, string | number | boolean] => ['string', 'number', 'boolean'].includes(typeof entry[1]);
+	return Object.fromEntries(Object.entries(fields).filter(([name]) => !(name in lineSchema.shape)).filter(entry => isSimple(entry)));
 }
 
 /** The value of a JSON text; undefined where it is none, which is no fault in a file that others write to as well. */
--- a/cli/pomelopick/test/logs.test.ts
+++ b/cli/pomelopick/test/logs.test.ts
@@ -158,6 +158,10 @@
 	time: '2026-02-09T06:30:01.000Z', event: 'server-changed', instance: 'gateway-2', subject: 'a', detail: 'added: ready',
 })}`;
 
+const budget = toLines({
+	time: '2026-02-09T06:30:03.000Z', event: 'retry-budget', instance: 'gateway-1', service: 'ledger', taken: 3, most: 4.8, granted: 0,
+});
+
 const runs: ReadonlyArray<{readonly name: string; readonly words: readonly string[]; readonly isPiped?: boolean; readonly exitCode: number; readonly output: RegExp}> = [
 	{
 		name: 'explains a request from files',
@@ -195,6 +199,12 @@
 		exitCode: 0,
 		output: new RegExp(`^\\S+ gateway-1 request ${requestId} a refused backend-failed 20 ms a: ECONNRESET\n$`, 'u'),
 	},
+	{
+		name: 'shows the fields of an event of its own',
+		words: ['events', 'read', '--event', 'retry-budget', 'BUDGET'],
+		exitCode: 0,
+		output: /^\S+ gateway-1 retry-budget ledger taken=3 most=4\.8 granted=0\n$/u,
+	},
 	{
 		name: 'refuses a count that is none', words: ['events', 'read', '--last', 'many', 'FIRST'], exitCode: 2, output: /^bad-flag: --last: expected a whole number/u,
 	},
@@ -204,9 +214,10 @@
 	for (const {name, words, isPiped = false, exitCode, output} of runs) {
 		it(name, async () => {
 			const directory = await mkdtemp(path.join(tmpdir(), 'pomelopick-logs-'));
-			const files: Record<string, string> = {FIRST: path.join(directory, 'first.log'), SECOND: path.join(directory, 'second.log')};
+			const files: Record<string, string> = {FIRST: path.join(directory, 'first.log'), SECOND: path.join(directory, 'second.log'), BUDGET: path.join(directory, 'budget.log')};
 			await writeFile(files.FIRST!, first);
 			await writeFile(files.SECOND!, second);
+			await writeFile(files.BUDGET!, budget);
 			const printed = new PassThrough();
 			const found = await createCli().run(words.map(word => files[word] ?? word), {stdin: Readable.from(isPiped ? [first] : []), stdout: printed, stderr: printed});
 			printed.end();
