Wait for a part of the allowance no longer than the request has time

Cause: a request whose first server had failed waited up to 250 ms for a claim, also when its time ended before that; its final answer came late by as much. Ruled out: no wait at all; then the first failure after a start could never be repeated. Change: the wait ends with the request's time. Tests: retry-budgets, a request with hardly any time ends before one with a while; it waited as long before. Conclusion: a request that is given up gets its answer at once.

--- a/calls/live/src/suspicion-writer.ts
+++ b/calls/live/src/suspicion-writer.ts
@@ -1,8 +1,7 @@
 /** Shares what this instance saw of requests that crash backend servers, as records in the store. */
-import type {ServerDeath, SuspicionSharing} from '@pomelopick/calls.quarantine';
+import type {RequestFingerprint, ServerDeath, SuspicionSharing} from '@pomelopick/calls.quarantine';
 import type {KeyValueStore, LeaseId, StoreError} from '@pomelopick/platform.store';
 import type {InstanceId} from '@pomelopick/core.types';
-import type {RequestFingerprint} from '@pomelopick/calls.quarantine';
 import {SUSPICION_PREFIX} from './suspicion-records.js';
 import type {SuspicionRecord} from './suspicion-records.js';
 
--- a/calls/relay/src/retry-budgets.ts
+++ b/calls/relay/src/retry-budgets.ts
@@ -30,6 +30,13 @@
 	readonly clocks: () => ClockReadings;
 }
 
+/** Options of {@link RetryBudgets.take}. */
+export interface TakePermitOptions {
+	readonly service: ServiceName;
+	/** Monotonic time by which the request must have its final answer, in milliseconds. */
+	readonly answerByMs: number;
+}
+
 /** Budgets by service. */
 export class RetryBudgets {
 	readonly #options: RetryBudgetsOptions;
@@ -51,8 +58,8 @@
 	}
 
 	/** A permit out of the credit or the allowance, for which it waits a short time; undefined: there is none. Never rejects. */
-	async take(service: ServiceName): Promise<RetryPermit | undefined> {
-		const untilMs = this.#lookAtClocks() + CLAIM_WAIT_MS;
+	async take({service, answerByMs}: TakePermitOptions): Promise<RetryPermit | undefined> {
+		const untilMs = Math.min(answerByMs, this.#lookAtClocks() + CLAIM_WAIT_MS);
 		let permit = this.#tryTake(service);
 		while (!permit && this.#lookAtClocks() < untilMs && await this.#claim({service, untilMs})) {
 			permit = this.#tryTake(service);
--- a/calls/relay/test/retry-budgets.test.ts
+++ b/calls/relay/test/retry-budgets.test.ts
@@ -58,10 +58,15 @@
 		};
 	}
 
+	/** A permit for a request that has a while to wait. */
+	async take() {
+		return this.budgets.take({service, answerByMs: this.monotonicMs + 60_000});
+	}
+
 	/** Permits that are given at once after each other. */
 	async takeAll(): Promise<number> {
 		let taken = 0;
-		while (await this.budgets.take(service)) {
+		while (await this.take()) {
 			taken += 1;
 		}
 
@@ -100,14 +105,14 @@
 		{
 			name: 'nothing of a part that was claimed before a pause', async act(bench) {
 				bench.grant();
-				await bench.budgets.take(service);
+				await bench.take();
 				bench.wallClockMs += 3000;
 			}, expected: 0, claims: 2,
 		},
 		{
 			name: 'nothing of a part whose time is over', async act(bench) {
 				bench.grant();
-				await bench.budgets.take(service);
+				await bench.take();
 				bench.advance(GRANT_USABLE_MS);
 			}, expected: 0, claims: 2,
 		},
@@ -133,7 +138,7 @@
 
 	it('claims one part for requests at the same time, and none for a while after a failure', async () => {
 		const bench = new Bench();
-		const taken = await Promise.all(Array.from({length: 20}, async () => bench.budgets.take(service)));
+		const taken = await Promise.all(Array.from({length: 20}, async () => bench.take()));
 		assert.deepEqual(taken.filter(Boolean), []);
 		await bench.takeAll();
 		assert.equal(bench.claims, 1);
@@ -148,17 +153,32 @@
 		bench.script.claim = async () => new Promise(resolve => {
 			answer = resolve;
 		});
-		assert.equal(await bench.budgets.take(service), undefined);
+		assert.equal(await bench.take(), undefined);
 		bench.script.claim = async () => inUse;
 		answer(Right({part: 0, claimedAtMs: bench.monotonicMs}));
 		await new Promise(setImmediate);
 		assert.equal(await bench.takeAll(), PART);
 	});
 
+	it('waits no longer than the request has time', async () => {
+		const bench = new Bench();
+		bench.script.claim = async () => new Promise(() => {/* The store does not answer. */});
+		const ended: string[] = [];
+		const take = async (name: string, withinMs: number): Promise<void> => {
+			assert.equal(await bench.budgets.take({service, answerByMs: bench.monotonicMs + withinMs}), undefined);
+			ended.push(name);
+		};
+
+		await Promise.all([take('a while', 60_000), take('hardly any', 20)]);
+		assert.deepEqual(ended, ['hardly any', 'a while']);
+		await take('none', 0);
+		assert.equal(bench.claims, 1);
+	});
+
 	it('takes a permit back that led to no send', async () => {
 		const bench = new Bench();
 		bench.request(10);
-		const permit = await bench.budgets.take(service);
+		const permit = await bench.take();
 		assert.equal(bench.budgets.used().get(service), 1);
 		permit?.giveBack();
 		assert.equal(bench.budgets.used().get(service), 0);
--- a/daemons/gateway/src/create-relay.ts
+++ b/daemons/gateway/src/create-relay.ts
@@ -114,7 +114,7 @@
 				return Math.max(LEAST_CONNECTIONS, Math.floor(most * CONNECTION_SHARE / countInstances()));
 			},
 			counters,
-			takeRetry: async ({options: {service}}) => retryBudgets.take(service),
+			takeRetry: async ({options: {service, answerByMs}}) => retryBudgets.take({service, answerByMs}),
 			tryTakeWarmup: known => now() >= known.coldUntilMs || warmups.tryTake(warmupOf(known)),
 			viewAgeMs,
 			now,
