Keep to what servers say of their leaving and of pauses that they want

Cause: a server may say in an answer that it leaves, or turn a request away and ask for a pause; neither was read. A gateway went on sending to a server that the store still named ready, and came back to an overloaded one after 20 ms. On a gateway process with stand-ins that say so, 30 of 30 further requests reached the server. Ruled out: taking such servers out of the ranking, as other instances were not told and would rank differently; keeping the word with the observations of a server, which are forgotten when its entry lapses and comes back. When all want a pause, callers are told at once to come back after the first one, spread over a while (reason backend-paused). A value that cannot be read changes nothing and is logged once a second and server. Conclusion: both words hold for each gateway by itself; the others are not told, since each learns it with its own first answer.

--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -30,6 +30,8 @@
 	readonly body: Uint8Array | Readable | undefined;
 	/** Bytes of an answer that are held before the first of them is sent on. */
 	readonly heldBytes: number;
+	/** Told of the head of each final answer on the connection, also of one that is not this call's. */
+	readonly onHead?: (head: AnswerHead) => void;
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
 }
@@ -101,14 +103,16 @@
 			return;
 		}
 
-		const {callId, idHeader = CALL_ID_HEADER, method, takesUnframed = false} = this.#options;
+		const {callId, idHeader = CALL_ID_HEADER, method, takesUnframed = false, onHead} = this.#options;
+		const head = {status, headers: endToEndHeaders(headers)};
+		onHead?.(head);
 		const echoed = headers[idHeader];
 		if (echoed !== undefined && echoed !== callId) {
 			this.abort({kind: 'mismatched', detail: `got the answer of call ${JSON.stringify(echoed)}`});
 			return;
 		}
 
-		this.#head = {status, headers: endToEndHeaders(headers)};
+		this.#head = head;
 		const hasBody = method !== 'HEAD' && status !== NO_CONTENT && status !== NOT_MODIFIED;
 		const isUnframed = hasBody && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 		this.#options.lease.connection.isUnframed = isUnframed;
--- a/calls/relay/src/index.ts
+++ b/calls/relay/src/index.ts
@@ -6,3 +6,5 @@
 export * from './relayed-request.js';
 export * from './retry-budgets.js';
 export * from './retry-permit.js';
+export * from './server-notices.js';
+export * from './unsent-attempts.js';
--- a/calls/relay/src/relay-attempt.ts
+++ b/calls/relay/src/relay-attempt.ts
@@ -11,6 +11,8 @@
 import type {AnswerVerdict} from './judge-answer.js';
 import type {RelayFormat} from './relay-format.js';
 import type {RelayedRequest} from './relayed-request.js';
+import type {ServerNotices} from './server-notices.js';
+import type {RecallableAttempt, RecallOptions, UnsentAttempts} from './unsent-attempts.js';
 
 /** Time kept for the way of the answer back to the caller, in milliseconds. */
 const RETURN_RESERVE_MS = 20;
@@ -24,6 +26,9 @@
 	readonly deathWatch: DeathWatch<ConnectedServer>;
 	readonly placer: ObjectPlacer;
 	readonly observations: ObservationTable;
+	/** Takes note of what servers say of themselves. */
+	readonly notices: ServerNotices;
+	readonly unsent: UnsentAttempts;
 	/** Connections that a server takes from all instances. */
 	readonly mostConnections: (placement: ObjectPlacement) => number;
 	/** Monotonic time, in milliseconds. */
@@ -55,10 +60,11 @@
 	| AttemptFailureResult;
 
 /** One attempt. */
-export class RelayAttempt {
+export class RelayAttempt implements RecallableAttempt {
 	readonly #options: RelayAttemptOptions;
 	#exchange: Exchange | undefined;
 	#inFlight: InFlightRequest = {expectedMs: 0, sentAtMs: 0};
+	#recalledFor: RetryReason | undefined;
 
 	constructor(options: RelayAttemptOptions) {
 		this.#options = options;
@@ -81,8 +87,10 @@
 		request.sentTo.add(server.name);
 		const exchange = this.#createExchange(lease.unsafeCoerce());
 		this.#exchange = exchange;
+		parts.unsent.add({server: server.name, attempt: this});
 		exchange.send();
 		const result = await exchange.result;
+		parts.unsent.delete({server: server.name, attempt: this});
 		const settled = result.caseOf({
 			Left: failure => this.#onFailure(failure),
 			Right: answer => this.#onAnswer(answer),
@@ -103,6 +111,16 @@
 		this.#exchange?.abort(failure);
 	}
 
+	recall({why, detail}: Omit<RecallOptions, 'server'>): boolean {
+		if (!this.#exchange || this.#exchange.mayHaveRun) {
+			return false;
+		}
+
+		this.#recalledFor = why;
+		this.#exchange.abort({kind: 'cancelled', detail});
+		return true;
+	}
+
 	get #server(): ConnectedServer {
 		const {placement, parts} = this.#options;
 		const {name, address, port} = placement.known.server;
@@ -128,6 +146,9 @@
 			}),
 			body: body.content,
 			heldBytes: HELD_ANSWER_BYTES,
+			onHead(head) {
+				parts.notices.read({server: placement.known.server, head});
+			},
 			now: parts.now,
 		});
 	}
@@ -181,8 +202,8 @@
 		const wasSent = execution !== 'not-run';
 		return {
 			kind: 'failure',
-			reason: failureReasons[kind],
-			retryReason: wasSent ? 'backend-failed' : 'connect-failed',
+			reason: this.#recalledFor ? 'backend-shed' : failureReasons[kind],
+			retryReason: this.#recalledFor ?? (wasSent ? 'backend-failed' : 'connect-failed'),
 			mayHaveRun: wasSent,
 			wasSent,
 			detail: `${this.#options.placement.known.server.name}: ${detail}`,
--- /dev/null
+++ b/calls/relay/src/server-notices.ts
@@ -0,0 +1,125 @@
+/** What backend servers say of themselves in the heads of their answers: that they leave, or want nothing for a while. */
+import type {AnswerHead} from '@pomelopick/calls.forwarding';
+import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
+import type {CodedError, RegisteredServer, RetryReason} from '@pomelopick/core.types';
+import type {
+	LeavingServers, RequestedPauses, ServerStart, ServerTable,
+} from '@pomelopick/steering.servers';
+import type {RelayFormat} from './relay-format.js';
+import {SpacedLines} from './spaced-lines.js';
+import type {UnsentAttempts} from './unsent-attempts.js';
+
+const MISDIRECTED = 421;
+const SERVICE_UNAVAILABLE = 503;
+
+/** Options of {@link ServerNotices}. */
+export interface ServerNoticesOptions {
+	readonly format: Pick<RelayFormat, 'headers' | 'decodeServerLeaving' | 'decodeRetryAfter'>;
+	readonly servers: ServerTable;
+	readonly leaving: LeavingServers;
+	readonly pauses: RequestedPauses;
+	/** Attempts that are taken back when their server wants nothing. */
+	readonly unsent: UnsentAttempts;
+	readonly counters: CallCounters;
+	readonly log: DecisionLog;
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+}
+
+/** Options of {@link ServerNotices.read}. */
+export interface ReadNoticesOptions {
+	/** Server that the request was sent to. */
+	readonly server: RegisteredServer;
+	readonly head: AnswerHead;
+}
+
+/** Takes note of what servers say. */
+export class ServerNotices {
+	readonly #options: ServerNoticesOptions;
+	readonly #pauseLines = new SpacedLines();
+	readonly #refusalLines = new SpacedLines();
+
+	constructor(options: ServerNoticesOptions) {
+		this.#options = options;
+	}
+
+	/** Reads the head of an answer, whatever becomes of the answer itself. */
+	read({server, head: {status, headers}}: ReadNoticesOptions): void {
+		const {format: {headers: names, decodeServerLeaving, decodeRetryAfter}} = this.#options;
+		const leaving = headers[names.serverLeaving];
+		if (leaving !== undefined) {
+			decodeServerLeaving(String(leaving)).ifLeft(error => {
+				this.#refuse({server, error});
+			}).ifRight(() => {
+				this.#noteLeaving({server, status});
+			});
+		}
+
+		const retryAfter = headers[names.retryAfter];
+		if (retryAfter !== undefined && status === SERVICE_UNAVAILABLE) {
+			decodeRetryAfter(String(retryAfter)).ifLeft(error => {
+				this.#refuse({server, error});
+			}).ifRight(pauseMs => {
+				this.#notePause({server, pauseMs});
+			});
+		}
+	}
+
+	#noteLeaving({server, status}: {readonly server: RegisteredServer; readonly status: number}): void {
+		const {leaving, unsent, counters, log} = this.#options;
+		for (const start of this.#answeringStarts({server, status})) {
+			if (leaving.note(start)) {
+				counters.add('server-notice.leaving');
+				log.line('server-leaves', {subject: start.name, detail: `it said so in an answer ${status}`, startedAtMs: start.startedAtMs});
+				this.#recall({
+					unsent, server: start, why: 'backend-leaving', detail: 'the server said that it leaves',
+				});
+			}
+		}
+	}
+
+	#notePause({server, pauseMs}: {readonly server: RegisteredServer; readonly pauseMs: number}): void {
+		const {pauses, unsent, counters, log, now} = this.#options;
+		const nowMs = now();
+		for (const start of this.#answeringStarts({server, status: SERVICE_UNAVAILABLE})) {
+			const untilMs = pauses.note({server: start, pauseMs, nowMs});
+			counters.add('server-notice.pause');
+			if (this.#pauseLines.mayWrite({key: start.name, nowMs})) {
+				log.line('server-pauses', {
+					subject: start.name, detail: `it asked for ${Math.round(pauseMs)} ms`, pauseMs: Math.round(untilMs - nowMs), startedAtMs: start.startedAtMs,
+				});
+			}
+
+			this.#recall({
+				unsent, server: start, why: 'backend-shed', detail: 'the server asked for a pause',
+			});
+		}
+	}
+
+	/**
+	 * The starts that an answer may come from: the server that was asked and, if it started anew meanwhile, its present
+	 * start; for a misdirected request the servers that are known at the address instead.
+	 */
+	#answeringStarts({server, status}: {readonly server: RegisteredServer; readonly status: number}): readonly ServerStart[] {
+		const {servers} = this.#options;
+		if (status === MISDIRECTED) {
+			return servers.listAt(server).filter(({name}) => name !== server.name);
+		}
+
+		const present = servers.entryOf(server.name)?.server;
+		return present && present.startedAtMs !== server.startedAtMs ? [server, present] : [server];
+	}
+
+	#recall({unsent, server, why, detail}: {readonly unsent: UnsentAttempts; readonly server: ServerStart; readonly why: RetryReason; readonly detail: string}): void {
+		const recalled = unsent.recall({server: server.name, why, detail});
+		this.#options.counters.add('server-notice.recalled', recalled);
+	}
+
+	#refuse({server, error: {message}}: {readonly server: RegisteredServer; readonly error: CodedError}): void {
+		const {counters, log, now} = this.#options;
+		counters.add('server-notice.refused');
+		if (this.#refusalLines.mayWrite({key: server.name, nowMs: now()})) {
+			log.line('server-notice-refused', {subject: server.name, detail: message});
+		}
+	}
+}
--- a/core/types/src/reasons.ts
+++ b/core/types/src/reasons.ts
@@ -25,6 +25,7 @@
 	'connect-failed',
 	'backend-failed',
 	'backend-shed',
+	'backend-paused',
 	'answer-truncated',
 	'answer-mismatched',
 	'request-quarantined',
--- a/core/types/src/refusal.ts
+++ b/core/types/src/refusal.ts
@@ -57,6 +57,7 @@
 	'connect-failed': 502,
 	'backend-failed': 502,
 	'backend-shed': 503,
+	'backend-paused': 503,
 	'answer-truncated': 502,
 	'answer-mismatched': 502,
 	'request-quarantined': 422,
--- a/daemons/gateway/src/create-relay.ts
+++ b/daemons/gateway/src/create-relay.ts
@@ -4,16 +4,20 @@
 import type {LiveView, SuspicionRecord} from '@pomelopick/calls.live';
 import {DeathWatch, Quarantine} from '@pomelopick/calls.quarantine';
 import type {SuspicionSharing} from '@pomelopick/calls.quarantine';
-import {CallerDepartures, RelayHandler, RetryBudgets} from '@pomelopick/calls.relay';
+import {
+	CallerDepartures, RelayHandler, RetryBudgets, ServerNotices, UnsentAttempts,
+} from '@pomelopick/calls.relay';
 import type {RetryBudgetsOptions} from '@pomelopick/calls.relay';
 import type {GatewaySettings} from '@pomelopick/config.settings';
 import {EventRecord} from '@pomelopick/core.telemetry';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
 import type {BackendServerName} from '@pomelopick/core.types';
-import {decodeServerLoad, encodeRetryAfter, platformHeaders} from '@pomelopick/platform.wire';
+import {
+	decodeRetryAfter, decodeServerLeaving, decodeServerLoad, encodeRetryAfter, platformHeaders,
+} from '@pomelopick/platform.wire';
 import {WarmupShares} from '@pomelopick/steering.limits';
 import {ObjectPlacer} from '@pomelopick/steering.objects';
-import {ObservationTable} from '@pomelopick/steering.servers';
+import {LeavingServers, ObservationTable, RequestedPauses} from '@pomelopick/steering.servers';
 import type {KnownServer} from '@pomelopick/steering.servers';
 
 const EVENTS_KEPT = 512;
@@ -61,6 +65,12 @@
 	const {settings, view, sharing, firstSequence, claimAllowance, counters, log, viewAgeMs, endsAtMs, now, random} = options;
 	const {instance, failureDomain, region, regions, limits} = settings();
 	const observations = new ObservationTable();
+	const leaving = new LeavingServers();
+	const pauses = new RequestedPauses();
+	const unsent = new UnsentAttempts();
+	const format = {
+		headers: platformHeaders, decodeServerLoad, decodeServerLeaving, decodeRetryAfter, encodeRetryAfter,
+	};
 	const warmups = new WarmupShares({self: instance});
 	const warmupOf = ({server}: KnownServer) => ({
 		server: server.name,
@@ -76,6 +86,8 @@
 		region,
 		regions,
 		mayWarm: ({known}) => warmups.mayTake(warmupOf(known)),
+		closedUntilMs: ({server, nowMs}) => leaving.has(server) ? Number.POSITIVE_INFINITY : pauses.endMs({server, nowMs}),
+		random,
 	});
 	const connections = new BackendConnections({
 		now, probeIntervalMs: 0, mostPerServer: server => server.connections, onReplaced({server, connections: count}) {
@@ -104,11 +116,15 @@
 	const handler = new RelayHandler({
 		view,
 		parts: {
-			format: {headers: platformHeaders, decodeServerLoad, encodeRetryAfter},
+			format,
 			connections,
 			deathWatch,
 			placer,
 			observations,
+			notices: new ServerNotices({
+				format, servers: view.servers, leaving, pauses, unsent, counters, log, now,
+			}),
+			unsent,
 			mostConnections({known}) {
 				const most = view.routeSet?.services.find(({name}) => name === known.server.service)?.mostConnections ?? 0;
 				return Math.max(LEAST_CONNECTIONS, Math.floor(most * CONNECTION_SHARE / countInstances()));
--- /dev/null
+++ b/daemons/gateway/test/server-notices.test.ts
@@ -0,0 +1,109 @@
+import assert from 'node:assert/strict';
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {callGateway, startGatewayFleet, until} from '@pomelopick/testing.gateway-fleet';
+import type {
+	CallerAnswer, GatewayFleet, Play, RegisteredServer,
+} from '@pomelopick/testing.gateway-fleet';
+import {startReadyGateway} from './fixture.js';
+import type {LoggedGateway} from './fixture.js';
+
+const PAUSE_MS = 1500;
+const LONG_PAUSE_MS = 60_000;
+/** Time of the first start of all servers of a fleet, in milliseconds. */
+const FIRST_START_MS = 1000;
+
+describe('what backend servers say of themselves', () => {
+	let fleet: GatewayFleet;
+	let gateway: LoggedGateway;
+	before(async () => {
+		fleet = await startGatewayFleet({servers: ['north-a', 'north-a', 'north-a', 'north-a', 'north-a']});
+		gateway = await startReadyGateway(await fleet.settings());
+		await until(() => gateway.lines.filter(({event}) => event === 'server-changed').length === fleet.servers.length);
+	});
+	after(async () => {
+		await gateway.stop();
+		await fleet.stop();
+	});
+
+	const call = async (object: string, plays: readonly Play[] = ['whole']): Promise<CallerAnswer> => callGateway({endpoint: gateway.endpoints.callers, object, plays});
+	const serverOf = async (object: string): Promise<RegisteredServer> => {
+		const answer = await call(object);
+		const {server} = JSON.parse(answer.text) as {server: string};
+		return fleet.servers.find(({name}) => name === server)!;
+	};
+
+	let starts = 0;
+	/** Registers a server as it is, or as one that started anew. */
+	const register = (server: RegisteredServer, {isNewStart}: {readonly isNewStart: boolean}): void => {
+		starts += isNewStart ? 1 : 0;
+		startOf.set(server, isNewStart ? FIRST_START_MS + starts : startOf.get(server) ?? FIRST_START_MS);
+		fleet.register({server, failureDomain: 'north-a', startedAtMs: startOf.get(server)});
+	};
+
+	const startOf = new Map<RegisteredServer, number>();
+	const countArrivals = ({name}: RegisteredServer): number => fleet.records.arrivalLog.filter(({server}) => server === name).length;
+	const isServedBy = async ({object, server}: {readonly object: string; readonly server: RegisteredServer}): Promise<boolean> => {
+		const {name} = await serverOf(object);
+		return name === server.name;
+	};
+
+	const callOften = async (object: string): Promise<ReadonlySet<number>> => {
+		const answers = await Promise.all(Array.from({length: 30}, async () => call(object)));
+		return new Set(answers.map(({status}) => status));
+	};
+
+	const leavings: ReadonlyArray<{name: string; play: Play}> = [
+		{name: 'a success', play: 'whole'},
+		{name: 'a failure', play: 'failure'},
+		{name: 'a refusal', play: 'shed'},
+		{name: 'an answer that is cut', play: 'cut'},
+	];
+	const playLeaving = async ({name, play}: {readonly name: string; readonly play: Play}): Promise<void> => {
+		const server = await serverOf(name);
+		server.setLeaving(true);
+		await call(name, [play, 'whole']);
+		const before = countArrivals(server);
+		register(server, {isNewStart: false});
+		assert.deepEqual(await callOften(name), new Set([200]));
+		assert.equal(countArrivals(server), before);
+		assert.ok(gateway.lines.some(({event, subject}) => event === 'server-leaves' && subject === server.name));
+		server.setLeaving(false);
+		register(server, {isNewStart: true});
+		await until(async () => isServedBy({object: name, server}));
+	};
+
+	for (const leaving of leavings) {
+		it(`keep all further requests from a server that says in ${leaving.name} that it leaves, whatever the store says`, async () => playLeaving(leaving));
+	}
+
+	it('keep requests from a server that asked for a pause, until it is over', async () => {
+		const server = await serverOf('pause');
+		server.askPause(PAUSE_MS);
+		const asked = await call('pause');
+		assert.equal(asked.status, 200, 'the next in rank stands in');
+		const before = countArrivals(server);
+		assert.deepEqual(await callOften('pause'), new Set([200]));
+		assert.equal(countArrivals(server), before);
+		await until(async () => isServedBy({object: 'pause', server}));
+	});
+
+	it('have callers told to come back after the pause when all servers ask for one', async () => {
+		for (const server of fleet.servers) {
+			server.askPause(LONG_PAUSE_MS);
+		}
+
+		const answers: CallerAnswer[] = [];
+		await until(async () => {
+			answers.push(await call(`all-${answers.length}`));
+			return gateway.lines.some(({reason}) => reason === 'backend-paused');
+		});
+		const arrivals = fleet.records.arrivalLog.length;
+		const last = await call('after');
+		assert.equal(last.status, 503);
+		assert.ok(Number(last.headers['retry-after']) > LONG_PAUSE_MS / 2000, String(last.headers['retry-after']));
+		assert.equal(fleet.records.arrivalLog.length, arrivals);
+		assert.ok(answers.every(({status}) => status === 503));
+	});
+});
--- a/steering/objects/src/object-placer.ts
+++ b/steering/objects/src/object-placer.ts
@@ -5,8 +5,9 @@
  * Each object therefore has one server in each region, the first of a ranking that is alike at all instances: a second
  * one would have to learn the object too, and what a server learns pushes another object out. The next in rank stands
  * in where the first may not be used or is slow. A request that would wait too long is refused rather than sent to a
- * server that has to learn its object: under load the time to learn is what all others lack. Ranking is
- * highest-random-weight hashing, see {@link rankObject}.
+ * server that has to learn its object: under load the time to learn is what all others lack. Servers that told this
+ * instance that they leave or want a pause get nothing, but keep their place in the ranking, which other instances,
+ * who were not told, share. Ranking is highest-random-weight hashing, see {@link rankObject}.
  */
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
@@ -14,7 +15,7 @@
 	BackendServerName, FailureDomainName, RefusalReason, RegionName, Route, ServiceName,
 } from '@pomelopick/core.types';
 import type {
-	KnownServer, ObservationTable, ServerObservations, ServerTable,
+	KnownServer, ObservationTable, ServerObservations, ServerStart, ServerTable,
 } from '@pomelopick/steering.servers';
 import {LearnedLoad} from './learned-load.js';
 import {RankingCache, rankObject} from './object-ranking.js';
@@ -38,6 +39,8 @@
 /** Shortest time after which a refused caller is told to come back, in milliseconds. */
 const LEAST_RETRY_AFTER_MS = 200;
 const NO_SERVER_RETRY_AFTER_MS = 500;
+/** Longest time over which callers are spread that come back after a pause of servers, in milliseconds. */
+const MOST_RETURN_SPREAD_MS = 2000;
 
 /** Options of {@link ObjectPlacer}. */
 export interface ObjectPlacerOptions {
@@ -48,6 +51,13 @@
 	readonly region: RegionName;
 	/** Region of each failure domain. */
 	readonly regions: ReadonlyMap<FailureDomainName, RegionName>;
+	/**
+	 * Monotonic time until which a server told this instance that it wants nothing, in milliseconds; infinite when it
+	 * leaves, undefined when it said nothing of the kind.
+	 */
+	readonly closedUntilMs: (options: {readonly server: ServerStart; readonly nowMs: number}) => number | undefined;
+	/** Number from 0 up to 1. */
+	readonly random: () => number;
 	/** Whether a server that warms up may receive a request of this instance now. */
 	readonly mayWarm: (options: {readonly known: KnownServer; readonly nowMs: number}) => boolean;
 }
@@ -134,7 +144,7 @@
 		// A server that failed of late is still better than none.
 		const candidates = sound.length > 0 ? sound : this.#listCandidates({...options, takesPaused: true});
 		if (candidates.length === 0) {
-			return Left({reason: 'no-backend-server', detail: `no backend server of ${service} can take the request`, retryAfterMs: NO_SERVER_RETRY_AFTER_MS});
+			return Left(this.#refuseWithoutCandidate(options));
 		}
 
 		const best = findBest(candidates);
@@ -161,6 +171,26 @@
 		this.#recent.forget(server);
 	}
 
+	/** Why there is no candidate: where servers asked for a pause, callers come back after the first of them, spread over a while. */
+	#refuseWithoutCandidate({service, route, avoid, nowMs}: PlaceObjectOptions): PlacementRefusal {
+		const {servers, regions, region, closedUntilMs, random} = this.#options;
+		const isHome = ({server}: KnownServer): boolean => route.homeRegions.length === 0 || route.homeRegions.includes(regions.get(server.failureDomain) ?? region);
+		const endsMs = servers.listUsable(service)
+			.filter(known => isHome(known) && !avoid.has(known.server.name))
+			.map(({server}) => closedUntilMs({server, nowMs}) ?? Number.POSITIVE_INFINITY);
+		const firstEndMs = Math.min(...endsMs);
+		if (!Number.isFinite(firstEndMs)) {
+			return {reason: 'no-backend-server', detail: `no backend server of ${service} can take the request`, retryAfterMs: NO_SERVER_RETRY_AFTER_MS};
+		}
+
+		const pauseMs = firstEndMs - nowMs;
+		return {
+			reason: 'backend-paused',
+			detail: `the backend servers of ${service} want no requests, the first of them for ${Math.round(pauseMs)} ms`,
+			retryAfterMs: pauseMs + (random() * Math.max(LEAST_RETRY_AFTER_MS, Math.min(pauseMs, MOST_RETURN_SPREAD_MS))),
+		};
+	}
+
 	#listCandidates(options: ListCandidatesOptions): readonly Candidate[] {
 		const {region} = this.#options;
 		const {service, route, nowMs} = options;
@@ -210,7 +240,7 @@
 	/** The server if it may receive the request now. */
 	#findOpen({name, options: {avoid, nowMs, takesPaused}}: {readonly name: BackendServerName; readonly options: ListCandidatesOptions}): KnownServer | undefined {
 		const known = this.#options.servers.findUsable(name);
-		if (!known || avoid.has(name) || (!takesPaused && this.#observationsOf(known).isPaused(nowMs))) {
+		if (!known || avoid.has(name) || this.#options.closedUntilMs({server: known.server, nowMs}) !== undefined || (!takesPaused && this.#observationsOf(known).isPaused(nowMs))) {
 			return undefined;
 		}
 
--- a/steering/objects/test/object-placer.test.ts
+++ b/steering/objects/test/object-placer.test.ts
@@ -53,17 +53,27 @@
 	readonly placer: ObjectPlacer;
 	readonly servers: ServerTable;
 	readonly observations: ObservationTable;
+	/** Times until which servers said that they want nothing. */
+	readonly closedUntilMs: Map<BackendServerName, number>;
 	readonly place: (options?: {readonly object?: string; readonly homes?: readonly string[]; readonly avoid?: readonly string[]; readonly nowMs?: number}) => ObjectPlacement | undefined;
 }
 
 function createFixture(counts: Readonly<Record<string, number>>): Fixture {
 	const servers = createServers(counts);
 	const observations = new ObservationTable();
+	const closedUntilMs = new Map<BackendServerName, number>();
 	const placer = new ObjectPlacer({
-		servers, observations, failureDomain: 'north-a' as FailureDomainName, region: 'north' as RegionName, regions, mayWarm: () => false,
+		servers,
+		observations,
+		failureDomain: 'north-a' as FailureDomainName,
+		region: 'north' as RegionName,
+		regions,
+		mayWarm: () => false,
+		closedUntilMs: ({server}) => closedUntilMs.get(server.name),
+		random: () => 0.5,
 	});
 	return {
-		placer, servers, observations, place({object = 'x', homes = [], avoid = [], nowMs = 0} = {}) {
+		placer, servers, observations, closedUntilMs, place({object = 'x', homes = [], avoid = [], nowMs = 0} = {}) {
 			return placer.place({
 				route: {...route, homeRegions: homes as RegionName[]}, service, object, avoid: new Set(avoid) as unknown as ReadonlySet<BackendServerName>, deadlineMs: nowMs + 1500, nowMs,
 			}).toMaybe().extract();
@@ -120,6 +130,44 @@
 		assert.ok((refusal?.retryAfterMs ?? 0) >= 200);
 	});
 
+	it('sends nothing to a server that wants nothing, and has the next in rank stand in at once', () => {
+		const fixture = createFixture(even);
+		const first = fixture.place()!;
+		fixture.closedUntilMs.set(first.known.server.name, Number.POSITIVE_INFINITY);
+		const second = fixture.place()!;
+		assert.notEqual(second.known.server.name, first.known.server.name);
+		assert.equal(regionOf(second), 'north');
+		assert.equal(fixture.place()!.known.server.name, second.known.server.name);
+		fixture.closedUntilMs.delete(first.known.server.name);
+		assert.equal(fixture.place()!.known.server.name, first.known.server.name);
+	});
+
+	const closings: ReadonlyArray<{name: string; untilMs: readonly number[]; reason: string; leastMs: number; mostMs: number}> = [
+		{
+			name: 'all pause', untilMs: [3000, 5000], reason: 'backend-paused', leastMs: 3000, mostMs: 5000,
+		},
+		{
+			name: 'one leaves and one pauses', untilMs: [Number.POSITIVE_INFINITY, 4000], reason: 'backend-paused', leastMs: 4000, mostMs: 6000,
+		},
+		{
+			name: 'all leave', untilMs: [Number.POSITIVE_INFINITY, Number.POSITIVE_INFINITY], reason: 'no-backend-server', leastMs: 200, mostMs: 1000,
+		},
+	];
+	for (const {name, untilMs, reason, leastMs, mostMs} of closings) {
+		it(`refuses at once when ${name}, and names a time at which one may be open`, () => {
+			const fixture = createFixture({'north-a': 1, 'south-a': 1});
+			for (const [index, server] of ['north-a-0', 'south-a-0'].entries()) {
+				fixture.closedUntilMs.set(server as BackendServerName, untilMs[index]!);
+			}
+
+			const refusal = fixture.placer.place({
+				route, service, object: 'x', avoid: new Set(), deadlineMs: 1500, nowMs: 0,
+			}).swap().toMaybe().extract();
+			assert.equal(refusal?.reason, reason);
+			assert.ok(refusal.retryAfterMs >= leastMs && refusal.retryAfterMs <= mostMs, String(refusal.retryAfterMs));
+		});
+	}
+
 	it('keeps to home regions, also when nothing is left there', () => {
 		const fixture = createFixture(even);
 		for (let object = 0; object < 20; object += 1) {
--- /dev/null
+++ b/steering/servers/src/server-start-map.ts
@@ -0,0 +1,45 @@
+/** Values by a start of a backend server, bounded in number. */
+import type {BackendServerName} from '@pomelopick/core.types';
+
+/** One start of a server. */
+export interface ServerStart {
+	readonly name: BackendServerName;
+	/** Wall-clock time of the start as the server tells it, in milliseconds; undefined: it does not say. */
+	readonly startedAtMs: number | undefined;
+}
+
+/** Options of {@link ServerStartMap}. */
+export interface ServerStartMapOptions {
+	/** Starts that are kept; the ones set first go first. */
+	readonly most: number;
+}
+
+/** A map whose keys are starts of servers. */
+export class ServerStartMap<Value> {
+	readonly #most: number;
+	readonly #entries = new Map<string, Value>();
+
+	constructor({most}: ServerStartMapOptions) {
+		this.#most = most;
+	}
+
+	/** The value of a start; undefined when there is none. */
+	get(server: ServerStart): Value | undefined {
+		return this.#entries.size === 0 ? undefined : this.#entries.get(keyOf(server));
+	}
+
+	/** Sets the value of a start, which becomes the newest. */
+	set(server: ServerStart, value: Value): void {
+		const key = keyOf(server);
+		this.#entries.delete(key);
+		this.#entries.set(key, value);
+		if (this.#entries.size > this.#most) {
+			const [oldest] = this.#entries.keys();
+			this.#entries.delete(oldest!);
+		}
+	}
+}
+
+function keyOf({name, startedAtMs}: ServerStart): string {
+	return `${name}\0${startedAtMs ?? ''}`;
+}
--- a/steering/servers/src/server-table.ts
+++ b/steering/servers/src/server-table.ts
@@ -132,6 +132,11 @@
 		return this.#servers.get(name);
 	}
 
+	/** Servers that are registered at an address. */
+	listAt({address, port}: Pick<RegisteredServer, 'address' | 'port'>): readonly RegisteredServer[] {
+		return [...this.#servers.values()].map(({server}) => server).filter(server => server.address === address && server.port === port);
+	}
+
 	/** The entry of a server that may receive requests now; undefined when there is none. */
 	findUsable(name: BackendServerName): KnownServer | undefined {
 		const known = this.#servers.get(name);
--- a/testing/gateway-fleet/src/gateway-fleet.ts
+++ b/testing/gateway-fleet/src/gateway-fleet.ts
@@ -55,6 +55,15 @@
 	readonly shutdownSeconds?: number;
 }
 
+/** Options of {@link GatewayFleet.register}. */
+export interface RegisterOptions {
+	readonly server: Pick<RegisteredServer, 'name' | 'port'>;
+	readonly failureDomain: FleetDomain;
+	readonly state?: 'ready' | 'draining';
+	/** Wall-clock time of the server's start, in milliseconds. */
+	readonly startedAtMs?: number;
+}
+
 /** A store and servers. */
 export class GatewayFleet {
 	readonly records: ServerRecords = {executions: [], arrivals: new Map(), arrivalLog: []};
@@ -77,10 +86,10 @@
 	}
 
 	/** Writes the entry of a server. */
-	register({server, failureDomain, state = 'ready'}: {readonly server: Pick<RegisteredServer, 'name' | 'port'>; readonly failureDomain: FleetDomain; readonly state?: 'ready' | 'draining'}): void {
+	register({server, failureDomain, state = 'ready', startedAtMs = 1000}: RegisterOptions): void {
 		this.#heartbeat += 1;
 		this.write(`servers/${server.name}`, {
-			service: 'ledger', address: `127.0.0.1:${server.port}`, zone: failureDomain, version: 'v1', slots: SLOTS, state, 'warmup-left-s': 0, sequence: this.#heartbeat, born: 1000,
+			service: 'ledger', address: `127.0.0.1:${server.port}`, zone: failureDomain, version: 'v1', slots: SLOTS, state, 'warmup-left-s': 0, sequence: this.#heartbeat, born: startedAtMs,
 		});
 	}
 
--- a/testing/gateway-fleet/src/registered-server.ts
+++ b/testing/gateway-fleet/src/registered-server.ts
@@ -35,6 +35,7 @@
 /** Times after which the plays `slow` and `late-reset` end, in milliseconds. */
 export const SLOW_MS = 400;
 const LATE_RESET_MS = 1200;
+const MILLISECONDS_PER_SECOND = 1000;
 
 /** One run of a request at a server. */
 export interface ExecutionRecord {
@@ -79,6 +80,10 @@
 export interface RegisteredServer {
 	readonly name: string;
 	readonly port: number;
+	/** Says in all further answers that the server leaves, or no longer. */
+	setLeaving(isLeaving: boolean): void;
+	/** Turns all requests away for a time, in milliseconds, and says so. */
+	askPause(pauseMs: number): void;
 	/** Takes all connections down and listens no more. */
 	stop(): Promise<void>;
 }
@@ -86,9 +91,10 @@
 /** Starts a server on loopback; it registers nothing by itself. */
 export async function startRegisteredServer({name, records, port = 0}: StartRegisteredServerOptions): Promise<RegisteredServer> {
 	const sockets = new Set<Socket>();
+	const notice: ServerNotice = {isLeaving: false, pausedUntilMs: 0};
 	const server: Server = createServer((request, response) => {
 		void serve({
-			name, records, request, response, crash() {
+			name, records, notice, request, response, crash() {
 				for (const socket of sockets) {
 					socket.resetAndDestroy();
 				}
@@ -110,6 +116,12 @@
 	return {
 		name,
 		port: (server.address() as AddressInfo).port,
+		setLeaving(isLeaving) {
+			notice.isLeaving = isLeaving;
+		},
+		askPause(pauseMs) {
+			notice.pausedUntilMs = performance.now() + pauseMs;
+		},
 		async stop() {
 			await new Promise<void>(resolve => {
 				server.close(() => {
@@ -121,15 +133,27 @@
 	};
 }
 
+/** What a server says of itself. */
+interface ServerNotice {
+	isLeaving: boolean;
+	/** Monotonic time until which it turns requests away, in milliseconds. */
+	pausedUntilMs: number;
+}
+
 interface ServeOptions {
 	readonly name: string;
 	readonly records: ServerRecords;
+	readonly notice: ServerNotice;
 	readonly request: IncomingMessage;
 	readonly response: ServerResponse;
 	readonly crash: () => void;
 }
 
-async function serve({name, records, request, response, crash}: ServeOptions): Promise<void> {
+async function serve({name, records, notice, request, response, crash}: ServeOptions): Promise<void> {
+	if (notice.isLeaving) {
+		response.setHeader('server-leaving', '1');
+	}
+
 	if (request.url === '/health') {
 		response.setHeader('x-instance-id', name);
 		response.end();
@@ -145,6 +169,12 @@
 		return;
 	}
 
+	const pauseMs = notice.pausedUntilMs - performance.now();
+	if (pauseMs > 0) {
+		response.writeHead(503, {'x-not-executed': '1', 'x-request-id': requestId, 'retry-after': (pauseMs / MILLISECONDS_PER_SECOND).toFixed(3)}).end();
+		return;
+	}
+
 	const play = nextPlay({records, requestId, plays: String(request.headers[PLAY_HEADER] ?? 'whole')});
 	if (play === 'shed') {
 		response.writeHead(503, {'x-not-executed': '1', 'x-request-id': requestId}).end();
--- a/testing/repository/test/platform-names.test.ts
+++ b/testing/repository/test/platform-names.test.ts
@@ -15,6 +15,7 @@
 	'x-affinity-key',
 	'x-server-stamp',
 	'x-not-executed',
+	'server-leaving',
 	'x-deadline-ms',
 	'traffic-split',
 	'home-regions',
