Let a few instances of each region follow the store for all

Change: steering/upstreams ranks the instances of a region; the first of each 36 watch the store, the others ask one of them (GET /changes on the new peers listener), which answers with every word of the store, changes or none, and its age. An upstream without word for 1.5 s, stopping, cut off or with too short a history is left for the store at once. The first reading may be old and is brought up to date by the changes since; an instance is ready from then on, a moment after its first answer. Records have 4.8 s and are renewed every 1.6 s. The pause is 0.5 s now.

--- /dev/null
+++ b/calls/live/src/change-relay.ts
@@ -0,0 +1,139 @@
+/**
+ * Passes the store's changes on to instances that ask for them.
+ *
+ * A question waits until there is word from the store that the asker does not have: a change, or the store's word that
+ * nothing changed, which is what tells the asker that its view is fresh.
+ */
+import type {StoreChange} from '@pomelopick/platform.store';
+import {ChangeHistory} from './change-history.js';
+import type {UpstreamAnswer} from './relayed-changes.js';
+
+/** Time for which an instance that was asked counts as followed, in milliseconds: longer than any question waits. */
+const FOLLOWED_MS = 3000;
+/** Time after the store's return for which it is told, in milliseconds. */
+const RETURN_TOLD_MS = 2000;
+
+/** Options of {@link ChangeRelay}. */
+export interface ChangeRelayOptions {
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+}
+
+/** Options of {@link ChangeRelay.confirm}. */
+export interface ConfirmOptions {
+	/** Changes since the index before. */
+	readonly changes: readonly StoreChange[];
+	readonly index: number;
+	/** Monotonic times, in milliseconds: of the store's word, and at which the store last answered again after a failure. */
+	readonly confirmedAtMs: number;
+	readonly returnedAtMs: number;
+}
+
+interface Question {
+	readonly afterIndex: number;
+	readonly answer: (answer: UpstreamAnswer) => void;
+}
+
+/** The relay of one instance. */
+export class ChangeRelay {
+	readonly #now: () => number;
+	readonly #waiting = new Set<Question>();
+	#history: ChangeHistory | undefined;
+	#confirmedAtMs = Number.NEGATIVE_INFINITY;
+	#returnedAtMs = Number.NEGATIVE_INFINITY;
+	#askedAtMs = Number.NEGATIVE_INFINITY;
+	#isClosed = false;
+
+	constructor({now}: ChangeRelayOptions) {
+		this.#now = now;
+	}
+
+	/** Whether other instances rely on this one. */
+	get isFollowed(): boolean {
+		return this.#now() - this.#askedAtMs < FOLLOWED_MS;
+	}
+
+	/** Questions that wait. */
+	get waiting(): number {
+		return this.#waiting.size;
+	}
+
+	/** Starts anew after an index, when everything was read: earlier changes are not known. */
+	restart({index}: {readonly index: number}): void {
+		this.#history = new ChangeHistory({index});
+	}
+
+	/** Takes the store's word and passes it on. */
+	confirm({changes, index, confirmedAtMs, returnedAtMs}: ConfirmOptions): void {
+		this.#history?.append({changes, index});
+		this.#confirmedAtMs = confirmedAtMs;
+		this.#returnedAtMs = returnedAtMs;
+		const answers = new Map<number, UpstreamAnswer>();
+		for (const question of this.#takeWaiting()) {
+			const answer = answers.get(question.afterIndex) ?? this.#answerNow(question.afterIndex);
+			answers.set(question.afterIndex, answer);
+			question.answer(answer);
+		}
+	}
+
+	/** Tells those who wait that there is no word from the store. */
+	fail(): void {
+		for (const {answer} of this.#takeWaiting()) {
+			answer({kind: 'unavailable'});
+		}
+	}
+
+	/** Answers nobody any more. */
+	close(): void {
+		this.#isClosed = true;
+		this.fail();
+	}
+
+	/** Answers as soon as there is word that an instance which knows all up to an index does not have; never rejects. */
+	async follow({afterIndex, signal}: {readonly afterIndex: number; readonly signal: AbortSignal}): Promise<UpstreamAnswer> {
+		if (this.#isClosed || !this.#history) {
+			return {kind: 'unavailable'};
+		}
+
+		this.#askedAtMs = this.#now();
+		const isConfirmed = Number.isFinite(this.#confirmedAtMs);
+		if (isConfirmed && this.#history.index > afterIndex) {
+			return this.#answerNow(afterIndex);
+		}
+
+		return new Promise(resolve => {
+			const onAbort = (): void => {
+				this.#waiting.delete(question);
+				resolve({kind: 'unavailable'});
+			};
+
+			const question: Question = {
+				afterIndex, answer(answer) {
+					signal.removeEventListener('abort', onAbort);
+					resolve(answer);
+				},
+			};
+			this.#waiting.add(question);
+			signal.addEventListener('abort', onAbort, {once: true});
+		});
+	}
+
+	#answerNow(afterIndex: number): UpstreamAnswer {
+		const changes = this.#history!.after(afterIndex);
+		if (!changes) {
+			return {kind: 'history-lost'};
+		}
+
+		const nowMs = this.#now();
+		const returnedMs = nowMs - this.#returnedAtMs;
+		return {
+			kind: 'changes', changes, index: this.#history!.index, ageMs: Math.max(0, nowMs - this.#confirmedAtMs), returnedMs: returnedMs < RETURN_TOLD_MS ? returnedMs : undefined,
+		};
+	}
+
+	#takeWaiting(): readonly Question[] {
+		const questions = [...this.#waiting];
+		this.#waiting.clear();
+		return questions;
+	}
+}
--- a/calls/live/src/instance-record.ts
+++ b/calls/live/src/instance-record.ts
@@ -16,6 +16,8 @@
 	readonly region: RegionName;
 	/** Listener for callers. */
 	readonly callers: Endpoint;
+	/** Listener for other instances; undefined: it passes nothing on to them. */
+	readonly peers: Endpoint | undefined;
 }
 
 /** Key of an instance's record. */
@@ -32,11 +34,11 @@
 export function decodeInstance(bytes: Uint8Array): Either<CodedError, InstanceRecord> {
 	try {
 		const record = JSON.parse(new TextDecoder().decode(bytes)) as Partial<InstanceRecord>;
-		const {id, failureDomain, region, callers} = record;
-		const isWhole = typeof id === 'string' && typeof failureDomain === 'string' && typeof region === 'string' && isEndpoint(callers);
+		const {id, failureDomain, region, callers, peers} = record;
+		const isWhole = typeof id === 'string' && typeof failureDomain === 'string' && typeof region === 'string' && isEndpoint(callers) && (peers === undefined || isEndpoint(peers));
 		return isWhole
 			? Right({
-				id, failureDomain, region, callers,
+				id, failureDomain, region, callers, peers,
 			})
 			: Left({code: 'malformed-instance', message: `a field is missing or of another type: ${JSON.stringify(record).slice(0, SHOWN_CHARACTERS)}`});
 	} catch (error) {
--- a/calls/live/src/registration.ts
+++ b/calls/live/src/registration.ts
@@ -3,8 +3,8 @@
 import {encodeInstance, instanceKey} from './instance-record.js';
 import type {InstanceRecord} from './instance-record.js';
 
-const TIME_TO_LIVE_MS = 4000;
-const RENEWAL_INTERVAL_MS = 1300;
+const TIME_TO_LIVE_MS = 4800;
+const RENEWAL_INTERVAL_MS = 1600;
 const RETRY_INTERVAL_MS = 300;
 
 /** Options of {@link Registration}. */
--- a/calls/live/src/store-feed.ts
+++ b/calls/live/src/store-feed.ts
@@ -1,24 +1,45 @@
-/** Keeps the view up with the store: reads a prefix whole, then follows its changes. */
-import type {
-	KeyValueStore, StoreChanges, StoreError, WatchResult,
-} from '@pomelopick/platform.store';
+/**
+ * Keeps the view up with the store: reads a prefix whole, then follows its changes, directly or through an upstream.
+ *
+ * Worst case for a change while upstreams are killed, frozen or cut off from the store: the upstream's last word was
+ * UPSTREAM_SILENCE_MS ago when it is given up, and the store is then asked at once.
+ */
+import type {KeyValueStore, StoreError, WatchResult} from '@pomelopick/platform.store';
 import {heldUntilMs} from '@pomelopick/steering.servers';
+import type {ChangeRelay, ConfirmOptions} from './change-relay.js';
 import type {LiveView} from './live-view.js';
-
-/** Longest wait of a watch, in milliseconds: a connection that went silent is found out this long after the last answer. */
-const WATCH_WAIT_MS = 2000;
+import type {Upstream, UpstreamLink} from './upstream-link.js';
+
+/** Longest time between two words of the store, in milliseconds, which is how often those who follow this instance hear that nothing changed. */
+const CONFIRMATION_INTERVAL_MS = 1000;
+/** Shortest wait of a watch, in milliseconds. */
+const LEAST_WATCH_WAIT_MS = 100;
+/** Wait of the watch that brings a first reading up to date, in milliseconds. */
+const CATCH_UP_WAIT_MS = 1;
+/** Age of an upstream's word at which it is given up, in milliseconds: below the time in which a leaving server must get nothing more. */
+const UPSTREAM_SILENCE_MS = 1500;
+/** Shortest time for which an upstream is waited for, in milliseconds. */
+const LEAST_UPSTREAM_WAIT_MS = 300;
 /** Pause after changes, in milliseconds, so that a series of them costs one call. */
-const BATCH_PAUSE_MS = 350;
+const BATCH_PAUSE_MS = 500;
+/** Pause once the first reading is up to date and no other instance is known, in milliseconds: where all start at once, their records come together. */
+const FIRST_START_PAUSE_MS = 800;
 /** Pauses after failures, in milliseconds, doubled up to the longest. */
 const FIRST_RETRY_PAUSE_MS = 100;
 const LONGEST_RETRY_PAUSE_MS = 500;
+const MOST_DOUBLINGS = 5;
+const HALF = 0.5;
 
 /** Options of {@link StoreFeed}. */
 export interface StoreFeedOptions {
 	readonly store: KeyValueStore;
 	readonly view: LiveView;
 	readonly prefix: string;
-	/** Called when the store, having failed, answers again, and when it fails after an answer. */
+	/** Passes on to other instances what this one learns. */
+	readonly relay: ChangeRelay;
+	/** The instances from which this one may learn. */
+	readonly upstreams: UpstreamLink;
+	/** Called when word of the store, having failed to come, comes again, and when it fails to. */
 	readonly onAvailability: (options: {readonly isAvailable: boolean; readonly detail: string}) => void;
 	/** Called after each whole reading. */
 	readonly onRead: (options: {readonly values: number; readonly isReread: boolean}) => void;
@@ -35,7 +56,10 @@
 	readonly #stopped = new AbortController();
 	#index: number | undefined;
 	#hasRead = false;
-	#answeredAtMs = Number.NEGATIVE_INFINITY;
+	#hasCaughtUp = false;
+	/** Whether the store itself is asked next: an upstream failed, and what it had not told may be late. */
+	#mustAskStore = false;
+	#confirmedAtMs = Number.NEGATIVE_INFINITY;
 	#returnedAtMs = Number.NEGATIVE_INFINITY;
 	#failures = 0;
 
@@ -43,17 +67,22 @@
 		this.#options = options;
 	}
 
-	/** Whether the prefix was read whole at least once. */
+	/** Whether the prefix was read whole at least once; the reading may be seconds old. */
 	get hasRead(): boolean {
 		return this.#hasRead;
 	}
 
-	/** Time since the store last answered, in milliseconds. */
+	/** Whether a whole reading was brought up to date at least once. */
+	get hasCaughtUp(): boolean {
+		return this.#hasCaughtUp;
+	}
+
+	/** Time since the store's last word, in milliseconds. */
 	get ageMs(): number {
-		return this.#options.now() - this.#answeredAtMs;
+		return this.#options.now() - this.#confirmedAtMs;
 	}
 
-	/** Whether the last call failed. */
+	/** Whether the last call to the store failed. */
 	get isFailing(): boolean {
 		return this.#failures > 0;
 	}
@@ -68,68 +97,114 @@
 	/** Stops following. */
 	stop(): void {
 		this.#stopped.abort();
+		this.#options.relay.close();
 	}
 
 	async #step(): Promise<void> {
-		const {store, prefix, sleep} = this.#options;
+		const {relay, upstreams} = this.#options;
 		if (this.#index === undefined) {
-			const read = await store.snapshot(prefix).run();
-			if (read.isRight()) {
-				this.#onRead(read.unsafeCoerce());
-				return;
-			}
+			await this.#readWhole();
+			return;
+		}
+
+		// Whoever is followed follows the store itself, so that word never comes through two instances for long.
+		const upstream = this.#mustAskStore || relay.isFollowed ? undefined : upstreams.choose();
+		await (upstream ? this.#followUpstream({upstream, index: this.#index}) : this.#followStore(this.#index));
+	}
 
-			await this.#onFailure(read.extract() as StoreError);
+	async #readWhole(): Promise<void> {
+		const {store, prefix} = this.#options;
+		// A first reading is brought up to date by the changes since; one that the store's history does not reach is not.
+		const read = await store.snapshot(prefix, {mayBeOld: !this.#hasRead}).run();
+		if (read.isLeft()) {
+			await this.#onFailure(read.extract());
 			return;
 		}
 
+		this.#onRead(read.unsafeCoerce());
+	}
+
+	async #followStore(index: number): Promise<void> {
+		const {store, prefix, upstreams, now, sleep} = this.#options;
+		const isCatchingUp = !this.#hasCaughtUp;
+		const waitMs = isCatchingUp ? CATCH_UP_WAIT_MS : Math.max(LEAST_WATCH_WAIT_MS, CONFIRMATION_INTERVAL_MS - this.ageMs);
+		const sentAtMs = now();
 		const watched = await store.changes({
-			prefix, afterIndex: this.#index, waitMs: WATCH_WAIT_MS, signal: this.#stopped.signal,
+			prefix, afterIndex: index, waitMs, signal: this.#stopped.signal,
 		}).run();
+		this.#mustAskStore = false;
 		if (watched.isLeft()) {
 			await this.#onFailure(watched.extract());
 			return;
 		}
 
-		if (this.#onChanges(watched.unsafeCoerce())) {
+		const answer = watched.unsafeCoerce();
+		this.#onAnswer('the store answered');
+		if (answer.kind === 'history-lost') {
+			// The prefix is read anew, which also tells what was removed in the gap.
+			this.#index = undefined;
+			return;
+		}
+
+		// A wait without a change ended when it was due, however late this process came to see it.
+		const hasChanges = answer.changes.length > 0;
+		this.#apply({...answer, confirmedAtMs: hasChanges ? now() : Math.min(now(), sentAtMs + waitMs)});
+		if (isCatchingUp && !upstreams.knowsOthers()) {
+			await sleep(FIRST_START_PAUSE_MS);
+		} else if (hasChanges) {
 			await sleep(BATCH_PAUSE_MS);
 		}
 	}
 
+	async #followUpstream({upstream, index}: {readonly upstream: Upstream; readonly index: number}): Promise<void> {
+		const {now, upstreams} = this.#options;
+		const timeoutMs = this.#hasCaughtUp ? Math.max(LEAST_UPSTREAM_WAIT_MS, UPSTREAM_SILENCE_MS - this.ageMs) : UPSTREAM_SILENCE_MS;
+		const answer = await upstreams.ask({
+			upstream, afterIndex: index, timeoutMs, signal: this.#stopped.signal,
+		});
+		if (answer.kind !== 'changes' || answer.ageMs > UPSTREAM_SILENCE_MS) {
+			this.#mustAskStore = true;
+			return;
+		}
+
+		const nowMs = now();
+		this.#onAnswer(`${upstream.id} passed its word on`);
+		this.#returnedAtMs = Math.max(this.#returnedAtMs, answer.returnedMs === undefined ? Number.NEGATIVE_INFINITY : nowMs - answer.returnedMs);
+		// An upstream that lags behind this instance says nothing about what this one knows beyond it.
+		const confirmedAtMs = answer.index < index ? Number.NEGATIVE_INFINITY : nowMs - answer.ageMs;
+		this.#apply({changes: answer.changes, index: answer.index, confirmedAtMs});
+	}
+
 	#onRead({values, index}: WatchResult): void {
-		const {view, prefix, onRead, now} = this.#options;
-		this.#onAnswer();
+		const {view, prefix, relay, onRead, now} = this.#options;
+		this.#onAnswer('the store was read');
 		view.replace({
 			prefix, values, heldUntilMs: this.#holdLapsed(), nowMs: now(),
 		});
 		this.#index = index;
+		relay.restart({index});
 		onRead({values: values.length, isReread: this.#hasRead});
 		this.#hasRead = true;
 	}
 
-	/** Applies changes; answers whether there were any. */
-	#onChanges(answer: StoreChanges): boolean {
-		this.#onAnswer();
-		if (answer.kind === 'history-lost') {
-			// The prefix is read anew, which also tells what was removed in the gap.
-			this.#index = undefined;
-			return false;
-		}
-
-		this.#index = answer.index;
-		this.#options.view.apply({changes: answer.changes, heldUntilMs: this.#holdLapsed(), nowMs: this.#options.now()});
-		return answer.changes.length > 0;
+	#apply({changes, index, confirmedAtMs}: Omit<ConfirmOptions, 'returnedAtMs'>): void {
+		const {view, relay, now} = this.#options;
+		view.apply({changes, heldUntilMs: this.#holdLapsed(), nowMs: now()});
+		this.#index = Math.max(this.#index ?? 0, index);
+		this.#confirmedAtMs = Math.max(this.#confirmedAtMs, confirmedAtMs);
+		this.#hasCaughtUp = true;
+		relay.confirm({
+			changes, index, confirmedAtMs: this.#confirmedAtMs, returnedAtMs: this.#returnedAtMs,
+		});
 	}
 
-	#onAnswer(): void {
-		const nowMs = this.#options.now();
+	#onAnswer(detail: string): void {
 		if (this.#failures > 0) {
-			this.#returnedAtMs = nowMs;
-			this.#options.onAvailability({isAvailable: true, detail: `answered after ${this.#failures} failures`});
+			this.#returnedAtMs = this.#options.now();
+			this.#options.onAvailability({isAvailable: true, detail: `${detail} after ${this.#failures} failures`});
 		}
 
 		this.#failures = 0;
-		this.#answeredAtMs = nowMs;
 	}
 
 	async #onFailure({code, message}: StoreError): Promise<void> {
@@ -138,6 +213,7 @@
 		}
 
 		this.#failures += 1;
+		this.#options.relay.fail();
 		if (this.#failures === 1) {
 			this.#options.onAvailability({isAvailable: false, detail: `${code}: ${message}`});
 		}
@@ -163,6 +239,3 @@
 		view.expire(now());
 	}
 }
-
-const MOST_DOUBLINGS = 5;
-const HALF = 0.5;
--- /dev/null
+++ b/calls/live/test/change-relay.test.ts
@@ -0,0 +1,190 @@
+import assert from 'node:assert/strict';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {describe, it} from 'node:test';
+import {
+	ChangeRelay, createChangeListener, decodeUpstreamAnswer, encodeUpstreamAnswer, UpstreamClient,
+} from '@pomelopick/calls.live';
+import type {UpstreamAnswer} from '@pomelopick/calls.live';
+import type {StoreChange} from '@pomelopick/platform.store';
+
+const written: StoreChange = {kind: 'written', value: {key: 'servers/a', value: new TextEncoder().encode('{"ü":1}'), modifyIndex: 6}};
+const removed: StoreChange = {kind: 'removed', key: 'servers/b', modifyIndex: 7};
+
+const answers: readonly UpstreamAnswer[] = [
+	{
+		kind: 'changes', changes: [written, removed], index: 9, ageMs: 12.5, returnedMs: 300,
+	},
+	{
+		kind: 'changes', changes: [], index: 9, ageMs: 0, returnedMs: undefined,
+	},
+	{kind: 'history-lost'},
+	{kind: 'unavailable'},
+];
+
+const malformed: ReadonlyArray<{text: string; field: RegExp}> = [
+	{text: 'not JSON', field: /JSON/u},
+	{text: '{"kind":"other"}', field: /kind/u},
+	{text: '{"kind":"changes","changes":[],"ageMs":0}', field: /index/u},
+	{text: '{"kind":"changes","changes":[],"index":1,"ageMs":-1}', field: /ageMs/u},
+	{text: '{"kind":"changes","changes":[{"key":1}],"index":1,"ageMs":0}', field: /changes\.0/u},
+];
+
+describe('the answer of an upstream', () => {
+	for (const answer of answers) {
+		it(`is read as it was written: ${encodeUpstreamAnswer(answer).slice(0, 60)}`, () => {
+			const read = decodeUpstreamAnswer(encodeUpstreamAnswer(answer)).unsafeCoerce();
+			assert.deepEqual(JSON.parse(encodeUpstreamAnswer(read)), JSON.parse(encodeUpstreamAnswer(answer)));
+			assert.equal(read.kind, answer.kind);
+		});
+	}
+
+	for (const {text, field} of malformed) {
+		it(`is refused, with the field, when it is ${text}`, () => {
+			assert.match(decodeUpstreamAnswer(text).swap().map(({message}) => message).orDefault(''), field);
+		});
+	}
+});
+
+describe('ChangeRelay', () => {
+	const never = new AbortController().signal;
+	const create = ({nowMs = 1000} = {}) => {
+		const clock = {nowMs};
+		const relay = new ChangeRelay({now: () => clock.nowMs});
+		return {relay, clock};
+	};
+
+	it('has no word before the first of the store, nor once it is closed', async () => {
+		const {relay} = create();
+		assert.deepEqual(await relay.follow({afterIndex: 1, signal: never}), {kind: 'unavailable'});
+		relay.restart({index: 5});
+		const asked = relay.follow({afterIndex: 1, signal: never});
+		relay.close();
+		assert.deepEqual(await asked, {kind: 'unavailable'});
+		assert.deepEqual(await relay.follow({afterIndex: 1, signal: never}), {kind: 'unavailable'});
+	});
+
+	it('answers those who wait with the next word, also when nothing changed', async () => {
+		const {relay} = create();
+		relay.restart({index: 5});
+		const asked = [5, 5, 6].map(async afterIndex => relay.follow({afterIndex, signal: never}));
+		relay.confirm({
+			changes: [], index: 5, confirmedAtMs: 990, returnedAtMs: 100,
+		});
+		const answered = await Promise.all(asked);
+		assert.deepEqual(answered[0], {
+			kind: 'changes', changes: [], index: 5, ageMs: 10, returnedMs: 900,
+		});
+		assert.equal(answered[0], answered[1], 'those who know the same are given the same');
+		assert.equal(relay.waiting, 0);
+	});
+
+	it('answers at once what the asker does not know, with its age', async () => {
+		const {relay, clock} = create();
+		relay.restart({index: 5});
+		relay.confirm({
+			changes: [written, removed], index: 7, confirmedAtMs: 1000, returnedAtMs: Number.NEGATIVE_INFINITY,
+		});
+		clock.nowMs = 1400;
+		assert.deepEqual(await relay.follow({afterIndex: 6, signal: never}), {
+			kind: 'changes', changes: [removed], index: 7, ageMs: 400, returnedMs: undefined,
+		});
+		assert.deepEqual(await relay.follow({afterIndex: 4, signal: never}), {kind: 'history-lost'});
+	});
+
+	it('says at once that it has no word when the store fails', async () => {
+		const {relay} = create();
+		relay.restart({index: 5});
+		const asked = relay.follow({afterIndex: 5, signal: never});
+		relay.fail();
+		assert.deepEqual(await asked, {kind: 'unavailable'});
+	});
+
+	it('forgets an asker that left', async () => {
+		const {relay} = create();
+		relay.restart({index: 5});
+		const asker = new AbortController();
+		const asked = relay.follow({afterIndex: 5, signal: asker.signal});
+		asker.abort();
+		assert.deepEqual(await asked, {kind: 'unavailable'});
+		assert.equal(relay.waiting, 0);
+	});
+
+	it('counts as followed for a while after a question', async () => {
+		const {relay, clock} = create();
+		relay.restart({index: 5});
+		assert.equal(relay.isFollowed, false);
+		void relay.follow({afterIndex: 5, signal: never});
+		assert.equal(relay.isFollowed, true);
+		clock.nowMs += 3000;
+		assert.equal(relay.isFollowed, false);
+	});
+});
+
+describe('changes over HTTP', () => {
+	const paths: ReadonlyArray<{path: string; status: number}> = [
+		{path: '/changes?after=0', status: 200},
+		{path: '/changes', status: 400},
+		{path: '/changes?after=-1', status: 400},
+		{path: '/changes?after=1e9', status: 400},
+		{path: '/changes?after=9999999999999999', status: 400},
+		{path: '/other', status: 404},
+	];
+
+	it('are asked for by an index, and anything else is refused', async () => {
+		const {relay, stop, endpoint} = await startListener();
+		relay.close();
+		const statuses = await Promise.all(paths.map(async ({path}) => {
+			const {status} = await fetch(`http://${endpoint.address}:${endpoint.port}${path}`);
+			return status;
+		}));
+		assert.deepEqual(statuses, paths.map(({status}) => status));
+		await stop();
+	});
+
+	it('arrive at an instance that asks, which is told when no answer comes', async () => {
+		const {relay, stop, endpoint} = await startListener();
+		const client = new UpstreamClient();
+		const {signal} = new AbortController();
+		relay.restart({index: 5});
+		relay.confirm({
+			changes: [written], index: 6, confirmedAtMs: performance.now(), returnedAtMs: Number.NEGATIVE_INFINITY,
+		});
+		const asked = await client.ask({
+			endpoint, afterIndex: 5, timeoutMs: 5000, signal,
+		});
+		const answer = asked.unsafeCoerce();
+		assert.ok(answer.kind === 'changes' && answer.changes.length === 1 && answer.index === 6);
+		const late = await client.ask({
+			endpoint, afterIndex: 6, timeoutMs: 50, signal,
+		});
+		assert.equal(late.swap().map(({code}) => code).orDefault(''), 'upstream-silent');
+		await stop();
+		const gone = await client.ask({
+			endpoint, afterIndex: 6, timeoutMs: 5000, signal,
+		});
+		assert.ok(gone.isLeft());
+		client.close();
+	});
+});
+
+async function startListener() {
+	const relay = new ChangeRelay({now: () => performance.now()});
+	const server = createServer(createChangeListener({relay}));
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+	return {
+		relay,
+		endpoint: {address: '127.0.0.1', port},
+		async stop() {
+			server.closeAllConnections();
+			await new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+			});
+		},
+	};
+}
--- a/config/settings/src/gateway-settings.ts
+++ b/config/settings/src/gateway-settings.ts
@@ -24,6 +24,8 @@
 	regions: z.record(z.string(), name),
 	listen: z.object({
 		callers: endpointText, readiness: endpointText, directory: endpointText, metrics: endpointText,
+		/** For other instances. */
+		peers: endpointText,
 	}),
 	store: endpointText,
 	/** Longest time from the order to stop until the process is ended. */
@@ -46,7 +48,7 @@
 	readonly failureDomain: FailureDomainName;
 	readonly region: RegionName;
 	readonly regions: ReadonlyMap<FailureDomainName, RegionName>;
-	readonly listen: {readonly callers: Endpoint; readonly readiness: Endpoint; readonly directory: Endpoint; readonly metrics: Endpoint};
+	readonly listen: {readonly callers: Endpoint; readonly readiness: Endpoint; readonly directory: Endpoint; readonly metrics: Endpoint; readonly peers: Endpoint};
 	readonly store: Endpoint;
 	readonly shutdownMs: number;
 	readonly directoryMostMs: number;
@@ -88,7 +90,11 @@
 		region: rest.region as RegionName,
 		regions: new Map(Object.entries(regions)) as unknown as ReadonlyMap<FailureDomainName, RegionName>,
 		listen: {
-			callers: parseEndpoint(listen.callers)!, readiness: parseEndpoint(listen.readiness)!, directory: parseEndpoint(listen.directory)!, metrics: parseEndpoint(listen.metrics)!,
+			callers: parseEndpoint(listen.callers)!,
+			readiness: parseEndpoint(listen.readiness)!,
+			directory: parseEndpoint(listen.directory)!,
+			metrics: parseEndpoint(listen.metrics)!,
+			peers: parseEndpoint(listen.peers)!,
 		},
 		store: parseEndpoint(store)!,
 		shutdownMs: rest.shutdownSeconds * MILLISECONDS_PER_SECOND,
--- a/daemons/gateway/src/create-view.ts
+++ b/daemons/gateway/src/create-view.ts
@@ -1,7 +1,7 @@
 /** Wires the store, the view of it that this instance keeps, and this instance's own record. */
 import {setTimeout as startTimeout} from 'node:timers/promises';
 import {
-	AllowanceParts, LiveView, Registration, StoreFeed, suspicionReader, SuspicionWriter,
+	AllowanceParts, ChangeRelay, LiveView, Registration, StoreFeed, suspicionReader, SuspicionWriter, UpstreamClient, UpstreamLink,
 } from '@pomelopick/calls.live';
 import type {BeliefChange, InstanceRecord, SuspicionRecord} from '@pomelopick/calls.live';
 import type {SuspicionSharing} from '@pomelopick/calls.quarantine';
@@ -42,6 +42,8 @@
 export interface ViewParts {
 	readonly view: LiveView;
 	readonly feed: StoreFeed;
+	/** Passes the store's changes on to other instances. */
+	readonly relay: ChangeRelay;
 	/** Tells the other instances of requests that crash servers. */
 	readonly sharing: SuspicionSharing;
 	/** Claims a part of a service's allowance of further sends. */
@@ -79,9 +81,23 @@
 		})],
 		onServerLost,
 	});
+	const relay = new ChangeRelay({now});
+	const upstreamClient = new UpstreamClient();
+	const upstreams = new UpstreamLink({
+		self,
+		instances: () => view.instances.list(),
+		askEndpoint: async options => upstreamClient.ask(options),
+		onChange({kind, upstream, detail}) {
+			counters.add(`upstream.${kind}`);
+			log.line(`upstream-${kind}`, {subject: upstream, detail});
+		},
+		now,
+	});
 	const feed = new StoreFeed({
 		store,
 		view,
+		relay,
+		upstreams,
 		prefix: EVERYTHING,
 		sleep,
 		now,
@@ -122,6 +138,7 @@
 	return {
 		view,
 		feed,
+		relay,
 		sharing,
 		claimAllowance: async service => allowance.claim(service),
 		start() {
@@ -129,11 +146,13 @@
 			void registration.run();
 		},
 		async leave() {
+			relay.close();
 			await registration.leave();
 		},
 		async stop() {
 			feed.stop();
 			sharing.stop();
+			upstreamClient.close();
 			await store.close();
 		},
 	};
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -4,6 +4,7 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {CallerListener} from '@pomelopick/calls.listener';
+import {createChangeListener} from '@pomelopick/calls.live';
 import type {InstanceRecord} from '@pomelopick/calls.live';
 import type {GatewaySettings} from '@pomelopick/config.settings';
 import {DecisionLog, ServedCounters} from '@pomelopick/core.telemetry';
@@ -55,9 +56,9 @@
 	const random = (): number => uniformInt(generator, 0, MOST_SEED - 1) / MOST_SEED;
 	const counters = new ServedCounters();
 	const log = new DecisionLog({write: output.write, common: {instance: settings.instance}, wallClock: () => Date.now()});
-	const {instance: id, failureDomain, region, listen: {callers}} = settings;
+	const {instance: id, failureDomain, region, listen: {callers, peers}} = settings;
 	const self: InstanceRecord = {
-		id, failureDomain, region, callers,
+		id, failureDomain, region, callers, peers,
 	};
 	const viewParts = createView({
 		store: settings.store,
@@ -79,7 +80,7 @@
 		random,
 	});
 	const {view, feed} = viewParts;
-	const isReady = (): boolean => endsAtMs === undefined && view.routeSet !== undefined && feed.hasRead;
+	const isReady = (): boolean => endsAtMs === undefined && view.routeSet !== undefined && (feed.hasCaughtUp || (feed.hasRead && feed.isFailing));
 	const {sharing, claimAllowance} = viewParts;
 	const relay = createRelay({
 		settings: () => settings, view, sharing, firstSequence, claimAllowance, counters, log, viewAgeMs: () => feed.ageMs, endsAtMs: () => endsAtMs, now, random,
@@ -98,6 +99,7 @@
 			view, self, isReady, mostTimeToLiveMs: settings.directoryMostMs, counters,
 		}),
 	});
+	const changes = new HttpListener({endpoint: peers, answer: createChangeListener({relay: viewParts.relay})});
 	const metrics = new HttpListener({
 		endpoint: settings.listen.metrics, async answer(_request, response) {
 			const text = await counters.text();
@@ -114,6 +116,7 @@
 	counters.gauges({
 		name: 'retries_granted', help: 'Sends to a further backend server that claimed parts of the allowance still allow.', label: 'service', read: () => relay.retryBudgets.granted(),
 	});
+	await changes.start();
 	viewParts.start();
 	const [callersAt, readinessAt, directoryAt, metricsAt] = await Promise.all([
 		listen({server: listener.server, endpoint: callers}), readiness.start(), directory.start(), metrics.start(),
@@ -135,7 +138,7 @@
 			const left = viewParts.leave();
 			await listener.stop({timeoutMs, inProgress: () => relay.handler.inProgress});
 			await left;
-			await Promise.all([viewParts.stop(), relay.stop(), readiness.stop(), directory.stop(), metrics.stop()]);
+			await Promise.all([viewParts.stop(), relay.stop(), readiness.stop(), directory.stop(), changes.stop(), metrics.stop()]);
 			log.line('stopped', {});
 			output.flush();
 		},
--- /dev/null
+++ b/steering/upstreams/src/upstream-choice.ts
@@ -0,0 +1,77 @@
+/**
+ * Chooses the instance from which this one takes the store's changes.
+ *
+ * A few instances of each region follow the store itself, the others follow one of them. Who follows the store is a
+ * ranking by highest-random-weight hashing, so that nobody has to agree on it: an instance that is asked for changes
+ * follows the store whatever it makes of the ranking, and one whose upstream is silent follows the store itself until
+ * it has found another. The number of calls to the store so follows the number of regions and of upstreams, not of
+ * instances.
+ */
+import {chooseOwners} from '@pomelopick/core.rendezvous';
+import type {InstanceId, RegionName} from '@pomelopick/core.types';
+
+/** Instances that one upstream serves, so that the fan-out stays a small part of its processor time. */
+const MOST_DOWNSTREAM = 36;
+/** Key by which the instances of a region are ranked as upstreams. */
+const RANKING_KEY = 'upstreams';
+/** Time for which an upstream is passed over, in milliseconds: one that was silent, and one that had no word of the store. */
+const SILENT_PAUSE_MS = 3000;
+const UNAVAILABLE_PAUSE_MS = 500;
+
+/** An instance that may be an upstream. */
+export interface UpstreamCandidate {
+	readonly id: InstanceId;
+	readonly region: RegionName;
+}
+
+/** How an upstream failed: no answer came, or it said that it has no word of the store. */
+export type UpstreamFailure = 'silent' | 'unavailable';
+
+/** Options of {@link UpstreamChoice.choose}. */
+export interface ChooseUpstreamOptions<Candidate extends UpstreamCandidate> {
+	/** Instances that are there, this one included or not. */
+	readonly instances: readonly Candidate[];
+	/** Monotonic time, in milliseconds. */
+	readonly nowMs: number;
+}
+
+/** The choice of one instance. */
+export class UpstreamChoice {
+	readonly #self: UpstreamCandidate;
+	readonly #passedOverUntilMs = new Map<InstanceId, number>();
+
+	constructor({self}: {readonly self: UpstreamCandidate}) {
+		this.#self = self;
+	}
+
+	/** The upstream to follow; undefined: the store itself. */
+	choose<Candidate extends UpstreamCandidate>({instances, nowMs}: ChooseUpstreamOptions<Candidate>): Candidate | undefined {
+		const {id: selfId, region} = this.#self;
+		const others = instances.filter(instance => instance.region === region && instance.id !== selfId);
+		const count = Math.ceil((others.length + 1) / MOST_DOWNSTREAM);
+		// One more stands by for an upstream that fails.
+		const ranked = chooseOwners({key: RANKING_KEY, instances: [...others, this.#self], count: count + 1});
+		const position = ranked.findIndex(({id}) => id === selfId);
+		if (position !== -1 && position < count) {
+			return undefined;
+		}
+
+		const [standby, ...upstreams] = ranked.toReversed() as Candidate[];
+		const preferred = chooseOwners({key: selfId, instances: upstreams, count: upstreams.length});
+		return [...preferred, standby!].find(({id}) => id !== selfId && this.#isOpen({id, nowMs}));
+	}
+
+	/** Notes that an upstream failed; it is passed over for a while. */
+	noteFailure({id, failure, nowMs}: {readonly id: InstanceId; readonly failure: UpstreamFailure; readonly nowMs: number}): void {
+		this.#passedOverUntilMs.set(id, nowMs + (failure === 'silent' ? SILENT_PAUSE_MS : UNAVAILABLE_PAUSE_MS));
+	}
+
+	#isOpen({id, nowMs}: {readonly id: InstanceId; readonly nowMs: number}): boolean {
+		const untilMs = this.#passedOverUntilMs.get(id);
+		if (untilMs !== undefined && nowMs >= untilMs) {
+			this.#passedOverUntilMs.delete(id);
+		}
+
+		return untilMs === undefined || nowMs >= untilMs;
+	}
+}
--- /dev/null
+++ b/steering/upstreams/test/upstream-choice.test.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {UpstreamChoice} from '@pomelopick/steering.upstreams';
+import type {UpstreamCandidate} from '@pomelopick/steering.upstreams';
+import type {InstanceId, RegionName} from '@pomelopick/core.types';
+
+const REGIONS = ['north', 'south', 'west'];
+
+const fleetOf = (size: number): readonly UpstreamCandidate[] => Array.from({length: size}, (_, index) => ({
+	id: `instance-${index}` as InstanceId, region: REGIONS[index % REGIONS.length] as RegionName,
+}));
+
+/** Instances that each one follows; undefined: the store. */
+const chooseAll = (instances: readonly UpstreamCandidate[]): ReadonlyMap<InstanceId, UpstreamCandidate | undefined> =>
+	new Map(instances.map(self => [self.id, new UpstreamChoice({self}).choose({instances, nowMs: 0})]));
+
+const sizes: ReadonlyArray<{size: number; mostAtStore: number; mostDownstream: number}> = [
+	{size: 1, mostAtStore: 1, mostDownstream: 0},
+	{size: 3, mostAtStore: 3, mostDownstream: 0},
+	{size: 8, mostAtStore: 3, mostDownstream: 2},
+	{size: 27, mostAtStore: 3, mostDownstream: 8},
+	{size: 195, mostAtStore: 6, mostDownstream: 50},
+	{size: 920, mostAtStore: 27, mostDownstream: 60},
+];
+
+describe('UpstreamChoice', () => {
+	for (const {size, mostAtStore, mostDownstream} of sizes) {
+		it(`lets at most ${mostAtStore} of ${size} instances follow the store, and none be followed by more than ${mostDownstream}`, () => {
+			const choices = chooseAll(fleetOf(size));
+			assert.ok([...choices.values()].filter(upstream => upstream === undefined).length <= mostAtStore);
+			const downstream = new Map<InstanceId, number>();
+			for (const upstream of choices.values()) {
+				if (upstream) {
+					downstream.set(upstream.id, (downstream.get(upstream.id) ?? 0) + 1);
+				}
+			}
+
+			assert.ok(Math.max(0, ...downstream.values()) <= mostDownstream, JSON.stringify([...downstream]));
+		});
+	}
+
+	it('follows instances of its own region that follow the store themselves', () => {
+		const instances = fleetOf(60);
+		const choices = chooseAll(instances);
+		for (const {id, region} of instances) {
+			const upstream = choices.get(id);
+			if (upstream) {
+				assert.equal(upstream.region, region);
+				assert.equal(choices.get(upstream.id), undefined);
+			}
+		}
+	});
+
+	it('passes over an upstream that failed: for a short time when it had no word, for longer when it was silent', () => {
+		const instances = fleetOf(27);
+		const self = instances.find(({id}) => chooseAll(instances).get(id) !== undefined)!;
+		const choice = new UpstreamChoice({self});
+		const first = choice.choose({instances, nowMs: 0})!;
+		choice.noteFailure({id: first.id, failure: 'unavailable', nowMs: 0});
+		assert.notEqual(choice.choose({instances, nowMs: 400})?.id, first.id);
+		assert.equal(choice.choose({instances, nowMs: 500})?.id, first.id);
+		choice.noteFailure({id: first.id, failure: 'silent', nowMs: 1000});
+		assert.notEqual(choice.choose({instances, nowMs: 3900})?.id, first.id);
+		assert.equal(choice.choose({instances, nowMs: 4000})?.id, first.id);
+	});
+
+	it('follows the store when every upstream failed', () => {
+		const instances = fleetOf(27);
+		const self = instances.find(({id}) => chooseAll(instances).get(id) !== undefined)!;
+		const choice = new UpstreamChoice({self});
+		for (let upstream = choice.choose({instances, nowMs: 0}); upstream; upstream = choice.choose({instances, nowMs: 0})) {
+			choice.noteFailure({id: upstream.id, failure: 'silent', nowMs: 0});
+		}
+
+		assert.equal(choice.choose({instances, nowMs: 1}), undefined);
+	});
+
+	it('leaves most others where they are when an instance goes', () => {
+		const instances = fleetOf(195);
+		const before = chooseAll(instances);
+		const gone = instances[7]!;
+		const after = chooseAll(instances.filter(({id}) => id !== gone.id));
+		const moved = [...after].filter(([id, upstream]) => before.get(id)?.id !== upstream?.id && before.get(id)?.id !== gone.id);
+		assert.ok(moved.length <= 2, JSON.stringify(moved));
+	});
+});
--- a/testing/gateway-fleet/src/gateway-fleet.ts
+++ b/testing/gateway-fleet/src/gateway-fleet.ts
@@ -96,14 +96,14 @@
 	/** Settings of a gateway of this fleet, on free ports. */
 	async settings({instance = 'gateway-0', failureDomain = 'north-a', shutdownSeconds = 3}: FleetSettingsOptions = {}): Promise<GatewaySettingsInput> {
 		const address = nextAddress();
-		const [callers, readiness, directory, metrics] = await Promise.all([freePort(address), freePort(address), freePort(address), freePort(address)]);
+		const [callers, readiness, directory, metrics, peers] = await Promise.all([freePort(address), freePort(address), freePort(address), freePort(address), freePort(address)]);
 		return {
 			instance,
 			failureDomain,
 			region: regions[failureDomain],
 			regions: {...regions},
 			listen: {
-				callers: `${address}:${callers}`, readiness: `${address}:${readiness}`, directory: `${address}:${directory}`, metrics: `${address}:${metrics}`,
+				callers: `${address}:${callers}`, readiness: `${address}:${readiness}`, directory: `${address}:${directory}`, metrics: `${address}:${metrics}`, peers: `${address}:${peers}`,
 			},
 			store: `127.0.0.1:${this.platform.endpoint.port}`,
 			shutdownSeconds,
