Let the soak judge what servers say of their leaving and of pauses

Cause: the soak of gateways did not know the two new rules of the users. Change: servers of the soak say in their answers that they leave while the store names them ready, and ask for pauses; each arrival keeps what its server had said. notice-judge finds calls sent 2 s or more after the same gateway passed on that the server leaves, and more than two arrivals in a pause from 0.5 s on; a kill, stop or pause of the gateway since excuses both, a disturbed path to the server the second. Conclusion: both rules are judged on real processes under all faults of the soak.

--- a/testing/gateway-fleet/src/registered-server.ts
+++ b/testing/gateway-fleet/src/registered-server.ts
@@ -58,6 +58,10 @@
 	readonly server: string;
 	/** Monotonic time, in milliseconds. */
 	readonly atMs: number;
+	/** Time for which the server said that it wants nothing when it turned this request away, in milliseconds; undefined: it did not. */
+	pauseMs?: number;
+	/** How often the server had begun to leave, this time included, while it said that it leaves; undefined: it did not say so. */
+	readonly leaving?: number;
 }
 
 /** What the servers of a fleet share. */
@@ -91,7 +95,7 @@
 /** Starts a server on loopback; it registers nothing by itself. */
 export async function startRegisteredServer({name, records, port = 0}: StartRegisteredServerOptions): Promise<RegisteredServer> {
 	const sockets = new Set<Socket>();
-	const notice: ServerNotice = {isLeaving: false, pausedUntilMs: 0};
+	const notice: ServerNotice = {isLeaving: false, leavings: 0, pausedUntilMs: 0};
 	const server: Server = createServer((request, response) => {
 		void serve({
 			name, records, notice, request, response, crash() {
@@ -118,6 +122,7 @@
 		port: (server.address() as AddressInfo).port,
 		setLeaving(isLeaving) {
 			notice.isLeaving = isLeaving;
+			notice.leavings += Number(isLeaving);
 		},
 		askPause(pauseMs) {
 			notice.pausedUntilMs = performance.now() + pauseMs;
@@ -136,6 +141,8 @@
 /** What a server says of itself. */
 interface ServerNotice {
 	isLeaving: boolean;
+	/** How often it began to leave. */
+	leavings: number;
 	/** Monotonic time until which it turns requests away, in milliseconds. */
 	pausedUntilMs: number;
 }
@@ -162,7 +169,10 @@
 
 	const body = await buffer(request);
 	const requestId = String(request.headers['x-request-id']);
-	records.arrivalLog.push({requestId, server: name, atMs: performance.now()});
+	const arrival: ArrivalRecord = {
+		requestId, server: name, atMs: performance.now(), ...(notice.isLeaving && {leaving: notice.leavings}),
+	};
+	records.arrivalLog.push(arrival);
 	const expectedServer = request.headers['x-expect-instance'] as string | undefined;
 	if (expectedServer !== undefined && expectedServer !== name) {
 		response.writeHead(421, {'x-instance-id': name, 'x-request-id': requestId}).end();
@@ -171,6 +181,7 @@
 
 	const pauseMs = notice.pausedUntilMs - performance.now();
 	if (pauseMs > 0) {
+		arrival.pauseMs = pauseMs;
 		response.writeHead(503, {'x-not-executed': '1', 'x-request-id': requestId, 'retry-after': (pauseMs / MILLISECONDS_PER_SECOND).toFixed(3)}).end();
 		return;
 	}
--- a/testing/gateway-soak/src/index.ts
+++ b/testing/gateway-soak/src/index.ts
@@ -1,6 +1,7 @@
 /** Randomized soak of gateway processes under faults from outside them. */
 export * from './draw.js';
 export * from './judge.js';
+export * from './notice-judge.js';
 export * from './retry-faults.js';
 export * from './retry-judge.js';
 export * from './retry-round.js';
--- a/testing/gateway-soak/src/judge.ts
+++ b/testing/gateway-soak/src/judge.ts
@@ -10,11 +10,31 @@
 	readonly answer: CallerAnswer;
 }
 
+/** A request, and when and by way of which gateway its caller sent it. */
+export interface TracedCall extends CallRecord {
+	/** Gateway that was called. */
+	readonly instance: string;
+	/** Monotonic times at which the call was sent and answered, in milliseconds. */
+	readonly sentAtMs: number;
+	readonly answeredAtMs: number;
+}
+
 /** A broken promise. */
 export interface Violation {
 	/** Empty where it concerns no request. */
 	readonly requestId: string;
-	readonly kind: 'ran-twice' | 'ran-though-refused' | 'wrong-answer' | 'unasked' | 'changed' | 'wrong-server' | 'instance-not-ready' | 'instance-failed' | 'retry-budget';
+	readonly kind:
+		| 'ran-twice'
+		| 'ran-though-refused'
+		| 'wrong-answer'
+		| 'unasked'
+		| 'changed'
+		| 'wrong-server'
+		| 'instance-not-ready'
+		| 'instance-failed'
+		| 'retry-budget'
+		| 'sent-to-leaving'
+		| 'sent-in-pause';
 	readonly detail: string;
 }
 
--- a/testing/gateway-soak/src/soak.ts
+++ b/testing/gateway-soak/src/soak.ts
@@ -6,7 +6,8 @@
 import type {Draw} from './draw.js';
 import {bringSeries} from './fault-series.js';
 import {judgeCalls} from './judge.js';
-import type {CallRecord, Violation} from './judge.js';
+import type {TracedCall, Violation} from './judge.js';
+import {judgeNotices} from './notice-judge.js';
 import {faultNames, startWorld} from './world.js';
 import type {FaultName, World} from './world.js';
 
@@ -51,7 +52,7 @@
 	const world = await startWorld({seed, gateways, servers});
 	try {
 		const stopped = new AbortController();
-		const calls: CallRecord[] = [];
+		const calls: TracedCall[] = [];
 		const calling = Promise.all(Array.from({length: callers}, async (_, index) => keepCalling({
 			world, draw: createDraw((seed * CALLER_SEED_FACTOR) + index), calls, signal: stopped.signal,
 		})));
@@ -66,14 +67,14 @@
 		stopped.abort();
 		await calling;
 		await sleep(SETTLE_MS);
-		const {executions} = world.fleet.records;
+		const {executions, arrivalLog} = world.fleet.records;
 		return {
 			seed,
 			faults,
 			calls: calls.length,
 			answered: calls.filter(({answer}) => answer.status === 200).length,
 			executions: executions.length,
-			violations: [...stuck, ...judgeCalls({calls, executions})],
+			violations: [...stuck, ...judgeCalls({calls, executions}), ...judgeNotices({calls, arrivals: arrivalLog, disturbances: world.disturbances})],
 		};
 	} finally {
 		await world.stop();
@@ -83,13 +84,14 @@
 interface KeepCallingOptions {
 	readonly world: World;
 	readonly draw: Draw;
-	readonly calls: CallRecord[];
+	readonly calls: TracedCall[];
 	readonly signal: AbortSignal;
 }
 
 async function keepCalling({world, draw, calls, signal}: KeepCallingOptions): Promise<void> {
 	while (!signal.aborted) {
 		const {settings} = world.members[draw(world.members.length)]!;
+		const sentAtMs = performance.now();
 		const method = draw(3) === 0 ? 'POST' : 'GET';
 		const path = `/${method === 'POST' ? 'write' : 'read'}/${draw(OBJECTS)}?n=${draw(1000)}`;
 		const body = method === 'POST' ? `body ${draw(1000)}` : '';
@@ -103,7 +105,7 @@
 			timeLeftMs: 500 + draw(1500),
 		});
 		calls.push({
-			method, path, body, answer,
+			method, path, body, answer, instance: settings.instance, sentAtMs, answeredAtMs: performance.now(),
 		});
 		await sleep(CALLER_PAUSE_MS);
 	}
--- a/testing/gateway-soak/src/world.ts
+++ b/testing/gateway-soak/src/world.ts
@@ -9,10 +9,16 @@
 import type {GatewayFleet, GatewayProcess} from '@pomelopick/testing.gateway-fleet';
 import type {Draw} from './draw.js';
 import type {Violation} from './judge.js';
+import type {Disturbance} from './notice-judge.js';
 
 const LONGEST_FAULT_MS = 1200;
 const SHORTEST_FAULT_MS = 100;
 const SLOW_STORE_MS = 300;
+/** Time for which a server at least says that it leaves, in milliseconds: longer than it still may get requests. */
+const LEAVING_MS = 3000;
+const SHORTEST_PAUSE_MS = 1000;
+/** Time of the first start of all servers, in milliseconds. */
+const FIRST_START_MS = 1000;
 /** Lines of a gateway's log that are shown when it is not ready in the end. */
 const LAST_LINES = 20;
 /** Seeds of the paths to the store lie apart from those of the paths to servers by this much. */
@@ -37,6 +43,8 @@
 	'path-silent',
 	'path-delayed',
 	'server-leaves',
+	'server-says-it-leaves',
+	'server-asks-pause',
 	'configuration',
 ] as const;
 
@@ -76,9 +84,13 @@
 /** The processes of a round. */
 export class World {
 	readonly members: Member[] = [];
+	/** When gateways and paths were disturbed so far. */
+	readonly disturbances: Disturbance[] = [];
 	readonly #proxies: FaultProxy[] = [];
 	readonly #failures: Violation[] = [];
 	readonly #endedLines: Array<Readonly<Record<string, unknown>>> = [];
+	/** How often each server started anew. */
+	readonly #starts = new Map<number, number>();
 	#version = 1;
 	#isStopping = false;
 
@@ -97,7 +109,7 @@
 
 	/** Starts a server behind a proxy and registers it. */
 	async addServer({number, seed}: {readonly number: number; readonly seed: number}): Promise<void> {
-		const server = await this.fleet.addServer({name: `server-${number}`, failureDomain: number % 2 === 0 ? 'north-a' : 'north-b'});
+		const server = await this.fleet.addServer({name: serverName(number), failureDomain: number % 2 === 0 ? 'north-a' : 'north-b'});
 		const proxy = await startFaultProxy({target: {address: '127.0.0.1', port: server.port}, seed: seed + number});
 		this.#proxies.push(proxy);
 		this.#register({number, state: 'ready'});
@@ -141,8 +153,10 @@
 	/** Brings a fault about and ends it; resolves when all is as before. */
 	async bringAbout({name, draw}: {readonly name: FaultName; readonly draw: Draw}): Promise<void> {
 		const member = this.members[draw(this.members.length)]!;
-		const proxy = this.#proxies[draw(this.#proxies.length)]!;
+		const number = draw(this.#proxies.length);
+		const proxy = this.#proxies[number]!;
 		const durationMs = SHORTEST_FAULT_MS + draw(LONGEST_FAULT_MS);
+		const fromMs = performance.now();
 		const {faults, keyValues} = this.fleet.platform;
 		const bring: Record<FaultName, () => Promise<void>> = {
 			async kill() {
@@ -187,9 +201,16 @@
 			},
 			'path-delayed': async () => holdPath({path: proxy, faults: {delayMs: 100, jitterMs: 100}, durationMs}),
 			'server-leaves': async () => this.#leaveAndComeBack({number: draw(this.#proxies.length), durationMs}),
+			'server-says-it-leaves': async () => this.#sayLeavingAndStartAnew({number, durationMs}),
+			'server-asks-pause': async () => {
+				this.fleet.servers[number]!.askPause(SHORTEST_PAUSE_MS + durationMs);
+			},
 			configuration: async () => this.#changeConfiguration(draw),
 		};
 		await bring[name]();
+		this.disturbances.push({
+			subject: name.startsWith('path-') ? serverName(number) : member.settings.instance, fault: name, fromMs, toMs: performance.now(),
+		});
 	}
 
 	/** Ends all processes and paths. */
@@ -201,8 +222,9 @@
 	}
 
 	#register({number, state}: {readonly number: number; readonly state: 'ready' | 'draining'}): void {
-		const name = `server-${number}`;
-		this.fleet.register({server: {name, port: this.#proxies[number]!.endpoint.port}, failureDomain: number % 2 === 0 ? 'north-a' : 'north-b', state});
+		this.fleet.register({
+			server: {name: serverName(number), port: this.#proxies[number]!.endpoint.port}, failureDomain: number % 2 === 0 ? 'north-a' : 'north-b', state, startedAtMs: FIRST_START_MS + (this.#starts.get(number) ?? 0),
+		});
 	}
 
 	async #changeConfiguration(draw: Draw): Promise<void> {
@@ -210,6 +232,16 @@
 		this.fleet.write('op/config', configuration({version: this.#version, timeoutSeconds: 1 + draw(2)}));
 	}
 
+	/** A server leaves by its own word alone, and starts anew under its name. */
+	async #sayLeavingAndStartAnew({number, durationMs}: {readonly number: number; readonly durationMs: number}): Promise<void> {
+		const server = this.fleet.servers[number]!;
+		server.setLeaving(true);
+		await sleep(LEAVING_MS + durationMs);
+		server.setLeaving(false);
+		this.#starts.set(number, (this.#starts.get(number) ?? 0) + 1);
+		this.#register({number, state: 'ready'});
+	}
+
 	async #leaveAndComeBack({number, durationMs}: {readonly number: number; readonly durationMs: number}): Promise<void> {
 		this.#register({number, state: 'draining'});
 		await sleep(durationMs);
@@ -221,6 +253,10 @@
 		while (!this.#isStopping) {
 			const code = await member.process.exited;
 			this.#endedLines.push(...member.process.lines);
+			const endedAtMs = performance.now();
+			this.disturbances.push({
+				subject: member.settings.instance, fault: 'kill', fromMs: endedAtMs, toMs: endedAtMs,
+			});
 			if (this.#isStopping) {
 				return;
 			}
@@ -234,6 +270,10 @@
 	}
 }
 
+function serverName(number: number): string {
+	return `server-${number}`;
+}
+
 const noPathFaults: Partial<PathFaults> = {cut: false, delayMs: 0, jitterMs: 0};
 
 async function holdPath({path, faults, durationMs}: {readonly path: FaultProxy; readonly faults: Partial<PathFaults>; readonly durationMs: number}): Promise<void> {
