Read what a server says in an answer to a health check, too

Cause: a gateway asks a server that dropped a request whether it has gone; that answer may be the first to say that the server leaves, and its head was not looked at. Change: the probe tells of the head; it counts when the answer names the server that was asked. Conclusion: every answer that a gateway reads of a server is looked at.

--- a/calls/connections/src/backend-connections.ts
+++ b/calls/connections/src/backend-connections.ts
@@ -5,6 +5,7 @@
 import type {Either} from 'purify-ts';
 import type {Connection} from './connection.js';
 import {probe} from './probe.js';
+import type {ProbedHead} from './probe.js';
 import {ServerConnections} from './server-connections.js';
 
 const MOST_CONNECTIONS_PER_SERVER = 36;
@@ -18,6 +19,8 @@
 export interface BackendConnectionsOptions {
 	/** Called after the connections to a server were replaced as a group. */
 	readonly onReplaced: (options: {readonly server: BackendServerName; readonly connections: number}) => void;
+	/** Told of what a server answers when it is asked whether it has gone. */
+	readonly onHealthAnswer?: (options: {readonly server: ConnectedServer; readonly head: ProbedHead}) => void;
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
 	/** Connections that may be open to one backend server; asked for each new one. 36 by default. */
@@ -82,7 +85,12 @@
 
 	/** Whether a server that dropped a call has gone down: it answers on no new connection. */
 	async isGone(server: ConnectedServer): Promise<boolean> {
-		return !await answersNew(server);
+		const {onHealthAnswer} = this.#options;
+		return !await answersNew({
+			server, onHead(head) {
+				onHealthAnswer?.({server, head});
+			},
+		});
 	}
 
 	/** Connections open to a server. */
@@ -135,9 +143,11 @@
 }
 
 /** Asks over a connection of its own; a process that is ending may still have connections accepted for it. */
-async function answersNew(server: ConnectedServer): Promise<boolean> {
+async function answersNew({server, onHead}: {readonly server: ConnectedServer; readonly onHead: (head: ProbedHead) => void}): Promise<boolean> {
 	const client = new Client(originOf(server), {connect: {timeout: GONE_TIMEOUT_MS}});
-	const isAnswered = await probe({client, path: HEALTH_PATH, timeoutMs: GONE_TIMEOUT_MS});
+	const isAnswered = await probe({
+		client, path: HEALTH_PATH, timeoutMs: GONE_TIMEOUT_MS, onHead,
+	});
 	await client.destroy();
 	return isAnswered;
 }
--- a/calls/relay/src/server-notices.ts
+++ b/calls/relay/src/server-notices.ts
@@ -1,5 +1,4 @@
 /** What backend servers say of themselves in the heads of their answers: that they leave, or want nothing for a while. */
-import type {AnswerHead} from '@pomelopick/calls.forwarding';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
 import type {CodedError, RegisteredServer, RetryReason} from '@pomelopick/core.types';
 import type {
@@ -30,7 +29,7 @@
 export interface ReadNoticesOptions {
 	/** Server that the request was sent to. */
 	readonly server: RegisteredServer;
-	readonly head: AnswerHead;
+	readonly head: {readonly status: number; readonly headers: Readonly<Record<string, string | string[] | undefined>>};
 }
 
 /** Takes note of what servers say. */
--- a/daemons/gateway/src/create-relay.ts
+++ b/daemons/gateway/src/create-relay.ts
@@ -89,11 +89,23 @@
 		closedUntilMs: ({server, nowMs}) => leaving.has(server) ? Number.POSITIVE_INFINITY : pauses.endMs({server, nowMs}),
 		random,
 	});
+	const notices = new ServerNotices({
+		format, servers: view.servers, leaving, pauses, unsent, counters, log, now,
+	});
 	const connections = new BackendConnections({
-		now, probeIntervalMs: 0, mostPerServer: server => server.connections, onReplaced({server, connections: count}) {
+		now,
+		probeIntervalMs: 0,
+		mostPerServer: server => server.connections,
+		onReplaced({server, connections: count}) {
 			counters.add('connections.replaced', count);
 			log.line('connections-replaced', {server, count});
 		},
+		onHealthAnswer({server: {name}, head}) {
+			const known = view.servers.entryOf(name);
+			if (known && head.headers[platformHeaders.answeringServer] === name) {
+				notices.read({server: known.server, head});
+			}
+		},
 	});
 	const events = new EventRecord({
 		capacity: EVENTS_KEPT, now: () => Date.now(), onAdd({kind, message, fields}) {
@@ -121,9 +133,7 @@
 			deathWatch,
 			placer,
 			observations,
-			notices: new ServerNotices({
-				format, servers: view.servers, leaving, pauses, unsent, counters, log, now,
-			}),
+			notices,
 			unsent,
 			mostConnections({known}) {
 				const most = view.routeSet?.services.find(({name}) => name === known.server.service)?.mostConnections ?? 0;
--- a/daemons/gateway/test/server-notices.test.ts
+++ b/daemons/gateway/test/server-notices.test.ts
@@ -78,6 +78,17 @@
 		it(`keep all further requests from a server that says in ${leaving.name} that it leaves, whatever the store says`, async () => playLeaving(leaving));
 	}
 
+	it('keep all further requests from a server that says so when it is asked whether it has gone', async () => {
+		const server = await serverOf('health');
+		server.setLeaving(true);
+		const answer = await call('health', ['reset', 'whole']);
+		assert.equal(answer.status, 200);
+		assert.equal(answer.headers['server-leaving'], undefined, 'no answer to a request said so');
+		await until(() => gateway.lines.some(({event, subject}) => event === 'server-leaves' && subject === server.name));
+		server.setLeaving(false);
+		register(server, {isNewStart: true});
+	});
+
 	it('keep requests from a server that asked for a pause, until it is over', async () => {
 		const server = await serverOf('pause');
 		server.askPause(PAUSE_MS);
