Send nothing on for callers that left before their requests were read

Cause: a gateway whose event loop is late reads a request and the end of its connection together, but is told of the end a turn later, when the request was sent on already. Change: the relay lets the event loop take in what has arrived (two turns) before it sends a request on, and a request that ended meanwhile is not sent. Conclusion: what is still open is a machine so late that it reads a request before its caller leaves and sends it on after.

--- a/calls/relay/src/relay-handler.ts
+++ b/calls/relay/src/relay-handler.ts
@@ -12,6 +12,7 @@
 import type {Refusal, Route, ServiceName} from '@pomelopick/core.types';
 import {chooseTarget} from '@pomelopick/steering.routes';
 import type {CallerDepartures} from './caller-departures.js';
+import {takeInPending} from './pending-input.js';
 import {RelayedRequest} from './relayed-request.js';
 import {RelayRun} from './relay-run.js';
 import type {RunParts} from './relay-run.js';
@@ -204,6 +205,7 @@
 				}
 			},
 		});
+		await takeInPending();
 		const result = await run.run();
 		await result.caseOf({
 			Left: async refusal => {
--- a/calls/relay/src/relay-run.ts
+++ b/calls/relay/src/relay-run.ts
@@ -64,6 +64,10 @@
 	}
 
 	async #runAttempts(): Promise<Either<Refusal, AttemptAnswer>> {
+		if (this.#request.hasEnded) {
+			return this.#finish(endedBeforeSent);
+		}
+
 		for (let tries = 1; ; tries += 1) {
 			const placed = this.#place();
 			if (placed.isLeft()) {
@@ -247,6 +251,9 @@
 	}
 }
 
+/** For a caller that left before its request was sent on; one whose time is up is told so. */
+const endedBeforeSent: Refusal = {reason: 'caller-cancelled', execution: 'not-run', detail: 'the request ended before it was sent on'};
+
 function toRefusal({reason, detail, retryAfterMs}: PlacementRefusal): Refusal {
 	return {
 		reason, execution: 'not-run', detail, retryAfterMs,
