Rank servers and read passed-on changes at a fraction of their cost

A request for an object whose ranking was not kept ranked all servers of three regions by 64-bit hashes made anew; every change of the registry drops the rankings, and at this size every second request needs a new one. Passed-on changes went through a schema library one by one. A warming server's owner was chosen anew, among all instances, for each request that came by it. Change: names of servers are hashed once and mixed with an object's hash by 32-bit arithmetic; a region's servers are ranked when they are first asked for; servers are grouped by region once a change. Changes are checked by hand. Owners of warming servers, and the list of instances, are kept until an instance comes or goes. The order of servers differs from before; each server gets its share of objects (new case).

--- a/calls/live/src/instance-table.ts
+++ b/calls/live/src/instance-table.ts
@@ -12,21 +12,30 @@
 export class InstanceTable {
 	readonly #instances = new Map<InstanceId, KnownInstance>();
 	#most = 1;
+	#generation = 0;
+	#list: readonly InstanceRecord[] | undefined;
 
 	/** Most instances that were there at once since this process started, at least 1. */
 	get most(): number {
 		return this.#most;
 	}
 
-	/** Instances that are there, lapsed ones included while they are held. */
+	/** Grows whenever an instance comes, goes or writes another record. */
+	get generation(): number {
+		return this.#generation;
+	}
+
+	/** Instances that are there, lapsed ones included while they are held. The list stays the same while nothing changes. */
 	list(): readonly InstanceRecord[] {
-		return [...this.#instances.values()].map(({record}) => record);
+		this.#list ??= [...this.#instances.values()].map(({record}) => record);
+		return this.#list;
 	}
 
 	/** Takes a record; answers whether its instance is a new one. */
 	write(record: InstanceRecord): boolean {
 		const isNew = !this.#instances.has(record.id);
 		this.#instances.set(record.id, {record, goneAtMs: undefined});
+		this.#touch();
 		this.#most = Math.max(this.#most, this.#instances.size);
 		return isNew;
 	}
@@ -39,6 +48,7 @@
 			return false;
 		}
 
+		this.#touch();
 		return this.#instances.delete(id);
 	}
 
@@ -47,8 +57,14 @@
 		const gone = [...this.#instances].filter(([, {goneAtMs}]) => goneAtMs !== undefined && nowMs >= goneAtMs).map(([id]) => id);
 		for (const id of gone) {
 			this.#instances.delete(id);
+			this.#touch();
 		}
 
 		return gone;
 	}
+
+	#touch(): void {
+		this.#list = undefined;
+		this.#generation += 1;
+	}
 }
--- a/calls/live/src/relayed-changes.ts
+++ b/calls/live/src/relayed-changes.ts
@@ -1,6 +1,5 @@
 /** What an upstream tells the instances that follow it, and its form on the wire between instances. */
 import {Buffer} from 'node:buffer';
-import * as z from 'zod/mini';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {CodedError} from '@pomelopick/core.types';
@@ -26,18 +25,15 @@
 	/** It has no word of the store itself, or is about to stop. */
 	| {readonly kind: 'unavailable'};
 
-const changeSchema = z.union([
-	z.object({key: z.string(), index: z.int(), value: z.string()}),
-	z.object({key: z.string(), index: z.int(), removed: z.literal(true)}),
-]);
+const SHOWN_CHARACTERS = 80;
 
-const answerSchema = z.discriminatedUnion('kind', [
-	z.object({
-		kind: z.literal('changes'), index: z.int(), ageMs: z.number().check(z.nonnegative()), returnedMs: z.optional(z.number().check(z.nonnegative())), changes: z.array(changeSchema),
-	}),
-	z.object({kind: z.literal('history-lost')}),
-	z.object({kind: z.literal('unavailable')}),
-]);
+/** A change on the wire; a key that was removed has no value. */
+interface ChangeMessage {
+	readonly key: string;
+	readonly index: number;
+	/** Standard base64. */
+	readonly value?: string;
+}
 
 /** Encodes an answer as JSON. */
 export function encodeUpstreamAnswer(answer: UpstreamAnswer): string {
@@ -47,26 +43,64 @@
 /** Decodes an answer; Left says which field is wrong. */
 export function decodeUpstreamAnswer(text: string): Either<CodedError, UpstreamAnswer> {
 	try {
-		const parsed = z.safeParse(answerSchema, JSON.parse(text));
-		if (!parsed.success) {
-			const issue = parsed.error.issues[0]!;
-			return Left({code: 'malformed-upstream-answer', message: `${issue.path.join('.') || '(root)'}: ${issue.message}`});
-		}
-
-		return Right(parsed.data.kind === 'changes' ? {...parsed.data, returnedMs: parsed.data.returnedMs, changes: parsed.data.changes.map(message => toChange(message))} : parsed.data);
+		return Right(readAnswer(JSON.parse(text) as Readonly<Record<string, unknown>>));
 	} catch (error) {
 		return Left({code: 'malformed-upstream-answer', message: (error as Error).message});
 	}
 }
 
-function toMessage(change: StoreChange): z.output<typeof changeSchema> {
+/** Throws a `TypeError` that names the field. Checked by hand: every change comes by here at every instance. */
+function readAnswer(message: Readonly<Record<string, unknown>>): UpstreamAnswer {
+	const {kind, changes, index, ageMs, returnedMs} = message;
+	switch (kind) {
+		case 'history-lost':
+		case 'unavailable': {
+			return {kind};
+		}
+
+		case 'changes': {
+			if (!Array.isArray(changes)) {
+				throw wrongField({field: 'changes', expected: 'a list', found: changes});
+			}
+
+			return {
+				kind,
+				changes: changes.map((change, position) => toChange({message: change as Partial<ChangeMessage>, field: `changes.${position}`})),
+				index: readNumber({field: 'index', found: index}),
+				ageMs: readNumber({field: 'ageMs', found: ageMs}),
+				returnedMs: returnedMs === undefined ? undefined : readNumber({field: 'returnedMs', found: returnedMs}),
+			};
+		}
+
+		default: {
+			throw wrongField({field: 'kind', expected: 'changes, history-lost or unavailable', found: kind});
+		}
+	}
+}
+
+function readNumber({field, found}: {readonly field: string; readonly found: unknown}): number {
+	if (typeof found !== 'number' || found < 0) {
+		throw wrongField({field, expected: 'a number of at least 0', found});
+	}
+
+	return found;
+}
+
+function wrongField({field, expected, found}: {readonly field: string; readonly expected: string; readonly found: unknown}): TypeError {
+	return new TypeError(`${field}: expected ${expected}, found ${(JSON.stringify(found) ?? 'nothing').slice(0, SHOWN_CHARACTERS)}`);
+}
+
+function toMessage(change: StoreChange): ChangeMessage {
 	return change.kind === 'written'
 		? {key: change.value.key, index: change.value.modifyIndex, value: Buffer.from(change.value.value).toString('base64')}
-		: {key: change.key, index: change.modifyIndex, removed: true};
+		: {key: change.key, index: change.modifyIndex};
 }
 
-function toChange(message: z.output<typeof changeSchema>): StoreChange {
-	return 'value' in message
-		? {kind: 'written', value: {key: message.key, value: Buffer.from(message.value, 'base64'), modifyIndex: message.index}}
-		: {kind: 'removed', key: message.key, modifyIndex: message.index};
+function toChange({message: {key, index, value}, field}: {readonly message: Partial<ChangeMessage>; readonly field: string}): StoreChange {
+	if (typeof key !== 'string') {
+		throw wrongField({field: `${field}.key`, expected: 'a text', found: key});
+	}
+
+	const modifyIndex = readNumber({field: `${field}.index`, found: index});
+	return value === undefined ? {kind: 'removed', key, modifyIndex} : {kind: 'written', value: {key, value: Buffer.from(String(value), 'base64'), modifyIndex}};
 }
--- /dev/null
+++ b/core/rendezvous/src/mixed-weight.ts
@@ -0,0 +1,27 @@
+/**
+ * Weights of highest-random-weight hashing from hashes that were made once, for many owners and many keys.
+ *
+ * The mixing is the finalizer of MurmurHash3 (A. Appleby, 2011), in which every bit of the input changes every bit of
+ * the result with even odds.
+ */
+import xxhash from 'xxhash-wasm';
+
+const {h32} = await xxhash();
+
+/** Odd multiplier that spreads the hashes of owners, so that the sum with a key's hash is not symmetric. */
+const OWNER_MULTIPLIER = 0x9E_37_79_B1;
+const FIRST_MULTIPLIER = 0x85_EB_CA_6B;
+const SECOND_MULTIPLIER = 0xC2_B2_AE_35;
+
+/** Hash of a text as an unsigned 32-bit number. */
+export function hashTextToNumber(text: string): number {
+	return h32(text);
+}
+
+/** Weight of an owner for a key as an unsigned 32-bit number; both are given by their hashes. */
+export function mixWeight({keyHash, ownerHash}: {readonly keyHash: number; readonly ownerHash: number}): number {
+	let mixed = keyHash + Math.imul(ownerHash, OWNER_MULTIPLIER);
+	mixed = Math.imul(mixed ^ (mixed >>> 16), FIRST_MULTIPLIER);
+	mixed = Math.imul(mixed ^ (mixed >>> 13), SECOND_MULTIPLIER);
+	return (mixed ^ (mixed >>> 16)) >>> 0;
+}
--- a/daemons/gateway/src/create-relay.ts
+++ b/daemons/gateway/src/create-relay.ts
@@ -75,7 +75,8 @@
 	const warmupOf = ({server}: KnownServer) => ({
 		server: server.name,
 		requestsPerSecond: view.routeSet?.services.find(({name}) => name === server.service)?.warmupRequestsPerSecond ?? 0,
-		instances: [...new Set([instance, ...view.instances.list().map(({id}) => id)])],
+		instances: view.instances.list(),
+		generation: view.instances.generation,
 		viewAgeMs: viewAgeMs(),
 		nowMs: now(),
 	});
--- a/steering/limits/src/warmup-shares.ts
+++ b/steering/limits/src/warmup-shares.ts
@@ -21,8 +21,10 @@
 	readonly server: BackendServerName;
 	/** Requests per second that the server bears while it warms up. */
 	readonly requestsPerSecond: number;
-	/** Instances that may send to it, this one included. */
-	readonly instances: readonly InstanceId[];
+	/** Instances that may send to it, this one included or not. */
+	readonly instances: ReadonlyArray<{readonly id: InstanceId}>;
+	/** Grows whenever these instances change. */
+	readonly generation: number;
 	/** Age of the view that these come from, in milliseconds. */
 	readonly viewAgeMs: number;
 	/** Monotonic time, in milliseconds. */
@@ -38,6 +40,9 @@
 export class WarmupShares {
 	readonly #self: InstanceId;
 	readonly #buckets = new Map<BackendServerName, TokenBucket>();
+	/** Whether this instance owns a server among the instances of the known generation. */
+	readonly #owned = new Map<BackendServerName, boolean>();
+	#generation: number | undefined;
 
 	constructor({self}: {readonly self: InstanceId}) {
 		this.#self = self;
@@ -61,10 +66,23 @@
 	/** Forgets a server. */
 	forget(server: BackendServerName): void {
 		this.#buckets.delete(server);
+		this.#owned.delete(server);
 	}
 
-	#isOwner({server, instances}: TryTakeWarmupOptions): boolean {
-		return chooseOwner({key: server, instances: instances.map(id => ({id}))})?.id === this.#self;
+	#isOwner({server, instances, generation}: TryTakeWarmupOptions): boolean {
+		if (generation !== this.#generation) {
+			this.#owned.clear();
+			this.#generation = generation;
+		}
+
+		let isOwned = this.#owned.get(server);
+		if (isOwned === undefined) {
+			const others = instances.filter(({id}) => id !== this.#self);
+			isOwned = chooseOwner({key: server, instances: [...others, {id: this.#self}]})?.id === this.#self;
+			this.#owned.set(server, isOwned);
+		}
+
+		return isOwned;
 	}
 
 	#fill({server, requestsPerSecond, nowMs}: TryTakeWarmupOptions): TokenBucket {
--- a/steering/limits/test/warmup-shares.test.ts
+++ b/steering/limits/test/warmup-shares.test.ts
@@ -22,7 +22,7 @@
 	for (let nowMs = 0; nowMs < 5000; nowMs += 10) {
 		for (const {shares, instances} of senders) {
 			while (shares.tryTake({
-				server, requestsPerSecond: REQUESTS_PER_SECOND, instances, viewAgeMs: 0, nowMs,
+				server, requestsPerSecond: REQUESTS_PER_SECOND, instances: instances.map(id => ({id})), generation: 1, viewAgeMs: 0, nowMs,
 			})) {
 				sentAtMs.push(nowMs);
 			}
@@ -53,7 +53,7 @@
 		for (const nowMs of [0, ...Array.from({length: 100}, (_, index) => 5000 + (index * 10))]) {
 			for (const {shares, instances} of senders) {
 				while (shares.tryTake({
-					server, requestsPerSecond: REQUESTS_PER_SECOND, instances, viewAgeMs: 0, nowMs,
+					server, requestsPerSecond: REQUESTS_PER_SECOND, instances: instances.map(id => ({id})), generation: 1, viewAgeMs: 0, nowMs,
 				})) {
 					sentAtMs.push(nowMs);
 				}
@@ -69,7 +69,7 @@
 			const shares = new WarmupShares({self: all[0]!});
 			for (const nowMs of [startMs, startMs + 10]) {
 				while (shares.tryTake({
-					server, requestsPerSecond: REQUESTS_PER_SECOND, instances: [all[0]!], viewAgeMs: 0, nowMs,
+					server, requestsPerSecond: REQUESTS_PER_SECOND, instances: [{id: all[0]!}], generation: 1, viewAgeMs: 0, nowMs,
 				})) {
 					sentAtMs.push(nowMs);
 				}
@@ -82,10 +82,10 @@
 	it('sends nothing while its view of the fleet is old', () => {
 		const shares = new WarmupShares({self: all[0]!});
 		const mayTake = (viewAgeMs: number): boolean => shares.mayTake({
-			server, requestsPerSecond: REQUESTS_PER_SECOND, instances: [all[0]!], viewAgeMs, nowMs: 5000,
+			server, requestsPerSecond: REQUESTS_PER_SECOND, instances: [{id: all[0]!}], generation: 1, viewAgeMs, nowMs: 5000,
 		});
 		shares.mayTake({
-			server, requestsPerSecond: REQUESTS_PER_SECOND, instances: [all[0]!], viewAgeMs: 0, nowMs: 0,
+			server, requestsPerSecond: REQUESTS_PER_SECOND, instances: [{id: all[0]!}], generation: 1, viewAgeMs: 0, nowMs: 0,
 		});
 		assert.deepEqual([mayTake(2900), mayTake(3100)], [true, false]);
 	});
@@ -93,10 +93,28 @@
 	it('sends nothing to a server that bears nothing', () => {
 		const shares = new WarmupShares({self: all[0]!});
 		shares.tryTake({
-			server, requestsPerSecond: 0, instances: [all[0]!], viewAgeMs: 0, nowMs: 0,
+			server, requestsPerSecond: 0, instances: [{id: all[0]!}], generation: 1, viewAgeMs: 0, nowMs: 0,
 		});
 		assert.equal(shares.tryTake({
-			server, requestsPerSecond: 0, instances: [all[0]!], viewAgeMs: 0, nowMs: 60_000,
+			server, requestsPerSecond: 0, instances: [{id: all[0]!}], generation: 1, viewAgeMs: 0, nowMs: 60_000,
 		}), false);
 	});
+
+	it('follows the instances as they change', () => {
+		const [first, second] = [all[0]!, all[1]!];
+		const owners = [first, second].map(self => new WarmupShares({self}));
+		const countOwners = (instances: readonly InstanceId[], generation: number): number => {
+			const tries = {
+				server, requestsPerSecond: REQUESTS_PER_SECOND, instances: instances.map(id => ({id})), generation, viewAgeMs: 0,
+			};
+			return owners.filter(shares => {
+				shares.mayTake({...tries, nowMs: 0});
+				return shares.mayTake({...tries, nowMs: 60_000});
+			}).length;
+		};
+
+		assert.equal(countOwners([first, second], 1), 1);
+		assert.equal(countOwners([], 2), 2, 'each one knows of itself alone');
+		assert.equal(countOwners([first, second], 3), 1);
+	});
 });
--- a/steering/objects/src/index.ts
+++ b/steering/objects/src/index.ts
@@ -2,5 +2,6 @@
 export * from './object-placer.js';
 export * from './object-ranking.js';
 export * from './recent-objects.js';
+export * from './region-groups.js';
 export * from './region-spill.js';
 export * from './work-expectation.js';
--- a/steering/objects/src/object-placer.ts
+++ b/steering/objects/src/object-placer.ts
@@ -18,9 +18,10 @@
 	KnownServer, ObservationTable, ServerObservations, ServerStart, ServerTable,
 } from '@pomelopick/steering.servers';
 import {LearnedLoad} from './learned-load.js';
-import {RankingCache, rankObject} from './object-ranking.js';
+import {RankingCache} from './object-ranking.js';
 import type {ObjectRanking, RegionRanking} from './object-ranking.js';
 import {RecentObjects} from './recent-objects.js';
+import {groupByRegion} from './region-groups.js';
 import type {WorkExpectation} from './work-expectation.js';
 
 /** Time that a hop to another failure domain, and to another region, counts for, in milliseconds: its delay and the bytes that it costs. */
@@ -277,7 +278,7 @@
 			service,
 			object: routeObject,
 			generation: servers.generation,
-			rank: () => rankObject({object: routeObject, servers: servers.listUsable(service), regionOf: ({server}) => regions.get(server.failureDomain) ?? region}),
+			group: () => groupByRegion({servers: servers.listUsable(service), regionOf: ({server}) => regions.get(server.failureDomain) ?? region}),
 		});
 	}
 
--- a/steering/objects/src/object-ranking.ts
+++ b/steering/objects/src/object-ranking.ts
@@ -1,22 +1,37 @@
 /**
  * Ranks the servers of a service for each object, alike at all instances that know the same servers.
  *
- * Highest-random-weight hashing, see {@link chooseOwners}: when a server comes or goes, only objects that it ranks
- * first for move. Regions are ranked with weights as in Schindelhauer and Schomaker, "Weighted distributed hash
- * tables", SPAA 2005.
+ * Highest-random-weight hashing, see {@link mixWeight}: when a server comes or goes, only objects that it ranks first
+ * for move. Regions are ranked with weights as in Schindelhauer and Schomaker, "Weighted distributed hash tables", SPAA
+ * 2005. A region's servers are ranked when they are first asked for: most requests need those of one region alone.
  */
-import {chooseOwners, hashText} from '@pomelopick/core.rendezvous';
+import {hashText, hashTextToNumber} from '@pomelopick/core.rendezvous';
 import type {RegionName, ServiceName} from '@pomelopick/core.types';
 import type {KnownServer} from '@pomelopick/steering.servers';
+import type {RegionGroup} from './region-groups.js';
 
 /** Objects whose ranking is kept. */
 const MOST_RANKINGS = 4096;
 const HASH_RANGE = 2 ** 64;
 
-/** Servers of one region, the first in rank first. */
-export interface RegionRanking {
+/** Servers of one region, ranked for one object. */
+export class RegionRanking {
 	readonly region: RegionName;
-	readonly servers: readonly KnownServer[];
+	readonly #group: RegionGroup;
+	readonly #keyHash: number;
+	#servers: readonly KnownServer[] | undefined;
+
+	constructor({group, keyHash}: {readonly group: RegionGroup; readonly keyHash: number}) {
+		this.region = group.region;
+		this.#group = group;
+		this.#keyHash = keyHash;
+	}
+
+	/** The servers, the first in rank first. */
+	get servers(): readonly KnownServer[] {
+		this.#servers ??= this.#group.rank(this.#keyHash);
+		return this.#servers;
+	}
 }
 
 /** Ranking of one object. */
@@ -27,52 +42,49 @@
 	readonly part: number;
 }
 
-/** Options of {@link rankObject}. */
-export interface RankObjectOptions {
-	readonly object: string;
-	readonly servers: readonly KnownServer[];
-	readonly regionOf: (known: KnownServer) => RegionName;
-}
-
 /** Ranks regions and servers for an object. */
-export function rankObject({object, servers, regionOf}: RankObjectOptions): ObjectRanking {
-	const groups = new Map<RegionName, KnownServer[]>();
-	for (const known of servers) {
-		const region = regionOf(known);
-		const group = groups.get(region);
-		if (group) {
-			group.push(known);
-		} else {
-			groups.set(region, [known]);
-		}
-	}
-
-	const regions = [...groups].map(([region, group]) => ({
-		region, group, score: weightedScore({key: `${object}\0${region}`, weight: group.reduce((sum, {server}) => sum + server.slots, 0)}),
-	}));
-	regions.sort((left, right) => left.score - right.score);
+export function rankObject({object, groups}: {readonly object: string; readonly groups: readonly RegionGroup[]}): ObjectRanking {
+	const keyHash = hashTextToNumber(object);
+	const scored = groups.map(group => ({group, score: weightedScore({key: `${object}\0${group.region}`, weight: group.slots})}));
+	scored.sort((left, right) => left.score - right.score);
 	return {
-		regions: regions.map(({region, group}) => ({region, servers: rankServers({object, group})})),
+		regions: scored.map(({group}) => new RegionRanking({group, keyHash})),
 		part: hashPart(`${object}\0part`),
 	};
 }
 
+/** Options of {@link RankingCache.find}. */
+export interface FindRankingOptions {
+	readonly service: ServiceName;
+	readonly object: string;
+	/** Generation of the servers. */
+	readonly generation: number;
+	/** Groups the service's servers of this generation. */
+	readonly group: () => readonly RegionGroup[];
+}
+
 /** Rankings of objects, kept until the servers change. */
 export class RankingCache {
 	readonly #rankings = new Map<string, ObjectRanking>();
+	readonly #groups = new Map<ServiceName, readonly RegionGroup[]>();
 	#generation: number | undefined;
 
 	/** The ranking of an object; made anew when it is not kept for this generation of the servers. */
-	find({service, object, generation, rank}: {readonly service: ServiceName; readonly object: string; readonly generation: number; readonly rank: () => ObjectRanking}): ObjectRanking {
-		if (generation !== this.#generation || this.#rankings.size >= MOST_RANKINGS) {
+	find({service, object, generation, group}: FindRankingOptions): ObjectRanking {
+		if (generation !== this.#generation) {
 			this.#rankings.clear();
+			this.#groups.clear();
 			this.#generation = generation;
+		} else if (this.#rankings.size >= MOST_RANKINGS) {
+			this.#rankings.clear();
 		}
 
 		const key = `${service}\0${object}`;
 		let ranking = this.#rankings.get(key);
 		if (!ranking) {
-			ranking = rank();
+			const groups = this.#groups.get(service) ?? group();
+			this.#groups.set(service, groups);
+			ranking = rankObject({object, groups});
 			this.#rankings.set(key, ranking);
 		}
 
@@ -80,11 +92,6 @@
 	}
 }
 
-function rankServers({object, group}: {readonly object: string; readonly group: readonly KnownServer[]}): readonly KnownServer[] {
-	const byName = new Map(group.map(known => [known.server.name as string, known]));
-	return chooseOwners({key: object, instances: [...byName.keys()].map(id => ({id})), count: group.length}).map(({id}) => byName.get(id)!);
-}
-
 function weightedScore({key, weight}: {readonly key: string; readonly weight: number}): number {
 	return -Math.log(hashPart(key)) / Math.max(1, weight);
 }
--- a/steering/objects/test/object-placer.test.ts
+++ b/steering/objects/test/object-placer.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {ObjectPlacer, rankObject} from '@pomelopick/steering.objects';
+import {groupByRegion, ObjectPlacer, rankObject} from '@pomelopick/steering.objects';
 import type {ObjectPlacement} from '@pomelopick/steering.objects';
 import {ObservationTable, ServerTable} from '@pomelopick/steering.servers';
 import type {InFlightRequest} from '@pomelopick/steering.servers';
@@ -245,7 +245,7 @@
 describe('rankObject', () => {
 	it('moves only the objects of a server that goes', () => {
 		const servers = createServers(even).listUsable(service);
-		const firstOf = (list: typeof servers, object: string): string | undefined => rankObject({object, servers: list, regionOf: () => 'all' as RegionName}).regions[0]?.servers[0]?.server.name;
+		const firstOf = (list: typeof servers, object: string): string | undefined => rankObject({object, groups: groupByRegion({servers: list, regionOf: () => 'all' as RegionName})}).regions[0]?.servers[0]?.server.name;
 		const gone = servers[3]!.server.name;
 		const left = servers.filter(known => known.server.name !== gone);
 		for (let object = 0; object < 200; object += 1) {
@@ -255,4 +255,17 @@
 			}
 		}
 	});
+
+	it('gives each server about as many objects as any other', () => {
+		const servers = createServers(even).listUsable(service);
+		const groups = groupByRegion({servers, regionOf: () => 'all' as RegionName});
+		const counts = new Map<string, number>();
+		for (let object = 0; object < 6000; object += 1) {
+			const {name} = rankObject({object: `read\0${object}`, groups}).regions[0]!.servers[0]!.server;
+			counts.set(name, (counts.get(name) ?? 0) + 1);
+		}
+
+		assert.equal(counts.size, servers.length);
+		assert.ok([...counts.values()].every(count => count > 400 && count < 600), JSON.stringify([...counts]));
+	});
 });
--- a/xo.config.js
+++ b/xo.config.js
@@ -66,7 +66,7 @@
 	...directionRules,
 	{
 		// Address arithmetic and hashing.
-		files: ['steering/lookup/src/block-table.ts', 'config/schema/src/prefix.ts'],
+		files: ['core/rendezvous/src/mixed-weight.ts', 'steering/lookup/src/block-table.ts', 'config/schema/src/prefix.ts'],
 		rules: {'no-bitwise': 'off'},
 	},
 	{
