Pass changes on inside large failure domains

Ruled out: upstreams in every domain (nine where three do on 27 instances); compression (processor time of every instance). Change: a failure domain of twelve instances or more is a group of its own, smaller ones stay with their region. Conclusion: the number of followers of the store still does not grow with the instances for one group.

--- a/steering/upstreams/src/upstream-choice.ts
+++ b/steering/upstreams/src/upstream-choice.ts
@@ -1,18 +1,21 @@
 /**
  * Chooses the instance from which this one takes the store's changes.
  *
- * A few instances of each region follow the store itself, the others follow one of them. Who follows the store is a
+ * A few instances of each failure domain follow the store itself, or of each region where the domains are small; the
+ * others of the group follow one of them, so that most bytes stay inside a large domain. Who follows the store is a
  * ranking by highest-random-weight hashing, so that nobody has to agree on it: an instance that is asked for changes
  * follows the store whatever it makes of the ranking, and one whose upstream is silent follows the store itself until
  * it has found another. The number of calls to the store so follows the number of regions and of upstreams, not of
  * instances.
  */
 import {chooseOwners} from '@pomelopick/core.rendezvous';
-import type {InstanceId, RegionName} from '@pomelopick/core.types';
+import type {FailureDomainName, InstanceId, RegionName} from '@pomelopick/core.types';
 
 /** Instances that one upstream serves, so that the fan-out stays a small part of its processor time. */
 const MOST_DOWNSTREAM = 36;
-/** Key by which the instances of a region are ranked as upstreams. */
+/** Instances from which on a failure domain has upstreams of its own: in a small one they would ask the store as often as all the others together. */
+const LEAST_OF_DOMAIN = 12;
+/** Key by which the instances of a group are ranked as upstreams. */
 const RANKING_KEY = 'upstreams';
 /** Time for which an upstream is passed over, in milliseconds: one that was silent, and one that had no word of the store. */
 const SILENT_PAUSE_MS = 3000;
@@ -21,6 +24,7 @@
 /** An instance that may be an upstream. */
 export interface UpstreamCandidate {
 	readonly id: InstanceId;
+	readonly failureDomain: FailureDomainName;
 	readonly region: RegionName;
 }
 
@@ -46,8 +50,8 @@
 
 	/** The upstream to follow; undefined: the store itself. */
 	choose<Candidate extends UpstreamCandidate>({instances, nowMs}: ChooseUpstreamOptions<Candidate>): Candidate | undefined {
-		const {id: selfId, region} = this.#self;
-		const others = instances.filter(instance => instance.region === region && instance.id !== selfId);
+		const {id: selfId} = this.#self;
+		const others = this.#listGroup(instances);
 		const count = Math.ceil((others.length + 1) / MOST_DOWNSTREAM);
 		// One more stands by for an upstream that fails.
 		const ranked = chooseOwners({key: RANKING_KEY, instances: [...others, this.#self], count: count + 1});
@@ -66,6 +70,14 @@
 		this.#passedOverUntilMs.set(id, nowMs + (failure === 'silent' ? SILENT_PAUSE_MS : UNAVAILABLE_PAUSE_MS));
 	}
 
+	/** The other instances of this one's group. */
+	#listGroup<Candidate extends UpstreamCandidate>(instances: readonly Candidate[]): readonly Candidate[] {
+		const {id: selfId, failureDomain, region} = this.#self;
+		const others = instances.filter(({id}) => id !== selfId);
+		const inDomain = others.filter(other => other.failureDomain === failureDomain);
+		return inDomain.length + 1 >= LEAST_OF_DOMAIN ? inDomain : others.filter(other => other.region === region);
+	}
+
 	#isOpen({id, nowMs}: {readonly id: InstanceId; readonly nowMs: number}): boolean {
 		const untilMs = this.#passedOverUntilMs.get(id);
 		if (untilMs !== undefined && nowMs >= untilMs) {
