Tell a pause of all servers from servers that cannot be used, and split two large files

Change: refusals of the placer are a module of their own (placement-refusal); backend-paused is said only when every untried server asked for a pause or leaves. What the stand-in does with a request that it runs is play-answer. Conclusion: no other behaviour changed.

--- a/steering/objects/src/index.ts
+++ b/steering/objects/src/index.ts
@@ -1,6 +1,7 @@
 /** Which backend server handles an object's request. */
 export * from './object-placer.js';
 export * from './object-ranking.js';
+export * from './placement-refusal.js';
 export * from './recent-objects.js';
 export * from './region-groups.js';
 export * from './region-spill.js';
--- a/steering/objects/src/object-placer.ts
+++ b/steering/objects/src/object-placer.ts
@@ -12,7 +12,7 @@
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {
-	BackendServerName, FailureDomainName, RefusalReason, RegionName, Route, ServiceName,
+	BackendServerName, FailureDomainName, RegionName, Route, ServiceName,
 } from '@pomelopick/core.types';
 import type {
 	KnownServer, ObservationTable, ServerObservations, ServerStart, ServerTable,
@@ -20,6 +20,8 @@
 import {LearnedLoad} from './learned-load.js';
 import {RankingCache} from './object-ranking.js';
 import type {ObjectRanking, RegionRanking} from './object-ranking.js';
+import {mostWaitMs, refuseLongWait, refuseWithoutServer} from './placement-refusal.js';
+import type {PlacementRefusal} from './placement-refusal.js';
 import {RecentObjects} from './recent-objects.js';
 import {groupByRegion} from './region-groups.js';
 import type {WorkExpectation} from './work-expectation.js';
@@ -35,13 +37,6 @@
 const SERVERS_PER_OBJECT = 1;
 /** Multiple of the expected time from which on a server counts as slow. */
 const SLOW_FROM = 4;
-/** Wait, as a share of the route's target latency, beyond which a request is refused: the queue that it would join makes all behind it late too. */
-const MOST_WAIT_SHARE = 0.8;
-/** Shortest time after which a refused caller is told to come back, in milliseconds. */
-const LEAST_RETRY_AFTER_MS = 200;
-const NO_SERVER_RETRY_AFTER_MS = 500;
-/** Longest time over which callers are spread that come back after a pause of servers, in milliseconds. */
-const MOST_RETURN_SPREAD_MS = 2000;
 
 /** Options of {@link ObjectPlacer}. */
 export interface ObjectPlacerOptions {
@@ -88,13 +83,6 @@
 	readonly expectedMs: number;
 }
 
-/** Why no server was chosen, and when to come back. */
-export interface PlacementRefusal {
-	readonly reason: RefusalReason;
-	readonly detail: string;
-	readonly retryAfterMs: number;
-}
-
 /** Options of {@link ObjectPlacer.noteAnswer}. */
 export interface NoteAnswerOptions extends Pick<PlaceObjectOptions, 'route' | 'object'> {
 	readonly placement: ObjectPlacement;
@@ -149,14 +137,8 @@
 		}
 
 		const best = findBest(candidates);
-		const mostWaitMs = Math.min(deadlineMs - nowMs, route.targetLatencyMs * MOST_WAIT_SHARE);
-		return best.waitMs < mostWaitMs
-			? Right(best)
-			: Left({
-				reason: 'queue-timeout',
-				detail: `the shortest wait at a backend server of ${service} is ${Math.round(best.waitMs)} ms, the request may wait ${Math.round(mostWaitMs)} ms`,
-				retryAfterMs: Math.max(LEAST_RETRY_AFTER_MS, best.waitMs),
-			});
+		const mostMs = mostWaitMs({route, deadlineMs, nowMs});
+		return best.waitMs < mostMs ? Right(best) : Left(refuseLongWait({service, waitMs: best.waitMs, mostMs}));
 	}
 
 	/** Learns from an answer. */
@@ -172,24 +154,13 @@
 		this.#recent.forget(server);
 	}
 
-	/** Why there is no candidate: where servers asked for a pause, callers come back after the first of them, spread over a while. */
 	#refuseWithoutCandidate({service, route, avoid, nowMs}: PlaceObjectOptions): PlacementRefusal {
 		const {servers, regions, region, closedUntilMs, random} = this.#options;
 		const isHome = ({server}: KnownServer): boolean => route.homeRegions.length === 0 || route.homeRegions.includes(regions.get(server.failureDomain) ?? region);
-		const endsMs = servers.listUsable(service)
-			.filter(known => isHome(known) && !avoid.has(known.server.name))
-			.map(({server}) => closedUntilMs({server, nowMs}) ?? Number.POSITIVE_INFINITY);
-		const firstEndMs = Math.min(...endsMs);
-		if (!Number.isFinite(firstEndMs)) {
-			return {reason: 'no-backend-server', detail: `no backend server of ${service} can take the request`, retryAfterMs: NO_SERVER_RETRY_AFTER_MS};
-		}
-
-		const pauseMs = firstEndMs - nowMs;
-		return {
-			reason: 'backend-paused',
-			detail: `the backend servers of ${service} want no requests, the first of them for ${Math.round(pauseMs)} ms`,
-			retryAfterMs: pauseMs + (random() * Math.max(LEAST_RETRY_AFTER_MS, Math.min(pauseMs, MOST_RETURN_SPREAD_MS))),
-		};
+		const untried = servers.listUsable(service).filter(known => isHome(known) && !avoid.has(known.server.name));
+		return refuseWithoutServer({
+			service, closedUntilMs: untried.map(({server}) => closedUntilMs({server, nowMs})), nowMs, random,
+		});
 	}
 
 	#listCandidates(options: ListCandidatesOptions): readonly Candidate[] {
--- a/testing/gateway-fleet/src/caller.ts
+++ b/testing/gateway-fleet/src/caller.ts
@@ -3,8 +3,8 @@
 import {Agent, request} from 'undici';
 import type {Endpoint} from '@pomelopick/core.types';
 import {HOST} from './configuration.js';
+import type {Play} from './play-answer.js';
 import {PLAY_HEADER} from './registered-server.js';
-import type {Play} from './registered-server.js';
 
 /** Options of {@link callGateway}. */
 export interface CallGatewayOptions {
--- a/testing/gateway-fleet/src/index.ts
+++ b/testing/gateway-fleet/src/index.ts
@@ -4,4 +4,5 @@
 export * from './directory-caller.js';
 export * from './gateway-fleet.js';
 export * from './gateway-process.js';
+export * from './play-answer.js';
 export * from './registered-server.js';
--- /dev/null
+++ b/testing/gateway-fleet/src/play-answer.ts
@@ -0,0 +1,123 @@
+/** What a stand-in for a backend server does with a request that it runs. */
+import type {ServerResponse} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+/** How an arrival is played. */
+export type Play =
+	| 'whole'
+	| 'slow'
+	| 'shed'
+	| 'cut'
+	| 'reset'
+	| 'late-reset'
+	| 'silent'
+	| 'unframed'
+	| 'unframed-reset'
+	| 'extra'
+	| 'unstamped'
+	| 'other-id'
+	| 'failure'
+	| 'crash'
+	| 'refuse-unstamped';
+
+/** Times after which the plays `slow` and `late-reset` end, in milliseconds. */
+export const SLOW_MS = 400;
+const LATE_RESET_MS = 1200;
+
+/** Options of {@link playAnswer}. */
+export interface PlayAnswerOptions {
+	/** Not `shed`, which runs nothing. */
+	readonly play: Play;
+	readonly name: string;
+	readonly requestId: string;
+	readonly response: ServerResponse;
+	readonly crash: () => void;
+}
+
+/** Answers a request, or does not, as it is to be played. */
+export async function playAnswer({play, name, requestId, response, crash}: PlayAnswerOptions): Promise<void> {
+	const text = JSON.stringify({requestId, server: name});
+	const headers = {
+		'content-length': String(text.length), 'x-request-id': requestId, 'x-server-stamp': `${name}.${requestId}`, 'x-server-load': '1,0,4',
+	};
+	const raw = (lines: readonly string[]): string => `${lines.join('\r\n')}\r\n\r\n`;
+	const socket = response.socket!;
+	switch (play) {
+		case 'slow': {
+			await sleep(SLOW_MS);
+			response.writeHead(200, headers).end(text);
+			break;
+		}
+
+		case 'cut': {
+			response.writeHead(200, headers).write(text.slice(0, 5));
+			setTimeout(() => socket.destroy(), 10);
+			break;
+		}
+
+		case 'reset': {
+			socket.resetAndDestroy();
+			break;
+		}
+
+		case 'late-reset': {
+			await sleep(LATE_RESET_MS);
+			socket.resetAndDestroy();
+			break;
+		}
+
+		case 'silent': {
+			// No answer comes.
+			break;
+		}
+
+		case 'unframed':
+		case 'unframed-reset': {
+			socket.write(`${raw(['HTTP/1.1 200 OK', `x-request-id: ${requestId}`, `x-server-stamp: ${name}.${requestId}`, 'connection: close'])}${text}`, () => {
+				if (play === 'unframed') {
+					socket.end();
+				} else {
+					socket.resetAndDestroy();
+				}
+			});
+			break;
+		}
+
+		case 'extra': {
+			response.writeHead(200, headers).end(text);
+			socket.write(raw(['HTTP/1.1 200 OK', 'x-request-id: somebody-else', 'x-server-stamp: other', 'content-length: 0']));
+			break;
+		}
+
+		case 'unstamped': {
+			response.writeHead(200, {'content-length': headers['content-length'], 'x-request-id': requestId}).end(text);
+			break;
+		}
+
+		case 'other-id': {
+			response.writeHead(200, {...headers, 'x-request-id': 'somebody-else'}).end(text);
+			break;
+		}
+
+		case 'failure': {
+			response.writeHead(500, headers).end(text);
+			break;
+		}
+
+		case 'refuse-unstamped': {
+			response.writeHead(503, {'content-length': '0', 'x-request-id': requestId}).end();
+			break;
+		}
+
+		case 'crash': {
+			crash();
+			break;
+		}
+
+		case 'shed':
+		case 'whole': {
+			response.writeHead(200, headers).end(text);
+			break;
+		}
+	}
+}
--- a/testing/gateway-fleet/src/registered-server.ts
+++ b/testing/gateway-fleet/src/registered-server.ts
@@ -9,32 +9,12 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {buffer} from 'node:stream/consumers';
-import {setTimeout as sleep} from 'node:timers/promises';
-
-/** How an arrival is played. */
-export type Play =
-	| 'whole'
-	| 'slow'
-	| 'shed'
-	| 'cut'
-	| 'reset'
-	| 'late-reset'
-	| 'silent'
-	| 'unframed'
-	| 'unframed-reset'
-	| 'extra'
-	| 'unstamped'
-	| 'other-id'
-	| 'failure'
-	| 'crash'
-	| 'refuse-unstamped';
+import {playAnswer} from './play-answer.js';
+import type {Play} from './play-answer.js';
 
 /** Header that says how the arrivals of a request are played. */
 export const PLAY_HEADER = 'x-play';
 
-/** Times after which the plays `slow` and `late-reset` end, in milliseconds. */
-export const SLOW_MS = 400;
-const LATE_RESET_MS = 1200;
 const MILLISECONDS_PER_SECOND = 1000;
 
 /** One run of a request at a server. */
@@ -206,7 +186,7 @@
 	response.once('close', () => {
 		execution.wasCancelled = !response.writableFinished;
 	});
-	await answer({
+	await playAnswer({
 		play, name, requestId, response, crash,
 	});
 }
@@ -217,99 +197,3 @@
 	records.arrivals.set(requestId, arrival + 1);
 	return list[Math.min(arrival, list.length - 1)]!;
 }
-
-interface AnswerOptions {
-	/** Not `shed`, which runs nothing. */
-	readonly play: Play;
-	readonly name: string;
-	readonly requestId: string;
-	readonly response: ServerResponse;
-	readonly crash: () => void;
-}
-
-async function answer({play, name, requestId, response, crash}: AnswerOptions): Promise<void> {
-	const text = JSON.stringify({requestId, server: name});
-	const headers = {
-		'content-length': String(text.length), 'x-request-id': requestId, 'x-server-stamp': `${name}.${requestId}`, 'x-server-load': '1,0,4',
-	};
-	const raw = (lines: readonly string[]): string => `${lines.join('\r\n')}\r\n\r\n`;
-	const socket = response.socket!;
-	switch (play) {
-		case 'slow': {
-			await sleep(SLOW_MS);
-			response.writeHead(200, headers).end(text);
-			break;
-		}
-
-		case 'cut': {
-			response.writeHead(200, headers).write(text.slice(0, 5));
-			setTimeout(() => socket.destroy(), 10);
-			break;
-		}
-
-		case 'reset': {
-			socket.resetAndDestroy();
-			break;
-		}
-
-		case 'late-reset': {
-			await sleep(LATE_RESET_MS);
-			socket.resetAndDestroy();
-			break;
-		}
-
-		case 'silent': {
-			// No answer comes.
-			break;
-		}
-
-		case 'unframed':
-		case 'unframed-reset': {
-			socket.write(`${raw(['HTTP/1.1 200 OK', `x-request-id: ${requestId}`, `x-server-stamp: ${name}.${requestId}`, 'connection: close'])}${text}`, () => {
-				if (play === 'unframed') {
-					socket.end();
-				} else {
-					socket.resetAndDestroy();
-				}
-			});
-			break;
-		}
-
-		case 'extra': {
-			response.writeHead(200, headers).end(text);
-			socket.write(raw(['HTTP/1.1 200 OK', 'x-request-id: somebody-else', 'x-server-stamp: other', 'content-length: 0']));
-			break;
-		}
-
-		case 'unstamped': {
-			response.writeHead(200, {'content-length': headers['content-length'], 'x-request-id': requestId}).end(text);
-			break;
-		}
-
-		case 'other-id': {
-			response.writeHead(200, {...headers, 'x-request-id': 'somebody-else'}).end(text);
-			break;
-		}
-
-		case 'failure': {
-			response.writeHead(500, headers).end(text);
-			break;
-		}
-
-		case 'refuse-unstamped': {
-			response.writeHead(503, {'content-length': '0', 'x-request-id': requestId}).end();
-			break;
-		}
-
-		case 'crash': {
-			crash();
-			break;
-		}
-
-		case 'shed':
-		case 'whole': {
-			response.writeHead(200, headers).end(text);
-			break;
-		}
-	}
-}
