--- a/daemons/gateway/src/create-view.ts
+++ b/daemons/gateway/src/create-view.ts
@@ -43,7 +43,7 @@
 	readonly view: LiveView;
 	readonly feed: StoreFeed;
 	/** Passes the store's changes on to other instances. */
-	readonly relay: ChangeRelay;
+	readonly changeRelay: ChangeRelay;
 	/** Tells the other instances of requests that crash servers. */
 	readonly sharing: SuspicionSharing;
 	/** Claims a part of a service's allowance of further sends. */
@@ -81,7 +81,7 @@
 		})],
 		onServerLost,
 	});
-	const relay = new ChangeRelay({now});
+	const changeRelay = new ChangeRelay({now});
 	const upstreamClient = new UpstreamClient();
 	const upstreams = new UpstreamLink({
 		self,
@@ -96,7 +96,7 @@
 	const feed = new StoreFeed({
 		store,
 		view,
-		relay,
+		relay: changeRelay,
 		upstreams,
 		prefix: EVERYTHING,
 		sleep,
@@ -138,7 +138,7 @@
 	return {
 		view,
 		feed,
-		relay,
+		changeRelay,
 		sharing,
 		claimAllowance: async service => allowance.claim(service),
 		start() {
@@ -146,7 +146,7 @@
 			void registration.run();
 		},
 		async leave() {
-			relay.close();
+			changeRelay.close();
 			await registration.leave();
 		},
 		async stop() {
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -99,7 +99,7 @@
 			view, self, isReady, mostTimeToLiveMs: settings.directoryMostMs, counters,
 		}),
 	});
-	const changes = new HttpListener({endpoint: peers, answer: createChangeListener({relay: viewParts.relay})});
+	const changes = new HttpListener({endpoint: peers, answer: createChangeListener({relay: viewParts.changeRelay})});
 	const metrics = new HttpListener({
 		endpoint: settings.listen.metrics, async answer(_request, response) {
 			const text = await counters.text();
