Have each case of the servers' notices end with the store's news heard

The object's server was then read off as server-2, and once server-0 came back it ranked first for the object, so that server-2 never served it again. A run of the unchanged case that prints who serves shows it: server-4, then server-0 for good, with server-2 paused. Ruled out: a pause that does not end (server-2 takes requests of other objects again), load alone (it fails on a machine with two plays beside, each of three runs). Change: the case before waits until the server that started anew serves its object again, as the other cases of leaving servers do. Conclusion: a fault of the test; the check itself stays as it was, one condition was added.

--- a/daemons/gateway/test/server-notices.test.ts
+++ b/daemons/gateway/test/server-notices.test.ts
@@ -87,6 +87,7 @@
 		await until(() => gateway.lines.some(({event, subject}) => event === 'server-leaves' && subject === server.name));
 		server.setLeaving(false);
 		register(server, {isNewStart: true});
+		await until(async () => isServedBy({object: 'health', server}));
 	});
 
 	it('keep requests from a server that asked for a pause, until it is over', async () => {
