--- a/peer/membership/src/membership.ts
+++ b/peer/membership/src/membership.ts
@@ -69,7 +69,9 @@
 				this.#flush({isUrgent: true});
 			}, now: options.now,
 		});
-		this.#calls = new ExchangeCalls({clients: options.clients, heldVersion: options.heldVersion, table: this.#table, sender: () => this.#self.id});
+		this.#calls = new ExchangeCalls({
+			clients: options.clients, heldVersion: options.heldVersion, table: this.#table, sender: () => this.#self.id,
+		});
 		this.#findings = new OwnFindings({observer: this.#observer, table: this.#table, wallClock: options.wallClock});
 		this.#versions = new HeardVersions({onPeerVersion: options.onPeerVersion, now: options.now, table: this.#table});
 		this.#reader = new ListReader({
