Let three tests of upstreams and notices fail when their protection is taken out

Cause: with protections taken out one by one (trial on a scratch copy, 15 of them), three tests stayed green: without an instance that stands by for the only upstream of a group; without asking the store first after an upstream failed; and without reading what an answer to a health check says. The last waited for a log line that an earlier case had already brought about for the same server. Conclusion: checks are as strict as before or stricter; none was eased.

--- a/daemons/gateway/test/server-notices.test.ts
+++ b/daemons/gateway/test/server-notices.test.ts
@@ -44,6 +44,8 @@
 
 	const startOf = new Map<RegisteredServer, number>();
 	const countArrivals = ({name}: RegisteredServer): number => fleet.records.arrivalLog.filter(({server}) => server === name).length;
+	/** How often the gateway noted that a server leaves; other cases may have it noted of the same server. */
+	const countLeavings = ({name}: RegisteredServer): number => gateway.lines.filter(({event, subject}) => event === 'server-leaves' && subject === name).length;
 	const isServedBy = async ({object, server}: {readonly object: string; readonly server: RegisteredServer}): Promise<boolean> => {
 		const {name} = await serverOf(object);
 		return name === server.name;
@@ -54,7 +56,7 @@
 		return new Set(answers.map(({status}) => status));
 	};
 
-	const leavings: ReadonlyArray<{name: string; play: Play}> = [
+	const answers: ReadonlyArray<{name: string; play: Play}> = [
 		{name: 'a success', play: 'whole'},
 		{name: 'a failure', play: 'failure'},
 		{name: 'a refusal', play: 'shed'},
@@ -62,29 +64,31 @@
 	];
 	const playLeaving = async ({name, play}: {readonly name: string; readonly play: Play}): Promise<void> => {
 		const server = await serverOf(name);
+		const leavings = countLeavings(server);
 		server.setLeaving(true);
 		await call(name, [play, 'whole']);
 		const before = countArrivals(server);
 		register(server, {isNewStart: false});
 		assert.deepEqual(await callOften(name), new Set([200]));
 		assert.equal(countArrivals(server), before);
-		assert.ok(gateway.lines.some(({event, subject}) => event === 'server-leaves' && subject === server.name));
+		assert.equal(countLeavings(server), leavings + 1);
 		server.setLeaving(false);
 		register(server, {isNewStart: true});
 		await until(async () => isServedBy({object: name, server}));
 	};
 
-	for (const leaving of leavings) {
-		it(`keep all further requests from a server that says in ${leaving.name} that it leaves, whatever the store says`, async () => playLeaving(leaving));
+	for (const answer of answers) {
+		it(`keep all further requests from a server that says in ${answer.name} that it leaves, whatever the store says`, async () => playLeaving(answer));
 	}
 
 	it('keep all further requests from a server that says so when it is asked whether it has gone', async () => {
 		const server = await serverOf('health');
+		const leavings = countLeavings(server);
 		server.setLeaving(true);
 		const answer = await call('health', ['reset', 'whole']);
 		assert.equal(answer.status, 200);
 		assert.equal(answer.headers['server-leaving'], undefined, 'no answer to a request said so');
-		await until(() => gateway.lines.some(({event, subject}) => event === 'server-leaves' && subject === server.name));
+		await until(() => countLeavings(server) > leavings);
 		server.setLeaving(false);
 		register(server, {isNewStart: true});
 		await until(async () => isServedBy({object: 'health', server}));
@@ -106,9 +110,9 @@
 			server.askPause(LONG_PAUSE_MS);
 		}
 
-		const answers: CallerAnswer[] = [];
+		const refusals: CallerAnswer[] = [];
 		await until(async () => {
-			answers.push(await call(`all-${answers.length}`));
+			refusals.push(await call(`all-${refusals.length}`));
 			return gateway.lines.some(({reason}) => reason === 'backend-paused');
 		});
 		const arrivals = fleet.records.arrivalLog.length;
@@ -116,6 +120,6 @@
 		assert.equal(last.status, 503);
 		assert.ok(Number(last.headers['retry-after']) > LONG_PAUSE_MS / 2000, String(last.headers['retry-after']));
 		assert.equal(fleet.records.arrivalLog.length, arrivals);
-		assert.ok(answers.every(({status}) => status === 503));
+		assert.ok(refusals.every(({status}) => status === 503));
 	});
 });
--- a/steering/upstreams/test/upstream-choice.test.ts
+++ b/steering/upstreams/test/upstream-choice.test.ts
@@ -17,6 +17,14 @@
 const chooseAll = (instances: readonly UpstreamCandidate[]): ReadonlyMap<InstanceId, UpstreamCandidate | undefined> =>
 	new Map(instances.map(self => [self.id, new UpstreamChoice({self}).choose({instances, nowMs: 0})]));
 
+/** Whom an instance turns to once the first upstream that it chose was silent; undefined: the store. */
+const chooseSecond = ({instances, self}: {readonly instances: readonly UpstreamCandidate[]; readonly self: UpstreamCandidate}): UpstreamCandidate | undefined => {
+	const choice = new UpstreamChoice({self});
+	const first = choice.choose({instances, nowMs: 0})!;
+	choice.noteFailure({id: first.id, failure: 'silent', nowMs: 0});
+	return choice.choose({instances, nowMs: 1});
+};
+
 const sizes: ReadonlyArray<{size: number; mostAtStore: number; mostDownstream: number}> = [
 	{size: 1, mostAtStore: 1, mostDownstream: 0},
 	{size: 3, mostAtStore: 3, mostDownstream: 0},
@@ -71,6 +79,18 @@
 		assert.equal(choice.choose({instances, nowMs: 4000})?.id, first.id);
 	});
 
+	for (const region of REGIONS) {
+		it(`follows the one instance of ${region} that stands by, which itself turns to the store, once the only upstream failed`, () => {
+			const instances = fleetOf(27);
+			const choices = chooseAll(instances);
+			const followers = instances.filter(instance => instance.region === region && choices.get(instance.id) !== undefined);
+			const seconds = new Map(followers.map(self => [self.id, chooseSecond({instances, self})?.id]));
+			const standbys = [...seconds].filter(([, second]) => second === undefined).map(([id]) => id);
+			assert.equal(standbys.length, 1, JSON.stringify([...seconds]));
+			assert.deepEqual(new Set([...seconds.values()].filter(second => second !== undefined)), new Set(standbys));
+		});
+	}
+
 	it('follows the store when every upstream failed', () => {
 		const instances = fleetOf(27);
 		const self = instances.find(({id}) => chooseAll(instances).get(id) !== undefined)!;
