Reproduce crashing requests beside sound ones on real processes, and write the timeline

Change: soak:crashes plays one request that crashes every server that runs it against eight gateway processes and 18 servers that start anew, beside sound requests and faults of the store, and judges it by the users' bound. No logic is changed.

--- a/testing/gateway-fleet/src/gateway-fleet.ts
+++ b/testing/gateway-fleet/src/gateway-fleet.ts
@@ -19,6 +19,10 @@
 const ADDRESS_PARTS = 250;
 
 const MILLISECONDS_PER_SECOND = 1000;
+/** Wall-clock time of the first start of a server, in milliseconds. */
+const FIRST_START_MS = 1000;
+/** Time for which a server is down that a request took down, in milliseconds. */
+const RESTART_MS = 1500;
 
 /** Retry budget of each service over the whole fleet, as the users' sheets give it. */
 export const RETRY_BUDGET = {ratio: 0.2, allowance: 56, windowMs: 10_000} as const;
@@ -69,6 +73,7 @@
 	readonly records: ServerRecords = {executions: [], arrivals: new Map(), arrivalLog: []};
 	readonly servers: RegisteredServer[] = [];
 	#heartbeat = 0;
+	#isStopped = false;
 
 	constructor(readonly platform: PlatformStandIn) {}
 
@@ -85,8 +90,34 @@
 		return server;
 	}
 
+	/** Starts and registers a server that starts anew under its name, at its address, each time that a request took it down. */
+	async addRestartingServer({name, failureDomain}: {readonly name: string; readonly failureDomain: FleetDomain}): Promise<void> {
+		const index = this.servers.length;
+		const start = async (port?: number): Promise<RegisteredServer> => startRegisteredServer({
+			name, records: this.records, port, onCrash() {
+				void restart();
+			},
+		});
+		let startedAtMs = FIRST_START_MS;
+		const restart = async (): Promise<void> => {
+			await sleep(RESTART_MS);
+			if (this.#isStopped) {
+				return;
+			}
+
+			startedAtMs += RESTART_MS;
+			const server = await start(this.servers[index]!.port);
+			this.servers[index] = server;
+			this.register({server, failureDomain, startedAtMs});
+		};
+
+		const server = await start();
+		this.servers.push(server);
+		this.register({server, failureDomain, startedAtMs});
+	}
+
 	/** Writes the entry of a server. */
-	register({server, failureDomain, state = 'ready', startedAtMs = 1000}: RegisterOptions): void {
+	register({server, failureDomain, state = 'ready', startedAtMs = FIRST_START_MS}: RegisterOptions): void {
 		this.#heartbeat += 1;
 		this.write(`servers/${server.name}`, {
 			service: 'ledger', address: `127.0.0.1:${server.port}`, zone: failureDomain, version: 'v1', slots: SLOTS, state, 'warmup-left-s': 0, sequence: this.#heartbeat, born: startedAtMs,
@@ -119,6 +150,7 @@
 
 	/** Stops servers and store. */
 	async stop(): Promise<void> {
+		this.#isStopped = true;
 		await Promise.all(this.servers.map(async server => server.stop()));
 		await this.platform.stop();
 	}
--- a/testing/gateway-fleet/src/registered-server.ts
+++ b/testing/gateway-fleet/src/registered-server.ts
@@ -28,6 +28,8 @@
 	readonly expectedServer: string | undefined;
 	/** Time that the sender said it would wait, in milliseconds. */
 	readonly timeLeftMs: number;
+	/** Monotonic time of its beginning, in milliseconds. */
+	readonly atMs: number;
 	/** Whether the connection closed before the answer was sent. */
 	wasCancelled: boolean;
 }
@@ -58,6 +60,8 @@
 	readonly name: string;
 	readonly records: ServerRecords;
 	readonly port?: number;
+	/** Called when a request took the server down. */
+	readonly onCrash?: () => void;
 }
 
 /** A running server. */
@@ -73,7 +77,7 @@
 }
 
 /** Starts a server on loopback; it registers nothing by itself. */
-export async function startRegisteredServer({name, records, port = 0}: StartRegisteredServerOptions): Promise<RegisteredServer> {
+export async function startRegisteredServer({name, records, port = 0, onCrash}: StartRegisteredServerOptions): Promise<RegisteredServer> {
 	const sockets = new Set<Socket>();
 	const notice: ServerNotice = {isLeaving: false, leavings: 0, pausedUntilMs: 0};
 	const server: Server = createServer((request, response) => {
@@ -83,7 +87,7 @@
 					socket.resetAndDestroy();
 				}
 
-				server.close();
+				server.close(onCrash);
 			},
 		});
 	});
@@ -180,6 +184,7 @@
 		body: body.toString('utf8'),
 		expectedServer,
 		timeLeftMs: Number(request.headers['x-deadline-ms']),
+		atMs: arrival.atMs,
 		wasCancelled: false,
 	};
 	records.executions.push(execution);
--- /dev/null
+++ b/testing/gateway-soak/src/crash-cases.ts
@@ -0,0 +1,32 @@
+/** What crashing requests are played beside. */
+import type {RunCrashRoundOptions} from './crash-round.js';
+
+const DURATION_MS = 12_000;
+
+/** Cases of {@link runCrashRound}. */
+export const crashCases: ReadonlyArray<Omit<RunCrashRoundOptions, 'seed'> & {readonly name: string}> = [
+	{
+		name: 'alone', durationMs: DURATION_MS, soundPaths: 0, soundPerSecond: 0,
+	},
+	{
+		name: 'beside a few requests that come often', durationMs: DURATION_MS, soundPaths: 4, soundPerSecond: 20,
+	},
+	{
+		name: 'beside many requests', durationMs: DURATION_MS, soundPaths: 12, soundPerSecond: 40,
+	},
+	{
+		name: 'while the store turns some gateways away', durationMs: DURATION_MS, soundPaths: 0, soundPerSecond: 0, fault: 'some-turned-away', faultMs: 10_000,
+	},
+	{
+		name: 'beside many requests, while the store turns some gateways away', durationMs: DURATION_MS, soundPaths: 12, soundPerSecond: 40, fault: 'some-turned-away', faultMs: 10_000,
+	},
+	{
+		name: 'while the store is away', durationMs: DURATION_MS, soundPaths: 0, soundPerSecond: 0, fault: 'store-away', faultMs: 8000,
+	},
+	{
+		name: 'beside many requests, while the store is away', durationMs: DURATION_MS, soundPaths: 12, soundPerSecond: 40, fault: 'store-away', faultMs: 8000,
+	},
+	{
+		name: 'beside many requests, while gateways are killed', durationMs: DURATION_MS, soundPaths: 12, soundPerSecond: 40, fault: 'gateways-killed',
+	},
+];
--- /dev/null
+++ b/testing/gateway-soak/src/crash-main.ts
@@ -0,0 +1,19 @@
+/** Plays crashing requests beside sound ones: `npm run soak:crashes -- SEED ROUNDS`. Each round plays every case; exit code 1 when a promise was broken. */
+import process from 'node:process';
+import {crashCases} from './crash-cases.js';
+import {judgeCrashRound} from './crash-judge.js';
+import {runCrashRound} from './crash-round.js';
+
+const [firstSeed = 1, rounds = 1, onlyCase] = process.argv.slice(2);
+for (let round = 0; round < Number(rounds); round += 1) {
+	for (const {name, ...options} of crashCases.filter(({name}) => onlyCase === undefined || name.includes(onlyCase))) {
+		const {lines, executions, ...summary} = await runCrashRound({...options, seed: Number(firstSeed) + round});
+		const violations = judgeCrashRound({round: summary, fault: options.fault});
+		process.stdout.write(`${JSON.stringify({name, ...summary, violations})}\n`);
+		if (violations.length > 0) {
+			process.exitCode = 1;
+			process.stdout.write(executions.map(({atMs, server, requestId}) => `  ${Math.round(atMs)} ${server} ${requestId}\n`).join(''));
+			process.stdout.write(lines.map(line => `  ${JSON.stringify(line)}\n`).join(''));
+		}
+	}
+}
--- a/testing/gateway-soak/src/index.ts
+++ b/testing/gateway-soak/src/index.ts
@@ -1,4 +1,7 @@
 /** Randomized soak of gateway processes under faults from outside them. */
+export * from './crash-cases.js';
+export * from './crash-judge.js';
+export * from './crash-round.js';
 export * from './draw.js';
 export * from './judge.js';
 export * from './notice-judge.js';
