Log which requests were in flight at a server's death, and which request a line is about

Cause: the lines could not tell the hypotheses of the incident apart: a death gave the number of requests in flight, a conviction not the death that brought it, a dropped suspicion nothing, and the line of a request not its fingerprint. Ruled out: nothing yet. Change: deaths name up to 16 fingerprints, shortened to 12 characters; convictions name the server; cleared suspects have a line; the line of a request has its fingerprint where anybody asked for it. No decision is changed.

--- a/calls/quarantine/src/fingerprint.ts
+++ b/calls/quarantine/src/fingerprint.ts
@@ -25,3 +25,11 @@
 	const hash = createHash('sha256').update(`${method}\n${service}\n${path}\n${bodyLength ?? ''}\n${caller}\n`);
 	return hash.update(bodyStart).digest('hex') as RequestFingerprint;
 }
+
+/** Characters of a fingerprint that tell requests apart in a log. */
+const SHOWN_CHARACTERS = 12;
+
+/** Shortens a fingerprint for logs. */
+export function showFingerprint(fingerprint: RequestFingerprint): string {
+	return fingerprint.slice(0, SHOWN_CHARACTERS);
+}
--- a/calls/quarantine/src/quarantine.ts
+++ b/calls/quarantine/src/quarantine.ts
@@ -1,6 +1,7 @@
 /** Refuses requests that crash backend servers, together with the other instances. */
 import type {CallCounters, EventRecord} from '@pomelopick/core.telemetry';
 import type {BackendServerName, InstanceId} from '@pomelopick/core.types';
+import {showFingerprint} from './fingerprint.js';
 import type {RequestFingerprint} from './fingerprint.js';
 import {SuspectTable} from './suspect-table.js';
 import type {ServerDeath} from './suspect-table.js';
@@ -23,6 +24,9 @@
 	readonly now: () => number;
 }
 
+/** Requests in flight at a death that its log line names. */
+const MOST_SHOWN_REQUESTS = 16;
+
 /** What is known of a request. */
 export type Standing = 'clear' | 'suspect' | 'convicted';
 
@@ -77,11 +81,15 @@
 	/** Records a death that any instance saw; answers the requests that it convicts. */
 	receiveDeath(death: ServerDeath): readonly RequestFingerprint[] {
 		const {now, counters, events} = this.#options;
-		events.add({kind: 'quarantine', message: 'backend server died with calls in flight', fields: {server: death.server, suspects: death.fingerprints.length, seenBy: death.origin}});
+		events.add({
+			kind: 'quarantine', message: 'backend server died with calls in flight', fields: {
+				server: death.server, suspects: death.fingerprints.length, fingerprints: death.fingerprints.slice(0, MOST_SHOWN_REQUESTS).map(fingerprint => showFingerprint(fingerprint)).join(','), seenBy: death.origin,
+			},
+		});
 		const convicted = this.#table.record({death, nowMs: now()});
 		for (const fingerprint of convicted) {
 			counters.add('quarantine.conviction');
-			events.add({kind: 'quarantine', message: 'request convicted', fields: {fingerprint}});
+			events.add({kind: 'quarantine', message: 'request convicted', fields: {fingerprint: showFingerprint(fingerprint), server: death.server}});
 		}
 
 		return convicted;
@@ -102,7 +110,12 @@
 
 	/** Clears a suspect that was run to its end at any instance. */
 	receiveCleared(fingerprint: RequestFingerprint): void {
-		this.#options.counters.add('quarantine.cleared');
+		const {counters, events} = this.#options;
+		counters.add('quarantine.cleared');
+		if (this.#table.isSuspect(fingerprint)) {
+			events.add({kind: 'quarantine', message: 'suspect cleared, it was answered', fields: {fingerprint: showFingerprint(fingerprint)}});
+		}
+
 		this.#table.clear(fingerprint);
 	}
 }
--- a/calls/relay/src/relayed-request.ts
+++ b/calls/relay/src/relayed-request.ts
@@ -73,6 +73,11 @@
 		return this.endedBy !== undefined;
 	}
 
+	/** Fingerprint of the request, where anybody asked for it. */
+	get knownFingerprint(): RequestFingerprint | undefined {
+		return this.#fingerprint;
+	}
+
 	/** Fingerprint of the request. */
 	fingerprint(): RequestFingerprint {
 		const {method, service, path, body, headers, caller} = this.options;
--- a/calls/relay/src/request-log.ts
+++ b/calls/relay/src/request-log.ts
@@ -1,4 +1,5 @@
 /** Writes the line of each request that ended, and times it. */
+import {showFingerprint} from '@pomelopick/calls.quarantine';
 import type {CallCounters, DecisionLog, LogFields} from '@pomelopick/core.telemetry';
 import type {Refusal} from '@pomelopick/core.types';
 import type {RelayedRequest} from './relayed-request.js';
@@ -49,7 +50,7 @@
 		this.#options.log.request('failed', {requestId: id, ...describeRefusal(refusal), configurationVersion: this.#options.configurationVersion()});
 	}
 
-	#describe({options, attempts, extraAttempts, viewAgeMs, endedBy}: RelayedRequest): LogFields {
+	#describe({options, attempts, extraAttempts, viewAgeMs, endedBy, knownFingerprint}: RelayedRequest): LogFields {
 		const {id, route, service, object, arrivedAtMs, answerByMs} = options;
 		const last = attempts.at(-1);
 		return {
@@ -57,6 +58,7 @@
 			route: route.name,
 			service,
 			object,
+			fingerprint: knownFingerprint && showFingerprint(knownFingerprint),
 			server: last?.server,
 			why: last?.why,
 			attempts: attempts.length,
