Judge crashing requests by all the evidence, and keep suspects on servers of their own

Callers saw: a request that crashes every server that runs it took down 5 to 11 of 18 servers, and up to a third of the sound requests beside it were refused for ten minutes. Cause: a conviction was made in the order in which requests had been in flight: of several with the same evidence the first was convicted, and that wiped the evidence against the others, the crashing one among them. Reports of one death that came more than 250 ms apart counted twice. Change: the table keeps evidence alone (which requests were in flight at which start of which server) and derives what a request is from all of it: the same in any order of reports. Equal evidence convicts all, for 30 s only, and the next death tells. An answer of a server takes a conviction back. Suspects, and requests that a server dropped, go each to the server that their fingerprint ranks first, alike at all gateways; they are not hedged, and a suspect goes on only when its loss was judged. A request that had not been sent when the server died is no suspect.

--- a/calls/forwarding/src/attempt.ts
+++ b/calls/forwarding/src/attempt.ts
@@ -5,7 +5,7 @@
 	BackendServerName, Refusal, RetryReason, ServiceName,
 } from '@pomelopick/core.types';
 import type {BackendConnections} from '@pomelopick/calls.connections';
-import type {DeathWatch} from '@pomelopick/calls.quarantine';
+import type {DeathWatch, InFlightCall, RequestFingerprint} from '@pomelopick/calls.quarantine';
 import {
 	ATTEMPTS_HEADER, CALL_ID_HEADER, listHeaders, TIMEOUT_HEADER,
 } from './call-headers.js';
@@ -51,7 +51,7 @@
 }
 
 /** One attempt. */
-export class Attempt {
+export class Attempt implements InFlightCall {
 	readonly #options: AttemptOptions;
 	#exchange: Exchange | undefined;
 	#placement: Placement | undefined;
@@ -74,6 +74,14 @@
 		return this.#sentAtMs;
 	}
 
+	get isSuspect(): boolean {
+		return this.#options.call.isSuspect;
+	}
+
+	get mayHaveRun(): boolean {
+		return this.#exchange?.mayHaveRun === true;
+	}
+
 	/** Whether the request was sent and nothing has come back. */
 	get isUnanswered(): boolean {
 		return this.#exchange?.mayHaveRun === true && !this.#exchange.hasHead;
@@ -98,6 +106,10 @@
 		return this.#send(placement);
 	}
 
+	fingerprint(): RequestFingerprint {
+		return this.#options.call.fingerprint();
+	}
+
 	/** Gives the attempt up; the backend server's work is cancelled by closing its connection. */
 	giveUp(failure: Pick<AttemptFailure, 'kind' | 'detail'>): void {
 		this.#isGivenUp = true;
@@ -164,7 +176,7 @@
 		}
 
 		call.sentAttempts += 1;
-		parts.deathWatch.enter({server: server.name, call});
+		parts.deathWatch.enter({server: server.name, call: this});
 		this.#sentAtMs = parts.now();
 		exchange.send();
 		const result = await exchange.result;
@@ -176,7 +188,7 @@
 		}
 
 		const settled = result.isRight() ? this.#onAnswer(result.unsafeCoerce()) : await this.#onFailure(result.extract() as AttemptFailure);
-		parts.deathWatch.leave({server: server.name, call});
+		parts.deathWatch.leave({server: server.name, call: this});
 		return settled;
 	}
 
--- a/calls/forwarding/src/call-state.ts
+++ b/calls/forwarding/src/call-state.ts
@@ -3,7 +3,7 @@
 	BackendServerName, CallId, FailureDomainName, HedgeReason, RetryReason, Service, SiteName,
 } from '@pomelopick/core.types';
 import {fingerprintOf} from '@pomelopick/calls.quarantine';
-import type {InFlightCall, RequestFingerprint} from '@pomelopick/calls.quarantine';
+import type {RequestFingerprint} from '@pomelopick/calls.quarantine';
 import {Cancellation} from './cancellation.js';
 import type {RequestBody} from './request-body.js';
 
@@ -26,7 +26,7 @@
 }
 
 /** One call. */
-export class CallState implements InFlightCall {
+export class CallState {
 	/** Cancelled when the caller left or the deadline passed. */
 	readonly ended = new Cancellation();
 	endedBy: 'caller' | 'deadline' | undefined;
--- a/calls/live/src/suspicion-records.ts
+++ b/calls/live/src/suspicion-records.ts
@@ -1,8 +1,8 @@
 /** Records of what instances saw of requests that crash backend servers. */
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import type {RequestFingerprint} from '@pomelopick/calls.quarantine';
-import type {BackendServerName, CodedError, InstanceId} from '@pomelopick/core.types';
+import type {RequestFingerprint, ServerDeath} from '@pomelopick/calls.quarantine';
+import type {CodedError, InstanceId} from '@pomelopick/core.types';
 import type {BeliefChange} from './belief-change.js';
 import type {RecordReader} from './record-reader.js';
 
@@ -14,15 +14,19 @@
 
 /** What one instance saw. */
 export type SuspicionRecord =
-	| {readonly kind: 'death'; readonly origin: InstanceId; readonly sequence: number; readonly server: BackendServerName; readonly fingerprints: readonly RequestFingerprint[]}
+	| DeathRecord
 	| {readonly kind: 'cleared'; readonly origin: InstanceId; readonly sequence: number; readonly fingerprint: RequestFingerprint};
 
+interface DeathRecord extends Omit<ServerDeath, 'atMs'> {
+	readonly kind: 'death';
+}
+
 /** Decodes a record; Left says what is wrong with it. */
 export function decodeSuspicion(bytes: Uint8Array): Either<CodedError, SuspicionRecord> {
 	try {
 		const record = JSON.parse(new TextDecoder().decode(bytes)) as SuspicionRecord;
 		const isWhole = typeof record.origin === 'string' && Number.isInteger(record.sequence);
-		const isDeath = record.kind === 'death' && typeof record.server === 'string' && Array.isArray(record.fingerprints) && record.fingerprints.every(text => isFingerprint(text));
+		const isDeath = record.kind === 'death' && typeof record.server === 'string' && (record.startedAtMs === undefined || Number.isInteger(record.startedAtMs)) && Array.isArray(record.fingerprints) && record.fingerprints.every(text => isFingerprint(text));
 		const isCleared = record.kind === 'cleared' && isFingerprint(record.fingerprint);
 		const message = `a field is missing or of another type: ${JSON.stringify(record).slice(0, SHOWN_CHARACTERS)}`;
 		return isWhole && (isDeath || isCleared) ? Right(record) : Left({code: 'malformed-suspicion', message});
--- a/calls/live/src/suspicion-writer.ts
+++ b/calls/live/src/suspicion-writer.ts
@@ -50,9 +50,9 @@
 	}
 
 	/** Tells the other instances of a death; resolves after the first try. */
-	readonly shareDeath = async ({death: {origin, sequence, server, fingerprints}}: {readonly death: ServerDeath}): Promise<void> => {
+	readonly shareDeath = async ({death: {origin, sequence, server, startedAtMs, fingerprints}}: {readonly death: ServerDeath}): Promise<void> => {
 		await this.#share({
-			kind: 'death', origin, sequence, server, fingerprints: fingerprints.slice(0, MOST_FINGERPRINTS),
+			kind: 'death', origin, sequence, server, startedAtMs, fingerprints: fingerprints.slice(0, MOST_FINGERPRINTS),
 		});
 	};
 
--- a/calls/quarantine/src/death-watch.ts
+++ b/calls/quarantine/src/death-watch.ts
@@ -1,21 +1,31 @@
 /** Tells the death of a backend server from the loss of one connection, and who was in flight there. */
 import type {BackendServer, BackendServerName} from '@pomelopick/core.types';
+import type {ServerDeath} from './death-evidence.js';
 import type {RequestFingerprint} from './fingerprint.js';
 
 /** Losses at a server within this time belong to one death. */
 const SAME_DEATH_MS = 100;
 
-/** A call that is in flight at a backend server. */
+/** A call that is in flight at a backend server, or on its way there. */
 export interface InFlightCall {
 	readonly isSuspect: boolean;
+	/** Whether a byte of the call may have reached the server. */
+	readonly mayHaveRun: boolean;
 	fingerprint(): RequestFingerprint;
 }
 
+/** A backend server as far as its death is concerned. */
+export interface WatchedServer {
+	readonly name: BackendServerName;
+	/** Wall-clock time at which it started, in milliseconds; undefined: it does not tell. */
+	readonly startedAtMs?: number | undefined;
+}
+
 /** Options of {@link DeathWatch}. */
-export interface DeathWatchOptions<Server extends {readonly name: BackendServerName}> {
+export interface DeathWatchOptions<Server extends WatchedServer> {
 	/** Whether a server that dropped a call has gone down. */
 	readonly isGone: (server: Server) => Promise<boolean>;
-	readonly reportDeath: (options: {readonly server: BackendServerName; readonly fingerprints: readonly RequestFingerprint[]}) => Promise<void>;
+	readonly reportDeath: (death: Pick<ServerDeath, 'server' | 'startedAtMs' | 'fingerprints'>) => Promise<void>;
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
 }
@@ -26,7 +36,7 @@
 }
 
 /** Keeps which calls are in flight at which server. */
-export class DeathWatch<Server extends {readonly name: BackendServerName} = BackendServer> {
+export class DeathWatch<Server extends WatchedServer = BackendServer> {
 	readonly #options: DeathWatchOptions<Server>;
 	readonly #inFlight = new Map<BackendServerName, Set<InFlightCall>>();
 	readonly #losses = new Map<BackendServerName, Loss>();
@@ -66,7 +76,7 @@
 			return last.judged;
 		}
 
-		const calls = [...this.#inFlight.get(server.name) ?? []];
+		const calls = [...this.#inFlight.get(server.name) ?? []].filter(({mayHaveRun}) => mayHaveRun);
 		const judged = this.#judge({server, calls});
 		this.#losses.set(server.name, {atMs: this.#options.now(), judged});
 		return judged;
@@ -78,7 +88,7 @@
 		}
 
 		const fingerprints = [...new Set(calls.map(call => call.fingerprint()))];
-		await this.#options.reportDeath({server: server.name, fingerprints});
+		await this.#options.reportDeath({server: server.name, startedAtMs: server.startedAtMs, fingerprints});
 		return true;
 	}
 }
--- a/calls/quarantine/src/peer-sharing.ts
+++ b/calls/quarantine/src/peer-sharing.ts
@@ -5,9 +5,9 @@
 import {QuarantineService} from '@pomelopick/peer.protocol';
 import type {ServerDeath as DeathMessage} from '@pomelopick/peer.protocol';
 import type {PeerClients} from '@pomelopick/peer.transport';
+import type {ServerDeath} from './death-evidence.js';
 import type {RequestFingerprint} from './fingerprint.js';
 import type {Quarantine, SuspicionSharing} from './quarantine.js';
-import type {ServerDeath} from './suspect-table.js';
 
 /** Time for which a call's refusal waits for the other instances to hear of a death, in milliseconds. */
 const SHARE_WAIT_MS = 250;
@@ -139,7 +139,7 @@
 			const nowMs = now();
 			return {
 				deaths: quarantine.table.listDeaths().map(death => toMessage({death, nowMs})),
-				convictions: quarantine.table.listConvictions().map(({fingerprint, atMs}) => ({fingerprint, ageMs: toAge(nowMs - atMs)})),
+				convictions: quarantine.table.listConvictions({nowMs}).filter(({certainty}) => certainty === 'certain').map(({fingerprint, atMs}) => ({fingerprint, ageMs: toAge(nowMs - atMs)})),
 			};
 		},
 	});
--- a/calls/quarantine/src/quarantine.ts
+++ b/calls/quarantine/src/quarantine.ts
@@ -1,10 +1,11 @@
 /** Refuses requests that crash backend servers, together with the other instances. */
 import type {CallCounters, EventRecord} from '@pomelopick/core.telemetry';
-import type {BackendServerName, InstanceId} from '@pomelopick/core.types';
+import type {InstanceId} from '@pomelopick/core.types';
+import type {ServerDeath} from './death-evidence.js';
 import {showFingerprint} from './fingerprint.js';
 import type {RequestFingerprint} from './fingerprint.js';
 import {SuspectTable} from './suspect-table.js';
-import type {ServerDeath} from './suspect-table.js';
+import type {Conviction, Standing} from './suspect-table.js';
 
 /** Tells the other instances; resolves when all have heard or their time is up. */
 export interface SuspicionSharing {
@@ -27,9 +28,6 @@
 /** Requests in flight at a death that its log line names. */
 const MOST_SHOWN_REQUESTS = 16;
 
-/** What is known of a request. */
-export type Standing = 'clear' | 'suspect' | 'convicted';
-
 /** Keeps the table of suspects and shares each change of it. */
 export class Quarantine {
 	readonly #options: QuarantineOptions;
@@ -59,39 +57,31 @@
 
 	/** What is known of a request. */
 	standingOf(fingerprint: RequestFingerprint): Standing {
-		if (this.#table.isConvicted({fingerprint, nowMs: this.#options.now()})) {
-			return 'convicted';
-		}
-
-		return this.#table.isSuspect(fingerprint) ? 'suspect' : 'clear';
+		return this.#table.standingOf({fingerprint, nowMs: this.#options.now()});
 	}
 
 	/** Records a death that this instance saw; resolves when the other instances know of it. */
-	async reportDeath({server, fingerprints}: {readonly server: BackendServerName; readonly fingerprints: readonly RequestFingerprint[]}): Promise<void> {
+	async reportDeath({server, startedAtMs, fingerprints}: Pick<ServerDeath, 'server' | 'startedAtMs' | 'fingerprints'>): Promise<void> {
 		const {instance, now, sharing, counters} = this.#options;
 		this.#sequence += 1;
 		const death: ServerDeath = {
-			origin: instance, sequence: this.#sequence, server, fingerprints, atMs: now(),
+			origin: instance, sequence: this.#sequence, server, startedAtMs, fingerprints, atMs: now(),
 		};
 		counters.add('quarantine.death');
 		const convicted = this.receiveDeath(death);
-		await sharing.shareDeath({death, convicted});
+		await sharing.shareDeath({death, convicted: convicted.filter(({certainty}) => certainty === 'certain').map(({fingerprint}) => fingerprint)});
 	}
 
 	/** Records a death that any instance saw; answers the requests that it convicts. */
-	receiveDeath(death: ServerDeath): readonly RequestFingerprint[] {
-		const {now, counters, events} = this.#options;
+	receiveDeath(death: ServerDeath): readonly Conviction[] {
+		const {now, events} = this.#options;
 		events.add({
 			kind: 'quarantine', message: 'backend server died with calls in flight', fields: {
 				server: death.server, suspects: death.fingerprints.length, fingerprints: death.fingerprints.slice(0, MOST_SHOWN_REQUESTS).map(fingerprint => showFingerprint(fingerprint)).join(','), seenBy: death.origin,
 			},
 		});
 		const convicted = this.#table.record({death, nowMs: now()});
-		for (const fingerprint of convicted) {
-			counters.add('quarantine.conviction');
-			events.add({kind: 'quarantine', message: 'request convicted', fields: {fingerprint: showFingerprint(fingerprint), server: death.server}});
-		}
-
+		this.#tell(convicted);
 		return convicted;
 	}
 
@@ -102,7 +92,7 @@
 
 	/** Clears a suspect that was run to its end here, and tells the others. */
 	clear(fingerprint: RequestFingerprint): void {
-		if (this.#table.isSuspect(fingerprint)) {
+		if (this.standingOf(fingerprint) !== 'clear') {
 			this.receiveCleared(fingerprint);
 			void this.#options.sharing.shareCleared(fingerprint);
 		}
@@ -110,12 +100,20 @@
 
 	/** Clears a suspect that was run to its end at any instance. */
 	receiveCleared(fingerprint: RequestFingerprint): void {
-		const {counters, events} = this.#options;
+		const {counters, events, now} = this.#options;
 		counters.add('quarantine.cleared');
-		if (this.#table.isSuspect(fingerprint)) {
+		if (this.standingOf(fingerprint) !== 'clear') {
 			events.add({kind: 'quarantine', message: 'suspect cleared, it was answered', fields: {fingerprint: showFingerprint(fingerprint)}});
 		}
 
-		this.#table.clear(fingerprint);
+		this.#tell(this.#table.clear({fingerprint, nowMs: now()}));
+	}
+
+	#tell(convictions: readonly Conviction[]): void {
+		const {counters, events} = this.#options;
+		for (const {fingerprint, certainty} of convictions) {
+			counters.add('quarantine.conviction');
+			events.add({kind: 'quarantine', message: 'request convicted', fields: {fingerprint: showFingerprint(fingerprint), certainty}});
+		}
 	}
 }
--- a/calls/quarantine/src/suspect-table.ts
+++ b/calls/quarantine/src/suspect-table.ts
@@ -1,182 +1,165 @@
-/** Which requests were in flight when backend servers died, and which of them are convicted. */
-import type {BackendServerName, InstanceId} from '@pomelopick/core.types';
+/**
+ * Which requests are suspected of crashing backend servers, and which of them are not to run again.
+ *
+ * The table keeps evidence alone. What it makes of a request follows from all of it, in whatever order it was told, so
+ * that all instances come to the same, and so that a request which looked guilty is free again as soon as the evidence
+ * says otherwise.
+ */
+import {dropExpired, dropOldest} from './bounded-maps.js';
+import {DeathEvidence, RETENTION_MS} from './death-evidence.js';
+import type {KnownDeath, ServerDeath} from './death-evidence.js';
 import type {RequestFingerprint} from './fingerprint.js';
+import {judgeSuspect, MOST_DEATHS_BEFORE_CONVICTION} from './judge-suspect.js';
+import type {Blame} from './judge-suspect.js';
 
-/** A backend server that went down with calls in flight. */
-export interface ServerDeath {
-	/** Instance that saw it, and its own number of the event. */
-	readonly origin: InstanceId;
-	readonly sequence: number;
-	readonly server: BackendServerName;
-	/** Requests that were in flight there. */
-	readonly fingerprints: readonly RequestFingerprint[];
-	/** Monotonic time of this process, in milliseconds. */
-	readonly atMs: number;
+/** What is known of a request. */
+export type Standing = 'clear' | 'suspect' | 'convicted';
+
+/** A request that is not run. */
+export interface Conviction extends Blame {
+	readonly fingerprint: RequestFingerprint;
 }
 
-/** Weight of a death that the request shares with others that were in flight. */
-const SHARED_DEATH_POINTS = 2;
-/** Weight of a death for the one request that was in flight. */
-const LONE_DEATH_POINTS = 3;
-/** Points at which a request is convicted: three deaths, or two lone ones. */
-const CONVICTION_POINTS = 6;
-/** Most servers that one request takes down before its conviction, one after another. */
-export const MOST_DEATHS_BEFORE_CONVICTION = Math.ceil(CONVICTION_POINTS / SHARED_DEATH_POINTS);
-
-/** Reports of two instances on the same server within this time concern one death. */
-const SAME_DEATH_MS = 250;
-/** Suspicions and convictions are forgotten after this time without a new one. */
-const RETENTION_MS = 600_000;
-const MOST_DEATHS = 1024;
+/** Time for which a request is not run that only likely crashes servers, in milliseconds; its next run then tells. */
+const LIKELY_HOLD_MS = 30_000;
+/** Time after its answer in which a request is no suspect, in milliseconds: others may still tell of deaths from before. */
+const ACQUITTAL_MS = 5000;
+const MOST_REPORTS = 4096;
 const MOST_CONVICTIONS = 1024;
+const MOST_ACQUITTALS = 4096;
 
-interface KnownDeath {
-	readonly id: string;
-	readonly reporters: Set<InstanceId>;
-	readonly server: BackendServerName;
-	readonly fingerprints: Set<RequestFingerprint>;
-	readonly atMs: number;
-	readonly sequence: number;
+interface AtTime {
+	readonly fingerprint: RequestFingerprint;
+	/** Monotonic time, in milliseconds. */
+	readonly nowMs: number;
 }
 
-/** Bounded table of deaths, suspects and convictions. */
+/** Bounded table of suspects. */
 export class SuspectTable {
-	readonly #deaths = new Map<string, KnownDeath>();
-	readonly #convictions = new Map<RequestFingerprint, number>();
+	readonly #evidence = new DeathEvidence();
+	/** Reports that were taken, with the monotonic time of each, in milliseconds. */
+	readonly #reports = new Map<string, number>();
+	/** Convictions that other instances told of, whose evidence this one may not have, with the monotonic time of each. */
+	readonly #told = new Map<RequestFingerprint, number>();
+	/** Monotonic times at which suspects were answered, in milliseconds. */
+	readonly #acquitted = new Map<RequestFingerprint, number>();
 
 	/** Whether nothing is suspected or convicted. */
 	get isEmpty(): boolean {
-		return this.#deaths.size === 0 && this.#convictions.size === 0;
+		return this.#evidence.isEmpty && this.#told.size === 0;
+	}
+
+	/** What is known of a request. */
+	standingOf({fingerprint, nowMs}: AtTime): Standing {
+		if (this.isConvicted({fingerprint, nowMs})) {
+			return 'convicted';
+		}
+
+		return this.isSuspect(fingerprint) ? 'suspect' : 'clear';
 	}
 
 	/** Whether a request is refused. */
-	isConvicted({fingerprint, nowMs}: {readonly fingerprint: RequestFingerprint; readonly nowMs: number}): boolean {
-		const atMs = this.#convictions.get(fingerprint);
-		return atMs !== undefined && nowMs - atMs < RETENTION_MS;
+	isConvicted({fingerprint, nowMs}: AtTime): boolean {
+		const blame = this.#blame(fingerprint);
+		return blame !== undefined && nowMs - blame.atMs < (blame.certainty === 'certain' ? RETENTION_MS : LIKELY_HOLD_MS);
 	}
 
-	/** Whether a request was in flight at a death and has not been cleared. */
+	/** Whether a request was in flight at a death that no surely crashing one explains, and was not answered since. */
 	isSuspect(fingerprint: RequestFingerprint): boolean {
-		return this.#pointsOf(fingerprint) > 0;
+		return [...this.#evidence.deathsOf(fingerprint)].some(death => !this.#isExplainedWithout({death, fingerprint}));
 	}
 
-	/** Records a death; answers the requests that it convicts. */
-	record({death, nowMs}: {readonly death: ServerDeath; readonly nowMs: number}): readonly RequestFingerprint[] {
+	/** Takes a report of a death; answers the requests that it convicts. */
+	record({death, nowMs}: {readonly death: ServerDeath; readonly nowMs: number}): readonly Conviction[] {
 		this.#expire(nowMs);
-		const id = `${death.origin}/${death.sequence}`;
-		if (this.#deaths.has(id)) {
+		const report = `${death.origin}/${death.sequence}`;
+		const fingerprints = death.fingerprints.filter(fingerprint => !this.#isAcquitted({fingerprint, nowMs}));
+		if (this.#reports.has(report) || fingerprints.length === 0) {
 			return [];
 		}
 
-		const known = this.#findSame(death) ?? {
-			id, reporters: new Set<InstanceId>(), server: death.server, fingerprints: new Set<RequestFingerprint>(), atMs: death.atMs, sequence: death.sequence,
-		};
-		known.reporters.add(death.origin);
-		for (const fingerprint of death.fingerprints) {
-			known.fingerprints.add(fingerprint);
-		}
-
-		this.#deaths.set(known.id, known);
-		dropOldest({map: this.#deaths, most: MOST_DEATHS});
-		return this.#convict({suspects: death.fingerprints, nowMs});
+		this.#reports.set(report, nowMs);
+		dropOldest({map: this.#reports, most: MOST_REPORTS});
+		const suspects = [...this.#evidence.findDeath(death)?.suspects ?? [], ...fingerprints];
+		const before = this.#filterConvicted({suspects, nowMs});
+		this.#evidence.add({...death, fingerprints});
+		return this.#listNew({suspects, before, nowMs});
 	}
 
-	/** Records a conviction that a peer made. */
+	/** Takes over a conviction of another instance. */
 	recordConviction({fingerprint, atMs}: {readonly fingerprint: RequestFingerprint; readonly atMs: number}): void {
-		this.#convictions.set(fingerprint, atMs);
-		this.#clearNeighbours(fingerprint);
-		dropOldest({map: this.#convictions, most: MOST_CONVICTIONS});
-	}
-
-	/** Forgets what a request is suspected of. A conviction stays. */
-	clear(fingerprint: RequestFingerprint): void {
-		for (const [id, death] of this.#deaths) {
-			death.fingerprints.delete(fingerprint);
-			if (death.fingerprints.size === 0) {
-				this.#deaths.delete(id);
-			}
-		}
+		this.#told.set(fingerprint, atMs);
+		dropOldest({map: this.#told, most: MOST_CONVICTIONS});
 	}
 
-	/** Deaths with suspects that are not cleared. */
-	listDeaths(): readonly ServerDeath[] {
-		return [...this.#deaths.values()].map(({reporters, sequence, server, fingerprints, atMs}) => ({
-			origin: [...reporters][0]!, sequence, server, fingerprints: [...fingerprints], atMs,
-		}));
-	}
-
-	/** Convictions in force, and when each was made. */
-	listConvictions(): ReadonlyArray<{readonly fingerprint: RequestFingerprint; readonly atMs: number}> {
-		return [...this.#convictions].map(([fingerprint, atMs]) => ({fingerprint, atMs}));
-	}
-
-	#convict({suspects, nowMs}: {readonly suspects: readonly RequestFingerprint[]; readonly nowMs: number}): readonly RequestFingerprint[] {
-		const worst = suspects
-			.filter(fingerprint => this.#pointsOf(fingerprint) >= CONVICTION_POINTS)
-			.sort((left, right) => this.#pointsOf(right) - this.#pointsOf(left));
-		const convicted: RequestFingerprint[] = [];
-		for (const fingerprint of worst) {
-			// A conviction before this one may have accounted for the same deaths.
-			if (this.#pointsOf(fingerprint) >= CONVICTION_POINTS) {
-				this.recordConviction({fingerprint, atMs: nowMs});
-				convicted.push(fingerprint);
-			}
-		}
-
-		return convicted;
+	/** Acquits a request that was answered: it crashes nothing. Answers the requests that this convicts. */
+	clear({fingerprint, nowMs}: AtTime): readonly Conviction[] {
+		const suspects = [...this.#evidence.deathsOf(fingerprint)].flatMap(death => [...death.suspects]);
+		const before = this.#filterConvicted({suspects, nowMs});
+		this.#told.delete(fingerprint);
+		this.#evidence.acquit(fingerprint);
+		this.#acquitted.delete(fingerprint);
+		this.#acquitted.set(fingerprint, nowMs);
+		dropOldest({map: this.#acquitted, most: MOST_ACQUITTALS});
+		return this.#listNew({suspects, before, nowMs});
 	}
 
-	/** The deaths of a convicted request no longer count against those that shared them. */
-	#clearNeighbours(convicted: RequestFingerprint): void {
-		for (const [id, {fingerprints}] of this.#deaths) {
-			if (fingerprints.has(convicted)) {
-				this.#deaths.delete(id);
-			}
-		}
+	/** Deaths with their suspects. */
+	listDeaths(): readonly ServerDeath[] {
+		return [...this.#evidence.deaths].map(({reporters, server, startedAtMs, suspects, atMs}) => {
+			const [origin, sequence] = [...reporters][0]!;
+			return {
+				origin, sequence, server, startedAtMs, fingerprints: [...suspects], atMs,
+			};
+		});
 	}
 
-	#pointsOf(fingerprint: RequestFingerprint): number {
-		let points = 0;
-		for (const {fingerprints} of this.#deaths.values()) {
-			if (fingerprints.has(fingerprint)) {
-				points += fingerprints.size === 1 ? LONE_DEATH_POINTS : SHARED_DEATH_POINTS;
-			}
-		}
+	/** Convictions in force. */
+	listConvictions({nowMs}: Pick<AtTime, 'nowMs'>): readonly Conviction[] {
+		const fingerprints = new Set([...this.#told.keys(), ...this.#evidence.suspects]);
+		return [...fingerprints]
+			.filter(fingerprint => this.isConvicted({fingerprint, nowMs}))
+			.map(fingerprint => ({fingerprint, ...this.#blame(fingerprint)!}));
+	}
 
-		return points;
+	/** Those of some requests that are convicted. */
+	#filterConvicted({suspects, nowMs}: {readonly suspects: readonly RequestFingerprint[]; readonly nowMs: number}): ReadonlySet<RequestFingerprint> {
+		return new Set(suspects.filter(fingerprint => this.isConvicted({fingerprint, nowMs})));
 	}
 
-	#findSame({origin, server, atMs}: ServerDeath): KnownDeath | undefined {
-		for (const death of this.#deaths.values()) {
-			if (death.server === server && !death.reporters.has(origin) && Math.abs(death.atMs - atMs) < SAME_DEATH_MS) {
-				return death;
-			}
-		}
+	/** Convictions of requests that were not convicted before. */
+	#listNew({suspects, before, nowMs}: {readonly suspects: readonly RequestFingerprint[]; readonly before: ReadonlySet<RequestFingerprint>; readonly nowMs: number}): readonly Conviction[] {
+		return [...this.#filterConvicted({suspects, nowMs})]
+			.filter(fingerprint => !before.has(fingerprint))
+			.map(fingerprint => ({fingerprint, ...this.#blame(fingerprint)!}));
+	}
 
-		return undefined;
+	#blame(fingerprint: RequestFingerprint): Blame | undefined {
+		const toldAtMs = this.#told.get(fingerprint);
+		return toldAtMs === undefined
+			? judgeSuspect({fingerprint, deathsOf: suspect => this.#evidence.deathsOf(suspect)})
+			: {certainty: 'certain', atMs: toldAtMs};
 	}
 
-	#expire(nowMs: number): void {
-		for (const [id, {atMs}] of this.#deaths) {
-			if (nowMs - atMs >= RETENTION_MS) {
-				this.#deaths.delete(id);
-			}
-		}
+	/** Whether a death has a suspect besides that surely crashes servers. */
+	#isExplainedWithout({death, fingerprint}: {readonly death: KnownDeath; readonly fingerprint: RequestFingerprint}): boolean {
+		return [...death.suspects].some(other => other !== fingerprint && this.#isSure(other));
+	}
 
-		for (const [fingerprint, atMs] of this.#convictions) {
-			if (nowMs - atMs >= RETENTION_MS) {
-				this.#convictions.delete(fingerprint);
-			}
-		}
+	#isSure(fingerprint: RequestFingerprint): boolean {
+		const mayBe = this.#told.has(fingerprint) || this.#evidence.deathsOf(fingerprint).size >= MOST_DEATHS_BEFORE_CONVICTION;
+		return mayBe && this.#blame(fingerprint)?.certainty === 'certain';
 	}
-}
 
-function dropOldest<Key>({map, most}: {readonly map: Map<Key, unknown>; readonly most: number}): void {
-	for (const key of map.keys()) {
-		if (map.size <= most) {
-			return;
-		}
+	#isAcquitted({fingerprint, nowMs}: AtTime): boolean {
+		const atMs = this.#acquitted.get(fingerprint);
+		return atMs !== undefined && nowMs - atMs < ACQUITTAL_MS;
+	}
 
-		map.delete(key);
+	#expire(nowMs: number): void {
+		this.#evidence.expire(nowMs);
+		dropExpired({map: this.#reports, afterMs: RETENTION_MS, nowMs});
+		dropExpired({map: this.#told, afterMs: RETENTION_MS, nowMs});
+		dropExpired({map: this.#acquitted, afterMs: ACQUITTAL_MS, nowMs});
 	}
 }
--- a/calls/relay/src/relay-attempt.ts
+++ b/calls/relay/src/relay-attempt.ts
@@ -2,10 +2,10 @@
 import {Exchange, listHeaders} from '@pomelopick/calls.forwarding';
 import type {AttemptAnswer, AttemptFailure} from '@pomelopick/calls.forwarding';
 import type {BackendConnections, ConnectedServer, ConnectionLease} from '@pomelopick/calls.connections';
-import type {DeathWatch} from '@pomelopick/calls.quarantine';
+import type {DeathWatch, InFlightCall, RequestFingerprint} from '@pomelopick/calls.quarantine';
 import type {SlotEnd} from '@pomelopick/steering.choice';
 import type {ObjectPlacement, ObjectPlacer} from '@pomelopick/steering.objects';
-import type {InFlightRequest, ObservationTable} from '@pomelopick/steering.servers';
+import type {InFlightRequest, ObservationTable, ServerStart} from '@pomelopick/steering.servers';
 import type {RefusalReason, RetryReason, ServerLoad} from '@pomelopick/core.types';
 import {judgeAnswer} from './judge-answer.js';
 import type {AnswerVerdict} from './judge-answer.js';
@@ -19,11 +19,14 @@
 /** Bytes of an answer that are held, so that one that breaks off is tried again or becomes a refusal. */
 const HELD_ANSWER_BYTES = 65_536;
 
+/** A start of a backend server, and where it listens. */
+export type RelayServer = ConnectedServer & ServerStart;
+
 /** What attempts share. */
 export interface AttemptParts {
 	readonly format: RelayFormat;
 	readonly connections: BackendConnections;
-	readonly deathWatch: DeathWatch<ConnectedServer>;
+	readonly deathWatch: DeathWatch<RelayServer>;
 	readonly placer: ObjectPlacer;
 	readonly observations: ObservationTable;
 	/** Takes note of what servers say of themselves. */
@@ -51,6 +54,8 @@
 	readonly mayHaveRun: boolean;
 	/** Whether a byte of the request may have reached the server. */
 	readonly wasSent: boolean;
+	/** Resolves once it was judged whether the server died, and a death was told; undefined: the server did not drop the request. */
+	readonly lossJudged?: Promise<boolean>;
 	readonly detail: string;
 }
 
@@ -60,7 +65,7 @@
 	| AttemptFailureResult;
 
 /** One attempt. */
-export class RelayAttempt implements RecallableAttempt {
+export class RelayAttempt implements RecallableAttempt, InFlightCall {
 	readonly #options: RelayAttemptOptions;
 	#exchange: Exchange | undefined;
 	#inFlight: InFlightRequest = {expectedMs: 0, sentAtMs: 0};
@@ -70,6 +75,14 @@
 		this.#options = options;
 	}
 
+	get isSuspect(): boolean {
+		return this.#options.request.isSuspect;
+	}
+
+	get mayHaveRun(): boolean {
+		return this.#exchange?.mayHaveRun === true;
+	}
+
 	/** Makes the attempt; never rejects. */
 	async run(): Promise<AttemptResult> {
 		const {placement, parts, request} = this.#options;
@@ -83,7 +96,7 @@
 
 		this.#inFlight = {expectedMs: placement.expectedMs, sentAtMs: parts.now()};
 		parts.observations.of(placement.known.server).begin(this.#inFlight);
-		parts.deathWatch.enter({server: server.name, call: request});
+		parts.deathWatch.enter({server: server.name, call: this});
 		request.sentTo.add(server.name);
 		const exchange = this.#createExchange(lease.unsafeCoerce());
 		this.#exchange = exchange;
@@ -99,11 +112,13 @@
 			request.sentTo.delete(server.name);
 		}
 
-		result.ifLeft(failure => {
-			this.#judgeLoss(failure);
-		});
-		parts.deathWatch.leave({server: server.name, call: request});
-		return settled;
+		const lossJudged = result.isLeft() && wasDropped(result.extract()) ? parts.deathWatch.judgeLoss(this.#server) : undefined;
+		parts.deathWatch.leave({server: server.name, call: this});
+		return settled.kind === 'failure' && lossJudged ? {...settled, lossJudged} : settled;
+	}
+
+	fingerprint(): RequestFingerprint {
+		return this.#options.request.fingerprint();
 	}
 
 	/** Gives the attempt up by closing its connection, which cancels the server's work. */
@@ -121,11 +136,11 @@
 		return true;
 	}
 
-	get #server(): ConnectedServer {
+	get #server(): RelayServer {
 		const {placement, parts} = this.#options;
-		const {name, address, port} = placement.known.server;
+		const {name, startedAtMs, address, port} = placement.known.server;
 		return {
-			name, address, port, connections: parts.mostConnections(placement),
+			name, startedAtMs, address, port, connections: parts.mostConnections(placement),
 		};
 	}
 
@@ -222,13 +237,11 @@
 			request: this.#inFlight, end, load, nowMs: parts.now(),
 		});
 	}
+}
 
-	/** Finds out, beside the request, whether the server died with it in flight. */
-	#judgeLoss({kind, execution}: AttemptFailure): void {
-		if ((kind === 'failed' || kind === 'truncated') && execution !== 'not-run') {
-			void this.#options.parts.deathWatch.judgeLoss(this.#server);
-		}
-	}
+/** Whether the server may have died with the request in flight. */
+function wasDropped({kind, execution}: AttemptFailure): boolean {
+	return (kind === 'failed' || kind === 'truncated') && execution !== 'not-run';
 }
 
 const slotEnds: Record<AnswerVerdict, SlotEnd> = {
--- a/calls/relay/src/relay-handler.ts
+++ b/calls/relay/src/relay-handler.ts
@@ -183,8 +183,8 @@
 	}
 
 	async #relay({response, relayed}: {readonly response: ServerResponse; readonly relayed: RelayedRequest}): Promise<void> {
-		const {parts, departures, quarantine} = this.#options;
-		if (!quarantine.isEmpty && quarantine.standingOf(relayed.fingerprint()) === 'convicted') {
+		const {parts, departures} = this.#options;
+		if (parts.standingOf(relayed) === 'convicted') {
 			this.#refuse({
 				response, relayed, refusal: {
 					reason: 'request-quarantined', execution: 'not-run', detail: 'the request is taken to crash backend servers', retryAfterMs: QUARANTINE_RETRY_AFTER_MS,
@@ -218,13 +218,9 @@
 	}
 
 	async #deliver({response, relayed, answer}: {readonly response: ServerResponse; readonly relayed: RelayedRequest; readonly answer: AttemptAnswer}): Promise<void> {
-		const {quarantine} = this.#options;
-		if (!quarantine.isEmpty) {
-			quarantine.clear(relayed.fingerprint());
-		}
-
 		const {status, headers} = answer;
 		if (answer.kind === 'whole') {
+			this.#clearSuspicion(relayed);
 			sendWhole({
 				response, id: undefined, status, headers, body: answer.body,
 			});
@@ -236,10 +232,19 @@
 		forwarded.ifLeft(({detail}) => {
 			this.#requestLog.cut({relayed, detail});
 		}).ifRight(() => {
+			this.#clearSuspicion(relayed);
 			this.#requestLog.answered({relayed, status});
 		});
 	}
 
+	/** A server that gave its whole answer to a request did not crash under it. */
+	#clearSuspicion(relayed: RelayedRequest): void {
+		const {quarantine} = this.#options;
+		if (!quarantine.isEmpty) {
+			quarantine.clear(relayed.fingerprint());
+		}
+	}
+
 	#refuse({response, relayed, refusal}: {readonly response: ServerResponse; readonly relayed: RelayedRequest; readonly refusal: Refusal}): void {
 		this.#options.parts.counters.refused(refusal.reason);
 		this.#requestLog.refused({relayed, refusal});
--- a/calls/relay/src/relay-run.ts
+++ b/calls/relay/src/relay-run.ts
@@ -2,8 +2,9 @@
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {AttemptAnswer} from '@pomelopick/calls.forwarding';
+import type {Standing} from '@pomelopick/calls.quarantine';
 import type {CallCounters} from '@pomelopick/core.telemetry';
-import type {Refusal} from '@pomelopick/core.types';
+import type {BackendServerName, Refusal} from '@pomelopick/core.types';
 import {reasonWithoutPromise} from '@pomelopick/core.types';
 import type {KnownServer} from '@pomelopick/steering.servers';
 import type {ObjectPlacement, PlacementRefusal} from '@pomelopick/steering.objects';
@@ -22,10 +23,14 @@
 /** Multiple of the expected time after which a second server is asked beside the first. */
 const HEDGE_FACTOR = 2.5;
 const NEVER_SENT_RETRY_AFTER_MS = 200;
+/** Longest time for which a suspect waits until it is known whether a server died under it, in milliseconds. */
+const LOSS_WAIT_MS = 750;
 
 /** What a run may use beyond what its attempts do. */
 export interface RunParts extends AttemptParts {
 	readonly counters: CallCounters;
+	/** What is known of a request from the deaths of servers. */
+	readonly standingOf: (request: RelayedRequest) => Standing;
 	/** Leave to send to a further server, for which it may wait a short time; undefined: the service's budget has none left. */
 	readonly takeRetry: (request: RelayedRequest) => Promise<RetryPermit | undefined>;
 	/** Takes one request to a server that warms up; true for one that does not. */
@@ -86,6 +91,7 @@
 
 			const failure = result.kind === 'failure' ? result : failureOf(result.answer);
 			this.#request.mayHaveRun ||= failure.mayHaveRun;
+			await this.#noteLoss(failure);
 			if (tries >= MOST_TRIES || !await this.#mayRetry(failure)) {
 				return this.#finish(this.#refuse(failure));
 			}
@@ -95,11 +101,40 @@
 		}
 	}
 
+	/** A request that a server dropped is a suspect; one that was a suspect before runs again only once its loss is judged. */
+	async #noteLoss({lossJudged}: AttemptFailureResult): Promise<void> {
+		const request = this.#request;
+		if (!lossJudged) {
+			return;
+		}
+
+		const wasSuspect = request.isSuspect;
+		request.isSuspect = true;
+		if (wasSuspect) {
+			const timeLeftMs = request.options.answerByMs - this.#parts.now();
+			await endsWithin({result: lossJudged, timeoutMs: Math.min(LOSS_WAIT_MS, timeLeftMs)});
+		}
+	}
+
 	#place(): Either<PlacementRefusal, ObjectPlacement> {
-		const {route, service, object, answerByMs} = this.#request.options;
-		const {placer, now, tryTakeWarmup, viewAgeMs} = this.#parts;
-		const {avoid} = this.#request;
-		this.#request.viewAgeMs = viewAgeMs();
+		const request = this.#request;
+		const {viewAgeMs, standingOf, deathWatch} = this.#parts;
+		request.viewAgeMs = viewAgeMs();
+		request.isSuspect ||= standingOf(request) !== 'clear';
+		if (request.isSuspect) {
+			// Each suspect has a server of its own, alike at all instances, so that one does not make another look guilty.
+			const apart = this.#placeObject({object: request.fingerprint(), avoid: new Set([...request.avoid, ...deathWatch.listServersOfSuspects()])});
+			if (apart.isRight()) {
+				return apart.map(placement => ({...placement, isWarm: false}));
+			}
+		}
+
+		return this.#placeObject({object: request.options.object, avoid: request.avoid});
+	}
+
+	#placeObject({object, avoid}: {readonly object: string | undefined; readonly avoid: Set<BackendServerName>}): Either<PlacementRefusal, ObjectPlacement> {
+		const {route, service, answerByMs} = this.#request.options;
+		const {placer, now, tryTakeWarmup} = this.#parts;
 		for (;;) {
 			const placed = placer.place({
 				route, service, object, avoid, deadlineMs: answerByMs, nowMs: now(),
@@ -164,7 +199,7 @@
 	#hedgeAfterMs({expectedMs}: ObjectPlacement): number | undefined {
 		const {route, body, answerByMs} = this.#request.options;
 		const afterMs = Math.max(route.targetLatencyMs, expectedMs * HEDGE_FACTOR);
-		const mayHedge = this.#request.isIdempotent && body.isWhole && this.#request.sentTo.size < route.mostServers;
+		const mayHedge = this.#request.isIdempotent && !this.#request.isSuspect && body.isWhole && this.#request.sentTo.size < route.mostServers;
 		return mayHedge && this.#parts.now() + afterMs < answerByMs ? afterMs : undefined;
 	}
 
@@ -199,6 +234,11 @@
 			return false;
 		}
 
+		if (this.#parts.standingOf(request) === 'convicted') {
+			counters.add('retry.quarantined');
+			return false;
+		}
+
 		if (!failure.wasSent) {
 			// A connection that was not made costs a server nothing.
 			return true;
--- a/calls/relay/src/relayed-request.ts
+++ b/calls/relay/src/relayed-request.ts
@@ -1,6 +1,6 @@
 /** What is known of one request while it is relayed. */
 import {fingerprintOf} from '@pomelopick/calls.quarantine';
-import type {InFlightCall, RequestFingerprint} from '@pomelopick/calls.quarantine';
+import type {RequestFingerprint} from '@pomelopick/calls.quarantine';
 import {Cancellation} from '@pomelopick/calls.forwarding';
 import type {RequestBody} from '@pomelopick/calls.forwarding';
 import type {
@@ -42,7 +42,7 @@
 }
 
 /** One request. */
-export class RelayedRequest implements InFlightCall {
+export class RelayedRequest {
 	/** Cancelled when the caller left or the time is up. */
 	readonly ended = new Cancellation();
 	endedBy: 'caller' | 'deadline' | undefined;
@@ -53,7 +53,7 @@
 	readonly extraAttempts: Array<RetryReason | HedgeReason> = [];
 	/** Whether any server may have run the request; once set, no refusal says that it was not run. */
 	mayHaveRun = false;
-	/** Whether the request was in flight at the death of a backend server and has not been cleared since. */
+	/** Whether the request may be one that crashes backend servers: a server dropped it, or it was in flight at a death and not answered since. */
 	isSuspect = false;
 	/** Attempts in the order of their start. */
 	readonly attempts: AttemptNote[] = [];
--- a/daemons/entry/src/operators/list-quarantines.ts
+++ b/daemons/entry/src/operators/list-quarantines.ts
@@ -11,7 +11,7 @@
 
 /** Convicted requests first, then suspects with the servers that went down under them. */
 export function listQuarantines({table, nowMs}: ListQuarantinesOptions): QuarantineReport[] {
-	const convictions = table.listConvictions();
+	const convictions = table.listConvictions({nowMs});
 	const convicted = new Set(convictions.map(({fingerprint}) => fingerprint));
 	const servers = new Map<string, string[]>();
 	for (const {fingerprints, server} of table.listDeaths()) {
--- a/daemons/gateway/src/create-relay.ts
+++ b/daemons/gateway/src/create-relay.ts
@@ -1,13 +1,12 @@
 /** Wires the relay of requests: placing, limits, connections and the quarantine. */
 import {BackendConnections} from '@pomelopick/calls.connections';
-import type {ConnectedServer} from '@pomelopick/calls.connections';
 import type {LiveView, SuspicionRecord} from '@pomelopick/calls.live';
 import {DeathWatch, Quarantine} from '@pomelopick/calls.quarantine';
 import type {SuspicionSharing} from '@pomelopick/calls.quarantine';
 import {
 	CallerDepartures, RelayHandler, RetryBudgets, ServerNotices, UnsentAttempts,
 } from '@pomelopick/calls.relay';
-import type {RetryBudgetsOptions} from '@pomelopick/calls.relay';
+import type {RelayServer, RetryBudgetsOptions} from '@pomelopick/calls.relay';
 import type {GatewaySettings} from '@pomelopick/config.settings';
 import {EventRecord} from '@pomelopick/core.telemetry';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
@@ -116,7 +115,7 @@
 	const quarantine = new Quarantine({
 		instance, firstSequence, sharing, counters, events, now,
 	});
-	const deathWatch = new DeathWatch<ConnectedServer>({
+	const deathWatch = new DeathWatch<RelayServer>({
 		isGone: async server => connections.isGone(server),
 		reportDeath: async death => quarantine.reportDeath(death),
 		now,
@@ -141,6 +140,7 @@
 				return Math.max(LEAST_CONNECTIONS, Math.floor(most * CONNECTION_SHARE / countInstances()));
 			},
 			counters,
+			standingOf: request => quarantine.isEmpty ? 'clear' : quarantine.standingOf(request.fingerprint()),
 			takeRetry: async ({options: {service, answerByMs}}) => retryBudgets.take({service, answerByMs}),
 			tryTakeWarmup: known => now() >= known.coldUntilMs || warmups.tryTake(warmupOf(known)),
 			viewAgeMs,
@@ -170,9 +170,9 @@
 				return;
 			}
 
-			const {origin, sequence, server, fingerprints} = record;
+			const {origin, sequence, server, startedAtMs, fingerprints} = record;
 			quarantine.receiveDeath({
-				origin, sequence, server, fingerprints, atMs: now(),
+				origin, sequence, server, startedAtMs, fingerprints, atMs: now(),
 			});
 		},
 		forget(server) {
--- a/testing/gateway-soak/src/crash-cases.ts
+++ b/testing/gateway-soak/src/crash-cases.ts
@@ -4,15 +4,19 @@
 const DURATION_MS = 12_000;
 
 /** Cases of {@link runCrashRound}. */
-export const crashCases: ReadonlyArray<Omit<RunCrashRoundOptions, 'seed'> & {readonly name: string}> = [
+export const crashCases: ReadonlyArray<Omit<RunCrashRoundOptions, 'seed'> & {
+	readonly name: string;
+	/** Whether it is among the short rounds of the tests. */
+	readonly isShort?: boolean;
+}> = [
 	{
 		name: 'alone', durationMs: DURATION_MS, soundPaths: 0, soundPerSecond: 0,
 	},
 	{
-		name: 'beside a few requests that come often', durationMs: DURATION_MS, soundPaths: 4, soundPerSecond: 20,
+		name: 'beside a few requests that come often', durationMs: DURATION_MS, soundPaths: 4, soundPerSecond: 20, isShort: true,
 	},
 	{
-		name: 'beside many requests', durationMs: DURATION_MS, soundPaths: 12, soundPerSecond: 40,
+		name: 'beside many requests', durationMs: DURATION_MS, soundPaths: 12, soundPerSecond: 40, isShort: true,
 	},
 	{
 		name: 'while the store turns some gateways away', durationMs: DURATION_MS, soundPaths: 0, soundPerSecond: 0, fault: 'some-turned-away', faultMs: 10_000,
