Tell other gateways of a server's death directly when the store does not take it promptly

Callers saw: while the store was away, or turned gateways away, a request that crashes servers took down up to 13 of 18, about two at each gateway. Cause: deaths reached the others by way of the store alone; each gateway that the store does not serve found out by itself. Ruled out: telling directly only what concerns a second death: while the store is away no further send is granted, so that each gateway saw one death and told nobody (9 servers, same command). Change: what the store has not taken within 250 ms is told to up to 16 instances, each of which passes it on to its part of the others; a branch whose first instance is down goes on with the next. The pause between messages grows with the fleet, so that an instance takes about 200 a second in all at any size. The records go to the store as before. The model of 920 instances, a third of them down, tells each once (npm test suspicion-teller). A gateway that is killed within milliseconds of sending the request still takes its knowledge with it.

--- a/calls/live/src/suspicion-records.ts
+++ b/calls/live/src/suspicion-records.ts
@@ -1,6 +1,5 @@
 /** Records of what instances saw of requests that crash backend servers. */
-import {Left, Right} from 'purify-ts';
-import type {Either} from 'purify-ts';
+import {Either, Left, Right} from 'purify-ts';
 import type {RequestFingerprint, ServerDeath} from '@pomelopick/calls.quarantine';
 import type {CodedError, InstanceId} from '@pomelopick/core.types';
 import type {BeliefChange} from './belief-change.js';
@@ -21,20 +20,48 @@
 	readonly kind: 'death';
 }
 
+/** What one instance tells another directly. */
+export interface SuspicionMessage {
+	readonly records: readonly SuspicionRecord[];
+	/** Instances to which the one that takes the message passes it on. */
+	readonly passOn: readonly InstanceId[];
+}
+
 /** Decodes a record; Left says what is wrong with it. */
 export function decodeSuspicion(bytes: Uint8Array): Either<CodedError, SuspicionRecord> {
 	try {
-		const record = JSON.parse(new TextDecoder().decode(bytes)) as SuspicionRecord;
-		const isWhole = typeof record.origin === 'string' && Number.isInteger(record.sequence);
-		const isDeath = record.kind === 'death' && typeof record.server === 'string' && (record.startedAtMs === undefined || Number.isInteger(record.startedAtMs)) && Array.isArray(record.fingerprints) && record.fingerprints.every(text => isFingerprint(text));
-		const isCleared = record.kind === 'cleared' && isFingerprint(record.fingerprint);
-		const message = `a field is missing or of another type: ${JSON.stringify(record).slice(0, SHOWN_CHARACTERS)}`;
-		return isWhole && (isDeath || isCleared) ? Right(record) : Left({code: 'malformed-suspicion', message});
+		return readSuspicion(JSON.parse(new TextDecoder().decode(bytes)));
 	} catch (error) {
 		return Left({code: 'malformed-suspicion', message: (error as Error).message});
 	}
 }
 
+/** Reads a message from parsed JSON; Left says what is wrong with it. */
+export function readSuspicionMessage(value: unknown): Either<CodedError, SuspicionMessage> {
+	const {records, passOn} = (value ?? {}) as Partial<SuspicionMessage>;
+	if (!Array.isArray(records) || !Array.isArray(passOn) || !passOn.every(id => typeof id === 'string')) {
+		return Left({code: 'malformed-suspicions', message: `records, passOn: expected lists, found ${show(value)}`});
+	}
+
+	return Either.sequence(records.map(record => readSuspicion(record))).map(read => ({records: read, passOn: passOn as InstanceId[]}));
+}
+
+function readSuspicion(value: unknown): Either<CodedError, SuspicionRecord> {
+	const record = (value ?? {}) as SuspicionRecord;
+	const isWhole = typeof record.origin === 'string' && Number.isInteger(record.sequence);
+	const isRead = record.kind === 'death' ? isDeath(record) : record.kind === 'cleared' && isFingerprint(record.fingerprint);
+	return isWhole && isRead ? Right(record) : Left({code: 'malformed-suspicion', message: `a field is missing or of another type: ${show(value)}`});
+}
+
+function isDeath({server, startedAtMs, fingerprints}: DeathRecord): boolean {
+	const hasStart = startedAtMs === undefined || Number.isInteger(startedAtMs);
+	return typeof server === 'string' && hasStart && Array.isArray(fingerprints) && fingerprints.every(text => isFingerprint(text));
+}
+
+function show(value: unknown): string {
+	return (JSON.stringify(value) ?? 'nothing').slice(0, SHOWN_CHARACTERS);
+}
+
 /** Options of {@link suspicionReader}. */
 export interface SuspicionReaderOptions extends Pick<RecordReader, 'remove'> {
 	readonly onRecord: (record: SuspicionRecord) => void;
--- a/calls/live/src/suspicion-writer.ts
+++ b/calls/live/src/suspicion-writer.ts
@@ -1,5 +1,5 @@
 /** Shares what this instance saw of requests that crash backend servers, as records in the store. */
-import type {RequestFingerprint, ServerDeath, SuspicionSharing} from '@pomelopick/calls.quarantine';
+import type {ShareClearedOptions, ShareDeathOptions, SuspicionSharing} from '@pomelopick/calls.quarantine';
 import type {KeyValueStore, LeaseId, StoreError} from '@pomelopick/platform.store';
 import type {InstanceId} from '@pomelopick/core.types';
 import {SUSPICION_PREFIX} from './suspicion-records.js';
@@ -11,6 +11,8 @@
 /** Age of the lease from which on another one is used, in milliseconds, so that a record lasts at least the rest. */
 const LEASE_USED_MS = 300_000;
 const MOST_FINGERPRINTS = 64;
+/** Time in which the store takes a record as a rule, in milliseconds. */
+const PROMPT_MS = 250;
 /** Pause before records that the store did not take are written again, in milliseconds. */
 const RETRY_INTERVAL_MS = 500;
 
@@ -21,6 +23,8 @@
 	/** Number of the first record; differs between lives of an instance. */
 	readonly firstSequence: number;
 	readonly onFailure: (error: StoreError) => void;
+	/** Tells the other instances without the store. */
+	readonly tellDirectly: (listRecords: () => readonly SuspicionRecord[]) => void;
 	readonly sleep: (milliseconds: number) => Promise<void>;
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
@@ -50,17 +54,19 @@
 	}
 
 	/** Tells the other instances of a death; resolves after the first try. */
-	readonly shareDeath = async ({death: {origin, sequence, server, startedAtMs, fingerprints}}: {readonly death: ServerDeath}): Promise<void> => {
-		await this.#share({
+	readonly shareDeath = async ({death: {origin, sequence, server, startedAtMs, fingerprints}}: ShareDeathOptions): Promise<void> => {
+		const record: SuspicionRecord = {
 			kind: 'death', origin, sequence, server, startedAtMs, fingerprints: fingerprints.slice(0, MOST_FINGERPRINTS),
-		});
+		};
+		await this.#share({record, isUrgent: true});
 	};
 
 	/** Tells the other instances that a suspect was run to its end; resolves after the first try. */
-	readonly shareCleared = async (fingerprint: RequestFingerprint): Promise<void> => {
-		await this.#share({
+	readonly shareCleared = async ({fingerprint, isUrgent}: ShareClearedOptions): Promise<void> => {
+		const record: SuspicionRecord = {
 			kind: 'cleared', origin: this.#options.instance, sequence: this.#sequence + 1, fingerprint,
-		});
+		};
+		await this.#share({record, isUrgent});
 	};
 
 	/** Notes that a key was removed from the store; a record of this instance that is still needed is written again. */
@@ -77,17 +83,28 @@
 		this.#isStopped = true;
 	}
 
-	async #share(record: SuspicionRecord): Promise<void> {
-		const {instance, now} = this.#options;
+	/** What the store does not take promptly the others are told directly, if it is urgent. */
+	async #share({record, isUrgent}: {readonly record: SuspicionRecord; readonly isUrgent: boolean}): Promise<void> {
+		const {instance, now, sleep} = this.#options;
 		this.#sequence += 1;
 		const key = `${SUSPICION_PREFIX}${instance}/${this.#sequence % MOST_RECORDS}`;
 		this.#kept.set(key, {record, neededUntilMs: now() + TIME_TO_LIVE_MS});
 		this.#unwritten.add(key);
-		if (!await this.#write(key)) {
+		const written = this.#write(key);
+		const isPrompt = await Promise.race([written, sleep(PROMPT_MS)]);
+		if (isUrgent && isPrompt !== true) {
+			this.#tellUnwritten();
+		}
+
+		if (!await written) {
 			void this.#retry();
 		}
 	}
 
+	#tellUnwritten(): void {
+		this.#options.tellDirectly(() => [...this.#unwritten].flatMap(key => this.#kept.get(key)?.record ?? []));
+	}
+
 	/** Writes what the store may not have until it has it all. */
 	async #retry(): Promise<void> {
 		if (this.#isRetrying) {
--- a/calls/live/test/suspicion-writer.test.ts
+++ b/calls/live/test/suspicion-writer.test.ts
@@ -24,13 +24,13 @@
 	{
 		name: 'the store was away when it was to be written', async act({platform}, writer) {
 			platform.faults.outage = true;
-			await writer.shareDeath({death: death(1)});
+			await writer.shareDeath({death: death(1), convicted: []});
 			platform.faults.outage = false;
 		},
 	},
 	{
 		name: 'its lease was taken away early', async act({platform}, writer) {
-			await writer.shareDeath({death: death(1)});
+			await writer.shareDeath({death: death(1), convicted: []});
 			const [held] = platform.keyValues.read({key: SUSPICION_PREFIX, recurse: true});
 			platform.keyValues.destroySession(held!.session!);
 			writer.restore(held!.key);
@@ -39,10 +39,14 @@
 ];
 
 describe('the records of requests that crash servers', () => {
+	const toldDirectly: SuspicionRecord[] = [];
 	const play = async (act: (fixture: Fixture, writer: SuspicionWriter) => Promise<void>): Promise<void> => {
 		const fixture = await startFixture();
+		toldDirectly.length = 0;
 		const writer = new SuspicionWriter({
-			store: fixture.store, instance: 'a' as InstanceId, firstSequence: 100, onFailure() {/* Tried again. */}, sleep: async () => sleep(20), now: () => performance.now(),
+			store: fixture.store, instance: 'a' as InstanceId, firstSequence: 100, onFailure() {/* Tried again. */}, tellDirectly(listRecords) {
+				toldDirectly.push(...listRecords());
+			}, sleep: async () => sleep(20), now: () => performance.now(),
 		});
 		try {
 			await act(fixture, writer);
@@ -64,15 +68,30 @@
 	it('come in their order after the store was away', async () => {
 		await play(async (fixture, writer) => {
 			fixture.platform.faults.outage = true;
-			await writer.shareDeath({death: death(1)});
-			await writer.shareDeath({death: death(2)});
-			await writer.shareCleared(fingerprint);
+			await writer.shareDeath({death: death(1), convicted: []});
+			await writer.shareDeath({death: death(2), convicted: []});
+			await writer.shareCleared({fingerprint, isUrgent: false});
 			fixture.platform.faults.outage = false;
 			await until(() => readRecords(fixture).length === 3);
 			assert.deepEqual(readRecords(fixture).map(({kind}) => kind), ['death', 'death', 'cleared']);
 		});
 	});
 
+	const stores: ReadonlyArray<{name: string; outage?: boolean; slownessMs?: number; told: number}> = [
+		{name: 'not told directly where the store takes them', told: 0},
+		{name: 'told directly where the store is away', outage: true, told: 1},
+		{name: 'told directly where the store is slow', slownessMs: 600, told: 1},
+	];
+	for (const {name, outage = false, slownessMs = 0, told} of stores) {
+		it(`are ${name}`, async () => {
+			await play(async ({platform}, writer) => {
+				Object.assign(platform.faults, {outage, slownessMs});
+				await writer.shareDeath({death: death(1), convicted: []});
+				assert.equal(toldDirectly.length, told);
+			});
+		});
+	}
+
 	it('are not written again when another instance\'s key goes', async () => {
 		await play(async (fixture, writer) => {
 			writer.restore(`${SUSPICION_PREFIX}b/1`);
--- a/calls/quarantine/src/peer-sharing.ts
+++ b/calls/quarantine/src/peer-sharing.ts
@@ -77,7 +77,7 @@
 		async shareDeath({death, convicted}) {
 			await tellAll(async (client, options) => client.reportDeath({death: toMessage({death, nowMs: now()}), convicted: [...convicted]}, options));
 		},
-		async shareCleared(fingerprint) {
+		async shareCleared({fingerprint}) {
 			await tellAll(async (client, options) => client.clearSuspect({fingerprint}, options));
 		},
 	};
--- a/calls/quarantine/src/quarantine.ts
+++ b/calls/quarantine/src/quarantine.ts
@@ -7,10 +7,24 @@
 import {SuspectTable} from './suspect-table.js';
 import type {Conviction, Standing} from './suspect-table.js';
 
+/** A death to tell of. */
+export interface ShareDeathOptions {
+	readonly death: ServerDeath;
+	/** Requests that it convicts for sure. */
+	readonly convicted: readonly RequestFingerprint[];
+}
+
+/** A suspect to clear. */
+export interface ShareClearedOptions {
+	readonly fingerprint: RequestFingerprint;
+	/** Whether it is refused until the others hear of it. */
+	readonly isUrgent: boolean;
+}
+
 /** Tells the other instances; resolves when all have heard or their time is up. */
 export interface SuspicionSharing {
-	readonly shareDeath: (options: {readonly death: ServerDeath; readonly convicted: readonly RequestFingerprint[]}) => Promise<void>;
-	readonly shareCleared: (fingerprint: RequestFingerprint) => Promise<void>;
+	readonly shareDeath: (options: ShareDeathOptions) => Promise<void>;
+	readonly shareCleared: (options: ShareClearedOptions) => Promise<void>;
 }
 
 /** Options of {@link Quarantine}. */
@@ -69,7 +83,10 @@
 		};
 		counters.add('quarantine.death');
 		const convicted = this.receiveDeath(death);
-		await sharing.shareDeath({death, convicted: convicted.filter(({certainty}) => certainty === 'certain').map(({fingerprint}) => fingerprint)});
+		await sharing.shareDeath({
+			death,
+			convicted: convicted.filter(({certainty}) => certainty === 'certain').map(({fingerprint}) => fingerprint),
+		});
 	}
 
 	/** Records a death that any instance saw; answers the requests that it convicts. */
@@ -92,9 +109,10 @@
 
 	/** Clears a suspect that was run to its end here, and tells the others. */
 	clear(fingerprint: RequestFingerprint): void {
-		if (this.standingOf(fingerprint) !== 'clear') {
+		const standing = this.standingOf(fingerprint);
+		if (standing !== 'clear') {
 			this.receiveCleared(fingerprint);
-			void this.#options.sharing.shareCleared(fingerprint);
+			void this.#options.sharing.shareCleared({fingerprint, isUrgent: standing === 'convicted'});
 		}
 	}
 
--- a/daemons/gateway/src/create-view.ts
+++ b/daemons/gateway/src/create-view.ts
@@ -1,7 +1,7 @@
 /** Wires the store, the view of it that this instance keeps, and this instance's own record. */
 import {setTimeout as startTimeout} from 'node:timers/promises';
 import {
-	AllowanceParts, ChangeRelay, LiveView, Registration, StoreFeed, suspicionReader, SuspicionWriter, UpstreamClient, UpstreamLink,
+	AllowanceParts, ChangeRelay, LiveView, Registration, sendSuspicions, StoreFeed, suspicionReader, SuspicionTeller, SuspicionWriter, UpstreamClient, UpstreamLink,
 } from '@pomelopick/calls.live';
 import type {BeliefChange, InstanceRecord, SuspicionRecord} from '@pomelopick/calls.live';
 import type {SuspicionSharing} from '@pomelopick/calls.quarantine';
@@ -46,6 +46,8 @@
 	readonly changeRelay: ChangeRelay;
 	/** Tells the other instances of requests that crash servers. */
 	readonly sharing: SuspicionSharing;
+	/** Tells them without the store. */
+	readonly suspicionTeller: SuspicionTeller;
 	/** Claims a part of a service's allowance of further sends. */
 	readonly claimAllowance: AllowanceParts['claim'];
 	start(): void;
@@ -124,6 +126,17 @@
 			}
 		},
 	});
+	const suspicionTeller = new SuspicionTeller({
+		self: self.id,
+		instances: () => view.instances.list(),
+		send: sendSuspicions,
+		onRecord: onSuspicion,
+		sleep,
+		onFailure({instance, error: {code, message}}) {
+			counters.add(`peer.${code}`);
+			log.line('peer-not-told', {subject: instance, reason: code, detail: message});
+		},
+	});
 	const sharing: SuspicionWriter = new SuspicionWriter({
 		store,
 		instance: self.id,
@@ -132,6 +145,10 @@
 			counters.add(`store.suspicion-${code}`);
 			log.line('suspicion-not-shared', {reason: code, detail: message});
 		},
+		tellDirectly(listRecords) {
+			counters.add('peer.suspicions-told');
+			void suspicionTeller.tell(listRecords);
+		},
 		sleep,
 		now,
 	});
@@ -140,6 +157,7 @@
 		feed,
 		changeRelay,
 		sharing,
+		suspicionTeller,
 		claimAllowance: async service => allowance.claim(service),
 		start() {
 			void feed.run();
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -4,7 +4,7 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {CallerListener} from '@pomelopick/calls.listener';
-import {createChangeListener} from '@pomelopick/calls.live';
+import {createChangeListener, createSuspicionListener, SUSPICIONS_PATH} from '@pomelopick/calls.live';
 import type {InstanceRecord} from '@pomelopick/calls.live';
 import type {GatewaySettings} from '@pomelopick/config.settings';
 import {DecisionLog, ServedCounters} from '@pomelopick/core.telemetry';
@@ -102,7 +102,13 @@
 			view, self, isReady, mostTimeToLiveMs: settings.directoryMostMs, counters,
 		}),
 	});
-	const changes = new HttpListener({endpoint: peers, answer: createChangeListener({relay: viewParts.changeRelay})});
+	const answerChanges = createChangeListener({relay: viewParts.changeRelay});
+	const answerSuspicions = createSuspicionListener({receive: async message => viewParts.suspicionTeller.receive(message)});
+	const peerListener = new HttpListener({
+		endpoint: peers, answer(request, response) {
+			(request.url === SUSPICIONS_PATH ? answerSuspicions : answerChanges)(request, response);
+		},
+	});
 	const metrics = new HttpListener({
 		endpoint: settings.listen.metrics, async answer(_request, response) {
 			const text = await counters.text();
@@ -119,7 +125,7 @@
 	counters.gauges({
 		name: 'retries_granted', help: 'Sends to a further backend server that claimed parts of the allowance still allow.', label: 'service', read: () => relay.retryBudgets.granted(),
 	});
-	await changes.start();
+	await peerListener.start();
 	viewParts.start();
 	const [callersAt, readinessAt, directoryAt, metricsAt] = await Promise.all([
 		listen({server: listener.server, endpoint: callers}), readiness.start(), directory.start(), metrics.start(),
@@ -143,7 +149,7 @@
 			const left = viewParts.leave();
 			await listener.stop({timeoutMs, inProgress: () => relay.handler.inProgress});
 			await left;
-			await Promise.all([viewParts.stop(), relay.stop(), readiness.stop(), directory.stop(), changes.stop(), metrics.stop()]);
+			await Promise.all([viewParts.stop(), relay.stop(), readiness.stop(), directory.stop(), peerListener.stop(), metrics.stop()]);
 			log.line('stopped', {});
 			output.flush();
 		},
--- a/testing/gateway-soak/src/crash-cases.ts
+++ b/testing/gateway-soak/src/crash-cases.ts
@@ -22,10 +22,10 @@
 		name: 'while the store turns some gateways away', durationMs: DURATION_MS, soundPaths: 0, soundPerSecond: 0, fault: 'some-turned-away', faultMs: 10_000,
 	},
 	{
-		name: 'beside many requests, while the store turns some gateways away', durationMs: DURATION_MS, soundPaths: 12, soundPerSecond: 40, fault: 'some-turned-away', faultMs: 10_000,
+		name: 'beside many requests, while the store turns some gateways away', durationMs: DURATION_MS, soundPaths: 12, soundPerSecond: 40, fault: 'some-turned-away', faultMs: 10_000, isShort: true,
 	},
 	{
-		name: 'while the store is away', durationMs: DURATION_MS, soundPaths: 0, soundPerSecond: 0, fault: 'store-away', faultMs: 8000,
+		name: 'while the store is away', durationMs: DURATION_MS, soundPaths: 0, soundPerSecond: 0, fault: 'store-away', faultMs: 8000, isShort: true,
 	},
 	{
 		name: 'beside many requests, while the store is away', durationMs: DURATION_MS, soundPaths: 12, soundPerSecond: 40, fault: 'store-away', faultMs: 8000,
