--- a/calls/live/test/suspicion-writer.test.ts
+++ b/calls/live/test/suspicion-writer.test.ts
@@ -46,7 +46,7 @@
 		const writer = new SuspicionWriter({
 			store: fixture.store, instance: 'a' as InstanceId, firstSequence: 100, onFailure() {/* Tried again. */}, tellDirectly(listRecords) {
 				toldDirectly.push(...listRecords());
-			}, sleep: async () => sleep(20), now: () => performance.now(),
+			}, sleep: async milliseconds => sleep(milliseconds), now: () => performance.now(),
 		});
 		try {
 			await act(fixture, writer);
