Keep the gateway up when an answer without a length is given up

Callers saw: a server that sends a body without a length and without end ended the gateway when its answers were given up, at the route's timeout or when a caller left: all callers of the gateway were cut. The reset closes the socket without an error, which the HTTP client takes for the end of an answer that ends with its connection; it then completes a request that was aborted, or paused, and an assertion in it ends the process (!this.aborted, !this.paused). Ruled out: memory (92 to 136 MB); heads, chunks, lengths and bytes that are no answer, which the client bounds or cuts. Change: the socket reports an error before the reset, so that the client sees a broken connection. One place, for the product's own entry as well. Conclusion: class: an ending that a library tells from another only by an error, which our way of closing does not bring.

--- a/calls/connections/src/server-connections.ts
+++ b/calls/connections/src/server-connections.ts
@@ -1,5 +1,5 @@
 /** The connections of this instance to one backend server. */
-import {buildConnector, Client} from 'undici';
+import {buildConnector, Client, errors} from 'undici';
 import type {Connection} from './connection.js';
 import {HoldTimes} from './hold-times.js';
 import {probe} from './probe.js';
@@ -226,6 +226,8 @@
 			if (socket) {
 				Object.assign(connection(), {
 					wasReset: false, isUnframed: false, reset() {
+						// Without an error the library would take the close for the end of an answer that has no length, also of one that was given up.
+						socket.emit('error', new errors.RequestAbortedError('the connection was given up'));
 						socket.resetAndDestroy();
 					},
 				});
