Follow an upstream while the store does not answer, also when others follow this instance

Change: while the store does not answer it, an instance that is followed asks upstreams too; once word comes again it follows the store itself. Before / after: npm test upstream-failure, an instance that is followed and whom the store does not answer: asks nobody else before, an upstream after.

--- a/calls/live/src/store-feed.ts
+++ b/calls/live/src/store-feed.ts
@@ -107,8 +107,9 @@
 			return;
 		}
 
-		// Whoever is followed follows the store itself, so that word never comes through two instances for long.
-		const upstream = this.#mustAskStore || relay.isFollowed ? undefined : upstreams.choose();
+		// Whoever is followed follows the store itself, so that word never comes through two instances for long, unless the store does not answer it.
+		const mayFollow = !relay.isFollowed || this.isFailing;
+		const upstream = mayFollow && !this.#mustAskStore ? upstreams.choose() : undefined;
 		await (upstream ? this.#followUpstream({upstream, index: this.#index}) : this.#followStore(this.#index));
 	}
 
--- a/calls/live/test/upstream-failure.test.ts
+++ b/calls/live/test/upstream-failure.test.ts
@@ -25,8 +25,21 @@
 });
 const instances = ['one', 'two', 'three', 'four', 'five'].map(name => record(name));
 
-/** Follows a store and upstreams of which the first one asked fails; lists whom the feed asked, in order. */
-async function listAsked(failure: Either<CodedError, UpstreamAnswer>): Promise<readonly string[]> {
+interface ListAskedOptions {
+	/** What the first upstream that is asked answers. */
+	readonly failure?: Either<CodedError, UpstreamAnswer>;
+	/** Whether the store answers no question but the first one. */
+	readonly isStoreAway?: boolean;
+	/** Whether other instances follow this one. */
+	readonly isFollowed?: boolean;
+}
+
+const nothingNew: UpstreamAnswer = {
+	kind: 'changes', changes: [], index: INDEX, ageMs: 0, returnedMs: undefined,
+};
+
+/** Follows a store and upstreams; lists whom the feed asked, in order. */
+async function listAsked({failure = Right(nothingNew), isStoreAway = false, isFollowed = false}: ListAskedOptions): Promise<readonly string[]> {
 	const asked: string[] = [];
 	const now = (): number => 0;
 	const note = (whom: string): void => {
@@ -40,25 +53,23 @@
 		snapshot: () => EitherAsync.liftEither(Right({values: [], index: INDEX})),
 		changes() {
 			note('store');
-			return EitherAsync.liftEither(Right({kind: 'changes', changes: [], index: INDEX}));
+			return EitherAsync.liftEither(isStoreAway && asked.length > 1 ? Left({code: 'unavailable', message: 'no answer'}) : Right({kind: 'changes', changes: [], index: INDEX}));
 		},
 	} as unknown as KeyValueStore;
 	const askEndpoint = async ({endpoint: {address}}: {readonly endpoint: Endpoint}): Promise<Either<CodedError, UpstreamAnswer>> => {
 		const isFirst = !asked.some(whom => whom !== 'store');
 		note(address);
-		return isFirst
-			? failure
-			: Right({
-				kind: 'changes', changes: [], index: INDEX, ageMs: 0, returnedMs: undefined,
-			});
+		return isFirst ? failure : Right(nothingNew);
 	};
 
+	const relay = new ChangeRelay({now});
+
 	const feed: StoreFeed = new StoreFeed({
 		store,
 		view: new LiveView({
 			format: {readSubject, decodeRouteSet, decodeServer}, onChange() {/* Nothing changes. */}, onRoutes() {/* There are none. */}, records: [], onServerLost() {/* There are none. */},
 		}),
-		relay: new ChangeRelay({now}),
+		relay,
 		upstreams: new UpstreamLink({
 			self: record('own'), instances: () => instances, askEndpoint, onChange() {/* The order of questions tells. */}, now,
 		}),
@@ -67,7 +78,11 @@
 		now,
 		random: () => 0,
 		onAvailability() {/* The store answers always. */},
-		onRead() {/* It is empty. */},
+		onRead() {
+			if (isFollowed) {
+				void relay.follow({afterIndex: INDEX, signal: new AbortController().signal});
+			}
+		},
 	});
 	await feed.run();
 	return asked;
@@ -87,7 +102,7 @@
 describe('a feed after an upstream failed', () => {
 	for (const {name, failure} of failures) {
 		it(`asks the store before any other upstream than one ${name}, since what was not told may be late`, async () => {
-			const asked = await listAsked(failure);
+			const asked = await listAsked({failure});
 			const firstUpstream = asked.findIndex(whom => whom !== 'store');
 			assert.notEqual(firstUpstream, -1, JSON.stringify(asked));
 			assert.equal(asked[firstUpstream + 1], 'store', JSON.stringify(asked));
@@ -95,3 +110,17 @@
 		});
 	}
 });
+
+const followed: ReadonlyArray<{name: string; isStoreAway: boolean; asksUpstreams: boolean}> = [
+	{name: 'follows the store itself', isStoreAway: false, asksUpstreams: false},
+	{name: 'asks upstreams where the store does not answer it', isStoreAway: true, asksUpstreams: true},
+];
+
+describe('a feed that others follow', () => {
+	for (const {name, isStoreAway, asksUpstreams} of followed) {
+		it(name, async () => {
+			const asked = await listAsked({isStoreAway, isFollowed: true});
+			assert.equal(asked.some(whom => whom !== 'store'), asksUpstreams, JSON.stringify(asked));
+		});
+	}
+});
