--- a/calls/relay/src/relay-run.ts
+++ b/calls/relay/src/relay-run.ts
@@ -2,14 +2,14 @@
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {AttemptAnswer} from '@pomelopick/calls.forwarding';
-import type {Standing} from '@pomelopick/calls.quarantine';
 import type {CallCounters} from '@pomelopick/core.telemetry';
-import type {BackendServerName, Refusal} from '@pomelopick/core.types';
+import type {Refusal} from '@pomelopick/core.types';
 import {reasonWithoutPromise} from '@pomelopick/core.types';
-import type {KnownServer} from '@pomelopick/steering.servers';
 import type {ObjectPlacement, PlacementRefusal} from '@pomelopick/steering.objects';
 import {endsWithin, takeFirstGood} from './attempt-race.js';
 import type {RunningAttempt} from './attempt-race.js';
+import {placeRequest} from './place-request.js';
+import type {PlacingParts} from './place-request.js';
 import {RelayAttempt} from './relay-attempt.js';
 import type {AttemptFailureResult, AttemptParts, AttemptResult} from './relay-attempt.js';
 import type {AttemptNote, RelayedRequest} from './relayed-request.js';
@@ -27,16 +27,10 @@
 const LOSS_WAIT_MS = 750;
 
 /** What a run may use beyond what its attempts do. */
-export interface RunParts extends AttemptParts {
+export interface RunParts extends AttemptParts, PlacingParts {
 	readonly counters: CallCounters;
-	/** What is known of a request from the deaths of servers. */
-	readonly standingOf: (request: RelayedRequest) => Standing;
 	/** Leave to send to a further server, for which it may wait a short time; undefined: the service's budget has none left. */
 	readonly takeRetry: (request: RelayedRequest) => Promise<RetryPermit | undefined>;
-	/** Takes one request to a server that warms up; true for one that does not. */
-	readonly tryTakeWarmup: (known: KnownServer) => boolean;
-	/** Age of this instance's view of the store, in milliseconds. */
-	readonly viewAgeMs: () => number;
 }
 
 /** Runs one request. */
@@ -74,7 +68,7 @@
 		}
 
 		for (let tries = 1; ; tries += 1) {
-			const placed = this.#place();
+			const placed = placeRequest({request: this.#request, parts: this.#parts});
 			if (placed.isLeft()) {
 				return this.#finish(toRefusal(placed.extract()));
 			}
@@ -116,37 +110,6 @@
 		}
 	}
 
-	#place(): Either<PlacementRefusal, ObjectPlacement> {
-		const request = this.#request;
-		const {viewAgeMs, standingOf, deathWatch} = this.#parts;
-		request.viewAgeMs = viewAgeMs();
-		request.isSuspect ||= standingOf(request) !== 'clear';
-		if (request.isSuspect) {
-			// Each suspect has a server of its own, alike at all instances, so that one does not make another look guilty.
-			const apart = this.#placeObject({object: request.fingerprint(), avoid: new Set([...request.avoid, ...deathWatch.listServersOfSuspects()])});
-			if (apart.isRight()) {
-				return apart.map(placement => ({...placement, isWarm: false}));
-			}
-		}
-
-		return this.#placeObject({object: request.options.object, avoid: request.avoid});
-	}
-
-	#placeObject({object, avoid}: {readonly object: string | undefined; readonly avoid: Set<BackendServerName>}): Either<PlacementRefusal, ObjectPlacement> {
-		const {route, service, answerByMs} = this.#request.options;
-		const {placer, now, tryTakeWarmup} = this.#parts;
-		for (;;) {
-			const placed = placer.place({
-				route, service, object, avoid, deadlineMs: answerByMs, nowMs: now(),
-			});
-			if (placed.isLeft() || tryTakeWarmup(placed.unsafeCoerce().known)) {
-				return placed;
-			}
-
-			avoid.add(placed.unsafeCoerce().known.server.name);
-		}
-	}
-
 	/** Makes an attempt, and a second one beside it when its answer is overdue and another server has room. */
 	async #attemptWithHedge(placement: ObjectPlacement): Promise<AttemptResult> {
 		const first = this.#start(placement);
@@ -209,7 +172,7 @@
 			return undefined;
 		}
 
-		const placed = this.#place();
+		const placed = placeRequest({request: this.#request, parts: this.#parts});
 		const hasRoom = placed.map(({waitMs}) => waitMs === 0).orDefault(false);
 		if (!hasRoom || !await this.#takePermit() || first.hasEnded() || request.hasEnded) {
 			return undefined;
