Pass on what changes a view, and of large values only the last

Cause: an upstream passed every change on to each follower: mere heartbeats of servers, which are nearly all changes, and each of five versions of 820 routes that came within seconds. The answers filled its link; followers waited 2 to 3 s for one. Ruled out: a failing store (no store-lost line of these instances in that time). Change: writes that change nothing in the view (a server's heartbeat with nothing new, one that comes late) are not passed on; of several values of 4 KB and more of one key only the last is given. Conclusion: an upstream's bytes follow what changes, no longer the number of servers.

--- a/calls/live/src/change-history.ts
+++ b/calls/live/src/change-history.ts
@@ -1,12 +1,24 @@
-/** The store's last changes, for instances that know an earlier index. */
+/**
+ * The store's last changes, for instances that know an earlier index.
+ *
+ * Of several large values of one key only the last is given, unless the key was removed in between: who lags behind
+ * while a configuration is written again and again gets it once. Small values are all given, since what servers tell of
+ * their warm-up counts from when it was told.
+ */
 import type {StoreChange} from '@pomelopick/platform.store';
 
 /** Changes that are kept; older ones are forgotten first. */
 const MOST_CHANGES = 4096;
+/** Size from which on a value is large, in bytes. */
+const LARGE_VALUE_BYTES = 4096;
 
 /** Changes in their order, from an index on without a gap. */
 export class ChangeHistory {
 	#changes: StoreChange[] = [];
+	/** Last change of each key that is kept. */
+	readonly #lastOf = new Map<string, StoreChange>();
+	/** Large values that a later write of their key replaced. */
+	readonly #replaced = new WeakSet<StoreChange>();
 	#startIndex: number;
 	#index: number;
 
@@ -23,12 +35,13 @@
 
 	/** Takes the changes between the known index and a later one. */
 	append({changes, index}: {readonly changes: readonly StoreChange[]; readonly index: number}): void {
-		this.#changes.push(...changes);
+		for (const change of changes) {
+			this.#add(change);
+		}
+
 		this.#index = Math.max(this.#index, index);
-		const surplus = this.#changes.length - MOST_CHANGES;
-		if (surplus > 0) {
-			this.#startIndex = indexOf(this.#changes[surplus - 1]!);
-			this.#changes = this.#changes.slice(surplus);
+		if (this.#changes.length > MOST_CHANGES) {
+			this.#shorten();
 		}
 	}
 
@@ -40,8 +53,39 @@
 
 		// Most of those who ask know all but the last few.
 		const first = this.#changes.findLastIndex(change => indexOf(change) <= index) + 1;
-		return this.#changes.slice(first);
+		return this.#changes.slice(first).filter(change => !this.#replaced.has(change));
+	}
+
+	#add(change: StoreChange): void {
+		const key = keyOf(change);
+		const last = this.#lastOf.get(key);
+		if (last?.kind === 'written' && change.kind === 'written' && last.value.value.length >= LARGE_VALUE_BYTES) {
+			this.#replaced.add(last);
+		}
+
+		this.#lastOf.set(key, change);
+		this.#changes.push(change);
 	}
+
+	/** Drops what was replaced, and then the oldest changes. */
+	#shorten(): void {
+		this.#changes = this.#changes.filter(change => !this.#replaced.has(change));
+		const surplus = this.#changes.length - MOST_CHANGES;
+		if (surplus <= 0) {
+			return;
+		}
+
+		this.#startIndex = indexOf(this.#changes[surplus - 1]!);
+		for (const change of this.#changes.splice(0, surplus)) {
+			if (this.#lastOf.get(keyOf(change)) === change) {
+				this.#lastOf.delete(keyOf(change));
+			}
+		}
+	}
+}
+
+function keyOf(change: StoreChange): string {
+	return change.kind === 'written' ? change.value.key : change.key;
 }
 
 function indexOf(change: StoreChange): number {
--- a/calls/live/src/change-relay.ts
+++ b/calls/live/src/change-relay.ts
@@ -21,7 +21,7 @@
 
 /** Options of {@link ChangeRelay.confirm}. */
 export interface ConfirmOptions {
-	/** Changes since the index before. */
+	/** Changes since the index before, without mere heartbeats of servers. */
 	readonly changes: readonly StoreChange[];
 	readonly index: number;
 	/** Monotonic times, in milliseconds: of the store's word, and at which the store last answered again after a failure. */
--- a/calls/live/src/live-view.ts
+++ b/calls/live/src/live-view.ts
@@ -2,7 +2,9 @@
 import {haveLapsed, ServerTable} from '@pomelopick/steering.servers';
 import type {RouteTable} from '@pomelopick/steering.routes';
 import type {StoreChange, StoredValue} from '@pomelopick/platform.store';
-import type {BackendServerName, InstanceId, RouteSet} from '@pomelopick/core.types';
+import type {
+	BackendServerName, InstanceId, RegisteredServer, RouteSet,
+} from '@pomelopick/core.types';
 import type {BeliefChange} from './belief-change.js';
 import {decodeInstance, INSTANCE_PREFIX, instanceKey} from './instance-record.js';
 import {InstanceTable} from './instance-table.js';
@@ -39,6 +41,9 @@
 	readonly values: readonly StoredValue[];
 }
 
+/** What a write may do to a view: the mere heartbeat of a server, or one that comes late, changes nothing. */
+type Effect = 'changed' | 'none';
+
 /** Until when what goes now is held; undefined: it is gone. */
 interface Holds {
 	readonly serversUntilMs: number | undefined;
@@ -82,21 +87,22 @@
 		return this.#instances;
 	}
 
-	/** Applies changes in their order. */
-	apply({changes, heldUntilMs, nowMs}: ApplyChangesOptions): void {
+	/** Applies changes in their order; answers those that may change a view which has the same as this one: not the mere heartbeats of servers. */
+	apply({changes, heldUntilMs, nowMs}: ApplyChangesOptions): readonly StoreChange[] {
 		const last = new Map(changes.map(change => [change.kind === 'written' ? change.value.key : change.key, change.kind]));
 		const holds = this.#findHolds({
 			heldUntilMs, isThereAfter: key => last.get(key) !== 'removed', written: [...last].flatMap(([key, kind]) => kind === 'written' ? [key] : []),
 		});
-		for (const change of changes) {
+		return changes.filter(change => {
 			if (change.kind === 'written') {
-				this.#write({value: change.value, nowMs});
-			} else {
-				this.#remove({
-					key: change.key, storeIndex: change.modifyIndex, holds, nowMs,
-				});
+				return this.#write({value: change.value, nowMs}) === 'changed';
 			}
-		}
+
+			this.#remove({
+				key: change.key, storeIndex: change.modifyIndex, holds, nowMs,
+			});
+			return true;
+		});
 	}
 
 	/** Takes a whole reading of a prefix: what is not in it is no longer there. */
@@ -153,22 +159,28 @@
 		return [...this.#serverKeys.keys(), ...this.#evacuationKeys, ...this.#listInstanceKeys()];
 	}
 
-	#write({value, nowMs}: {readonly value: StoredValue; readonly nowMs: number}): void {
+	#write({value, nowMs}: {readonly value: StoredValue; readonly nowMs: number}): Effect {
 		const subject = this.#options.format.readSubject(value.key);
+		if (subject?.kind === 'server') {
+			return this.#writeServer({name: subject.server, value, nowMs});
+		}
+
 		if (subject) {
-			this.#writeSubject({subject, value, nowMs});
+			this.#writeSubject({subject, value});
 		} else if (value.key.startsWith(INSTANCE_PREFIX)) {
 			this.#writeInstance(value);
 		} else {
 			this.#readerOf(value.key)?.write(value);
 		}
+
+		return 'changed';
 	}
 
 	#readerOf(key: string): RecordReader | undefined {
 		return this.#options.records.find(({prefix}) => key.startsWith(prefix));
 	}
 
-	#writeSubject({subject, value, nowMs}: {readonly subject: Subject; readonly value: StoredValue; readonly nowMs: number}): void {
+	#writeSubject({subject, value}: {readonly subject: Exclude<Subject, {kind: 'server'}>; readonly value: StoredValue}): void {
 		switch (subject.kind) {
 			case 'route-set': {
 				this.#routesInForce.write(value);
@@ -186,41 +198,47 @@
 
 				break;
 			}
-
-			case 'server': {
-				this.#writeServer({name: subject.server, value, nowMs});
-				break;
-			}
 		}
 	}
 
-	#writeServer({name, value, nowMs}: {readonly name: BackendServerName; readonly value: StoredValue; readonly nowMs: number}): void {
-		this.#options.format.decodeServer({name, bytes: value.value}).ifLeft(({message}) => {
-			this.#tell({
-				event: 'server-refused', subject: name, detail: message, storeIndex: value.modifyIndex,
-			});
-			this.servers.remove({name, heldUntilMs: undefined});
-		}).ifRight(server => {
-			const before = this.servers.entryOf(name);
-			const outcome = this.servers.write({server, nowMs});
-			if (outcome === 'outdated') {
-				return;
-			}
-
-			this.#serverKeys.set(value.key, name);
-			if (before && before.server.startedAtMs !== server.startedAtMs) {
-				this.#options.onServerLost(name);
-			}
-
-			if (outcome !== 'unchanged') {
+	#writeServer({name, value, nowMs}: {readonly name: BackendServerName; readonly value: StoredValue; readonly nowMs: number}): Effect {
+		return this.#options.format.decodeServer({name, bytes: value.value}).caseOf<Effect>({
+			Left: ({message}) => {
 				this.#tell({
-					event: 'server-changed',
-					subject: name,
-					detail: `${outcome}: ${server.state} at ${server.address}:${server.port}, ${server.slots} slots of ${server.service}, warm-up ${server.warmupLeftMs} ms`,
-					storeIndex: value.modifyIndex,
+					event: 'server-refused', subject: name, detail: message, storeIndex: value.modifyIndex,
 				});
-			}
+				this.servers.remove({name, heldUntilMs: undefined});
+				return 'changed';
+			},
+			Right: server => this.#takeServer({server, value, nowMs}),
+		});
+	}
+
+	#takeServer({server, value, nowMs}: {readonly server: RegisteredServer; readonly value: StoredValue; readonly nowMs: number}): Effect {
+		const {name} = server;
+		const before = this.servers.entryOf(name);
+		const outcome = this.servers.write({server, nowMs});
+		if (outcome === 'outdated') {
+			return 'none';
+		}
+
+		this.#serverKeys.set(value.key, name);
+		if (before && before.server.startedAtMs !== server.startedAtMs) {
+			this.#options.onServerLost(name);
+		}
+
+		if (outcome === 'unchanged') {
+			// A server that warms up tells with each heartbeat for how much longer.
+			return server.warmupLeftMs > 0 ? 'changed' : 'none';
+		}
+
+		this.#tell({
+			event: 'server-changed',
+			subject: name,
+			detail: `${outcome}: ${server.state} at ${server.address}:${server.port}, ${server.slots} slots of ${server.service}, warm-up ${server.warmupLeftMs} ms`,
+			storeIndex: value.modifyIndex,
 		});
+		return 'changed';
 	}
 
 	#writeInstance({key, value, modifyIndex}: StoredValue): void {
--- a/calls/live/src/store-feed.ts
+++ b/calls/live/src/store-feed.ts
@@ -190,12 +190,12 @@
 
 	#apply({changes, index, confirmedAtMs}: Omit<ConfirmOptions, 'returnedAtMs'>): void {
 		const {view, relay, now} = this.#options;
-		view.apply({changes, heldUntilMs: this.#holdLapsed(), nowMs: now()});
+		const effective = view.apply({changes, heldUntilMs: this.#holdLapsed(), nowMs: now()});
 		this.#index = Math.max(this.#index ?? 0, index);
 		this.#confirmedAtMs = Math.max(this.#confirmedAtMs, confirmedAtMs);
 		this.#hasCaughtUp = true;
 		relay.confirm({
-			changes, index, confirmedAtMs: this.#confirmedAtMs, returnedAtMs: this.#returnedAtMs,
+			changes: effective, index, confirmedAtMs: this.#confirmedAtMs, returnedAtMs: this.#returnedAtMs,
 		});
 	}
 
