Name what the table of suspects finds in plain words

Cause: blame, acquit and rival are figures of speech where finding, clear and sharer say it. Change: names alone. Conclusion: no change of behaviour.

--- a/calls/quarantine/src/death-evidence.ts
+++ b/calls/quarantine/src/death-evidence.ts
@@ -84,7 +84,7 @@
 	}
 
 	/** Takes a request out of all deaths. */
-	acquit(fingerprint: RequestFingerprint): void {
+	clear(fingerprint: RequestFingerprint): void {
 		for (const death of this.#bySuspect.get(fingerprint) ?? []) {
 			death.suspects.delete(fingerprint);
 			if (death.suspects.size === 0) {
--- a/calls/quarantine/src/index.ts
+++ b/calls/quarantine/src/index.ts
@@ -3,7 +3,7 @@
 export * from './death-watch.js';
 export * from './fingerprint.js';
 export {MOST_DEATHS_BEFORE_CONVICTION} from './judge-suspect.js';
-export type {Blame, Certainty} from './judge-suspect.js';
+export type {Finding, Certainty} from './judge-suspect.js';
 export * from './peer-sharing.js';
 export * from './quarantine.js';
 export * from './suspect-table.js';
--- a/calls/quarantine/src/judge-suspect.ts
+++ b/calls/quarantine/src/judge-suspect.ts
@@ -16,26 +16,26 @@
 	readonly deathsOf: (fingerprint: RequestFingerprint) => ReadonlySet<KnownDeath>;
 }
 
-/** What is said against a request. */
-export interface Blame {
+/** What is found against a request. */
+export interface Finding {
 	readonly certainty: Certainty;
 	/** Monotonic time of the last death that it rests on, in milliseconds. */
 	readonly atMs: number;
 }
 
 /** Judges a request; undefined: too few deaths, or another request was in flight at all of them and at more. */
-export function judgeSuspect({fingerprint, deathsOf}: JudgeSuspectOptions): Blame | undefined {
+export function judgeSuspect({fingerprint, deathsOf}: JudgeSuspectOptions): Finding | undefined {
 	const deaths = [...deathsOf(fingerprint)];
 	const isLone = deaths.every(({suspects}) => suspects.size === 1);
 	if (deaths.length < (isLone ? LONE_DEATHS : MOST_DEATHS_BEFORE_CONVICTION)) {
 		return undefined;
 	}
 
-	const rivals = [...deaths[0]!.suspects].filter(other => other !== fingerprint && deaths.every(({suspects}) => suspects.has(other)));
-	if (rivals.some(rival => deathsOf(rival).size > deaths.length)) {
+	const sharers = [...deaths[0]!.suspects].filter(other => other !== fingerprint && deaths.every(({suspects}) => suspects.has(other)));
+	if (sharers.some(sharer => deathsOf(sharer).size > deaths.length)) {
 		return undefined;
 	}
 
-	const isCertain = rivals.length === 0 && deaths.length >= MOST_DEATHS_BEFORE_CONVICTION;
+	const isCertain = sharers.length === 0 && deaths.length >= MOST_DEATHS_BEFORE_CONVICTION;
 	return {certainty: isCertain ? 'certain' : 'likely', atMs: Math.max(...deaths.map(({atMs}) => atMs))};
 }
--- a/calls/quarantine/src/suspect-table.ts
+++ b/calls/quarantine/src/suspect-table.ts
@@ -2,7 +2,7 @@
  * Which requests are suspected of crashing backend servers, and which of them are not to run again.
  *
  * The table keeps evidence alone. What it makes of a request follows from all of it, in whatever order it was told, so
- * that all instances come to the same, and so that a request which looked guilty is free again as soon as the evidence
+ * that all instances come to the same, and so that a request that was convicted is free again as soon as the evidence
  * says otherwise.
  */
 import {dropExpired, dropOldest} from './bounded-maps.js';
@@ -10,23 +10,23 @@
 import type {KnownDeath, ServerDeath} from './death-evidence.js';
 import type {RequestFingerprint} from './fingerprint.js';
 import {judgeSuspect, MOST_DEATHS_BEFORE_CONVICTION} from './judge-suspect.js';
-import type {Blame} from './judge-suspect.js';
+import type {Finding} from './judge-suspect.js';
 
 /** What is known of a request. */
 export type Standing = 'clear' | 'suspect' | 'convicted';
 
 /** A request that is not run. */
-export interface Conviction extends Blame {
+export interface Conviction extends Finding {
 	readonly fingerprint: RequestFingerprint;
 }
 
 /** Time for which a request is not run that only likely crashes servers, in milliseconds; its next run then tells. */
 const LIKELY_HOLD_MS = 30_000;
 /** Time after its answer in which a request is no suspect, in milliseconds: others may still tell of deaths from before. */
-const ACQUITTAL_MS = 5000;
+const CLEARED_MS = 5000;
 const MOST_REPORTS = 4096;
 const MOST_CONVICTIONS = 1024;
-const MOST_ACQUITTALS = 4096;
+const MOST_CLEARED = 4096;
 
 interface AtTime {
 	readonly fingerprint: RequestFingerprint;
@@ -42,7 +42,7 @@
 	/** Convictions that other instances told of, whose evidence this one may not have, with the monotonic time of each. */
 	readonly #told = new Map<RequestFingerprint, number>();
 	/** Monotonic times at which suspects were answered, in milliseconds. */
-	readonly #acquitted = new Map<RequestFingerprint, number>();
+	readonly #clearedAtMs = new Map<RequestFingerprint, number>();
 
 	/** Whether nothing is suspected or convicted. */
 	get isEmpty(): boolean {
@@ -60,20 +60,20 @@
 
 	/** Whether a request is refused. */
 	isConvicted({fingerprint, nowMs}: AtTime): boolean {
-		const blame = this.#blame(fingerprint);
-		return blame !== undefined && nowMs - blame.atMs < (blame.certainty === 'certain' ? RETENTION_MS : LIKELY_HOLD_MS);
+		const finding = this.#findingOn(fingerprint);
+		return finding !== undefined && nowMs - finding.atMs < (finding.certainty === 'certain' ? RETENTION_MS : LIKELY_HOLD_MS);
 	}
 
 	/** Whether a request was in flight at a death that no surely crashing one explains, and was not answered since. */
 	isSuspect(fingerprint: RequestFingerprint): boolean {
-		return [...this.#evidence.deathsOf(fingerprint)].some(death => !this.#isExplainedWithout({death, fingerprint}));
+		return [...this.#evidence.deathsOf(fingerprint)].some(death => !this.#hasCertainBesides({death, fingerprint}));
 	}
 
 	/** Takes a report of a death; answers the requests that it convicts. */
 	record({death, nowMs}: {readonly death: ServerDeath; readonly nowMs: number}): readonly Conviction[] {
 		this.#expire(nowMs);
 		const report = `${death.origin}/${death.sequence}`;
-		const fingerprints = death.fingerprints.filter(fingerprint => !this.#isAcquitted({fingerprint, nowMs}));
+		const fingerprints = death.fingerprints.filter(fingerprint => !this.#wasCleared({fingerprint, nowMs}));
 		if (this.#reports.has(report) || fingerprints.length === 0) {
 			return [];
 		}
@@ -92,15 +92,15 @@
 		dropOldest({map: this.#told, most: MOST_CONVICTIONS});
 	}
 
-	/** Acquits a request that was answered: it crashes nothing. Answers the requests that this convicts. */
+	/** Clears a request that was answered: it crashes nothing. Answers the requests that this convicts. */
 	clear({fingerprint, nowMs}: AtTime): readonly Conviction[] {
 		const suspects = [...this.#evidence.deathsOf(fingerprint)].flatMap(death => [...death.suspects]);
 		const before = this.#filterConvicted({suspects, nowMs});
 		this.#told.delete(fingerprint);
-		this.#evidence.acquit(fingerprint);
-		this.#acquitted.delete(fingerprint);
-		this.#acquitted.set(fingerprint, nowMs);
-		dropOldest({map: this.#acquitted, most: MOST_ACQUITTALS});
+		this.#evidence.clear(fingerprint);
+		this.#clearedAtMs.delete(fingerprint);
+		this.#clearedAtMs.set(fingerprint, nowMs);
+		dropOldest({map: this.#clearedAtMs, most: MOST_CLEARED});
 		return this.#listNew({suspects, before, nowMs});
 	}
 
@@ -119,7 +119,7 @@
 		const fingerprints = new Set([...this.#told.keys(), ...this.#evidence.suspects]);
 		return [...fingerprints]
 			.filter(fingerprint => this.isConvicted({fingerprint, nowMs}))
-			.map(fingerprint => ({fingerprint, ...this.#blame(fingerprint)!}));
+			.map(fingerprint => ({fingerprint, ...this.#findingOn(fingerprint)!}));
 	}
 
 	/** Those of some requests that are convicted. */
@@ -131,10 +131,10 @@
 	#listNew({suspects, before, nowMs}: {readonly suspects: readonly RequestFingerprint[]; readonly before: ReadonlySet<RequestFingerprint>; readonly nowMs: number}): readonly Conviction[] {
 		return [...this.#filterConvicted({suspects, nowMs})]
 			.filter(fingerprint => !before.has(fingerprint))
-			.map(fingerprint => ({fingerprint, ...this.#blame(fingerprint)!}));
+			.map(fingerprint => ({fingerprint, ...this.#findingOn(fingerprint)!}));
 	}
 
-	#blame(fingerprint: RequestFingerprint): Blame | undefined {
+	#findingOn(fingerprint: RequestFingerprint): Finding | undefined {
 		const toldAtMs = this.#told.get(fingerprint);
 		return toldAtMs === undefined
 			? judgeSuspect({fingerprint, deathsOf: suspect => this.#evidence.deathsOf(suspect)})
@@ -142,24 +142,24 @@
 	}
 
 	/** Whether a death has a suspect besides that surely crashes servers. */
-	#isExplainedWithout({death, fingerprint}: {readonly death: KnownDeath; readonly fingerprint: RequestFingerprint}): boolean {
-		return [...death.suspects].some(other => other !== fingerprint && this.#isSure(other));
+	#hasCertainBesides({death, fingerprint}: {readonly death: KnownDeath; readonly fingerprint: RequestFingerprint}): boolean {
+		return [...death.suspects].some(other => other !== fingerprint && this.#isCertain(other));
 	}
 
-	#isSure(fingerprint: RequestFingerprint): boolean {
+	#isCertain(fingerprint: RequestFingerprint): boolean {
 		const mayBe = this.#told.has(fingerprint) || this.#evidence.deathsOf(fingerprint).size >= MOST_DEATHS_BEFORE_CONVICTION;
-		return mayBe && this.#blame(fingerprint)?.certainty === 'certain';
+		return mayBe && this.#findingOn(fingerprint)?.certainty === 'certain';
 	}
 
-	#isAcquitted({fingerprint, nowMs}: AtTime): boolean {
-		const atMs = this.#acquitted.get(fingerprint);
-		return atMs !== undefined && nowMs - atMs < ACQUITTAL_MS;
+	#wasCleared({fingerprint, nowMs}: AtTime): boolean {
+		const atMs = this.#clearedAtMs.get(fingerprint);
+		return atMs !== undefined && nowMs - atMs < CLEARED_MS;
 	}
 
 	#expire(nowMs: number): void {
 		this.#evidence.expire(nowMs);
 		dropExpired({map: this.#reports, afterMs: RETENTION_MS, nowMs});
 		dropExpired({map: this.#told, afterMs: RETENTION_MS, nowMs});
-		dropExpired({map: this.#acquitted, afterMs: ACQUITTAL_MS, nowMs});
+		dropExpired({map: this.#clearedAtMs, afterMs: CLEARED_MS, nowMs});
 	}
 }
