Keep neighbours in a module of their own, and log what a peer sends that cannot be read

Change: subjects and callers moved to neighbourhood.ts; such a message has a line suspicion-refused. Before / after: 45 of 45 tests of peer/ and of the fleet's membership; those of the suspicions green. Conclusion: no decision changed.

--- a/calls/live/src/suspicion-listener.ts
+++ b/calls/live/src/suspicion-listener.ts
@@ -18,8 +18,15 @@
 /** Longest body, in bytes: records of as many deaths as an instance keeps, with all their requests, and the ids of a fleet. */
 const MOST_BYTES = 524_288;
 
+/** Options of {@link createSuspicionListener}. */
+export interface SuspicionListenerOptions {
+	readonly receive: (message: SuspicionMessage) => Promise<void>;
+	/** Told of each message that cannot be read. */
+	readonly onRefused: (error: CodedError) => void;
+}
+
 /** Creates the listener; a message that cannot be read is answered 400. */
-export function createSuspicionListener({receive}: {readonly receive: (message: SuspicionMessage) => Promise<void>}): RequestListener {
+export function createSuspicionListener({receive, onRefused}: SuspicionListenerOptions): RequestListener {
 	return async (request, response) => {
 		if (request.method !== 'POST' || !(Number(request.headers['content-length']) <= MOST_BYTES)) {
 			response.writeHead(400, {connection: 'close'}).end();
@@ -27,8 +34,9 @@
 		}
 
 		const message = await readBody(request);
-		message.ifLeft(({message: detail}) => {
-			response.writeHead(400).end(detail);
+		message.ifLeft(error => {
+			onRefused(error);
+			response.writeHead(400).end(error.message);
 		}).ifRight(read => {
 			response.writeHead(204).end();
 			void receive(read);
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -103,7 +103,11 @@
 		}),
 	});
 	const answerChanges = createChangeListener({relay: viewParts.changeRelay});
-	const answerSuspicions = createSuspicionListener({receive: async message => viewParts.suspicionTeller.receive(message)});
+	const answerSuspicions = createSuspicionListener({
+		receive: async message => viewParts.suspicionTeller.receive(message), onRefused({code, message}) {
+			log.line('suspicion-refused', {reason: code, detail: message});
+		},
+	});
 	const peerListener = new HttpListener({
 		endpoint: peers, answer(request, response) {
 			(request.url === SUSPICIONS_PATH ? answerSuspicions : answerChanges)(request, response);
--- a/peer/membership/src/membership.ts
+++ b/peer/membership/src/membership.ts
@@ -16,11 +16,11 @@
 	Member, MemberRecord, News,
 } from './member.js';
 import type {MembershipOptions, MembershipStatistics} from './membership-options.js';
+import {Neighbourhood} from './neighbourhood.js';
 import {Observer} from './observer.js';
 import {Outbox} from './outbox.js';
 import {OwnFindings} from './own-findings.js';
 import {isUrgent, OwnRecord} from './own-record.js';
-import {RecentCallers} from './recent-callers.js';
 import {Standstill} from './standstill.js';
 import {UrgentFlush} from './urgent-flush.js';
 import {fromNewsMessage} from './wire.js';
@@ -41,7 +41,7 @@
 	readonly #outbox = new Outbox();
 	readonly #reader: ListReader;
 	readonly #list = new MemberList();
-	readonly #callers = new RecentCallers();
+	readonly #neighbourhood: Neighbourhood;
 	readonly #inFlight = new Set<InstanceId>();
 	readonly #doubts = new DoubtTimers({
 		ask: id => {
@@ -64,6 +64,7 @@
 	constructor(options: MembershipOptions) {
 		this.#options = options;
 		this.#table = new MemberTable({regionOf: options.regionOf});
+		this.#neighbourhood = new Neighbourhood({table: this.#table, self: () => this.#self.id, now: options.now});
 		this.#urgent = new UrgentFlush({
 			flush: () => {
 				this.#flush({isUrgent: true});
@@ -179,9 +180,9 @@
 
 		const isForAll = !isUrgent || this.#mustAnnounce;
 		this.#mustAnnounce = false;
-		const subjects = this.#subjects();
+		const subjects = this.#neighbourhood.subjects();
 		this.#observer.keepOnly({subjects, isKnown: id => this.#table.describe(id) !== undefined});
-		this.#outbox.keepOnly(this.#neighbours());
+		this.#outbox.keepOnly(this.#neighbourhood.all());
 		for (const id of subjects) {
 			if (isForAll || this.#outbox.has(id)) {
 				this.#exchangeWith(id);
@@ -246,7 +247,7 @@
 
 	#answer(request: ExchangeRequest): ExchangeResponse {
 		const sender = request.sender as InstanceId;
-		this.#callers.note({id: sender, nowMs: this.#options.now()});
+		this.#neighbourhood.noteCaller(sender);
 		this.#takeNews({news: fromNewsMessage(request.news), from: sender});
 		this.#versions.hearRequest(request);
 		return this.#calls.answer(request.wantsEverything ? this.#table.everything : this.#outbox.take(sender));
@@ -265,7 +266,7 @@
 			return;
 		}
 
-		this.#outbox.add({news: {records, observations}, neighbours: this.#neighbours(), except: from});
+		this.#outbox.add({news: {records, observations}, neighbours: this.#neighbourhood.all(), except: from});
 		if (observations.length > 0 || records.some(record => isUrgent(record))) {
 			this.#urgent.schedule();
 		}
@@ -286,19 +287,10 @@
 	/** Takes a new record of this instance and tells it to the neighbours. */
 	#tellOfSelf(record: MemberRecord): void {
 		this.#table.applyRecord(record);
-		this.#outbox.add({news: {records: [record], observations: []}, neighbours: this.#neighbours()});
+		this.#outbox.add({news: {records: [record], observations: []}, neighbours: this.#neighbourhood.all()});
 		this.#refresh();
 	}
 
-	#subjects(): ReadonlySet<InstanceId> {
-		return this.#table.overlay.subjectsOf({observer: this.#self.id, isAlive: id => !this.#table.isDead(id)});
-	}
-
-	/** Subjects, and the instances that observe this one. */
-	#neighbours(): ReadonlySet<InstanceId> {
-		return new Set([...this.#subjects(), ...this.#callers.list(this.#options.now())]);
-	}
-
 	#refresh(): void {
 		this.#table.judge({self: this.#self.id, nowMs: this.#options.now()});
 		this.#list.replace(this.#table.members);
--- /dev/null
+++ b/peer/membership/src/neighbourhood.ts
@@ -0,0 +1,39 @@
+/** The instances that this one exchanges heartbeats with. */
+import type {InstanceId} from '@pomelopick/core.types';
+import type {MemberTable} from './member-table.js';
+import {RecentCallers} from './recent-callers.js';
+
+/** Options of {@link Neighbourhood}. */
+export interface NeighbourhoodOptions {
+	readonly table: MemberTable;
+	/** This instance. */
+	readonly self: () => InstanceId;
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+}
+
+/** Subjects, whom this instance observes, and callers, who observe this one. */
+export class Neighbourhood {
+	readonly #options: NeighbourhoodOptions;
+	readonly #callers = new RecentCallers();
+
+	constructor(options: NeighbourhoodOptions) {
+		this.#options = options;
+	}
+
+	/** Notes that an instance sent a heartbeat. */
+	noteCaller(id: InstanceId): void {
+		this.#callers.note({id, nowMs: this.#options.now()});
+	}
+
+	/** Instances that this one observes. */
+	subjects(): ReadonlySet<InstanceId> {
+		const {table, self} = this.#options;
+		return table.overlay.subjectsOf({observer: self(), isAlive: id => !table.isDead(id)});
+	}
+
+	/** Subjects, and the instances that observe this one. */
+	all(): ReadonlySet<InstanceId> {
+		return new Set([...this.subjects(), ...this.#callers.list(this.#options.now())]);
+	}
+}
