--- a/calls/live/test/upstream-failure.test.ts
+++ b/calls/live/test/upstream-failure.test.ts
@@ -41,7 +41,8 @@
 /** Follows a store and upstreams; lists whom the feed asked, in order. */
 async function listAsked({failure = Right(nothingNew), isStoreAway = false, isFollowed = false}: ListAskedOptions): Promise<readonly string[]> {
 	const asked: string[] = [];
-	const now = (): number => 0;
+	let nowMs = 0;
+	const now = (): number => nowMs;
 	const note = (whom: string): void => {
 		asked.push(whom);
 		if (asked.length === MOST_ASKED) {
@@ -74,7 +75,9 @@
 			self: record('own'), instances: () => instances, askEndpoint, onChange() {/* The order of questions tells. */}, now,
 		}),
 		prefix: '',
-		async sleep() {/* No time passes. */},
+		async sleep(milliseconds) {
+			nowMs += milliseconds;
+		},
 		now,
 		random: () => 0,
 		onAvailability() {/* The store answers always. */},
