Find the holds of lapsed entries in a module of its own

Change: the decision moved to find-holds.ts; nothing else. Before / after: 96 of 96 tests of calls/live. Conclusion: no change of behaviour.

--- a/calls/live/src/live-view.ts
+++ b/calls/live/src/live-view.ts
@@ -1,11 +1,13 @@
 /** The parts of what this instance believes, changed by what the store says. */
-import {haveLapsed, ServerTable} from '@pomelopick/steering.servers';
+import {ServerTable} from '@pomelopick/steering.servers';
 import type {RouteTable} from '@pomelopick/steering.routes';
 import type {StoreChange, StoredValue} from '@pomelopick/platform.store';
 import type {
 	BackendServerName, InstanceId, RegisteredServer, RouteSet,
 } from '@pomelopick/core.types';
 import type {BeliefChange} from './belief-change.js';
+import {findHolds} from './find-holds.js';
+import type {FindHoldsOptions, Holds} from './find-holds.js';
 import {decodeInstance, INSTANCE_PREFIX, instanceKey} from './instance-record.js';
 import {InstanceTable} from './instance-table.js';
 import type {PlatformFormat, Subject} from './platform-format.js';
@@ -44,19 +46,6 @@
 /** What a write may do to a view: the mere heartbeat of a server, or one that comes late, changes nothing. */
 type Effect = 'changed' | 'none';
 
-/** Until when what goes now is held; undefined: it is gone. */
-interface Holds {
-	readonly serversUntilMs: number | undefined;
-	readonly instancesUntilMs: number | undefined;
-}
-
-interface FindHoldsOptions extends Pick<ApplyChangesOptions, 'heldUntilMs'> {
-	/** Whether a known key is still there after the changes. */
-	readonly isThereAfter: (key: string) => boolean;
-	/** Keys that the changes write. */
-	readonly written: readonly string[];
-}
-
 /** Routes, servers, evacuations and instances. */
 export class LiveView {
 	readonly servers = new ServerTable();
@@ -139,16 +128,8 @@
 		}
 	}
 
-	/** Until when servers and instances that go now are held, as far as so many of them go that they lapsed. */
-	#findHolds({heldUntilMs, isThereAfter, written}: FindHoldsOptions): Holds {
-		const findHold = (known: readonly string[], prefix: string): number | undefined => {
-			const after = new Set([...known.filter(key => isThereAfter(key)), ...written.filter(key => key.startsWith(prefix))]);
-			return haveLapsed({before: known.length, after: after.size}) ? heldUntilMs : undefined;
-		};
-
-		const servers = [...this.#serverKeys.keys()];
-		const serverPrefix = servers[0]?.slice(0, servers[0].lastIndexOf('/') + 1) ?? '';
-		return {serversUntilMs: findHold(servers, serverPrefix), instancesUntilMs: findHold(this.#listInstanceKeys(), INSTANCE_PREFIX)};
+	#findHolds(options: Pick<FindHoldsOptions, 'heldUntilMs' | 'isThereAfter' | 'written'>): Holds {
+		return findHolds({...options, serverKeys: [...this.#serverKeys.keys()], instanceKeys: this.#listInstanceKeys()});
 	}
 
 	#listInstanceKeys(): readonly string[] {
