Show in logs and metrics which rate limits servers name and how many requests go to them

Cause: the record of the incident cannot tell whether no instance reads the limit, each keeps it for itself, or requests reach the server in other ways. No line or counter mentions the limit. Change: the adapter decodes the header; what a server named is kept for one start of it, with a version. Lines rate-limit-named, rate-limit-ended and, once a second and server, rate-limit-use with the requests sent; counters and a gauge. A malformed value is counted and logged and changes nothing. A response without the limit ends it only if its request was sent after the limit was known, since responses overtake each other. No decision uses the limit yet. Before / after: nothing was logged; npm test server-notices named-rate-limits platform/wire passes. Conclusion: the hypotheses can be told apart by rate-limit-use of all instances.

--- a/calls/relay/src/relay-attempt.ts
+++ b/calls/relay/src/relay-attempt.ts
@@ -9,6 +9,7 @@
 import type {RefusalReason, RetryReason, ServerLoad} from '@pomelopick/core.types';
 import {classifyAnswer} from './classify-answer.js';
 import type {AnswerClass} from './classify-answer.js';
+import type {RateLimitUse} from './rate-limit-use.js';
 import type {RelayFormat} from './relay-format.js';
 import type {RelayedRequest} from './relayed-request.js';
 import type {ServerNotices} from './server-notices.js';
@@ -34,6 +35,8 @@
 	readonly observations: ObservationTable;
 	/** Processes notices that servers send about themselves in response headers. */
 	readonly notices: ServerNotices;
+	/** Counts the requests to servers that named a rate limit. */
+	readonly rateLimitUse: RateLimitUse;
 	readonly unsent: UnsentAttempts;
 	/** Maximum number of connections that this instance may open to a server. */
 	readonly maxConnections: (placement: ObjectPlacement) => number;
@@ -106,6 +109,7 @@
 		parts.observations.get(placement.known.server).begin(this.#inFlight);
 		parts.crashDetector.trackCall({server: server.name, call: this});
 		request.sentTo.add(server.name);
+		parts.rateLimitUse.recordSend(placement.known.server);
 		const exchange = this.#createExchange(lease.unsafeCoerce());
 		this.#exchange = exchange;
 		parts.unsent.add({server: server.name, attempt: this});
@@ -169,8 +173,8 @@
 			}),
 			body: body.content,
 			maxBufferedBytes: BUFFERED_ANSWER_BYTES,
-			onHead(head) {
-				parts.notices.read({server: placement.known.server, head});
+			onHead: head => {
+				parts.notices.read({server: placement.known.server, head, request: {id, sentAtMs: this.#inFlight.sentAtMs}});
 			},
 			now: parts.now,
 		});
--- a/calls/relay/src/relay-format.ts
+++ b/calls/relay/src/relay-format.ts
@@ -22,6 +22,8 @@
 	readonly serverLeaving: string;
 	/** Time for which a backend server that refused a request asks to get no requests. */
 	readonly retryAfter: string;
+	/** Rate limit of the backend server for all instances together; absent if it has none. */
+	readonly rateLimit: string;
 }
 
 /** Header names and codecs. */
@@ -33,6 +35,8 @@
 	readonly decodeServerLeaving: (text: string) => Either<CodedError, true>;
 	/** Decodes the time for which a server asks to get no requests, in milliseconds; Left if the text is malformed. */
 	readonly decodeRetryAfter: (text: string) => Either<CodedError, number>;
+	/** Decodes the rate limit of a server, in requests per second; Left if the text is malformed. */
+	readonly decodeRateLimit: (text: string) => Either<CodedError, number>;
 	/** Encodes the time after which a caller should retry. */
 	readonly encodeRetryAfter: (milliseconds: number) => string;
 }
--- a/calls/relay/src/server-notices.ts
+++ b/calls/relay/src/server-notices.ts
@@ -1,8 +1,8 @@
-/** Processes notices in the response headers of backend servers: that a server is leaving, or asks for a pause in requests. */
+/** Processes notices in the response headers of backend servers: that a server is leaving, asks for a pause in requests, or names a rate limit. */
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
 import type {CodedError, RegisteredServer, RetryReason} from '@pomelopick/core.types';
 import type {
-	LeavingServers, RequestedPauses, ServerStart, ServerTable,
+	LeavingServers, NamedRateLimits, RequestedPauses, ServerStart, ServerTable,
 } from '@pomelopick/steering.servers';
 import type {RelayFormat} from './relay-format.js';
 import {LogRateLimiter} from './log-rate-limiter.js';
@@ -13,16 +13,19 @@
 
 /** Options of {@link ServerNotices}. */
 export interface ServerNoticesOptions {
-	readonly format: Pick<RelayFormat, 'headers' | 'decodeServerLeaving' | 'decodeRetryAfter'>;
+	readonly format: Pick<RelayFormat, 'headers' | 'decodeServerLeaving' | 'decodeRetryAfter' | 'decodeRateLimit'>;
 	readonly servers: ServerTable;
 	readonly leaving: LeavingServers;
 	readonly pauses: RequestedPauses;
+	readonly rateLimits: NamedRateLimits;
 	/** Attempts that are recalled when their server leaves or asks for a pause. */
 	readonly unsent: UnsentAttempts;
 	readonly counters: CallCounters;
 	readonly log: DecisionLog;
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
+	/** Wall-clock time, in milliseconds. */
+	readonly wallClock: () => number;
 }
 
 /** Options of {@link ServerNotices.read}. */
@@ -30,12 +33,28 @@
 	/** Server to which the request was sent. */
 	readonly server: RegisteredServer;
 	readonly head: {readonly status: number; readonly headers: Readonly<Record<string, string | string[] | undefined>>};
+	/** The request that was sent; undefined for a health check. */
+	readonly request?: {
+		readonly id: string;
+		/** Monotonic time at which it was sent, in milliseconds. */
+		readonly sentAtMs: number;
+	};
+}
+
+interface RecordRateLimitOptions {
+	readonly server: RegisteredServer;
+	readonly status: number;
+	/** Undefined: the response names no limit. */
+	readonly requestsPerSecond: number | undefined;
+	/** Monotonic time at which the request was sent, in milliseconds; undefined: unknown. */
+	readonly sentAtMs: number | undefined;
 }
 
 /** Reads and records the notices of servers. */
 export class ServerNotices {
 	readonly #options: ServerNoticesOptions;
 	readonly #pauseLogLimiter = new LogRateLimiter();
+	readonly #rateLimitLogLimiter = new LogRateLimiter();
 	readonly #malformedLogLimiter = new LogRateLimiter();
 
 	constructor(options: ServerNoticesOptions) {
@@ -43,8 +62,8 @@
 	}
 
 	/** Reads the notices in the head of a response, whether or not the response is used. */
-	read({server, head: {status, headers}}: ReadNoticesOptions): void {
-		const {format: {headers: names, decodeServerLeaving, decodeRetryAfter}} = this.#options;
+	read({server, head: {status, headers}, request}: ReadNoticesOptions): void {
+		const {format: {headers: names, decodeServerLeaving, decodeRetryAfter, decodeRateLimit}, rateLimits} = this.#options;
 		const leaving = headers[names.serverLeaving];
 		if (leaving !== undefined) {
 			decodeServerLeaving(String(leaving)).ifLeft(error => {
@@ -62,6 +81,21 @@
 				this.#recordPause({server, pauseMs});
 			});
 		}
+
+		const rateLimit = headers[names.rateLimit];
+		if (rateLimit !== undefined) {
+			decodeRateLimit(String(rateLimit)).ifLeft(error => {
+				this.#logMalformed({server, error});
+			}).ifRight(requestsPerSecond => {
+				this.#recordRateLimit({
+					server, status, requestsPerSecond, sentAtMs: request?.sentAtMs,
+				});
+			});
+		} else if (request && rateLimits.requestsPerSecond(server) !== undefined && headers[names.answerStamp] !== undefined && headers[names.requestId] === request.id) {
+			this.#recordRateLimit({
+				server, status, requestsPerSecond: undefined, sentAtMs: request.sentAtMs,
+			});
+		}
 	}
 
 	#recordLeaving({server, status}: {readonly server: RegisteredServer; readonly status: number}): void {
@@ -95,6 +129,25 @@
 		}
 	}
 
+	#recordRateLimit({server, status, requestsPerSecond, sentAtMs = Number.NEGATIVE_INFINITY}: RecordRateLimitOptions): void {
+		const {rateLimits, counters, log, now, wallClock} = this.#options;
+		const nowMs = now();
+		for (const start of this.#findRespondingStarts({server, status})) {
+			const record = rateLimits.hear({
+				server: start, requestsPerSecond, sentAtMs, nowMs, wallClockMs: wallClock(),
+			});
+			if (record) {
+				counters.add(requestsPerSecond === undefined ? 'server-notice.rate-limit-ended' : 'server-notice.rate-limit');
+			}
+
+			if (record && this.#rateLimitLogLimiter.tryAcquire({key: `${start.name} ${requestsPerSecond === undefined}`, nowMs})) {
+				log.line(requestsPerSecond === undefined ? 'rate-limit-ended' : 'rate-limit-named', {
+					subject: start.name, detail: `heard in a response with status ${status}`, requestsPerSecond, startedAtMs: start.startedAtMs,
+				});
+			}
+		}
+	}
+
 	/**
 	 * Returns the server starts that a response may come from: the start to which the request was sent and, if the server
 	 * has restarted since, its current start. For a misdirected request, returns the other servers known at the address.
--- a/calls/relay/test/server-notices.test.ts
+++ b/calls/relay/test/server-notices.test.ts
@@ -3,7 +3,9 @@
 import {Left, Right} from 'purify-ts';
 import {ServerNotices, UnsentAttempts} from '@pomelopick/calls.relay';
 import {DecisionLog, ServedCounters} from '@pomelopick/core.telemetry';
-import {LeavingServers, RequestedPauses, ServerTable} from '@pomelopick/steering.servers';
+import {
+	LeavingServers, NamedRateLimits, RequestedPauses, ServerTable,
+} from '@pomelopick/steering.servers';
 import type {
 	BackendServerName, FailureDomainName, RegisteredServer, ServiceName,
 } from '@pomelopick/core.types';
@@ -33,17 +35,22 @@
 	const lines: string[] = [];
 	const leaving = new LeavingServers();
 	const pauses = new RequestedPauses();
+	const rateLimits = new NamedRateLimits();
 	const unsent = new UnsentAttempts();
-	const names = {serverLeaving: 'leaving', retryAfter: 'retry-after'};
+	const names = {
+		serverLeaving: 'leaving', retryAfter: 'retry-after', rateLimit: 'rate-limit', requestId: 'request-id', answerStamp: 'stamp',
+	};
 	const notices = new ServerNotices({
 		format: {
 			headers: names as never,
 			decodeServerLeaving: text => text === 'yes' ? Right(true) : Left({code: 'malformed-value', message: text}),
 			decodeRetryAfter: text => Number.isFinite(Number(text)) ? Right(Number(text)) : Left({code: 'malformed-value', message: text}),
+			decodeRateLimit: text => Number.isFinite(Number(text)) ? Right(Number(text)) : Left({code: 'malformed-value', message: text}),
 		},
 		servers,
 		leaving,
 		pauses,
+		rateLimits,
 		unsent,
 		counters: new ServedCounters(),
 		log: new DecisionLog({
@@ -53,9 +60,10 @@
 			}, common: {}, wallClock: () => 0,
 		}),
 		now: () => NOW_MS,
+		wallClock: () => 0,
 	});
 	return {
-		notices, leaving, pauses, unsent, lines,
+		notices, leaving, pauses, rateLimits, unsent, lines,
 	};
 }
 
@@ -122,6 +130,57 @@
 		});
 	}
 
+	const rateLimitCases: ReadonlyArray<{
+		name: string;
+		registered: readonly RegisteredServer[];
+		heads: ReadonlyArray<{status?: number; limit?: string; isOwn?: boolean; isStamped?: boolean; sentAtMs?: number}>;
+		expected: ReadonlyArray<{server: RegisteredServer; requestsPerSecond: number | undefined}>;
+		isRefused?: boolean;
+	}> = [
+		{
+			name: 'a rate limit in a success response', registered: [requested], heads: [{limit: '2.9'}], expected: [{server: requested, requestsPerSecond: 2.9}],
+		},
+		{
+			name: 'a rate limit in a refusal', registered: [requested], heads: [{status: 503, limit: '2'}], expected: [{server: requested, requestsPerSecond: 2}],
+		},
+		{
+			name: 'a response without a rate limit after one with it', registered: [requested], heads: [{limit: '2'}, {sentAtMs: NOW_MS}], expected: [{server: requested, requestsPerSecond: undefined}],
+		},
+		{
+			name: 'a response without a rate limit to a request that was sent before the limit was known', registered: [requested], heads: [{limit: '2'}, {sentAtMs: NOW_MS - 1}], expected: [{server: requested, requestsPerSecond: 2}],
+		},
+		{
+			name: 'a response without a rate limit that belongs to another request', registered: [requested], heads: [{limit: '2'}, {sentAtMs: NOW_MS, isOwn: false}], expected: [{server: requested, requestsPerSecond: 2}],
+		},
+		{
+			name: 'a response without a rate limit and without a stamp', registered: [requested], heads: [{limit: '2'}, {sentAtMs: NOW_MS, isStamped: false}], expected: [{server: requested, requestsPerSecond: 2}],
+		},
+		{
+			name: 'a malformed rate limit after a valid one', registered: [requested], heads: [{limit: '2'}, {sentAtMs: NOW_MS, limit: 'few'}], expected: [{server: requested, requestsPerSecond: 2}], isRefused: true,
+		},
+		{
+			name: 'the rate limit of another server at the address', registered: [requested, neighbour], heads: [{status: 421, limit: '2'}], expected: [{server: requested, requestsPerSecond: undefined}, {server: neighbour, requestsPerSecond: 2}],
+		},
+		{
+			name: 'a rate limit of a server that has restarted since it was chosen', registered: [restarted], heads: [{limit: '2'}], expected: [{server: requested, requestsPerSecond: 2}, {server: restarted, requestsPerSecond: 2}],
+		},
+	];
+	for (const {name, registered, heads, expected, isRefused = false} of rateLimitCases) {
+		it(`handles ${name}`, () => {
+			const {notices, rateLimits, lines} = createFixture(registered);
+			for (const {status = 200, limit, isOwn = true, isStamped = true, sentAtMs = 0} of heads) {
+				notices.read({
+					server: requested,
+					request: {id: 'own', sentAtMs},
+					head: {status, headers: {'request-id': isOwn ? 'own' : 'other', ...(isStamped && {stamp: 'stamp'}), ...(limit !== undefined && {'rate-limit': limit})}},
+				});
+			}
+
+			assert.deepEqual(expected.map(({server: start}) => ({server: start, requestsPerSecond: rateLimits.requestsPerSecond(start)})), expected);
+			assert.equal(lines.some(line => line.includes('server-notice-refused')), isRefused, lines.join(''));
+		});
+	}
+
 	it('logs a notice that comes with every response once per second and server', () => {
 		const {notices, lines} = createFixture([requested]);
 		for (let responses = 0; responses < 50; responses += 1) {
--- a/daemons/gateway/src/create-relay.ts
+++ b/daemons/gateway/src/create-relay.ts
@@ -4,7 +4,7 @@
 import {CrashDetector, Quarantine} from '@pomelopick/calls.quarantine';
 import type {SuspicionSharing} from '@pomelopick/calls.quarantine';
 import {
-	CallerDisconnects, RelayHandler, RetryBudgets, ServerNotices, UnsentAttempts,
+	CallerDisconnects, RateLimitUse, RelayHandler, RetryBudgets, ServerNotices, UnsentAttempts,
 } from '@pomelopick/calls.relay';
 import type {RelayServer, RetryBudgetsOptions} from '@pomelopick/calls.relay';
 import type {GatewaySettings} from '@pomelopick/config.settings';
@@ -12,11 +12,13 @@
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
 import type {BackendServerName} from '@pomelopick/core.types';
 import {
-	decodeRetryAfter, decodeServerLeaving, decodeServerLoad, encodeRetryAfter, platformHeaders,
+	decodeRateLimit, decodeRetryAfter, decodeServerLeaving, decodeServerLoad, encodeRetryAfter, platformHeaders,
 } from '@pomelopick/platform.wire';
 import {WarmupShares} from '@pomelopick/steering.limits';
 import {ObjectPlacer} from '@pomelopick/steering.objects';
-import {LeavingServers, ObservationTable, RequestedPauses} from '@pomelopick/steering.servers';
+import {
+	LeavingServers, NamedRateLimits, ObservationTable, RequestedPauses,
+} from '@pomelopick/steering.servers';
 import type {KnownServer} from '@pomelopick/steering.servers';
 
 const EVENTS_KEPT = 512;
@@ -52,6 +54,8 @@
 	readonly handler: RelayHandler;
 	readonly quarantine: Quarantine;
 	readonly retryBudgets: RetryBudgets;
+	/** Returns the rate limits that registered servers name, in requests per second, by server. */
+	readonly namedRateLimits: () => ReadonlyMap<string, number>;
 	/** Receives a record about requests that crash servers, from other instances and from earlier runs of this one. */
 	readonly receiveSuspicion: (record: SuspicionRecord) => void;
 	/** Discards all state about a server's process. */
@@ -66,9 +70,11 @@
 	const observations = new ObservationTable();
 	const leaving = new LeavingServers();
 	const pauses = new RequestedPauses();
+	const rateLimits = new NamedRateLimits();
+	const rateLimitUse = new RateLimitUse({rateLimits, log, now});
 	const unsent = new UnsentAttempts();
 	const format = {
-		headers: platformHeaders, decodeServerLoad, decodeServerLeaving, decodeRetryAfter, encodeRetryAfter,
+		headers: platformHeaders, decodeServerLoad, decodeServerLeaving, decodeRetryAfter, decodeRateLimit, encodeRetryAfter,
 	};
 	const warmups = new WarmupShares({self: instance});
 	const warmupOf = ({server}: KnownServer) => ({
@@ -90,7 +96,7 @@
 		random,
 	});
 	const notices = new ServerNotices({
-		format, servers: view.servers, leaving, pauses, unsent, counters, log, now,
+		format, servers: view.servers, leaving, pauses, rateLimits, unsent, counters, log, now, wallClock: () => Date.now(),
 	});
 	const connections = new BackendConnections({
 		now,
@@ -134,6 +140,7 @@
 			placer,
 			observations,
 			notices,
+			rateLimitUse,
 			unsent,
 			maxConnections({known}) {
 				const max = view.routeSet?.services.find(({name}) => name === known.server.service)?.maxConnections ?? 0;
@@ -160,6 +167,10 @@
 		handler,
 		quarantine,
 		retryBudgets,
+		namedRateLimits: () => new Map(view.servers.listEntries().flatMap(({server}) => {
+			const requestsPerSecond = rateLimits.requestsPerSecond(server);
+			return requestsPerSecond === undefined ? [] : [[server.name, requestsPerSecond]];
+		})),
 		receiveSuspicion(record) {
 			if (quarantine.isFromThisRun(record)) {
 				return;
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -129,6 +129,9 @@
 	counters.gauges({
 		name: 'retries_granted', help: 'Sends to a further backend server that claimed parts of the allowance still allow.', label: 'service', read: () => relay.retryBudgets.granted(),
 	});
+	counters.gauges({
+		name: 'server_rate_limit', help: 'Rate limits that backend servers name, in requests per second.', label: 'server', read: () => relay.namedRateLimits(),
+	});
 	await peerListener.start();
 	viewParts.start();
 	const [callersAt, readinessAt, directoryAt, metricsAt] = await Promise.all([
--- a/steering/servers/src/index.ts
+++ b/steering/servers/src/index.ts
@@ -1,6 +1,7 @@
 /** State of the registered backend servers: which ones are usable, how loaded and how healthy they are. */
 export * from './mass-expiry.js';
 export * from './leaving-servers.js';
+export * from './named-rate-limits.js';
 export * from './requested-pauses.js';
 export * from './server-observations.js';
 export * from './server-table.js';
--- a/steering/servers/src/server-table.ts
+++ b/steering/servers/src/server-table.ts
@@ -135,6 +135,11 @@
 		return this.#servers.get(name);
 	}
 
+	/** All entries, usable or not. */
+	listEntries(): readonly KnownServer[] {
+		return [...this.#servers.values()];
+	}
+
 	/** Servers that are registered at an address. */
 	listAt({address, port}: Pick<RegisteredServer, 'address' | 'port'>): readonly RegisteredServer[] {
 		return [...this.#servers.values()].map(({server}) => server).filter(server => server.address === address && server.port === port);
--- a/testing/repository/test/platform-names.test.ts
+++ b/testing/repository/test/platform-names.test.ts
@@ -16,6 +16,7 @@
 	'x-server-stamp',
 	'x-not-executed',
 	'server-leaving',
+	'server-limit',
 	'x-deadline-ms',
 	'traffic-split',
 	'home-regions',
