--- a/testing/gateway-fleet/src/registered-server.ts
+++ b/testing/gateway-fleet/src/registered-server.ts
@@ -42,6 +42,8 @@
 	readonly atMs: number;
 	/** Pause that the server asked for when it rejected this request, in milliseconds. Undefined if it asked for none. */
 	pauseMs?: number;
+	/** Rate limit that the response named, as text; undefined if it named none. */
+	readonly rateLimit?: string;
 	/** If the server was announcing that it leaves: how many times it had started to leave, including this time. Otherwise undefined. */
 	readonly leaving?: number;
 }
@@ -70,6 +72,8 @@
 	readonly port: number;
 	/** Sets whether all further responses announce that the server leaves. */
 	setLeaving(isLeaving: boolean): void;
+	/** Sets the rate limit, in requests per second, that all further responses name; undefined: none. The text is sent as it is. */
+	nameRateLimit(text: string | undefined): void;
 	/** Rejects all requests for a time, in milliseconds, and states the remaining time in the responses. */
 	requestPause(pauseMs: number): void;
 	/** Closes all connections and stops listening. */
@@ -79,7 +83,9 @@
 /** Starts a server on the loopback address. It does not register itself. */
 export async function startRegisteredServer({name, records, port = 0, onCrash}: StartRegisteredServerOptions): Promise<RegisteredServer> {
 	const sockets = new Set<Socket>();
-	const announced: AnnouncedState = {isLeaving: false, leaveCount: 0, pausedUntilMs: 0};
+	const announced: AnnouncedState = {
+		isLeaving: false, leaveCount: 0, pausedUntilMs: 0, rateLimit: undefined,
+	};
 	const server: Server = createServer((request, response) => {
 		void serve({
 			name, records, announced, request, response, crash() {
@@ -108,6 +114,9 @@
 			announced.isLeaving = isLeaving;
 			announced.leaveCount += Number(isLeaving);
 		},
+		nameRateLimit(text) {
+			announced.rateLimit = text;
+		},
 		requestPause(pauseMs) {
 			announced.pausedUntilMs = performance.now() + pauseMs;
 		},
@@ -129,6 +138,8 @@
 	leaveCount: number;
 	/** Monotonic time until which the server rejects requests, in milliseconds. */
 	pausedUntilMs: number;
+	/** Rate limit that responses name. */
+	rateLimit: string | undefined;
 }
 
 interface ServeOptions {
@@ -145,6 +156,10 @@
 		response.setHeader('server-leaving', '1');
 	}
 
+	if (announced.rateLimit !== undefined) {
+		response.setHeader('server-limit', announced.rateLimit);
+	}
+
 	if (request.url === '/health') {
 		response.setHeader('x-instance-id', name);
 		response.end();
@@ -154,7 +169,7 @@
 	const body = await buffer(request);
 	const requestId = String(request.headers['x-request-id']);
 	const arrival: ArrivalRecord = {
-		requestId, server: name, atMs: performance.now(), ...(announced.isLeaving && {leaving: announced.leaveCount}),
+		requestId, server: name, atMs: performance.now(), ...(announced.isLeaving && {leaving: announced.leaveCount}), ...(announced.rateLimit !== undefined && {rateLimit: announced.rateLimit}),
 	};
 	records.arrivalLog.push(arrival);
 	const expectedServer = request.headers['x-expect-instance'] as string | undefined;
--- a/testing/gateway-soak/src/call-check.ts
+++ b/testing/gateway-soak/src/call-check.ts
@@ -1,6 +1,7 @@
 /** Checks the responses that callers received against the requests that the servers executed. */
 import {guaranteesNotRun} from '@pomelopick/testing.gateway-fleet';
 import type {CallerResponse, ExecutionRecord} from '@pomelopick/testing.gateway-fleet';
+import {groupBy} from './group-by.js';
 
 /** A request and the response that its caller received. */
 export interface CallRecord {
@@ -33,6 +34,7 @@
 		| 'instance-not-ready'
 		| 'instance-failed'
 		| 'retry-budget'
+		| 'rate-limit'
 		| 'sent-to-leaving'
 		| 'sent-in-pause';
 	readonly detail: string;
@@ -47,7 +49,7 @@
 /** Returns all violations of the guarantees for requests and responses. */
 export function checkCalls({calls, executions}: CheckCallsOptions): readonly Violation[] {
 	const byId = new Map(calls.map(call => [call.answer.requestId, call]));
-	const runs = groupById(executions);
+	const runs = groupBy(executions, ({requestId}) => requestId);
 	return [
 		...calls.flatMap(call => checkCall({call, runs: runs.get(call.answer.requestId) ?? []})),
 		...executions.flatMap(execution => checkExecution({execution, call: byId.get(execution.requestId)})),
@@ -93,17 +95,3 @@
 		...(expectedServer === server ? [] : [{requestId, kind: 'wrong-server' as const, detail: `${expectedServer ?? 'none'} expected, executed by ${server}`}]),
 	];
 }
-
-function groupById(executions: readonly ExecutionRecord[]): Map<string, ExecutionRecord[]> {
-	const groups = new Map<string, ExecutionRecord[]>();
-	for (const execution of executions) {
-		const group = groups.get(execution.requestId);
-		if (group) {
-			group.push(execution);
-		} else {
-			groups.set(execution.requestId, [execution]);
-		}
-	}
-
-	return groups;
-}
--- a/testing/gateway-soak/src/index.ts
+++ b/testing/gateway-soak/src/index.ts
@@ -5,6 +5,8 @@
 export * from './draw.js';
 export * from './call-check.js';
 export * from './notice-check.js';
+export * from './rate-limit-check.js';
+export * from './rate-limit-round.js';
 export * from './retry-faults.js';
 export * from './retry-check.js';
 export * from './retry-round.js';
