--- a/calls/live/src/index.ts
+++ b/calls/live/src/index.ts
@@ -1,20 +1,22 @@
 /** The live view of routes, servers, evacuations and instances, kept up to date from the store. */
 export * from './allowance-parts.js';
 export type * from './view-change.js';
+export * from './broadcast-listener.js';
+export * from './broadcast-message.js';
 export * from './change-history.js';
 export * from './change-listener.js';
 export * from './change-relay.js';
 export * from './instance-record.js';
 export * from './instance-table.js';
 export * from './live-view.js';
+export * from './peer-broadcast.js';
 export type * from './platform-format.js';
 export type * from './record-reader.js';
 export * from './registration.js';
 export * from './relayed-changes.js';
+export * from './shared-lease.js';
 export * from './store-feed.js';
-export * from './suspicion-listener.js';
 export * from './suspicion-records.js';
-export * from './suspicion-sender.js';
 export * from './suspicion-writer.js';
 export * from './upstream-client.js';
 export * from './upstream-link.js';
--- a/calls/live/src/suspicion-sender.ts
+++ b/calls/live/src/peer-broadcast.ts
@@ -1,28 +1,28 @@
 /**
- * Reports requests that crash servers directly to the other instances while the store does not accept the records.
+ * Sends records to all other instances directly, without the store.
  *
  * A message goes to a few instances, each of which forwards it to a branch of the others, so that no instance sends to
  * all instances of a large fleet. If an instance does not accept its message, the next one of its branch gets it.
  */
 import type {Either} from 'purify-ts';
 import type {CodedError, Endpoint, InstanceId} from '@pomelopick/core.types';
+import type {BroadcastMessage} from './broadcast-message.js';
 import type {InstanceRecord} from './instance-record.js';
-import type {SuspicionMessage, SuspicionRecord} from './suspicion-records.js';
 
 /** Maximum number of instances that one instance sends a message to. */
 const MAX_BRANCHES = 16;
 /** Pause between two broadcasts of an instance, per instance of the fleet, in milliseconds, so that the messages that one instance receives do not increase with the size of the fleet. */
 const PAUSE_PER_INSTANCE_MS = 5;
 
-/** Options of {@link SuspicionSender}. */
-export interface SuspicionSenderOptions {
+/** Options of {@link PeerBroadcast}. */
+export interface PeerBroadcastOptions<Item> {
 	readonly self: InstanceId;
 	/** Live instances. */
 	readonly instances: () => readonly InstanceRecord[];
 	/** Sends one message; never rejects. */
-	readonly send: (options: {readonly endpoint: Endpoint; readonly message: SuspicionMessage}) => Promise<Either<CodedError, void>>;
+	readonly send: (options: {readonly endpoint: Endpoint; readonly message: BroadcastMessage<Item>}) => Promise<Either<CodedError, void>>;
 	/** Called for each record that another instance sent. */
-	readonly onRecord: (record: SuspicionRecord) => void;
+	readonly onRecord: (record: Item) => void;
 	readonly sleep: (milliseconds: number) => Promise<void>;
 	readonly onFailure: (failure: {readonly instance: InstanceId; readonly error: CodedError}) => void;
 }
@@ -32,23 +32,23 @@
 	readonly peers: Endpoint;
 }
 
-interface SendOptions {
-	readonly records: readonly SuspicionRecord[];
+interface SendOptions<Item> {
+	readonly records: readonly Item[];
 	readonly targets: readonly Target[];
 }
 
 /** Sends messages, and forwards those of other instances. */
-export class SuspicionSender {
-	readonly #options: SuspicionSenderOptions;
+export class PeerBroadcast<Item> {
+	readonly #options: PeerBroadcastOptions<Item>;
 	#isBroadcasting = false;
 	#mustBroadcastAgain = false;
 
-	constructor(options: SuspicionSenderOptions) {
+	constructor(options: PeerBroadcastOptions<Item>) {
 		this.#options = options;
 	}
 
 	/** Sends records to all other instances. Calls during a broadcast are combined into one further broadcast, for which `listRecords` is called again. */
-	async broadcast(listRecords: () => readonly SuspicionRecord[]): Promise<void> {
+	async broadcast(listRecords: () => readonly Item[]): Promise<void> {
 		this.#mustBroadcastAgain = true;
 		if (this.#isBroadcasting) {
 			return;
@@ -66,7 +66,7 @@
 	}
 
 	/** Handles a message and forwards it; resolves when it was forwarded. */
-	async receive({records, passOn}: SuspicionMessage): Promise<void> {
+	async receive({records, passOn}: BroadcastMessage<Item>): Promise<void> {
 		for (const record of records) {
 			this.#options.onRecord(record);
 		}
@@ -80,7 +80,7 @@
 		return instances().flatMap(({id, peers}) => id === self || peers === undefined ? [] : {id, peers});
 	}
 
-	async #sendToTargets({records, targets}: SendOptions): Promise<void> {
+	async #sendToTargets({records, targets}: SendOptions<Item>): Promise<void> {
 		if (records.length === 0) {
 			return;
 		}
@@ -90,7 +90,7 @@
 	}
 
 	/** Sends to the first instance of a branch that accepts the message; that instance forwards it to the rest. */
-	async #sendToBranch({records, targets}: SendOptions): Promise<void> {
+	async #sendToBranch({records, targets}: SendOptions<Item>): Promise<void> {
 		const {send, onFailure} = this.#options;
 		for (const [index, {id, peers}] of targets.entries()) {
 			const sent = await send({endpoint: peers, message: {records, passOn: targets.slice(index + 1).map(target => target.id)}});
--- a/calls/live/src/suspicion-records.ts
+++ b/calls/live/src/suspicion-records.ts
@@ -1,7 +1,9 @@
 /** Records that instances share about requests that crash backend servers. */
-import {Either, Left, Right} from 'purify-ts';
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
 import type {RequestFingerprint, ServerCrash} from '@pomelopick/calls.quarantine';
 import type {CodedError, InstanceId} from '@pomelopick/core.types';
+import {formatValue} from './broadcast-message.js';
 import type {ViewChange} from './view-change.js';
 import type {RecordReader} from './record-reader.js';
 
@@ -9,7 +11,6 @@
 export const SUSPICION_PREFIX = 'pomelopick/suspicions/';
 
 const FINGERPRINT_PATTERN = /^[\da-f]{64}$/u;
-const SHOWN_CHARACTERS = 200;
 
 /** A record of one instance: the crash of a server (`death`), or that a suspect request ran without a crash (`cleared`). */
 export type SuspicionRecord =
@@ -20,13 +21,6 @@
 	readonly kind: 'death';
 }
 
-/** Message from one instance to another. */
-export interface SuspicionMessage {
-	readonly records: readonly SuspicionRecord[];
-	/** Instances to which the receiver forwards the records. */
-	readonly passOn: readonly InstanceId[];
-}
-
 /** Decodes a record; Left describes what is wrong with it. */
 export function decodeSuspicion(bytes: Uint8Array): Either<CodedError, SuspicionRecord> {
 	try {
@@ -36,17 +30,8 @@
 	}
 }
 
-/** Validates a message of parsed JSON; Left describes what is wrong with it. */
-export function readSuspicionMessage(value: unknown): Either<CodedError, SuspicionMessage> {
-	const {records, passOn} = (value ?? {}) as Partial<SuspicionMessage>;
-	if (!Array.isArray(records) || !Array.isArray(passOn) || !passOn.every(id => typeof id === 'string')) {
-		return Left({code: 'malformed-suspicions', message: `records, passOn: expected arrays, found ${formatValue(value)}`});
-	}
-
-	return Either.sequence(records.map(record => readSuspicion(record))).map(read => ({records: read, passOn: passOn as InstanceId[]}));
-}
-
-function readSuspicion(value: unknown): Either<CodedError, SuspicionRecord> {
+/** Validates a record of parsed JSON; Left describes what is wrong with it. */
+export function readSuspicion(value: unknown): Either<CodedError, SuspicionRecord> {
 	const record = (value ?? {}) as SuspicionRecord;
 	const hasOrigin = typeof record.origin === 'string' && Number.isInteger(record.sequence);
 	const isValidKind = record.kind === 'death' ? isCrashRecord(record) : record.kind === 'cleared' && isFingerprint(record.fingerprint);
@@ -58,10 +43,6 @@
 	return typeof server === 'string' && hasStart && Array.isArray(fingerprints) && fingerprints.every(text => isFingerprint(text));
 }
 
-function formatValue(value: unknown): string {
-	return (JSON.stringify(value) ?? 'nothing').slice(0, SHOWN_CHARACTERS);
-}
-
 /** Options of {@link suspicionReader}. */
 export interface SuspicionReaderOptions extends Pick<RecordReader, 'remove'> {
 	readonly onRecord: (record: SuspicionRecord) => void;
--- a/calls/live/src/suspicion-writer.ts
+++ b/calls/live/src/suspicion-writer.ts
@@ -1,7 +1,8 @@
 /** Shares what this instance observed about requests that crash backend servers, as records in the store. */
 import type {ShareClearedOptions, ShareCrashOptions, SuspicionSharing} from '@pomelopick/calls.quarantine';
-import type {KeyValueStore, LeaseId, StoreError} from '@pomelopick/platform.store';
+import type {KeyValueStore, StoreError} from '@pomelopick/platform.store';
 import type {InstanceId} from '@pomelopick/core.types';
+import {SharedLease} from './shared-lease.js';
 import {SUSPICION_PREFIX} from './suspicion-records.js';
 import type {SuspicionRecord} from './suspicion-records.js';
 
@@ -43,14 +44,18 @@
 	readonly #kept = new Map<string, KeptRecord>();
 	/** Keys of records that may be missing from the store, in the order in which they are to be written. */
 	readonly #unwritten = new Set<string>();
+	readonly #lease: SharedLease;
 	#sequence: number;
-	#lease: {readonly id: LeaseId; readonly grantedAtMs: number} | undefined;
 	#isRetrying = false;
 	#isStopped = false;
 
 	constructor(options: SuspicionWriterOptions) {
 		this.#options = options;
 		this.#sequence = options.firstSequence;
+		const {store, onFailure, now} = options;
+		this.#lease = new SharedLease({
+			store, timeToLiveMs: TIME_TO_LIVE_MS, maxAgeMs: MAX_LEASE_AGE_MS, onFailure, now,
+		});
 	}
 
 	/** Shares the crash of a server; resolves after the first attempt to write it. */
@@ -72,7 +77,7 @@
 	/** Handles the removal of a key from the store: a record of this instance that is still needed is written again. */
 	restore(key: string): void {
 		if (this.#kept.has(key)) {
-			this.#lease = undefined;
+			this.#lease.drop();
 			this.#unwritten.add(key);
 			void this.#retry();
 		}
@@ -139,14 +144,14 @@
 			return true;
 		}
 
-		const lease = await this.#getLease();
+		const lease = await this.#lease.get();
 		if (lease === undefined) {
 			return false;
 		}
 
 		const written = await store.put({key, value: new TextEncoder().encode(JSON.stringify(kept.record)), lease}).run();
 		written.ifLeft(error => {
-			this.#lease = undefined;
+			this.#lease.drop();
 			onFailure(error);
 		}).ifRight(() => {
 			if (this.#kept.get(key) === kept) {
@@ -155,18 +160,4 @@
 		});
 		return written.isRight();
 	}
-
-	async #getLease(): Promise<LeaseId | undefined> {
-		const {store, now, onFailure} = this.#options;
-		if (this.#lease && now() - this.#lease.grantedAtMs < MAX_LEASE_AGE_MS) {
-			return this.#lease.id;
-		}
-
-		const grantedAtMs = now();
-		const granted = await store.grantLease({timeToLiveMs: TIME_TO_LIVE_MS}).run();
-		granted.ifLeft(onFailure).ifRight(id => {
-			this.#lease = {id, grantedAtMs};
-		});
-		return this.#lease?.id;
-	}
 }
--- a/calls/live/src/view-change.ts
+++ b/calls/live/src/view-change.ts
@@ -14,7 +14,8 @@
 		| 'instance-joined'
 		| 'instance-left'
 		| 'instance-refused'
-		| 'suspicion-refused';
+		| 'suspicion-refused'
+		| 'rate-limit-refused';
 	/** What changed: a version, or the name of a backend server, failure domain or instance. */
 	readonly subject: string;
 	/** Reason for the change. */
--- a/calls/live/test/suspicion-sender.test.ts
+++ b/calls/live/test/peer-broadcast.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {Left, Right} from 'purify-ts';
-import {readSuspicionMessage, SuspicionSender} from '@pomelopick/calls.live';
+import {PeerBroadcast, readBroadcastMessage, readSuspicion} from '@pomelopick/calls.live';
 import type {InstanceRecord, SuspicionRecord} from '@pomelopick/calls.live';
 import type {RequestFingerprint} from '@pomelopick/calls.quarantine';
 import type {BackendServerName, InstanceId} from '@pomelopick/core.types';
@@ -17,7 +17,7 @@
 	const received = new Map<number, number>();
 	const sent = new Map<number, number>();
 	const records = Array.from({length: size}, (_, number) => ({id: `instance-${number}`, peers: {address: '127.0.0.1', port: number}}) as unknown as InstanceRecord);
-	const senders: SuspicionSender[] = records.map(({id}, number) => new SuspicionSender({
+	const senders: Array<PeerBroadcast<SuspicionRecord>> = records.map(({id}, number) => new PeerBroadcast<SuspicionRecord>({
 		self: id,
 		instances: () => records,
 		async send({endpoint: {port}, message}) {
@@ -75,7 +75,7 @@
 	];
 	for (const {name, message, isRead} of messages) {
 		it(`${isRead ? 'is read from' : 'is not read from'} ${name}`, () => {
-			assert.equal(readSuspicionMessage(message).isRight(), isRead);
+			assert.equal(readBroadcastMessage({subject: 'suspicions', value: message, readRecord: readSuspicion}).isRight(), isRead);
 		});
 	}
 });
--- a/calls/relay/src/index.ts
+++ b/calls/relay/src/index.ts
@@ -1,7 +1,6 @@
 /** Relays a request from its arrival to its final response. */
 export * from './caller-disconnects.js';
 export * from './classify-answer.js';
-export * from './rate-limit-use.js';
 export type {RelayServer} from './relay-attempt.js';
 export type * from './relay-format.js';
 export * from './relay-handler.js';
--- a/calls/relay/src/place-request.ts
+++ b/calls/relay/src/place-request.ts
@@ -1,9 +1,10 @@
 /** Chooses the backend server for the next attempt of a request. */
+import {Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {SuspectStatus} from '@pomelopick/calls.quarantine';
 import type {BackendServerName} from '@pomelopick/core.types';
 import type {ObjectPlacement, PlacementRefusal} from '@pomelopick/steering.objects';
-import type {KnownServer} from '@pomelopick/steering.servers';
+import type {RatePermits} from '@pomelopick/calls.rate-limits';
 import type {AttemptParts} from './relay-attempt.js';
 import type {RelayedRequest} from './relayed-request.js';
 
@@ -11,8 +12,7 @@
 export interface PlaceRequestParts extends Pick<AttemptParts, 'placer' | 'crashDetector' | 'now'> {
 	/** Returns the status of a request in the quarantine. */
 	readonly statusOf: (request: RelayedRequest) => SuspectStatus;
-	/** Tries to reserve capacity for one request at a server that is warming up; always true for other servers. */
-	readonly tryTakeWarmup: (known: KnownServer) => boolean;
+	readonly permits: Pick<RatePermits, 'take'>;
 	/** Age of this instance's view of the store, in milliseconds. */
 	readonly viewAgeMs: () => number;
 }
@@ -23,49 +23,77 @@
 	readonly parts: PlaceRequestParts;
 }
 
+/** Maximum number of owners of limited servers that are asked for a permit until a server is chosen. */
+const MAX_ASKS = 2;
+
+/** The chosen server, or why there is none. */
+export type PlacementResult = Either<PlacementRefusal, ObjectPlacement>;
+
 /**
- * Chooses a server, or returns why there is none.
+ * Chooses a server, or returns why there is none; resolves later only if a permit for a limited server has to be awaited.
  *
  * A suspect goes to the server that ranks first for its fingerprint, not to the server of its object. All instances
  * choose the same server for it, and servers at which other suspects are in flight are avoided. This keeps suspects
  * apart, so that a crash caused by one of them does not count against another.
  */
-export function placeRequest({request, parts}: PlaceRequestOptions): Either<PlacementRefusal, ObjectPlacement> {
+export function placeRequest(options: PlaceRequestOptions): PlacementResult | Promise<PlacementResult> {
+	const {request, parts} = options;
 	request.viewAgeMs = parts.viewAgeMs();
 	request.isSuspect ||= parts.statusOf(request) !== 'clear';
-	if (request.isSuspect) {
-		const avoid = new Set([...request.avoid, ...parts.crashDetector.listServersWithSuspects()]);
-		const isolated = choosePlacement({
-			request, parts, object: request.fingerprint(), avoid,
-		});
-		if (isolated.isRight()) {
-			return isolated.map(placement => ({...placement, isWarm: false}));
-		}
-	}
+	return request.isSuspect ? placeSuspect(options) : placeByObject(options);
+}
+
+async function placeSuspect(options: PlaceRequestOptions): Promise<PlacementResult> {
+	const {request, parts} = options;
+	const avoid = new Set([...request.avoid, ...parts.crashDetector.listServersWithSuspects()]);
+	const isolated = await choosePlacement({
+		...options, object: request.fingerprint(), avoid, asks: 0,
+	});
+	return isolated.isRight() ? isolated.map(placement => ({...placement, isWarm: false})) : placeByObject(options);
+}
 
+function placeByObject(options: PlaceRequestOptions): PlacementResult | Promise<PlacementResult> {
+	const {object} = options.request.options;
 	return choosePlacement({
-		request, parts, object: request.options.object, avoid: request.avoid,
+		...options, object, avoid: options.request.avoid, asks: 0,
 	});
 }
 
 interface ChoosePlacementOptions extends PlaceRequestOptions {
 	/** Key by which the servers are ranked; undefined: they are not ranked. */
 	readonly object: string | undefined;
-	/** Servers that are not selected. Servers that are warming up and have no capacity left for it are added. */
-	readonly avoid: Set<BackendServerName>;
+	/** Servers that are not selected. */
+	readonly avoid: ReadonlySet<BackendServerName>;
+	/** Number of owners that were asked for a permit and had none. */
+	readonly asks: number;
 }
 
-function choosePlacement({request, parts, object, avoid}: ChoosePlacementOptions): Either<PlacementRefusal, ObjectPlacement> {
+function choosePlacement(options: ChoosePlacementOptions): PlacementResult | Promise<PlacementResult> {
+	const {request, parts: {placer, permits, now}, object, avoid, asks} = options;
 	const {route, service, answerByMs} = request.options;
-	const {placer, now, tryTakeWarmup} = parts;
-	for (;;) {
-		const placed = placer.place({
-			route, service, object, avoid, deadlineMs: answerByMs, nowMs: now(),
-		});
-		if (placed.isLeft() || tryTakeWarmup(placed.unsafeCoerce().known)) {
-			return placed;
-		}
+	const placed = placer.place({
+		route, service, object, avoid, mayAsk: asks < MAX_ASKS, deadlineMs: answerByMs, nowMs: now(),
+	});
+	if (placed.isLeft()) {
+		return placed;
+	}
 
-		avoid.add(placed.unsafeCoerce().known.server.name);
+	const placement = placed.unsafeCoerce();
+	const permit = permits.take({known: placement.known, answerByMs});
+	if (permit === true) {
+		return placed;
 	}
+
+	return permit === false
+		? choosePlacement({...options, avoid: new Set([...avoid, placement.known.server.name])})
+		: awaitPermit({...options, placement, permit});
+}
+
+/** Uses a server once its permit is granted, or chooses again. */
+async function awaitPermit({placement, permit, ...options}: ChoosePlacementOptions & {readonly placement: ObjectPlacement; readonly permit: Promise<boolean>}): Promise<PlacementResult> {
+	const {placer, now} = options.parts;
+	const isGranted = await permit;
+	return isGranted && placer.isStillUsable({known: placement.known, nowMs: now()})
+		? Right(placement)
+		: choosePlacement({...options, asks: options.asks + 1});
 }
--- a/calls/relay/src/relay-attempt.ts
+++ b/calls/relay/src/relay-attempt.ts
@@ -2,6 +2,7 @@
 import {Exchange, listHeaders} from '@pomelopick/calls.forwarding';
 import type {AttemptResponse, AttemptFailure} from '@pomelopick/calls.forwarding';
 import type {BackendConnections, ConnectedServer, ConnectionLease} from '@pomelopick/calls.connections';
+import type {RateLimitUse} from '@pomelopick/calls.rate-limits';
 import type {CrashDetector, InFlightCall, RequestFingerprint} from '@pomelopick/calls.quarantine';
 import type {SlotEnd} from '@pomelopick/steering.choice';
 import type {ObjectPlacement, ObjectPlacer} from '@pomelopick/steering.objects';
@@ -9,7 +10,6 @@
 import type {RefusalReason, RetryReason, ServerLoad} from '@pomelopick/core.types';
 import {classifyAnswer} from './classify-answer.js';
 import type {AnswerClass} from './classify-answer.js';
-import type {RateLimitUse} from './rate-limit-use.js';
 import type {RelayFormat} from './relay-format.js';
 import type {RelayedRequest} from './relayed-request.js';
 import type {ServerNotices} from './server-notices.js';
@@ -109,7 +109,7 @@
 		parts.observations.get(placement.known.server).begin(this.#inFlight);
 		parts.crashDetector.trackCall({server: server.name, call: this});
 		request.sentTo.add(server.name);
-		parts.rateLimitUse.recordSend(placement.known.server);
+		parts.rateLimitUse.record({server: placement.known.server, kind: 'sent'});
 		const exchange = this.#createExchange(lease.unsafeCoerce());
 		this.#exchange = exchange;
 		parts.unsent.add({server: server.name, attempt: this});
--- a/calls/relay/src/relay-run.ts
+++ b/calls/relay/src/relay-run.ts
@@ -65,11 +65,16 @@
 
 	async #runAttempts(): Promise<Either<Refusal, AttemptResponse>> {
 		if (this.#request.hasEnded) {
-			return this.#finish(endedBeforeFirstAttempt);
+			return this.#finish(endedBeforeAttempt);
 		}
 
 		for (let tries = 1; ; tries += 1) {
-			const placed = placeRequest({request: this.#request, parts: this.#parts});
+			const placing = placeRequest({request: this.#request, parts: this.#parts});
+			const placed = placing instanceof Promise ? await placing : placing;
+			if (this.#request.hasEnded) {
+				return this.#finish(endedBeforeAttempt);
+			}
+
 			if (placed.isLeft()) {
 				return this.#finish(toRefusal(placed.extract()));
 			}
@@ -176,7 +181,7 @@
 			return undefined;
 		}
 
-		const placed = placeRequest({request: this.#request, parts: this.#parts});
+		const placed = await placeRequest({request: this.#request, parts: this.#parts});
 		const hasFreeCapacity = placed.map(({waitMs}) => waitMs === 0).orDefault(false);
 		if (!hasFreeCapacity || !await this.#takePermit() || first.hasEnded() || request.hasEnded) {
 			return undefined;
@@ -258,8 +263,8 @@
 	}
 }
 
-/** Refusal of a request that ended before its first attempt. If the deadline passed, its reason is replaced in `#finish`. */
-const endedBeforeFirstAttempt: Refusal = {reason: 'caller-cancelled', execution: 'not-run', detail: 'the request ended before its first attempt'};
+/** Refusal of a request that ended before an attempt. If the deadline passed, its reason is replaced in `#finish`. */
+const endedBeforeAttempt: Refusal = {reason: 'caller-cancelled', execution: 'not-run', detail: 'the request ended before an attempt'};
 
 function toRefusal({reason, detail, retryAfterMs}: PlacementRefusal): Refusal {
 	return {
--- a/calls/relay/src/server-notices.ts
+++ b/calls/relay/src/server-notices.ts
@@ -1,11 +1,12 @@
 /** Processes notices in the response headers of backend servers: that a server is leaving, asks for a pause in requests, or names a rate limit. */
+import type {HearOptions} from '@pomelopick/calls.rate-limits';
+import {LogRateLimiter} from '@pomelopick/core.telemetry';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
 import type {CodedError, RegisteredServer, RetryReason} from '@pomelopick/core.types';
 import type {
-	LeavingServers, NamedRateLimits, RequestedPauses, ServerStart, ServerTable,
+	LeavingServers, RequestedPauses, ServerStart, ServerTable,
 } from '@pomelopick/steering.servers';
 import type {RelayFormat} from './relay-format.js';
-import {LogRateLimiter} from './log-rate-limiter.js';
 import type {UnsentAttempts} from './unsent-attempts.js';
 
 const MISDIRECTED_REQUEST = 421;
@@ -17,15 +18,16 @@
 	readonly servers: ServerTable;
 	readonly leaving: LeavingServers;
 	readonly pauses: RequestedPauses;
-	readonly rateLimits: NamedRateLimits;
+	/** Whether a server named a rate limit that has not ended. */
+	readonly hasRateLimit: (server: ServerStart) => boolean;
+	/** Applies the rate limit in a response, or its absence. */
+	readonly hearRateLimit: (options: HearOptions) => void;
 	/** Attempts that are recalled when their server leaves or asks for a pause. */
 	readonly unsent: UnsentAttempts;
 	readonly counters: CallCounters;
 	readonly log: DecisionLog;
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
-	/** Wall-clock time, in milliseconds. */
-	readonly wallClock: () => number;
 }
 
 /** Options of {@link ServerNotices.read}. */
@@ -54,7 +56,6 @@
 export class ServerNotices {
 	readonly #options: ServerNoticesOptions;
 	readonly #pauseLogLimiter = new LogRateLimiter();
-	readonly #rateLimitLogLimiter = new LogRateLimiter();
 	readonly #malformedLogLimiter = new LogRateLimiter();
 
 	constructor(options: ServerNoticesOptions) {
@@ -63,7 +64,7 @@
 
 	/** Reads the notices in the head of a response, whether or not the response is used. */
 	read({server, head: {status, headers}, request}: ReadNoticesOptions): void {
-		const {format: {headers: names, decodeServerLeaving, decodeRetryAfter, decodeRateLimit}, rateLimits} = this.#options;
+		const {format: {headers: names, decodeServerLeaving, decodeRetryAfter, decodeRateLimit}, hasRateLimit} = this.#options;
 		const leaving = headers[names.serverLeaving];
 		if (leaving !== undefined) {
 			decodeServerLeaving(String(leaving)).ifLeft(error => {
@@ -91,7 +92,7 @@
 					server, status, requestsPerSecond, sentAtMs: request?.sentAtMs,
 				});
 			});
-		} else if (request && rateLimits.requestsPerSecond(server) !== undefined && headers[names.answerStamp] !== undefined && headers[names.requestId] === request.id) {
+		} else if (request && hasRateLimit(server) && headers[names.answerStamp] !== undefined && headers[names.requestId] === request.id) {
 			this.#recordRateLimit({
 				server, status, requestsPerSecond: undefined, sentAtMs: request.sentAtMs,
 			});
@@ -130,21 +131,10 @@
 	}
 
 	#recordRateLimit({server, status, requestsPerSecond, sentAtMs = Number.NEGATIVE_INFINITY}: RecordRateLimitOptions): void {
-		const {rateLimits, counters, log, now, wallClock} = this.#options;
-		const nowMs = now();
 		for (const start of this.#findRespondingStarts({server, status})) {
-			const record = rateLimits.hear({
-				server: start, requestsPerSecond, sentAtMs, nowMs, wallClockMs: wallClock(),
+			this.#options.hearRateLimit({
+				server: start, requestsPerSecond, sentAtMs, detail: `heard in a response with status ${status}`,
 			});
-			if (record) {
-				counters.add(requestsPerSecond === undefined ? 'server-notice.rate-limit-ended' : 'server-notice.rate-limit');
-			}
-
-			if (record && this.#rateLimitLogLimiter.tryAcquire({key: `${start.name} ${requestsPerSecond === undefined}`, nowMs})) {
-				log.line(requestsPerSecond === undefined ? 'rate-limit-ended' : 'rate-limit-named', {
-					subject: start.name, detail: `heard in a response with status ${status}`, requestsPerSecond, startedAtMs: start.startedAtMs,
-				});
-			}
 		}
 	}
 
--- a/calls/relay/test/server-notices.test.ts
+++ b/calls/relay/test/server-notices.test.ts
@@ -50,7 +50,10 @@
 		servers,
 		leaving,
 		pauses,
-		rateLimits,
+		hasRateLimit: start => rateLimits.requestsPerSecond(start) !== undefined,
+		hearRateLimit(heard) {
+			rateLimits.hear({...heard, nowMs: NOW_MS, wallClockMs: 0});
+		},
 		unsent,
 		counters: new ServedCounters(),
 		log: new DecisionLog({
@@ -60,7 +63,6 @@
 			}, common: {}, wallClock: () => 0,
 		}),
 		now: () => NOW_MS,
-		wallClock: () => 0,
 	});
 	return {
 		notices, leaving, pauses, rateLimits, unsent, lines,
--- a/core/types/src/reasons.ts
+++ b/core/types/src/reasons.ts
@@ -26,6 +26,7 @@
 	'backend-failed',
 	'backend-shed',
 	'backend-paused',
+	'backend-rate-limited',
 	'answer-truncated',
 	'answer-mismatched',
 	'request-quarantined',
@@ -45,6 +46,7 @@
 	'backend-shed',
 	'backend-failed',
 	'backend-leaving',
+	'backend-rate-limited',
 	'silent-connection',
 	'placement-stale',
 ] as const;
--- a/core/types/src/refusal.ts
+++ b/core/types/src/refusal.ts
@@ -58,6 +58,7 @@
 	'backend-failed': 502,
 	'backend-shed': 503,
 	'backend-paused': 503,
+	'backend-rate-limited': 503,
 	'answer-truncated': 502,
 	'answer-mismatched': 502,
 	'request-quarantined': 422,
--- /dev/null
+++ b/daemons/gateway/src/create-rate-limits.ts
@@ -0,0 +1,147 @@
+/** Creates and wires the parts that keep the rate limits of backend servers for all instances together. */
+import {setTimeout as startTimeout} from 'node:timers/promises';
+import type {RequestListener} from 'node:http';
+import {createBroadcastListener, PeerBroadcast, sendBroadcastMessage} from '@pomelopick/calls.live';
+import type {LiveView} from '@pomelopick/calls.live';
+import {
+	createPermitListener, PermitClient, RateLimitSharing, RateLimitUse, RateLimitWriter, RatePermits, readRateLimit,
+} from '@pomelopick/calls.rate-limits';
+import type {RateLimitSharingOptions} from '@pomelopick/calls.rate-limits';
+import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
+import type {BackendServerName, CodedError, InstanceId} from '@pomelopick/core.types';
+import type {KeyValueStore} from '@pomelopick/platform.store';
+import {NamedRateLimits} from '@pomelopick/steering.servers';
+import type {RateLimitRecord} from '@pomelopick/steering.servers';
+
+const SUBJECT = 'rate-limits';
+
+/** Options of {@link createRateLimits}. */
+export interface CreateRateLimitsOptions {
+	readonly self: InstanceId;
+	readonly view: LiveView;
+	readonly store: KeyValueStore;
+	/** Called when a server is found to have a limit. */
+	readonly onLimited: RateLimitSharingOptions['onLimited'];
+	readonly counters: CallCounters;
+	readonly log: DecisionLog;
+	/** Age of the view, in milliseconds. */
+	readonly viewAgeMs: () => number;
+	/** Monotonic time, in milliseconds. */
+	readonly now: () => number;
+}
+
+/** The parts that are used from outside. */
+export interface RateLimitParts {
+	readonly rateLimits: NamedRateLimits;
+	readonly sharing: RateLimitSharing;
+	readonly permits: RatePermits;
+	readonly use: RateLimitUse;
+	/** Handles the records that other instances send. */
+	readonly handleRecords: RequestListener;
+	/** Handles the requests of other instances for permits. */
+	readonly handlePermits: RequestListener;
+	/** Applies a record that was read in the store. */
+	readonly receiveFromStore: (record: RateLimitRecord) => void;
+	/** Returns the rate limits that registered servers name, in requests per second, by server. */
+	readonly listRates: () => ReadonlyMap<string, number>;
+	/** Discards all state about a server's process. */
+	readonly forget: (server: BackendServerName) => void;
+	readonly stop: () => void;
+}
+
+/** Creates the parts. */
+export function createRateLimits({self, view, store, onLimited, counters, log, viewAgeMs, now}: CreateRateLimitsOptions): RateLimitParts {
+	// Unreferenced timers: the process is kept running by its listeners, not by pauses between calls.
+	const sleep = async (milliseconds: number): Promise<void> => startTimeout(milliseconds, undefined, {ref: false});
+	const rateLimits = new NamedRateLimits();
+	const use = new RateLimitUse({
+		rateLimits, counters, log, now,
+	});
+	const client = new PermitClient();
+	const findPeer = (id: InstanceId) => view.instances.list().find(instance => instance.id === id)?.peers;
+	const broadcast = new PeerBroadcast<RateLimitRecord>({
+		self,
+		instances: () => view.instances.list(),
+		send: async options => sendBroadcastMessage({subject: SUBJECT, ...options}),
+		onRecord(record) {
+			sharing.receive({record, source: 'instance'});
+		},
+		sleep,
+		onFailure({instance, error: {code, message}}) {
+			counters.add(`peer.${code}`);
+			log.line('peer-not-told', {subject: instance, reason: code, detail: message});
+		},
+	});
+	const permits: RatePermits = new RatePermits({
+		self,
+		rateLimits,
+		warmupPerSecond(server) {
+			const service = view.servers.findEntry(server)?.server.service;
+			return view.routeSet?.services.find(({name}) => name === service)?.warmupRequestsPerSecond ?? 0;
+		},
+		findEntry: name => view.servers.findEntry(name),
+		fleet: () => ({instances: view.instances.list(), generation: view.instances.generation, viewAgeMs: viewAgeMs()}),
+		findPeer,
+		ask: async options => client.ask(options),
+		onRecord(record) {
+			sharing.receive({record, source: 'instance'});
+		},
+		use,
+		counters,
+		now,
+	});
+	const listRecords = (): readonly RateLimitRecord[] => view.servers.listEntries().flatMap(({server}) => rateLimits.recordOf(server) ?? []);
+	const writer = new RateLimitWriter({
+		store,
+		listRecords,
+		isOwner: record => permits.owns(record),
+		onFailure({code, message}) {
+			counters.add(`store.rate-limit-${code}`);
+			log.line('rate-limit-not-stored', {reason: code, detail: message});
+		},
+		sleep,
+		now,
+	});
+	const sharing: RateLimitSharing = new RateLimitSharing({
+		rateLimits,
+		broadcast(takeRecords) {
+			void broadcast.broadcast(takeRecords);
+		},
+		onNewRecord() {
+			void writer.run();
+		},
+		onLimited,
+		counters,
+		log,
+		now,
+		wallClock: () => Date.now(),
+	});
+	const onMalformed = ({code, message}: CodedError): void => {
+		log.line('rate-limit-refused', {reason: code, detail: message});
+	};
+
+	return {
+		rateLimits,
+		sharing,
+		permits,
+		use,
+		handleRecords: createBroadcastListener({
+			subject: SUBJECT, readRecord: readRateLimit, receive: async message => broadcast.receive(message), onMalformed,
+		}),
+		handlePermits: createPermitListener({answer: request => permits.answer(request), onMalformed}),
+		receiveFromStore(record) {
+			writer.observe(record);
+			sharing.receive({record, source: 'store'});
+		},
+		listRates: () => new Map(listRecords().flatMap(({name, requestsPerSecond}) => requestsPerSecond === undefined ? [] : [[name, requestsPerSecond]])),
+		forget(server) {
+			permits.forget(server);
+			sharing.forget(server);
+			writer.forget(server);
+		},
+		stop() {
+			writer.stop();
+			client.close();
+		},
+	};
+}
--- a/daemons/gateway/src/create-relay.ts
+++ b/daemons/gateway/src/create-relay.ts
@@ -4,7 +4,7 @@
 import {CrashDetector, Quarantine} from '@pomelopick/calls.quarantine';
 import type {SuspicionSharing} from '@pomelopick/calls.quarantine';
 import {
-	CallerDisconnects, RateLimitUse, RelayHandler, RetryBudgets, ServerNotices, UnsentAttempts,
+	CallerDisconnects, RelayHandler, RetryBudgets, ServerNotices, UnsentAttempts,
 } from '@pomelopick/calls.relay';
 import type {RelayServer, RetryBudgetsOptions} from '@pomelopick/calls.relay';
 import type {GatewaySettings} from '@pomelopick/config.settings';
@@ -14,12 +14,9 @@
 import {
 	decodeRateLimit, decodeRetryAfter, decodeServerLeaving, decodeServerLoad, encodeRetryAfter, platformHeaders,
 } from '@pomelopick/platform.wire';
-import {WarmupShares} from '@pomelopick/steering.limits';
 import {ObjectPlacer} from '@pomelopick/steering.objects';
-import {
-	LeavingServers, NamedRateLimits, ObservationTable, RequestedPauses,
-} from '@pomelopick/steering.servers';
-import type {KnownServer} from '@pomelopick/steering.servers';
+import {LeavingServers, ObservationTable, RequestedPauses} from '@pomelopick/steering.servers';
+import type {RateLimitParts} from './create-rate-limits.js';
 
 const EVENTS_KEPT = 512;
 /** Minimum number of connections that this instance may open to a server. */
@@ -35,6 +32,8 @@
 	readonly sharing: SuspicionSharing;
 	/** Sequence number before the first one that this run of the instance assigns to its records for other instances. */
 	readonly firstSequence: number;
+	/** Rate limits of servers, for all instances together. */
+	readonly rateLimitParts: Pick<RateLimitParts, 'rateLimits' | 'sharing' | 'permits' | 'use'>;
 	/** Claims a part of a service's retry allowance, which all instances share. */
 	readonly claimAllowance: RetryBudgetsOptions['claim'];
 	readonly counters: CallCounters;
@@ -54,8 +53,8 @@
 	readonly handler: RelayHandler;
 	readonly quarantine: Quarantine;
 	readonly retryBudgets: RetryBudgets;
-	/** Returns the rate limits that registered servers name, in requests per second, by server. */
-	readonly namedRateLimits: () => ReadonlyMap<string, number>;
+	/** Aborts the attempts at a server of which nothing was sent, since the server was found to have a rate limit. */
+	readonly recallUnsent: (server: BackendServerName) => void;
 	/** Receives a record about requests that crash servers, from other instances and from earlier runs of this one. */
 	readonly receiveSuspicion: (record: SuspicionRecord) => void;
 	/** Discards all state about a server's process. */
@@ -65,38 +64,40 @@
 
 /** Creates the relay. */
 export function createRelay(options: CreateRelayOptions): RelayParts {
-	const {settings, view, sharing, firstSequence, claimAllowance, counters, log, viewAgeMs, endsAtMs, now, random} = options;
+	const {settings, view, sharing, firstSequence, rateLimitParts, claimAllowance, counters, log, viewAgeMs, endsAtMs, now, random} = options;
 	const {instance, failureDomain, region, regions, limits} = settings();
 	const observations = new ObservationTable();
 	const leaving = new LeavingServers();
 	const pauses = new RequestedPauses();
-	const rateLimits = new NamedRateLimits();
-	const rateLimitUse = new RateLimitUse({rateLimits, log, now});
+	const {rateLimits, permits} = rateLimitParts;
 	const unsent = new UnsentAttempts();
 	const format = {
 		headers: platformHeaders, decodeServerLoad, decodeServerLeaving, decodeRetryAfter, decodeRateLimit, encodeRetryAfter,
 	};
-	const warmups = new WarmupShares({self: instance});
-	const warmupOf = ({server}: KnownServer) => ({
-		server: server.name,
-		requestsPerSecond: view.routeSet?.services.find(({name}) => name === server.service)?.warmupRequestsPerSecond ?? 0,
-		instances: view.instances.list(),
-		generation: view.instances.generation,
-		viewAgeMs: viewAgeMs(),
-		nowMs: now(),
-	});
 	const placer = new ObjectPlacer({
 		servers: view.servers,
 		observations,
 		failureDomain,
 		region,
 		regions,
-		maySendToWarming: ({known}) => warmups.mayTake(warmupOf(known)),
+		mayTakeRate: options => permits.mayTake(options),
+		rateClosedUntilMs: known => permits.closedUntilMs(known),
 		unavailableUntilMs: ({server, nowMs}) => leaving.has(server) ? Number.POSITIVE_INFINITY : pauses.endMs({server, nowMs}),
 		random,
 	});
 	const notices = new ServerNotices({
-		format, servers: view.servers, leaving, pauses, rateLimits, unsent, counters, log, now, wallClock: () => Date.now(),
+		format,
+		servers: view.servers,
+		leaving,
+		pauses,
+		hasRateLimit: server => rateLimits.requestsPerSecond(server) !== undefined,
+		hearRateLimit(heard) {
+			rateLimitParts.sharing.hear(heard);
+		},
+		unsent,
+		counters,
+		log,
+		now,
 	});
 	const connections = new BackendConnections({
 		now,
@@ -140,7 +141,7 @@
 			placer,
 			observations,
 			notices,
-			rateLimitUse,
+			rateLimitUse: rateLimitParts.use,
 			unsent,
 			maxConnections({known}) {
 				const max = view.routeSet?.services.find(({name}) => name === known.server.service)?.maxConnections ?? 0;
@@ -149,7 +150,7 @@
 			counters,
 			statusOf: request => quarantine.isEmpty ? 'clear' : quarantine.statusOf(request.fingerprint()),
 			takeRetry: async ({options: {service, answerByMs}}) => retryBudgets.take({service, answerByMs}),
-			tryTakeWarmup: known => now() >= known.coldUntilMs || warmups.tryTake(warmupOf(known)),
+			permits,
 			viewAgeMs,
 			now,
 		},
@@ -167,10 +168,10 @@
 		handler,
 		quarantine,
 		retryBudgets,
-		namedRateLimits: () => new Map(view.servers.listEntries().flatMap(({server}) => {
-			const requestsPerSecond = rateLimits.requestsPerSecond(server);
-			return requestsPerSecond === undefined ? [] : [[server.name, requestsPerSecond]];
-		})),
+		recallUnsent(server) {
+			const recalled = unsent.recall({server, reason: 'backend-rate-limited', detail: 'the server named a rate limit'});
+			counters.add('server-notice.recalled', recalled);
+		},
 		receiveSuspicion(record) {
 			if (quarantine.isFromThisRun(record)) {
 				return;
@@ -189,7 +190,6 @@
 		forget(server) {
 			placer.forget(server);
 			observations.forget(server);
-			warmups.forget(server);
 		},
 		async stop() {
 			await connections.close();
--- a/daemons/gateway/src/create-view.ts
+++ b/daemons/gateway/src/create-view.ts
@@ -1,16 +1,19 @@
 /** Creates and wires the store's client, this instance's view of the store, and the registration of this instance. */
 import {setTimeout as startTimeout} from 'node:timers/promises';
 import {
-	AllowanceParts, ChangeRelay, LiveView, Registration, sendSuspicions, StoreFeed, suspicionReader, SuspicionSender, SuspicionWriter, UpstreamClient, UpstreamLink,
+	AllowanceParts, ChangeRelay, LiveView, PeerBroadcast, Registration, sendBroadcastMessage, StoreFeed, suspicionReader, SuspicionWriter, UpstreamClient, UpstreamLink,
 } from '@pomelopick/calls.live';
 import type {ViewChange, InstanceRecord, SuspicionRecord} from '@pomelopick/calls.live';
 import type {SuspicionSharing} from '@pomelopick/calls.quarantine';
+import {rateLimitReader} from '@pomelopick/calls.rate-limits';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
 import type {BackendServerName, Endpoint, RouteSet} from '@pomelopick/core.types';
 import {PlatformStore} from '@pomelopick/platform.store';
+import type {KeyValueStore} from '@pomelopick/platform.store';
 import {decodeRouteSet, decodeServer, readSubject} from '@pomelopick/platform.wire';
 import {partReuseMs} from '@pomelopick/steering.limits';
 import type {RetryBounds} from '@pomelopick/steering.limits';
+import type {RateLimitRecord} from '@pomelopick/steering.servers';
 
 /** Timeout of a call to the store other than a watch, in milliseconds. */
 const STORE_CALL_TIMEOUT_MS = 1000;
@@ -31,6 +34,8 @@
 	readonly log: DecisionLog;
 	readonly onRoutes: (set: RouteSet) => void;
 	readonly onSuspicion: (record: SuspicionRecord) => void;
+	/** Called with each record about the rate limit of a server. */
+	readonly onRateLimit: (record: RateLimitRecord) => void;
 	readonly onServerLost: (name: BackendServerName) => void;
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
@@ -40,6 +45,7 @@
 
 /** The view, and those of its parts that are used from outside. */
 export interface ViewParts {
+	readonly store: KeyValueStore;
 	readonly view: LiveView;
 	readonly feed: StoreFeed;
 	/** Relays the store's changes to other instances. */
@@ -47,7 +53,7 @@
 	/** Shares requests that crash servers with the other instances, by the store. */
 	readonly sharing: SuspicionSharing;
 	/** Sends them directly to the other instances, without the store. */
-	readonly suspicionSender: SuspicionSender;
+	readonly suspicionBroadcast: PeerBroadcast<SuspicionRecord>;
 	/** Claims a part of a service's retry allowance, which all instances share. */
 	readonly claimAllowance: AllowanceParts['claim'];
 	start(): void;
@@ -57,7 +63,7 @@
 }
 
 /** Creates the view. It is updated once {@link ViewParts.start} has been called. */
-export function createView({store: endpoint, self, firstSequence, retries, counters, log, onRoutes, onSuspicion, onServerLost, now, random}: CreateViewOptions): ViewParts {
+export function createView({store: endpoint, self, firstSequence, retries, counters, log, onRoutes, onSuspicion, onRateLimit, onServerLost, now, random}: CreateViewOptions): ViewParts {
 	// Unreferenced timers: the process is kept running by its listeners, not by pauses between calls.
 	const sleep = async (milliseconds: number): Promise<void> => startTimeout(milliseconds, undefined, {ref: false});
 	const store = new PlatformStore({endpoint, callTimeoutMs: STORE_CALL_TIMEOUT_MS, connectTimeoutMs: STORE_CONNECT_TIMEOUT_MS});
@@ -80,7 +86,7 @@
 			onRecord: onSuspicion, onMalformed: onChange, remove(key) {
 				sharing.restore(key);
 			},
-		})],
+		}), rateLimitReader({onRecord: onRateLimit, onMalformed: onChange})],
 		onServerLost,
 	});
 	const changeRelay = new ChangeRelay({now});
@@ -126,10 +132,10 @@
 			}
 		},
 	});
-	const suspicionSender = new SuspicionSender({
+	const suspicionBroadcast = new PeerBroadcast<SuspicionRecord>({
 		self: self.id,
 		instances: () => view.instances.list(),
-		send: sendSuspicions,
+		send: async options => sendBroadcastMessage({subject: 'suspicions', ...options}),
 		onRecord: onSuspicion,
 		sleep,
 		onFailure({instance, error: {code, message}}) {
@@ -147,17 +153,18 @@
 		},
 		sendDirectly(listRecords) {
 			counters.add('peer.suspicions-told');
-			void suspicionSender.broadcast(listRecords);
+			void suspicionBroadcast.broadcast(listRecords);
 		},
 		sleep,
 		now,
 	});
 	return {
+		store,
 		view,
 		feed,
 		changeRelay,
 		sharing,
-		suspicionSender,
+		suspicionBroadcast,
 		claimAllowance: async service => allowance.claim(service),
 		start() {
 			void feed.run();
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -4,8 +4,11 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {CallerListener} from '@pomelopick/calls.listener';
-import {createChangeListener, createSuspicionListener, SUSPICIONS_PATH} from '@pomelopick/calls.live';
+import {
+	broadcastPath, createBroadcastListener, createChangeListener, readSuspicion,
+} from '@pomelopick/calls.live';
 import type {InstanceRecord} from '@pomelopick/calls.live';
+import {PERMITS_PATH} from '@pomelopick/calls.rate-limits';
 import type {GatewaySettings} from '@pomelopick/config.settings';
 import {DecisionLog, ServedCounters} from '@pomelopick/core.telemetry';
 import type {OutputWriter} from '@pomelopick/core.telemetry';
@@ -13,6 +16,7 @@
 import {encodeRetryAfter, platformHeaders} from '@pomelopick/platform.wire';
 import {createDirectory, createReadiness} from './directory.js';
 import type {CodeCacheUse} from './code-cache.js';
+import {createRateLimits} from './create-rate-limits.js';
 import {createRelay} from './create-relay.js';
 import {createView} from './create-view.js';
 import {HttpListener, listen} from './http-listener.js';
@@ -76,17 +80,33 @@
 		onSuspicion(record) {
 			relay.receiveSuspicion(record);
 		},
+		onRateLimit(record) {
+			rateLimitParts.receiveFromStore(record);
+		},
 		onServerLost(server) {
 			relay.forget(server);
+			rateLimitParts.forget(server);
 		},
 		now,
 		random,
 	});
 	const {view, feed} = viewParts;
+	const rateLimitParts = createRateLimits({
+		self: id,
+		view,
+		store: viewParts.store,
+		onLimited({name}) {
+			relay.recallUnsent(name);
+		},
+		counters,
+		log,
+		viewAgeMs: () => feed.ageMs,
+		now,
+	});
 	const isReady = (): boolean => endsAtMs === undefined && view.routeSet !== undefined && (feed.hasCaughtUp || (feed.hasRead && feed.isFailing));
 	const {sharing, claimAllowance} = viewParts;
 	const relay = createRelay({
-		settings: () => settings, view, sharing, firstSequence, claimAllowance, counters, log, viewAgeMs: () => feed.ageMs, endsAtMs: () => endsAtMs, now, random,
+		settings: () => settings, view, sharing, firstSequence, rateLimitParts, claimAllowance, counters, log, viewAgeMs: () => feed.ageMs, endsAtMs: () => endsAtMs, now, random,
 	});
 	const listener: CallerListener = new CallerListener({
 		counters,
@@ -103,14 +123,18 @@
 		}),
 	});
 	const handleChanges = createChangeListener({relay: viewParts.changeRelay});
-	const handleSuspicions = createSuspicionListener({
-		receive: async message => viewParts.suspicionSender.receive(message), onMalformed({code, message}) {
+	const handleSuspicions = createBroadcastListener({
+		subject: 'suspicions', readRecord: readSuspicion, receive: async message => viewParts.suspicionBroadcast.receive(message), onMalformed({code, message}) {
 			log.line('suspicion-refused', {reason: code, detail: message});
 		},
 	});
+	const peerListeners = new Map([
+		[broadcastPath('suspicions'), handleSuspicions], [broadcastPath('rate-limits'), rateLimitParts.handleRecords], [PERMITS_PATH, rateLimitParts.handlePermits],
+	]);
 	const peerListener = new HttpListener({
 		endpoint: peers, handle(request, response) {
-			(request.url === SUSPICIONS_PATH ? handleSuspicions : handleChanges)(request, response);
+			const handle = peerListeners.get(request.url ?? '') ?? handleChanges;
+			handle(request, response);
 		},
 	});
 	const metrics = new HttpListener({
@@ -130,7 +154,7 @@
 		name: 'retries_granted', help: 'Sends to a further backend server that claimed parts of the allowance still allow.', label: 'service', read: () => relay.retryBudgets.granted(),
 	});
 	counters.gauges({
-		name: 'server_rate_limit', help: 'Rate limits that backend servers name, in requests per second.', label: 'server', read: () => relay.namedRateLimits(),
+		name: 'server_rate_limit', help: 'Rate limits that backend servers name, in requests per second.', label: 'server', read: () => rateLimitParts.listRates(),
 	});
 	await peerListener.start();
 	viewParts.start();
@@ -156,6 +180,7 @@
 			const left = viewParts.leave();
 			await listener.stop({timeoutMs, inProgress: () => relay.handler.inProgress});
 			await left;
+			rateLimitParts.stop();
 			await Promise.all([viewParts.stop(), relay.stop(), readiness.stop(), directory.stop(), peerListener.stop(), metrics.stop()]);
 			log.line('stopped', {});
 			output.flush();
--- /dev/null
+++ b/steering/limits/src/fleet-rate-limits.ts
@@ -0,0 +1,183 @@
+/**
+ * Limits the rate of requests that a backend server gets from all instances together.
+ *
+ * Each limited server has one owner, the instance that ranks first for it by highest-random-weight hashing. Only the
+ * owner decides whether a request may be sent: it takes a token from its bucket, for a request of its own or for one of
+ * another instance that asks for a permit. So the bound does not depend on the number of instances.
+ *
+ * Instances with different views of the fleet may consider themselves owners of the same server for a while. How much of
+ * the rate an owner uses depends on how sure it is to be the only one ({@link OwnerShares}). The token bucket of a new
+ * owner is empty, so that restarts add no requests.
+ */
+import {chooseOwner} from '@pomelopick/core.rendezvous';
+import type {BackendServerName, InstanceId} from '@pomelopick/core.types';
+
+/** Capacity of the token bucket: no burst is saved up. */
+const MAX_TOKENS = 1;
+/** Age from which a view of the fleet is outdated, in milliseconds: longer than the time between responses of an idle store. */
+const MAX_VIEW_AGE_MS = 3000;
+/** Time after which an owner is the only one among the instances with a current view, in milliseconds: by then, all of these have learned of the change that made it the owner. */
+const SETTLING_MS = MAX_VIEW_AGE_MS;
+/** Lowest rate at which a server is used that names a limit, in requests per second: its responses show when the limit ends. */
+const MIN_NAMED_RATE_PER_SECOND = 0.25;
+const MILLISECONDS_PER_SECOND = 1000;
+
+/** Shares of the limit that an owner uses, from 0 to 1. */
+export interface OwnerShares {
+	/** It has been the owner for so long that no other instance with a current view considers itself the owner. */
+	readonly settled: number;
+	/** It has been the owner for a shorter time, so that the previous owner may still be active. */
+	readonly recent: number;
+	/** Its view of the fleet is outdated, so that another instance may have become the owner. */
+	readonly outdated: number;
+	/** It is not registered in its own view, and the other instances do not know it. */
+	readonly unregistered: number;
+}
+
+/** A limit of one server for the requests of all instances together. */
+export interface FleetRateLimit {
+	readonly requestsPerSecond: number;
+	readonly shares: OwnerShares;
+}
+
+/** The instances among which the owners are chosen. */
+export interface FleetView {
+	/** Instances that may send to the servers, with or without this one. */
+	readonly instances: ReadonlyArray<{readonly id: InstanceId}>;
+	/** Counter that grows whenever these instances change. */
+	readonly generation: number;
+	/** Age of the view of the fleet that contains these instances, in milliseconds. */
+	readonly viewAgeMs: number;
+}
+
+/** Options of {@link FleetRateLimits.tryTake}. */
+export interface TryTakeOptions {
+	readonly server: BackendServerName;
+	/** Limits of the server; all of them apply. */
+	readonly limits: readonly FleetRateLimit[];
+	readonly fleet: FleetView;
+	/** Monotonic time, in milliseconds. */
+	readonly nowMs: number;
+}
+
+interface TokenBucket {
+	tokens: number;
+	refilledAtMs: number;
+}
+
+interface Ownership {
+	/** Generation of the instances among which the owner was chosen. */
+	readonly generation: number;
+	readonly owner: InstanceId;
+	/** Monotonic time since which this instance is known to be the owner, in milliseconds. */
+	readonly sinceMs: number;
+	/** Whether this instance is registered. */
+	readonly isRegistered: boolean;
+}
+
+/** The limit of a server that is warming up. Three owners at the same time stay within the tolerance of the server. */
+export function warmupLimit(requestsPerSecond: number): FleetRateLimit {
+	return {
+		requestsPerSecond, shares: {
+			settled: 0.5, recent: 0.5, outdated: 0, unregistered: 0.5,
+		},
+	};
+}
+
+/** The limit that a server names in its responses. While the store is unavailable, the servers in need are still used. */
+export function namedLimit(requestsPerSecond: number): FleetRateLimit {
+	return {
+		requestsPerSecond: Math.max(MIN_NAMED_RATE_PER_SECOND, requestsPerSecond), shares: {
+			settled: 1, recent: 0.5, outdated: 0.5, unregistered: 0,
+		},
+	};
+}
+
+/** Decides about requests to the limited servers that this instance owns. */
+export class FleetRateLimits {
+	readonly #self: InstanceId;
+	readonly #buckets = new Map<BackendServerName, TokenBucket>();
+	readonly #ownerships = new Map<BackendServerName, Ownership>();
+
+	constructor({self}: {readonly self: InstanceId}) {
+		this.#self = self;
+	}
+
+	/** The owner of a server in the view of this instance. */
+	ownerOf(options: TryTakeOptions): InstanceId {
+		return this.#ownershipOf(options).owner;
+	}
+
+	/** Whether this instance is the owner and a request may be sent now; does not count it. */
+	mayTake(options: TryTakeOptions): boolean {
+		return this.ownerOf(options) === this.#self && this.#ratePerSecond(options) > 0 && this.#refill(options).tokens >= 1;
+	}
+
+	/** Counts one request; returns false when it may not be sent. */
+	tryTake(options: TryTakeOptions): boolean {
+		if (!this.mayTake(options)) {
+			return false;
+		}
+
+		this.#refill(options).tokens -= 1;
+		return true;
+	}
+
+	/** Time until the next request may be sent, in milliseconds; infinite when there is none at the current rate. This instance must be the owner. */
+	waitMs(options: TryTakeOptions): number {
+		const missingTokens = Math.max(0, 1 - this.#refill(options).tokens);
+		return missingTokens === 0 ? 0 : missingTokens * MILLISECONDS_PER_SECOND / this.#ratePerSecond(options);
+	}
+
+	/** Removes the state of a server. */
+	forget(server: BackendServerName): void {
+		this.#buckets.delete(server);
+		this.#ownerships.delete(server);
+	}
+
+	#ownershipOf({server, fleet: {instances, generation}, nowMs}: TryTakeOptions): Ownership {
+		const known = this.#ownerships.get(server);
+		if (known?.generation === generation) {
+			return known;
+		}
+
+		const others = instances.filter(({id}) => id !== this.#self);
+		const isRegistered = others.length < instances.length;
+		const owner = chooseOwner({key: server, instances: [...others, {id: this.#self}]})!.id;
+		const isUnchanged = known?.owner === owner && known.isRegistered === isRegistered;
+		const ownership: Ownership = {
+			generation, owner, sinceMs: isUnchanged ? known.sinceMs : nowMs, isRegistered,
+		};
+		this.#ownerships.set(server, ownership);
+		return ownership;
+	}
+
+	/** Requests per second that this instance allows as the owner. */
+	#ratePerSecond(options: TryTakeOptions): number {
+		const ownership = this.#ownershipOf(options);
+		const state = findState({...options, ownership});
+		return Math.min(...options.limits.map(({requestsPerSecond, shares}) => requestsPerSecond * shares[state]));
+	}
+
+	#refill(options: TryTakeOptions): TokenBucket {
+		const {server, nowMs} = options;
+		const bucket = this.#buckets.get(server) ?? {tokens: 0, refilledAtMs: nowMs};
+		const earnedTokens = (nowMs - bucket.refilledAtMs) * this.#ratePerSecond(options) / MILLISECONDS_PER_SECOND;
+		bucket.tokens = Math.min(MAX_TOKENS, bucket.tokens + earnedTokens);
+		bucket.refilledAtMs = nowMs;
+		this.#buckets.set(server, bucket);
+		return bucket;
+	}
+}
+
+function findState({fleet: {viewAgeMs}, nowMs, ownership: {sinceMs, isRegistered}}: TryTakeOptions & {readonly ownership: Ownership}): keyof OwnerShares {
+	if (!isRegistered) {
+		return 'unregistered';
+	}
+
+	if (viewAgeMs >= MAX_VIEW_AGE_MS) {
+		return 'outdated';
+	}
+
+	return nowMs - sinceMs < SETTLING_MS ? 'recent' : 'settled';
+}
--- a/steering/limits/src/index.ts
+++ b/steering/limits/src/index.ts
@@ -2,4 +2,4 @@
 export * from './pause-detector.js';
 export * from './retry-allowance.js';
 export * from './retry-window.js';
-export * from './warmup-shares.js';
+export * from './fleet-rate-limits.js';
--- a/steering/limits/test/warmup-shares.test.ts
+++ b/steering/limits/test/warmup-rate-limits.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
-import {WarmupShares} from '@pomelopick/steering.limits';
+import {FleetRateLimits, warmupLimit} from '@pomelopick/steering.limits';
 import type {BackendServerName, InstanceId} from '@pomelopick/core.types';
 
 const SEED = 71_002;
@@ -17,12 +17,12 @@
 
 /** Sends all allowed requests for five seconds, each instance with its own view of the fleet. */
 function sendAll(views: ReadonlyArray<{readonly self: InstanceId; readonly instances: readonly InstanceId[]}>): readonly number[] {
-	const senders = views.map(({self, instances}) => ({shares: new WarmupShares({self}), instances}));
+	const senders = views.map(({self, instances}) => ({shares: new FleetRateLimits({self}), instances}));
 	const sentAtMs: number[] = [];
 	for (let nowMs = 0; nowMs < 5000; nowMs += 10) {
 		for (const {shares, instances} of senders) {
 			while (shares.tryTake({
-				server, requestsPerSecond: REQUESTS_PER_SECOND, instances: instances.map(id => ({id})), generation: 1, viewAgeMs: 0, nowMs,
+				server, limits: [warmupLimit(REQUESTS_PER_SECOND)], fleet: {instances: instances.map(id => ({id})), generation: 1, viewAgeMs: 0}, nowMs,
 			})) {
 				sentAtMs.push(nowMs);
 			}
@@ -32,7 +32,7 @@
 	return sentAtMs;
 }
 
-describe(`WarmupShares (seed ${SEED})`, () => {
+describe(`FleetRateLimits of a server that is warming up (seed ${SEED})`, () => {
 	it('lets one instance send while all have the same view, and that instance does send', () => {
 		const sentAtMs = sendAll(all.map(self => ({self, instances: all})));
 		assert.ok(maxInAnySecond(sentAtMs) <= REQUESTS_PER_SECOND * 1.5, String(maxInAnySecond(sentAtMs)));
@@ -48,12 +48,12 @@
 
 	it('stays within the tolerance of the server after a pause in which requests were allowed', () => {
 		const views = all.slice(0, 3).map(self => ({self, instances: [self]}));
-		const senders = views.map(({self, instances}) => ({shares: new WarmupShares({self}), instances}));
+		const senders = views.map(({self, instances}) => ({shares: new FleetRateLimits({self}), instances}));
 		const sentAtMs: number[] = [];
 		for (const nowMs of [0, ...Array.from({length: 100}, (_, index) => 5000 + (index * 10))]) {
 			for (const {shares, instances} of senders) {
 				while (shares.tryTake({
-					server, requestsPerSecond: REQUESTS_PER_SECOND, instances: instances.map(id => ({id})), generation: 1, viewAgeMs: 0, nowMs,
+					server, limits: [warmupLimit(REQUESTS_PER_SECOND)], fleet: {instances: instances.map(id => ({id})), generation: 1, viewAgeMs: 0}, nowMs,
 				})) {
 					sentAtMs.push(nowMs);
 				}
@@ -66,10 +66,10 @@
 	it('stays within the tolerance of the server however often its owner restarts', () => {
 		const sentAtMs: number[] = [];
 		for (let startMs = 0; startMs < 2000; startMs += 20) {
-			const shares = new WarmupShares({self: all[0]!});
+			const shares = new FleetRateLimits({self: all[0]!});
 			for (const nowMs of [startMs, startMs + 10]) {
 				while (shares.tryTake({
-					server, requestsPerSecond: REQUESTS_PER_SECOND, instances: [{id: all[0]!}], generation: 1, viewAgeMs: 0, nowMs,
+					server, limits: [warmupLimit(REQUESTS_PER_SECOND)], fleet: {instances: [{id: all[0]!}], generation: 1, viewAgeMs: 0}, nowMs,
 				})) {
 					sentAtMs.push(nowMs);
 				}
@@ -80,32 +80,32 @@
 	});
 
 	it('sends nothing while its view of the fleet is outdated', () => {
-		const shares = new WarmupShares({self: all[0]!});
+		const shares = new FleetRateLimits({self: all[0]!});
 		const mayTake = (viewAgeMs: number): boolean => shares.mayTake({
-			server, requestsPerSecond: REQUESTS_PER_SECOND, instances: [{id: all[0]!}], generation: 1, viewAgeMs, nowMs: 5000,
+			server, limits: [warmupLimit(REQUESTS_PER_SECOND)], fleet: {instances: [{id: all[0]!}], generation: 1, viewAgeMs}, nowMs: 5000,
 		});
 		shares.mayTake({
-			server, requestsPerSecond: REQUESTS_PER_SECOND, instances: [{id: all[0]!}], generation: 1, viewAgeMs: 0, nowMs: 0,
+			server, limits: [warmupLimit(REQUESTS_PER_SECOND)], fleet: {instances: [{id: all[0]!}], generation: 1, viewAgeMs: 0}, nowMs: 0,
 		});
 		assert.deepEqual([mayTake(2900), mayTake(3100)], [true, false]);
 	});
 
 	it('sends nothing to a server that can handle no requests', () => {
-		const shares = new WarmupShares({self: all[0]!});
+		const shares = new FleetRateLimits({self: all[0]!});
 		shares.tryTake({
-			server, requestsPerSecond: 0, instances: [{id: all[0]!}], generation: 1, viewAgeMs: 0, nowMs: 0,
+			server, limits: [warmupLimit(0)], fleet: {instances: [{id: all[0]!}], generation: 1, viewAgeMs: 0}, nowMs: 0,
 		});
 		assert.equal(shares.tryTake({
-			server, requestsPerSecond: 0, instances: [{id: all[0]!}], generation: 1, viewAgeMs: 0, nowMs: 60_000,
+			server, limits: [warmupLimit(0)], fleet: {instances: [{id: all[0]!}], generation: 1, viewAgeMs: 0}, nowMs: 60_000,
 		}), false);
 	});
 
 	it('recomputes the owner when the instances change', () => {
 		const [first, second] = [all[0]!, all[1]!];
-		const owners = [first, second].map(self => new WarmupShares({self}));
+		const owners = [first, second].map(self => new FleetRateLimits({self}));
 		const countOwners = (instances: readonly InstanceId[], generation: number): number => {
 			const tries = {
-				server, requestsPerSecond: REQUESTS_PER_SECOND, instances: instances.map(id => ({id})), generation, viewAgeMs: 0,
+				server, limits: [warmupLimit(REQUESTS_PER_SECOND)], fleet: {instances: instances.map(id => ({id})), generation, viewAgeMs: 0},
 			};
 			return owners.filter(shares => {
 				shares.mayTake({...tries, nowMs: 0});
--- a/steering/objects/src/object-placer.ts
+++ b/steering/objects/src/object-placer.ts
@@ -22,8 +22,9 @@
 import {RankingCache} from './object-ranking.js';
 import type {ObjectRanking, RegionRanking} from './object-ranking.js';
 import {maxWaitMs, refuseLongWait, refuseWithoutServer} from './placement-refusal.js';
-import type {PlacementRefusal} from './placement-refusal.js';
+import type {PlacementRefusal, ServerClosure} from './placement-refusal.js';
 import {RecentObjects} from './recent-objects.js';
+import {RecentRefusals} from './recent-refusals.js';
 import {groupByRegion} from './region-groups.js';
 import type {WorkExpectation} from './work-expectation.js';
 
@@ -55,8 +56,10 @@
 	readonly unavailableUntilMs: (options: {readonly server: ServerStart; readonly nowMs: number}) => number | undefined;
 	/** Number from 0 up to 1. */
 	readonly random: () => number;
-	/** Whether a server that is warming up may get a request of this instance now. */
-	readonly maySendToWarming: (options: {readonly known: KnownServer; readonly nowMs: number}) => boolean;
+	/** Whether the rate limits of a server leave room for a request of this instance now, perhaps after asking the owner of the server; true for servers without a limit. */
+	readonly mayTakeRate: (options: {readonly known: KnownServer; readonly mayAsk: boolean}) => boolean;
+	/** Monotonic time at which a server that names a rate limit may get another request of this instance, in milliseconds; undefined for other servers. */
+	readonly rateClosedUntilMs: (known: KnownServer) => number | undefined;
 }
 
 /** Options of {@link ObjectPlacer.place}. */
@@ -67,6 +70,8 @@
 	readonly object: string | undefined;
 	/** Servers that this request was already sent to. */
 	readonly avoid: ReadonlySet<BackendServerName>;
+	/** Whether owners of limited servers may be asked for a permit; not by default. */
+	readonly mayAsk?: boolean;
 	/** Monotonic time after which a response is no longer of use, in milliseconds. */
 	readonly deadlineMs: number;
 	/** Monotonic time, in milliseconds. */
@@ -117,6 +122,7 @@
 	readonly #options: ObjectPlacerOptions;
 	readonly #rankings = new RankingCache();
 	readonly #recent = new RecentObjects();
+	readonly #refusals = new RecentRefusals();
 	readonly #estimates: LoadEstimates;
 
 	constructor(options: ObjectPlacerOptions) {
@@ -144,6 +150,12 @@
 		return best.waitMs < maxMs ? Right(best) : Left(refuseLongWait({service, waitMs: best.waitMs, maxMs}));
 	}
 
+	/** Whether a server that was chosen earlier is still usable, not leaving and not paused at its own request. */
+	isStillUsable({known: {server}, nowMs}: {readonly known: KnownServer; readonly nowMs: number}): boolean {
+		const {servers, unavailableUntilMs} = this.#options;
+		return servers.findUsable(server.name)?.server.startedAtMs === server.startedAtMs && unavailableUntilMs({server, nowMs}) === undefined;
+	}
+
 	/** Updates the estimates from a response. */
 	recordAnswer({route, object, placement, heldMs}: RecordAnswerOptions): void {
 		this.#estimates.expectationOf(route).record({isWarm: placement.isWarm, heldMs});
@@ -158,14 +170,26 @@
 	}
 
 	#refuseWithoutCandidate({service, route, avoid, nowMs}: PlaceObjectOptions): PlacementRefusal {
-		const {servers, regions, region, unavailableUntilMs, random} = this.#options;
+		const {servers, regions, region, random} = this.#options;
 		const isHome = ({server}: KnownServer): boolean => route.homeRegions.length === 0 || route.homeRegions.includes(regions.get(server.failureDomain) ?? region);
 		const untried = servers.listUsable(service).filter(known => isHome(known) && !avoid.has(known.server.name));
 		return refuseWithoutServer({
-			service, closedUntilMs: untried.map(({server}) => unavailableUntilMs({server, nowMs})), nowMs, random,
+			service, closures: untried.map(known => this.#findClosure({known, nowMs})), recentRefusals: this.#refusals.record({service, nowMs}), nowMs, random,
 		});
 	}
 
+	/** Why a server takes no request of this instance at its own request, and until when; undefined when it did not ask for this. */
+	#findClosure({known, nowMs}: {readonly known: KnownServer; readonly nowMs: number}): ServerClosure | undefined {
+		const {unavailableUntilMs, rateClosedUntilMs} = this.#options;
+		const pausedUntilMs = unavailableUntilMs({server: known.server, nowMs});
+		if (pausedUntilMs !== undefined) {
+			return {untilMs: pausedUntilMs, cause: 'pause'};
+		}
+
+		const limitedUntilMs = rateClosedUntilMs(known);
+		return limitedUntilMs === undefined ? undefined : {untilMs: limitedUntilMs, cause: 'rate-limit'};
+	}
+
 	#listCandidates(options: ListCandidatesOptions): readonly Candidate[] {
 		const {region} = this.#options;
 		const {service, route, nowMs} = options;
@@ -213,14 +237,14 @@
 	}
 
 	/** The server, if it may get the request now. */
-	#findAvailable({name, options: {avoid, nowMs, includesPaused}}: {readonly name: BackendServerName; readonly options: ListCandidatesOptions}): KnownServer | undefined {
-		const known = this.#options.servers.findUsable(name);
-		if (!known || avoid.has(name) || this.#options.unavailableUntilMs({server: known.server, nowMs}) !== undefined || (!includesPaused && this.#observationsOf(known).isPaused(nowMs))) {
+	#findAvailable({name, options: {avoid, nowMs, mayAsk = false, includesPaused}}: {readonly name: BackendServerName; readonly options: ListCandidatesOptions}): KnownServer | undefined {
+		const {servers, unavailableUntilMs, mayTakeRate} = this.#options;
+		const known = servers.findUsable(name);
+		if (!known || avoid.has(name) || unavailableUntilMs({server: known.server, nowMs}) !== undefined || (!includesPaused && this.#observationsOf(known).isPaused(nowMs))) {
 			return undefined;
 		}
 
-		const isAllowed = nowMs >= known.coldUntilMs || this.#options.maySendToWarming({known, nowMs});
-		return isAllowed ? known : undefined;
+		return mayTakeRate({known, mayAsk}) ? known : undefined;
 	}
 
 	/** Estimates the times and the cost of a request at a server. */
--- a/steering/objects/src/placement-refusal.ts
+++ b/steering/objects/src/placement-refusal.ts
@@ -5,7 +5,7 @@
 const MIN_RETRY_AFTER_MS = 200;
 /** Retry time sent when no server is usable, in milliseconds. */
 const NO_SERVER_RETRY_AFTER_MS = 500;
-/** Maximum time over which the retries of callers are spread after a pause of the servers, in milliseconds. */
+/** Maximum time over which the retries of callers are spread after a server takes requests again, in milliseconds. */
 const MAX_RETRY_SPREAD_MS = 2000;
 /** Maximum wait as a share of the route's target latency: a longer queue would make the requests behind this one late too. */
 const MAX_WAIT_SHARE = 0.8;
@@ -40,28 +40,57 @@
 	};
 }
 
+/** A time in which a server wants no requests of this instance. */
+export interface ServerClosure {
+	/** Monotonic time, in milliseconds; infinite for a server that is leaving. */
+	readonly untilMs: number;
+	/** The server asked for a pause or is leaving, or the rate limit that it named is used up. */
+	readonly cause: 'pause' | 'rate-limit';
+}
+
 /** Options of {@link refuseWithoutServer}. */
 export interface RefuseWithoutServerOptions {
 	readonly service: ServiceName;
-	/** Monotonic times until which the servers of the service want no requests, in milliseconds; undefined for one that reported no such time. */
-	readonly closedUntilMs: ReadonlyArray<number | undefined>;
+	/** Closures of the servers of the service; undefined for one that did not ask for any. */
+	readonly closures: ReadonlyArray<ServerClosure | undefined>;
+	/** Number of requests of the service that were refused in the last second, with this one. */
+	readonly recentRefusals: number;
 	/** Monotonic time, in milliseconds. */
 	readonly nowMs: number;
 	/** Number from 0 up to 1. */
 	readonly random: () => number;
 }
 
-/** Refuses a request that no server can take. If all servers are paused or leaving, callers retry after the pause that ends first, spread over some time. */
-export function refuseWithoutServer({service, closedUntilMs, nowMs, random}: RefuseWithoutServerOptions): PlacementRefusal {
-	const firstEndMs = Math.min(...closedUntilMs.map(untilMs => untilMs ?? Number.NEGATIVE_INFINITY));
-	if (!Number.isFinite(firstEndMs)) {
+/** Refuses a request that no server can take. If all servers want no requests for now, callers retry after the first of them takes one again, spread over some time. */
+export function refuseWithoutServer({service, closures, recentRefusals, nowMs, random}: RefuseWithoutServerOptions): PlacementRefusal {
+	const first = findFirst(closures);
+	if (!first || !Number.isFinite(first.untilMs)) {
 		return {reason: 'no-backend-server', detail: `no backend server of ${service} is available for the request`, retryAfterMs: NO_SERVER_RETRY_AFTER_MS};
 	}
 
-	const pauseMs = firstEndMs - nowMs;
-	return {
-		reason: 'backend-paused',
-		detail: `all remaining backend servers of ${service} are paused or leaving; the first pause ends in ${Math.round(pauseMs)} ms`,
-		retryAfterMs: pauseMs + (random() * Math.max(MIN_RETRY_AFTER_MS, Math.min(pauseMs, MAX_RETRY_SPREAD_MS))),
-	};
+	const waitMs = first.untilMs - nowMs;
+	// A pause ends for all callers at once; a server with a rate limit takes them one by one.
+	const expectedSpreadMs = first.cause === 'pause' ? waitMs : waitMs * recentRefusals;
+	const retryAfterMs = waitMs + (random() * Math.max(MIN_RETRY_AFTER_MS, Math.min(expectedSpreadMs, MAX_RETRY_SPREAD_MS)));
+	return first.cause === 'pause'
+		? {reason: 'backend-paused', detail: `all remaining backend servers of ${service} are paused or leaving; the first pause ends in ${Math.round(waitMs)} ms`, retryAfterMs}
+		: {
+			reason: 'backend-rate-limited',
+			detail: `all remaining backend servers of ${service} have used up the rates that they named, are paused or leaving; the first takes another request in ${Math.round(waitMs)} ms`,
+			retryAfterMs,
+		};
+}
+
+/** The closure that ends first; undefined when a server has none. */
+function findFirst(closures: ReadonlyArray<ServerClosure | undefined>): ServerClosure | undefined {
+	let first: ServerClosure | undefined;
+	for (const closure of closures) {
+		if (!closure) {
+			return undefined;
+		}
+
+		first = first && first.untilMs <= closure.untilMs ? first : closure;
+	}
+
+	return first;
 }
--- a/steering/objects/test/object-placer.test.ts
+++ b/steering/objects/test/object-placer.test.ts
@@ -68,7 +68,8 @@
 		failureDomain: 'north-a' as FailureDomainName,
 		region: 'north' as RegionName,
 		regions,
-		maySendToWarming: () => false,
+		mayTakeRate: ({known}) => known.coldUntilMs <= 0,
+		rateClosedUntilMs: () => undefined,
 		unavailableUntilMs: ({server}) => closedUntilMs.get(server.name),
 		random: () => 0.5,
 	});
