--- a/calls/rate-limits/src/rate-permits.ts
+++ b/calls/rate-limits/src/rate-permits.ts
@@ -57,6 +57,8 @@
 	readonly known: LimitedServer;
 	/** Whether the owner of the server may be asked. */
 	readonly mayAsk: boolean;
+	/** Monotonic time, in milliseconds. */
+	readonly nowMs: number;
 }
 
 /** Options of {@link RatePermits.take}. */
@@ -85,24 +87,25 @@
 	}
 
 	/** Whether a request may be sent to a server now, perhaps after asking its owner; always true for servers without a limit. */
-	mayTake({known, mayAsk}: MayTakeOptions): boolean {
-		const limits = this.#limitsOf(known);
+	mayTake({known, mayAsk, nowMs}: MayTakeOptions): boolean {
+		const limits = this.#limitsOf({known, nowMs});
 		if (limits.length === 0) {
 			return true;
 		}
 
-		const options = this.#toTakeOptions({known, limits});
+		const options = this.#toTakeOptions({known, limits, nowMs});
 		return this.#isOwner(options) ? this.#limits.mayTake(options) : mayAsk && this.#mayAsk(known);
 	}
 
 	/** Takes a permit for one request; resolves, or returns at once if nobody has to be asked, with whether there is one. Never rejects. */
 	take({known, answerByMs}: TakeOptions): boolean | Promise<boolean> {
-		const limits = this.#limitsOf(known);
+		const nowMs = this.#options.now();
+		const limits = this.#limitsOf({known, nowMs});
 		if (limits.length === 0) {
 			return true;
 		}
 
-		const options = this.#toTakeOptions({known, limits});
+		const options = this.#toTakeOptions({known, limits, nowMs});
 		if (!this.#isOwner(options)) {
 			return this.#mayAsk(known) && this.#ask({known, options, answerByMs});
 		}
@@ -120,20 +123,21 @@
 		}
 
 		const nowMs = now();
-		const options = this.#toTakeOptions({known, limits: this.#limitsOf(known)});
+		const options = this.#toTakeOptions({known, limits: this.#limitsOf({known, nowMs}), nowMs});
 		const untilMs = this.#isOwner(options) ? nowMs + this.#limits.waitMs(options) : this.#asks.get(known.server.name)?.closedUntilMs ?? nowMs;
 		return Math.min(Math.max(untilMs, nowMs + MIN_ASK_INTERVAL_MS), nowMs + MAX_ASK_INTERVAL_MS);
 	}
 
 	/** Answers an instance that asks for a permit. */
 	answer({record}: PermitRequest): PermitAnswer {
-		const {onRecord, rateLimits, findEntry, use} = this.#options;
+		const {onRecord, rateLimits, findEntry, use, now} = this.#options;
 		onRecord(record);
+		const nowMs = now();
 		const entry = findEntry(record.name);
 		const known = entry?.server.startedAtMs === record.startedAtMs && entry ? entry : {server: record, coldUntilMs: Number.NEGATIVE_INFINITY};
 		const newest = rateLimits.recordOf(record) ?? record;
-		const limits = this.#limitsOf(known);
-		const options = this.#toTakeOptions({known, limits});
+		const limits = this.#limitsOf({known, nowMs});
+		const options = this.#toTakeOptions({known, limits, nowMs});
 		if (limits.length > 0 && !this.#isOwner(options)) {
 			return {isGranted: false, retryAfterMs: ASK_BACKOFF_MS, record: newest};
 		}
@@ -145,7 +149,7 @@
 
 	/** Whether this instance owns a server. */
 	owns(record: RateLimitRecord): boolean {
-		return this.#isOwner(this.#toTakeOptions({known: {server: record, coldUntilMs: 0}, limits: []}));
+		return this.#isOwner(this.#toTakeOptions({known: {server: record, coldUntilMs: 0}, limits: noLimits, nowMs: this.#options.now()}));
 	}
 
 	/** Removes the state of a server. */
@@ -154,10 +158,10 @@
 		this.#asks.delete(server);
 	}
 
-	#limitsOf(known: LimitedServer): readonly FleetRateLimit[] {
-		const {rateLimits, warmupPerSecond, now} = this.#options;
+	#limitsOf({known, nowMs}: {readonly known: LimitedServer; readonly nowMs: number}): readonly FleetRateLimit[] {
+		const {rateLimits, warmupPerSecond} = this.#options;
 		const named = rateLimits.requestsPerSecond(known.server);
-		const isCold = now() < known.coldUntilMs;
+		const isCold = nowMs < known.coldUntilMs;
 		if (named === undefined && !isCold) {
 			return noLimits;
 		}
@@ -165,10 +169,9 @@
 		return [...(named === undefined ? noLimits : [namedLimit(named)]), ...(isCold ? [warmupLimit(warmupPerSecond(known.server.name))] : noLimits)];
 	}
 
-	#toTakeOptions({known, limits}: {readonly known: LimitedServer; readonly limits: readonly FleetRateLimit[]}): TryTakeOptions {
-		const {fleet, now} = this.#options;
+	#toTakeOptions({known, limits, nowMs}: {readonly known: LimitedServer; readonly limits: readonly FleetRateLimit[]; readonly nowMs: number}): TryTakeOptions {
 		return {
-			server: known.server.name, limits, fleet: fleet(), nowMs: now(),
+			server: known.server.name, limits, fleet: this.#options.fleet(), nowMs,
 		};
 	}
 
--- a/steering/limits/src/fleet-rate-limits.ts
+++ b/steering/limits/src/fleet-rate-limits.ts
@@ -12,8 +12,10 @@
 import {chooseOwner} from '@pomelopick/core.rendezvous';
 import type {BackendServerName, InstanceId} from '@pomelopick/core.types';
 
-/** Capacity of the token bucket: no burst is saved up. */
-const MAX_TOKENS = 1;
+/** Capacity of the token bucket of an owner that may not be the only one: no burst is saved up. */
+const MIN_TOKENS = 1;
+/** Time for which the tokens of a limit that a server names are saved up, in milliseconds, so that a high limit is used when requests come irregularly. */
+const NAMED_BURST_MS = 250;
 /** Age from which a view of the fleet is outdated, in milliseconds: longer than the time between responses of an idle store. */
 const MAX_VIEW_AGE_MS = 3000;
 /** Time after which an owner is the only one among the instances with a current view, in milliseconds: by then, all of these have learned of the change that made it the owner. */
@@ -38,6 +40,8 @@
 export interface FleetRateLimit {
 	readonly requestsPerSecond: number;
 	readonly shares: OwnerShares;
+	/** Number of requests that the owner may send at once when it is settled. */
+	readonly burst: number;
 }
 
 /** The instances among which the owners are chosen. */
@@ -78,18 +82,22 @@
 /** The limit of a server that is warming up. Three owners at the same time stay within the tolerance of the server. */
 export function warmupLimit(requestsPerSecond: number): FleetRateLimit {
 	return {
-		requestsPerSecond, shares: {
+		requestsPerSecond,
+		shares: {
 			settled: 0.5, recent: 0.5, outdated: 0, unregistered: 0.5,
 		},
+		burst: MIN_TOKENS,
 	};
 }
 
 /** The limit that a server names in its responses. While the store is unavailable, the servers in need are still used. */
 export function namedLimit(requestsPerSecond: number): FleetRateLimit {
 	return {
-		requestsPerSecond: Math.max(MIN_NAMED_RATE_PER_SECOND, requestsPerSecond), shares: {
+		requestsPerSecond: Math.max(MIN_NAMED_RATE_PER_SECOND, requestsPerSecond),
+		shares: {
 			settled: 1, recent: 0.5, outdated: 0.5, unregistered: 0,
 		},
+		burst: Math.max(MIN_TOKENS, requestsPerSecond * NAMED_BURST_MS / MILLISECONDS_PER_SECOND),
 	};
 }
 
@@ -152,10 +160,18 @@
 		return ownership;
 	}
 
+	/** Capacity of the bucket. */
+	#maxTokens(options: TryTakeOptions): number {
+		return this.#stateOf(options) === 'settled' ? Math.min(...options.limits.map(({burst}) => burst)) : MIN_TOKENS;
+	}
+
+	#stateOf(options: TryTakeOptions): keyof OwnerShares {
+		return findState({...options, ownership: this.#ownershipOf(options)});
+	}
+
 	/** Requests per second that this instance allows as the owner. */
 	#ratePerSecond(options: TryTakeOptions): number {
-		const ownership = this.#ownershipOf(options);
-		const state = findState({...options, ownership});
+		const state = this.#stateOf(options);
 		return Math.min(...options.limits.map(({requestsPerSecond, shares}) => requestsPerSecond * shares[state]));
 	}
 
@@ -163,7 +179,7 @@
 		const {server, nowMs} = options;
 		const bucket = this.#buckets.get(server) ?? {tokens: 0, refilledAtMs: nowMs};
 		const earnedTokens = (nowMs - bucket.refilledAtMs) * this.#ratePerSecond(options) / MILLISECONDS_PER_SECOND;
-		bucket.tokens = Math.min(MAX_TOKENS, bucket.tokens + earnedTokens);
+		bucket.tokens = Math.min(this.#maxTokens(options), bucket.tokens + earnedTokens);
 		bucket.refilledAtMs = nowMs;
 		this.#buckets.set(server, bucket);
 		return bucket;
--- a/steering/objects/src/object-placer.ts
+++ b/steering/objects/src/object-placer.ts
@@ -57,7 +57,7 @@
 	/** Number from 0 up to 1. */
 	readonly random: () => number;
 	/** Whether the rate limits of a server leave room for a request of this instance now, perhaps after asking the owner of the server; true for servers without a limit. */
-	readonly mayTakeRate: (options: {readonly known: KnownServer; readonly mayAsk: boolean}) => boolean;
+	readonly mayTakeRate: (options: {readonly known: KnownServer; readonly mayAsk: boolean; readonly nowMs: number}) => boolean;
 	/** Monotonic time at which a server that names a rate limit may get another request of this instance, in milliseconds; undefined for other servers. */
 	readonly rateClosedUntilMs: (known: KnownServer) => number | undefined;
 }
@@ -244,7 +244,7 @@
 			return undefined;
 		}
 
-		return mayTakeRate({known, mayAsk}) ? known : undefined;
+		return mayTakeRate({known, mayAsk, nowMs}) ? known : undefined;
 	}
 
 	/** Estimates the times and the cost of a request at a server. */
--- a/steering/objects/test/object-placer.test.ts
+++ b/steering/objects/test/object-placer.test.ts
@@ -68,7 +68,7 @@
 		failureDomain: 'north-a' as FailureDomainName,
 		region: 'north' as RegionName,
 		regions,
-		mayTakeRate: ({known}) => known.coldUntilMs <= 0,
+		mayTakeRate: ({known, nowMs}) => known.coldUntilMs <= nowMs,
 		rateClosedUntilMs: () => undefined,
 		unavailableUntilMs: ({server}) => closedUntilMs.get(server.name),
 		random: () => 0.5,
