--- a/testing/gateway-soak/src/index.ts
+++ b/testing/gateway-soak/src/index.ts
@@ -12,4 +12,5 @@
 export * from './retry-round.js';
 export * from './soak.js';
 export {faultNames} from './environment.js';
+export type {SoakEnvironment} from './environment.js';
 export type {FaultName} from './environment.js';
--- a/testing/gateway-soak/src/rate-limit-check.ts
+++ b/testing/gateway-soak/src/rate-limit-check.ts
@@ -13,6 +13,8 @@
 /** A window may contain this multiple of what the limit allows in it, and this many requests more. */
 const OVERAGE = 1.5;
 const SLACK = 5;
+/** Faults of a gateway that excuse its requests: restarts, freezes, and being cut off. */
+const excusingFaults: ReadonlySet<string> = new Set(['kill', 'terminate', 'pause', 'store-path-cut']);
 
 /** Options of {@link checkRateLimits}. */
 export interface CheckRateLimitsOptions {
@@ -139,5 +141,5 @@
 }
 
 function isDisturbed({disturbances, instance, fromMs, toMs}: {readonly disturbances: readonly Disturbance[]; readonly instance: string; readonly fromMs: number; readonly toMs: number}): boolean {
-	return disturbances.some(({subject, fromMs: beganMs, toMs: endedMs}) => subject === instance && beganMs <= toMs && endedMs >= fromMs);
+	return disturbances.some(({subject, fault, fromMs: beganMs, toMs: endedMs}) => subject === instance && excusingFaults.has(fault) && beganMs <= toMs && endedMs >= fromMs);
 }
--- a/testing/gateway-soak/src/rate-limit-round.ts
+++ b/testing/gateway-soak/src/rate-limit-round.ts
@@ -2,7 +2,7 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {callGateway, endpointOf} from '@pomelopick/testing.gateway-fleet';
-import type {CallerResponse} from '@pomelopick/testing.gateway-fleet';
+import type {ArrivalRecord, CallerResponse, Play} from '@pomelopick/testing.gateway-fleet';
 import {checkCalls} from './call-check.js';
 import type {TracedCall, Violation} from './call-check.js';
 import {createDraw} from './draw.js';
@@ -39,6 +39,8 @@
 	readonly servers?: number;
 	readonly objects?: number;
 	readonly perSecond?: number;
+	/** How servers treat the first two arrivals of each request, drawn from these; the later ones as the second. Correctly if left out. */
+	readonly plays?: readonly Play[];
 	/** Number of times that a caller sends a refused request again after the time in `Retry-After`. */
 	readonly callerRetries?: number;
 }
@@ -49,7 +51,9 @@
 	readonly uses: readonly RateLimitUse[];
 	readonly violations: readonly Violation[];
 	/** Requests that reached each server, by its name. */
-	readonly arrivals: ReadonlyMap<string, number>;
+	readonly arrivals: ReadonlyMap<string, readonly ArrivalRecord[]>;
+	/** Monotonic time of the start, in milliseconds. */
+	readonly startMs: number;
 	/** Log lines of an event, of all gateways. */
 	readonly lines: (event: string) => ReadonlyArray<Readonly<Record<string, unknown>>>;
 }
@@ -71,12 +75,12 @@
 		const gatewayFailures = await environment.listGatewayFailures();
 		const {executions, arrivalLog} = environment.fleet.records;
 		const checked = {calls, arrivals: arrivalLog, disturbances: environment.disturbances};
-		const byServer = groupBy(arrivalLog, ({server}) => server);
 		return {
 			calls,
 			uses: findRateLimitUse(checked),
 			violations: [...gatewayFailures, ...checkRateLimits(checked), ...checkCalls({calls, executions})],
-			arrivals: new Map([...byServer].map(([server, arrivals]) => [server, arrivals.length])),
+			arrivals: groupBy(arrivalLog, ({server}) => server),
+			startMs,
 			lines: event => environment.listLines(event),
 		};
 	} finally {
@@ -90,13 +94,13 @@
 }
 
 /** Sends requests at a fixed rate, without waiting for responses to earlier ones. Resolves when all have ended. */
-async function sendAll({environment, seed, endMs, objects = DEFAULT_OBJECTS, perSecond = DEFAULT_PER_SECOND, callerRetries = 0}: SendAllOptions): Promise<readonly TracedCall[]> {
+async function sendAll({environment, seed, endMs, objects = DEFAULT_OBJECTS, perSecond = DEFAULT_PER_SECOND, plays = ['whole'], callerRetries = 0}: SendAllOptions): Promise<readonly TracedCall[]> {
 	const draw = createDraw(seed * CALLER_SEED_FACTOR);
 	const calls: Array<Promise<readonly TracedCall[]>> = [];
 	const startMs = performance.now();
 	while (performance.now() < endMs) {
 		calls.push(sendOne({
-			environment, draw, path: `/read/${draw(objects)}`, callerRetries,
+			environment, draw, path: `/read/${draw(objects)}`, plays: [plays[draw(plays.length)]!, plays[draw(plays.length)]!], callerRetries,
 		}));
 		await sleep(startMs + (calls.length * MILLISECONDS_PER_SECOND / perSecond) - performance.now());
 	}
@@ -109,17 +113,18 @@
 	readonly environment: SoakEnvironment;
 	readonly draw: Draw;
 	readonly path: string;
+	readonly plays: readonly Play[];
 	readonly callerRetries: number;
 }
 
-async function sendOne({environment, draw, path, callerRetries}: SendOneOptions): Promise<readonly TracedCall[]> {
+async function sendOne({environment, draw, path, plays, callerRetries}: SendOneOptions): Promise<readonly TracedCall[]> {
 	const calls: TracedCall[] = [];
 	let answer: CallerResponse;
 	do {
 		const {settings} = environment.members[draw(environment.members.length)]!;
 		const sentAtMs = performance.now();
 		answer = await callGateway({
-			endpoint: endpointOf(settings.listen.callers), path, object: path, timeLeftMs: TIME_LEFT_MS,
+			endpoint: endpointOf(settings.listen.callers), path, object: path, plays, timeLeftMs: TIME_LEFT_MS,
 		});
 		calls.push({
 			method: 'GET', path, body: '', answer, instance: settings.instance, sentAtMs, answeredAtMs: performance.now(),
--- a/testing/gateway-soak/src/soak.ts
+++ b/testing/gateway-soak/src/soak.ts
@@ -9,6 +9,8 @@
 import type {TracedCall, Violation} from './call-check.js';
 import {checkNotices} from './notice-check.js';
 import {faultNames, startEnvironment} from './environment.js';
+import {nameLimits} from './limit-series.js';
+import {checkRateLimits} from './rate-limit-check.js';
 import type {FaultName, SoakEnvironment} from './environment.js';
 
 const DEFAULT_GATEWAYS = 3;
@@ -18,8 +20,11 @@
 /** Time in which aborted requests may still be executed late, in milliseconds. */
 const SETTLE_MS = 1500;
 const CALLER_PAUSE_MS = 5;
-/** Factor that keeps the seeds of the callers apart from those of the faults. */
+/** Factors that keep the seeds of the callers and of the rate limits apart from those of the faults. */
 const CALLER_SEED_FACTOR = 1000;
+const LIMIT_SEED_FACTOR = 7;
+/** Number of servers that may name a rate limit at the same time. */
+const LIMIT_SERIES = 2;
 
 /** Plays to draw from. `whole`, a correct response, is listed several times, so that it is drawn more often than any fault. */
 const plays: readonly Play[] = [
@@ -56,6 +61,9 @@
 		const calling = Promise.all(Array.from({length: callers}, async (_, index) => keepCalling({
 			environment, draw: createDraw((seed * CALLER_SEED_FACTOR) + index), calls, signal: stopped.signal,
 		})));
+		const naming = Promise.all(Array.from({length: LIMIT_SERIES}, async (_, index) => nameLimits({
+			servers: environment.fleet.servers, draw: createDraw((seed * LIMIT_SEED_FACTOR) + index), signal: stopped.signal,
+		})));
 		const draw = createDraw(seed);
 		const faults = await runFaultSeries({
 			next: done => done < count ? faultNames[draw(faultNames.length)] : undefined,
@@ -66,15 +74,17 @@
 		const gatewayFailures = await environment.listGatewayFailures();
 		stopped.abort();
 		await calling;
+		await naming;
 		await sleep(SETTLE_MS);
 		const {executions, arrivalLog} = environment.fleet.records;
+		const judged = {calls, arrivals: arrivalLog, disturbances: environment.disturbances};
 		return {
 			seed,
 			faults,
 			calls: calls.length,
 			answered: calls.filter(({answer}) => answer.status === 200).length,
 			executions: executions.length,
-			violations: [...gatewayFailures, ...checkCalls({calls, executions}), ...checkNotices({calls, arrivals: arrivalLog, disturbances: environment.disturbances})],
+			violations: [...gatewayFailures, ...checkCalls({calls, executions}), ...checkNotices(judged), ...checkRateLimits(judged)],
 		};
 	} finally {
 		await environment.stop();
