Group, split and stop in one place each

Change: one groupBy (testing/history), options of the placer in a file of their own, a round that cannot start stops what it started and rejects, lines are taken before the processes end.

--- a/steering/objects/src/index.ts
+++ b/steering/objects/src/index.ts
@@ -1,4 +1,5 @@
 /** Chooses the backend server for a request by the object that the request concerns. */
+export type * from './object-placer-types.js';
 export * from './object-placer.js';
 export * from './object-ranking.js';
 export * from './placement-refusal.js';
--- a/testing/gateway-soak/src/call-check.ts
+++ b/testing/gateway-soak/src/call-check.ts
@@ -1,7 +1,7 @@
 /** Checks the responses that callers received against the requests that the servers executed. */
 import {guaranteesNotRun} from '@pomelopick/testing.gateway-fleet';
 import type {CallerResponse, ExecutionRecord} from '@pomelopick/testing.gateway-fleet';
-import {groupBy} from './group-by.js';
+import {groupBy} from '@pomelopick/testing.history';
 
 /** A request and the response that its caller received. */
 export interface CallRecord {
--- a/testing/gateway-soak/src/environment.ts
+++ b/testing/gateway-soak/src/environment.ts
@@ -67,19 +67,24 @@
 	readonly servers: number;
 }
 
-/** Starts the store, the servers and the gateways of a round. */
+/** Starts the store, the servers and the gateways of a round. Stops all of them and rejects if a gateway does not become ready in time. */
 export async function startEnvironment({seed, gateways, servers}: StartEnvironmentOptions): Promise<SoakEnvironment> {
 	const environment = new SoakEnvironment(await startGatewayFleet({servers: []}));
-	for (let number = 0; number < servers; number += 1) {
-		await environment.addServer({number, seed});
-	}
+	try {
+		for (let number = 0; number < servers; number += 1) {
+			await environment.addServer({number, seed});
+		}
 
-	for (let number = 0; number < gateways; number += 1) {
-		await environment.addGateway({number, seed});
-	}
+		for (let number = 0; number < gateways; number += 1) {
+			await environment.addGateway({number, seed});
+		}
 
-	await environment.untilReady();
-	return environment;
+		await environment.untilReady();
+		return environment;
+	} catch (error) {
+		await environment.stop();
+		throw error;
+	}
 }
 
 /** Processes and proxies of a soak round. */
--- a/testing/gateway-soak/src/rate-limit-check.ts
+++ b/testing/gateway-soak/src/rate-limit-check.ts
@@ -1,7 +1,7 @@
 /** Checks that the gateways together keep the rate limits that servers name in their responses. */
 import type {ArrivalRecord} from '@pomelopick/testing.gateway-fleet';
+import {groupBy} from '@pomelopick/testing.history';
 import type {TracedCall, Violation} from './call-check.js';
-import {groupBy} from './group-by.js';
 import type {Disturbance} from './notice-check.js';
 
 /** Time after a server first named its limit from which it applies, in milliseconds. */
--- a/testing/gateway-soak/src/rate-limit-round.ts
+++ b/testing/gateway-soak/src/rate-limit-round.ts
@@ -3,13 +3,13 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {callGateway, endpointOf} from '@pomelopick/testing.gateway-fleet';
 import type {ArrivalRecord, CallerResponse, Play} from '@pomelopick/testing.gateway-fleet';
+import {groupBy} from '@pomelopick/testing.history';
 import {checkCalls} from './call-check.js';
 import type {TracedCall, Violation} from './call-check.js';
 import {createDraw} from './draw.js';
 import type {Draw} from './draw.js';
 import {startEnvironment} from './environment.js';
 import type {SoakEnvironment} from './environment.js';
-import {groupBy} from './group-by.js';
 import {checkRateLimits, findRateLimitUse} from './rate-limit-check.js';
 import type {RateLimitUse} from './rate-limit-check.js';
 
@@ -54,8 +54,8 @@
 	readonly arrivals: ReadonlyMap<string, readonly ArrivalRecord[]>;
 	/** Monotonic time of the start, in milliseconds. */
 	readonly startMs: number;
-	/** Log lines of an event, of all gateways. */
-	readonly lines: (event: string) => ReadonlyArray<Readonly<Record<string, unknown>>>;
+	/** Log lines of the gateways about the use of the limits. */
+	readonly lines: ReadonlyArray<Readonly<Record<string, unknown>>>;
 }
 
 /** Runs one round and checks it. */
@@ -81,7 +81,7 @@
 			violations: [...gatewayFailures, ...checkRateLimits(checked), ...checkCalls({calls, executions})],
 			arrivals: groupBy(arrivalLog, ({server}) => server),
 			startMs,
-			lines: event => environment.listLines(event),
+			lines: environment.listLines('rate-limit-use'),
 		};
 	} finally {
 		await environment.stop();
--- a/testing/history/src/check-history.ts
+++ b/testing/history/src/check-history.ts
@@ -1,5 +1,6 @@
 /** Judges a history against what must hold under any faults. */
 import type {Execution} from '@pomelopick/testing.backend-stand-in';
+import {groupBy} from './group-by.js';
 import type {CopyRecord, History} from './records.js';
 
 /** What must hold. */
@@ -135,18 +136,3 @@
 function subjectOf({key, method, path}: CopyRecord): string {
 	return key ?? `${method} ${path}`;
 }
-
-function groupBy<Item>(items: readonly Item[], keyOf: (item: Item) => string): Map<string, Item[]> {
-	const groups = new Map<string, Item[]>();
-	for (const item of items) {
-		const key = keyOf(item);
-		const group = groups.get(key);
-		if (group) {
-			group.push(item);
-		} else {
-			groups.set(key, [item]);
-		}
-	}
-
-	return groups;
-}
--- a/testing/history/src/index.ts
+++ b/testing/history/src/index.ts
@@ -1,6 +1,7 @@
 /** Concurrent workloads under faults and the checker of their histories. */
 export * from './check-history.js';
 export * from './faults.js';
+export * from './group-by.js';
 export * from './proxied-fleet.js';
 export * from './read-outcome.js';
 export type * from './records.js';
