Ask refused callers back at the rate at which limited servers answer

Cause: with all servers at their limits and three times the load, refused callers were told to come back after 0.14 s at the median, to be refused again. Change: the time is spread over refused by answered requests of the last second, 0.2 to 2 s, after the first server takes another request.

--- a/calls/relay/src/relay-attempt.ts
+++ b/calls/relay/src/relay-attempt.ts
@@ -191,8 +191,9 @@
 			case 'deliver':
 			case 'server-failure': {
 				const {route, object} = request.options;
+				const nowMs = parts.now();
 				parts.placer.recordAnswer({
-					route, object, placement, heldMs: parts.now() - this.#inFlight.sentAtMs,
+					route, object, placement, heldMs: nowMs - this.#inFlight.sentAtMs, nowMs,
 				});
 				return {kind: 'answer', answer, answerClass};
 			}
--- a/steering/objects/src/index.ts
+++ b/steering/objects/src/index.ts
@@ -4,6 +4,7 @@
 export * from './object-ranking.js';
 export * from './placement-refusal.js';
 export * from './recent-objects.js';
+export * from './recent-outcomes.js';
 export * from './region-groups.js';
 export * from './region-spill.js';
 export * from './work-expectation.js';
--- a/steering/objects/src/object-placer-types.ts
+++ b/steering/objects/src/object-placer-types.ts
@@ -60,4 +60,6 @@
 	readonly placement: ObjectPlacement;
 	/** Time from sending the request to its response, in milliseconds. */
 	readonly heldMs: number;
+	/** Monotonic time, in milliseconds. */
+	readonly nowMs: number;
 }
--- a/steering/objects/src/object-placer.ts
+++ b/steering/objects/src/object-placer.ts
@@ -23,7 +23,7 @@
 import {maxWaitMs, refuseLongWait, refuseWithoutServer} from './placement-refusal.js';
 import type {PlacementRefusal, ServerClosure} from './placement-refusal.js';
 import {RecentObjects} from './recent-objects.js';
-import {RecentRefusals} from './recent-refusals.js';
+import {RecentOutcomes} from './recent-outcomes.js';
 import {groupByRegion} from './region-groups.js';
 import type {WorkExpectation} from './work-expectation.js';
 
@@ -65,7 +65,7 @@
 	readonly #options: ObjectPlacerOptions;
 	readonly #rankings = new RankingCache();
 	readonly #recent = new RecentObjects();
-	readonly #refusals = new RecentRefusals();
+	readonly #outcomes = new RecentOutcomes();
 	readonly #estimates: LoadEstimates;
 
 	constructor(options: ObjectPlacerOptions) {
@@ -100,7 +100,8 @@
 	}
 
 	/** Updates the estimates from a response. */
-	recordAnswer({route, object, placement, heldMs}: RecordAnswerOptions): void {
+	recordAnswer({route, object, placement, heldMs, nowMs}: RecordAnswerOptions): void {
+		this.#outcomes.record({service: placement.known.server.service, outcome: 'answered', nowMs});
 		this.#estimates.expectationOf(route).record({isWarm: placement.isWarm, heldMs});
 		if (object !== undefined) {
 			this.#recent.record({server: placement.known.server.name, object: toRouteObject({route, object})});
@@ -117,7 +118,7 @@
 		const isHome = ({server}: KnownServer): boolean => route.homeRegions.length === 0 || route.homeRegions.includes(regions.get(server.failureDomain) ?? region);
 		const untried = servers.listUsable(service).filter(known => isHome(known) && !avoid.has(known.server.name));
 		return refuseWithoutServer({
-			service, closures: untried.map(known => this.#findClosure({known, nowMs})), recentRefusals: this.#refusals.record({service, nowMs}), nowMs, random,
+			service, closures: untried.map(known => this.#findClosure({known, nowMs})), recent: this.#outcomes.record({service, outcome: 'refused', nowMs}), nowMs, random,
 		});
 	}
 
--- a/steering/objects/src/placement-refusal.ts
+++ b/steering/objects/src/placement-refusal.ts
@@ -1,5 +1,6 @@
 /** Refusals of requests for which no backend server is available, with the time after which the caller should retry. */
 import type {RefusalReason, Route, ServiceName} from '@pomelopick/core.types';
+import type {OutcomeCounts} from './recent-outcomes.js';
 
 /** Minimum retry time sent to a refused caller, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 200;
@@ -7,6 +8,7 @@
 const NO_SERVER_RETRY_AFTER_MS = 500;
 /** Maximum time over which the retries of callers are spread after a server takes requests again, in milliseconds. */
 const MAX_RETRY_SPREAD_MS = 2000;
+const MILLISECONDS_PER_SECOND = 1000;
 /** Maximum wait as a share of the route's target latency: a longer queue would make the requests behind this one late too. */
 const MAX_WAIT_SHARE = 0.8;
 
@@ -53,8 +55,8 @@
 	readonly service: ServiceName;
 	/** Closures of the servers of the service; undefined for one that did not ask for any. */
 	readonly closures: ReadonlyArray<ServerClosure | undefined>;
-	/** Number of requests of the service that were refused in the last second, with this one. */
-	readonly recentRefusals: number;
+	/** Outcomes of the requests of the service in the last second, with this refusal. */
+	readonly recent: OutcomeCounts;
 	/** Monotonic time, in milliseconds. */
 	readonly nowMs: number;
 	/** Number from 0 up to 1. */
@@ -62,15 +64,15 @@
 }
 
 /** Refuses a request that no server can take. If all servers want no requests for now, callers retry after the first of them takes one again, spread over some time. */
-export function refuseWithoutServer({service, closures, recentRefusals, nowMs, random}: RefuseWithoutServerOptions): PlacementRefusal {
+export function refuseWithoutServer({service, closures, recent, nowMs, random}: RefuseWithoutServerOptions): PlacementRefusal {
 	const first = findFirst(closures);
 	if (!first || !Number.isFinite(first.untilMs)) {
 		return {reason: 'no-backend-server', detail: `no backend server of ${service} is available for the request`, retryAfterMs: NO_SERVER_RETRY_AFTER_MS};
 	}
 
 	const waitMs = first.untilMs - nowMs;
-	// A pause ends for all callers at once; a server with a rate limit takes them one by one.
-	const expectedSpreadMs = first.cause === 'pause' ? waitMs : waitMs * recentRefusals;
+	// A pause ends for all callers at once; servers with a rate limit take them at the rate of the answers.
+	const expectedSpreadMs = first.cause === 'pause' ? waitMs : MILLISECONDS_PER_SECOND * recent.refused / Math.max(1, recent.answered);
 	const retryAfterMs = waitMs + (random() * Math.max(MIN_RETRY_AFTER_MS, Math.min(expectedSpreadMs, MAX_RETRY_SPREAD_MS)));
 	return first.cause === 'pause'
 		? {reason: 'backend-paused', detail: `all remaining backend servers of ${service} are paused or leaving; the first pause ends in ${Math.round(waitMs)} ms`, retryAfterMs}
--- a/testing/placement-model/src/object-policy.ts
+++ b/testing/placement-model/src/object-policy.ts
@@ -32,7 +32,7 @@
 				});
 				if (end === 'answered') {
 					placer.recordAnswer({
-						route, object, placement, heldMs: nowMs - sentAtMs,
+						route, object, placement, heldMs: nowMs - sentAtMs, nowMs,
 					});
 				}
 			},
