--- a/testing/gateway-soak/src/rate-limit-check.ts
+++ b/testing/gateway-soak/src/rate-limit-check.ts
@@ -34,6 +34,8 @@
 	readonly allowed: number;
 	/** All requests in the window. */
 	readonly all: number;
+	/** The requests that count: their gateways, and their times since the server first named the limit, in milliseconds. */
+	readonly counts: readonly string[];
 }
 
 /** An arrival with the gateway that sent it. */
@@ -69,10 +71,10 @@
 
 /** Returns a violation for each server that got more requests than its limit allows. */
 export function checkRateLimits(options: CheckRateLimitsOptions): readonly Violation[] {
-	return findRateLimitUse(options).filter(({counted, allowed}) => counted > allowed).map(({server, requestsPerSecond, counted, allowed, all}) => ({
+	return findRateLimitUse(options).filter(({counted, allowed}) => counted > allowed).map(({server, requestsPerSecond, counted, allowed, all, counts}) => ({
 		requestId: '',
 		kind: 'rate-limit',
-		detail: `${server} named ${requestsPerSecond} requests a second and got ${counted} in ${WINDOW_MS} ms from gateways that knew, ${all} in all; allowed ${allowed}`,
+		detail: `${server} named ${requestsPerSecond} requests a second and got ${counted} in ${WINDOW_MS} ms from gateways that knew, ${all} in all; allowed ${allowed}: ${counts.join(', ')}`,
 	}));
 }
 
@@ -136,6 +138,7 @@
 			counted: counted.length,
 			allowed: Math.floor((OVERAGE * requestsPerSecond * WINDOW_MS / MILLISECONDS_PER_SECOND) + SLACK),
 			all: inWindow.length,
+			counts: counted.map(({instance, atMs}) => `${instance} at ${Math.round(atMs - fromMs)}`),
 		}];
 	});
 }
