--- a/review/shared/client.js
+++ b/review/shared/client.js
@@ -15,11 +15,21 @@
 	#socket;
 	#received = Buffer.alloc(0);
 
-	/** With `reads` false, the client reads nothing; the system then resets its connection if it is closed with bytes unread. */
-	constructor({name, gateway, reads = true}) {
+	/**
+	 * With `reads` false, the client reads nothing; the system then resets its connection if it is closed with bytes unread.
+	 * With `bytesPerMs`, it reads its answers no faster than that, as over a link of this speed, and forgets them.
+	 */
+	constructor({name, gateway, reads = true, bytesPerMs}) {
 		this.name = name;
 		this.#socket = connect({host: gateway.address, port: gateway.port, noDelay: true});
-		if (reads) {
+		if (bytesPerMs !== undefined) {
+			this.#socket.on('data', chunk => {
+				this.#socket.pause();
+				setTimeout(() => {
+					this.#socket.resume();
+				}, chunk.length / bytesPerMs);
+			});
+		} else if (reads) {
 			this.#socket.on('data', chunk => {
 				this.#received = Buffer.concat([this.#received, chunk]);
 				this.#parse();
