Count requests whose connection ends before they are answered, by who ended it

Cause: when a planned stop closes a connection with requests on it, the log line of each of them says that the caller left: endedBy is 'caller' either way. Whether callers lose patience or the instance closes their connections cannot be told from logs or counters.

Ruled out: reading it from the log lines of answered requests, as a response that was written to a connection which is then closed is logged as answered.

Change: the listener keeps the unsent responses of each connection. When a connection ends with some, it counts them as callers.disconnected-unanswered or callers.closed-unanswered. The map of the latest responses moves to the same place.

Conclusion: tells a stop that closes connections too early from callers that leave.

--- a/calls/listener/src/caller-listener.ts
+++ b/calls/listener/src/caller-listener.ts
@@ -10,6 +10,7 @@
 import type {CallCounters} from '@pomelopick/core.telemetry';
 import {sendRefusal} from '@pomelopick/calls.forwarding';
 import type {RefusalFormat} from '@pomelopick/calls.forwarding';
+import {CallerConnections} from './caller-connections.js';
 
 const MAX_HEADERS = 100;
 const REQUEST_TIMEOUT_MS = 600_000;
@@ -61,7 +62,7 @@
 export class CallerListener {
 	readonly server: Server;
 	readonly #options: CallerListenerOptions;
-	readonly #latestResponses = new WeakMap<Socket, ServerResponse>();
+	readonly #connections: CallerConnections;
 	/** Connections that were refused without a parsed request; later requests on them are not run. */
 	readonly #refusedConnections = new WeakSet<Socket>();
 	/** Connections from which nothing more is read because their input was malformed. */
@@ -71,6 +72,7 @@
 
 	constructor(options: CallerListenerOptions) {
 		this.#options = options;
+		this.#connections = new CallerConnections({counters: options.counters});
 		const limits = options.limits ?? defaultLimits;
 		this.#limits = limits;
 		this.server = createServer({
@@ -86,6 +88,9 @@
 		});
 		this.server.maxHeadersCount = MAX_HEADERS;
 		this.server.maxConnections = options.maxCalls + MAX_CONNECTIONS_WITHOUT_CALL;
+		this.server.on('connection', socket => {
+			this.#connections.add(socket);
+		});
 		this.server.on('clientError', (error: Error & {code?: string}, socket) => {
 			this.#handleClientError({error, socket: socket as Socket});
 		});
@@ -155,7 +160,7 @@
 			return;
 		}
 
-		this.#latestResponses.set(request.socket, response);
+		this.#connections.recordRequest({socket: request.socket, response});
 		if (this.isStopping) {
 			response.setHeader('connection', 'close');
 		}
@@ -179,7 +184,7 @@
 			return;
 		}
 
-		const latestResponse = this.#latestResponses.get(socket);
+		const latestResponse = this.#connections.latestResponse(socket);
 		if (latestResponse?.writableFinished === false) {
 			this.#stopReading({error, socket, latestResponse});
 			return;
@@ -194,7 +199,7 @@
 		// If the process was stalled, the timeout can fire before input that arrived in time has been read. That input is read
 		// in the poll phase, which comes before the next check phase, where this callback runs.
 		setImmediate(() => {
-			if (this.#latestResponses.get(socket) === latestResponse && socket.writable) {
+			if (this.#connections.latestResponse(socket) === latestResponse && socket.writable) {
 				this.#refuseConnection({socket, refusal});
 			}
 		});
