Close a caller's connection after its last response in a planned stop, not after its first

Callers saw: after SIGTERM, of two reads sent behind each other on one connection, both passed on to servers, the second was never answered: the connection ended behind the first answer, with over 4 s of the grace period left (LOST).

Cause: while stopping, the listener told each response to close its connection when its request arrived. The HTTP server of the runtime ends a connection behind the first response that says so and drops the responses queued behind it, while their requests were at servers already.

Evidence: a process with eight callers of two reads each, half a second after SIGTERM: callers.closed-unanswered 8, callers.disconnected-unanswered 0, the second reads logged as ended by their caller. Ruled out: the close of idle connections at the end of the stop, which comes when no request is in progress; the deadline, as 4 s were left.

Change: when a stop begins, the response to the newest request of each connection gets 'Connection: close'. A newer request takes that over as long as the head of the earlier response is not written. Once it is written, requests behind it are not run, as callers send them again elsewhere. Responses in progress at the signal now say close too.

Conclusion: why it works: the runtime drops only what is queued behind a closing response, and nothing is any more.

--- a/calls/listener/src/caller-connections.ts
+++ b/calls/listener/src/caller-connections.ts
@@ -1,4 +1,4 @@
-/** The open connections of callers and the responses that each of them still owes. */
+/** The open connections of callers and their unsent responses; decides after which response a connection closes. */
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {CallCounters} from '@pomelopick/core.telemetry';
@@ -11,9 +11,10 @@
 	latest: ServerResponse | undefined;
 }
 
-/** Keeps track of callers' connections and counts those that end before all of their responses were sent. */
+/** Keeps track of callers' connections, closes them after their last response, and counts responses that were never sent. */
 export class CallerConnections {
 	readonly #connections = new Map<Socket, CallerConnection>();
+	#isClosing = false;
 	readonly #counters: Pick<CallCounters, 'add'>;
 
 	constructor({counters}: {readonly counters: Pick<CallCounters, 'add'>}) {
@@ -32,12 +33,21 @@
 		});
 	}
 
-	/** Records a request that arrived on a connection. */
-	recordRequest({socket, response}: {readonly socket: Socket; readonly response: ServerResponse}): void {
+	/**
+	 * Accepts a request that arrived on a connection.
+	 *
+	 * @returns False if an earlier response closes the connection: this request must not be run, as it cannot be answered.
+	 */
+	accept({socket, response}: {readonly socket: Socket; readonly response: ServerResponse}): boolean {
 		const connection = this.#connections.get(socket);
 		if (!connection) {
-			// The connection was closed before its last bytes were parsed.
-			return;
+			// The connection ended before its last bytes were parsed.
+			return false;
+		}
+
+		if (this.#isClosing && !moveClose({from: connection.latest, to: response})) {
+			this.#counters.add('callers.request-behind-close');
+			return false;
 		}
 
 		connection.latest = response;
@@ -45,6 +55,17 @@
 		response.once('finish', () => {
 			connection.unsent.delete(response);
 		});
+		return true;
+	}
+
+	/** From now on, closes each connection after the response to its newest request, and lets that response say so. */
+	closeAfterResponses(): void {
+		this.#isClosing = true;
+		for (const {latest} of this.#connections.values()) {
+			if (latest?.headersSent === false) {
+				latest.setHeader('connection', 'close');
+			}
+		}
 	}
 
 	/** Returns the response to the newest request of a connection; undefined before its first request. */
@@ -53,6 +74,24 @@
 	}
 }
 
+/**
+ * Lets the response to a newer request on a connection close it, in place of the one before.
+ *
+ * @returns False if the head of the earlier response was written already and says that the connection closes.
+ */
+function moveClose({from, to}: {readonly from: ServerResponse | undefined; readonly to: ServerResponse}): boolean {
+	if (from?.getHeader('connection') === 'close') {
+		if (from.headersSent) {
+			return false;
+		}
+
+		from.setHeader('connection', 'keep-alive');
+	}
+
+	to.setHeader('connection', 'close');
+	return true;
+}
+
 /** Whether the caller closed or reset a connection that has ended, rather than this instance. */
 function wasEndedByCaller({readableEnded, errored}: Socket): boolean {
 	return readableEnded || errored !== null;
--- a/calls/listener/src/caller-listener.ts
+++ b/calls/listener/src/caller-listener.ts
@@ -126,6 +126,7 @@
 	async stop({timeoutMs, inProgress}: StopListenerOptions): Promise<void> {
 		const endsAtMs = Date.now() + timeoutMs;
 		this.#state = 'announcing';
+		this.#connections.closeAfterResponses();
 		await sleep(Math.min(this.#options.announceMs ?? DEFAULT_ANNOUNCING_PERIOD_MS, timeoutMs));
 		this.#state = 'refusing';
 		await sleep(Math.min(REFUSING_PERIOD_MS, Math.max(0, endsAtMs - Date.now())));
@@ -160,9 +161,8 @@
 			return;
 		}
 
-		this.#connections.recordRequest({socket: request.socket, response});
-		if (this.isStopping) {
-			response.setHeader('connection', 'close');
+		if (!this.#connections.accept({socket: request.socket, response})) {
+			return;
 		}
 
 		if (request.httpVersion !== '1.1') {
