Send written responses to their end before a planned stop closes idle connections

Callers saw: a caller that read its response slowly got a part of it, then the end of its connection, in the middle of the grace period (LOST).

Cause: the stop waits until no request is in progress, which is when each response was written, not when it was sent. The runtime's closeIdleConnections() takes a connection for idle whose last response was written, and destroys it with what is still buffered. server.close() calls it too.

Evidence: calls/listener/test/planned-stop.test.ts, a caller that pauses for a second: 3,919,742 of 33,554,432 bytes arrived. Ruled out: the end of the stop's time (two seconds left), the caller (still open).

Change: the listener waits until all responses were handed to the operating system before it closes idle connections.

Before / after: the test failed, and holds now.

Conclusion: the bound of the stop is unchanged; a caller that never reads delays the close up to that bound.

--- a/calls/listener/src/caller-connections.ts
+++ b/calls/listener/src/caller-connections.ts
@@ -21,6 +21,11 @@
 		this.#counters = counters;
 	}
 
+	/** Whether all responses on all connections were handed to the operating system. */
+	get areAllSent(): boolean {
+		return [...this.#connections.values()].every(({unsent}) => unsent.size === 0);
+	}
+
 	/** Adds a connection that was opened. */
 	add(socket: Socket): void {
 		const connection: CallerConnection = {unsent: new Set(), latest: undefined};
--- a/calls/listener/src/caller-listener.ts
+++ b/calls/listener/src/caller-listener.ts
@@ -137,12 +137,20 @@
 		await this.#close(Math.max(Date.now() + REFUSING_PERIOD_MS, endsAtMs));
 	}
 
-	/** Closes connections when they become idle, and the remaining ones at the given time. */
+	/**
+	 * Closes idle connections once all responses are sent, and the remaining connections at the given time.
+	 *
+	 * The runtime also takes a connection for idle whose last response was written but not sent yet, so none are closed before.
+	 */
 	async #close(endsAtMs: number): Promise<void> {
+		while (!this.#connections.areAllSent && Date.now() < endsAtMs) {
+			await sleep(POLL_INTERVAL_MS);
+		}
+
 		const timer = setInterval(() => {
 			if (Date.now() >= endsAtMs) {
 				this.server.closeAllConnections();
-			} else {
+			} else if (this.#connections.areAllSent) {
 				this.server.closeIdleConnections();
 			}
 		}, POLL_INTERVAL_MS);
--- a/calls/listener/test/planned-stop.test.ts
+++ b/calls/listener/test/planned-stop.test.ts
@@ -11,6 +11,8 @@
 import {ServedCounters} from '@pomelopick/core.telemetry';
 
 const STOP_TIMEOUT_MS = 3000;
+/** More than the buffers of both ends of a loopback connection hold, in bytes. */
+const MANY_BYTES = 32 * 1024 * 1024;
 
 /** One step of a case: the planned stop begins, a request arrives, or a request is answered. */
 type Step = {readonly step: 'stop'} | {readonly step: 'request' | 'answer'; readonly id: string};
@@ -137,4 +139,21 @@
 	for (const testCase of cases) {
 		it(`answers ${testCase.name}`, async () => check(testCase));
 	}
+
+	it('sends a complete answer to a caller that reads slowly', async () => {
+		const closed = once(caller, 'close');
+		caller.pause();
+		await send('large');
+		const stopped = stopListener();
+		responses.get('large')!.writeHead(200, {'content-length': String(MANY_BYTES)}).end(new Uint8Array(MANY_BYTES));
+		let hasRead = false;
+		setTimeout(() => {
+			hasRead = true;
+			caller.resume();
+		}, STOP_TIMEOUT_MS / 3);
+		await closed;
+		await stopped;
+		assert.ok(hasRead);
+		assert.equal(received.length - received.indexOf('\r\n\r\n') - 4, MANY_BYTES);
+	});
 });
