Run no request behind a response that closes its connection, also outside of a stop

Callers could see: a request sent behind one that was refused before its body had arrived ran at a server and was never answered (LOST), while a request before both was still in progress.

Cause: such a refusal says 'Connection: close', and the runtime drops responses queued behind it. The body and the next request are parsed all the same while the refusal waits for the response before it, and that request was passed on.

Ruled out: a caller's own 'Connection: close', behind which the parser of the runtime reads nothing; malformed input, after which the listener reads nothing either.

Change: the refusal sets the header where the listener finds it, and the listener accepts no request behind a written response with it, whether it is stopping or not.

Conclusion: each response that closes a connection is now the last whose request is run.

--- a/calls/forwarding/src/send-refusal.ts
+++ b/calls/forwarding/src/send-refusal.ts
@@ -41,14 +41,17 @@
 	const defaults = toProblemDocument({refusal, callId: id});
 	const document = {...defaults, status: format.statuses?.[refusal.reason] ?? defaults.status};
 	const body = JSON.stringify(document);
-	const isBodyPending = !response.req.complete;
+	if (!response.req.complete) {
+		// The rest of the request body is not read, so the connection cannot be reused after this response. The header is set
+		// where the listener finds it again when a further request arrives on the connection.
+		response.setHeader('connection', 'close');
+	}
+
 	response.writeHead(document.status, {
 		'content-type': PROBLEM_MEDIA_TYPE,
 		'content-length': String(Buffer.byteLength(body)),
 		[format.idHeader]: id,
 		...(refusal.retryAfterMs !== undefined && {'retry-after': format.encodeRetryAfter(refusal.retryAfterMs)}),
-		// The rest of the request body is not read, so the connection cannot be reused after this response.
-		...(isBodyPending && {connection: 'close'}),
 	});
 	response.end(body);
 }
--- a/calls/listener/src/caller-connections.ts
+++ b/calls/listener/src/caller-connections.ts
@@ -50,11 +50,16 @@
 			return false;
 		}
 
-		if (this.#isClosing && !moveClose({from: connection.latest, to: response})) {
+		const {latest} = connection;
+		if (latest?.headersSent === true && latest.getHeader('connection') === 'close') {
 			this.#counters.add('callers.request-behind-close');
 			return false;
 		}
 
+		if (this.#isClosing) {
+			moveClose({from: latest, to: response});
+		}
+
 		connection.latest = response;
 		connection.unsent.add(response);
 		response.once('finish', () => {
@@ -79,22 +84,13 @@
 	}
 }
 
-/**
- * Lets the response to a newer request on a connection close it, in place of the one before.
- *
- * @returns False if the head of the earlier response was written already and says that the connection closes.
- */
-function moveClose({from, to}: {readonly from: ServerResponse | undefined; readonly to: ServerResponse}): boolean {
-	if (from?.getHeader('connection') === 'close') {
-		if (from.headersSent) {
-			return false;
-		}
-
+/** Lets the response to a newer request on a connection close it, in place of the one before. */
+function moveClose({from, to}: {readonly from: ServerResponse | undefined; readonly to: ServerResponse}): void {
+	if (from?.headersSent === false) {
 		from.setHeader('connection', 'keep-alive');
 	}
 
 	to.setHeader('connection', 'close');
-	return true;
 }
 
 /** Whether the caller closed or reset a connection that has ended, rather than this instance. */
