Log when the caller of a request disconnected, and its attempts

Cause: a write whose caller has left and that may have run goes on. Its log line did not say that the caller had left, so attempts that were started later could not be told from others.

Ruled out: 'endedBy', which stays empty for such a request.

Change: 'callerLeftAfterMs' in the line of a request, and 'tried' also with a single attempt then. No change of behaviour.

Before / after: lines only; the gateway's and the relay's tests hold.

Conclusion: an attempt whose 'startedAfterMs' is beyond 'callerLeftAfterMs' was made for nobody.

--- a/calls/relay/src/relay-handler.ts
+++ b/calls/relay/src/relay-handler.ts
@@ -204,10 +204,7 @@
 		}, Math.max(1, relayed.options.answerByMs - parts.now()));
 		const unwatch = callerDisconnects.watch({
 			socket: response.req.socket, onGone() {
-				// A write that may have reached a server is not cancelled: its outcome may be awaited elsewhere.
-				if (relayed.isIdempotent || relayed.sentTo.size === 0) {
-					run.end('caller');
-				}
+				run.leave();
 			},
 		});
 		await processPendingInput();
--- a/calls/relay/src/relay-run.ts
+++ b/calls/relay/src/relay-run.ts
@@ -48,6 +48,15 @@
 		this.#parts = parts;
 	}
 
+	/** Ends the request because its caller disconnected. A write that may have reached a server goes on: its outcome may be awaited elsewhere. */
+	leave(): void {
+		const request = this.#request;
+		request.callerLeftAtMs = this.#parts.now();
+		if (request.isIdempotent || request.sentTo.size === 0) {
+			this.end('caller');
+		}
+	}
+
 	/** Ends the request at once because the caller disconnected or the deadline passed. */
 	end(by: 'caller' | 'deadline'): void {
 		this.#request.end(by);
--- a/calls/relay/src/relayed-request.ts
+++ b/calls/relay/src/relayed-request.ts
@@ -48,6 +48,8 @@
 	/** Cancelled when the caller disconnects or the deadline passes. */
 	readonly ended = new Cancellation();
 	endedBy: 'caller' | 'deadline' | undefined;
+	/** Monotonic time at which the caller disconnected, in milliseconds; undefined while it is connected. */
+	callerLeftAtMs: number | undefined;
 	/** Servers that a byte of the request may have reached. */
 	readonly sentTo = new Set<BackendServerName>();
 	/** Servers that are not tried again for this request. */
--- a/calls/relay/src/request-log.ts
+++ b/calls/relay/src/request-log.ts
@@ -50,7 +50,7 @@
 		this.#options.log.request('failed', {requestId: id, ...describeRefusal(refusal), configurationVersion: this.#options.configurationVersion()});
 	}
 
-	#describe({options, attempts, extraAttempts, viewAgeMs, endedBy, knownFingerprint}: RelayedRequest): LogFields {
+	#describe({options, attempts, extraAttempts, viewAgeMs, endedBy, callerLeftAtMs, knownFingerprint}: RelayedRequest): LogFields {
 		const {id, route, service, object, arrivedAtMs, answerByMs} = options;
 		const last = attempts.at(-1);
 		return {
@@ -63,10 +63,11 @@
 			why: last?.why,
 			attempts: attempts.length,
 			retries: extraAttempts.join(',') || undefined,
-			tried: attempts.length > 1 ? attempts.map(record => ({...record})) : undefined,
+			tried: attempts.length > 1 || callerLeftAtMs !== undefined ? attempts.map(record => ({...record})) : undefined,
 			viewAgeMs: Math.round(viewAgeMs),
 			configurationVersion: this.#options.configurationVersion(),
 			endedBy,
+			callerLeftAfterMs: callerLeftAtMs === undefined ? undefined : Math.round(callerLeftAtMs - arrivedAtMs),
 			allowedMs: Math.round(answerByMs - arrivedAtMs),
 		};
 	}
