Send nothing more for a caller that has left, whatever its request waits for

Callers saw: bookings of callers that had left ran at servers over half a second later (GONE).

Cause: the disconnect of a caller was looked at once, when it came, and forgotten if the request was a write and named a server in sentTo. That holds from the start of an attempt, before its connection is ready, and after a rejection too. The waits behind it (for the connection, a permit of a limited server, a permit to retry) all ask whether the request has ended, which it had not.

Ruled out: late notice of the disconnect (the log's callerLeftAfterMs is the time at which the caller left).

Change: a caller that leaves ends its request, so that each wait that looks at that finds it. Attempts of which nothing was sent are aborted; a write that may have reached a server goes on there. Ending by the caller and by the deadline are two methods now, as they differ.

Conclusion: why it works: one state is set whenever a caller leaves, and no wait has to know why it was set.

--- a/calls/relay/src/index.ts
+++ b/calls/relay/src/index.ts
@@ -4,6 +4,7 @@
 export type {RelayServer} from './relay-attempt.js';
 export type * from './relay-format.js';
 export * from './relay-handler.js';
+export * from './relay-run.js';
 export * from './relayed-request.js';
 export * from './retry-budgets.js';
 export * from './retry-permit.js';
--- a/calls/relay/src/relay-handler.ts
+++ b/calls/relay/src/relay-handler.ts
@@ -200,7 +200,7 @@
 
 		const run = new RelayRun({request: relayed, parts});
 		const timer = setTimeout(() => {
-			run.end('deadline');
+			run.expire();
 		}, Math.max(1, relayed.options.answerByMs - parts.now()));
 		const unwatch = callerDisconnects.watch({
 			socket: response.req.socket, onGone() {
--- a/calls/relay/src/relay-run.ts
+++ b/calls/relay/src/relay-run.ts
@@ -48,20 +48,27 @@
 		this.#parts = parts;
 	}
 
-	/** Ends the request because its caller disconnected. A write that may have reached a server goes on: its outcome may be awaited elsewhere. */
+	/**
+	 * Ends the request because its caller disconnected: no further attempt is made.
+	 *
+	 * A write that may have reached a server goes on there, as its outcome may be awaited elsewhere. All other attempts are aborted.
+	 */
 	leave(): void {
 		const request = this.#request;
 		request.callerLeftAtMs = this.#parts.now();
-		if (request.isIdempotent || request.sentTo.size === 0) {
-			this.end('caller');
+		request.end('caller');
+		for (const attempt of this.#activeAttempts) {
+			if (request.isIdempotent || !attempt.mayHaveRun) {
+				attempt.abort({kind: 'cancelled', detail: 'the caller disconnected'});
+			}
 		}
 	}
 
-	/** Ends the request at once because the caller disconnected or the deadline passed. */
-	end(by: 'caller' | 'deadline'): void {
-		this.#request.end(by);
+	/** Ends the request at once because the deadline passed. */
+	expire(): void {
+		this.#request.end('deadline');
 		for (const attempt of this.#activeAttempts) {
-			attempt.abort(by === 'caller' ? {kind: 'cancelled', detail: 'the caller disconnected'} : {kind: 'timed-out', detail: 'no complete response by the deadline'});
+			attempt.abort({kind: 'timed-out', detail: 'no complete response by the deadline'});
 		}
 	}
 
@@ -211,7 +218,7 @@
 		const {counters} = this.#parts;
 		const {body, route} = request.options;
 		const isSafe = request.isIdempotent || !failure.mayHaveRun;
-		if (request.endedBy !== undefined || !isSafe || !body.isComplete) {
+		if (request.hasEnded || !isSafe || !body.isComplete) {
 			return false;
 		}
 
--- /dev/null
+++ b/calls/relay/test/scripted-run.ts
@@ -0,0 +1,210 @@
+/** A request whose servers, connections and permits are driven by a test, without sockets. */
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {Right} from 'purify-ts';
+import type {Dispatcher} from 'undici';
+import {RelayedRequest, RelayRun, UnsentAttempts} from '@pomelopick/calls.relay';
+import type {RetryPermit, RunParts} from '@pomelopick/calls.relay';
+import {ServedCounters} from '@pomelopick/core.telemetry';
+import type {
+	BackendServerName, FailureDomainName, RegisteredServer, Repeatability, RouteName, ServiceName,
+} from '@pomelopick/core.types';
+import {ObservationTable} from '@pomelopick/steering.servers';
+
+const SERVERS = 3;
+const CONNECTIONS = 10;
+const TIME_LEFT_MS = 4000;
+const SETTLE_TURNS = 20;
+const headerNames = {
+	requestId: 'request-id',
+	timeLeft: 'time-left',
+	objectKey: 'object',
+	answerStamp: 'stamp',
+	expectedServer: 'expected',
+	serverLoad: 'load',
+	notRun: 'not-run',
+	serverLeaving: 'leaving',
+	retryAfter: 'retry-after',
+	rateLimit: 'rate-limit',
+};
+
+/** One request as it was handed to a connection. */
+export interface ScriptedSend {
+	readonly server: string;
+	/** Whether its connection was ready, so that bytes of it were sent. */
+	wasSent: boolean;
+	/** Whether it was aborted by closing its connection. */
+	isAborted: boolean;
+	/** Lets its connection become ready; nothing is sent if it was aborted before. */
+	connect(): void;
+	/** Lets the server respond. */
+	respond(options: {readonly status: number; readonly headers: Readonly<Record<string, string>>}): void;
+	/** Ends its connection. */
+	drop(): void;
+}
+
+/** Something that a run waits for. */
+export interface Wait<T> {
+	readonly promise: Promise<T>;
+	readonly end: (value: T) => void;
+}
+
+/** Creates a {@link Wait}. */
+export function createWait<T>(): Wait<T> {
+	let end!: (value: T) => void;
+	const promise = new Promise<T>(resolve => {
+		end = resolve;
+	});
+	return {promise, end};
+}
+
+/** Parts of a run that a test replaces. */
+export interface ScriptedParts {
+	readonly repeatability: Repeatability;
+	/** Time after which a read may be hedged, in milliseconds. */
+	readonly targetLatencyMs?: number;
+	/** Permit for a server with a rate limit, by the number of the send; granted at once by default. */
+	readonly ratePermit?: (sends: number) => true | Promise<boolean>;
+	/** Permit to send to a further server; granted at once by default. */
+	readonly retryPermit?: () => Promise<RetryPermit>;
+	/** Whether a server has crashed. */
+	readonly crashCheck?: () => Promise<boolean>;
+	readonly isSuspect?: boolean;
+}
+
+/** Permit that records nothing. */
+export const retryPermit: RetryPermit = {end: ignore, giveBack: ignore};
+
+/** Creates a run and the list of its sends, which grows. */
+export function createScriptedRun(scripted: ScriptedParts) {
+	const sends: ScriptedSend[] = [];
+	const parts = createParts({scripted, sends});
+	const request = new RelayedRequest({
+		id: 'request-1',
+		route: {
+			name: 'route' as RouteName,
+			host: 'host',
+			prefix: '/',
+			repeatability: scripted.repeatability,
+			timeoutMs: TIME_LEFT_MS,
+			targetLatencyMs: scripted.targetLatencyMs ?? TIME_LEFT_MS,
+			priority: 0,
+			targets: [],
+			maxServers: 2,
+			prefersWarmServers: false,
+			homeRegions: [],
+		},
+		service: 'ledger' as ServiceName,
+		method: 'POST',
+		path: '/x',
+		headers: {},
+		body: {
+			start: new Uint8Array(), isComplete: true, content: undefined, streamRefusal: () => undefined,
+		},
+		caller: '10.0.0.1',
+		object: undefined,
+		arrivedAtMs: performance.now(),
+		answerByMs: performance.now() + TIME_LEFT_MS,
+	});
+	request.isSuspect = scripted.isSuspect ?? false;
+	return {request, run: new RelayRun({request, parts}), sends};
+}
+
+/** Lets everything happen that waits for nothing but the event loop. */
+export async function settle(): Promise<void> {
+	for (let turn = 0; turn < SETTLE_TURNS; turn += 1) {
+		await nextTurn();
+	}
+}
+
+/** Ignores what a run reports. */
+function ignore(): void {
+	// Not observed.
+}
+
+function createServer(index: number): RegisteredServer {
+	return {
+		name: `server-${index}` as BackendServerName,
+		service: 'ledger' as ServiceName,
+		address: '10.0.0.2',
+		port: index + 1,
+		failureDomain: 'north-a' as FailureDomainName,
+		slots: 4,
+		state: 'ready',
+		warmupLeftMs: 0,
+		startedAtMs: 1,
+		heartbeat: 1,
+	};
+}
+
+function createParts({scripted, sends}: {readonly scripted: ScriptedParts; readonly sends: ScriptedSend[]}): RunParts {
+	const servers = Array.from({length: SERVERS}, (_, index) => createServer(index));
+	const format = {headers: headerNames, decodeServerLoad: () => undefined};
+	const connections = {acquire: ({server}: {readonly server: RegisteredServer}) => Right(createLease({server: server.name, sends}))};
+	const crashDetector = {
+		trackCall: ignore, untrackCall: ignore, listServersWithSuspects: () => [], checkForCrash: async () => scripted.crashCheck?.() ?? false,
+	};
+	const placer = {
+		place({avoid}: {readonly avoid: ReadonlySet<BackendServerName>}) {
+			const server = servers.find(({name}) => !avoid.has(name))!;
+			return Right({
+				known: {server}, isWarm: false, waitMs: 0, expectedMs: 1,
+			});
+		},
+		recordAnswer: ignore,
+		isStillUsable: () => true,
+	};
+	const notices = {read: ignore};
+	const rateLimitUse = {record: ignore};
+	return {
+		format: format as never,
+		connections: connections as never,
+		crashDetector: crashDetector as never,
+		placer: placer as never,
+		observations: new ObservationTable(),
+		notices: notices as never,
+		rateLimitUse: rateLimitUse as never,
+		unsent: new UnsentAttempts(),
+		maxConnections: () => CONNECTIONS,
+		counters: new ServedCounters(),
+		statusOf: () => 'clear',
+		takeRetry: async () => scripted.retryPermit?.() ?? retryPermit,
+		permits: {take: async () => scripted.ratePermit?.(sends.length) ?? true},
+		viewAgeMs: () => 0,
+		now: () => performance.now(),
+	};
+}
+
+function createLease({server, sends}: {readonly server: string; readonly sends: ScriptedSend[]}) {
+	let handler: Dispatcher.DispatchHandler;
+	const controller = {
+		abort() {
+			send.isAborted = true;
+		}, pause: ignore, resume: ignore,
+	} as unknown as Dispatcher.DispatchController;
+	const send: ScriptedSend = {
+		server,
+		wasSent: false,
+		isAborted: false,
+		connect() {
+			handler.onRequestStart!(controller, {});
+			send.wasSent = !send.isAborted;
+		},
+		respond({status, headers}) {
+			handler.onResponseStart!(controller, status, {'content-length': '0', ...headers});
+			handler.onResponseEnd!(controller, {});
+		},
+		drop() {
+			handler.onResponseError!(controller, new Error('other side closed'));
+		},
+	};
+	return {
+		connection: {
+			client: {
+				dispatch(_options: unknown, dispatched: Dispatcher.DispatchHandler) {
+					handler = dispatched;
+					sends.push(send);
+				},
+			},
+		}, release: ignore,
+	};
+}
--- a/testing/gateway-fleet/src/index.ts
+++ b/testing/gateway-fleet/src/index.ts
@@ -7,3 +7,4 @@
 export * from './pipelining-caller.js';
 export * from './play-answer.js';
 export * from './registered-server.js';
+export * from './unreachable-server.js';
--- a/testing/gateway-fleet/src/play-answer.ts
+++ b/testing/gateway-fleet/src/play-answer.ts
@@ -7,6 +7,7 @@
 	| 'whole'
 	| 'slow'
 	| 'shed'
+	| 'late-shed'
 	| 'cut'
 	| 'reset'
 	| 'late-reset'
@@ -20,13 +21,13 @@
 	| 'crash'
 	| 'refuse-unstamped';
 
-/** Time after which the play `slow` sends the response and `late-reset` resets the connection, in milliseconds. */
+/** Time after which the plays `slow` and `late-shed` send the response and `late-reset` resets the connection, in milliseconds. */
 export const SLOW_MS = 400;
 const LATE_RESET_MS = 1200;
 
 /** Options of {@link respond}. */
 export interface RespondOptions {
-	/** How to respond. `shed` is handled earlier, as it does not run the request. */
+	/** How to respond. `shed` and `late-shed` are handled earlier, as they do not run the request. */
 	readonly play: Play;
 	readonly name: string;
 	readonly requestId: string;
@@ -115,6 +116,7 @@
 		}
 
 		case 'shed':
+		case 'late-shed':
 		case 'whole': {
 			response.writeHead(200, headers).end(text);
 			break;
--- a/testing/gateway-fleet/src/registered-server.ts
+++ b/testing/gateway-fleet/src/registered-server.ts
@@ -9,7 +9,8 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {buffer} from 'node:stream/consumers';
-import {respond} from './play-answer.js';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {respond, SLOW_MS} from './play-answer.js';
 import type {Play} from './play-answer.js';
 
 /** Header that lists the plays of a request. */
@@ -51,7 +52,7 @@
 /** Records shared by the servers of a fleet. */
 export interface ServerRecords {
 	readonly executions: ExecutionRecord[];
-	/** Number of arrivals by request id that took a play, including those with the play `shed`. */
+	/** Number of arrivals by request id that took a play, including those with the plays `shed` and `late-shed`. */
 	readonly arrivals: Map<string, number>;
 	/** All arrivals in order, including requests that were rejected. */
 	readonly arrivalLog: ArrivalRecord[];
@@ -186,7 +187,8 @@
 	}
 
 	const play = nextPlay({records, requestId, plays: String(request.headers[PLAY_HEADER] ?? 'whole')});
-	if (play === 'shed') {
+	if (play === 'shed' || play === 'late-shed') {
+		await sleep(play === 'late-shed' ? SLOW_MS : 0);
 		response.writeHead(503, {'x-not-executed': '1', 'x-request-id': requestId}).end();
 		return;
 	}
