Believe no response without a request id on a connection that was used before

Callers saw: a faulty server writes an earlier refusal, without a request id, once more on a kept connection. Callers were told 'not run' of requests that a server had run or was running (REFUSED), and such requests ran at a second server (TWICE).

Cause: a response that bears another id is rejected, but one that bears none is taken for the response to the request that is in flight. Servers return the id in every response, by the protocol; only on the first request of a connection can there be no earlier response.

Ruled out: a second try at the same server (a request avoids the servers that it was sent to).

Change: the relay requires the id on a connection whose socket was used before. What lacks it counts as the response to another call: the connection is reset, a read is sent again, a write is answered as possibly run.

Conclusion: a first response on a new connection is still believed without an id. The cost is a 502 for a write whose server forgets the id.

With it, the test of waits uses mocked timers: its hedge could start before the caller left when the machine was slow, seen once in a run of all tests of calls/.

--- a/calls/connections/src/connection.ts
+++ b/calls/connections/src/connection.ts
@@ -16,6 +16,8 @@
 	lentAtMs: number;
 	/** Set once the socket is connected, cleared when it closes. */
 	isOpen: boolean;
+	/** Whether the socket has carried a request before the current one, so that a further response to that may still arrive. */
+	wasUsed: boolean;
 	/** Whether the connection was reset. */
 	wasReset: boolean;
 	/** Set while a response is received that has neither a content length nor chunks and ends when the connection closes. */
--- a/calls/connections/src/server-connections.ts
+++ b/calls/connections/src/server-connections.ts
@@ -64,6 +64,7 @@
 		const wasLent = this.#lent.delete(connection);
 		if (wasLent && isReusable) {
 			this.#holdTimes.record(this.#options.now() - connection.lentAtMs);
+			connection.wasUsed = true;
 			this.#idle.push(connection);
 		} else {
 			connection.reset();
@@ -193,11 +194,13 @@
 			lastReceivedAtMs: now(),
 			lentAtMs: now(),
 			isOpen: false,
+			wasUsed: false,
 			wasReset: false,
 			isUnframed: false,
 		};
 		client.on('connect', () => {
 			connection.isOpen = true;
+			connection.wasUsed = false;
 			this.#openCount += 1;
 		});
 		client.on('disconnect', () => {
--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -21,6 +21,11 @@
 	readonly callId: string;
 	/** Header in which the backend server returns the call's identifier. */
 	readonly idHeader?: string;
+	/**
+	 * Whether backend servers return the identifier in every response. A response without it on a connection that was used
+	 * before may then belong to an earlier call.
+	 */
+	readonly requiresId?: boolean;
 	/**
 	 * Whether to accept a response that has neither a content length nor chunked encoding and ends when its connection
 	 * closes. Such a response counts as truncated when the connection is reset instead.
@@ -106,12 +111,12 @@
 			return;
 		}
 
-		const {callId, idHeader = CALL_ID_HEADER, method, acceptsUnframed = false, onHead} = this.#options;
+		const {method, acceptsUnframed = false, onHead} = this.#options;
 		const head = {status, headers: endToEndHeaders(headers)};
 		onHead?.(head);
-		const returnedCallId = headers[idHeader];
-		if (returnedCallId !== undefined && returnedCallId !== callId) {
-			this.abort({kind: 'mismatched', detail: `found the response to another call: ${JSON.stringify(returnedCallId)}`});
+		const mismatch = this.#findMismatch(headers);
+		if (mismatch !== undefined) {
+			this.abort({kind: 'mismatched', detail: mismatch});
 			return;
 		}
 
@@ -190,6 +195,17 @@
 		}));
 	}
 
+	/** Why a response may belong to another call; undefined if it belongs to this one. */
+	#findMismatch(headers: IncomingHttpHeaders): string | undefined {
+		const {callId, idHeader = CALL_ID_HEADER, requiresId = false, lease} = this.#options;
+		const returnedCallId = headers[idHeader];
+		if (returnedCallId === undefined) {
+			return requiresId && lease.connection.wasUsed ? `found a response without ${idHeader} on a connection that was used before` : undefined;
+		}
+
+		return returnedCallId === callId ? undefined : `found the response to another call: ${JSON.stringify(returnedCallId)}`;
+	}
+
 	get #execution(): Execution {
 		if (!this.mayHaveRun) {
 			return 'not-run';
--- a/calls/forwarding/test/exchange.test.ts
+++ b/calls/forwarding/test/exchange.test.ts
@@ -21,7 +21,8 @@
 		const exchange = new Exchange({
 			lease: {
 				connection: {
-					client, reset() {/* The exchange does not reset it. */}, onSilent: undefined, createdAtMs: 0, lastReceivedAtMs: 0, lentAtMs: 0, isOpen: false, wasReset: false, isUnframed: false,
+					client, reset() {/* The exchange does not reset it. */}, onSilent: undefined,
+					createdAtMs: 0, lastReceivedAtMs: 0, lentAtMs: 0, isOpen: false, wasUsed: false, wasReset: false, isUnframed: false,
 				}, release: () => undefined,
 			},
 			callId: 'one', method: 'POST', path: '/x', headers: [], body: new TextEncoder().encode('{}'), maxBufferedBytes: 1000, now: () => 0,
--- a/calls/relay/src/relay-attempt.ts
+++ b/calls/relay/src/relay-attempt.ts
@@ -165,6 +165,7 @@
 			lease,
 			callId: id,
 			idHeader: names.requestId,
+			requiresId: true,
 			acceptsUnframed: true,
 			method,
 			path,
--- a/calls/relay/test/caller-left.test.ts
+++ b/calls/relay/test/caller-left.test.ts
@@ -1,7 +1,8 @@
 /** Guards against sends for a caller that disconnected while its request waited for something. */
 import assert from 'node:assert/strict';
-import {describe, it} from 'node:test';
-import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	afterEach, beforeEach, describe, it, mock,
+} from 'node:test';
 import {
 	createScriptedRun, createWait, retryPermit, settle,
 } from './scripted-run.js';
@@ -9,7 +10,7 @@
 
 const rejected = {status: 503, headers: {'request-id': 'request-1', 'not-run': '1'}};
 const answered = {status: 200, headers: {'request-id': 'request-1', stamp: 's'}};
-const HEDGE_AFTER_MS = 5;
+const HEDGE_AFTER_MS = 1000;
 
 interface Waiting {
 	readonly parts: ScriptedParts;
@@ -118,8 +119,8 @@
 		name: 'idempotent, for the time of a hedge', expected: {sends: 1, sent: 1}, create: () => ({
 			parts: {repeatability: 'idempotent', targetLatencyMs: HEDGE_AFTER_MS}, async before([send]) {
 				send!.connect();
-			}, async after() {
-				await sleep(HEDGE_AFTER_MS * 3);
+			}, after() {
+				mock.timers.tick(HEDGE_AFTER_MS);
 			},
 		}),
 	},
@@ -129,7 +130,8 @@
 			return {
 				parts: {repeatability: 'idempotent', targetLatencyMs: HEDGE_AFTER_MS, retryPermit: async () => permit.promise}, async before([send]) {
 					send!.connect();
-					await sleep(HEDGE_AFTER_MS * 3);
+					await settle();
+					mock.timers.tick(HEDGE_AFTER_MS);
 				}, after() {
 					permit.end(retryPermit);
 				},
@@ -139,6 +141,13 @@
 ];
 
 describe('a request whose caller leaves while it waits is sent no more', () => {
+	beforeEach(() => {
+		mock.timers.enable({apis: ['setTimeout']});
+	});
+	afterEach(() => {
+		mock.timers.reset();
+	});
+
 	for (const {name, create, expected} of cases) {
 		it(name, async () => {
 			const {parts, before, after} = create();
--- a/testing/gateway-fleet/src/index.ts
+++ b/testing/gateway-fleet/src/index.ts
@@ -6,5 +6,6 @@
 export * from './gateway-process.js';
 export * from './pipelining-caller.js';
 export * from './play-answer.js';
+export * from './raw-server.js';
 export * from './registered-server.js';
 export * from './unreachable-server.js';
--- /dev/null
+++ b/testing/gateway-fleet/src/raw-server.ts
@@ -0,0 +1,101 @@
+/** Stand-in for a faulty backend server, which decides byte by byte what it writes on its connections. */
+import {Buffer} from 'node:buffer';
+import {createServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+
+const HEAD_END = '\r\n\r\n';
+
+/** A request that a raw server has read whole. */
+export interface RawRequest {
+	readonly requestId: string;
+	readonly method: string;
+	readonly path: string;
+	readonly socket: Socket;
+	/** Number of the request on its connection, from 0. */
+	readonly index: number;
+}
+
+/** Options of {@link startRawServer}. */
+export interface StartRawServerOptions {
+	readonly name: string;
+	/** Handles a request other than a health check. */
+	readonly onRequest: (request: RawRequest) => void;
+}
+
+/** A running server. */
+export interface RawServer {
+	readonly name: string;
+	readonly port: number;
+	stop(): Promise<void>;
+}
+
+/** Starts a server on the loopback address, which responds to health checks and passes everything else on. */
+export async function startRawServer({name, onRequest}: StartRawServerOptions): Promise<RawServer> {
+	const sockets = new Set<Socket>();
+	const server = createServer({noDelay: true}, socket => {
+		sockets.add(socket);
+		socket.once('close', () => {
+			sockets.delete(socket);
+		});
+		socket.on('error', () => {/* The other side may reset the connection. */});
+		readRequests({name, socket, onRequest});
+	});
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	return {
+		name,
+		port: (server.address() as AddressInfo).port,
+		async stop() {
+			await new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+				for (const socket of sockets) {
+					socket.destroy();
+				}
+			});
+		},
+	};
+}
+
+/** Options of {@link rawResponse}. */
+export interface RawResponseOptions {
+	readonly status: string;
+	readonly headers?: readonly string[];
+	readonly body?: string;
+}
+
+/** Returns the bytes of a response with a content length. */
+export function rawResponse({status, headers = [], body = ''}: RawResponseOptions): string {
+	return `${[`HTTP/1.1 ${status}`, ...headers, `content-length: ${Buffer.byteLength(body)}`].join('\r\n')}${HEAD_END}${body}`;
+}
+
+function readRequests({name, socket, onRequest}: StartRawServerOptions & {readonly socket: Socket}): void {
+	let received = '';
+	let index = 0;
+	socket.setEncoding('latin1');
+	socket.on('data', (piece: string) => {
+		received += piece;
+		for (;;) {
+			const headEnd = received.indexOf(HEAD_END);
+			const head = received.slice(0, headEnd);
+			const end = headEnd + HEAD_END.length + Number(/^content-length: (\d+)$/imu.exec(head)?.[1] ?? 0);
+			if (headEnd === -1 || received.length < end) {
+				return;
+			}
+
+			received = received.slice(end);
+			const [method, path] = head.split(' ');
+			if (path === '/health') {
+				socket.write(rawResponse({status: '200 OK', headers: [`x-instance-id: ${name}`]}));
+			} else {
+				onRequest({
+					requestId: /^x-request-id: (.*)$/imu.exec(head)?.[1] ?? '', method: method!, path: path!, socket, index,
+				});
+				index += 1;
+			}
+		}
+	});
+}
