--- a/calls/relay/test/caller-left.test.ts
+++ b/calls/relay/test/caller-left.test.ts
@@ -140,7 +140,24 @@
 	},
 ];
 
-describe('a request whose caller leaves while it waits is sent no more', () => {
+/** Plays a case and returns its sends; the caller leaves during the wait, or stays. */
+async function play({create, leaves}: {readonly create: Case['create']; readonly leaves: boolean}) {
+	const {parts, before, after} = create();
+	const {run, sends} = createScriptedRun(parts);
+	const result = run.run();
+	await settle();
+	await before?.(sends);
+	await settle();
+	if (leaves) {
+		run.leave();
+	}
+
+	await after(sends);
+	await settle();
+	return {counts: {sends: sends.length, sent: sends.filter(({wasSent}) => wasSent).length}, result, run};
+}
+
+describe('a request that waits', () => {
 	beforeEach(() => {
 		mock.timers.enable({apis: ['setTimeout']});
 	});
@@ -149,20 +166,19 @@
 	});
 
 	for (const {name, create, expected} of cases) {
-		it(name, async () => {
-			const {parts, before, after} = create();
-			const {run, sends} = createScriptedRun(parts);
-			const result = run.run();
-			await settle();
-			await before?.(sends);
-			await settle();
-			run.leave();
-			await after(sends);
-			await settle();
-			assert.deepEqual({sends: sends.length, sent: sends.filter(({wasSent}) => wasSent).length}, expected);
+		it(`is sent no more once its caller has left: ${name}`, async () => {
+			const {counts, result} = await play({create, leaves: true});
+			assert.deepEqual(counts, expected);
 			const ended = await result;
 			assert.ok(ended.isLeft());
 		});
+
+		it(`goes on while its caller stays: ${name}`, async () => {
+			const {counts, result, run} = await play({create, leaves: false});
+			assert.ok(counts.sends + counts.sent > expected.sends + expected.sent, JSON.stringify(counts));
+			run.expire();
+			await result;
+		});
 	}
 });
 
