Answer what a planned stop cuts, so that ready responses behind it are delivered

Callers saw: a read whose server had answered was never answered, since it was sent behind a request that lasted longer than the grace period; at the end of the stop their connection was closed (LOST).

Cause: responses leave a connection in the order of its requests. At the end of a stop the listener closes connections with requests in progress; what is ready behind them goes with them.

Evidence: planned-stop.test.ts, eight callers with a request of 12 s and a read behind it: none of the 16 was answered.

Change: when the time of a stop is over, requests in progress are ended, each with a response: 502, or 503 if nothing was sent. The listener has 250 ms more, as before, in which these and the responses behind them are sent.

Before / after: 16 of 16 unanswered; now eight 502 and eight 200.

Conclusion: a request that a stop cuts gets 502 up to 250 ms earlier than it was cut before; neither promises anything.

--- a/calls/relay/src/relay-handler.ts
+++ b/calls/relay/src/relay-handler.ts
@@ -68,6 +68,7 @@
 	readonly #bufferBudget: BufferBudget;
 	readonly #refusalFormat: RefusalFormat;
 	readonly #requestLog: RequestLog;
+	readonly #runs = new Set<RelayRun>();
 	#inProgress = 0;
 
 	constructor(options: RelayHandlerOptions) {
@@ -85,6 +86,13 @@
 		return this.#inProgress;
 	}
 
+	/** Ends all requests in progress, so that ready responses behind them on their connections can still be sent. */
+	stop(): void {
+		for (const run of this.#runs) {
+			run.stop();
+		}
+	}
+
 	/** Relays one request. Resolves after its final response was sent; never rejects. */
 	async handle(options: HandleRequestOptions): Promise<void> {
 		const arrivedAtMs = this.#options.parts.now();
@@ -199,6 +207,7 @@
 		}
 
 		const run = new RelayRun({request: relayed, parts});
+		this.#runs.add(run);
 		const timer = setTimeout(() => {
 			run.expire();
 		}, Math.max(1, relayed.options.answerByMs - parts.now()));
@@ -217,6 +226,7 @@
 		});
 		clearTimeout(timer);
 		unwatch();
+		this.#runs.delete(run);
 	}
 
 	async #deliver({response, relayed, answer}: {readonly response: ServerResponse; readonly relayed: RelayedRequest; readonly answer: AttemptResponse}): Promise<void> {
--- a/calls/relay/src/relay-run.ts
+++ b/calls/relay/src/relay-run.ts
@@ -67,9 +67,13 @@
 	/** Ends the request at once because the deadline passed. */
 	expire(): void {
 		this.#request.end('deadline');
-		for (const attempt of this.#activeAttempts) {
-			attempt.abort({kind: 'timed-out', detail: 'no complete response by the deadline'});
-		}
+		this.#abortAll({kind: 'timed-out', detail: 'no complete response by the deadline'});
+	}
+
+	/** Ends the request at once because this instance stops. */
+	stop(): void {
+		this.#request.end('instance');
+		this.#abortAll({kind: 'cancelled', detail: 'this instance stopped before a complete response'});
 	}
 
 	/** Runs the request. Left: its final refusal; `execution` takes all attempts into account. */
@@ -79,6 +83,12 @@
 		return result;
 	}
 
+	#abortAll(failure: Parameters<RelayAttempt['abort']>[0]): void {
+		for (const attempt of this.#activeAttempts) {
+			attempt.abort(failure);
+		}
+	}
+
 	async #runAttempts(): Promise<Either<Refusal, AttemptResponse>> {
 		if (this.#request.hasEnded) {
 			return this.#finish(endedBeforeAttempt);
@@ -275,7 +285,12 @@
 		}
 
 		const bodyFault = request.options.body.streamRefusal();
-		return Left(bodyFault ? {...bodyFault, execution} : {...refusal, execution, reason: reasonForExecution({reason: refusal.reason, execution})});
+		if (bodyFault) {
+			return Left({...bodyFault, execution});
+		}
+
+		const reason = request.endedBy === 'instance' ? 'instance-leaving' : refusal.reason;
+		return Left({...refusal, execution, reason: reasonForExecution({reason, execution})});
 	}
 }
 
--- a/calls/relay/src/relayed-request.ts
+++ b/calls/relay/src/relayed-request.ts
@@ -43,11 +43,14 @@
 	outcome?: string;
 }
 
+/** Who ended a request before its response: its caller disconnected, its deadline passed, or this instance stops. */
+export type RequestEnder = 'caller' | 'deadline' | 'instance';
+
 /** One request with the state of its attempts. */
 export class RelayedRequest {
-	/** Cancelled when the caller disconnects or the deadline passes. */
+	/** Cancelled when the request is ended. */
 	readonly ended = new Cancellation();
-	endedBy: 'caller' | 'deadline' | undefined;
+	endedBy: RequestEnder | undefined;
 	/** Monotonic time at which the caller disconnected, in milliseconds; undefined while it is connected. */
 	callerLeftAtMs: number | undefined;
 	/** Servers that a byte of the request may have reached. */
@@ -72,7 +75,7 @@
 		return this.options.route.repeatability === 'idempotent';
 	}
 
-	/** Whether the caller disconnected or the deadline passed. */
+	/** Whether the request was ended before its response. */
 	get hasEnded(): boolean {
 		return this.endedBy !== undefined;
 	}
@@ -92,7 +95,7 @@
 	}
 
 	/** Ends the request. Only the first call has an effect. */
-	end(by: 'caller' | 'deadline'): void {
+	end(by: RequestEnder): void {
 		if (!this.endedBy) {
 			this.endedBy = by;
 			this.ended.cancel();
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -178,7 +178,11 @@
 			endsAtMs = now() + timeoutMs;
 			log.line('stopping', {inProgress: relay.handler.inProgress, timeoutMs});
 			const left = viewParts.leave();
+			const timer = setTimeout(() => {
+				relay.handler.stop();
+			}, timeoutMs);
 			await listener.stop({timeoutMs, inProgress: () => relay.handler.inProgress});
+			clearTimeout(timer);
 			await left;
 			rateLimitParts.stop();
 			await Promise.all([viewParts.stop(), relay.stop(), readiness.stop(), directory.stop(), peerListener.stop(), metrics.stop()]);
--- a/daemons/gateway/test/planned-stop.test.ts
+++ b/daemons/gateway/test/planned-stop.test.ts
@@ -4,13 +4,15 @@
 	afterEach, beforeEach, describe, it,
 } from 'node:test';
 import {
-	configuration, endpointOf, isReady, PipeliningCaller, startGatewayFleet, startGatewayProcess, until,
+	configuration, endpointOf, HOST, isReady, PipeliningCaller, startGatewayFleet, startGatewayProcess, until,
 } from '@pomelopick/testing.gateway-fleet';
 import type {GatewayFleet, GatewayProcess} from '@pomelopick/testing.gateway-fleet';
 import type {GatewaySettingsInput} from '@pomelopick/config.settings';
 
 const CALLERS = 8;
 const SHUTDOWN_SECONDS = 6;
+const LONG_TIMEOUT_SECONDS = 20;
+const MILLISECONDS_PER_SECOND = 1000;
 
 describe('a gateway process in a planned stop', () => {
 	let fleet: GatewayFleet;
@@ -20,7 +22,9 @@
 
 	beforeEach(async () => {
 		fleet = await startGatewayFleet();
-		fleet.write('op/config', configuration({version: 2, timeoutSeconds: 4}));
+		fleet.write('op/config', configuration({
+			version: 2, timeoutSeconds: 4, routes: [['long', HOST, '/long/', 'idempotent', LONG_TIMEOUT_SECONDS, LONG_TIMEOUT_SECONDS, 1, null, 1, true, [], 'ledger']],
+		}));
 		settings = await fleet.settings({shutdownSeconds: SHUTDOWN_SECONDS});
 		gateway = await startGatewayProcess({settings});
 		await until(async () => isReady(settings));
@@ -58,4 +62,18 @@
 		assert.deepEqual(listUnanswered(), []);
 		assert.equal(fleet.records.executions.length, 3 * CALLERS);
 	});
+
+	it('delivers a ready response behind a request that lasts longer than the stop, which it ends as possibly run', async () => {
+		for (const [index, caller] of callers.entries()) {
+			caller.send({
+				requestId: `first-${index}`, path: '/long/x', workMs: 2 * SHUTDOWN_SECONDS * MILLISECONDS_PER_SECOND, timeLeftMs: LONG_TIMEOUT_SECONDS * MILLISECONDS_PER_SECOND,
+			});
+			caller.send({requestId: `second-${index}`});
+		}
+
+		await until(() => fleet.records.executions.length === 2 * CALLERS);
+		gateway.signal('SIGTERM');
+		await until(() => callers.every(({endedAtMs}) => endedAtMs !== undefined));
+		assert.deepEqual(callers.map(({responses}) => responses.map(({requestId, status}) => `${requestId} ${status}`)), callers.map((_, index) => [`first-${index} 502`, `second-${index} 200`]));
+	});
 });
--- a/testing/gateway-fleet/src/pipelining-caller.ts
+++ b/testing/gateway-fleet/src/pipelining-caller.ts
@@ -6,7 +6,7 @@
 import type {Endpoint} from '@pomelopick/core.types';
 import {HOST} from './configuration.js';
 import type {Play} from './play-answer.js';
-import {PLAY_HEADER} from './registered-server.js';
+import {PLAY_HEADER, WORK_HEADER} from './registered-server.js';
 
 const HEAD_END = '\r\n\r\n';
 
@@ -18,6 +18,8 @@
 	readonly body?: string;
 	/** How servers treat the request, one play for each arrival. */
 	readonly plays?: readonly Play[];
+	/** Time for which servers work on the request, in milliseconds. */
+	readonly workMs?: number;
 	/** Time until the deadline that the caller states, in milliseconds. */
 	readonly timeLeftMs?: number;
 }
@@ -73,13 +75,14 @@
 	}
 
 	/** Sends a request behind those that were sent before. */
-	send({requestId, path = '/read/x', method = 'GET', body = '', plays = ['whole'], timeLeftMs = 3000}: SendOptions): void {
+	send({requestId, path = '/read/x', method = 'GET', body = '', plays = ['whole'], workMs = 0, timeLeftMs = 3000}: SendOptions): void {
 		const lines = [
 			`${method} ${path} HTTP/1.1`,
 			`host: ${HOST}`,
 			`x-request-id: ${requestId}`,
 			`x-deadline-ms: ${timeLeftMs}`,
 			`${PLAY_HEADER}: ${plays.join(',')}`,
+			`${WORK_HEADER}: ${workMs}`,
 			...(method === 'POST' ? [`content-length: ${Buffer.byteLength(body)}`] : []),
 		];
 		this.#socket.write(`${lines.join('\r\n')}${HEAD_END}${body}`);
--- a/testing/gateway-fleet/src/registered-server.ts
+++ b/testing/gateway-fleet/src/registered-server.ts
@@ -15,6 +15,8 @@
 
 /** Header that lists the plays of a request. */
 export const PLAY_HEADER = 'x-play';
+/** Header with the time for which a server works on a request before it plays it, in milliseconds; 0 by default. */
+export const WORK_HEADER = 'x-work-ms';
 
 const MILLISECONDS_PER_SECOND = 1000;
 
@@ -208,6 +210,11 @@
 	response.once('close', () => {
 		execution.wasCancelled = !response.writableFinished;
 	});
+	const workMs = Number(request.headers[WORK_HEADER] ?? 0);
+	if (workMs > 0) {
+		await sleep(workMs);
+	}
+
 	await respond({
 		play, name, requestId, response, crash,
 	});
