Measure the time of a planned stop by the monotonic clock

Cause: the listener compared the wall clock with the end of the stop.

Evidence: planned-stop.test.ts, the wall clock an hour ahead during a stop of three seconds: the request in progress got no response. Ruled out: the admission of requests in a stop, which uses the monotonic clock already.

Change: the listener uses the monotonic clock.

Before / after: the test failed, and holds now.

Conclusion: no reading of the wall clock is left in the listener.

--- a/calls/listener/src/caller-listener.ts
+++ b/calls/listener/src/caller-listener.ts
@@ -4,6 +4,7 @@
 import {createServer, STATUS_CODES} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {PROBLEM_MEDIA_TYPE, toProblemDocument} from '@pomelopick/core.types';
 import type {Refusal} from '@pomelopick/core.types';
@@ -124,31 +125,31 @@
 
 	/** Shuts down: announces it to callers, then refuses new calls, waits for the calls in progress and closes all connections. */
 	async stop({timeoutMs, inProgress}: StopListenerOptions): Promise<void> {
-		const endsAtMs = Date.now() + timeoutMs;
+		const endsAtMs = performance.now() + timeoutMs;
 		this.#state = 'announcing';
 		this.#connections.closeAfterResponses();
 		await sleep(Math.min(this.#options.announceMs ?? DEFAULT_ANNOUNCING_PERIOD_MS, timeoutMs));
 		this.#state = 'refusing';
-		await sleep(Math.min(REFUSING_PERIOD_MS, Math.max(0, endsAtMs - Date.now())));
-		while (inProgress() > 0 && Date.now() < endsAtMs) {
+		await sleep(Math.min(REFUSING_PERIOD_MS, Math.max(0, endsAtMs - performance.now())));
+		while (inProgress() > 0 && performance.now() < endsAtMs) {
 			await sleep(POLL_INTERVAL_MS);
 		}
 
-		await this.#close(Math.max(Date.now() + REFUSING_PERIOD_MS, endsAtMs));
+		await this.#close(Math.max(performance.now() + REFUSING_PERIOD_MS, endsAtMs));
 	}
 
 	/**
-	 * Closes idle connections once all responses are sent, and the remaining connections at the given time.
+	 * Closes idle connections once all responses are sent, and the remaining connections at the given monotonic time, in milliseconds.
 	 *
 	 * The runtime also takes a connection for idle whose last response was written but not sent yet, so none are closed before.
 	 */
 	async #close(endsAtMs: number): Promise<void> {
-		while (!this.#connections.areAllSent && Date.now() < endsAtMs) {
+		while (!this.#connections.areAllSent && performance.now() < endsAtMs) {
 			await sleep(POLL_INTERVAL_MS);
 		}
 
 		const timer = setInterval(() => {
-			if (Date.now() >= endsAtMs) {
+			if (performance.now() >= endsAtMs) {
 				this.server.closeAllConnections();
 			} else if (this.#connections.areAllSent) {
 				this.server.closeIdleConnections();
--- a/calls/listener/test/planned-stop.test.ts
+++ b/calls/listener/test/planned-stop.test.ts
@@ -5,12 +5,16 @@
 import {connect} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
 import {
-	afterEach, beforeEach, describe, it,
+	afterEach, beforeEach, describe, it, mock,
 } from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {CallerListener} from '@pomelopick/calls.listener';
 import {ServedCounters} from '@pomelopick/core.telemetry';
 
 const STOP_TIMEOUT_MS = 3000;
+/** Longer than a listener refuses requests before it closes connections, in milliseconds. */
+const AFTER_CLOCK_CHANGE_MS = 600;
+const CLOCK_CHANGE_MS = 3_600_000;
 /** More than the buffers of both ends of a loopback connection hold, in bytes. */
 const MANY_BYTES = 32 * 1024 * 1024;
 
@@ -140,6 +144,19 @@
 		it(`answers ${testCase.name}`, async () => check(testCase));
 	}
 
+	it('answers a request in progress although the wall clock is set forward', async () => {
+		const closed = once(caller, 'close');
+		await send('a');
+		const stopped = stopListener();
+		const clock = mock.method(Date, 'now', () => performance.timeOrigin + performance.now() + CLOCK_CHANGE_MS);
+		await sleep(AFTER_CLOCK_CHANGE_MS);
+		responses.get('a')!.end();
+		await closed;
+		await stopped;
+		clock.mock.restore();
+		assert.match(received, /^HTTP\/1.1 200 /u);
+	});
+
 	it('sends a complete answer to a caller that reads slowly', async () => {
 		const closed = once(caller, 'close');
 		caller.pause();
