Move the final results of requests out of their run

Cause: relay-run.ts had grown to 310 lines; half of its end only builds refusals.

Ruled out: moving the hedges, which share the run's state.

Change: calls/relay/src/final-result.ts with four pure functions; names say what each returns. No change of behaviour.

Conclusion: the run holds the order of attempts alone.

--- a/calls/relay/src/relay-run.ts
+++ b/calls/relay/src/relay-run.ts
@@ -1,15 +1,17 @@
 /** Makes the attempts of one request until one yields a final response or no further attempt is allowed. */
-import {Left, Right} from 'purify-ts';
+import {Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {AttemptResponse} from '@pomelopick/calls.forwarding';
 import type {CallCounters} from '@pomelopick/core.telemetry';
 import type {Refusal} from '@pomelopick/core.types';
-import {reasonForExecution} from '@pomelopick/core.types';
-import type {ObjectPlacement, PlacementRefusal} from '@pomelopick/steering.objects';
+import type {ObjectPlacement} from '@pomelopick/steering.objects';
 import {endsWithin, takeFirstDeliverable} from './attempt-race.js';
 import type {RunningAttempt} from './attempt-race.js';
 import {placeRequest} from './place-request.js';
 import type {PlaceRequestParts} from './place-request.js';
+import {
+	ENDED_BEFORE_ATTEMPT, failureOfAnswer, finalResult, refusalOfFailure, refusalOfPlacement,
+} from './final-result.js';
 import {RelayAttempt} from './relay-attempt.js';
 import type {AttemptFailureResult, AttemptParts, AttemptResult} from './relay-attempt.js';
 import type {AttemptRecord, RelayedRequest} from './relayed-request.js';
@@ -18,12 +20,8 @@
 
 /** Maximum number of attempts of one request, including those that reached no server. */
 const MAX_TRIES = 6;
-/** Time after which a caller is asked to retry if servers refused its request, in milliseconds. */
-const SHED_RETRY_AFTER_MS = 300;
 /** Multiple of the expected response time after which a hedged attempt is made at a second server. */
 const HEDGE_FACTOR = 2.5;
-/** Time after which a caller is asked to retry if its request was sent to no server, in milliseconds. */
-const NEVER_SENT_RETRY_AFTER_MS = 200;
 /** Maximum time for which a suspect waits until it is known whether it was in flight at a crash, in milliseconds. */
 const CRASH_CHECK_WAIT_MS = 750;
 
@@ -91,18 +89,18 @@
 
 	async #runAttempts(): Promise<Either<Refusal, AttemptResponse>> {
 		if (this.#request.hasEnded) {
-			return this.#finish(endedBeforeAttempt);
+			return this.#finish(ENDED_BEFORE_ATTEMPT);
 		}
 
 		for (let tries = 1; ; tries += 1) {
 			const placing = placeRequest({request: this.#request, parts: this.#parts});
 			const placed = placing instanceof Promise ? await placing : placing;
 			if (this.#request.hasEnded) {
-				return this.#finish(endedBeforeAttempt);
+				return this.#finish(ENDED_BEFORE_ATTEMPT);
 			}
 
 			if (placed.isLeft()) {
-				return this.#finish(toRefusal(placed.extract()));
+				return this.#finish(refusalOfPlacement(placed.extract()));
 			}
 
 			const result = await this.#attemptWithHedge(placed.unsafeCoerce());
@@ -115,11 +113,11 @@
 				this.#request.mayHaveRun = true;
 			}
 
-			const failure = result.kind === 'failure' ? result : toFailure(result.answer);
+			const failure = result.kind === 'failure' ? result : failureOfAnswer(result.answer);
 			this.#request.mayHaveRun ||= failure.mayHaveRun;
 			await this.#waitForCrashCheck(failure);
 			if (tries >= MAX_TRIES || !await this.#mayRetry(failure)) {
-				return this.#finish(this.#refuse(failure));
+				return this.#finish(refusalOfFailure(failure));
 			}
 
 			this.#parts.counters.retried(failure.retryReason);
@@ -265,46 +263,8 @@
 		return permit !== undefined;
 	}
 
-	#refuse({reason, detail, mayHaveRun, wasSent}: AttemptFailureResult): Refusal {
-		const retryAfterMs = mayHaveRun ? undefined : (wasSent ? SHED_RETRY_AFTER_MS : NEVER_SENT_RETRY_AFTER_MS);
-		return {
-			reason: !wasSent && reason === 'connect-failed' ? 'no-backend-server' : reason, execution: 'not-run', detail, ...(retryAfterMs !== undefined && {retryAfterMs}),
-		};
-	}
-
-	/** Returns the final result when no further attempt is made. A failure response of a server takes precedence over a refusal. */
+	/** Returns the final result when no further attempt is made. */
 	#finish(refusal: Refusal): Either<Refusal, AttemptResponse> {
-		const request = this.#request;
-		if (this.#serverFailure && request.endedBy !== 'caller') {
-			return Right(this.#serverFailure);
-		}
-
-		const execution = request.mayHaveRun ? 'unknown' : 'not-run';
-		if (request.endedBy === 'deadline') {
-			return Left({reason: 'deadline-exceeded', execution, detail: refusal.detail});
-		}
-
-		const bodyFault = request.options.body.streamRefusal();
-		if (bodyFault) {
-			return Left({...bodyFault, execution});
-		}
-
-		const reason = request.endedBy === 'instance' ? 'instance-leaving' : refusal.reason;
-		return Left({...refusal, execution, reason: reasonForExecution({reason, execution})});
+		return finalResult({request: this.#request, serverFailure: this.#serverFailure, refusal});
 	}
 }
-
-/** Refusal of a request that ended before an attempt. If the deadline passed, its reason is replaced in `#finish`. */
-const endedBeforeAttempt: Refusal = {reason: 'caller-cancelled', execution: 'not-run', detail: 'the request ended before an attempt'};
-
-function toRefusal({reason, detail, retryAfterMs}: PlacementRefusal): Refusal {
-	return {
-		reason, execution: 'not-run', detail, retryAfterMs,
-	};
-}
-
-function toFailure(answer: AttemptResponse): AttemptFailureResult {
-	return {
-		kind: 'failure', reason: 'backend-failed', retryReason: 'backend-failed', mayHaveRun: true, wasSent: true, detail: `the backend server answered ${answer.status}`,
-	};
-}
