--- a/daemons/gateway/test/repeated-refusal.test.ts
+++ b/daemons/gateway/test/repeated-refusal.test.ts
@@ -15,14 +15,15 @@
 const SERVERS = 3;
 const REQUESTS = 60;
 const AT_ONCE = 4;
-const IDLE_MS = 15;
+/** Time after which a refusal comes again `a little later`, in milliseconds; the next request may be in flight by then. */
+const REPEAT_AFTER_MS = 15;
 const WORK_MS = 10;
 /** Time after the last response in which servers may still write, in milliseconds. */
 const SETTLE_MS = 200;
 
-type Shape = 'in the same write' | 'while the connection is idle' | 'as the next request arrives' | 'as the next request arrives, with its response in the same write';
+type Shape = 'in the same write' | 'a little later' | 'as the next request arrives' | 'as the next request arrives, with its response in the same write';
 
-const shapes: readonly Shape[] = ['in the same write', 'while the connection is idle', 'as the next request arrives', 'as the next request arrives, with its response in the same write'];
+const shapes: readonly Shape[] = ['in the same write', 'a little later', 'as the next request arrives', 'as the next request arrives, with its response in the same write'];
 
 interface EarlierResponse {
 	readonly name: string;
@@ -66,8 +67,8 @@
 		const first = rawResponse({status: '503 Full', headers: ['x-not-executed: 1', `x-request-id: ${requestId}`]});
 		const again = encodeEarlier({earlier, requestId});
 		socket.write(shape === 'in the same write' ? `${first}${again}` : first);
-		if (shape === 'while the connection is idle') {
-			setTimeout(() => socket.write(again), IDLE_MS);
+		if (shape === 'a little later') {
+			setTimeout(() => socket.write(again), REPEAT_AFTER_MS);
 		}
 
 		return;
