Test a planned stop whose servers are paused; share the start of gateways with raw servers

Change: server processes that signals can pause; eight callers with a write each that is at work when the servers stop, and one that is sent while they are paused. The two tests share startGatewayWithRawServers.

--- a/daemons/gateway/test/fixture.ts
+++ b/daemons/gateway/test/fixture.ts
@@ -1,9 +1,12 @@
-/** Starts a gateway in the process of the test. */
+/** Starts gateways for tests: one in the process of the test, or a process of its own with faulty servers. */
 import {parseGatewaySettings} from '@pomelopick/config.settings';
 import type {GatewaySettingsInput} from '@pomelopick/config.settings';
 import {startGateway} from '@pomelopick/daemons.gateway';
 import type {Gateway} from '@pomelopick/daemons.gateway';
-import {until} from '@pomelopick/testing.gateway-fleet';
+import {
+	isReady, startGatewayFleet, startGatewayProcess, startRawServer, until,
+} from '@pomelopick/testing.gateway-fleet';
+import type {RawRequest, RawServer} from '@pomelopick/testing.gateway-fleet';
 
 /** A gateway and its log lines. */
 export interface LoggedGateway extends Gateway {
@@ -25,3 +28,45 @@
 	await until(() => gateway.isReady() && lines.some(({event}) => event === 'server-changed'));
 	return {...gateway, lines};
 }
+
+/** Options of {@link startGatewayWithRawServers}. */
+export interface StartWithRawServersOptions {
+	/** Number of servers. */
+	readonly servers: number;
+	/** Handles a request at one of the servers. */
+	readonly onRequest: (options: {readonly server: string; readonly request: RawRequest}) => void;
+}
+
+/** A gateway process whose servers are faulty. */
+export interface GatewayWithRawServers {
+	readonly settings: GatewaySettingsInput;
+	stop(): Promise<void>;
+}
+
+/** Starts a gateway process and the servers that it uses, and waits until it is ready. */
+export async function startGatewayWithRawServers({servers, onRequest}: StartWithRawServersOptions): Promise<GatewayWithRawServers> {
+	const fleet = await startGatewayFleet({servers: []});
+	const settings = await fleet.settings();
+	const started: RawServer[] = [];
+	for (let index = 0; index < servers; index += 1) {
+		const name = `server-${index}`;
+		const server = await startRawServer({
+			name, onRequest(request) {
+				onRequest({server: name, request});
+			},
+		});
+		started.push(server);
+		fleet.register({server, failureDomain: 'north-a'});
+	}
+
+	const gateway = await startGatewayProcess({settings});
+	await until(async () => isReady(settings));
+	return {
+		settings,
+		async stop() {
+			await gateway.stop();
+			await Promise.all(started.map(async server => server.stop()));
+			await fleet.stop();
+		},
+	};
+}
--- a/daemons/gateway/test/planned-stop.test.ts
+++ b/daemons/gateway/test/planned-stop.test.ts
@@ -1,18 +1,23 @@
 /** Guards against requests that a gateway passes on in a planned stop and never answers. */
 import assert from 'node:assert/strict';
 import {
-	afterEach, beforeEach, describe, it,
+	after, afterEach, before, beforeEach, describe, it,
 } from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	configuration, endpointOf, HOST, isReady, PipeliningCaller, startGatewayFleet, startGatewayProcess, until,
+	configuration, endpointOf, HOST, isReady, PipeliningCaller, startGatewayFleet, startGatewayProcess, startServerProcess, until,
 } from '@pomelopick/testing.gateway-fleet';
-import type {GatewayFleet, GatewayProcess} from '@pomelopick/testing.gateway-fleet';
+import type {GatewayFleet, GatewayProcess, ServerProcess} from '@pomelopick/testing.gateway-fleet';
 import type {GatewaySettingsInput} from '@pomelopick/config.settings';
+import type {Endpoint} from '@pomelopick/core.types';
 
 const CALLERS = 8;
 const SHUTDOWN_SECONDS = 6;
 const LONG_TIMEOUT_SECONDS = 20;
 const MILLISECONDS_PER_SECOND = 1000;
+const WORK_MS = 300;
+/** Time for which servers are paused, in milliseconds; the timeout of a request and the time of a stop are longer. */
+const PAUSE_MS = 1500;
 
 describe('a gateway process in a planned stop', () => {
 	let fleet: GatewayFleet;
@@ -77,3 +82,66 @@
 		assert.deepEqual(callers.map(({responses}) => responses.map(({requestId, status}) => `${requestId} ${status}`)), callers.map((_, index) => [`first-${index} 502`, `second-${index} 200`]));
 	});
 });
+
+describe('a gateway process in a planned stop, whose servers are paused', () => {
+	const runs: string[] = [];
+	const servers: ServerProcess[] = [];
+	let fleet: GatewayFleet;
+	let gateway: GatewayProcess;
+	let endpoint: Endpoint;
+
+	before(async () => {
+		fleet = await startGatewayFleet({servers: []});
+		fleet.write('op/config', configuration({version: 2, timeoutSeconds: 4}));
+		for (const name of ['server-0', 'server-1', 'server-2']) {
+			const server = await startServerProcess({
+				name, onRun(requestId) {
+					runs.push(requestId);
+				},
+			});
+			servers.push(server);
+			fleet.register({server, failureDomain: 'north-a'});
+		}
+
+		const settings = await fleet.settings({shutdownSeconds: SHUTDOWN_SECONDS});
+		gateway = await startGatewayProcess({settings});
+		await until(async () => isReady(settings));
+		endpoint = endpointOf(settings.listen.callers);
+	});
+	after(async () => {
+		await gateway.stop();
+		await Promise.all(servers.map(async server => server.stop()));
+		await fleet.stop();
+	});
+
+	it('answers what reached them before and during the pause', async () => {
+		const callers = Array.from({length: CALLERS}, () => new PipeliningCaller(endpoint));
+		const send = (phase: string): void => {
+			for (const [index, caller] of callers.entries()) {
+				caller.send({
+					requestId: `${phase}-${index}`, path: '/write/x', method: 'POST', body: 'x', workMs: WORK_MS, timeLeftMs: 4000,
+				});
+			}
+		};
+
+		send('before');
+		await until(() => runs.length === CALLERS);
+		gateway.signal('SIGTERM');
+		await until(() => gateway.lines.some(({event}) => event === 'stopping'));
+		for (const server of servers) {
+			server.signal('SIGSTOP');
+		}
+
+		send('during');
+		await sleep(PAUSE_MS);
+		for (const server of servers) {
+			server.signal('SIGCONT');
+		}
+
+		await until(() => callers.every(({endedAtMs}) => endedAtMs !== undefined));
+		const answered = new Set(callers.flatMap(({responses}) => responses.filter(({status, isComplete}) => status === 200 && isComplete).map(({requestId}) => requestId)));
+		assert.equal(new Set(runs).size, runs.length);
+		assert.deepEqual(runs.filter(requestId => !answered.has(requestId)), []);
+		assert.ok(runs.some(requestId => requestId.startsWith('during')));
+	});
+});
--- a/daemons/gateway/test/repeated-refusal.test.ts
+++ b/daemons/gateway/test/repeated-refusal.test.ts
@@ -5,12 +5,11 @@
 } from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	callGateway, endpointOf, guaranteesNotRun, isReady, rawResponse, startGatewayFleet, startGatewayProcess, startRawServer, until,
+	callGateway, endpointOf, guaranteesNotRun, rawResponse,
 } from '@pomelopick/testing.gateway-fleet';
-import type {
-	CallerResponse, GatewayFleet, GatewayProcess, RawRequest, RawServer,
-} from '@pomelopick/testing.gateway-fleet';
-import type {GatewaySettingsInput} from '@pomelopick/config.settings';
+import type {CallerResponse, RawRequest} from '@pomelopick/testing.gateway-fleet';
+import {startGatewayWithRawServers} from './fixture.js';
+import type {GatewayWithRawServers} from './fixture.js';
 
 const SERVERS = 3;
 const REQUESTS = 60;
@@ -91,41 +90,21 @@
 }
 
 describe('a server that writes an earlier response once more', () => {
-	let fleet: GatewayFleet;
-	let settings: GatewaySettingsInput;
-	let gateway: GatewayProcess;
+	let gateway: GatewayWithRawServers;
 	let scenario: Scenario;
-	const servers: RawServer[] = [];
 
-	const startServer = async (name: string): Promise<void> => {
-		const server = await startRawServer({
-			name, onRequest(request) {
-				handleRequest({server: name, request, scenario});
+	before(async () => {
+		gateway = await startGatewayWithRawServers({
+			servers: SERVERS, onRequest({server, request}) {
+				handleRequest({server, request, scenario});
 			},
 		});
-		servers.push(server);
-		fleet.register({server, failureDomain: 'north-a'});
-	};
-
-	before(async () => {
-		fleet = await startGatewayFleet({servers: []});
-		settings = await fleet.settings();
-		for (let index = 0; index < SERVERS; index += 1) {
-			await startServer(`server-${index}`);
-		}
-
-		gateway = await startGatewayProcess({settings});
-		await until(async () => isReady(settings));
-	});
-	after(async () => {
-		await gateway.stop();
-		await Promise.all(servers.map(async server => server.stop()));
-		await fleet.stop();
 	});
+	after(async () => gateway.stop());
 
 	const sendWrites = async (prefix: string): Promise<readonly CallerResponse[]> => {
 		const responses: CallerResponse[] = [];
-		const endpoint = endpointOf(settings.listen.callers);
+		const endpoint = endpointOf(gateway.settings.listen.callers);
 		const sendSome = async (caller: number): Promise<void> => {
 			for (let index = caller; index < REQUESTS; index += AT_ONCE) {
 				responses.push(await callGateway({
--- a/daemons/gateway/test/truncated-head.test.ts
+++ b/daemons/gateway/test/truncated-head.test.ts
@@ -3,13 +3,10 @@
 import {
 	after, before, describe, it,
 } from 'node:test';
-import {
-	callGateway, endpointOf, isReady, startGatewayFleet, startGatewayProcess, startRawServer, until,
-} from '@pomelopick/testing.gateway-fleet';
-import type {
-	CallerResponse, GatewayFleet, GatewayProcess, RawRequest, RawServer,
-} from '@pomelopick/testing.gateway-fleet';
-import type {GatewaySettingsInput} from '@pomelopick/config.settings';
+import {callGateway, endpointOf} from '@pomelopick/testing.gateway-fleet';
+import type {CallerResponse, RawRequest} from '@pomelopick/testing.gateway-fleet';
+import {startGatewayWithRawServers} from './fixture.js';
+import type {GatewayWithRawServers} from './fixture.js';
 
 const SERVERS = 3;
 const REQUESTS = 8;
@@ -58,39 +55,19 @@
 ];
 
 describe('a response whose head breaks off', () => {
-	let fleet: GatewayFleet;
-	let settings: GatewaySettingsInput;
-	let gateway: GatewayProcess;
+	let gateway: GatewayWithRawServers;
 	let respond: (request: RawRequest) => void;
 	const reached = new Set<string>();
-	const servers: RawServer[] = [];
 
-	const startServer = async (name: string): Promise<void> => {
-		const server = await startRawServer({
-			name, onRequest(request) {
+	before(async () => {
+		gateway = await startGatewayWithRawServers({
+			servers: SERVERS, onRequest({request}) {
 				reached.add(request.requestId);
 				respond(request);
 			},
 		});
-		servers.push(server);
-		fleet.register({server, failureDomain: 'north-a'});
-	};
-
-	before(async () => {
-		fleet = await startGatewayFleet({servers: []});
-		settings = await fleet.settings();
-		for (let index = 0; index < SERVERS; index += 1) {
-			await startServer(`server-${index}`);
-		}
-
-		gateway = await startGatewayProcess({settings});
-		await until(async () => isReady(settings));
-	});
-	after(async () => {
-		await gateway.stop();
-		await Promise.all(servers.map(async server => server.stop()));
-		await fleet.stop();
 	});
+	after(async () => gateway.stop());
 
 	const check = async ({method, cut: {lines, lineEnd = ''}, end}: {readonly method: Method; readonly cut: Cut; readonly end: (typeof ends)[number]['end']}): Promise<void> => {
 		respond = request => {
@@ -101,7 +78,7 @@
 		const responses: CallerResponse[] = [];
 		for (let index = 0; index < REQUESTS; index += 1) {
 			responses.push(await callGateway({
-				endpoint: endpointOf(settings.listen.callers), method, path: method === 'GET' ? '/read/x' : '/write/x', body: method === 'GET' ? undefined : 'x', object: `object-${index}`,
+				endpoint: endpointOf(gateway.settings.listen.callers), method, path: method === 'GET' ? '/read/x' : '/write/x', body: method === 'GET' ? undefined : 'x', object: `object-${index}`,
 			}));
 		}
 
--- a/testing/gateway-fleet/src/raw-server.ts
+++ b/testing/gateway-fleet/src/raw-server.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {createServer} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
+import {WORK_HEADER} from './registered-server.js';
 
 const HEAD_END = '\r\n\r\n';
 
@@ -11,6 +12,8 @@
 	readonly method: string;
 	readonly path: string;
 	readonly socket: Socket;
+	/** Time for which the caller asks servers to work on the request, in milliseconds. */
+	readonly workMs: number;
 	/** Number of the request on its connection, from 0. */
 	readonly index: number;
 }
@@ -72,6 +75,10 @@
 	return `${[`HTTP/1.1 ${status}`, ...headers, `content-length: ${Buffer.byteLength(body)}`].join('\r\n')}${HEAD_END}${body}`;
 }
 
+function findHeader({head, name}: {readonly head: string; readonly name: string}): string | undefined {
+	return new RegExp(`^${name}: (.*)$`, 'imu').exec(head)?.[1];
+}
+
 function readRequests({name, socket, onRequest}: StartRawServerOptions & {readonly socket: Socket}): void {
 	let received = '';
 	let index = 0;
@@ -81,7 +88,7 @@
 		for (;;) {
 			const headEnd = received.indexOf(HEAD_END);
 			const head = received.slice(0, headEnd);
-			const end = headEnd + HEAD_END.length + Number(/^content-length: (\d+)$/imu.exec(head)?.[1] ?? 0);
+			const end = headEnd + HEAD_END.length + Number(findHeader({head, name: 'content-length'}) ?? 0);
 			if (headEnd === -1 || received.length < end) {
 				return;
 			}
@@ -92,7 +99,7 @@
 				socket.write(rawResponse({status: '200 OK', headers: [`x-instance-id: ${name}`]}));
 			} else {
 				onRequest({
-					requestId: /^x-request-id: (.*)$/imu.exec(head)?.[1] ?? '', method: method!, path: path!, socket, index,
+					requestId: findHeader({head, name: 'x-request-id'}) ?? '', method: method!, path: path!, socket, workMs: Number(findHeader({head, name: WORK_HEADER}) ?? 0), index,
 				});
 				index += 1;
 			}
