Cancel every call of a caller that leaves at the entry daemon, not only the first of its connection

Callers saw nothing; servers worked on: of three calls that a caller had sent behind each other, one was cancelled when it left, and two kept servers and slots busy until they were done.

Cause: a call learned of the disconnect from the 'close' event of its response. The HTTP server of the runtime emits it for the response that a connection is sending, not for those queued behind it.

Ruled out: the gateway, which has one listener for each connection that tells all requests.

Change: that listener moves from calls/relay to calls/forwarding, and both use it.

The gateway's logic does not change.

Conclusion: one way for both daemons to learn that a caller left.

--- a/calls/forwarding/src/call-handler.ts
+++ b/calls/forwarding/src/call-handler.ts
@@ -12,6 +12,7 @@
 import type {AdmittedCall, CallLimits} from './admission.js';
 import type {CompletedAttempt, AttemptDependencies} from './attempt.js';
 import {CALL_ID_HEADER, endToEndHeaders} from './call-headers.js';
+import {CallerDisconnects} from './caller-disconnects.js';
 import {CallRunner} from './call-runner.js';
 import {CallState} from './call-state.js';
 import {BufferBudget} from './buffer-budget.js';
@@ -79,6 +80,7 @@
 	readonly #dependencies: AttemptDependencies;
 	readonly #policies: ServicePolicies;
 	readonly #bufferBudget: BufferBudget;
+	readonly #callerDisconnects = new CallerDisconnects();
 	#inProgress = 0;
 
 	constructor(options: CallHandlerOptions) {
@@ -166,12 +168,13 @@
 		const timer = setTimeout(() => {
 			runner.end('deadline');
 		}, Math.max(1, call.options.deadlineMs - now()));
-		response.once('close', () => {
-			if (!response.writableFinished) {
+		const unwatch = this.#callerDisconnects.watch({
+			socket: response.req.socket, onGone() {
 				runner.end('caller');
-			}
+			},
 		});
 		const outcome = await this.#runCall({response, call, runner});
+		unwatch();
 		clearTimeout(timer);
 		this.#logCall({call, outcome});
 	}
--- a/calls/forwarding/src/index.ts
+++ b/calls/forwarding/src/index.ts
@@ -4,6 +4,7 @@
 export type * from './attempt-response.js';
 export * from './call-handler.js';
 export * from './call-headers.js';
+export * from './caller-disconnects.js';
 export * from './cancellation.js';
 export * from './exchange.js';
 export * from './buffer-budget.js';
--- a/calls/relay/src/index.ts
+++ b/calls/relay/src/index.ts
@@ -1,5 +1,4 @@
 /** Relays a request from its arrival to its final response. */
-export * from './caller-disconnects.js';
 export * from './classify-answer.js';
 export type {RelayServer} from './relay-attempt.js';
 export type * from './relay-format.js';
--- a/calls/relay/src/relay-handler.ts
+++ b/calls/relay/src/relay-handler.ts
@@ -5,13 +5,12 @@
 import {
 	endToEndHeaders, BUFFERED_BODY_BYTES, BufferBudget, readBody, sendRefusal, sendCompleteResponse,
 } from '@pomelopick/calls.forwarding';
-import type {AttemptResponse, RefusalFormat} from '@pomelopick/calls.forwarding';
+import type {AttemptResponse, CallerDisconnects, RefusalFormat} from '@pomelopick/calls.forwarding';
 import type {Quarantine} from '@pomelopick/calls.quarantine';
 import type {LiveView} from '@pomelopick/calls.live';
 import type {DecisionLog} from '@pomelopick/core.telemetry';
 import type {Refusal, Route, ServiceName} from '@pomelopick/core.types';
 import {chooseTarget} from '@pomelopick/steering.routes';
-import type {CallerDisconnects} from './caller-disconnects.js';
 import {processPendingInput} from './pending-input.js';
 import {RelayedRequest} from './relayed-request.js';
 import {RelayRun} from './relay-run.js';
--- a/daemons/gateway/src/create-relay.ts
+++ b/daemons/gateway/src/create-relay.ts
@@ -1,10 +1,11 @@
 /** Creates the relay of requests and wires its parts: placement, limits, connections and the quarantine. */
+import {CallerDisconnects} from '@pomelopick/calls.forwarding';
 import {BackendConnections} from '@pomelopick/calls.connections';
 import type {LiveView, SuspicionRecord} from '@pomelopick/calls.live';
 import {CrashDetector, Quarantine} from '@pomelopick/calls.quarantine';
 import type {SuspicionSharing} from '@pomelopick/calls.quarantine';
 import {
-	CallerDisconnects, RelayHandler, RetryBudgets, ServerNotices, UnsentAttempts,
+	RelayHandler, RetryBudgets, ServerNotices, UnsentAttempts,
 } from '@pomelopick/calls.relay';
 import type {RelayServer, RetryBudgetsOptions} from '@pomelopick/calls.relay';
 import type {GatewaySettings} from '@pomelopick/config.settings';
