Move the link budgets of an owner out of its group of slots

Ruled out: moving the queue, which needs the slots at each step.

Change: calls/placement/src/incoming-links.ts.

--- a/calls/placement/src/owner-group.ts
+++ b/calls/placement/src/owner-group.ts
@@ -9,8 +9,8 @@
 import type {
 	DrawInteger, SlotLease, ReleaseOptions, SlotEnd,
 } from '@pomelopick/steering.choice';
-import {LinkBudget, linkShareBytesPerSecond} from '@pomelopick/steering.links';
 import {BurstPatience, FairQueue} from '@pomelopick/steering.queue';
+import {IncomingLinks} from './incoming-links.js';
 import type {
 	AdmitShift, GroupState, ServerSlots, SlotAnswer, SlotRefusal, SlotRequest,
 } from './slot-types.js';
@@ -61,8 +61,7 @@
 	readonly #tracker: SlotTracker;
 	readonly #queue: FairQueue<Waiter>;
 	readonly #burstPatience: BurstPatience;
-	/** Bytes that calls from each region may still send over the links to this region. */
-	readonly #links = new Map<RegionName, LinkBudget>();
+	readonly #links: IncomingLinks;
 	/** Slots that were granted to calls from other regions, by slot id. */
 	readonly #spilled = new Map<string, SpilledSlot>();
 	/** Monotonic time from which slots are granted, in milliseconds. */
@@ -75,6 +74,7 @@
 		this.#options = options;
 		this.#set = options.set;
 		this.#tracker = new SlotTracker({draw: options.draw});
+		this.#links = new IncomingLinks({set: options.set, service: options.service, region: options.region});
 		this.#queue = new FairQueue({maxItems: options.service.queueCalls, maxPerCaller: Math.max(1, Math.ceil(options.service.queueCalls * MAX_CALLER_QUEUE_SHARE))});
 		this.#burstPatience = new BurstPatience({nowMs: options.now()});
 		this.#readyAtMs = options.now() + WARM_UP_MS;
@@ -89,7 +89,7 @@
 		this.#tracker.useServers(listGroupServers({set, service: this.#options.service, region: this.#options.region}).map(({name, site, slots}) => ({
 			name, slots, failureDomain: domainBySite.get(site)!, isDrained: drained.has(name),
 		})));
-		this.#links.clear();
+		this.#links.useSet(set);
 	}
 
 	/** Grants a slot, queues the request, or refuses it at once. */
@@ -189,7 +189,7 @@
 			return Left(shiftRefusal);
 		}
 
-		const link = this.#linkFrom({region: request.fromRegion, nowMs});
+		const link = this.#links.find({from: request.fromRegion, nowMs});
 		if (!link?.tryTake({bytes: service.answerBytes, nowMs})) {
 			return Left(this.#refusal({reason: 'link-capacity-exhausted', retryAfterMs: link?.waitMs({bytes: service.answerBytes}) ?? NO_SERVER_RETRY_AFTER_MS}));
 		}
@@ -271,23 +271,6 @@
 		};
 	}
 
-	#linkFrom({region, nowMs}: {readonly region: RegionName; readonly nowMs: number}): LinkBudget | undefined {
-		const known = this.#links.get(region);
-		if (known) {
-			return known;
-		}
-
-		const bytesPerSecond = linkShareBytesPerSecond({
-			set: this.#set, service: this.#options.service, from: region, to: this.#options.region,
-		});
-		const link = bytesPerSecond === undefined ? undefined : new LinkBudget({bytesPerSecond, nowMs});
-		if (link) {
-			this.#links.set(region, link);
-		}
-
-		return link;
-	}
-
 	#refusal({reason, retryAfterMs}: {readonly reason: RefusalReason; readonly retryAfterMs: number}): SlotRefusal {
 		const {service, region} = this.#options;
 		const {provenSlots, inUse, waiting} = this.#load(this.#options.now());
