Show waits for connections, repeated pauses and stalls of the event loop in logs and metrics

Change: each attempt in a request's line has timeLeftMs and waitedMs, also a single attempt that waited 100 ms or more; server-pauses lines say isRepeated and sentBeforeMs, with the counter server-notice.pause-met; pomelopick_uptime_seconds, the longest event loop delay of each second as a duration, and a line event-loop-stalled, at most one a second, for more than 200 ms. Conclusion: a sample every 50 ms and one timer a second; request lines keep their bound per second.

--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -51,6 +51,7 @@
 	readonly #options: ExchangeOptions;
 	#resolve!: (result: Either<AttemptFailure, AttemptResponse>) => void;
 	#controller: Dispatcher.DispatchController | undefined;
+	#startedAtMs: number | undefined;
 	#aborted: AttemptFailure | undefined;
 	#isReleased = false;
 	#head: ResponseHead | undefined;
@@ -70,6 +71,11 @@
 		return this.#controller !== undefined;
 	}
 
+	/** Monotonic time at which a connection took the request, in milliseconds; undefined while it waits for one. */
+	get startedAtMs(): number | undefined {
+		return this.#startedAtMs;
+	}
+
 	/** Whether the head of a response has arrived. */
 	get hasHead(): boolean {
 		return this.#head !== undefined;
@@ -103,6 +109,7 @@
 		}
 
 		this.#controller = controller;
+		this.#startedAtMs = this.#options.now();
 	}
 
 	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
--- a/calls/relay/src/relay-attempt.ts
+++ b/calls/relay/src/relay-attempt.ts
@@ -11,7 +11,7 @@
 import {classifyAnswer} from './classify-answer.js';
 import type {AnswerClass} from './classify-answer.js';
 import type {RelayFormat} from './relay-format.js';
-import type {RelayedRequest} from './relayed-request.js';
+import type {AttemptTiming, RelayedRequest} from './relayed-request.js';
 import type {ServerNotices} from './server-notices.js';
 import type {RecallableAttempt, RecallOptions, UnsentAttempts} from './unsent-attempts.js';
 
@@ -75,6 +75,7 @@
 	readonly #options: RelayAttemptOptions;
 	#exchange: Exchange | undefined;
 	#inFlight: InFlightRequest = {expectedMs: 0, sentAtMs: 0};
+	#timeLeftMs: number | undefined;
 	#recallReason: RetryReason | undefined;
 
 	constructor(options: RelayAttemptOptions) {
@@ -89,6 +90,12 @@
 		return this.#exchange?.mayHaveRun === true;
 	}
 
+	/** What the attempt told its server and how long it waited for its connection, for the log line of its request. */
+	get timing(): AttemptTiming {
+		const waitEndMs = this.#exchange?.startedAtMs;
+		return {timeLeftMs: this.#timeLeftMs, waitedMs: waitEndMs === undefined ? undefined : Math.round(waitEndMs - this.#inFlight.sentAtMs)};
+	}
+
 	/** Makes the attempt. Never rejects. */
 	async run(): Promise<AttemptResult> {
 		const {placement, parts, request} = this.#options;
@@ -161,6 +168,7 @@
 		const {id, method, path, headers, body, answerByMs} = request.options;
 		const names = parts.format.headers;
 		const timeLeftMs = Math.max(1, Math.floor(answerByMs - parts.now() - RETURN_RESERVE_MS));
+		this.#timeLeftMs = timeLeftMs;
 		return new Exchange({
 			lease,
 			callId: id,
--- a/calls/relay/src/relay-run.ts
+++ b/calls/relay/src/relay-run.ts
@@ -181,6 +181,7 @@
 			this.#permits.settle({permit, wasSent: result.kind === 'answer' || result.wasSent});
 		}
 
+		Object.assign(record, attempt.timing);
 		record.heldMs = this.#elapsedMs() - record.startedAfterMs;
 		record.outcome = result.kind === 'answer' ? `answered ${result.answer.status}` : result.detail;
 		const isStillReceiving = result.kind === 'answer' && result.answer.kind === 'partial';
--- a/calls/relay/src/relayed-request.ts
+++ b/calls/relay/src/relayed-request.ts
@@ -30,8 +30,16 @@
 	readonly answerByMs: number;
 }
 
+/** What an attempt told its server, and how long it waited for its connection. */
+export interface AttemptTiming {
+	/** Time until the deadline that was written to the server, in milliseconds; undefined if nothing was. */
+	timeLeftMs?: number;
+	/** Time that the attempt waited for its connection, in milliseconds; undefined if it never got one. */
+	waitedMs?: number;
+}
+
 /** Record of one attempt for the log line of its request. */
-export interface AttemptRecord {
+export interface AttemptRecord extends AttemptTiming {
 	readonly server: BackendServerName;
 	/** Why the server was chosen. */
 	readonly why: string;
--- a/calls/relay/src/request-log.ts
+++ b/calls/relay/src/request-log.ts
@@ -5,6 +5,8 @@
 import type {RelayedRequest} from './relayed-request.js';
 
 const MIN_SERVER_FAILURE = 500;
+/** Minimum time that an attempt waited for its connection for which a request with one attempt lists it, in milliseconds. */
+const MIN_LISTED_WAIT_MS = 100;
 
 /** Options of {@link RequestLog}. */
 export interface RequestLogOptions {
@@ -63,7 +65,7 @@
 			why: last?.why,
 			attempts: attempts.length,
 			retries: extraAttempts.join(',') || undefined,
-			tried: attempts.length > 1 || callerLeftAtMs !== undefined ? attempts.map(record => ({...record})) : undefined,
+			tried: attempts.length > 1 || callerLeftAtMs !== undefined || (last?.waitedMs ?? 0) >= MIN_LISTED_WAIT_MS ? attempts.map(record => ({...record})) : undefined,
 			viewAgeMs: Math.round(viewAgeMs),
 			configurationVersion: this.#options.configurationVersion(),
 			endedBy,
--- a/calls/relay/src/server-notices.ts
+++ b/calls/relay/src/server-notices.ts
@@ -79,7 +79,7 @@
 			decodeRetryAfter(String(retryAfter)).ifLeft(error => {
 				this.#logMalformed({server, error});
 			}).ifRight(pauseMs => {
-				this.#recordPause({server, pauseMs});
+				this.#recordPause({server, pauseMs, sentAtMs: request?.sentAtMs});
 			});
 		}
 
@@ -112,15 +112,25 @@
 		}
 	}
 
-	#recordPause({server, pauseMs}: {readonly server: RegisteredServer; readonly pauseMs: number}): void {
+	#recordPause({server, pauseMs, sentAtMs}: {readonly server: RegisteredServer; readonly pauseMs: number; readonly sentAtMs: number | undefined}): void {
 		const {pauses, unsent, counters, log, now} = this.#options;
 		const nowMs = now();
 		for (const start of this.#findRespondingStarts({server, status: SERVICE_UNAVAILABLE})) {
+			const isPaused = pauses.endMs({server: start, nowMs}) !== undefined;
 			const untilMs = pauses.record({server: start, pauseMs, nowMs});
 			counters.add('server-notice.pause');
+			if (isPaused) {
+				counters.add('server-notice.pause-met');
+			}
+
 			if (this.#pauseLogLimiter.tryAcquire({key: start.name, nowMs})) {
 				log.line('server-pauses', {
-					subject: start.name, detail: `the server asked for a pause of ${Math.round(pauseMs)} ms`, pauseMs: Math.round(untilMs - nowMs), startedAtMs: start.startedAtMs,
+					subject: start.name,
+					detail: `the server asked for a pause of ${Math.round(pauseMs)} ms`,
+					pauseMs: Math.round(untilMs - nowMs),
+					isRepeated: isPaused,
+					sentBeforeMs: sentAtMs === undefined ? undefined : Math.round(nowMs - sentAtMs),
+					startedAtMs: start.startedAtMs,
 				});
 			}
 
--- a/core/telemetry/src/index.ts
+++ b/core/telemetry/src/index.ts
@@ -1,6 +1,7 @@
 /** Logs, counters and the bounded event record of one process. */
 export * from './counters.js';
 export * from './decision-log.js';
+export * from './event-loop-monitor.js';
 export * from './event-record.js';
 export * from './log-rate-limiter.js';
 export * from './log.js';
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -10,7 +10,7 @@
 import type {InstanceRecord} from '@pomelopick/calls.live';
 import {PERMITS_PATH} from '@pomelopick/calls.rate-limits';
 import type {GatewaySettings} from '@pomelopick/config.settings';
-import {DecisionLog, ServedCounters} from '@pomelopick/core.telemetry';
+import {DecisionLog, EventLoopMonitor, ServedCounters} from '@pomelopick/core.telemetry';
 import type {OutputWriter} from '@pomelopick/core.telemetry';
 import type {Endpoint} from '@pomelopick/core.types';
 import {encodeRetryAfter, platformHeaders} from '@pomelopick/platform.wire';
@@ -144,6 +144,7 @@
 			response.end(text);
 		},
 	});
+	counters.gauge({name: 'uptime_seconds', help: 'Time since the process started.', read: () => now() / MILLISECONDS_PER_SECOND});
 	counters.gauge({name: 'requests_in_progress', help: 'Requests in progress.', read: () => relay.handler.inProgress});
 	counters.gauge({name: 'view_age_seconds', help: 'Time since the store last answered.', read: () => feed.ageMs / MILLISECONDS_PER_SECOND});
 	counters.gauge({name: 'log_lines_dropped', help: 'Log lines dropped because standard output was not read.', read: () => log.dropped});
@@ -156,6 +157,8 @@
 	counters.gauges({
 		name: 'server_rate_limit', help: 'Rate limits that backend servers name, in requests per second.', label: 'server', read: () => rateLimitParts.listRates(),
 	});
+	const eventLoopMonitor = new EventLoopMonitor({counters, log});
+	eventLoopMonitor.start();
 	await peerListener.start();
 	viewParts.start();
 	const [callersAt, readinessAt, directoryAt, metricsAt] = await Promise.all([
@@ -186,6 +189,7 @@
 			await left;
 			rateLimitParts.stop();
 			await Promise.all([viewParts.stop(), relay.stop(), readiness.stop(), directory.stop(), peerListener.stop(), metrics.stop()]);
+			eventLoopMonitor.stop();
 			log.line('stopped', {});
 			output.flush();
 		},
