--- a/daemons/gateway/test/endless-responses.test.ts
+++ b/daemons/gateway/test/endless-responses.test.ts
@@ -1,5 +1,4 @@
 import assert from 'node:assert/strict';
-import {readFile} from 'node:fs/promises';
 import {connect} from 'node:net';
 import type {Socket} from 'node:net';
 import {
@@ -10,6 +9,7 @@
 } from '@pomelopick/testing.gateway-fleet';
 import type {GatewayFleet, GatewayProcess} from '@pomelopick/testing.gateway-fleet';
 import type {Endpoint} from '@pomelopick/core.types';
+import {readPeakMemoryKb} from './fixture.js';
 import {endlessResponses, startEndlessServer} from './endless-server.js';
 import type {EndlessServer} from './endless-server.js';
 
@@ -83,11 +83,6 @@
 	await closed;
 }
 
-async function readPeakMemoryKb({processId}: GatewayProcess): Promise<number> {
-	const text = await readFile(`/proc/${processId}/status`, 'utf8');
-	return Number(/VmHWM:\s+(\d+) kB/u.exec(text)?.[1]);
-}
-
 describe('a server that sends endless data', () => {
 	let fleet: GatewayFleet;
 	let server: EndlessServer;
--- a/daemons/gateway/test/fixture.ts
+++ b/daemons/gateway/test/fixture.ts
@@ -1,4 +1,5 @@
 /** Starts gateways for tests: one in the process of the test, or a process of its own with faulty servers. */
+import {readFile} from 'node:fs/promises';
 import {parseGatewaySettings} from '@pomelopick/config.settings';
 import type {GatewaySettingsInput} from '@pomelopick/config.settings';
 import {startGateway} from '@pomelopick/daemons.gateway';
@@ -6,13 +7,19 @@
 import {
 	isReady, startGatewayFleet, startGatewayProcess, startRawServer, until,
 } from '@pomelopick/testing.gateway-fleet';
-import type {RawRequest, RawServer} from '@pomelopick/testing.gateway-fleet';
+import type {GatewayProcess, RawRequest, RawServer} from '@pomelopick/testing.gateway-fleet';
 
 /** A gateway and its log lines. */
 export interface LoggedGateway extends Gateway {
 	readonly lines: ReadonlyArray<Readonly<Record<string, unknown>>>;
 }
 
+/** Returns the largest memory that a process has had, in kilobytes. */
+export async function readPeakMemoryKb({processId}: Pick<GatewayProcess, 'processId'>): Promise<number> {
+	const text = await readFile(`/proc/${processId}/status`, 'utf8');
+	return Number(/VmHWM:\s+(\d+) kB/u.exec(text)?.[1]);
+}
+
 /** Starts a gateway and waits until it is ready. */
 export async function startReadyGateway(input: GatewaySettingsInput): Promise<LoggedGateway> {
 	const lines: Array<Record<string, unknown>> = [];
@@ -40,6 +47,7 @@
 /** A gateway process whose servers are faulty. */
 export interface GatewayWithRawServers {
 	readonly settings: GatewaySettingsInput;
+	readonly gateway: GatewayProcess;
 	stop(): Promise<void>;
 }
 
@@ -63,6 +71,7 @@
 	await until(async () => isReady(settings));
 	return {
 		settings,
+		gateway,
 		async stop() {
 			await gateway.stop();
 			await Promise.all(started.map(async server => server.stop()));
