Hold slow callers' responses below the HTTP client, whose parser is never paused

What callers saw: a gateway ended by itself with everything it had in progress when a server's response ended, or was reset, while it waited for its caller, as a long response does behind another one on a pipelining caller's connection.

Cause: the gateway paused the client's parser. The client finishes the parser at the end, reset or close of a connection whose response ends with it, and asserts that it is not paused; the assertion is thrown from an event of the socket and caught by nobody.

Ruled out: a fault of our handlers: none of our code is on the stack. The client's other interfaces pause the same parser.

Change: a gate before each server's socket: while it is closed, the client finds nothing to read, and an end is told behind the last byte. The forwarder buffers what was read before the gate closed, and believes `drain` only if there is room. One check of the new test was wrong: for a response with a length it took all the bytes that were sent for a whole response, though the response states one more; it now compares with the stated length.

--- a/calls/connections/src/connection.ts
+++ b/calls/connections/src/connection.ts
@@ -6,6 +6,10 @@
 	readonly client: Client;
 	/** Resets the connection, which discards bytes that have not reached the server; nothing more can be sent. Does nothing before the socket is connected. */
 	reset: () => void;
+	/** Stops reading from the server; the end of the connection is noticed only behind everything that was received before. Does nothing before the socket is connected. */
+	holdReading: () => void;
+	/** Goes on reading. */
+	releaseReading: () => void;
 	/** Called once when the connection is found to be silent while it is lent. */
 	onSilent: (() => void) | undefined;
 	/** Monotonic time at which it was created, in milliseconds. */
--- a/calls/connections/src/server-connections.ts
+++ b/calls/connections/src/server-connections.ts
@@ -3,6 +3,7 @@
 import type {Connection} from './connection.js';
 import {HoldTimes} from './hold-times.js';
 import {probe} from './probe.js';
+import {ReadingGate} from './reading-gate.js';
 
 /** Options of {@link ServerConnections}. */
 export interface ServerConnectionsOptions {
@@ -61,6 +62,7 @@
 	 */
 	release({connection, isReusable}: {readonly connection: Connection; readonly isReusable: boolean}): void {
 		connection.onSilent = undefined;
+		connection.releaseReading();
 		const wasLent = this.#lent.delete(connection);
 		if (wasLent && isReusable) {
 			this.#holdTimes.record(this.#options.now() - connection.lentAtMs);
@@ -189,6 +191,8 @@
 		const connection: Connection = {
 			client,
 			reset() {/* There is no socket yet. */},
+			holdReading() {/* There is no socket yet. */},
+			releaseReading() {/* There is no socket yet. */},
 			onSilent: undefined,
 			createdAtMs: now(),
 			lastReceivedAtMs: now(),
@@ -232,8 +236,13 @@
 		connect(options, (...result) => {
 			const [, socket] = result;
 			if (socket) {
+				const gate = new ReadingGate(socket);
 				Object.assign(connection(), {
-					wasReset: false, isUnframed: false, reset() {
+					wasReset: false, isUnframed: false, holdReading() {
+						gate.close();
+					}, releaseReading() {
+						gate.open();
+					}, reset() {
 						// Without an error the library would treat the close as the end of a response without a length, even if its request was aborted.
 						socket.emit('error', new errors.RequestAbortedError('the connection was reset because its request was aborted'));
 						socket.resetAndDestroy();
--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -105,7 +105,7 @@
 		this.#controller = controller;
 	}
 
-	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
 		this.#recordActivity();
 		if (status < 200) {
 			return;
@@ -130,21 +130,21 @@
 		}
 
 		if (hasBody && Number(headers['content-length'] ?? 0) > this.#options.maxBufferedBytes) {
-			this.#startForwarding(controller);
+			this.#startForwarding();
 		}
 	}
 
-	onResponseData(controller: Dispatcher.DispatchController, piece: Uint8Array): void {
+	onResponseData(_controller: Dispatcher.DispatchController, piece: Uint8Array): void {
 		this.#recordActivity();
 		if (this.#forwarder) {
-			this.#forwarder.write({piece, controller});
+			this.#forwarder.write(piece);
 			return;
 		}
 
 		this.#bufferedPieces.push(piece);
 		this.#bufferedBytes += piece.length;
 		if (this.#bufferedBytes > this.#options.maxBufferedBytes) {
-			this.#startForwarding(controller);
+			this.#startForwarding();
 		}
 	}
 
@@ -234,13 +234,26 @@
 		}
 	}
 
-	#startForwarding(controller: Dispatcher.DispatchController): void {
-		controller.pause();
-		const forwarding = new ResponseForwarder({head: this.#head!, bufferedPieces: this.#bufferedPieces, controller});
+	#startForwarding(): void {
+		const {connection} = this.#options.lease;
+		const forwarder = new ResponseForwarder({
+			head: this.#head!,
+			bufferedPieces: this.#bufferedPieces,
+			holdReading: () => {
+				if (!this.#isReleased) {
+					connection.holdReading();
+				}
+			},
+			releaseReading: () => {
+				if (!this.#isReleased) {
+					connection.releaseReading();
+				}
+			},
+		});
 		this.#bufferedPieces = [];
-		this.#forwarder = forwarding;
+		this.#forwarder = forwarder;
 		this.#resolve(Right({
-			kind: 'partial', ...this.#head!, forward: async response => forwarding.start(response),
+			kind: 'partial', ...this.#head!, forward: async response => forwarder.start(response),
 		}));
 	}
 }
--- a/calls/forwarding/src/response-forwarder.ts
+++ b/calls/forwarding/src/response-forwarder.ts
@@ -1,6 +1,5 @@
 /** Forwards large responses to callers while they arrive. */
 import type {ServerResponse} from 'node:http';
-import type {Dispatcher} from 'undici';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {ResponseHead, AttemptFailure} from './attempt-response.js';
@@ -10,27 +9,39 @@
 	readonly head: ResponseHead;
 	/** The part of the body that was received so far. */
 	readonly bufferedPieces: readonly Uint8Array[];
-	readonly controller: Dispatcher.DispatchController;
+	/** Stops reading from the backend server; pieces that were read before may still follow. */
+	readonly holdReading: () => void;
+	/** Goes on reading. */
+	readonly releaseReading: () => void;
 }
 
-/** Forwards one response that is too large to buffer. */
+/**
+ * Forwards one response that is too large to buffer. Reading from the backend server is held from the start until the
+ * caller's side takes data, and whenever the caller's buffer is full.
+ */
 export class ResponseForwarder {
 	readonly #options: ResponseForwarderOptions;
 	readonly #done: Promise<Either<AttemptFailure, void>>;
+	/** Pieces that arrived before the caller's response was started. */
+	readonly #pieces: Uint8Array[];
 	#settle!: (result: Either<AttemptFailure, void>) => void;
 	#response: ServerResponse | undefined;
 	#failure: AttemptFailure | undefined;
+	#isEnded = false;
+	#awaitsSocket = false;
 
 	constructor(options: ResponseForwarderOptions) {
 		this.#options = options;
+		this.#pieces = [...options.bufferedPieces];
 		this.#done = new Promise(resolve => {
 			this.#settle = resolve;
 		});
+		options.holdReading();
 	}
 
 	/** Starts sending to the caller; resolves at the end of the response. Left: the response was truncated. */
 	async start(response: ServerResponse): Promise<Either<AttemptFailure, void>> {
-		const {head, bufferedPieces, controller} = this.#options;
+		const {head} = this.#options;
 		this.#response = response;
 		if (this.#failure) {
 			this.fail(this.#failure);
@@ -39,27 +50,37 @@
 
 		response.writeHead(head.status, head.headers);
 		response.on('drain', () => {
-			controller.resume();
+			this.#releaseUnlessFull(response);
 		});
-		const isFull = bufferedPieces.map(piece => response.write(piece)).includes(false);
-		if (!isFull) {
-			controller.resume();
+		for (const piece of this.#pieces.splice(0)) {
+			response.write(piece);
+		}
+
+		if (this.#isEnded) {
+			this.end();
+		} else if (!isFull(response)) {
+			this.#options.releaseReading();
 		}
 
 		return this.#done;
 	}
 
-	/** Sends a piece; pauses reading from the backend server while the caller's socket buffer is full. */
-	write({piece, controller}: {readonly piece: Uint8Array; readonly controller: Dispatcher.DispatchController}): void {
-		if (!this.#response!.write(piece)) {
-			controller.pause();
+	/** Sends a piece. */
+	write(piece: Uint8Array): void {
+		if (!this.#response) {
+			this.#pieces.push(piece);
+		} else if (!this.#response.write(piece)) {
+			this.#options.holdReading();
 		}
 	}
 
 	/** Ends the response after its last piece. */
 	end(): void {
-		this.#response!.end();
-		this.#settle(Right(undefined));
+		this.#isEnded = true;
+		if (this.#response) {
+			this.#response.end();
+			this.#settle(Right(undefined));
+		}
 	}
 
 	/** Resets the caller's connection, so that the caller cannot take a truncated response for a complete one. */
@@ -70,6 +91,19 @@
 			this.#settle(Left(failure));
 		}
 	}
+
+	/** The runtime also emits `drain` when another response on the caller's connection is written while this one is still full. */
+	#releaseUnlessFull(response: ServerResponse): void {
+		if (!isFull(response)) {
+			this.#options.releaseReading();
+		} else if (!this.#awaitsSocket) {
+			this.#awaitsSocket = true;
+			response.socket?.once('drain', () => {
+				this.#awaitsSocket = false;
+				this.#releaseUnlessFull(response);
+			});
+		}
+	}
 }
 
 /** Resets the caller's connection (TCP RST). */
@@ -80,3 +114,7 @@
 		response.destroy();
 	}
 }
+
+function isFull({writableLength, writableHighWaterMark}: ServerResponse): boolean {
+	return writableLength >= writableHighWaterMark;
+}
--- a/calls/forwarding/test/exchange.test.ts
+++ b/calls/forwarding/test/exchange.test.ts
@@ -21,7 +21,7 @@
 		const exchange = new Exchange({
 			lease: {
 				connection: {
-					client, reset() {/* The exchange does not reset it. */}, onSilent: undefined,
+					client, reset() {/* The exchange does not reset it. */}, holdReading: () => undefined, releaseReading: () => undefined, onSilent: undefined,
 					createdAtMs: 0, lastReceivedAtMs: 0, lentAtMs: 0, isOpen: false, wasUsed: false, wasReset: false, isUnframed: false,
 				}, release: () => undefined,
 			},
--- a/daemons/gateway/test/held-responses.test.ts
+++ b/daemons/gateway/test/held-responses.test.ts
@@ -89,8 +89,9 @@
 	const response = received.slice(received.lastIndexOf('HTTP/1.1 '));
 	const headEnd = response.indexOf('\r\n\r\n');
 	const body = response.slice(headEnd + 4);
+	const statedLength = /^content-length: (\d+)/imu.exec(response.slice(0, headEnd))?.[1];
 	return response.startsWith('HTTP/1.1 200') && body.replaceAll(/[^b]/gu, '').length === length
-		&& (/^content-length:/imu.test(response.slice(0, headEnd)) ? body.length === length : body.endsWith(LAST_CHUNK));
+		&& (statedLength === undefined ? body.endsWith(LAST_CHUNK) : body.length === Number(statedLength));
 }
 
 describe('a response behind another one on its caller\'s connection', () => {
