Bound the text of errors about values from outside

Callers saw: every gateway that reads a value nested 20,000 levels deep under servers/ or op/config ends, and each that starts while it lies there. Cause: the text of an error quoted the value found by JSON.stringify, whose recursion overflows the stack, and the exception had no handler: the path for refusing a value was weaker than the one for taking it. Class: an error path that can fail on the input that led to it. Ruled out: the parser itself, which needs no stack: 200,000 levels in a field that nobody reads were held before. Change: describeValue describes any value in bounded time and length; decodeForeignJson and parseForeignJson turn bytes into a value or a typed error, with a bound of the size. Conclusion: a nested value costs only itself.

--- a/core/types/src/index.ts
+++ b/core/types/src/index.ts
@@ -1,7 +1,9 @@
 /** Shared types: branded ids, the objects of a configuration, refusals and reason codes, and the reports for operators. */
 export type * from './brand.js';
 export type * from './coded-error.js';
+export * from './describe-value.js';
 export * from './endpoint.js';
+export * from './foreign-json.js';
 export type * from './ids.js';
 export type * from './instance.js';
 export type * from './objects.js';
--- a/daemons/gateway/test/odd-entries.test.ts
+++ b/daemons/gateway/test/odd-entries.test.ts
@@ -29,6 +29,9 @@
 const nestedObjects = `${'{"a":'.repeat(DEEP)}1${'}'.repeat(DEEP)}`;
 const withField = (name: keyof typeof valid, text: string): Written => ['servers/odd', JSON.stringify({...valid, [name]: 'PLACE'}).replace('"PLACE"', text)];
 
+/** Puts each value under a key of its own. */
+const several = (written: readonly Written[]): readonly Written[] => written.map(([key, value], index) => [`${key}-${index}`, value]);
+
 const cases: ReadonlyArray<{name: string; written: readonly Written[]}> = [
 	{name: 'nested lists', written: [['servers/odd', nested]]},
 	{name: 'nested objects', written: [['servers/odd', nestedObjects]]},
@@ -37,14 +40,14 @@
 	{name: 'an unknown field of nested lists beside valid ones', written: [withField('version', nested)]},
 	{name: 'nesting that never ends', written: [['servers/odd', '['.repeat(LARGE_BYTES)]]},
 	{name: 'addresses with a scope', written: [at('[fe80::1%lo]:80'), ['servers/odd-2', at('fe80::1%1:80')[1]]]},
-	{name: 'addresses of no host', written: ['0.0.0.0:80', '[::]:80', '224.0.0.1:80', '[ff02::1]:80', '255.255.255.255:80', '[::ffff:0.0.0.0]:80'].map((address, index) => [`servers/odd-${index}`, at(address)[1]])},
-	{name: 'ports out of range or not in decimal digits', written: ['0', '65536', '-1', '0x50', '8e1', ' 80', '80 ', '', '1e999'].map((port, index) => [`servers/odd-${index}`, at(`127.0.0.1:${port}`)[1]])},
+	{name: 'addresses of no host', written: several(['0.0.0.0:80', '[::]:80', '224.0.0.1:80', '[ff02::1]:80', '255.255.255.255:80', '[::ffff:0.0.0.0]:80'].map(address => at(address)))},
+	{name: 'ports out of range or not in decimal digits', written: several(['0', '65536', '-1', '0x50', '8e1', ' 80', '80 ', '', '1e999'].map(port => at(`127.0.0.1:${port}`)))},
 	{name: 'ids that cannot stand in a header', written: ['a\nb', 'a\r\nx-evil: 1', 'a\0b', '\u{1F600}', '\uD800', 'é', ' ', '\u007F'].map(id => named(id))},
 	{name: 'no id', written: [named('')]},
 	{name: 'ids with further slashes', written: [named('a/b'), named('/'), named('a/')]},
 	{name: 'a very long id', written: [named('x'.repeat(100_000))]},
-	{name: 'numbers too large', written: [withField('slots', '1e400'), ['servers/odd-2', withField('warmup-left-s', '1e308')[1]], ['servers/odd-3', withField('sequence', '9'.repeat(DEEP))[1]], ['servers/odd-4', withField('born', '-1e308')[1]]]},
-	{name: 'values of 1 MB', written: [odd({service: 'x'.repeat(LARGE_BYTES)}), ['servers/odd-2', odd({state: 'x'.repeat(LARGE_BYTES)})[1]], ['servers/odd-3', new Uint8Array(LARGE_BYTES)]]},
+	{name: 'numbers too large', written: several([withField('slots', '1e400'), withField('warmup-left-s', '1e308'), withField('sequence', '9'.repeat(DEEP)), withField('born', '-1e308')])},
+	{name: 'values of 1 MB', written: several([odd({service: 'x'.repeat(LARGE_BYTES)}), odd({state: 'x'.repeat(LARGE_BYTES)}), ['servers/odd', new Uint8Array(LARGE_BYTES)]])},
 	{name: 'bytes that are not UTF-8', written: [['servers/odd', new Uint8Array([0xFF, 0xFE, 0x00, 0xC0, 0x80])]]},
 	{name: 'a field twice', written: [['servers/odd', JSON.stringify(valid).replace('{', '{"address":"[fe80::1%lo]:1","address":[],')]]},
 	{name: 'names of the language', written: [['servers/odd', '{"__proto__":{"service":"ledger"},"constructor":1,"toString":null}'], ['servers/__proto__', '{"__proto__":null}'], ['servers/constructor', '[]']]},
@@ -54,6 +57,11 @@
 	{name: 'an odd configuration', written: [['op/config', `{"version":${nested},"routes":${nested}}`]]},
 ];
 
+interface Called {
+	readonly settings: GatewaySettingsInput;
+	readonly process: GatewayProcess;
+}
+
 describe('a gateway while odd entries are in the store', () => {
 	let fleet: GatewayFleet;
 	let settings: GatewaySettingsInput;
@@ -73,19 +81,19 @@
 		}
 	};
 
-	const callAll = async ({settings: {listen}, process: {errors}} = {settings, process: gateway}): Promise<void> => {
+	const callAll = async (called: Called): Promise<void> => {
 		const failures: string[] = [];
 		for (let request = 0; request < REQUESTS; request += 1) {
-			const {status, text} = await callGateway({endpoint: endpointOf(listen.callers), object: randomUUID()});
+			const {status, text} = await callGateway({endpoint: endpointOf(called.settings.listen.callers), object: randomUUID()});
 			failures.push(...(status === 200 ? [] : [`${status} ${text}`]));
 		}
 
-		assert.deepEqual(failures, [], errors.join('').slice(0, SHOWN_CHARACTERS));
+		assert.deepEqual(failures, [], called.process.errors.join('').slice(0, SHOWN_CHARACTERS));
 	};
 
 	const reaches = async (name: string): Promise<boolean> => {
 		const before = fleet.records.executions.length;
-		await callAll();
+		await callAll({settings, process: gateway});
 		return fleet.records.executions.slice(before).some(({server}) => server === name);
 	};
 
