Read any request target without an exception

Callers saw: one request for the target // to the directory, or to the listener for other instances, ends the gateway. Cause: new URL(target, base) throws for targets that begin an authority without a host, in a request listener without a handler. Class: a call that throws on input from outside.

--- a/calls/live/src/change-listener.ts
+++ b/calls/live/src/change-listener.ts
@@ -1,6 +1,7 @@
 /** HTTP endpoint of the change relay: `GET /changes?after=INDEX`. */
 import {Buffer} from 'node:buffer';
 import type {RequestListener} from 'node:http';
+import {parseRequestTarget} from '@pomelopick/core.types';
 import type {ChangeRelay} from './change-relay.js';
 import {encodeUpstreamAnswer} from './relayed-changes.js';
 import type {UpstreamAnswer} from './relayed-changes.js';
@@ -24,7 +25,7 @@
 	};
 
 	return async (request, response) => {
-		const {pathname, searchParams} = new URL(request.url ?? '', 'http://instance');
+		const {pathname, searchParams} = parseRequestTarget(request.url);
 		const after = searchParams.get('after') ?? '';
 		if (pathname !== PATH || !INDEX_PATTERN.test(after)) {
 			response.writeHead(pathname === PATH ? 400 : 404).end();
--- a/core/types/src/index.ts
+++ b/core/types/src/index.ts
@@ -11,4 +11,5 @@
 export * from './reasons.js';
 export * from './refusal.js';
 export type * from './registered-server.js';
+export * from './request-target.js';
 export type * from './routes.js';
--- a/daemons/entry/src/lookup-handler.ts
+++ b/daemons/entry/src/lookup-handler.ts
@@ -2,6 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {isIP} from 'node:net';
+import {parseRequestTarget} from '@pomelopick/core.types';
 import type {CallId, Refusal} from '@pomelopick/core.types';
 import type {Counters} from '@pomelopick/core.telemetry';
 import {sendRefusal} from '@pomelopick/calls.forwarding';
@@ -22,7 +23,7 @@
 
 /** Responds to a look-up, or refuses it with a problem document. */
 export function handleLookup({request, response, lookup, view, counters, now}: HandleLookupOptions): void {
-	const url = new URL(request.url ?? '/', 'http://entry');
+	const url = parseRequestTarget(request.url);
 	const service = url.searchParams.get('service') ?? '';
 	const client = url.searchParams.get('client') ?? request.socket.remoteAddress ?? '';
 	const refusal = findRefusal({
--- a/daemons/entry/src/operator-handler.ts
+++ b/daemons/entry/src/operator-handler.ts
@@ -1,6 +1,7 @@
 /** Handles the requests of operators: `GET /v1/status`, `GET /v1/explain` and `GET /v1/events`. */
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {parseRequestTarget} from '@pomelopick/core.types';
 import type {CallId, Refusal} from '@pomelopick/core.types';
 import type {Counters, EventRecord} from '@pomelopick/core.telemetry';
 import {sendRefusal} from '@pomelopick/calls.forwarding';
@@ -34,7 +35,7 @@
 /** Responds to one request of an operator. */
 export function handleOperator(options: HandleOperatorOptions): void {
 	const {request, response} = options;
-	const url = new URL(request.url ?? '/', 'http://entry');
+	const url = parseRequestTarget(request.url);
 	const route = routes[url.pathname];
 	request.resume();
 	if (!route || request.method !== 'GET') {
--- a/daemons/entry/src/outcome-handler.ts
+++ b/daemons/entry/src/outcome-handler.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {parseRequestTarget} from '@pomelopick/core.types';
 import type {
 	CallId, Execution, Refusal, ServiceName,
 } from '@pomelopick/core.types';
@@ -35,7 +36,7 @@
 
 /** Responds with an {@link OutcomeDocument}, or refuses with a problem document. */
 export async function handleOutcome({request, response, keyGuard}: HandleOutcomeOptions): Promise<void> {
-	const url = new URL(request.url ?? '/', 'http://entry');
+	const url = parseRequestTarget(request.url);
 	const key = decodeKey(url.pathname);
 	const service = url.searchParams.get('service') ?? '';
 	request.resume();
