Wait for an address that is in use before a gateway reads the store and registers itself

Cause: a bind that fails rejected the start, and nobody handled the rejection: the process ended with an uncaught EADDRINUSE, and again each time the platform started it, until the port was free. The port is held by the process before, or by an outgoing connection to which the operating system gave it, and stays occupied for up to a minute after that has ended.

Ruled out: ending after a time. The platform starts the process again with the same address, so a wait becomes a series of own ends.

One line when a listener waits and one when it stands; counters. The store is read and the instance registered once all listeners but the metrics' stand; it did both while four did not stand. SIGTERM ends the wait.

--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 /** Starts and stops one gateway. */
 import {randomInt} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
+import {Either, Left, Right} from 'purify-ts';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {CallerListener} from '@pomelopick/calls.listener';
@@ -10,16 +11,18 @@
 import type {InstanceRecord} from '@pomelopick/calls.live';
 import {PERMITS_PATH} from '@pomelopick/calls.rate-limits';
 import type {GatewaySettings} from '@pomelopick/config.settings';
+import type {BindError} from '@pomelopick/core.listeners';
 import {DecisionLog, ServedCounters} from '@pomelopick/core.telemetry';
 import type {OutputWriter} from '@pomelopick/core.telemetry';
 import type {Endpoint} from '@pomelopick/core.types';
 import {encodeRetryAfter, platformHeaders} from '@pomelopick/platform.wire';
 import {createDirectory, createReadiness} from './directory.js';
 import type {CodeCacheUse} from './code-cache.js';
+import {createBinder} from './create-binder.js';
 import {createRateLimits} from './create-rate-limits.js';
 import {createRelay} from './create-relay.js';
 import {createView} from './create-view.js';
-import {HttpListener, listen} from './http-listener.js';
+import {HttpListener} from './http-listener.js';
 
 const MAX_SEED = 2_147_483_647;
 const MILLISECONDS_PER_SECOND = 1000;
@@ -39,6 +42,8 @@
 	readonly output: OutputWriter;
 	/** Whether the program was started from its code cache, for the log; `missing` by default. */
 	readonly codeCache?: CodeCacheUse;
+	/** Ends a start that waits for an address; a gateway that has started is stopped by {@link Gateway.stop}. */
+	readonly stopSignal?: AbortSignal;
 }
 
 /** A running gateway. */
@@ -53,8 +58,13 @@
 	stop(): Promise<void>;
 }
 
-/** Starts a gateway. Rejects when an address is already in use. */
-export async function startGateway({settings: startSettings, output, codeCache = 'missing'}: StartGatewayOptions): Promise<Gateway> {
+/**
+ * Starts a gateway. It reads the store and registers itself only once all its listeners stand, except the one for metrics:
+ * nobody is told of an address at which nobody listens. Waits for addresses that are in use.
+ *
+ * @returns Left `bind-refused` if an address can never be bound, `bind-stopped` if it was stopped while it waited.
+ */
+export async function startGateway({settings: startSettings, output, codeCache = 'missing', stopSignal}: StartGatewayOptions): Promise<Either<BindError, Gateway>> {
 	let settings = startSettings;
 	let endsAtMs: number | undefined;
 	const firstSequence = Date.now();
@@ -116,9 +126,9 @@
 		refusalFormat: {idHeader: platformHeaders.requestId, encodeRetryAfter},
 		route: async options => relay.handler.handle(options),
 	});
-	const readiness = new HttpListener({endpoint: settings.listen.readiness, handle: createReadiness({isReady})});
+	const readiness = new HttpListener({handle: createReadiness({isReady})});
 	const directory = new HttpListener({
-		endpoint: settings.listen.directory, handle: createDirectory({
+		handle: createDirectory({
 			view, self, isReady, maxTimeToLiveMs: settings.directoryMaxAgeMs, counters,
 		}),
 	});
@@ -132,13 +142,13 @@
 		[broadcastPath('suspicions'), handleSuspicions], [broadcastPath('rate-limits'), rateLimitParts.handleRecords], [PERMITS_PATH, rateLimitParts.handlePermits],
 	]);
 	const peerListener = new HttpListener({
-		endpoint: peers, handle(request, response) {
+		handle(request, response) {
 			const handle = peerListeners.get(request.url ?? '') ?? handleChanges;
 			handle(request, response);
 		},
 	});
 	const metrics = new HttpListener({
-		endpoint: settings.listen.metrics, async handle(_request, response) {
+		async handle(_request, response) {
 			const text = await counters.text();
 			response.setHeader('content-type', counters.contentType);
 			response.end(text);
@@ -156,15 +166,39 @@
 	counters.gauges({
 		name: 'server_rate_limit', help: 'Rate limits that backend servers name, in requests per second.', label: 'server', read: () => rateLimitParts.listRates(),
 	});
-	await peerListener.start();
-	viewParts.start();
-	const [callersAt, readinessAt, directoryAt, metricsAt] = await Promise.all([
-		listen({server: listener.server, endpoint: callers}), readiness.start(), directory.start(), metrics.start(),
+	const binder = createBinder({counters, log, now});
+	const close = async (): Promise<void> => {
+		binder.stop();
+		rateLimitParts.stop();
+		await Promise.all([viewParts.stop(), relay.stop(), readiness.stop(), directory.stop(), peerListener.stop(), metrics.stop()]);
+	};
+
+	stopSignal?.addEventListener('abort', () => {
+		binder.stop();
+	});
+	const bindings = await Promise.all([
+		binder.bind({server: listener.server, listener: 'callers', endpoint: callers}),
+		binder.bind({server: readiness.server, listener: 'readiness', endpoint: settings.listen.readiness}),
+		binder.bind({server: directory.server, listener: 'directory', endpoint: settings.listen.directory}),
+		binder.bindOptional({server: metrics.server, listener: 'metrics', endpoint: settings.listen.metrics}),
+		binder.bind({server: peerListener.server, listener: 'peers', endpoint: peers}),
 	]);
+	const failures = Either.lefts(bindings);
+	if (failures.length > 0) {
+		const failure = failures.find(({code}) => code === 'bind-refused') ?? failures[0]!;
+		await listener.stop({timeoutMs: 0, inProgress: () => relay.handler.inProgress});
+		await close();
+		log.line('stopped', {reason: failure.code, detail: failure.message});
+		output.flush();
+		return Left(failure);
+	}
+
+	const [callersAt, readinessAt, directoryAt, metricsAt] = Either.rights(bindings) as [Endpoint, Endpoint, Endpoint, Endpoint, Endpoint];
+	viewParts.start();
 	log.line('started', {
 		failureDomain, region, callers: `${callersAt.address}:${callersAt.port}`, codeCache,
 	});
-	return {
+	return Right({
 		endpoints: {
 			callers: callersAt, readiness: readinessAt, directory: directoryAt, metrics: metricsAt,
 		},
@@ -184,10 +218,9 @@
 			await listener.stop({timeoutMs, inProgress: () => relay.handler.inProgress});
 			clearTimeout(timer);
 			await left;
-			rateLimitParts.stop();
-			await Promise.all([viewParts.stop(), relay.stop(), readiness.stop(), directory.stop(), peerListener.stop(), metrics.stop()]);
+			await close();
 			log.line('stopped', {});
 			output.flush();
 		},
-	};
+	});
 }
--- a/daemons/gateway/src/run-gateway.ts
+++ b/daemons/gateway/src/run-gateway.ts
@@ -35,8 +35,27 @@
 			exitWithError(`${code}: ${message}`);
 		},
 		async Right(checked) {
-			const gateway = await startGateway({settings: checked, output: createOutputWriter({descriptor: STANDARD_OUTPUT}), codeCache});
-			listenToSignals({gateway, settingsPath: path, onSignal});
+			const stopping = new AbortController();
+			const reloads = new ReloadRequests();
+			onSignal(signal => {
+				if (signal === 'SIGHUP') {
+					reloads.request();
+				} else {
+					stopping.abort();
+				}
+			});
+			const output = createOutputWriter({descriptor: STANDARD_OUTPUT});
+			const started = await startGateway({
+				settings: checked, output, codeCache, stopSignal: stopping.signal,
+			});
+			started.ifLeft(({code, message}) => {
+				if (code === 'bind-refused') {
+					exitWithError(`${code}: ${message}`);
+				}
+			}).ifRight(gateway => {
+				useSettingsFile({gateway, settingsPath: path, reloads});
+				stopAtSignal({gateway, settingsPath: path, stopSignal: stopping.signal});
+			});
 		},
 	});
 }
@@ -46,13 +65,34 @@
 	process.exitCode = BAD_SETTINGS_EXIT_CODE;
 }
 
-interface ListenOptions {
+/** Requests to reload the settings; those that come during the start are kept. */
+class ReloadRequests {
+	#isRequested = false;
+	#reload: (() => void) | undefined;
+
+	/** Reloads the settings now, or once {@link use} is called. */
+	request(): void {
+		this.#isRequested = true;
+		this.#reload?.();
+	}
+
+	/** Sets what reloads the settings. */
+	use(reload: () => void): void {
+		this.#reload = reload;
+		if (this.#isRequested) {
+			reload();
+		}
+	}
+}
+
+interface UseSettingsFileOptions {
 	readonly gateway: Gateway;
 	readonly settingsPath: string;
-	readonly onSignal: OnSignal;
+	readonly reloads: ReloadRequests;
 }
 
-function listenToSignals({gateway, settingsPath, onSignal}: ListenOptions): void {
+/** Reloads the settings when that is requested and when their file changes. */
+function useSettingsFile({gateway, settingsPath, reloads}: UseSettingsFileOptions): void {
 	const reload = async (): Promise<void> => {
 		const settings = await readGatewaySettings(settingsPath).run();
 		settings.ifLeft(({code, message}) => {
@@ -65,24 +105,21 @@
 	watchFile(settingsPath, {interval: SETTINGS_CHECK_MS, persistent: false}, () => {
 		void reload();
 	});
-	const stop = createStop({gateway, settingsPath});
-	onSignal(signal => {
-		if (signal === 'SIGHUP') {
-			void reload();
-		} else {
-			stop();
-		}
+	reloads.use(() => {
+		void reload();
 	});
 }
 
-/** Creates a function that stops the gateway at its first call and does nothing at further ones. */
-function createStop({gateway, settingsPath}: Omit<ListenOptions, 'onSignal'>): () => void {
-	let isStopping = false;
-	return () => {
-		if (!isStopping) {
-			isStopping = true;
-			unwatchFile(settingsPath);
-			void gateway.stop();
-		}
+/** Stops the gateway once, at a signal that has come or will come. */
+function stopAtSignal({gateway, settingsPath, stopSignal}: {readonly gateway: Gateway; readonly settingsPath: string; readonly stopSignal: AbortSignal}): void {
+	const stop = (): void => {
+		unwatchFile(settingsPath);
+		void gateway.stop();
 	};
+
+	if (stopSignal.aborted) {
+		stop();
+	} else {
+		stopSignal.addEventListener('abort', stop, {once: true});
+	}
 }
--- a/daemons/gateway/test/fixture.ts
+++ b/daemons/gateway/test/fixture.ts
@@ -17,7 +17,7 @@
 export async function startReadyGateway(input: GatewaySettingsInput): Promise<LoggedGateway> {
 	const lines: Array<Record<string, unknown>> = [];
 	const settings = parseGatewaySettings(input).unsafeCoerce();
-	const gateway = await startGateway({
+	const started = await startGateway({
 		settings, output: {
 			write(line) {
 				lines.push(JSON.parse(line) as Record<string, unknown>);
@@ -25,6 +25,7 @@
 			}, flush() {/* Lines are written at once. */},
 		},
 	});
+	const gateway = started.unsafeCoerce();
 	await until(() => gateway.isReady() && lines.some(({event}) => event === 'server-changed'));
 	return {...gateway, lines};
 }
