--- a/daemons/gateway/test/fixture.ts
+++ b/daemons/gateway/test/fixture.ts
@@ -24,7 +24,7 @@
 export async function startReadyGateway(input: GatewaySettingsInput): Promise<LoggedGateway> {
 	const lines: Array<Record<string, unknown>> = [];
 	const settings = parseGatewaySettings(input).unsafeCoerce();
-	const gateway = await startGateway({
+	const started = await startGateway({
 		settings, output: {
 			write(line) {
 				lines.push(JSON.parse(line) as Record<string, unknown>);
@@ -32,6 +32,7 @@
 			}, flush() {/* Lines are written at once. */},
 		},
 	});
+	const gateway = started.unsafeCoerce();
 	await until(() => gateway.isReady() && lines.some(({event}) => event === 'server-changed'));
 	return {...gateway, lines};
 }
