Ignore offers of an upgrade, so that a client that makes one cannot end the process

Cause: the listener took such requests over. The runtime then removes its own listeners from the socket, also that for errors, and none was added, so that a reset was an unhandled error. The same for CONNECT. The refusal was also written in front of responses in progress.

Change: no listener for upgrades: the runtime serves the request. CONNECT is refused behind the responses in front of it, with a listener for errors and a counter.

A client that offers an upgrade with each request gets a connection for each.

--- a/calls/listener/src/caller-connections.ts
+++ b/calls/listener/src/caller-connections.ts
@@ -9,6 +9,16 @@
 	readonly unsent: Set<ServerResponse>;
 	/** Response to the newest request; undefined before the first request. */
 	latest: ServerResponse | undefined;
+	/** Whether no request behind the newest one is accepted. */
+	isLast: boolean;
+}
+
+/** Options of {@link CallerConnections.accept}. */
+export interface AcceptRequestOptions {
+	readonly socket: Socket;
+	readonly response: ServerResponse;
+	/** Whether no request behind this one can be accepted, so that the connection closes after its response. */
+	readonly isLast: boolean;
 }
 
 /** Keeps track of callers' connections, closes them after their last response, and counts responses that were never sent. */
@@ -28,7 +38,7 @@
 
 	/** Adds a connection that was opened. */
 	add(socket: Socket): void {
-		const connection: CallerConnection = {unsent: new Set(), latest: undefined};
+		const connection: CallerConnection = {unsent: new Set(), latest: undefined, isLast: false};
 		this.#connections.set(socket, connection);
 		socket.once('close', () => {
 			this.#connections.delete(socket);
@@ -43,7 +53,7 @@
 	 *
 	 * @returns False if an earlier response closes the connection: this request must not be run, as it cannot be answered.
 	 */
-	accept({socket, response}: {readonly socket: Socket; readonly response: ServerResponse}): boolean {
+	accept({socket, response, isLast}: AcceptRequestOptions): boolean {
 		const connection = this.#connections.get(socket);
 		if (!connection) {
 			// The connection ended before its last bytes were parsed.
@@ -51,15 +61,18 @@
 		}
 
 		const {latest} = connection;
-		if (latest?.headersSent === true && latest.getHeader('connection') === 'close') {
+		if (connection.isLast || (latest?.headersSent === true && latest.getHeader('connection') === 'close')) {
 			this.#counters.add('callers.request-behind-close');
 			return false;
 		}
 
 		if (this.#isClosing) {
 			moveClose({from: latest, to: response});
+		} else if (isLast) {
+			response.setHeader('connection', 'close');
 		}
 
+		connection.isLast = isLast;
 		connection.latest = response;
 		connection.unsent.add(response);
 		response.once('finish', () => {
--- a/calls/listener/src/caller-listener.ts
+++ b/calls/listener/src/caller-listener.ts
@@ -98,11 +98,8 @@
 		this.server.on('drop', () => {
 			options.counters.add('callers.connection-dropped');
 		});
-		this.server.on('upgrade', (_request, socket) => {
-			this.#refuseConnection({socket: socket as Socket, refusal: {reason: 'bad-request', execution: 'not-run', detail: 'upgrades are not supported'}});
-		});
 		this.server.on('connect', (_request, socket) => {
-			this.#refuseConnection({socket: socket as Socket, refusal: {reason: 'bad-request', execution: 'not-run', detail: 'CONNECT is not supported'}});
+			this.#handleConnect(socket as Socket);
 		});
 	}
 
@@ -170,7 +167,7 @@
 			return;
 		}
 
-		if (!this.#connections.accept({socket: request.socket, response})) {
+		if (!this.#connections.accept({socket: request.socket, response, isLast: offersUpgrade(request)})) {
 			return;
 		}
 
@@ -187,6 +184,23 @@
 		void this.#options.route({request, response});
 	}
 
+	/** Refuses a request for a tunnel once the responses in front of it are sent. The runtime has removed its own listeners from the socket. */
+	#handleConnect(socket: Socket): void {
+		socket.on('error', () => {
+			this.#options.counters.add('callers.tunnel-connection-failed');
+		});
+		const refuse = (): void => {
+			this.#refuseConnection({socket, refusal: {reason: 'bad-request', execution: 'not-run', detail: 'CONNECT is not supported'}});
+		};
+
+		const latest = this.#connections.latestResponse(socket);
+		if (latest?.writableFinished === false) {
+			latest.once('finish', refuse);
+		} else {
+			refuse();
+		}
+	}
+
 	#handleClientError({error, socket}: {readonly error: Error & {code?: string}; readonly socket: Socket}): void {
 		if (error.code === 'ECONNRESET' || !socket.writable) {
 			socket.destroy();
@@ -256,6 +270,14 @@
 	}
 }
 
+/**
+ * Whether a request offers to switch to another protocol. The offer is ignored (RFC 9110, section 7.8), but the runtime's
+ * parser drops bytes that it has received behind such a request, so the request has to be the last of its connection.
+ */
+function offersUpgrade({headers}: IncomingMessage): boolean {
+	return headers.upgrade !== undefined && /\bupgrade\b/iu.test(headers.connection ?? '');
+}
+
 function toRefusal({error: {code, message}, limits}: {readonly error: Error & {code?: string}; readonly limits: ListenerLimits}): Refusal {
 	switch (code) {
 		case 'HPE_HEADER_OVERFLOW': {
