Show that servers are handed more time than is left when connecting takes long

Cause: the time left is computed before the connection stands. A server that accepts late, or a first packet that is lost, takes a second.

Ruled out: that the deadline of the caller is computed anew for each attempt; it is the same for all.

--- a/testing/gateway-fleet/src/unreachable-server.ts
+++ b/testing/gateway-fleet/src/unreachable-server.ts
@@ -1,7 +1,8 @@
 /**
- * Stand-in for the address of a server that has lost its power: connecting to it hangs.
+ * Stand-in for the address of a server that has lost its power, or that is late to accept: connecting to it hangs.
  *
  * A thread listens with the shortest queue and is then blocked, so that nothing is accepted; connections fill the queue.
+ * Once it accepts, the connections whose first packet was lost are established when that is sent again.
  */
 import {once} from 'node:events';
 import {connect} from 'node:net';
@@ -14,37 +15,66 @@
 const HANGING_MS = 300;
 
 const LISTENER_PROGRAM = `
-const {createServer} = require('node:net');
-const {parentPort} = require('node:worker_threads');
-const server = createServer();
+const {createServer} = require('node:http');
+const {parentPort, workerData} = require('node:worker_threads');
+const server = createServer(({headers}, response) => {
+	const requestId = headers['x-request-id'];
+	if (requestId !== undefined) {
+		parentPort.postMessage({requestId, timeLeftMs: Number(headers['x-deadline-ms']), atMs: Date.now()});
+		response.writeHead(200, {'x-request-id': requestId, 'x-server-stamp': requestId});
+	}
+
+	response.end();
+});
 server.listen({host: '127.0.0.1', port: 0, backlog: 1}, () => {
 	parentPort.postMessage(server.address().port);
-	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0);
+	Atomics.wait(workerData, 0, 0);
 });
 `;
 
+/** A request that the server has received. */
+export interface LateArrival {
+	readonly requestId: string;
+	/** Time until the deadline that the sender stated, in milliseconds. */
+	readonly timeLeftMs: number;
+	/** Wall-clock time of the arrival, in milliseconds. */
+	readonly atMs: number;
+}
+
 /** An address to which connecting hangs. */
 export interface UnreachableServer {
 	readonly name: string;
 	readonly port: number;
+	/** Requests that have arrived since it accepts connections. */
+	readonly arrivals: readonly LateArrival[];
+	/** Accepts connections from now on, and responds to all requests with success. */
+	accept(): void;
 	stop(): Promise<void>;
 }
 
 /** Starts one. Rejects if connecting to it does not hang. */
 export async function startUnreachableServer({name}: {readonly name: string}): Promise<UnreachableServer> {
-	const listener = new Worker(LISTENER_PROGRAM, {eval: true});
+	const hasToAccept = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
+	const listener = new Worker(LISTENER_PROGRAM, {eval: true, workerData: hasToAccept});
 	const [port] = await once(listener, 'message') as [number];
+	const arrivals: LateArrival[] = [];
+	listener.on('message', (arrival: LateArrival) => {
+		arrivals.push(arrival);
+	});
 	const fillers = Array.from({length: FILLERS}, () => openSocket(port));
 	await sleep(HANGING_MS);
 	const probe = openSocket(port);
 	await sleep(HANGING_MS);
 	const isHanging = probe.connecting;
 	probe.destroy();
-	const stop = async (): Promise<void> => {
+	const endFillers = (): void => {
 		for (const filler of fillers) {
 			filler.destroy();
 		}
+	};
 
+	const stop = async (): Promise<void> => {
+		endFillers();
 		await listener.terminate();
 	};
 
@@ -53,7 +83,17 @@
 		throw new Error('connecting to a listener that does not accept did not hang');
 	}
 
-	return {name, port, stop};
+	return {
+		name,
+		port,
+		arrivals,
+		accept() {
+			endFillers();
+			Atomics.store(hasToAccept, 0, 1);
+			Atomics.notify(hasToAccept, 0);
+		},
+		stop,
+	};
 }
 
 function openSocket(port: number): Socket {
