State the time left when a request is written, once its connection stands

Callers saw nothing; servers were asked to work up to 1.5 s longer than the caller waits, also on requests sent once more.

Cause: the headers, with the time left, were made before the connection stood. The library held the request until it had connected, and its limit of 1 s for that fires after 1.0 to 1.5 s.

Ruled out: the library's own hooks: it takes headers at dispatch and copies them.

Change: a connection is opened before a request is given to the library, which then takes the open socket over; headers are made at that moment. A socket that was reset while it was being connected is closed as soon as it is connected. The same in the entry daemon.

Whether the users saw it is not known.

--- /dev/null
+++ b/calls/connections/src/connection-socket.ts
@@ -0,0 +1,129 @@
+/** The socket of a connection to a backend server. It can be connected before a request is given to the HTTP library. */
+import {Either, Left, Right} from 'purify-ts';
+import {buildConnector, errors} from 'undici';
+import type {Connection} from './connection.js';
+
+type Socket = Exclude<Parameters<buildConnector.Callback>[1], null>; // eslint-disable-line @typescript-eslint/no-restricted-types
+
+/** Options of {@link ConnectionSocket}. */
+export interface ConnectionSocketOptions {
+	readonly origin: string;
+	readonly timeoutMs: number;
+	/** The connection, in which a reset is recorded. */
+	readonly connection: () => Pick<Connection, 'wasReset' | 'isUnframed'>;
+}
+
+/**
+ * Connects sockets like the library does, and records resets before the library handles the end of the connection.
+ *
+ * A reset that arrives together with the last data is reported as a clean end of the stream, because libuv treats a
+ * hang-up after a short read as one. A write distinguishes the two cases: it fails on a connection that was reset.
+ * Servers ignore empty lines before a request (RFC 9112, section 2.2).
+ */
+export class ConnectionSocket {
+	readonly #options: ConnectionSocketOptions;
+	readonly #connect: buildConnector.connector;
+	/** The last socket that was connected. */
+	#socket: Socket | undefined;
+	/** Whether the library has not yet taken the last socket. */
+	#isUntaken = false;
+	#wasReset = false;
+
+	constructor(options: ConnectionSocketOptions) {
+		this.#options = options;
+		this.#connect = buildConnector({timeout: options.timeoutMs});
+	}
+
+	/** Whether the socket is connected. */
+	get isOpen(): boolean {
+		return this.#socket?.destroyed === false;
+	}
+
+	/** Connects the socket unless it is connected. Left: why it cannot be connected. */
+	async open(): Promise<Either<Error, void>> {
+		if (this.isOpen) {
+			return Right(undefined);
+		}
+
+		const {protocol, host, hostname, port} = new URL(this.#options.origin);
+		const target = {
+			protocol, host, hostname: hostname.replaceAll(/[[\]]/gu, ''), port,
+		};
+		return new Promise(resolve => {
+			// An address that cannot be used makes the runtime throw.
+			Either.encase(() => {
+				this.#open(target, (...[error, socket]) => {
+					this.#isUntaken = socket !== null;
+					resolve(socket ? Right(undefined) : Left(error));
+				});
+			}).ifLeft(error => {
+				resolve(Left(error));
+			});
+		});
+	}
+
+	/** Connector for the library: hands over the socket that was connected for it, or connects one. */
+	readonly connect: buildConnector.connector = (options, callback) => {
+		if (this.#isUntaken && this.isOpen) {
+			this.#isUntaken = false;
+			const socket = this.#socket!;
+			// Called at once, the library would not go on with the request.
+			queueMicrotask(() => {
+				callback(null, socket);
+			});
+			return;
+		}
+
+		this.#open(options, callback);
+	};
+
+	/** Resets the socket, also one that is still being connected. */
+	reset(): void {
+		this.#wasReset = true;
+		const socket = this.#socket;
+		if (socket) {
+			// Without an error the library would treat the close as the end of a response without a length, even if its request was aborted.
+			socket.emit('error', new errors.RequestAbortedError('the connection was reset because its request was aborted'));
+			socket.resetAndDestroy();
+		}
+	}
+
+	#open(options: buildConnector.Options, callback: buildConnector.Callback): void {
+		this.#connect(options, (...result) => {
+			const [, socket] = result;
+			if (socket && this.#wasReset) {
+				socket.resetAndDestroy();
+				callback(new errors.RequestAbortedError('the connection was reset while it was being connected'), null);
+				return;
+			}
+
+			if (socket) {
+				this.#socket = socket;
+				this.#watch(socket);
+			}
+
+			callback(...result);
+		});
+	}
+
+	#watch(socket: Socket): void {
+		const connection = this.#options.connection();
+		Object.assign(connection, {wasReset: false, isUnframed: false});
+		const recordReset = (error: Error | null | undefined): void => { // eslint-disable-line @typescript-eslint/no-restricted-types
+			connection.wasReset ||= isReset(error);
+		};
+
+		socket.prependListener('error', recordReset);
+		socket.prependListener('end', () => {
+			if (connection.isUnframed) {
+				socket.write(EMPTY_LINE, recordReset);
+			}
+		});
+	}
+}
+
+const EMPTY_LINE = '\r\n';
+
+function isReset(error: (Error & {code?: string}) | null | undefined): boolean { // eslint-disable-line @typescript-eslint/no-restricted-types
+	return error?.code === 'EPIPE' || error?.code === 'ECONNRESET';
+}
--- a/calls/connections/src/connection.ts
+++ b/calls/connections/src/connection.ts
@@ -1,11 +1,17 @@
 /** One connection to a backend server, lent to one call at a time. */
+import type {Either} from 'purify-ts';
 import type {Client} from 'undici';
 
 /** A connection lent to one attempt. */
 export interface Connection {
 	readonly client: Client;
-	/** Resets the connection, which discards bytes that have not reached the server; nothing more can be sent. Does nothing before the socket is connected. */
-	reset: () => void;
+	/**
+	 * Connects the socket unless it is connected. Without a connected socket, the library would hold a request whose headers
+	 * become out of date until it has connected. Left: why it cannot be connected.
+	 */
+	readonly open: () => Promise<Either<Error, void>>;
+	/** Resets the connection, which discards bytes that have not reached the server; nothing more can be sent. */
+	readonly reset: () => void;
 	/** Called once when the connection is found to be silent while it is lent. */
 	onSilent: (() => void) | undefined;
 	/** Monotonic time at which it was created, in milliseconds. */
@@ -14,8 +20,8 @@
 	lastReceivedAtMs: number;
 	/** Monotonic time at which it was last lent, in milliseconds. */
 	lentAtMs: number;
-	/** Set once the socket is connected, cleared when it closes. */
-	isOpen: boolean;
+	/** Whether the socket is connected. */
+	readonly isOpen: boolean;
 	/** Whether the socket has carried a request before the current one, so that a further response to that may still arrive. */
 	wasUsed: boolean;
 	/** Whether the connection was reset. */
--- a/calls/connections/src/server-connections.ts
+++ b/calls/connections/src/server-connections.ts
@@ -1,6 +1,7 @@
 /** The connections of this instance to one backend server. */
-import {buildConnector, Client, errors} from 'undici';
+import {Client} from 'undici';
 import type {Connection} from './connection.js';
+import {ConnectionSocket} from './connection-socket.js';
 import {HoldTimes} from './hold-times.js';
 import {probe} from './probe.js';
 
@@ -183,85 +184,43 @@
 			void this.#idle.shift()!.client.destroy();
 		}
 
+		const socket = new ConnectionSocket({
+			origin, timeoutMs: connectTimeoutMs, connection: () => connection,
+		});
 		const client = new Client(origin, {
-			pipelining: 1, connect: createResetDetectingConnector({timeoutMs: connectTimeoutMs, connection: () => connection}), headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: KEEP_ALIVE_MS,
+			pipelining: 1, connect: socket.connect, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: KEEP_ALIVE_MS,
 		});
 		const connection: Connection = {
 			client,
-			reset() {/* There is no socket yet. */},
+			open: async () => socket.open(),
+			reset() {
+				socket.reset();
+			},
+			get isOpen() {
+				return socket.isOpen;
+			},
 			onSilent: undefined,
 			createdAtMs: now(),
 			lastReceivedAtMs: now(),
 			lentAtMs: now(),
-			isOpen: false,
 			wasUsed: false,
 			wasReset: false,
 			isUnframed: false,
 		};
+		let isCounted = false;
 		client.on('connect', () => {
-			connection.isOpen = true;
 			connection.wasUsed = false;
-			this.#openCount += 1;
+			this.#openCount += isCounted ? 0 : 1;
+			isCounted = true;
 		});
 		client.on('disconnect', () => {
-			if (connection.isOpen) {
-				connection.isOpen = false;
-				this.#openCount -= 1;
-			}
+			this.#openCount -= isCounted ? 1 : 0;
+			isCounted = false;
 		});
 		return connection;
 	}
 }
 
-interface ResetDetectingConnectorOptions {
-	readonly timeoutMs: number;
-	readonly connection: () => Connection;
-}
-
-/**
- * Creates a connector that connects like the library's own, and records resets before the library handles the end of
- * the connection.
- *
- * A reset that arrives together with the last data is reported as a clean end of the stream, because libuv treats a
- * hang-up after a short read as one. A write distinguishes the two cases: it fails on a connection that was reset.
- * Servers ignore empty lines before a request (RFC 9112, section 2.2).
- */
-function createResetDetectingConnector({timeoutMs, connection}: ResetDetectingConnectorOptions): buildConnector.connector {
-	const connect = buildConnector({timeout: timeoutMs});
-	return (options, callback) => {
-		connect(options, (...result) => {
-			const [, socket] = result;
-			if (socket) {
-				Object.assign(connection(), {
-					wasReset: false, isUnframed: false, reset() {
-						// Without an error the library would treat the close as the end of a response without a length, even if its request was aborted.
-						socket.emit('error', new errors.RequestAbortedError('the connection was reset because its request was aborted'));
-						socket.resetAndDestroy();
-					},
-				});
-				const recordReset = (error: Error | null | undefined): void => { // eslint-disable-line @typescript-eslint/no-restricted-types
-					connection().wasReset ||= isReset(error);
-				};
-
-				socket.prependListener('error', recordReset);
-				socket.prependListener('end', () => {
-					if (connection().isUnframed) {
-						socket.write(EMPTY_LINE, recordReset);
-					}
-				});
-			}
-
-			callback(...result);
-		});
-	};
-}
-
-const EMPTY_LINE = '\r\n';
-
-function isReset(error: (Error & {code?: string}) | null | undefined): boolean { // eslint-disable-line @typescript-eslint/no-restricted-types
-	return error?.code === 'EPIPE' || error?.code === 'ECONNRESET';
-}
-
 const KEEP_ALIVE_MS = 10_000;
 /** Connections that are not lent, so that a check can open a new one. */
 const RESERVED_FOR_CHECKS = 1;
--- a/calls/forwarding/src/attempt.ts
+++ b/calls/forwarding/src/attempt.ts
@@ -159,14 +159,14 @@
 		}
 
 		const {id, method, path, headers, body} = call.options;
-		const timeLeftMs = call.options.deadlineMs - dependencies.now();
+		const timeLeftMs = (): number => Math.max(1, Math.floor(call.options.deadlineMs - dependencies.now() - RESPONSE_RESERVE_MS));
 		const exchange = new Exchange({
 			lease: lease.unsafeCoerce(),
 			callId: id,
 			method,
 			path,
-			headers: listHeaders({
-				headers, added: [CALL_ID_HEADER, id, TIMEOUT_HEADER, String(Math.max(1, Math.floor(timeLeftMs - RESPONSE_RESERVE_MS))), ATTEMPTS_HEADER, '1'],
+			headers: () => listHeaders({
+				headers, added: [CALL_ID_HEADER, id, TIMEOUT_HEADER, String(timeLeftMs()), ATTEMPTS_HEADER, '1'],
 			}),
 			body: body.content,
 			maxBufferedBytes,
--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -33,8 +33,8 @@
 	readonly acceptsUnframed?: boolean;
 	readonly method: string;
 	readonly path: string;
-	/** Alternating names and values. */
-	readonly headers: HeaderList;
+	/** Returns alternating names and values. Called when the request is written, as they may state the time left. */
+	readonly headers: () => HeaderList;
 	readonly body: Uint8Array | Readable | undefined;
 	/** Maximum bytes of a response body that are buffered; a larger response is forwarded while it arrives. */
 	readonly maxBufferedBytes: number;
@@ -75,12 +75,13 @@
 		return this.#head !== undefined;
 	}
 
-	/** Sends the request. */
+	/** Sends the request, once the connection is open. */
 	send(): void {
-		const {lease, method, path, headers, body} = this.#options;
-		lease.connection.client.dispatch({
-			method, path, headers, body: body ?? null,
-		}, this);
+		if (this.#options.lease.connection.isOpen) {
+			this.#dispatch();
+		} else {
+			void this.#connectAndDispatch();
+		}
 	}
 
 	/** Aborts the request and resets its connection, which tells the backend server to stop working on it. */
@@ -161,16 +162,38 @@
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error & {code?: string}): void {
-		if (this.#aborted) {
-			return;
+		if (!this.#aborted) {
+			this.#failBy(error);
 		}
+	}
 
+	#failBy(error: Error & {code?: string}): void {
 		this.#release({isReusable: false});
 		const detail = `${error.code ?? error.name}: ${error.message}`;
 		const kind = this.#head ? 'truncated' : (this.mayHaveRun ? 'failed' : 'connect-failed');
 		this.#fail({kind, execution: this.#execution, detail});
 	}
 
+	async #connectAndDispatch(): Promise<void> {
+		const opened = await this.#options.lease.connection.open();
+		if (this.#aborted) {
+			return;
+		}
+
+		opened.ifLeft(error => {
+			this.#failBy(error);
+		}).ifRight(() => {
+			this.#dispatch();
+		});
+	}
+
+	#dispatch(): void {
+		const {lease, method, path, headers, body} = this.#options;
+		lease.connection.client.dispatch({
+			method, path, headers: headers(), body: body ?? null,
+		}, this);
+	}
+
 	#complete(): void {
 		const {connection} = this.#options.lease;
 		if (this.#aborted !== undefined || !this.#head) {
--- a/calls/forwarding/test/unframed-response.test.ts
+++ b/calls/forwarding/test/unframed-response.test.ts
@@ -61,7 +61,7 @@
 		acceptsUnframed: true,
 		method: 'GET',
 		path: '/x',
-		headers: ['x-call-id', callId],
+		headers: () => ['x-call-id', callId],
 		body: undefined,
 		maxBufferedBytes: 1000,
 		now: () => performance.now(),
--- a/calls/relay/src/relay-attempt.ts
+++ b/calls/relay/src/relay-attempt.ts
@@ -160,7 +160,7 @@
 		const {request, placement, parts} = this.#options;
 		const {id, method, path, headers, body, answerByMs} = request.options;
 		const names = parts.format.headers;
-		const timeLeftMs = Math.max(1, Math.floor(answerByMs - parts.now() - RETURN_RESERVE_MS));
+		const timeLeftMs = (): number => Math.max(1, Math.floor(answerByMs - parts.now() - RETURN_RESERVE_MS));
 		return new Exchange({
 			lease,
 			callId: id,
@@ -169,8 +169,8 @@
 			acceptsUnframed: true,
 			method,
 			path,
-			headers: listHeaders({
-				headers, added: [names.requestId, id, names.timeLeft, String(timeLeftMs), names.expectedServer, placement.known.server.name],
+			headers: () => listHeaders({
+				headers, added: [names.requestId, id, names.timeLeft, String(timeLeftMs()), names.expectedServer, placement.known.server.name],
 			}),
 			body: body.content,
 			maxBufferedBytes: BUFFERED_ANSWER_BYTES,
--- a/calls/relay/test/caller-left.test.ts
+++ b/calls/relay/test/caller-left.test.ts
@@ -31,22 +31,22 @@
 	...(['idempotent', 'at-most-once'] as const).flatMap((repeatability): Case[] => [
 		{
 			name: `${repeatability}, for a connection that is established later`, expected: {sends: 1, sent: 0}, create: () => ({
-				parts: {repeatability}, after([send]) {
-					send!.connect();
+				parts: {repeatability}, async after([send]) {
+					await send!.connect();
 				},
 			}),
 		},
 		{
 			name: `${repeatability}, for a connection that fails later`, expected: {sends: 1, sent: 0}, create: () => ({
 				parts: {repeatability}, after([send]) {
-					send!.drop();
+					send!.failToConnect();
 				},
 			}),
 		},
 		{
 			name: `${repeatability}, for a server that rejects it later`, expected: {sends: 1, sent: 1}, create: () => ({
 				parts: {repeatability}, async before([send]) {
-					send!.connect();
+					await send!.connect();
 				}, after([send]) {
 					if (!send!.isAborted) {
 						send!.respond(rejected);
@@ -57,11 +57,11 @@
 		{
 			name: `${repeatability}, for a connection after a rejection`, expected: {sends: 2, sent: 1}, create: () => ({
 				parts: {repeatability}, async before(sends) {
-					sends[0]!.connect();
+					await sends[0]!.connect();
 					sends[0]!.respond(rejected);
 					await settle();
-				}, after(sends) {
-					sends[1]!.connect();
+				}, async after(sends) {
+					await sends[1]!.connect();
 				},
 			}),
 		},
@@ -80,7 +80,7 @@
 				const permit = createWait<boolean>();
 				return {
 					parts: {repeatability, ratePermit: async sends => sends === 0 || permit.promise}, async before([send]) {
-						send!.connect();
+						await send!.connect();
 						send!.respond(rejected);
 					}, after() {
 						permit.end(true);
@@ -93,7 +93,7 @@
 				const permit = createWait<typeof retryPermit>();
 				return {
 					parts: {repeatability, retryPermit: async () => permit.promise}, async before([send]) {
-						send!.connect();
+						await send!.connect();
 						send!.respond(rejected);
 					}, after() {
 						permit.end(retryPermit);
@@ -107,7 +107,7 @@
 			const check = createWait<boolean>();
 			return {
 				parts: {repeatability: 'idempotent', isSuspect: true, crashCheck: async () => check.promise}, async before([send]) {
-					send!.connect();
+					await send!.connect();
 					send!.drop();
 				}, after() {
 					check.end(true);
@@ -118,7 +118,7 @@
 	{
 		name: 'idempotent, for the time of a hedge', expected: {sends: 1, sent: 1}, create: () => ({
 			parts: {repeatability: 'idempotent', targetLatencyMs: HEDGE_AFTER_MS}, async before([send]) {
-				send!.connect();
+				await send!.connect();
 			}, after() {
 				mock.timers.tick(HEDGE_AFTER_MS);
 			},
@@ -129,7 +129,7 @@
 			const permit = createWait<typeof retryPermit>();
 			return {
 				parts: {repeatability: 'idempotent', targetLatencyMs: HEDGE_AFTER_MS, retryPermit: async () => permit.promise}, async before([send]) {
-					send!.connect();
+					await send!.connect();
 					await settle();
 					mock.timers.tick(HEDGE_AFTER_MS);
 				}, after() {
@@ -187,7 +187,7 @@
 		const {run, sends} = createScriptedRun({repeatability: 'at-most-once'});
 		const result = run.run();
 		await settle();
-		sends[0]!.connect();
+		await sends[0]!.connect();
 		run.leave();
 		await settle();
 		assert.equal(sends[0]!.isAborted, false);
@@ -200,7 +200,7 @@
 		const {run, sends} = createScriptedRun({repeatability: 'idempotent'});
 		const result = run.run();
 		await settle();
-		sends[0]!.connect();
+		await sends[0]!.connect();
 		run.leave();
 		await result;
 		assert.equal(sends[0]!.isAborted, true);
--- a/calls/relay/test/scripted-run.ts
+++ b/calls/relay/test/scripted-run.ts
@@ -1,6 +1,7 @@
 /** A request whose servers, connections and permits are driven by a test, without sockets. */
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import {Right} from 'purify-ts';
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
 import type {Dispatcher} from 'undici';
 import {RelayedRequest, RelayRun, UnsentAttempts} from '@pomelopick/calls.relay';
 import type {RetryPermit, RunParts} from '@pomelopick/calls.relay';
@@ -34,8 +35,10 @@
 	wasSent: boolean;
 	/** Whether it was aborted by closing its connection. */
 	isAborted: boolean;
-	/** Lets its connection become ready; nothing is sent if it was aborted before. */
-	connect(): void;
+	/** Lets its connection open; nothing is sent if it was aborted before. */
+	connect(): Promise<void>;
+	/** Lets its connection fail to open. */
+	failToConnect(): void;
 	/** Lets the server respond. */
 	respond(options: {readonly status: number; readonly headers: Readonly<Record<string, string>>}): void;
 	/** Ends its connection. */
@@ -176,6 +179,7 @@
 
 function createLease({server, sends}: {readonly server: string; readonly sends: ScriptedSend[]}) {
 	let handler: Dispatcher.DispatchHandler;
+	const opened = createWait<Either<Error, void>>();
 	const controller = {
 		abort() {
 			send.isAborted = true;
@@ -185,9 +189,12 @@
 		server,
 		wasSent: false,
 		isAborted: false,
-		connect() {
-			handler.onRequestStart!(controller, {});
-			send.wasSent = !send.isAborted;
+		async connect() {
+			opened.end(Right(undefined));
+			await settle();
+		},
+		failToConnect() {
+			opened.end(Left(new Error('refused')));
 		},
 		respond({status, headers}) {
 			handler.onResponseStart!(controller, status, {'content-length': '0', ...headers});
@@ -199,10 +206,16 @@
 	};
 	return {
 		connection: {
+			isOpen: false,
+			async open() {
+				sends.push(send);
+				return opened.promise;
+			},
 			client: {
 				dispatch(_options: unknown, dispatched: Dispatcher.DispatchHandler) {
 					handler = dispatched;
-					sends.push(send);
+					handler.onRequestStart!(controller, {});
+					send.wasSent = !send.isAborted;
 				},
 			},
 		}, release: ignore,
