Let a malformed item of the store cost only itself

Callers saw: with one malformed item in a page (a value that is no text, a revision that is not whole, no key) a gateway that starts never gets ready, and one that runs stops following the store for as long as the item lies there. Pages that repeat their last key, or say for ever that there are more, keep a read going without an end. A page whose last key is no well-formed text fails for ever, as encodeURIComponent throws. Cause: a page was decoded as a whole; the loop over the pages trusted the responses to end it. Change: a store with onOddItem reports such an item and goes on: with a key it counts as written with an empty value, which no decoder takes.

--- a/calls/live/src/index.ts
+++ b/calls/live/src/index.ts
@@ -1,6 +1,6 @@
 /** The live view of routes, servers, evacuations and instances, kept up to date from the store. */
 export * from './allowance-parts.js';
-export type * from './view-change.js';
+export * from './view-change.js';
 export * from './broadcast-listener.js';
 export * from './broadcast-message.js';
 export * from './change-history.js';
--- a/calls/live/src/view-change.ts
+++ b/calls/live/src/view-change.ts
@@ -15,11 +15,19 @@
 		| 'instance-left'
 		| 'instance-refused'
 		| 'suspicion-refused'
-		| 'rate-limit-refused';
+		| 'rate-limit-refused'
+		| 'change-not-applied';
 	/** What changed: a version, or the name of a backend server, failure domain or instance. */
 	readonly subject: string;
 	/** Reason for the change. */
 	readonly detail: string;
+	/** Code of the reason for which an entry or a record was refused; undefined for other events. */
+	readonly reason?: string;
 	/** Index of the write in the store; 0 without one. */
 	readonly storeIndex: number;
 }
+
+/** Whether a change is the refusal of an entry or a record, of which others may write any number. */
+export function isRefusal({event}: ViewChange): boolean {
+	return event.endsWith('-refused') || event === 'change-not-applied';
+}
--- a/core/telemetry/src/index.ts
+++ b/core/telemetry/src/index.ts
@@ -5,4 +5,5 @@
 export * from './log-rate-limiter.js';
 export * from './log.js';
 export * from './output-writer.js';
+export * from './refusal-log.js';
 export * from './served-counters.js';
--- a/daemons/gateway/src/create-view.ts
+++ b/daemons/gateway/src/create-view.ts
@@ -1,11 +1,12 @@
 /** Creates and wires the store's client, this instance's view of the store, and the registration of this instance. */
 import {setTimeout as startTimeout} from 'node:timers/promises';
 import {
-	AllowanceParts, ChangeRelay, LiveView, PeerBroadcast, Registration, sendBroadcastMessage, StoreFeed, suspicionReader, SuspicionWriter, UpstreamClient, UpstreamLink,
+	AllowanceParts, ChangeRelay, isRefusal, LiveView, PeerBroadcast, Registration, sendBroadcastMessage, StoreFeed, suspicionReader, SuspicionWriter, UpstreamClient, UpstreamLink,
 } from '@pomelopick/calls.live';
 import type {ViewChange, InstanceRecord, SuspicionRecord} from '@pomelopick/calls.live';
 import type {SuspicionSharing} from '@pomelopick/calls.quarantine';
 import {rateLimitReader} from '@pomelopick/calls.rate-limits';
+import {RefusalLog} from '@pomelopick/core.telemetry';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
 import type {BackendServerName, Endpoint, RouteSet} from '@pomelopick/core.types';
 import {PlatformStore} from '@pomelopick/platform.store';
@@ -66,13 +67,35 @@
 export function createView({store: endpoint, self, firstSequence, retries, counters, log, onRoutes, onSuspicion, onRateLimit, onServerLost, now, random}: CreateViewOptions): ViewParts {
 	// Unreferenced timers: the process is kept running by its listeners, not by pauses between calls.
 	const sleep = async (milliseconds: number): Promise<void> => startTimeout(milliseconds, undefined, {ref: false});
-	const store = new PlatformStore({endpoint, callTimeoutMs: STORE_CALL_TIMEOUT_MS, connectTimeoutMs: STORE_CONNECT_TIMEOUT_MS});
+	const refusals = new RefusalLog({log, now});
+	const store = new PlatformStore({
+		endpoint,
+		callTimeoutMs: STORE_CALL_TIMEOUT_MS,
+		connectTimeoutMs: STORE_CONNECT_TIMEOUT_MS,
+		onOddItem({key, detail}) {
+			counters.add('store.odd-item');
+			refusals.line('store-item-odd', {subject: key, detail});
+		},
+	});
 	const allowance: AllowanceParts = new AllowanceParts({
 		store, instance: self.id, reuseMs: () => partReuseMs(retries()), countInstances: () => view.instances.maxCount, now, random,
 	});
 	const onChange = (change: ViewChange): void => {
 		counters.add(`belief.${change.event}`);
-		log.line(change.event, {subject: change.subject, detail: change.detail, storeIndex: change.storeIndex});
+		const fields = {
+			subject: change.subject, detail: change.detail, ...(change.reason !== undefined && {reason: change.reason}), storeIndex: change.storeIndex,
+		};
+		if (isRefusal(change)) {
+			refusals.line(change.event, fields);
+		} else {
+			refusals.accept(change.subject);
+			log.line(change.event, fields);
+		}
+
+		if (change.reason !== undefined) {
+			counters.add(`entry-refused.${change.reason}`);
+		}
+
 		if (change.event === 'instance-left' && change.subject === self.id) {
 			registration.restore();
 		}
