Believe a record of an instance only if it can be used

Callers saw: a gateway that follows an instance whose record has an address with a scope, or a port out of range, ends. Cause: the record was checked for its form alone, and the client for that address was created outside the try block; the rejection ended the process. Records of suspicions were passed on with unknown fields, however deep. Change: decodeInstance returns usable endpoints, under the key that names the instance; suspicions and rate limits have a bound of their size, and only their known fields are passed on; messages between instances are parsed in one place; clients are created inside the try block. A fault in handling one key is reported as change-not-applied, and the changes of all other keys are applied.

--- a/calls/live/src/active-routes.ts
+++ b/calls/live/src/active-routes.ts
@@ -35,9 +35,11 @@
 
 	/** Activates a version if it can be decoded and is newer; a refused version changes nothing. */
 	write(value: StoredValue): void {
-		this.#options.decodeRouteSet(value.value).ifLeft(({message}) => {
+		this.#options.decodeRouteSet(value.value).ifLeft(({code, message}) => {
 			// The version of a malformed set is unknown, so the event names the active one.
-			this.#refuse({version: String(this.#set?.version ?? 'none'), detail: message, storeIndex: value.modifyIndex});
+			this.#refuse({
+				version: String(this.#set?.version ?? 'none'), detail: message, reason: code, storeIndex: value.modifyIndex,
+			});
 		}).ifRight(set => {
 			this.#activateIfNewer({set, storeIndex: value.modifyIndex});
 		});
@@ -65,9 +67,9 @@
 		this.#options.onRoutes(set);
 	}
 
-	#refuse({version, detail, storeIndex}: {readonly version: string; readonly detail: string; readonly storeIndex: number}): void {
+	#refuse({version, ...refusal}: Pick<ViewChange, 'detail' | 'reason' | 'storeIndex'> & {readonly version: string}): void {
 		this.#options.onChange({
-			event: 'routes-refused', subject: version, detail, storeIndex,
+			event: 'routes-refused', subject: version, ...refusal,
 		});
 	}
 }
--- a/calls/live/src/broadcast-listener.ts
+++ b/calls/live/src/broadcast-listener.ts
@@ -50,8 +50,9 @@
 
 /** Sends a message over a new connection; Left says why it was not delivered. Never rejects. */
 export async function sendBroadcastMessage({subject, endpoint, message}: SendBroadcastMessageOptions): Promise<Either<CodedError, void>> {
-	const client = new Client(originOf(endpoint), {connect: {timeout: CONNECT_TIMEOUT_MS}});
+	let client: Client | undefined;
 	try {
+		client = new Client(originOf(endpoint), {connect: {timeout: CONNECT_TIMEOUT_MS}});
 		const {status, text} = await sendCall({
 			dispatcher: client, method: 'POST', path: broadcastPath(subject), body: JSON.stringify(message), timeoutMs: TIMEOUT_MS,
 		});
@@ -59,7 +60,7 @@
 	} catch (error) {
 		return Left({code: `${subject}-not-sent`, message: (error as Error).message});
 	} finally {
-		await client.destroy();
+		await client?.destroy();
 	}
 }
 
--- a/calls/live/src/broadcast-message.ts
+++ b/calls/live/src/broadcast-message.ts
@@ -1,9 +1,8 @@
 /** Messages by which records travel from instance to instance without the store. */
 import {Either, Left} from 'purify-ts';
+import {describeValue} from '@pomelopick/core.types';
 import type {CodedError, InstanceId} from '@pomelopick/core.types';
 
-const SHOWN_CHARACTERS = 200;
-
 /** Kinds of records; each has its own path, and its name is a part of the error codes. */
 export type BroadcastSubject = 'suspicions' | 'rate-limits';
 
@@ -32,13 +31,8 @@
 export function readBroadcastMessage<Item>({subject, value, readRecord}: ReadBroadcastMessageOptions<Item>): Either<CodedError, BroadcastMessage<Item>> {
 	const {records, passOn} = (value ?? {}) as Partial<BroadcastMessage<unknown>>;
 	if (!Array.isArray(records) || !Array.isArray(passOn) || !passOn.every(id => typeof id === 'string')) {
-		return Left({code: `malformed-${subject}`, message: `records, passOn: expected arrays, found ${formatValue(value)}`});
+		return Left({code: `malformed-${subject}`, message: `records, passOn: expected arrays, found ${describeValue(value)}`});
 	}
 
 	return Either.sequence(records.map(record => readRecord(record))).map(read => ({records: read, passOn: passOn as InstanceId[]}));
 }
-
-/** Formats a value for an error message, shortened. */
-export function formatValue(value: unknown): string {
-	return (JSON.stringify(value) ?? 'nothing').slice(0, SHOWN_CHARACTERS);
-}
--- a/calls/live/src/instance-record.ts
+++ b/calls/live/src/instance-record.ts
@@ -1,7 +1,7 @@
 /** The record by which an instance announces itself to the others. */
-import {isIP} from 'node:net';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
+import {decodeForeignJson, describeValue, usableEndpoint} from '@pomelopick/core.types';
 import type {
 	CodedError, Endpoint, FailureDomainName, InstanceId, RegionName,
 } from '@pomelopick/core.types';
@@ -30,24 +30,35 @@
 	return new TextEncoder().encode(JSON.stringify(record));
 }
 
-/** Decodes a record; Left describes what is wrong. */
-export function decodeInstance(bytes: Uint8Array): Either<CodedError, InstanceRecord> {
-	try {
-		const record = JSON.parse(new TextDecoder().decode(bytes)) as Partial<InstanceRecord>;
-		const {id, failureDomain, region, callers, peers} = record;
-		const isWhole = typeof id === 'string' && typeof failureDomain === 'string' && typeof region === 'string' && isEndpoint(callers) && (peers === undefined || isEndpoint(peers));
-		return isWhole
+/** Options of {@link decodeInstance}. */
+export interface DecodeInstanceOptions {
+	readonly key: string;
+	readonly bytes: Uint8Array;
+}
+
+/** Decodes a record; Left describes what is wrong. A record that is returned belongs to the instance that its key names, and a client can connect to its endpoints. Never throws. */
+export function decodeInstance({key, bytes}: DecodeInstanceOptions): Either<CodedError, InstanceRecord> {
+	return decodeForeignJson({bytes, maxBytes: MAX_RECORD_BYTES}).chain<CodedError, InstanceRecord>(value => {
+		const {id, failureDomain, region, callers, peers} = (value ?? {}) as Partial<InstanceRecord>;
+		const callersEndpoint = readEndpoint(callers);
+		const peersEndpoint = readEndpoint(peers);
+		const isWhole = typeof id === 'string' && typeof failureDomain === 'string' && typeof region === 'string' && callersEndpoint && (peers === undefined || peersEndpoint);
+		if (!isWhole) {
+			return Left({code: 'malformed-instance', message: `a field is missing, has the wrong type or cannot be used: ${describeValue(value)}`});
+		}
+
+		return instanceKey(id) === key
 			? Right({
-				id, failureDomain, region, callers, peers,
+				id, failureDomain, region, callers: callersEndpoint, peers: peersEndpoint,
 			})
-			: Left({code: 'malformed-instance', message: `a field is missing or has the wrong type: ${JSON.stringify(record).slice(0, SHOWN_CHARACTERS)}`});
-	} catch (error) {
-		return Left({code: 'malformed-instance', message: (error as Error).message});
-	}
+			: Left({code: 'misplaced-instance', message: `expected the id that the key names, found ${describeValue(id)}`});
+	});
 }
 
-const SHOWN_CHARACTERS = 200;
+/** Maximum size of a record, in bytes; instances write a few hundred. */
+const MAX_RECORD_BYTES = 65_536;
 
-function isEndpoint(value: Partial<Endpoint> | undefined): value is Endpoint {
-	return isIP(value?.address ?? '') !== 0 && Number.isInteger(value?.port);
+function readEndpoint(value: unknown): Endpoint | undefined {
+	const {address, port} = (value ?? {}) as Partial<Endpoint>;
+	return usableEndpoint({address, port});
 }
--- a/calls/live/src/live-view.ts
+++ b/calls/live/src/live-view.ts
@@ -43,6 +43,12 @@
 	readonly values: readonly StoredValue[];
 }
 
+interface RemoveOptions extends Pick<ApplyChangesOptions, 'nowMs'> {
+	readonly key: string;
+	readonly storeIndex: number;
+	readonly retention: Retention;
+}
+
 /** Effect of a write on the view: `none` for an outdated entry, and for a heartbeat that changes nothing else about its server. */
 type WriteEffect = 'changed' | 'none';
 
@@ -141,6 +147,23 @@
 	}
 
 	#write({value, nowMs}: {readonly value: StoredValue; readonly nowMs: number}): WriteEffect {
+		// Other instances need the change even if this one could not apply it.
+		return this.#isolate({key: value.key, storeIndex: value.modifyIndex, act: () => this.#writeValue({value, nowMs})}) ?? 'changed';
+	}
+
+	/** Confines a broken invariant in the handling of one key to that key. It is reported, and the changes of other keys are applied. */
+	#isolate<Result>({key, storeIndex, act}: {readonly key: string; readonly storeIndex: number; readonly act: () => Result}): Result | undefined {
+		try {
+			return act();
+		} catch (error) {
+			this.#report({
+				event: 'change-not-applied', subject: key, detail: (error as Error).stack ?? String(error), storeIndex,
+			});
+			return undefined;
+		}
+	}
+
+	#writeValue({value, nowMs}: {readonly value: StoredValue; readonly nowMs: number}): WriteEffect {
 		const subject = this.#options.format.readSubject(value.key);
 		if (subject?.kind === 'server') {
 			return this.#writeServer({name: subject.server, value, nowMs});
@@ -184,9 +207,9 @@
 
 	#writeServer({name, value, nowMs}: {readonly name: BackendServerName; readonly value: StoredValue; readonly nowMs: number}): WriteEffect {
 		return this.#options.format.decodeServer({name, bytes: value.value}).caseOf<WriteEffect>({
-			Left: ({message}) => {
+			Left: ({code, message}) => {
 				this.#report({
-					event: 'server-refused', subject: name, detail: message, storeIndex: value.modifyIndex,
+					event: 'server-refused', subject: name, detail: message, reason: code, storeIndex: value.modifyIndex,
 				});
 				this.servers.remove({name, retainUntilMs: undefined});
 				return 'changed';
@@ -223,9 +246,9 @@
 	}
 
 	#writeInstance({key, value, modifyIndex}: StoredValue): void {
-		decodeInstance(value).ifLeft(({message}) => {
+		decodeInstance({key, bytes: value}).ifLeft(({code, message}) => {
 			this.#report({
-				event: 'instance-refused', subject: key, detail: message, storeIndex: modifyIndex,
+				event: 'instance-refused', subject: key, detail: message, reason: code, storeIndex: modifyIndex,
 			});
 		}).ifRight(record => {
 			if (this.#instances.write(record)) {
@@ -236,7 +259,16 @@
 		});
 	}
 
-	#remove({key, storeIndex, retention, nowMs}: {readonly key: string; readonly storeIndex: number; readonly retention: Retention; readonly nowMs: number}): void {
+	#remove(options: RemoveOptions): void {
+		const {key, storeIndex} = options;
+		this.#isolate({
+			key, storeIndex, act: () => {
+				this.#removeKey(options);
+			},
+		});
+	}
+
+	#removeKey({key, storeIndex, retention, nowMs}: RemoveOptions): void {
 		const subject = this.#options.format.readSubject(key);
 		if (subject?.kind === 'server') {
 			this.#removeServer({
--- a/calls/live/src/relayed-changes.ts
+++ b/calls/live/src/relayed-changes.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
+import {describeValue, parseForeignJson} from '@pomelopick/core.types';
 import type {CodedError} from '@pomelopick/core.types';
 import type {StoreChange} from '@pomelopick/platform.store';
 
@@ -25,8 +26,6 @@
 	/** The store is unavailable to it, or it is about to stop. */
 	| {readonly kind: 'unavailable'};
 
-const SHOWN_CHARACTERS = 80;
-
 /** A change on the wire; the change of a removed key has no value. */
 interface ChangeMessage {
 	readonly key: string;
@@ -43,7 +42,7 @@
 /** Decodes an answer; Left names the wrong field. */
 export function decodeUpstreamAnswer(text: string): Either<CodedError, UpstreamAnswer> {
 	try {
-		return Right(readAnswer(JSON.parse(text) as Readonly<Record<string, unknown>>));
+		return parseForeignJson(text).map(value => readAnswer((value ?? {}) as Readonly<Record<string, unknown>>));
 	} catch (error) {
 		return Left({code: 'malformed-upstream-answer', message: (error as Error).message});
 	}
@@ -65,7 +64,7 @@
 
 			return {
 				kind,
-				changes: changes.map((change, position) => toChange({message: change as Partial<ChangeMessage>, field: `changes.${position}`})),
+				changes: changes.map((change, position) => toChange({message: (change ?? {}) as Partial<ChangeMessage>, field: `changes.${position}`})),
 				index: readNumber({field: 'index', found: index}),
 				ageMs: readNumber({field: 'ageMs', found: ageMs}),
 				returnedMs: returnedMs === undefined ? undefined : readNumber({field: 'returnedMs', found: returnedMs}),
@@ -79,7 +78,7 @@
 }
 
 function readNumber({field, found}: {readonly field: string; readonly found: unknown}): number {
-	if (typeof found !== 'number' || found < 0) {
+	if (typeof found !== 'number' || !Number.isFinite(found) || found < 0) {
 		throw wrongField({field, expected: 'a number of at least 0', found});
 	}
 
@@ -87,7 +86,7 @@
 }
 
 function wrongField({field, expected, found}: {readonly field: string; readonly expected: string; readonly found: unknown}): TypeError {
-	return new TypeError(`${field}: expected ${expected}, found ${(JSON.stringify(found) ?? 'nothing').slice(0, SHOWN_CHARACTERS)}`);
+	return new TypeError(`${field}: expected ${expected}, found ${describeValue(found)}`);
 }
 
 function toMessage(change: StoreChange): ChangeMessage {
--- a/calls/live/src/suspicion-records.ts
+++ b/calls/live/src/suspicion-records.ts
@@ -2,14 +2,18 @@
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {RequestFingerprint, ServerCrash} from '@pomelopick/calls.quarantine';
-import type {CodedError, InstanceId} from '@pomelopick/core.types';
-import {formatValue} from './broadcast-message.js';
+import {decodeForeignJson, describeValue} from '@pomelopick/core.types';
+import type {BackendServerName, CodedError, InstanceId} from '@pomelopick/core.types';
 import type {ViewChange} from './view-change.js';
 import type {RecordReader} from './record-reader.js';
 
 /** Prefix of the keys under which instances write their records. */
 export const SUSPICION_PREFIX = 'pomelopick/suspicions/';
 
+/** Maximum size of a record in the store, in bytes. */
+const MAX_RECORD_BYTES = 65_536;
+/** Maximum number of requests of one crash; instances write at most 64. */
+const MAX_FINGERPRINTS = 64;
 const FINGERPRINT_PATTERN = /^[\da-f]{64}$/u;
 
 /** A record of one instance: the crash of a server (`death`), or that a suspect request ran without a crash (`cleared`). */
@@ -21,26 +25,37 @@
 	readonly kind: 'death';
 }
 
-/** Decodes a record; Left describes what is wrong with it. */
+/** Decodes a record; Left describes what is wrong with it. Never throws. */
 export function decodeSuspicion(bytes: Uint8Array): Either<CodedError, SuspicionRecord> {
-	try {
-		return readSuspicion(JSON.parse(new TextDecoder().decode(bytes)));
-	} catch (error) {
-		return Left({code: 'malformed-suspicion', message: (error as Error).message});
-	}
+	return decodeForeignJson({bytes, maxBytes: MAX_RECORD_BYTES}).chain<CodedError, SuspicionRecord>(value => readSuspicion(value));
 }
 
-/** Validates a record of parsed JSON; Left describes what is wrong with it. */
+/** Validates a record of parsed JSON and returns its known fields alone; Left describes what is wrong with it. Never throws. */
 export function readSuspicion(value: unknown): Either<CodedError, SuspicionRecord> {
-	const record = (value ?? {}) as SuspicionRecord;
-	const hasOrigin = typeof record.origin === 'string' && Number.isInteger(record.sequence);
-	const isValidKind = record.kind === 'death' ? isCrashRecord(record) : record.kind === 'cleared' && isFingerprint(record.fingerprint);
-	return hasOrigin && isValidKind ? Right(record) : Left({code: 'malformed-suspicion', message: `a field is missing or has the wrong type: ${formatValue(value)}`});
+	const {kind, origin, sequence, server, startedAtMs, fingerprint, fingerprints} = (value ?? {}) as Partial<Record<keyof CrashRecord | 'fingerprint', unknown>>;
+	if (typeof origin === 'string' && isWhole(sequence)) {
+		if (kind === 'cleared' && isFingerprint(fingerprint)) {
+			return Right({
+				kind, origin: origin as InstanceId, sequence, fingerprint,
+			});
+		}
+
+		if (kind === 'death' && typeof server === 'string' && (startedAtMs === undefined || isWhole(startedAtMs)) && areFingerprints(fingerprints)) {
+			return Right({
+				kind, origin: origin as InstanceId, sequence, server: server as BackendServerName, startedAtMs, fingerprints,
+			});
+		}
+	}
+
+	return Left({code: 'malformed-suspicion', message: `a field is missing or has the wrong type: ${describeValue(value)}`});
+}
+
+function isWhole(value: unknown): value is number {
+	return Number.isSafeInteger(value);
 }
 
-function isCrashRecord({server, startedAtMs, fingerprints}: CrashRecord): boolean {
-	const hasStart = startedAtMs === undefined || Number.isInteger(startedAtMs);
-	return typeof server === 'string' && hasStart && Array.isArray(fingerprints) && fingerprints.every(text => isFingerprint(text));
+function areFingerprints(value: unknown): value is readonly RequestFingerprint[] {
+	return Array.isArray(value) && value.length <= MAX_FINGERPRINTS && value.every(text => isFingerprint(text));
 }
 
 /** Options of {@link suspicionReader}. */
@@ -56,9 +71,9 @@
 		prefix: SUSPICION_PREFIX,
 		remove,
 		write({key, value, modifyIndex}) {
-			decodeSuspicion(value).ifLeft(({message}) => {
+			decodeSuspicion(value).ifLeft(({code, message}) => {
 				onMalformed({
-					event: 'suspicion-refused', subject: key, detail: message, storeIndex: modifyIndex,
+					event: 'suspicion-refused', subject: key, detail: message, reason: code, storeIndex: modifyIndex,
 				});
 			}).ifRight(record => {
 				onRecord(record);
@@ -67,6 +82,6 @@
 	};
 }
 
-function isFingerprint(text: unknown): boolean {
+function isFingerprint(text: unknown): text is RequestFingerprint {
 	return typeof text === 'string' && FINGERPRINT_PATTERN.test(text);
 }
--- a/calls/live/src/upstream-client.ts
+++ b/calls/live/src/upstream-client.ts
@@ -28,8 +28,8 @@
 
 	/** Sends one request; Left says why there was no answer. Never rejects. */
 	async requestChanges({endpoint, afterIndex, timeoutMs, signal}: UpstreamRequestOptions): Promise<Either<CodedError, UpstreamAnswer>> {
-		const client = this.#clientFor(originOf(endpoint));
 		try {
+			const client = this.#clientFor(originOf(endpoint));
 			const {status, text} = await sendCall({
 				dispatcher: client, method: 'GET', path: changesPath({afterIndex}), body: undefined, timeoutMs, signal,
 			});
--- a/calls/rate-limits/src/permit-messages.ts
+++ b/calls/rate-limits/src/permit-messages.ts
@@ -1,7 +1,7 @@
 /** Messages between an instance that wants to send a request to a limited server and the owner of that server. */
-import {Left, Right} from 'purify-ts';
+import {Left} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import {formatValue} from '@pomelopick/calls.live';
+import {describeValue, parseForeignJson} from '@pomelopick/core.types';
 import type {CodedError} from '@pomelopick/core.types';
 import type {RateLimitRecord} from '@pomelopick/steering.servers';
 import {readRateLimit} from './rate-limit-records.js';
@@ -21,22 +21,19 @@
 	readonly record: RateLimitRecord;
 }
 
-/** Validates a request of parsed JSON; Left describes what is wrong with it. */
+/** Validates a request of parsed JSON; Left describes what is wrong with it. Never throws. */
 export function readPermitRequest(value: unknown): Either<CodedError, PermitRequest> {
-	return readRateLimit((value as Partial<PermitRequest> | undefined)?.record).map(record => ({record}));
+	return readRateLimit(asFields<PermitRequest>(value).record).map(record => ({record}));
 }
 
-/** Decodes an answer; Left describes what is wrong with it. */
+/** Decodes an answer; Left describes what is wrong with it. Never throws. */
 export function decodePermitAnswer(text: string): Either<CodedError, PermitAnswer> {
-	try {
-		const value = JSON.parse(text) as Partial<PermitAnswer> | undefined;
-		const {isGranted, retryAfterMs, record} = value ?? {};
-		return typeof isGranted === 'boolean' && typeof retryAfterMs === 'number' && retryAfterMs >= 0
+	return parseForeignJson(text).chain<CodedError, PermitAnswer>(value => {
+		const {isGranted, retryAfterMs, record} = asFields<PermitAnswer>(value);
+		return typeof isGranted === 'boolean' && typeof retryAfterMs === 'number' && retryAfterMs >= 0 && retryAfterMs <= MAX_RETRY_AFTER_MS
 			? readRateLimit(record).map(read => ({isGranted, retryAfterMs, record: read}))
-			: Left({code: 'malformed-permit', message: `isGranted, retryAfterMs: missing or of the wrong type: ${formatValue(value)}`});
-	} catch (error) {
-		return Left({code: 'malformed-permit', message: (error as Error).message});
-	}
+			: Left({code: 'malformed-permit', message: `isGranted, retryAfterMs: missing or of the wrong type: ${describeValue(value)}`});
+	});
 }
 
 /** Encodes an answer. */
@@ -44,11 +41,15 @@
 	return JSON.stringify(answer);
 }
 
-/** Parses the text of a request; Left describes what is wrong with it. */
+/** Parses the text of a request; Left describes what is wrong with it. Never throws. */
 export function decodePermitRequest(text: string): Either<CodedError, PermitRequest> {
-	try {
-		return Right<unknown, CodedError>(JSON.parse(text)).chain(value => readPermitRequest(value));
-	} catch (error) {
-		return Left({code: 'malformed-permit', message: (error as Error).message});
-	}
+	return parseForeignJson(text).chain<CodedError, PermitRequest>(value => readPermitRequest(value));
 }
+
+/** Fields of a value of parsed JSON; none of them when it is not an object. */
+function asFields<Shape>(value: unknown): Partial<Shape> {
+	return (value ?? {});
+}
+
+/** Maximum time after which to ask again that is believed, in milliseconds: the longest that a timer of Node.js can wait. */
+const MAX_RETRY_AFTER_MS = 2_147_483_647;
--- a/calls/rate-limits/src/rate-limit-records.ts
+++ b/calls/rate-limits/src/rate-limit-records.ts
@@ -1,8 +1,8 @@
 /** Encodes and decodes the records about rate limits that instances share. */
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import {formatValue} from '@pomelopick/calls.live';
 import type {RecordReader, ViewChange} from '@pomelopick/calls.live';
+import {decodeForeignJson, describeValue} from '@pomelopick/core.types';
 import type {BackendServerName, CodedError} from '@pomelopick/core.types';
 import type {RateLimitRecord} from '@pomelopick/steering.servers';
 
@@ -28,7 +28,7 @@
 		? Right({
 			name, startedAtMs, requestsPerSecond, version: version!,
 		})
-		: Left({code: 'malformed-rate-limit', message: `a field is missing or has the wrong type: ${formatValue(value)}`});
+		: Left({code: 'malformed-rate-limit', message: `a field is missing or has the wrong type: ${describeValue(value)}`});
 }
 
 /** Options of {@link rateLimitReader}. */
@@ -43,9 +43,9 @@
 	return {
 		prefix: RATE_LIMIT_PREFIX,
 		write({key, value, modifyIndex}) {
-			decodeRateLimit(value).ifLeft(({message}) => {
+			decodeRateLimit(value).ifLeft(({code, message}) => {
 				onMalformed({
-					event: 'rate-limit-refused', subject: key, detail: message, storeIndex: modifyIndex,
+					event: 'rate-limit-refused', subject: key, detail: message, reason: code, storeIndex: modifyIndex,
 				});
 			}).ifRight(record => {
 				onRecord(record);
@@ -55,9 +55,8 @@
 }
 
 function decodeRateLimit(bytes: Uint8Array): Either<CodedError, RateLimitRecord> {
-	try {
-		return readRateLimit(JSON.parse(new TextDecoder().decode(bytes)));
-	} catch (error) {
-		return Left({code: 'malformed-rate-limit', message: (error as Error).message});
-	}
+	return decodeForeignJson({bytes, maxBytes: MAX_RECORD_BYTES}).chain<CodedError, RateLimitRecord>(value => readRateLimit(value));
 }
+
+/** Maximum size of a record, in bytes. */
+const MAX_RECORD_BYTES = 4096;
