Start no response that the listener has already answered

What callers saw: a gateway ended with everything it had in progress when a server answered an upload whose rest had turned out malformed.

Cause: uploads of over 64 KB are passed on while they arrive. For a malformed rest the listener refuses the request at once on its response; the server's response, if it is forwarded while it arrives, was then started on the same response: `ERR_HTTP_HEADERS_SENT`, an unhandled rejection.

Change: all three functions that start a response ask whether it is unanswered. A server's response that comes too late is given up, and its connection reset if it is still arriving.

Conclusion: a short response that comes too late is still logged as answered.

--- a/calls/forwarding/src/call-handler.ts
+++ b/calls/forwarding/src/call-handler.ts
@@ -17,6 +17,7 @@
 import {CallState} from './call-state.js';
 import {BufferBudget} from './buffer-budget.js';
 import type {BufferReservation} from './buffer-budget.js';
+import {isUnanswered} from './is-unanswered.js';
 import {isKeyed, qualifyKeyedRefusal} from './keyed-refusal.js';
 import type {KeyedOutcome, KeyedRun, KeyGuard} from './key-guard.js';
 import type {PlaceCall} from './placement.js';
@@ -245,7 +246,10 @@
 				response, id, status, headers, body,
 			});
 		} else {
-			response.setHeader(CALL_ID_HEADER, id);
+			if (isUnanswered(response)) {
+				response.setHeader(CALL_ID_HEADER, id);
+			}
+
 			const forwarded = await backendResponse.forward(response);
 			attempt.release(forwarded.isRight() ? 'answered' : 'failed');
 			if (forwarded.isLeft()) {
--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -12,6 +12,7 @@
 import type {
 	ResponseHead, AttemptResponse, AttemptFailure, AttemptFailureKind,
 } from './attempt-response.js';
+import {isUnanswered} from './is-unanswered.js';
 import {CALL_ID_HEADER, endToEndHeaders} from './call-headers.js';
 import type {HeaderList} from './call-headers.js';
 
@@ -253,7 +254,15 @@
 		this.#bufferedPieces = [];
 		this.#forwarder = forwarder;
 		this.#resolve(Right({
-			kind: 'partial', ...this.#head!, forward: async response => forwarder.start(response),
+			kind: 'partial', ...this.#head!, forward: async response => {
+				if (isUnanswered(response)) {
+					return forwarder.start(response);
+				}
+
+				const failure: AttemptFailure = {kind: 'cancelled', execution: this.#execution, detail: 'the caller was refused or disconnected before the response could be forwarded'};
+				this.abort(failure);
+				return Left(failure);
+			},
 		}));
 	}
 }
--- a/calls/forwarding/src/send-refusal.ts
+++ b/calls/forwarding/src/send-refusal.ts
@@ -4,6 +4,7 @@
 import {PROBLEM_MEDIA_TYPE, toProblemDocument} from '@pomelopick/core.types';
 import type {Refusal, RefusalReason} from '@pomelopick/core.types';
 import {CALL_ID_HEADER} from './call-headers.js';
+import {isUnanswered} from './is-unanswered.js';
 import {resetCallerConnection} from './response-forwarder.js';
 
 const MILLISECONDS_PER_SECOND = 1000;
@@ -33,7 +34,7 @@
 
 /** Sends a refusal as a problem document; resets the connection when another response was started already. */
 export function sendRefusal({response, id, refusal, format = defaultFormat}: SendRefusalOptions): void {
-	if (response.headersSent || response.destroyed) {
+	if (!isUnanswered(response)) {
 		resetCallerConnection(response);
 		return;
 	}
--- a/calls/forwarding/src/send-whole.ts
+++ b/calls/forwarding/src/send-whole.ts
@@ -2,6 +2,7 @@
 import type {ServerResponse} from 'node:http';
 import type {CallId} from '@pomelopick/core.types';
 import {CALL_ID_HEADER, listHeaders} from './call-headers.js';
+import {isUnanswered} from './is-unanswered.js';
 
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
@@ -16,9 +17,9 @@
 	readonly body: Uint8Array;
 }
 
-/** Sends a response with its content length. Does nothing when the caller's connection is closed. */
+/** Sends a response with its content length. Does nothing when the caller was refused before or its connection is closed. */
 export function sendCompleteResponse({response, id, status, headers, body}: SendCompleteResponseOptions): void {
-	if (response.destroyed) {
+	if (!isUnanswered(response)) {
 		return;
 	}
 
