Play random callers and servers against a gateway process

Cause: slow callers, and ends and resets of servers, were tested apart; what ends a process lay in their combinations.

Conclusion: it judges that the process lives and answers others, not whose response is whose.

--- a/testing/gateway-soak/src/index.ts
+++ b/testing/gateway-soak/src/index.ts
@@ -5,6 +5,7 @@
 export * from './draw.js';
 export * from './call-check.js';
 export * from './notice-check.js';
+export * from './peer-round.js';
 export * from './rate-limit-check.js';
 export * from './rate-limit-round.js';
 export * from './retry-faults.js';
