Take a reset response with a transfer coding other than chunks for truncated

What callers saw: the start of a body as a whole response, when a server that had named a coding other than chunks was reset.

Cause: a response counted as framed if it had any `Transfer-Encoding`. Without chunks its end is that of its connection (RFC 9112, section 6.3), and only for unframed responses it is asked whether the connection was closed or reset.

Change: framed is what has a content length, or chunks as its last coding.

Before / after: `npm test unframed`: one of eight failed ("whole: part of it" in place of "truncated"), now none.

Conclusion: found by reading.

--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -123,7 +123,7 @@
 
 		this.#head = head;
 		const hasBody = method !== 'HEAD' && status !== NO_CONTENT && status !== NOT_MODIFIED;
-		const isUnframed = hasBody && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+		const isUnframed = hasBody && !isFramed(headers);
 		this.#options.lease.connection.isUnframed = isUnframed;
 		if (isUnframed && !acceptsUnframed) {
 			this.abort({kind: 'truncated', detail: 'the response has neither a content length nor chunked encoding, so a truncated body would look complete'});
@@ -267,6 +267,13 @@
 	}
 }
 
+/** Whether a response says where its body ends. With a transfer coding other than chunks it ends when its connection closes (RFC 9112, section 6.3). */
+function isFramed(headers: IncomingHttpHeaders): boolean {
+	const coding = headers['transfer-encoding'];
+	return coding === undefined ? headers['content-length'] !== undefined : CHUNKED_PATTERN.test(String(coding));
+}
+
+const CHUNKED_PATTERN = /(?:^|,)\s*chunked\s*$/iu;
 const FIRST_SUCCESS = 200;
 const LAST_SUCCESS = 299;
 const NO_CONTENT = 204;
--- a/calls/forwarding/test/unframed-response.test.ts
+++ b/calls/forwarding/test/unframed-response.test.ts
@@ -9,6 +9,7 @@
 
 const PAUSE_MS = 30;
 const head = (callId: string): string => `HTTP/1.1 200 OK\r\nx-call-id: ${callId}\r\n\r\n`;
+const codedHead = (callId: string): string => `HTTP/1.1 200 OK\r\nx-call-id: ${callId}\r\ntransfer-encoding: gzip\r\n\r\n`;
 const closingHead = (callId: string): string => `HTTP/1.1 200 OK\r\nx-call-id: ${callId}\r\nconnection: close\r\n\r\n`;
 
 interface Case {
@@ -46,6 +47,17 @@
 			setTimeout(() => socket.resetAndDestroy(), PAUSE_MS);
 		},
 	},
+	{
+		name: 'has a transfer coding other than chunks and ends with its connection', expected: 'whole: part of it', respond({socket, callId}) {
+			socket.end(`${codedHead(callId)}part of it`);
+		},
+	},
+	{
+		name: 'has a transfer coding other than chunks and is reset later', expected: 'truncated', respond({socket, callId}) {
+			socket.write(`${codedHead(callId)}part of it`);
+			setTimeout(() => socket.resetAndDestroy(), PAUSE_MS);
+		},
+	},
 	{
 		name: 'is reset after its head', expected: 'truncated', respond({socket, callId}) {
 			socket.write(head(callId));
