--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -12,6 +12,7 @@
 import type {
 	ResponseHead, AttemptResponse, AttemptFailure, AttemptFailureKind,
 } from './attempt-response.js';
+import {isUnanswered} from './is-unanswered.js';
 import {CALL_ID_HEADER, endToEndHeaders} from './call-headers.js';
 import type {HeaderList} from './call-headers.js';
 
@@ -130,7 +131,7 @@
 
 		this.#head = head;
 		const hasBody = method !== 'HEAD' && status !== NO_CONTENT && status !== NOT_MODIFIED;
-		const isUnframed = hasBody && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+		const isUnframed = hasBody && !isFramed(headers);
 		this.#options.lease.connection.isUnframed = isUnframed;
 		if (isUnframed && !acceptsUnframed) {
 			this.abort({kind: 'truncated', detail: 'the response has neither a content length nor chunked encoding, so a truncated body would look complete'});
@@ -283,11 +284,26 @@
 		this.#bufferedPieces = [];
 		this.#forwarder = forwarder;
 		this.#resolve(Right({
-			kind: 'partial', ...this.#head!, forward: async response => forwarder.start(response),
+			kind: 'partial', ...this.#head!, forward: async response => {
+				if (isUnanswered(response)) {
+					return forwarder.start(response);
+				}
+
+				const failure: AttemptFailure = {kind: 'cancelled', execution: this.#execution, detail: 'the caller was refused or disconnected before the response could be forwarded'};
+				this.abort(failure);
+				return Left(failure);
+			},
 		}));
 	}
 }
 
+/** Whether a response says where its body ends. With a transfer coding other than chunks it ends when its connection closes (RFC 9112, section 6.3). */
+function isFramed(headers: IncomingHttpHeaders): boolean {
+	const coding = headers['transfer-encoding'];
+	return coding === undefined ? headers['content-length'] !== undefined : CHUNKED_PATTERN.test(String(coding));
+}
+
+const CHUNKED_PATTERN = /(?:^|,)\s*chunked\s*$/iu;
 const FIRST_SUCCESS = 200;
 const LAST_SUCCESS = 299;
 const NO_CONTENT = 204;
