Wait for an address that is in use also in the entry daemon

Change: the binder of core/listeners in the entry daemon and its command; a line on standard error when a listener waits, events, the same counters. The instance joins the others once all three stand. startEntry returns its refusal as a value.

--- a/cli/pomelopick/src/commands/entry.ts
+++ b/cli/pomelopick/src/commands/entry.ts
@@ -28,13 +28,34 @@
 		limitHeap();
 		// Imported only here, so that the other commands start without loading the daemon's libraries.
 		const {startEntry} = await import('@pomelopick/daemons.entry');
-		const daemon = await startEntry({settings, onFirstVersion: collectGarbage});
-		this.context.stdout.write(`${JSON.stringify({instance: settings.instance, ...daemon.endpoints})}\n`);
-		await new Promise<void>(resolve => {
-			process.once('SIGTERM', resolve);
-			process.once('SIGINT', resolve);
+		const stopping = new AbortController();
+		const stopped = new Promise<void>(resolve => {
+			stopping.signal.addEventListener('abort', () => {
+				resolve();
+			});
+		});
+		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+			process.once(signal, () => {
+				stopping.abort();
+			});
+		}
+
+		const started = await startEntry({
+			settings,
+			onFirstVersion: collectGarbage,
+			stopSignal: stopping.signal,
+			onListenerWaits: ({listener, detail}) => {
+				this.context.stderr.write(`listen.${listener}: waiting: ${detail}\n`);
+			},
+		});
+		return started.caseOf<Promise<number>>({
+			Left: async error => error.code === 'bind-stopped' ? exitCodes.success : this.fail({error, exitCode: exitCodes.usage}),
+			Right: async daemon => {
+				this.context.stdout.write(`${JSON.stringify({instance: settings.instance, ...daemon.endpoints})}\n`);
+				await stopped;
+				await daemon.stop();
+				return exitCodes.success;
+			},
 		});
-		await daemon.stop();
-		return exitCodes.success;
 	}
 }
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -2,11 +2,12 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {randomInt} from 'node:crypto';
-import type {AddressInfo} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setImmediate as pause} from 'node:timers/promises';
+import {Either, Left, Right} from 'purify-ts';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import type {BindError, ListenerFailure} from '@pomelopick/core.listeners';
 import type {Endpoint, Instance} from '@pomelopick/core.types';
 import {
 	Counters, createLog, EventRecord, useLogNamespaces,
@@ -19,9 +20,10 @@
 import {ConfigurationHolder} from '@pomelopick/config.distribution';
 import type {Settings} from '@pomelopick/config.settings';
 import {HelloService} from '@pomelopick/peer.protocol';
-import {PeerClients, startPeerServer} from '@pomelopick/peer.transport';
+import {createPeerServer, PeerClients} from '@pomelopick/peer.transport';
 import {PlatformStore, ObservedStore} from '@pomelopick/platform.store';
 import {refuseBadTarget, parseTarget} from './call-target.js';
+import {createBinder} from './create-binder.js';
 import {createCallSafety} from './call-safety.js';
 import {startFleetView} from './fleet-view.js';
 import {createKeyedCalls} from './keyed-calls.js';
@@ -52,10 +54,18 @@
 	readonly createPlacement?: CreatePlacement;
 	/** Called once when the first configuration version has become active, before the instance announces it to others. */
 	readonly onFirstVersion?: () => void;
+	/** Called once for each listener whose address is in use and waited for. */
+	readonly onListenerWaits?: (failure: ListenerFailure) => void;
+	/** Ends a start that waits for an address; an instance that has started is stopped by {@link EntryDaemon.stop}. */
+	readonly stopSignal?: AbortSignal;
 }
 
-/** Starts an entry instance. */
-export async function startEntry({settings, createPlacement = createOwnedPlacement, onFirstVersion}: StartEntryOptions): Promise<EntryDaemon> {
+/**
+ * Starts an entry instance. It joins the others once all its listeners stand; waits for addresses that are in use.
+ *
+ * @returns Left `bind-refused` if an address can never be bound, `bind-stopped` if it was stopped while it waited.
+ */
+export async function startEntry({settings, createPlacement = createOwnedPlacement, onFirstVersion, onListenerWaits, stopSignal}: StartEntryOptions): Promise<Either<BindError, EntryDaemon>> {
 	useLogNamespaces(settings.logNamespaces);
 	const log = createLog('entry');
 	const now = (): number => performance.now();
@@ -166,8 +176,8 @@
 			now,
 		});
 	});
-	const peers = await startPeerServer({
-		endpoint: settings.listen.peers, register(router) {
+	const peers = createPeerServer({
+		register(router) {
 			router.service(HelloService, {
 				hello: () => ({
 					instance: settings.instance, failureDomain: settings.failureDomain, configurationVersion: BigInt(holder.view?.configuration.root.version ?? 0),
@@ -180,8 +190,32 @@
 			registerQuarantine({router, quarantine: safety.quarantine, now});
 		},
 	});
-	await Promise.all([listen({server: callers.server, endpoint: settings.listen.callers}), listen({server: operators, endpoint: settings.listen.operators})]);
-	const endpoints = {callers: endpointOf(callers.server), peers: peers.endpoint, operators: endpointOf(operators)};
+	const close = async (): Promise<void> => {
+		clients.close();
+		slotClients.close();
+		await Promise.all([peers.stop(), fleet.stop(), safety.stop(), store.close(), counters.close()]);
+	};
+
+	const binder = createBinder({counters, events, onWaits: onListenerWaits});
+	stopSignal?.addEventListener('abort', () => {
+		binder.stop();
+	});
+	const bindings = await Promise.all([
+		binder.bind({server: callers.server, listener: 'callers', endpoint: settings.listen.callers}),
+		binder.bind({server: peers.server, listener: 'peers', endpoint: settings.listen.peers}),
+		binder.bind({server: operators, listener: 'operators', endpoint: settings.listen.operators}),
+	]);
+	const failures = Either.lefts(bindings);
+	if (failures.length > 0) {
+		await callers.stop({timeoutMs: 0, inProgress: () => handler.inProgress});
+		await closeServer({server: operators, timeoutMs: 0});
+		await placement.stop();
+		await close();
+		return Left(failures.find(({code}) => code === 'bind-refused') ?? failures[0]!);
+	}
+
+	const [callersAt, peersAt, operatorsAt] = Either.rights(bindings) as [Endpoint, Endpoint, Endpoint];
+	const endpoints = {callers: callersAt, peers: peersAt, operators: operatorsAt};
 	const self: Instance = {
 		id: settings.instance, failureDomain: settings.failureDomain, state: 'live', ...endpoints, ...settings.advertise,
 	};
@@ -190,7 +224,7 @@
 	placement.start();
 	safety.start();
 	log('instance %s is listening on %o', settings.instance, callers.server.address());
-	return {
+	return Right({
 		endpoints,
 		async stop() {
 			log('instance %s is stopping; %d calls in progress', settings.instance, handler.inProgress);
@@ -201,12 +235,10 @@
 			membership.stop();
 			await distribution.stop();
 			await closeServer({server: operators, timeoutMs: settings.shutdownTimeoutMs});
-			clients.close();
-			slotClients.close();
-			await Promise.all([peers.stop(), fleet.stop(), safety.stop(), store.close(), counters.close()]);
+			await close();
 			log('instance %s stopped', settings.instance);
 		},
-	};
+	});
 }
 
 interface RouteCallerOptions {
@@ -244,13 +276,6 @@
 	});
 }
 
-async function listen({server, endpoint}: {readonly server: Server; readonly endpoint: Endpoint}): Promise<void> {
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(endpoint.port, endpoint.address, resolve);
-	});
-}
-
 async function closeServer({server, timeoutMs}: {readonly server: Server; readonly timeoutMs: number}): Promise<void> {
 	const timer = setTimeout(() => {
 		server.closeAllConnections();
@@ -263,8 +288,3 @@
 	});
 	clearTimeout(timer);
 }
-
-function endpointOf(server: Server): Endpoint {
-	const {address, port} = server.address() as AddressInfo;
-	return {address, port};
-}
--- a/daemons/entry/src/main.ts
+++ b/daemons/entry/src/main.ts
@@ -20,13 +20,41 @@
 			process.exitCode = BAD_SETTINGS_EXIT_CODE;
 		},
 		async Right(checked) {
-			const daemon = await startEntry({settings: checked, onFirstVersion: collectGarbage});
-			process.stdout.write(`${JSON.stringify({instance: checked.instance, ...daemon.endpoints})}\n`);
+			const stopping = new AbortController();
 			for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 				process.once(signal, () => {
-					void daemon.stop();
+					stopping.abort();
 				});
 			}
+
+			const started = await startEntry({
+				settings: checked,
+				onFirstVersion: collectGarbage,
+				stopSignal: stopping.signal,
+				onListenerWaits({listener, detail}) {
+					process.stderr.write(`listen.${listener}: waiting: ${detail}\n`);
+				},
+			});
+			started.ifLeft(({code, message}) => {
+				if (code === 'bind-refused') {
+					process.stderr.write(`${code}: ${message}\n`);
+					process.exitCode = BAD_SETTINGS_EXIT_CODE;
+				}
+			}).ifRight(daemon => {
+				process.stdout.write(`${JSON.stringify({instance: checked.instance, ...daemon.endpoints})}\n`);
+				whenAborted(stopping.signal, () => {
+					void daemon.stop();
+				});
+			});
 		},
 	});
 }
+
+/** Calls a function once, now if the signal is already aborted. */
+function whenAborted(signal: AbortSignal, run: () => void): void {
+	if (signal.aborted) {
+		run();
+	} else {
+		signal.addEventListener('abort', run, {once: true});
+	}
+}
--- a/peer/transport/src/peer-server.ts
+++ b/peer/transport/src/peer-server.ts
@@ -1,4 +1,5 @@
 /** HTTP/2 server for calls from other instances. */
+import {once} from 'node:events';
 import {createServer} from 'node:http2';
 import type {Http2Server, ServerHttp2Session} from 'node:http2';
 import type {AddressInfo, Socket} from 'node:net';
@@ -22,8 +23,13 @@
 	stop(): Promise<void>;
 }
 
-/** Starts listening for peers over HTTP/2 without TLS. */
-export async function startPeerServer({endpoint, register}: StartPeerServerOptions): Promise<PeerServer> {
+/** A peer server that need not listen yet. */
+export interface CreatedPeerServer extends Omit<PeerServer, 'endpoint'> {
+	readonly server: Http2Server;
+}
+
+/** Creates a peer server over HTTP/2 without TLS, which the caller binds to its address. */
+export function createPeerServer({register}: Pick<StartPeerServerOptions, 'register'>): CreatedPeerServer {
 	const server = createServer(connectNodeAdapter({routes: register}));
 	const sessions = new Set<ServerHttp2Session>();
 	server.on('session', session => {
@@ -32,13 +38,16 @@
 			sessions.delete(session);
 		});
 	});
-	const countBytes = trackBytes(server);
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(endpoint.port, endpoint.address, resolve);
-	});
+	return {server, countBytes: trackBytes(server), stop: async () => stopServer({server, sessions})};
+}
+
+/** Starts listening for peers. Rejects when the address cannot be bound. */
+export async function startPeerServer({endpoint, register}: StartPeerServerOptions): Promise<PeerServer> {
+	const {server, countBytes, stop} = createPeerServer({register});
+	server.listen(endpoint.port, endpoint.address);
+	await once(server, 'listening');
 	const {address, port} = server.address() as AddressInfo;
-	return {endpoint: {address, port}, countBytes, stop: async () => stopServer({server, sessions})};
+	return {endpoint: {address, port}, countBytes, stop};
 }
 
 function trackBytes(server: Http2Server): () => number {
--- a/testing/experiment/src/entry-main.ts
+++ b/testing/experiment/src/entry-main.ts
@@ -7,7 +7,8 @@
 const [path = '', policy = 'owner'] = process.argv.slice(2);
 const read = await readSettings(path).run();
 const settings = read.unsafeCoerce();
-const daemon = await startEntry({settings, createPlacement: policies[policy]!});
+const started = await startEntry({settings, createPlacement: policies[policy]!});
+const daemon = started.unsafeCoerce();
 process.stdout.write(`${JSON.stringify({instance: settings.instance, ...daemon.endpoints})}\n`);
 process.once('SIGTERM', () => {
 	void daemon.stop();
--- a/testing/fleet/src/cut-entry-main.ts
+++ b/testing/fleet/src/cut-entry-main.ts
@@ -22,7 +22,8 @@
 const read = await readSettings(path).run();
 const settings = read.unsafeCoerce();
 const peers = new CuttablePeers();
-const daemon = await startEntry({settings, createPlacement: async parts => createOwnedPlacement({...parts, peers})});
+const started = await startEntry({settings, createPlacement: async parts => createOwnedPlacement({...parts, peers})});
+const daemon = started.unsafeCoerce();
 process.stdout.write(`${JSON.stringify({instance: settings.instance, ...daemon.endpoints})}\n`);
 process.once('SIGTERM', () => {
 	void stop();
