Let no output block the end of a gateway or end it

Cause: a write to a full pipe blocks a thread of the runtime's pool, and the end of the process waits for it; an error of standard error's stream reached nobody and ended the process.

--- a/daemons/gateway/src/run-gateway.ts
+++ b/daemons/gateway/src/run-gateway.ts
@@ -2,7 +2,7 @@
 import {unwatchFile, watchFile} from 'node:fs';
 import process from 'node:process';
 import {readGatewaySettings} from '@pomelopick/config.settings';
-import {createOutputWriter} from '@pomelopick/core.telemetry';
+import {createOutputWriter, writeError} from '@pomelopick/core.telemetry';
 import {SETTINGS_VARIABLE} from '@pomelopick/platform.wire';
 import type {CodeCacheUse} from './code-cache.js';
 import type {OnSignal} from './early-signals.js';
@@ -61,7 +61,7 @@
 }
 
 function exitWithError(text: string): void {
-	process.stderr.write(`${text}\n`);
+	writeError(`${text}\n`);
 	process.exitCode = BAD_SETTINGS_EXIT_CODE;
 }
 
@@ -96,7 +96,7 @@
 	const reload = async (): Promise<void> => {
 		const settings = await readGatewaySettings(settingsPath).run();
 		settings.ifLeft(({code, message}) => {
-			process.stderr.write(`settings not reloaded, the previous ones stay active: ${code}: ${message}\n`);
+			writeError(`settings not reloaded, the previous ones stay active: ${code}: ${message}\n`);
 		}).ifRight(changed => {
 			gateway.useSettings(changed);
 		});
--- a/daemons/gateway/test/fixture.ts
+++ b/daemons/gateway/test/fixture.ts
@@ -22,7 +22,7 @@
 			write(line) {
 				lines.push(JSON.parse(line) as Record<string, unknown>);
 				return true;
-			}, flush() {/* Lines are written at once. */},
+			}, flush() {/* Lines are written at once. */}, writeNow: () => true,
 		},
 	});
 	const gateway = started.unsafeCoerce();
