Check a hedge's server again after the wait for its permit

A server may have got a request that it had asked not to get: one in each hedge that waited for its permit, up to 250 ms.

Cause: the server of a hedged attempt is chosen before its permit is taken. The permit may be claimed from the store meanwhile; a server that leaves, asks for a pause or is withdrawn in that time was used all the same.

Ruled out: the same for retries (permit first, then choice) and for permits of limited servers (checked again).

It had at most the wait of a claim, so it alone does not explain more than two requests half a second into a pause.

--- a/calls/relay/src/relay-run.ts
+++ b/calls/relay/src/relay-run.ts
@@ -211,9 +211,15 @@
 			return undefined;
 		}
 
+		// The server may have left or asked for a pause while the request waited for its permit.
+		const placement = placed.unsafeCoerce();
+		if (!this.#parts.placer.isStillUsable({known: placement.known, nowMs: this.#parts.now()})) {
+			return undefined;
+		}
+
 		this.#parts.counters.hedged('slow-answer');
 		request.extraAttempts.push('slow-answer');
-		return this.#start(placed.unsafeCoerce());
+		return this.#start(placement);
 	}
 
 	#mayHedge(): boolean {
--- a/calls/relay/test/scripted-run.ts
+++ b/calls/relay/test/scripted-run.ts
@@ -9,6 +9,7 @@
 import type {
 	BackendServerName, FailureDomainName, RegisteredServer, Repeatability, RouteName, ServiceName,
 } from '@pomelopick/core.types';
+import type {ObjectPlacement} from '@pomelopick/steering.objects';
 import {ObservationTable} from '@pomelopick/steering.servers';
 
 const SERVERS = 3;
@@ -72,6 +73,8 @@
 	/** Whether a server has crashed. */
 	readonly crashCheck?: () => Promise<boolean>;
 	readonly isSuspect?: boolean;
+	/** Whether a server that was chosen may still be used; always by default. */
+	readonly isStillUsable?: (server: string) => boolean;
 }
 
 /** Permit that records nothing. */
@@ -154,7 +157,7 @@
 			});
 		},
 		recordAnswer: ignore,
-		isStillUsable: () => true,
+		isStillUsable: ({known: {server}}: ObjectPlacement) => scripted.isStillUsable?.(server.name) ?? true,
 	};
 	const notices = {read: ignore};
 	const rateLimitUse = {record: ignore};
