Judge ends of gateways and the rest of the retry rules in the soak, with more faults

Cause: the soak let a gateway that ended by itself pass when its code was 0 or a signal's, kept no output of it, and excused pauses by such an end; it judged repeats only in rounds of their own, and neither the number of servers of a request nor the time that servers are told. Nothing drew entries of another writer, taken ports, callers that read slowly or offer upgrades, or a store that returns from an older copy. Change: violations instance-failed for every end that the soak did not bring about, with code, standard error and last lines, and instance-silent for a process that runs and does not answer for 3 s; max-attempts and time-handed as the users' pages bound them, and the retry budget in every round; the faults above; tables of fabricated histories for each judge. Conclusion: a SIGHUP that comes before the runtime has started the program is not counted, as /proc shows that it cannot be caught; every other end is.

--- a/testing/gateway-fleet/src/configuration.ts
+++ b/testing/gateway-fleet/src/configuration.ts
@@ -5,6 +5,9 @@
 /** Host of all routes. */
 export const HOST = 'fleet.example';
 
+/** Maximum number of attempts of a request, unless a test states another. */
+export const MAX_ATTEMPTS = 2;
+
 /** Options of {@link configuration}. */
 export interface ConfigurationOptions {
 	readonly version: number;
@@ -17,7 +20,7 @@
 }
 
 /** Returns a configuration with a read route `/read/` and a write route `/write/` to the service `ledger`. */
-export function configuration({version, timeoutSeconds = 2, maxAttempts: mostServers = 2, routes = []}: ConfigurationOptions): Record<string, unknown> {
+export function configuration({version, timeoutSeconds = 2, maxAttempts: mostServers = MAX_ATTEMPTS, routes = []}: ConfigurationOptions): Record<string, unknown> {
 	return {
 		version: version.toString(16).padStart(8, '0'),
 		routes: {
--- a/testing/gateway-fleet/src/gateway-process.ts
+++ b/testing/gateway-fleet/src/gateway-process.ts
@@ -1,5 +1,6 @@
 /** Runs a gateway as a separate process. */
 import {spawn} from 'node:child_process';
+import {readFileSync} from 'node:fs';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -10,6 +11,12 @@
 const MAIN = fileURLToPath(new URL('../../../daemons/gateway/lib/main.js', import.meta.url));
 const STOP_TIMEOUT_MS = 10_000;
 
+/** Signals that end a gateway. */
+const endingSignals: ReadonlySet<NodeJS.Signals> = new Set(['SIGKILL', 'SIGTERM', 'SIGINT']);
+
+/** Bit of SIGHUP in the mask of caught signals in `/proc/PID/status`. */
+const HANGUP_BIT = 1n;
+
 /** Options of {@link startGatewayProcess}. */
 export interface StartGatewayProcessOptions {
 	readonly settings: GatewaySettingsInput;
@@ -26,6 +33,10 @@
 	/** Resolves with the exit code, or with undefined if a signal ended the process. */
 	readonly exited: Promise<number | undefined>;
 	readonly hasExited: () => boolean;
+	/** Whether it was told to end: by a signal that ends a gateway, by SIGHUP before the runtime had started the program, which cannot catch it then, or by {@link stop}. */
+	readonly wasToldToEnd: () => boolean;
+	/** Whether it was stopped by SIGSTOP and not continued. */
+	readonly isFrozen: () => boolean;
 	readonly signal: (signal: NodeJS.Signals) => void;
 	/** Overwrites the settings file. */
 	readonly writeSettings: (settings: unknown) => Promise<void>;
@@ -64,6 +75,16 @@
 			resolve(code ?? undefined);
 		});
 	});
+	let wasToldToEnd = false;
+	let wasHungUpEarly = false;
+	let isFrozen = false;
+	const signal = (sent: NodeJS.Signals): void => {
+		wasToldToEnd ||= endingSignals.has(sent);
+		wasHungUpEarly ||= sent === 'SIGHUP' && !catchesHangup(child.pid!);
+		isFrozen = sent === 'SIGSTOP' || (isFrozen && sent !== 'SIGCONT');
+		child.kill(sent);
+	};
+
 	const hasExited = (): boolean => child.exitCode !== null || child.signalCode !== null;
 	return {
 		processId: child.pid!,
@@ -71,18 +92,18 @@
 		errors,
 		exited,
 		hasExited,
-		signal(signal) {
-			child.kill(signal);
-		},
+		wasToldToEnd: () => wasToldToEnd || (wasHungUpEarly && child.signalCode === 'SIGHUP'),
+		isFrozen: () => isFrozen,
+		signal,
 		async writeSettings(changed) {
 			await writeFile(file, JSON.stringify(changed));
 		},
 		readOutput,
 		async stop() {
-			child.kill('SIGCONT');
-			child.kill('SIGTERM');
+			signal('SIGCONT');
+			signal('SIGTERM');
 			const timer = setTimeout(() => {
-				child.kill('SIGKILL');
+				signal('SIGKILL');
 			}, STOP_TIMEOUT_MS);
 			await exited;
 			clearTimeout(timer);
@@ -90,3 +111,13 @@
 		},
 	};
 }
+
+function catchesHangup(processId: number): boolean {
+	try {
+		const mask = /^SigCgt:\s*(?<mask>[\da-f]+)$/mu.exec(readFileSync(`/proc/${processId}/status`, 'utf8'))!.groups!.mask!;
+		return (BigInt(`0x${mask}`) & HANGUP_BIT) !== 0n; // eslint-disable-line no-bitwise
+	} catch {
+		// The process has ended, so that no signal reaches it.
+		return true;
+	}
+}
--- a/testing/gateway-fleet/src/pipelining-caller.ts
+++ b/testing/gateway-fleet/src/pipelining-caller.ts
@@ -22,6 +22,8 @@
 	readonly workMs?: number;
 	/** Time until the deadline that the caller states, in milliseconds. */
 	readonly timeLeftMs?: number;
+	/** Further header lines. */
+	readonly headers?: readonly string[];
 }
 
 /** A complete response, or the complete head of one whose body is incomplete. */
@@ -75,7 +77,7 @@
 	}
 
 	/** Sends a request behind those that were sent before. */
-	send({requestId, path = '/read/x', method = 'GET', body = '', plays = ['whole'], workMs = 0, timeLeftMs = 3000}: SendOptions): void {
+	send({requestId, path = '/read/x', method = 'GET', body = '', plays = ['whole'], workMs = 0, timeLeftMs = 3000, headers = []}: SendOptions): void {
 		const lines = [
 			`${method} ${path} HTTP/1.1`,
 			`host: ${HOST}`,
@@ -83,11 +85,27 @@
 			`x-deadline-ms: ${timeLeftMs}`,
 			`${PLAY_HEADER}: ${plays.join(',')}`,
 			`${WORK_HEADER}: ${workMs}`,
+			...headers,
 			...(method === 'POST' ? [`content-length: ${Buffer.byteLength(body)}`] : []),
 		];
 		this.#socket.write(`${lines.join('\r\n')}${HEAD_END}${body}`);
 	}
 
+	/** Stops reading responses. */
+	pause(): void {
+		this.#socket.pause();
+	}
+
+	/** Reads responses again. */
+	resume(): void {
+		this.#socket.resume();
+	}
+
+	/** Resets the connection. */
+	reset(): void {
+		this.#socket.resetAndDestroy();
+	}
+
 	/** Closes the connection without waiting for responses. */
 	close(): void {
 		this.#socket.destroy();
--- a/testing/gateway-fleet/src/play-answer.ts
+++ b/testing/gateway-fleet/src/play-answer.ts
@@ -1,9 +1,14 @@
 /** Responses of a backend server stand-in to the requests that it runs, correct and faulty ones. */
 import type {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 
+/** A play whose bytes are not those of an HTTP response with a length. */
+type UnframedPlay = 'unframed' | 'unframed-reset' | 'unframed-large' | 'unframed-large-reset' | 'endless-head';
+
 /** How a server treats a request that reaches it. */
 export type Play =
+	| UnframedPlay
 	| 'whole'
 	| 'slow'
 	| 'shed'
@@ -12,8 +17,7 @@
 	| 'reset'
 	| 'late-reset'
 	| 'silent'
-	| 'unframed'
-	| 'unframed-reset'
+	| 'surplus-bytes'
 	| 'extra'
 	| 'unstamped'
 	| 'other-id'
@@ -26,6 +30,11 @@
 /** Time after which the plays `late-shed` and `late-reset` reject the request and reset the connection, in milliseconds. */
 export const LATE_MS = 1200;
 
+/** Size of the body of the plays `unframed-large` and `unframed-large-reset`, in bytes: more than the buffers on the way hold. */
+const LARGE_BYTES = 4_000_000;
+/** Time between the lines of the play `endless-head`, in milliseconds. */
+const HEAD_LINE_MS = 5;
+
 /** Options of {@link respond}. */
 export interface RespondOptions {
 	/** How to respond. `shed` and `late-shed` are handled earlier, as they do not run the request. */
@@ -42,8 +51,12 @@
 	const headers = {
 		'content-length': String(text.length), 'x-request-id': requestId, 'x-server-stamp': `${name}.${requestId}`, 'x-server-load': '1,0,4',
 	};
-	const raw = (lines: readonly string[]): string => `${lines.join('\r\n')}\r\n\r\n`;
 	const socket = response.socket!;
+	if (isUnframed(play)) {
+		unframedPlayers[play]({socket, headers, text});
+		return;
+	}
+
 	switch (play) {
 		case 'slow': {
 			await sleep(SLOW_MS);
@@ -73,15 +86,9 @@
 			break;
 		}
 
-		case 'unframed':
-		case 'unframed-reset': {
-			socket.write(`${raw(['HTTP/1.1 200 OK', `x-request-id: ${requestId}`, `x-server-stamp: ${name}.${requestId}`, 'connection: close'])}${text}`, () => {
-				if (play === 'unframed') {
-					socket.end();
-				} else {
-					socket.resetAndDestroy();
-				}
-			});
+		case 'surplus-bytes': {
+			response.writeHead(200, headers).end(text);
+			socket.write(text);
 			break;
 		}
 
@@ -124,3 +131,57 @@
 		}
 	}
 }
+
+/** Returns the bytes of the head of a response. */
+function raw(lines: readonly string[]): string {
+	return `${lines.join('\r\n')}\r\n\r\n`;
+}
+
+interface UnframedOptions {
+	readonly socket: Socket;
+	readonly headers: Readonly<Record<string, string>>;
+	readonly text: string;
+}
+
+/** Sends a response whose length only its end tells, and then ends or resets the connection. */
+function sendUnframed({socket, headers, text, isReset}: UnframedOptions & {readonly isReset: boolean}): void {
+	const {'x-request-id': requestId, 'x-server-stamp': stamp} = headers;
+	socket.write(`${raw(['HTTP/1.1 200 OK', `x-request-id: ${requestId}`, `x-server-stamp: ${stamp}`, 'connection: close'])}${text}`, () => {
+		if (isReset) {
+			socket.resetAndDestroy();
+		} else {
+			socket.end();
+		}
+	});
+}
+
+/** Sends header lines until the other side closes the connection. */
+function sendEndlessHead({socket, text}: UnframedOptions): void {
+	socket.write('HTTP/1.1 200 OK\r\n');
+	const timer = setInterval(() => {
+		socket.write(`x-line: ${text}\r\n`);
+	}, HEAD_LINE_MS);
+	socket.once('close', () => {
+		clearInterval(timer);
+	});
+}
+
+const unframedPlayers: Record<UnframedPlay, (options: UnframedOptions) => void> = {
+	unframed(options) {
+		sendUnframed({...options, isReset: false});
+	},
+	'unframed-reset'(options) {
+		sendUnframed({...options, isReset: true});
+	},
+	'unframed-large'(options) {
+		sendUnframed({...options, text: options.text.padEnd(LARGE_BYTES), isReset: false});
+	},
+	'unframed-large-reset'(options) {
+		sendUnframed({...options, text: options.text.padEnd(LARGE_BYTES), isReset: true});
+	},
+	'endless-head': sendEndlessHead,
+};
+
+function isUnframed(play: Play): play is UnframedPlay {
+	return Object.hasOwn(unframedPlayers, play);
+}
--- a/testing/gateway-fleet/src/registered-server.ts
+++ b/testing/gateway-fleet/src/registered-server.ts
@@ -43,6 +43,8 @@
 	readonly server: string;
 	/** Monotonic time, in milliseconds. */
 	readonly atMs: number;
+	/** Time until the deadline that the sender stated, in milliseconds; undefined if it stated none. */
+	readonly timeLeftMs?: number;
 	/** Pause that the server asked for when it rejected this request, in milliseconds. Undefined if it asked for none. */
 	pauseMs?: number;
 	/** Rate limit that the response named, as text; undefined if it named none. */
@@ -171,8 +173,14 @@
 
 	const body = await buffer(request);
 	const requestId = String(request.headers['x-request-id']);
+	const deadline = request.headers['x-deadline-ms'];
 	const arrival: ArrivalRecord = {
-		requestId, server: name, atMs: performance.now(), ...(announced.isLeaving && {leaving: announced.leaveCount}), ...(announced.rateLimit !== undefined && {rateLimit: announced.rateLimit}),
+		requestId,
+		server: name,
+		atMs: performance.now(),
+		...(deadline !== undefined && {timeLeftMs: Number(deadline)}),
+		...(announced.isLeaving && {leaving: announced.leaveCount}),
+		...(announced.rateLimit !== undefined && {rateLimit: announced.rateLimit}),
 	};
 	records.arrivalLog.push(arrival);
 	const expectedServer = request.headers['x-expect-instance'] as string | undefined;
--- a/testing/gateway-soak/src/call-check.ts
+++ b/testing/gateway-soak/src/call-check.ts
@@ -18,6 +18,8 @@
 	/** Monotonic times at which the call was sent and its response arrived, in milliseconds. */
 	readonly sentAtMs: number;
 	readonly answeredAtMs: number;
+	/** Time until the deadline that the caller stated, in milliseconds. */
+	readonly timeLeftMs: number;
 }
 
 /** A violated guarantee. */
@@ -33,7 +35,10 @@
 		| 'wrong-server'
 		| 'instance-not-ready'
 		| 'instance-failed'
+		| 'instance-silent'
 		| 'retry-budget'
+		| 'max-attempts'
+		| 'time-handed'
 		| 'rate-limit'
 		| 'sent-to-leaving'
 		| 'sent-in-pause';
--- a/testing/gateway-soak/src/environment.ts
+++ b/testing/gateway-soak/src/environment.ts
@@ -1,15 +1,18 @@
 /** Environment of a soak round: gateway processes, servers and a store behind proxies, and the faults that are injected. */
+import {createServer} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {GatewaySettingsInput} from '@pomelopick/config.settings';
 import {startFaultProxy} from '@pomelopick/testing.fault-proxy';
 import type {FaultProxy, PathFaults} from '@pomelopick/testing.fault-proxy';
 import {
-	configuration, isReady, startGatewayFleet, startGatewayProcess, until,
+	configuration, endpointOf, isReady, startGatewayFleet, startGatewayProcess, until,
 } from '@pomelopick/testing.gateway-fleet';
 import type {GatewayFleet, GatewayProcess} from '@pomelopick/testing.gateway-fleet';
 import type {Draw} from './draw.js';
 import type {Violation} from './call-check.js';
+import {describeOutput, findEndFailure, watchSilence} from './gateway-watch.js';
 import type {Disturbance} from './notice-check.js';
+import {drawOddEntry} from './odd-entries.js';
 
 /** Range of the random time added to the minimum duration of a fault, in milliseconds. */
 const FAULT_JITTER_MS = 1200;
@@ -20,8 +23,11 @@
 const MIN_PAUSE_MS = 1000;
 /** Start time that all servers register at first, in milliseconds. */
 const FIRST_START_MS = 1000;
-/** Number of log lines that are reported of a gateway that is not ready at the end. */
-const LAST_LINES = 20;
+/** Maximum number of odd entries that are written at once. */
+const MAX_ODD_ENTRIES = 60;
+const KILLS = 3;
+/** Maximum number of ends of their own of gateways that are reported. */
+const MAX_REPORTED_ENDS = 12;
 /** Offset that keeps the seeds of the paths to the store apart from those of the paths to servers. */
 const STORE_SEED_OFFSET = 500;
 
@@ -31,6 +37,8 @@
 /** Names of the faults. */
 export const faultNames = [
 	'kill',
+	'kill-series',
+	'port-taken',
 	'pause',
 	'terminate',
 	'reload',
@@ -38,6 +46,8 @@
 	'store-silent',
 	'store-slow',
 	'store-forgets',
+	'store-returns-older',
+	'odd-entries',
 	'store-path-cut',
 	'store-path-silent',
 	'path-cut',
@@ -58,6 +68,8 @@
 	/** Proxy between this gateway and the store. */
 	readonly storePath: FaultProxy;
 	process: GatewayProcess;
+	/** Runs after the process has ended and before it is started again. */
+	beforeRestart?: () => Promise<void>;
 }
 
 /** Options of {@link startEnvironment}. */
@@ -97,8 +109,8 @@
 	readonly #endedLines: Array<Readonly<Record<string, unknown>>> = [];
 	/** Number of restarts of each server. */
 	readonly #restartCounts = new Map<number, number>();
+	readonly #stopped = new AbortController();
 	#version = 1;
-	#isStopping = false;
 
 	constructor(readonly fleet: GatewayFleet) {}
 
@@ -111,6 +123,11 @@
 		const member: Member = {settings, storePath, process: await startGatewayProcess({settings})};
 		this.members.push(member);
 		void this.#keepRunning(member);
+		void watchSilence({
+			gateway: member, signal: this.#stopped.signal, onSilence: violation => {
+				this.#failures.push(violation);
+			},
+		});
 	}
 
 	/** Starts a server behind a proxy and registers it. */
@@ -131,7 +148,7 @@
 			return [...this.#failures, ...this.members.filter((_, index) => !ready[index]).map(({settings, process}): Violation => ({
 				requestId: '',
 				kind: 'instance-not-ready',
-				detail: `${settings.instance}, ${process.hasExited() ? 'exited' : 'running'}: ${process.errors.join('')} ${JSON.stringify(process.lines.slice(-LAST_LINES))}`,
+				detail: `${settings.instance}, ${process.hasExited() ? 'exited' : 'running'}: ${describeOutput(process)}`,
 			}))];
 		}
 	}
@@ -168,6 +185,13 @@
 			async kill() {
 				member.process.signal('SIGKILL');
 			},
+			async 'kill-series'() {
+				for (let kill = 0; kill < KILLS; kill += 1) {
+					member.process.signal('SIGKILL');
+					await sleep(durationMs);
+				}
+			},
+			'port-taken': async () => takePort({member, port: draw(LISTENERS), durationMs}),
 			async terminate() {
 				member.process.signal('SIGTERM');
 			},
@@ -197,6 +221,15 @@
 			async 'store-forgets'() {
 				keyValues.compactHistory();
 			},
+			async 'store-returns-older'() {
+				const copy = keyValues.copy();
+				await sleep(durationMs);
+				faults.outage = true;
+				await sleep(MIN_FAULT_MS + draw(FAULT_JITTER_MS));
+				keyValues.returnTo(copy);
+				faults.outage = false;
+			},
+			'odd-entries': async () => this.#writeOddEntries({draw, durationMs}),
 			'store-path-cut': async () => applyPathFaults({path: member.storePath, faults: {cut: true}, durationMs}),
 			async 'store-path-silent'() {
 				silenceOpenConnections(member.storePath);
@@ -221,7 +254,7 @@
 
 	/** Stops all processes and proxies. */
 	async stop(): Promise<void> {
-		this.#isStopping = true;
+		this.#stopped.abort();
 		await Promise.all(this.members.map(async ({process}) => process.stop()));
 		await Promise.all([...this.#proxies, ...this.members.map(({storePath}) => storePath)].map(async proxy => proxy.stop()));
 		await this.fleet.stop();
@@ -254,28 +287,75 @@
 		this.#register({number, state: 'ready'});
 	}
 
-	/** Restarts a gateway whenever it exits, as the platform does. An exit with an error code is a violation. */
+	/** Writes odd entries among those of the servers, some over those of living ones, and sets the entries right again. */
+	async #writeOddEntries({draw, durationMs}: {readonly draw: Draw; readonly durationMs: number}): Promise<void> {
+		const {keyValues} = this.fleet.platform;
+		const count = 1 + draw(1 + draw(MAX_ODD_ENTRIES));
+		const entries = Array.from({length: count}, () => drawOddEntry({draw, livingIds: this.fleet.servers.map(({name}) => name)}));
+		for (const entry of entries) {
+			keyValues.put(entry);
+		}
+
+		await sleep(durationMs);
+		for (const {key} of entries) {
+			keyValues.delete({key});
+		}
+
+		for (const number of this.#proxies.keys()) {
+			this.#register({number, state: 'ready'});
+		}
+	}
+
+	/** Restarts a gateway whenever it exits, as the platform does. An end of its own is a violation and excuses nothing. */
 	async #keepRunning(member: Member): Promise<void> {
-		while (!this.#isStopping) {
-			const code = await member.process.exited;
+		while (!this.#stopped.signal.aborted) {
+			const failure = await findEndFailure(member);
 			this.#endedLines.push(...member.process.lines);
 			const endedAtMs = performance.now();
 			this.disturbances.push({
-				subject: member.settings.instance, fault: 'kill', fromMs: endedAtMs, toMs: endedAtMs,
+				subject: member.settings.instance, fault: member.process.wasToldToEnd() ? 'kill' : 'own-end', fromMs: endedAtMs, toMs: endedAtMs,
 			});
-			if (this.#isStopping) {
+			if (this.#stopped.signal.aborted) {
 				return;
 			}
 
-			if (code !== undefined && code !== 0) {
-				this.#failures.push({requestId: '', kind: 'instance-failed', detail: `${member.settings.instance} exited with code ${code}: ${member.process.errors.join('')}`});
+			if (failure && this.#failures.length < MAX_REPORTED_ENDS) {
+				this.#failures.push(failure);
 			}
 
+			await member.beforeRestart?.();
+			member.beforeRestart = undefined;
 			member.process = await startGatewayProcess({settings: member.settings});
 		}
 	}
 }
 
+/** Number of addresses on which a gateway listens. */
+const LISTENERS = 5;
+
+/** Kills a gateway and occupies one of its ports for a time, during which it is started again. */
+async function takePort({member, port, durationMs}: {readonly member: Member; readonly port: number; readonly durationMs: number}): Promise<void> {
+	const {address, port: taken} = endpointOf(Object.values(member.settings.listen)[port]!);
+	const occupant = createServer(socket => {
+		socket.destroy();
+	});
+	member.beforeRestart = async () => {
+		await new Promise<void>(resolve => {
+			// The port may still be taken by an earlier fault.
+			occupant.once('error', () => {
+				resolve();
+			});
+			occupant.listen(taken, address, resolve);
+		});
+		setTimeout(() => {
+			occupant.close();
+		}, durationMs);
+	};
+
+	member.process.signal('SIGKILL');
+	await sleep(durationMs);
+}
+
 function serverName(number: number): string {
 	return `server-${number}`;
 }
--- a/testing/gateway-soak/src/index.ts
+++ b/testing/gateway-soak/src/index.ts
@@ -1,10 +1,13 @@
 /** Randomized soak tests of gateway processes under externally injected faults. */
+export * from './budget-check.js';
 export * from './crash-cases.js';
 export * from './crash-check.js';
 export * from './crash-round.js';
 export * from './draw.js';
 export * from './call-check.js';
+export * from './gateway-watch.js';
 export * from './notice-check.js';
+export * from './odd-entries.js';
 export * from './rate-limit-check.js';
 export * from './rate-limit-round.js';
 export * from './retry-faults.js';
--- a/testing/gateway-soak/src/rate-limit-round.ts
+++ b/testing/gateway-soak/src/rate-limit-round.ts
@@ -127,7 +127,7 @@
 			endpoint: endpointOf(settings.listen.callers), path, object: path, plays, timeLeftMs: TIME_LEFT_MS,
 		});
 		calls.push({
-			method: 'GET', path, body: '', answer, instance: settings.instance, sentAtMs, answeredAtMs: performance.now(),
+			method: 'GET', path, body: '', answer, instance: settings.instance, sentAtMs, answeredAtMs: performance.now(), timeLeftMs: TIME_LEFT_MS,
 		});
 		const retryAfterSeconds = Number(answer.headers['retry-after']);
 		if (answer.status === 503 && retryAfterSeconds > 0) {
--- a/testing/gateway-soak/src/retry-round.ts
+++ b/testing/gateway-soak/src/retry-round.ts
@@ -8,8 +8,9 @@
 import {createDraw} from './draw.js';
 import type {Draw} from './draw.js';
 import {runFaultSeries} from './fault-series.js';
+import {checkAttempts, checkTimes} from './budget-check.js';
 import {checkCalls} from './call-check.js';
-import type {CallRecord, Violation} from './call-check.js';
+import type {CallRecord, TracedCall, Violation} from './call-check.js';
 import {injectRetryFault, retryFaultNames} from './retry-faults.js';
 import type {RetryFaultName} from './retry-faults.js';
 import {findWorstWindow, checkRetries} from './retry-check.js';
@@ -69,11 +70,6 @@
 	readonly lines: ReadonlyArray<Readonly<Record<string, unknown>>>;
 }
 
-interface TimedCall extends CallRecord {
-	/** Monotonic time at which it was sent, in milliseconds. */
-	readonly sentAtMs: number;
-}
-
 /** Runs one round and checks it. */
 export async function runRetryRound(options: RunRetryRoundOptions): Promise<RetryRoundResult> {
 	const {seed, durationMs, gateways = DEFAULT_GATEWAYS, servers = DEFAULT_SERVERS} = options;
@@ -101,6 +97,9 @@
 		const gatewayFailures = await environment.listGatewayFailures();
 		const {executions, arrivalLog: arrivals} = environment.fleet.records;
 		const checked = {bounds: RETRY_BUDGET, sentAtMs: calls.map(({sentAtMs}) => sentAtMs), arrivals};
+		const judged = {
+			calls, arrivals, executions, disturbances: environment.disturbances, maxAttempts: MAX_SERVERS_PER_REQUEST,
+		};
 		return {
 			seed,
 			perSecond,
@@ -111,7 +110,7 @@
 			statuses: countStatuses(calls),
 			repeats: arrivals.length - new Set(arrivals.map(({requestId}) => requestId)).size,
 			worst: findWorstWindow(checked),
-			violations: [...gatewayFailures, ...checkRetries(checked), ...checkCalls({calls, executions})],
+			violations: [...gatewayFailures, ...checkRetries(checked), ...checkAttempts(judged), ...checkTimes(judged), ...checkCalls({calls, executions})],
 			lines: environment.listLines('retry-budget'),
 		};
 	} finally {
@@ -142,8 +141,8 @@
 }
 
 /** Sends requests at a fixed rate, without waiting for responses to earlier ones. Resolves when all have ended. */
-async function sendAll({environment, draw, endMs, perSecond, failingPercent}: SendAllOptions): Promise<readonly TimedCall[]> {
-	const calls: Array<Promise<readonly TimedCall[]>> = [];
+async function sendAll({environment, draw, endMs, perSecond, failingPercent}: SendAllOptions): Promise<readonly TracedCall[]> {
+	const calls: Array<Promise<readonly TracedCall[]>> = [];
 	while (performance.now() < endMs) {
 		const plays: readonly Play[] = draw(PERCENT) < failingPercent ? Array.from({length: MAX_SERVERS_PER_REQUEST}, () => failures[draw(failures.length)]!) : ['whole'];
 		calls.push(sendOne({environment, draw, plays}));
@@ -155,9 +154,9 @@
 }
 
 /** Sends one request, and sends it again to another gateway if the connection ended without a response. */
-async function sendOne({environment, draw, plays}: {readonly environment: SoakEnvironment; readonly draw: Draw; readonly plays: readonly Play[]}): Promise<readonly TimedCall[]> {
+async function sendOne({environment, draw, plays}: {readonly environment: SoakEnvironment; readonly draw: Draw; readonly plays: readonly Play[]}): Promise<readonly TracedCall[]> {
 	const path = `/read/${draw(OBJECTS)}`;
-	const calls: TimedCall[] = [];
+	const calls: TracedCall[] = [];
 	const offset = draw(environment.members.length);
 	do {
 		const {settings} = environment.members[(offset + calls.length) % environment.members.length]!;
@@ -166,7 +165,7 @@
 			endpoint: endpointOf(settings.listen.callers), path, object: path, plays, timeLeftMs: TIME_LEFT_MS,
 		});
 		calls.push({
-			method: 'GET', path, body: '', sentAtMs, answer,
+			method: 'GET', path, body: '', sentAtMs, answer, instance: settings.instance, answeredAtMs: performance.now(), timeLeftMs: TIME_LEFT_MS,
 		});
 	} while (calls.at(-1)!.answer.status === 0 && calls.length < MAX_CALLS_PER_REQUEST);
 
--- a/testing/gateway-soak/src/soak.ts
+++ b/testing/gateway-soak/src/soak.ts
@@ -1,13 +1,18 @@
 /** A soak round: callers send requests to gateways while overlapping faults, drawn from a seed, are injected. */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {callGateway, endpointOf} from '@pomelopick/testing.gateway-fleet';
+import {
+	callGateway, endpointOf, MAX_ATTEMPTS, RETRY_BUDGET,
+} from '@pomelopick/testing.gateway-fleet';
 import type {Play} from '@pomelopick/testing.gateway-fleet';
 import {createDraw} from './draw.js';
 import type {Draw} from './draw.js';
 import {runFaultSeries} from './fault-series.js';
 import {checkCalls} from './call-check.js';
 import type {TracedCall, Violation} from './call-check.js';
+import {checkAttempts, checkTimes} from './budget-check.js';
+import {keepHardCalling} from './hard-callers.js';
 import {checkNotices} from './notice-check.js';
+import {checkRetries} from './retry-check.js';
 import {faultNames, startEnvironment} from './environment.js';
 import {nameLimits} from './limit-series.js';
 import {checkRateLimits} from './rate-limit-check.js';
@@ -20,15 +25,37 @@
 /** Time in which aborted requests may still be executed late, in milliseconds. */
 const SETTLE_MS = 1500;
 const CALLER_PAUSE_MS = 5;
-/** Factors that keep the seeds of the callers and of the rate limits apart from those of the faults. */
+/** Factors that keep the seeds of the callers, of the rate limits and of the hard callers apart from those of the faults. */
 const CALLER_SEED_FACTOR = 1000;
 const LIMIT_SEED_FACTOR = 7;
+const HARD_CALLER_SEED_FACTOR = 77;
+/** Callers that use connections in unusual ways. */
+const HARD_CALLERS = 3;
 /** Number of servers that may name a rate limit at the same time. */
 const LIMIT_SERIES = 2;
 
 /** Plays to draw from. `whole`, a correct response, is listed several times, so that it is drawn more often than any fault. */
 const plays: readonly Play[] = [
-	'whole', 'whole', 'whole', 'whole', 'whole', 'slow', 'shed', 'cut', 'reset', 'late-reset', 'unframed', 'unframed-reset', 'extra', 'unstamped', 'other-id', 'failure', 'refuse-unstamped', 'silent',
+	'whole',
+	'whole',
+	'whole',
+	'whole',
+	'whole',
+	'slow',
+	'shed',
+	'cut',
+	'reset',
+	'late-reset',
+	'unframed',
+	'unframed-reset',
+	'extra',
+	'surplus-bytes',
+	'endless-head',
+	'unstamped',
+	'other-id',
+	'failure',
+	'refuse-unstamped',
+	'silent',
 ];
 
 /** Options of {@link runRound}. */
@@ -40,6 +67,8 @@
 	readonly callers: number;
 	readonly gateways?: number;
 	readonly servers?: number;
+	/** Faults to draw from; all by default. */
+	readonly names?: readonly FaultName[];
 }
 
 /** Outcome of a round. */
@@ -53,7 +82,7 @@
 }
 
 /** Runs one round and checks it. */
-export async function runRound({seed, faults: count, callers, gateways = DEFAULT_GATEWAYS, servers = DEFAULT_SERVERS}: RunRoundOptions): Promise<RoundResult> {
+export async function runRound({seed, faults: count, callers, gateways = DEFAULT_GATEWAYS, servers = DEFAULT_SERVERS, names = faultNames}: RunRoundOptions): Promise<RoundResult> {
 	const environment = await startEnvironment({seed, gateways, servers});
 	try {
 		const stopped = new AbortController();
@@ -64,27 +93,39 @@
 		const naming = Promise.all(Array.from({length: LIMIT_SERIES}, async (_, index) => nameLimits({
 			servers: environment.fleet.servers, draw: createDraw((seed * LIMIT_SEED_FACTOR) + index), signal: stopped.signal,
 		})));
+		const hardCalling = Promise.all(Array.from({length: HARD_CALLERS}, async (_, index) => keepHardCalling({
+			members: environment.members, draw: createDraw((seed * HARD_CALLER_SEED_FACTOR) + index), calls, signal: stopped.signal,
+		})));
 		const draw = createDraw(seed);
 		const faults = await runFaultSeries({
-			next: done => done < count ? faultNames[draw(faultNames.length)] : undefined,
+			next: done => done < count ? names[draw(names.length)] : undefined,
 			inject: async name => environment.injectFault({name, draw}),
 			draw,
 			pauseMs: FAULT_PAUSE_MS,
 		});
 		const gatewayFailures = await environment.listGatewayFailures();
 		stopped.abort();
-		await calling;
-		await naming;
+		await Promise.all([calling, hardCalling, naming]);
 		await sleep(SETTLE_MS);
 		const {executions, arrivalLog} = environment.fleet.records;
-		const judged = {calls, arrivals: arrivalLog, disturbances: environment.disturbances};
+		const judged = {
+			calls, arrivals: arrivalLog, executions, disturbances: environment.disturbances, maxAttempts: MAX_ATTEMPTS,
+		};
 		return {
 			seed,
 			faults,
 			calls: calls.length,
 			answered: calls.filter(({answer}) => answer.status === 200).length,
 			executions: executions.length,
-			violations: [...gatewayFailures, ...checkCalls({calls, executions}), ...checkNotices(judged), ...checkRateLimits(judged)],
+			violations: [
+				...gatewayFailures,
+				...checkCalls({calls, executions}),
+				...checkNotices(judged),
+				...checkRateLimits(judged),
+				...checkAttempts(judged),
+				...checkTimes(judged),
+				...checkRetries({bounds: RETRY_BUDGET, sentAtMs: calls.map(({sentAtMs}) => sentAtMs), arrivals: arrivalLog}),
+			],
 		};
 	} finally {
 		await environment.stop();
@@ -105,6 +146,7 @@
 		const method = draw(3) === 0 ? 'POST' : 'GET';
 		const path = `/${method === 'POST' ? 'write' : 'read'}/${draw(OBJECTS)}?n=${draw(1000)}`;
 		const body = method === 'POST' ? `body ${draw(1000)}` : '';
+		const timeLeftMs = 500 + draw(1500);
 		const answer = await callGateway({
 			endpoint: endpointOf(settings.listen.callers),
 			method,
@@ -112,10 +154,10 @@
 			...(body !== '' && {body}),
 			object: path,
 			plays: [plays[draw(plays.length)]!, plays[draw(plays.length)]!],
-			timeLeftMs: 500 + draw(1500),
+			timeLeftMs,
 		});
 		calls.push({
-			method, path, body, answer, instance: settings.instance, sentAtMs, answeredAtMs: performance.now(),
+			method, path, body, answer, instance: settings.instance, sentAtMs, answeredAtMs: performance.now(), timeLeftMs,
 		});
 		await sleep(CALLER_PAUSE_MS);
 	}
--- a/testing/gateway-soak/test/notice-check.test.ts
+++ b/testing/gateway-soak/test/notice-check.test.ts
@@ -24,6 +24,7 @@
 	instance,
 	sentAtMs,
 	answeredAtMs: sentAtMs + (2 * DELAY_MS),
+	timeLeftMs: 2000,
 	answer: {
 		requestId: id, status: 200, text: '', headers: {'x-server-stamp': `server.${id}`, ...(leaving !== undefined && {'server-leaving': '1'})},
 	},
@@ -60,6 +61,9 @@
 	{name: 'nothing in calls right after a pause was asked for', calls: [{id: 'a', sentAtMs: 500, pauseMs: 1000}, ...inPause(3)], expected: []},
 	{name: 'nothing in calls after a pause', calls: [{id: 'a', sentAtMs: 0, pauseMs: 900}, ...inPause(3)], expected: []},
 	{name: 'nothing in calls of another gateway in a pause', calls: [{id: 'a', sentAtMs: 0, pauseMs: 3000}, ...inPause(3, 'two')], expected: []},
+	{
+		name: 'three calls in a pause by a gateway that ended by itself', calls: [{id: 'a', sentAtMs: 0, pauseMs: 3000}, ...inPause(3)], disturbances: [disturb('own-end', 500)], expected: ['sent-in-pause'],
+	},
 	{
 		name: 'nothing in calls delayed on the path to the server', calls: [{id: 'a', sentAtMs: 0, pauseMs: 3000}, ...inPause(3)], disturbances: [disturb('path-delayed', 200, 'server')], expected: [],
 	},
--- a/testing/gateway-soak/test/rate-limit-check.test.ts
+++ b/testing/gateway-soak/test/rate-limit-check.test.ts
@@ -21,7 +21,7 @@
 		requestId: String(number), server: 'server', atMs, ...(limit !== undefined && {rateLimit: limit}),
 	}));
 	const calls = sent.map(({atMs, limit, instance = 'gateway', isRelayed = true}, number): TracedCall => ({
-		method: 'GET', path: '/', body: '', instance, sentAtMs: atMs - 5, answeredAtMs: atMs + 5, answer: {
+		method: 'GET', path: '/', body: '', instance, sentAtMs: atMs - 5, answeredAtMs: atMs + 5, timeLeftMs: 2000, answer: {
 			requestId: String(number), status: 200, text: '', headers: {'x-server-stamp': `server.${number}`, ...(isRelayed && limit !== undefined && {'server-limit': limit})},
 		},
 	}));
--- a/testing/platform-stand-in/src/key-values.ts
+++ b/testing/platform-stand-in/src/key-values.ts
@@ -30,6 +30,14 @@
 	readonly entry: StoredEntry | undefined;
 }
 
+/** A copy of the store. */
+export interface StoreCopy {
+	readonly entries: readonly StoredEntry[];
+	readonly index: number;
+}
+
+/** Prefix of the keys that the system writes; all others are written by operators and servers. */
+const SYSTEM_PREFIX = 'pomelopick/';
 /** Maximum number of changes kept for watches. */
 const MAX_HISTORY_LENGTH = 10_000;
 const EXPIRY_INTERVAL_MS = 50;
@@ -53,6 +61,7 @@
 	#compactedIndex = 0;
 	readonly #now: () => number;
 	#index = 1;
+	#era = 1;
 	#lastSession = 0;
 
 	constructor({now}: {readonly now: () => number}) {
@@ -68,6 +77,37 @@
 		return this.#index;
 	}
 
+	/** How many times the store has returned from a copy, plus one. */
+	get era(): number {
+		return this.#era;
+	}
+
+	/** Copies the entries that are bound to no session. */
+	copy(): StoreCopy {
+		return {entries: [...this.#entries.values()].filter(({session}) => session === undefined), index: this.#index};
+	}
+
+	/** Returns to a copy: the system's later writes and all sessions are gone, while operators and servers write theirs again. */
+	returnTo({entries, index}: StoreCopy): void {
+		const others = [...this.#entries.values()].filter(({key}) => !key.startsWith(SYSTEM_PREFIX));
+		this.#sessions.clear();
+		this.#entries.clear();
+		this.#era += 1;
+		this.#index = index;
+		this.compactHistory();
+		for (const entry of entries.filter(({key}) => key.startsWith(SYSTEM_PREFIX))) {
+			this.#entries.set(entry.key, entry);
+		}
+
+		for (const {key, value} of others) {
+			this.put({key, value});
+		}
+
+		for (const {notify} of this.#watches) {
+			notify();
+		}
+	}
+
 	/** Returns the entry of one key or, with `recurse`, the entries of all keys with that prefix, sorted by key. */
 	read({key, recurse}: {readonly key: string; readonly recurse: boolean}): readonly StoredEntry[] {
 		this.#expireSessions();
--- a/testing/platform-stand-in/src/platform-stand-in.ts
+++ b/testing/platform-stand-in/src/platform-stand-in.ts
@@ -139,6 +139,7 @@
 			return;
 		}
 
+		response.setHeader('store-era', String(this.keyValues.era));
 		this.counters.bytes += send({response, content});
 	}
 
