--- a/testing/gateway-fleet/src/gateway-process.ts
+++ b/testing/gateway-fleet/src/gateway-process.ts
@@ -10,6 +10,7 @@
 
 const MAIN = fileURLToPath(new URL('../../../daemons/gateway/lib/main.js', import.meta.url));
 const STOP_TIMEOUT_MS = 10_000;
+const NANOSECONDS_PER_MILLISECOND = 1_000_000;
 
 /** Signals that end a gateway. */
 const endingSignals: ReadonlySet<NodeJS.Signals> = new Set(['SIGKILL', 'SIGTERM', 'SIGINT']);
@@ -37,6 +38,8 @@
 	readonly wasToldToEnd: () => boolean;
 	/** Whether it was stopped by SIGSTOP and not continued. */
 	readonly isFrozen: () => boolean;
+	/** Time for which it was ready to run and got no processor, in milliseconds. */
+	readonly starvedMs: () => number;
 	readonly signal: (signal: NodeJS.Signals) => void;
 	/** Overwrites the settings file. */
 	readonly writeSettings: (settings: unknown) => Promise<void>;
@@ -46,6 +49,14 @@
 	readonly stop: () => Promise<void>;
 }
 
+const runningIds = new Set<number>();
+process.once('exit', () => {
+	// A gateway that outlives the tests would call whatever takes the ports of their store later.
+	for (const processId of runningIds) {
+		process.kill(processId, 'SIGKILL');
+	}
+});
+
 /** Starts a gateway with a temporary settings file. */
 export async function startGatewayProcess({settings, isOutputRead = true}: StartGatewayProcessOptions): Promise<GatewayProcess> {
 	const directory = await mkdtemp(path.join(tmpdir(), 'pomelopick-gateway-'));
@@ -71,7 +82,9 @@
 		errors.push(new TextDecoder().decode(chunk));
 	});
 	const exited = new Promise<number | undefined>(resolve => {
+		runningIds.add(child.pid!);
 		child.once('exit', code => {
+			runningIds.delete(child.pid!);
 			resolve(code ?? undefined);
 		});
 	});
@@ -94,6 +107,7 @@
 		hasExited,
 		wasToldToEnd: () => wasToldToEnd || (wasHungUpEarly && child.signalCode === 'SIGHUP'),
 		isFrozen: () => isFrozen,
+		starvedMs: () => readStarvedMs(child.pid!),
 		signal,
 		async writeSettings(changed) {
 			await writeFile(file, JSON.stringify(changed));
@@ -121,3 +135,12 @@
 		return true;
 	}
 }
+
+function readStarvedMs(processId: number): number {
+	try {
+		return Number(readFileSync(`/proc/${processId}/schedstat`, 'utf8').split(' ')[1]) / NANOSECONDS_PER_MILLISECOND;
+	} catch {
+		// The process has ended.
+		return 0;
+	}
+}
--- a/testing/gateway-soak/src/environment.ts
+++ b/testing/gateway-soak/src/environment.ts
@@ -5,7 +5,7 @@
 import {startFaultProxy} from '@pomelopick/testing.fault-proxy';
 import type {FaultProxy, PathFaults} from '@pomelopick/testing.fault-proxy';
 import {
-	configuration, endpointOf, isReady, startGatewayFleet, startGatewayProcess, until,
+	configuration, endpointOf, isReady, startGatewayFleet, startGatewayProcess, startUnreachableServer, until,
 } from '@pomelopick/testing.gateway-fleet';
 import type {GatewayFleet, GatewayProcess} from '@pomelopick/testing.gateway-fleet';
 import type {Draw} from './draw.js';
@@ -21,6 +21,8 @@
 /** Minimum time for which a server announces that it leaves, in milliseconds. It is longer than the time in which the server may still get requests. */
 const MIN_LEAVING_MS = 3000;
 const MIN_PAUSE_MS = 1000;
+/** Time for which a server that accepted late is used at that address, in milliseconds. */
+const LATE_ACCEPTED_MS = 2000;
 /** Start time that all servers register at first, in milliseconds. */
 const FIRST_START_MS = 1000;
 /** Maximum number of odd entries that are written at once. */
@@ -56,6 +58,7 @@
 	'server-leaves',
 	'server-says-it-leaves',
 	'server-asks-pause',
+	'server-accepts-late',
 	'configuration',
 ] as const;
 
@@ -244,6 +247,7 @@
 			'server-asks-pause': async () => {
 				this.fleet.servers[number]!.requestPause(MIN_PAUSE_MS + durationMs);
 			},
+			'server-accepts-late': async () => this.acceptLate({number, durationMs}),
 			configuration: async () => this.#changeConfiguration(draw),
 		};
 		await injectors[name]();
@@ -252,6 +256,20 @@
 		});
 	}
 
+	/** Restarts a server under its name at an address whose queue of connections is full at first, and then at its own. */
+	async acceptLate({number, durationMs}: {readonly number: number; readonly durationMs: number}): Promise<void> {
+		const unreachable = await startUnreachableServer({name: serverName(number), target: this.#proxies[number]!.endpoint});
+		this.#countRestart(number);
+		this.#register({number, state: 'ready', port: unreachable.port});
+		await sleep(durationMs);
+		unreachable.accept();
+		await sleep(LATE_ACCEPTED_MS);
+		this.#countRestart(number);
+		this.#register({number, state: 'ready'});
+		await sleep(LATE_ACCEPTED_MS);
+		await unreachable.stop();
+	}
+
 	/** Stops all processes and proxies. */
 	async stop(): Promise<void> {
 		this.#stopped.abort();
@@ -260,9 +278,9 @@
 		await this.fleet.stop();
 	}
 
-	#register({number, state}: {readonly number: number; readonly state: 'ready' | 'draining'}): void {
+	#register({number, state, port = this.#proxies[number]!.endpoint.port}: {readonly number: number; readonly state: 'ready' | 'draining'; readonly port?: number}): void {
 		this.fleet.register({
-			server: {name: serverName(number), port: this.#proxies[number]!.endpoint.port}, failureDomain: number % 2 === 0 ? 'north-a' : 'north-b', state, startedAtMs: FIRST_START_MS + (this.#restartCounts.get(number) ?? 0),
+			server: {name: serverName(number), port}, failureDomain: number % 2 === 0 ? 'north-a' : 'north-b', state, startedAtMs: FIRST_START_MS + (this.#restartCounts.get(number) ?? 0),
 		});
 	}
 
@@ -277,10 +295,14 @@
 		server.setLeaving(true);
 		await sleep(MIN_LEAVING_MS + durationMs);
 		server.setLeaving(false);
-		this.#restartCounts.set(number, (this.#restartCounts.get(number) ?? 0) + 1);
+		this.#countRestart(number);
 		this.#register({number, state: 'ready'});
 	}
 
+	#countRestart(number: number): void {
+		this.#restartCounts.set(number, (this.#restartCounts.get(number) ?? 0) + 1);
+	}
+
 	async #drainAndReturn({number, durationMs}: {readonly number: number; readonly durationMs: number}): Promise<void> {
 		this.#register({number, state: 'draining'});
 		await sleep(durationMs);
@@ -326,6 +348,9 @@
 			await member.beforeRestart?.();
 			member.beforeRestart = undefined;
 			member.process = await startGatewayProcess({settings: member.settings});
+			if (this.#stopped.signal.aborted) {
+				await member.process.stop();
+			}
 		}
 	}
 }
--- a/testing/gateway-soak/src/gateway-watch.ts
+++ b/testing/gateway-soak/src/gateway-watch.ts
@@ -5,7 +5,7 @@
 import type {Violation} from './call-check.js';
 
 const PROBE_INTERVAL_MS = 250;
-/** Time for which a process that runs may leave its readiness address unanswered, in milliseconds: the time after which the users' rules count it as in touch. */
+/** Time for which a process that runs may leave its readiness address unanswered, in milliseconds: for as long after a start or a freeze, the users' rules do not count it as in touch. */
 const MAX_SILENCE_MS = 3000;
 /** Number of log lines of a process that are reported. */
 const LAST_LINES = 20;
@@ -42,23 +42,30 @@
 /** Asks a gateway again and again whether it is ready, and reports it once each time it leaves that unanswered for too long though it runs. */
 export async function watchSilence({gateway, onSilence, signal}: WatchSilenceOptions): Promise<void> {
 	let {process} = gateway;
-	let answeredAtMs = performance.now();
+	// Time on a clock that stands still while the process is ready to run and gets no processor.
+	let answeredAtMs = performance.now() - process.starvedMs() + MAX_SILENCE_MS;
 	while (!signal.aborted) {
-		const wasFrozen = process.isFrozen();
-		const isExcused = gateway.process !== process || wasFrozen || process.hasExited() || process.wasToldToEnd();
-		if (isExcused || await isAnswering(gateway.settings) || process.isFrozen() || process.hasExited()) {
-			answeredAtMs = performance.now();
-		} else if (performance.now() - answeredAtMs > MAX_SILENCE_MS) {
-			const silentMs = Math.round(performance.now() - answeredAtMs);
-			onSilence({requestId: '', kind: 'instance-silent', detail: `${gateway.settings.instance} runs and has not answered for ${silentMs} ms: ${describeOutput(process)}`});
+		const isAnswered = !isDisturbed(process) && await isAnswering(gateway.settings);
+		if (isAnswered) {
+			answeredAtMs = performance.now() - process.starvedMs();
+		} else if (gateway.process !== process || isDisturbed(process)) {
+			process = gateway.process;
+			answeredAtMs = performance.now() - process.starvedMs() + MAX_SILENCE_MS;
+		} else if (performance.now() - process.starvedMs() - answeredAtMs > MAX_SILENCE_MS) {
+			const silentMs = Math.round(performance.now() - process.starvedMs() - answeredAtMs);
+			onSilence({requestId: '', kind: 'instance-silent', detail: `${gateway.settings.instance} runs and has not answered for ${silentMs} ms beyond its waits for a processor: ${describeOutput(process)}`});
 			answeredAtMs = Number.POSITIVE_INFINITY;
 		}
 
-		process = gateway.process;
 		await sleep(PROBE_INTERVAL_MS);
 	}
 }
 
+/** Whether the soak has frozen or ended a process. */
+function isDisturbed(process: GatewayProcess): boolean {
+	return process.isFrozen() || process.hasExited() || process.wasToldToEnd();
+}
+
 async function isAnswering(settings: GatewaySettingsInput): Promise<boolean> {
 	try {
 		const response = await fetch(`http://${settings.listen.readiness}/pomelopick/ready`, {signal: AbortSignal.timeout(MAX_SILENCE_MS)});
--- a/testing/gateway-soak/src/retry-faults.ts
+++ b/testing/gateway-soak/src/retry-faults.ts
@@ -7,6 +7,8 @@
 const MIN_FAULT_MS = 200;
 const FAULT_JITTER_MS = 3000;
 const KILLS = 6;
+/** Time for which the queue of connections of a server is full, in milliseconds: connections are then established when the kernel tries again, after 1 s. */
+const FULL_QUEUE_MS = 900;
 /** Time in which a killed gateway restarts and uses up its retry allowance, and range of the random time added to it, in milliseconds. */
 const KILL_PAUSE_MS = 2000;
 const KILL_JITTER_MS = 500;
@@ -24,12 +26,16 @@
 	'store-paths-cut',
 	'paths-frozen',
 	'paths-delayed',
+	'servers-accept-late',
 	'join',
 ] as const;
 
 /** Name of a fault. */
 export type RetryFaultName = typeof retryFaultNames[number];
 
+/** First words of the names of the faults by signals, which are recorded as disturbances of all gateways. */
+const signalFaults = ['kill', 'terminate', 'pause'] as const;
+
 /** Options of {@link injectRetryFault}. */
 export interface InjectRetryFaultOptions {
 	readonly environment: SoakEnvironment;
@@ -126,9 +132,17 @@
 				environment.setServerPaths({delayMs: 0, jitterMs: 0});
 			},
 		}),
+		async 'servers-accept-late'() {
+			const numbers = [...environment.fleet.servers.keys()].filter(number => number % 2 === offset);
+			await Promise.all(numbers.map(async number => environment.acceptLate({number, durationMs: FULL_QUEUE_MS})));
+		},
 		async join() {
 			await environment.addGateway({number: JOIN_NUMBER + environment.members.length, seed});
 		},
 	};
+	const fromMs = performance.now();
 	await injectors[name]();
+	const paths = name.startsWith('paths-') ? environment.fleet.servers.map(server => ({subject: server.name, fault: 'path-delayed'})) : [];
+	const gateways = signalFaults.flatMap(fault => name.startsWith(fault) ? environment.members.map(({settings}) => ({subject: settings.instance, fault})) : []);
+	environment.disturbances.push(...[...paths, ...gateways].map(disturbance => ({...disturbance, fromMs, toMs: performance.now()})));
 }
--- a/testing/gateway-soak/test/retry-budget.test.ts
+++ b/testing/gateway-soak/test/retry-budget.test.ts
@@ -17,6 +17,9 @@
 		faults: ['paths-frozen', 'store-paths-cut', 'join', 'pause-half', 'kill-half', 'paths-delayed', 'kill-all'],
 		perSecond: 60,
 	},
+	{
+		name: 'and servers are told the time that is left when they accept connections late', seed: 43_403, faults: Array.from({length: 8}, () => 'servers-accept-late'), perSecond: 120,
+	},
 ];
 
 describe('the retry budget of gateway processes', () => {
