--- a/testing/gateway-fleet/src/raw-server.ts
+++ b/testing/gateway-fleet/src/raw-server.ts
@@ -102,7 +102,13 @@
 				socket.write(rawResponse({status: '200 OK', headers: [`x-instance-id: ${name}`]}));
 			} else {
 				onRequest({
-					requestId: findHeader({head, name: 'x-request-id'}) ?? '', method: method!, path: path!, socket, workMs: Number(findHeader({head, name: WORK_HEADER}) ?? 0), timeLeftMs: Number(findHeader({head, name: TIME_LEFT_HEADER})), index,
+					requestId: findHeader({head, name: 'x-request-id'}) ?? '',
+					method: method!,
+					path: path!,
+					socket,
+					workMs: Number(findHeader({head, name: WORK_HEADER}) ?? 0),
+					timeLeftMs: Number(findHeader({head, name: TIME_LEFT_HEADER})),
+					index,
 				});
 				index += 1;
 			}
