Say in one line why a process ends by an error that reaches nobody, and give requests in progress a second

Cause: an uncaught exception or unhandled rejection printed a bare stack and ended the process at once, with the requests in progress and what the log had buffered; nothing told it from other ends.

Gateways and the entry daemon use it, also before their start is complete. A second call to stop a gateway returns the first one's promise.

Conclusion: an end says why.

--- a/cli/pomelopick/src/commands/entry.ts
+++ b/cli/pomelopick/src/commands/entry.ts
@@ -27,6 +27,10 @@
 	async #run(settings: Settings): Promise<number> {
 		limitHeap();
 		// Imported only here, so that the other commands start without loading the daemon's libraries.
+		const {FatalErrors, guardOutputs} = await import('@pomelopick/core.telemetry');
+		guardOutputs();
+		const fatalErrors = new FatalErrors();
+		fatalErrors.use({common: {instance: settings.instance, failureDomain: settings.failureDomain}});
 		const {startEntry} = await import('@pomelopick/daemons.entry');
 		const stopping = new AbortController();
 		const stopped = new Promise<void>(resolve => {
@@ -51,6 +55,9 @@
 		return started.caseOf<Promise<number>>({
 			Left: async error => error.code === 'bind-stopped' ? exitCodes.success : this.fail({error, exitCode: exitCodes.usage}),
 			Right: async daemon => {
+				fatalErrors.use({
+					describe: () => ({phase: 'running', inProgress: daemon.countCalls()}), stop: async () => daemon.stop(),
+				});
 				this.context.stdout.write(`${JSON.stringify({instance: settings.instance, ...daemon.endpoints})}\n`);
 				await stopped;
 				await daemon.stop();
--- a/core/telemetry/src/index.ts
+++ b/core/telemetry/src/index.ts
@@ -2,6 +2,7 @@
 export * from './counters.js';
 export * from './decision-log.js';
 export * from './event-record.js';
+export * from './fatal-errors.js';
 export * from './log-rate-limiter.js';
 export * from './log.js';
 export * from './output-writer.js';
--- a/core/telemetry/src/output-writer.ts
+++ b/core/telemetry/src/output-writer.ts
@@ -88,6 +88,12 @@
 	}
 }
 
+/** Lets errors of both outputs reach only those who write to them: otherwise the first of them ends the process. */
+export function guardOutputs(): void {
+	stopBlocking(STANDARD_OUTPUT);
+	stopBlocking(STANDARD_ERROR);
+}
+
 /** Descriptors that were switched to non-blocking writes. */
 const switched = new Set<number>();
 
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -43,6 +43,8 @@
 export interface EntryDaemon {
 	/** Endpoints on which it listens, with the actual ports. */
 	readonly endpoints: {readonly callers: Endpoint; readonly peers: Endpoint; readonly operators: Endpoint};
+	/** Number of calls in progress. */
+	readonly countCalls: () => number;
 	/** Stops gracefully: first waits for calls in progress. */
 	stop(): Promise<void>;
 }
@@ -226,6 +228,7 @@
 	log('instance %s is listening on %o', settings.instance, callers.server.address());
 	return Right({
 		endpoints,
+		countCalls: () => handler.inProgress,
 		async stop() {
 			log('instance %s is stopping; %d calls in progress', settings.instance, handler.inProgress);
 			membership.leave();
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -52,10 +52,12 @@
 	readonly endpoints: {readonly callers: Endpoint; readonly readiness: Endpoint; readonly directory: Endpoint; readonly metrics: Endpoint};
 	/** Whether it accepts requests. */
 	readonly isReady: () => boolean;
+	/** Number of requests in progress. */
+	readonly countRequests: () => number;
 	/** Applies changed settings, except those of listeners and the store, which only apply at the start. */
 	useSettings(settings: GatewaySettings): void;
-	/** Stops gracefully: first waits for requests in progress. */
-	stop(): Promise<void>;
+	/** Stops gracefully: first waits for requests in progress, for the time of the settings or for the given one. Further calls return the same promise. */
+	stop(options?: {readonly timeoutMs?: number}): Promise<void>;
 }
 
 /**
@@ -198,29 +200,36 @@
 	log.line('started', {
 		failureDomain, region, callers: `${callersAt.address}:${callersAt.port}`, codeCache,
 	});
+	const stop = async (shutdownMs: number): Promise<void> => {
+		const timeoutMs = Math.max(0, shutdownMs - CLOSE_RESERVE_MS);
+		endsAtMs = now() + timeoutMs;
+		log.line('stopping', {inProgress: relay.handler.inProgress, timeoutMs});
+		const left = viewParts.leave();
+		const timer = setTimeout(() => {
+			relay.handler.stop();
+		}, timeoutMs);
+		await listener.stop({timeoutMs, inProgress: () => relay.handler.inProgress});
+		clearTimeout(timer);
+		await left;
+		await close();
+		log.line('stopped', {});
+		output.flush();
+	};
+
+	let stopped: Promise<void> | undefined;
 	return Right({
 		endpoints: {
 			callers: callersAt, readiness: readinessAt, directory: directoryAt, metrics: metricsAt,
 		},
 		isReady,
+		countRequests: () => relay.handler.inProgress,
 		useSettings(changed) {
 			settings = changed;
 			log.line('settings-reloaded', {});
 		},
-		async stop() {
-			const timeoutMs = Math.max(0, settings.shutdownMs - CLOSE_RESERVE_MS);
-			endsAtMs = now() + timeoutMs;
-			log.line('stopping', {inProgress: relay.handler.inProgress, timeoutMs});
-			const left = viewParts.leave();
-			const timer = setTimeout(() => {
-				relay.handler.stop();
-			}, timeoutMs);
-			await listener.stop({timeoutMs, inProgress: () => relay.handler.inProgress});
-			clearTimeout(timer);
-			await left;
-			await close();
-			log.line('stopped', {});
-			output.flush();
+		async stop({timeoutMs = settings.shutdownMs} = {}) {
+			stopped ??= stop(timeoutMs);
+			return stopped;
 		},
 	});
 }
--- a/daemons/gateway/src/run-gateway.ts
+++ b/daemons/gateway/src/run-gateway.ts
@@ -2,7 +2,7 @@
 import {unwatchFile, watchFile} from 'node:fs';
 import process from 'node:process';
 import {readGatewaySettings} from '@pomelopick/config.settings';
-import {createOutputWriter, writeError} from '@pomelopick/core.telemetry';
+import {createOutputWriter, FatalErrors, writeError} from '@pomelopick/core.telemetry';
 import {SETTINGS_VARIABLE} from '@pomelopick/platform.wire';
 import type {CodeCacheUse} from './code-cache.js';
 import type {OnSignal} from './early-signals.js';
@@ -13,6 +13,8 @@
 const STANDARD_OUTPUT = 1;
 /** Interval at which the settings file is checked for changes, in milliseconds. */
 const SETTINGS_CHECK_MS = 2000;
+/** Time for requests in progress after an error that reached nobody, in milliseconds. */
+const FATAL_STOP_MS = 1000;
 
 /** Options of {@link runGateway}. */
 export interface RunGatewayOptions {
@@ -23,6 +25,7 @@
 
 /** Runs a gateway. The path of the settings file is taken from the environment, or else from the command line. */
 export async function runGateway({onSignal, codeCache}: RunGatewayOptions): Promise<void> {
+	const fatalErrors = new FatalErrors();
 	const path = process.env[SETTINGS_VARIABLE] ?? process.argv[2];
 	if (path === undefined) {
 		exitWithError(`usage: gateway SETTINGS.json, or its path in ${SETTINGS_VARIABLE}`);
@@ -45,6 +48,8 @@
 				}
 			});
 			const output = createOutputWriter({descriptor: STANDARD_OUTPUT});
+			const {instance, failureDomain, region} = checked;
+			fatalErrors.use({output, common: {instance, failureDomain, region}});
 			const started = await startGateway({
 				settings: checked, output, codeCache, stopSignal: stopping.signal,
 			});
@@ -53,6 +58,10 @@
 					exitWithError(`${code}: ${message}`);
 				}
 			}).ifRight(gateway => {
+				fatalErrors.use({
+					describe: () => ({phase: 'running', inProgress: gateway.countRequests()}),
+					stop: async () => gateway.stop({timeoutMs: FATAL_STOP_MS}),
+				});
 				useSettingsFile({gateway, settingsPath: path, reloads});
 				stopAtSignal({gateway, settingsPath: path, stopSignal: stopping.signal});
 			});
--- a/testing/gateway-fleet/src/gateway-process.ts
+++ b/testing/gateway-fleet/src/gateway-process.ts
@@ -15,6 +15,8 @@
 	readonly settings: GatewaySettingsInput;
 	/** Whether the output of the process is read from the start. */
 	readonly isOutputRead?: boolean;
+	/** Flags of the engine. */
+	readonly engineFlags?: readonly string[];
 }
 
 /** A running gateway process. */
@@ -36,11 +38,11 @@
 }
 
 /** Starts a gateway with a temporary settings file. */
-export async function startGatewayProcess({settings, isOutputRead = true}: StartGatewayProcessOptions): Promise<GatewayProcess> {
+export async function startGatewayProcess({settings, isOutputRead = true, engineFlags = []}: StartGatewayProcessOptions): Promise<GatewayProcess> {
 	const directory = await mkdtemp(path.join(tmpdir(), 'pomelopick-gateway-'));
 	const file = path.join(directory, 'settings.json');
 	await writeFile(file, JSON.stringify(settings));
-	const child = spawn(process.execPath, [MAIN], {stdio: ['ignore', 'pipe', 'pipe'], env: {PATH: process.env.PATH, POMELOPICK_SETTINGS: file}});
+	const child = spawn(process.execPath, [...engineFlags, MAIN], {stdio: ['ignore', 'pipe', 'pipe'], env: {PATH: process.env.PATH, POMELOPICK_SETTINGS: file}});
 	const lines: Array<Record<string, unknown>> = [];
 	const errors: string[] = [];
 	let incompleteLine = '';
