Write an instance's own record again after an odd one stood over it

Callers saw: nothing at once; instances that start meanwhile don't know of the instance, so the directory leaves it out and shares of connections and claims are counted without it, until it stops. Cause: only the removal of the own record was noticed, not an odd value under its key. Change: the refusal of the own record leads to a new registration, in the rhythm of the renewals.

--- a/daemons/gateway/src/create-view.ts
+++ b/daemons/gateway/src/create-view.ts
@@ -1,7 +1,7 @@
 /** Creates and wires the store's client, this instance's view of the store, and the registration of this instance. */
 import {setTimeout as startTimeout} from 'node:timers/promises';
 import {
-	AllowanceParts, ChangeRelay, isRefusal, LiveView, PeerBroadcast, Registration, sendBroadcastMessage, StoreFeed, suspicionReader, SuspicionWriter, UpstreamClient, UpstreamLink,
+	AllowanceParts, ChangeRelay, instanceKey, isRefusal, LiveView, PeerBroadcast, Registration, sendBroadcastMessage, StoreFeed, suspicionReader, SuspicionWriter, UpstreamClient, UpstreamLink,
 } from '@pomelopick/calls.live';
 import type {ViewChange, InstanceRecord, SuspicionRecord} from '@pomelopick/calls.live';
 import type {SuspicionSharing} from '@pomelopick/calls.quarantine';
@@ -96,7 +96,8 @@
 			counters.add(`entry-refused.${change.reason}`);
 		}
 
-		if (change.event === 'instance-left' && change.subject === self.id) {
+		const isOwnRecordLost = (change.event === 'instance-left' && change.subject === self.id) || (change.event === 'instance-refused' && change.subject === instanceKey(self.id));
+		if (isOwnRecordLost) {
 			registration.restore();
 		}
 	};
--- a/daemons/gateway/test/odd-records.test.ts
+++ b/daemons/gateway/test/odd-records.test.ts
@@ -94,4 +94,20 @@
 	for (const {name, records} of cases) {
 		it(`serves requests and follows servers: ${name}`, async () => check(records));
 	}
+
+	it('writes its own record again after an odd one stood over it', async () => {
+		const settings = await fleet.settings({instance: `gateway-${randomUUID()}`});
+		const gateway = await startGatewayProcess({settings});
+		const key = `pomelopick/instances/${settings.instance}`;
+		const readRecord = (): string => new TextDecoder().decode(fleet.platform.keyValues.read({key, recurse: false})[0]?.value);
+		try {
+			await until(async () => await isReady(settings) && readRecord().includes('peers'));
+			const record = readRecord();
+			fleet.platform.keyValues.put({key, value: new TextEncoder().encode('odd')});
+			await until(() => readRecord() === record);
+		} finally {
+			gateway.signal('SIGKILL');
+			await gateway.stop();
+		}
+	});
 });
