Refuse indexes and versions of other instances that would end what follows them

Callers saw: nothing was observed; from reading and from tests of the decoders. An instance that takes an index from another one that no store reaches asks the store for changes after it, and follows none any more; a rate limit with the highest version that can be compared can't be replaced. Change: indexes are whole numbers that can be compared; versions end at the year 9999.

--- a/calls/live/src/relayed-changes.ts
+++ b/calls/live/src/relayed-changes.ts
@@ -65,7 +65,7 @@
 			return {
 				kind,
 				changes: changes.map((change, position) => toChange({message: (change ?? {}) as Partial<ChangeMessage>, field: `changes.${position}`})),
-				index: readNumber({field: 'index', found: index}),
+				index: readIndex({field: 'index', found: index}),
 				ageMs: readNumber({field: 'ageMs', found: ageMs}),
 				returnedMs: returnedMs === undefined ? undefined : readNumber({field: 'returnedMs', found: returnedMs}),
 			};
@@ -77,6 +77,14 @@
 	}
 }
 
+function readIndex({field, found}: {readonly field: string; readonly found: unknown}): number {
+	if (!Number.isSafeInteger(found) || (found as number) < 0) {
+		throw wrongField({field, expected: 'a whole number of at least 0', found});
+	}
+
+	return found as number;
+}
+
 function readNumber({field, found}: {readonly field: string; readonly found: unknown}): number {
 	if (typeof found !== 'number' || !Number.isFinite(found) || found < 0) {
 		throw wrongField({field, expected: 'a number of at least 0', found});
@@ -100,6 +108,6 @@
 		throw wrongField({field: `${field}.key`, expected: 'a string', found: key});
 	}
 
-	const modifyIndex = readNumber({field: `${field}.index`, found: index});
+	const modifyIndex = readIndex({field: `${field}.index`, found: index});
 	return value === undefined ? {kind: 'removed', key, modifyIndex} : {kind: 'written', value: {key, value: Buffer.from(String(value), 'base64'), modifyIndex}};
 }
--- a/calls/rate-limits/src/rate-limit-records.ts
+++ b/calls/rate-limits/src/rate-limit-records.ts
@@ -9,6 +9,9 @@
 /** Prefix of the keys under which the records are stored. */
 export const RATE_LIMIT_PREFIX = 'pomelopick/rate-limits/';
 
+/** Highest version that is believed; versions follow the wall clock in milliseconds, and newer ones must remain whole numbers that can be compared. */
+const MAX_VERSION = 253_402_300_799_999;
+
 /** Key of the record about a server. */
 export function rateLimitKey(server: BackendServerName): string {
 	return `${RATE_LIMIT_PREFIX}${server}`;
@@ -24,7 +27,7 @@
 	const {name, startedAtMs, requestsPerSecond, version} = (value ?? {}) as Partial<RateLimitRecord>;
 	const hasStart = startedAtMs === undefined || Number.isInteger(startedAtMs);
 	const hasRate = requestsPerSecond === undefined || (Number.isFinite(requestsPerSecond) && requestsPerSecond >= 0);
-	return typeof name === 'string' && hasStart && hasRate && Number.isSafeInteger(version)
+	return typeof name === 'string' && hasStart && hasRate && Number.isSafeInteger(version) && version! <= MAX_VERSION
 		? Right({
 			name, startedAtMs, requestsPerSecond, version: version!,
 		})
