Refuse settings and configurations that are nested too deeply with a text, and a store that cannot be connected to

Callers saw: nothing was observed in a run of a whole process; a settings file nested so deeply made the check throw, and the address of a store with a scope ended the process at the start with a TypeError of the URL parser. Change: describeValue and the usable endpoint there too.

--- a/config/publishing/src/stored-configuration.ts
+++ b/config/publishing/src/stored-configuration.ts
@@ -7,6 +7,7 @@
 import {createHash} from 'node:crypto';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
+import {describeValue} from '@pomelopick/core.types';
 import type {CodedError, ConfigurationVersion, PublishId} from '@pomelopick/core.types';
 
 /** Key of the newest root. */
@@ -86,7 +87,7 @@
 		const root = decodeJson<ConfigurationRoot>(bytes);
 		return Number.isSafeInteger(root.version) && Array.isArray(root.chunks)
 			? Right(root)
-			: Left({code: 'damaged-root', message: `root: expected a version and chunks, found ${JSON.stringify(root).slice(0, 80)}`});
+			: Left({code: 'damaged-root', message: `root: expected a version and chunks, found ${describeValue(root)}`});
 	} catch (error) {
 		return Left({code: 'damaged-root', message: `root: ${(error as Error).message}`});
 	}
--- a/config/schema/src/check.ts
+++ b/config/schema/src/check.ts
@@ -1,6 +1,7 @@
 /** Checks a whole configuration set and reports all of its faults. */
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
+import {describeValue} from '@pomelopick/core.types';
 import type {ConfigurationSet} from '@pomelopick/core.types';
 import {checkReferences} from './references.js';
 import {checkRules} from './rules.js';
@@ -53,7 +54,3 @@
 function formatPath(path: readonly PropertyKey[]): string {
 	return path.map(key => typeof key === 'number' ? `[${key}]` : `.${String(key)}`).join('').replace(/^\./u, '') || '(root)';
 }
-
-function describeValue(value: unknown): string {
-	return value === undefined ? 'nothing' : JSON.stringify(value).slice(0, 80);
-}
--- a/config/settings/src/gateway-settings.ts
+++ b/config/settings/src/gateway-settings.ts
@@ -4,6 +4,7 @@
 import {EitherAsync, Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import * as z from 'zod/mini';
+import {describeValue, parseEndpoint as parseUsableEndpoint} from '@pomelopick/core.types';
 import type {
 	Endpoint, FailureDomainName, InstanceId, RegionName,
 } from '@pomelopick/core.types';
@@ -27,7 +28,8 @@
 		/** Listener for other instances. */
 		peers: endpointText,
 	}),
-	store: endpointText,
+	/** The store is connected to, so that its address needs more than a form. */
+	store: endpointText.check(z.refine(text => parseUsableEndpoint(text) !== undefined, 'expected IP:PORT of one host, without a scope')),
 	/** Maximum time from the request to stop until the process exits. */
 	shutdownSeconds: seconds,
 	/** Maximum time for which callers may cache a response of the directory. */
@@ -75,7 +77,7 @@
 	const parsed = z.safeParse(schema, input);
 	if (!parsed.success) {
 		const message = parsed.error.issues
-			.map(issue => `${issue.path.join('.') || '(root)'}: ${issue.message || issue.code} (found ${JSON.stringify(valueAt({input, path: issue.path})) ?? 'nothing'})`)
+			.map(issue => `${issue.path.join('.') || '(root)'}: ${issue.message || issue.code} (found ${describeValue(valueAt({input, path: issue.path}))})`)
 			.join('\n');
 		return Left({code: 'bad-settings', message});
 	}
@@ -96,7 +98,7 @@
 			metrics: parseEndpoint(listen.metrics)!,
 			peers: parseEndpoint(listen.peers)!,
 		},
-		store: parseEndpoint(store)!,
+		store: parseUsableEndpoint(store)!,
 		shutdownMs: rest.shutdownSeconds * MILLISECONDS_PER_SECOND,
 		directoryMaxAgeMs: rest.directoryMostSeconds * MILLISECONDS_PER_SECOND,
 		retries: {ratio: retries.ratio, allowance: retries.allowance, windowMs: retries.windowSeconds * MILLISECONDS_PER_SECOND},
--- a/config/settings/src/settings.ts
+++ b/config/settings/src/settings.ts
@@ -5,6 +5,7 @@
 } from 'purify-ts';
 import type {Either} from 'purify-ts';
 import {z} from 'zod';
+import {describeValue} from '@pomelopick/core.types';
 import type {FailureDomainName, InstanceId} from '@pomelopick/core.types';
 
 const address = z.union([z.ipv4(), z.ipv6()]);
@@ -75,7 +76,7 @@
 	}
 
 	const message = parsed.error.issues
-		.map(issue => `${issue.path.join('.') || '(root)'}: ${issue.message} (found ${JSON.stringify(valueAt(input, issue.path)) ?? 'nothing'})`)
+		.map(issue => `${issue.path.join('.') || '(root)'}: ${issue.message} (found ${describeValue(valueAt(input, issue.path))})`)
 		.join('\n');
 	return Left({code: 'bad-settings', message});
 }
