Let a limit that the soak judges begin with the first one that can be read

Change: a period begins with a number; an unreadable value in the middle of one still ends nothing. Before / after: the new case of many requests before the first limit that can be read failed before; the other new case and all old ones hold on both.

--- a/testing/gateway-soak/src/rate-limit-check.ts
+++ b/testing/gateway-soak/src/rate-limit-check.ts
@@ -94,7 +94,7 @@
 	for (const arrival of sent) {
 		if (arrival.rateLimit === undefined) {
 			close();
-		} else {
+		} else if (arrivals.length > 0 || Number(arrival.rateLimit) >= 0) {
 			arrivals.push(arrival);
 		}
 	}
--- a/testing/gateway-soak/test/rate-limit-check.test.ts
+++ b/testing/gateway-soak/test/rate-limit-check.test.ts
@@ -58,6 +58,16 @@
 			subject: 'gateway', fault: 'reload', fromMs: 2000, toMs: 2000,
 		}], isViolated: true,
 	},
+	{
+		name: 'many requests before the first limit that can be read',
+		sent: [...every(60, {fromMs: 0, everyMs: 100, limit: 'few'}), ...every(4, {fromMs: 6100, everyMs: 100, limit: '2'})],
+		isViolated: false,
+	},
+	{
+		name: 'many requests after a limit, of which some cannot be read',
+		sent: [told, ...every(15, {fromMs: 3500, everyMs: 100, limit: '2'}), ...every(15, {fromMs: 5000, everyMs: 100, limit: 'few'})],
+		isViolated: true,
+	},
 	{name: 'many requests with a limit that cannot be read', sent: every(60, {fromMs: 0, everyMs: 100, limit: 'few'}), isViolated: false},
 	{
 		name: 'requests within a limit that fell less than three seconds before',
