Discard the rest of an upload that is answered before it is read

Cause: the body is no longer read once it is answered. As reading had begun, the runtime does not discard the rest, and its parser reads nothing behind it.

Change: the stream of a body discards what is left when it ends early, up to the maximum size of a body; beyond it the connection ends. A body that was refused for its size is left alone, as its refusal closes the connection. The tests' fleet can set the maximum size.

--- a/calls/forwarding/src/request-body.ts
+++ b/calls/forwarding/src/request-body.ts
@@ -119,16 +119,22 @@
 	let fault: Refusal | undefined;
 	const pass = async function * (): AsyncGenerator<Uint8Array> {
 		let {length} = start;
-		yield start;
-		// The connection stays open, so that a refusal can be sent when the body exceeds its maximum size.
-		for await (const piece of request.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
-			length += piece.length;
-			if (length > maxBytes) {
-				fault = tooLarge({found: `more than ${maxBytes}`, maxBytes, execution: 'unknown'});
-				throw new Error(fault.detail);
+		try {
+			yield start;
+			// The connection stays open, so that a refusal can be sent when the body exceeds its maximum size.
+			for await (const piece of request.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
+				length += piece.length;
+				if (length > maxBytes) {
+					fault = tooLarge({found: `more than ${maxBytes}`, maxBytes, execution: 'unknown'});
+					throw new Error(fault.detail);
+				}
+
+				yield piece;
+			}
+		} finally {
+			if (!fault && !request.readableEnded && !request.destroyed) {
+				discardRest({request, maxBytes: maxBytes - length});
 			}
-
-			yield piece;
 		}
 	};
 
@@ -137,6 +143,18 @@
 	};
 }
 
+/** Discards the rest of a body that nobody reads any more, so that the connection can carry further requests; closes the connection when it exceeds the maximum size. */
+function discardRest({request, maxBytes}: {readonly request: IncomingMessage; readonly maxBytes: number}): void {
+	let length = 0;
+	request.on('data', (piece: Uint8Array) => {
+		length += piece.length;
+		if (length > maxBytes) {
+			request.destroy();
+		}
+	});
+	request.resume();
+}
+
 function tooLarge({found, maxBytes, execution}: {readonly found: string; readonly maxBytes: number; readonly execution: Refusal['execution']}): Refusal {
 	return {reason: 'body-too-large', execution, detail: `body: expected at most ${maxBytes} bytes, found ${found}`};
 }
--- a/daemons/gateway/test/fixture.ts
+++ b/daemons/gateway/test/fixture.ts
@@ -5,7 +5,7 @@
 import {startGateway} from '@pomelopick/daemons.gateway';
 import type {Gateway} from '@pomelopick/daemons.gateway';
 import {
-	isReady, startGatewayFleet, startGatewayProcess, startRawServer, until,
+	configuration, isReady, startGatewayFleet, startGatewayProcess, startRawServer, until,
 } from '@pomelopick/testing.gateway-fleet';
 import type {GatewayProcess, RawRequest, RawServer} from '@pomelopick/testing.gateway-fleet';
 
@@ -40,6 +40,8 @@
 export interface StartWithRawServersOptions {
 	/** Number of servers. */
 	readonly servers: number;
+	/** Maximum size of a request's body, in bytes. */
+	readonly maxBodyBytes?: number;
 	/** Handles a request at one of the servers. */
 	readonly onRequest: (options: {readonly server: string; readonly request: RawRequest}) => void;
 }
@@ -52,8 +54,9 @@
 }
 
 /** Starts a gateway process and the servers that it uses, and waits until it is ready. */
-export async function startGatewayWithRawServers({servers, onRequest}: StartWithRawServersOptions): Promise<GatewayWithRawServers> {
+export async function startGatewayWithRawServers({servers, maxBodyBytes, onRequest}: StartWithRawServersOptions): Promise<GatewayWithRawServers> {
 	const fleet = await startGatewayFleet({servers: []});
+	fleet.write('op/config', configuration({version: 2, maxBodyBytes}));
 	const settings = await fleet.settings();
 	const started: RawServer[] = [];
 	for (let index = 0; index < servers; index += 1) {
--- a/testing/gateway-fleet/src/configuration.ts
+++ b/testing/gateway-fleet/src/configuration.ts
@@ -12,12 +12,14 @@
 	readonly timeoutSeconds?: number;
 	/** Maximum number of attempts of a request. */
 	readonly maxAttempts?: number;
+	/** Maximum size of a request's body, in bytes. */
+	readonly maxBodyBytes?: number;
 	/** Additional routes, as rows in the platform's format. */
 	readonly routes?: ReadonlyArray<readonly unknown[]>;
 }
 
 /** Returns a configuration with a read route `/read/` and a write route `/write/` to the service `ledger`. */
-export function configuration({version, timeoutSeconds = 2, maxAttempts: mostServers = 2, routes = []}: ConfigurationOptions): Record<string, unknown> {
+export function configuration({version, timeoutSeconds = 2, maxAttempts: mostServers = 2, maxBodyBytes = 100_000, routes = []}: ConfigurationOptions): Record<string, unknown> {
 	return {
 		version: version.toString(16).padStart(8, '0'),
 		routes: {
@@ -32,7 +34,7 @@
 			rows: [['ledger', '/health', 300, 'h1', false, 3, 4], ['archive', '/health', 300, 'h1', false, 3, 4]],
 		},
 		limits: {
-			'max-header-bytes': 16_384, 'max-body-bytes': 100_000, 'header-timeout-s': 3, 'idle-timeout-s': 15,
+			'max-header-bytes': 16_384, 'max-body-bytes': maxBodyBytes, 'header-timeout-s': 3, 'idle-timeout-s': 15,
 		},
 	};
 }
