--- a/daemons/gateway/test/fixture.ts
+++ b/daemons/gateway/test/fixture.ts
@@ -35,6 +35,8 @@
 	readonly servers: number;
 	/** Handles a request at one of the servers. */
 	readonly onRequest: (options: {readonly server: string; readonly request: RawRequest}) => void;
+	/** Bytes of the responses to health checks of a server. By default successes. */
+	readonly healthResponse?: (server: string) => string | undefined;
 }
 
 /** A gateway process whose servers are faulty. */
@@ -44,7 +46,7 @@
 }
 
 /** Starts a gateway process and the servers that it uses, and waits until it is ready. */
-export async function startGatewayWithRawServers({servers, onRequest}: StartWithRawServersOptions): Promise<GatewayWithRawServers> {
+export async function startGatewayWithRawServers({servers, onRequest, healthResponse}: StartWithRawServersOptions): Promise<GatewayWithRawServers> {
 	const fleet = await startGatewayFleet({servers: []});
 	const settings = await fleet.settings();
 	const started: RawServer[] = [];
@@ -54,6 +56,7 @@
 			name, onRequest(request) {
 				onRequest({server: name, request});
 			},
+			healthResponse: healthResponse?.(name),
 		});
 		started.push(server);
 		fleet.register({server, failureDomain: 'north-a'});
--- a/daemons/gateway/test/requested-pauses.test.ts
+++ b/daemons/gateway/test/requested-pauses.test.ts
@@ -20,6 +20,8 @@
 	readonly retryAfter: readonly string[];
 	/** Whether the rejection belongs to no request. */
 	readonly isMismatched?: boolean;
+	/** Whether requests are dropped, and health checks rejected without a name. */
+	readonly isAskedByHealth?: boolean;
 }
 
 const cases: readonly Case[] = [
@@ -29,21 +31,28 @@
 	{name: 'of eleven days', retryAfter: ['999999']},
 	{name: 'a longer one and then shorter ones', retryAfter: ['3', '0.1']},
 	{name: 'in a response that bears another id', retryAfter: ['3'], isMismatched: true},
+	{name: 'in a health check that it rejects', retryAfter: ['3'], isAskedByHealth: true},
 ];
 
 describe('the pause that a server asks for', {concurrency: AT_ONCE}, () => {
-	for (const {name, retryAfter, isMismatched = false} of cases) {
+	for (const {name, retryAfter, isMismatched = false, isAskedByHealth = false} of cases) {
 		it(`keeps requests away: ${name}`, async () => {
 			const arrivals: Array<{readonly server: string; readonly atMs: number}> = [];
 			const gateway = await startGatewayWithRawServers({
 				servers: SERVERS, onRequest({server, request: {requestId, socket}}) {
 					const earlier = arrivals.filter(arrival => arrival.server === server).length;
 					arrivals.push({server, atMs: performance.now()});
+					if (isAskedByHealth && server === 'server-0') {
+						socket.resetAndDestroy();
+						return;
+					}
+
 					const id = `x-request-id: ${requestId}`;
 					socket.write(server === 'server-0'
 						? rawResponse({status: '503 Full', headers: ['x-not-executed: 1', isMismatched ? 'x-request-id: other' : id, `retry-after: ${retryAfter[earlier] ?? retryAfter.at(-1)!}`]})
 						: rawResponse({status: '200 OK', headers: [id, `x-server-stamp: ${requestId}`]}));
 				},
+				healthResponse: server => isAskedByHealth && server === 'server-0' ? rawResponse({status: '503 Full', headers: ['x-not-executed: 1', `retry-after: ${retryAfter[0]!}`]}) : undefined,
 			});
 			const endpoint = endpointOf(gateway.settings.listen.callers);
 			const endMs = performance.now() + PAUSE_MS;
--- a/testing/gateway-fleet/src/raw-server.ts
+++ b/testing/gateway-fleet/src/raw-server.ts
@@ -23,6 +23,8 @@
 	readonly name: string;
 	/** Handles a request other than a health check. */
 	readonly onRequest: (request: RawRequest) => void;
+	/** Bytes of the responses to health checks. By default a success with the name of the server. */
+	readonly healthResponse?: string;
 }
 
 /** A running server. */
@@ -33,7 +35,7 @@
 }
 
 /** Starts a server on the loopback address, which responds to health checks and passes everything else on. */
-export async function startRawServer({name, onRequest}: StartRawServerOptions): Promise<RawServer> {
+export async function startRawServer({name, onRequest, healthResponse}: StartRawServerOptions): Promise<RawServer> {
 	const sockets = new Set<Socket>();
 	const server = createServer({noDelay: true}, socket => {
 		sockets.add(socket);
@@ -41,7 +43,9 @@
 			sockets.delete(socket);
 		});
 		socket.on('error', () => {/* The other side may reset the connection. */});
-		readRequests({name, socket, onRequest});
+		readRequests({
+			name, socket, onRequest, healthResponse,
+		});
 	});
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
@@ -79,7 +83,7 @@
 	return new RegExp(`^${name}: (.*)$`, 'imu').exec(head)?.[1];
 }
 
-function readRequests({name, socket, onRequest}: StartRawServerOptions & {readonly socket: Socket}): void {
+function readRequests({name, socket, onRequest, healthResponse = rawResponse({status: '200 OK', headers: [`x-instance-id: ${name}`]})}: StartRawServerOptions & {readonly socket: Socket}): void {
 	let received = '';
 	let index = 0;
 	socket.setEncoding('latin1');
@@ -96,7 +100,7 @@
 			received = received.slice(end);
 			const [method, path] = head.split(' ');
 			if (path === '/health') {
-				socket.write(rawResponse({status: '200 OK', headers: [`x-instance-id: ${name}`]}));
+				socket.write(healthResponse);
 			} else {
 				onRequest({
 					requestId: findHeader({head, name: 'x-request-id'}) ?? '', method: method!, path: path!, socket, workMs: Number(findHeader({head, name: WORK_HEADER}) ?? 0), index,
--- a/testing/gateway-soak/src/call-check.ts
+++ b/testing/gateway-soak/src/call-check.ts
@@ -34,6 +34,8 @@
 		| 'instance-not-ready'
 		| 'instance-failed'
 		| 'retry-budget'
+		| 'too-many-servers'
+		| 'late-deadline'
 		| 'rate-limit'
 		| 'sent-to-leaving'
 		| 'sent-in-pause';
--- a/testing/gateway-soak/src/index.ts
+++ b/testing/gateway-soak/src/index.ts
@@ -1,4 +1,5 @@
 /** Randomized soak tests of gateway processes under externally injected faults. */
+export * from './attempt-check.js';
 export * from './crash-cases.js';
 export * from './crash-check.js';
 export * from './crash-round.js';
--- a/testing/gateway-soak/src/retry-faults.ts
+++ b/testing/gateway-soak/src/retry-faults.ts
@@ -1,4 +1,4 @@
-/** Faults meant to make the fleet exceed its retry budget: failures of many gateways at once, delayed requests and gateways that join late. */
+/** Faults meant to make the fleet exceed its retry budget: failures of many gateways at once, delayed and lost requests and responses, and gateways that join late. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Draw} from './draw.js';
 import type {SoakEnvironment} from './environment.js';
@@ -11,6 +11,8 @@
 const KILL_PAUSE_MS = 2000;
 const KILL_JITTER_MS = 500;
 const JOIN_NUMBER = 100;
+/** Percentage of new connections to servers that are closed as soon as they are accepted, while paths are lossy. */
+const LOSS_PERCENT = 50;
 
 /** Names of the faults. */
 export const retryFaultNames = [
@@ -24,6 +26,8 @@
 	'store-paths-cut',
 	'paths-frozen',
 	'paths-delayed',
+	'paths-one-way',
+	'paths-lossy',
 	'join',
 ] as const;
 
@@ -126,6 +130,19 @@
 				environment.setServerPaths({delayMs: 0, jitterMs: 0});
 			},
 		}),
+		async 'paths-one-way'() {
+			// Only the connections that are open now go silent.
+			environment.setServerPaths({silentToClient: true});
+			environment.setServerPaths({silentToClient: false});
+		},
+		'paths-lossy': async () => runForDuration({
+			begin() {
+				environment.setServerPaths({lossPercent: LOSS_PERCENT});
+			},
+			end() {
+				environment.setServerPaths({lossPercent: 0});
+			},
+		}),
 		async join() {
 			await environment.addGateway({number: JOIN_NUMBER + environment.members.length, seed});
 		},
--- a/testing/gateway-soak/src/retry-round.ts
+++ b/testing/gateway-soak/src/retry-round.ts
@@ -7,6 +7,7 @@
 import type {Play} from '@pomelopick/testing.gateway-fleet';
 import {createDraw} from './draw.js';
 import type {Draw} from './draw.js';
+import {checkDeadlines, checkServersPerRequest} from './attempt-check.js';
 import {runFaultSeries} from './fault-series.js';
 import {checkCalls} from './call-check.js';
 import type {CallRecord, Violation} from './call-check.js';
@@ -35,6 +36,9 @@
 /** Factor that keeps the seeds of the callers apart from those of the faults. */
 const CALLER_SEED_FACTOR = 1000;
 
+/** Faults that delay what is on its way to servers. */
+const delayingFaults: ReadonlySet<RetryFaultName> = new Set(['paths-frozen', 'paths-delayed']);
+
 const failures: readonly Play[] = ['shed', 'reset', 'failure'];
 
 /** Options of {@link runRetryRound}. */
@@ -111,7 +115,17 @@
 			statuses: countStatuses(calls),
 			repeats: arrivals.length - new Set(arrivals.map(({requestId}) => requestId)).size,
 			worst: findWorstWindow(checked),
-			violations: [...gatewayFailures, ...checkRetries(checked), ...checkCalls({calls, executions})],
+			violations: [
+				...gatewayFailures,
+				...checkRetries(checked),
+				...checkCalls({calls, executions}),
+				...checkServersPerRequest({executions, maxServers: MAX_SERVERS_PER_REQUEST}),
+				...(faults.some(fault => delayingFaults.has(fault))
+					? []
+					: checkDeadlines({
+						executions, timeLeftMs: TIME_LEFT_MS, sentAtMs: new Map(calls.map(({sentAtMs, answer}) => [answer.requestId, sentAtMs])),
+					})),
+			],
 			lines: environment.listLines('retry-budget'),
 		};
 	} finally {
