--- a/daemons/gateway/test/fixture.ts
+++ b/daemons/gateway/test/fixture.ts
@@ -45,6 +45,8 @@
 	readonly maxBodyBytes?: number;
 	/** Handles a request at one of the servers. */
 	readonly onRequest: (options: {readonly server: string; readonly request: RawRequest}) => void;
+	/** Bytes of the responses to health checks of a server. By default successes. */
+	readonly healthResponse?: (server: string) => string | undefined;
 }
 
 /** A gateway process whose servers are faulty. */
@@ -55,7 +57,7 @@
 }
 
 /** Starts a gateway process and the servers that it uses, and waits until it is ready. */
-export async function startGatewayWithRawServers({servers, maxBodyBytes, onRequest}: StartWithRawServersOptions): Promise<GatewayWithRawServers> {
+export async function startGatewayWithRawServers({servers, maxBodyBytes, onRequest, healthResponse}: StartWithRawServersOptions): Promise<GatewayWithRawServers> {
 	const fleet = await startGatewayFleet({servers: []});
 	fleet.write('op/config', configuration({version: 2, maxBodyBytes}));
 	const settings = await fleet.settings();
@@ -66,6 +68,7 @@
 			name, onRequest(request) {
 				onRequest({server: name, request});
 			},
+			healthResponse: healthResponse?.(name),
 		});
 		started.push(server);
 		fleet.register({server, failureDomain: 'north-a'});
