--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -12,6 +12,7 @@
 import type {
 	ResponseHead, AttemptResponse, AttemptFailure, AttemptFailureKind,
 } from './attempt-response.js';
+import {isUnanswered} from './is-unanswered.js';
 import {CALL_ID_HEADER, endToEndHeaders} from './call-headers.js';
 import type {HeaderList} from './call-headers.js';
 
@@ -33,8 +34,8 @@
 	readonly acceptsUnframed?: boolean;
 	readonly method: string;
 	readonly path: string;
-	/** Alternating names and values. */
-	readonly headers: HeaderList;
+	/** Returns alternating names and values. Called when the request is written, as they may state the time left. */
+	readonly headers: () => HeaderList;
 	readonly body: Uint8Array | Readable | undefined;
 	/** Maximum bytes of a response body that are buffered; a larger response is forwarded while it arrives. */
 	readonly maxBufferedBytes: number;
@@ -81,12 +82,13 @@
 		return this.#head !== undefined;
 	}
 
-	/** Sends the request. */
+	/** Sends the request, once the connection is open. */
 	send(): void {
-		const {lease, method, path, headers, body} = this.#options;
-		lease.connection.client.dispatch({
-			method, path, headers, body: body ?? null,
-		}, this);
+		if (this.#options.lease.connection.isOpen) {
+			this.#dispatch();
+		} else {
+			void this.#connectAndDispatch();
+		}
 	}
 
 	/** Aborts the request and resets its connection, which tells the backend server to stop working on it. */
@@ -129,7 +131,7 @@
 
 		this.#head = head;
 		const hasBody = method !== 'HEAD' && status !== NO_CONTENT && status !== NOT_MODIFIED;
-		const isUnframed = hasBody && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+		const isUnframed = hasBody && !isFramed(headers);
 		this.#options.lease.connection.isUnframed = isUnframed;
 		if (isUnframed && !acceptsUnframed) {
 			this.abort({kind: 'truncated', detail: 'the response has neither a content length nor chunked encoding, so a truncated body would look complete'});
@@ -168,16 +170,38 @@
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error & {code?: string}): void {
-		if (this.#aborted) {
-			return;
+		if (!this.#aborted) {
+			this.#failBy(error);
 		}
+	}
 
+	#failBy(error: Error & {code?: string}): void {
 		this.#release({isReusable: false});
 		const detail = `${error.code ?? error.name}: ${error.message}`;
 		const kind = this.#head ? 'truncated' : (this.mayHaveRun ? 'failed' : 'connect-failed');
 		this.#fail({kind, execution: this.#execution, detail});
 	}
 
+	async #connectAndDispatch(): Promise<void> {
+		const opened = await this.#options.lease.connection.open();
+		if (this.#aborted) {
+			return;
+		}
+
+		opened.ifLeft(error => {
+			this.#failBy(error);
+		}).ifRight(() => {
+			this.#dispatch();
+		});
+	}
+
+	#dispatch(): void {
+		const {lease, method, path, headers, body} = this.#options;
+		lease.connection.client.dispatch({
+			method, path, headers: headers(), body: body ?? null,
+		}, this);
+	}
+
 	#complete(): void {
 		const {connection} = this.#options.lease;
 		if (this.#aborted !== undefined || !this.#head) {
@@ -260,11 +284,26 @@
 		this.#bufferedPieces = [];
 		this.#forwarder = forwarder;
 		this.#resolve(Right({
-			kind: 'partial', ...this.#head!, forward: async response => forwarder.start(response),
+			kind: 'partial', ...this.#head!, forward: async response => {
+				if (isUnanswered(response)) {
+					return forwarder.start(response);
+				}
+
+				const failure: AttemptFailure = {kind: 'cancelled', execution: this.#execution, detail: 'the caller was refused or disconnected before the response could be forwarded'};
+				this.abort(failure);
+				return Left(failure);
+			},
 		}));
 	}
 }
 
+/** Whether a response says where its body ends. With a transfer coding other than chunks it ends when its connection closes (RFC 9112, section 6.3). */
+function isFramed(headers: IncomingHttpHeaders): boolean {
+	const coding = headers['transfer-encoding'];
+	return coding === undefined ? headers['content-length'] !== undefined : CHUNKED_PATTERN.test(String(coding));
+}
+
+const CHUNKED_PATTERN = /(?:^|,)\s*chunked\s*$/iu;
 const FIRST_SUCCESS = 200;
 const LAST_SUCCESS = 299;
 const NO_CONTENT = 204;
--- a/calls/relay/src/relay-attempt.ts
+++ b/calls/relay/src/relay-attempt.ts
@@ -167,8 +167,11 @@
 		const {request, placement, parts} = this.#options;
 		const {id, method, path, headers, body, answerByMs} = request.options;
 		const names = parts.format.headers;
-		const timeLeftMs = Math.max(1, Math.floor(answerByMs - parts.now() - RETURN_RESERVE_MS));
-		this.#timeLeftMs = timeLeftMs;
+		const stateTimeLeft = (): string => {
+			this.#timeLeftMs = Math.max(1, Math.floor(answerByMs - parts.now() - RETURN_RESERVE_MS));
+			return String(this.#timeLeftMs);
+		};
+
 		return new Exchange({
 			lease,
 			callId: id,
@@ -177,8 +180,8 @@
 			acceptsUnframed: true,
 			method,
 			path,
-			headers: listHeaders({
-				headers, added: [names.requestId, id, names.timeLeft, String(timeLeftMs), names.expectedServer, placement.known.server.name],
+			headers: () => listHeaders({
+				headers, added: [names.requestId, id, names.timeLeft, stateTimeLeft(), names.expectedServer, placement.known.server.name],
 			}),
 			body: body.content,
 			maxBufferedBytes: BUFFERED_ANSWER_BYTES,
--- a/calls/relay/test/scripted-run.ts
+++ b/calls/relay/test/scripted-run.ts
@@ -1,6 +1,7 @@
 /** A request whose servers, connections and permits are driven by a test, without sockets. */
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import {Right} from 'purify-ts';
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
 import type {Dispatcher} from 'undici';
 import {RelayedRequest, RelayRun, UnsentAttempts} from '@pomelopick/calls.relay';
 import type {RetryPermit, RunParts} from '@pomelopick/calls.relay';
@@ -8,6 +9,7 @@
 import type {
 	BackendServerName, FailureDomainName, RegisteredServer, Repeatability, RouteName, ServiceName,
 } from '@pomelopick/core.types';
+import type {ObjectPlacement} from '@pomelopick/steering.objects';
 import {ObservationTable} from '@pomelopick/steering.servers';
 
 const SERVERS = 3;
@@ -34,8 +36,10 @@
 	wasSent: boolean;
 	/** Whether it was aborted by closing its connection. */
 	isAborted: boolean;
-	/** Lets its connection become ready; nothing is sent if it was aborted before. */
-	connect(): void;
+	/** Lets its connection open; nothing is sent if it was aborted before. */
+	connect(): Promise<void>;
+	/** Lets its connection fail to open. */
+	failToConnect(): void;
 	/** Lets the server respond. */
 	respond(options: {readonly status: number; readonly headers: Readonly<Record<string, string>>}): void;
 	/** Ends its connection. */
@@ -69,6 +73,8 @@
 	/** Whether a server has crashed. */
 	readonly crashCheck?: () => Promise<boolean>;
 	readonly isSuspect?: boolean;
+	/** Whether a server that was chosen may still be used; always by default. */
+	readonly isStillUsable?: (server: string) => boolean;
 }
 
 /** Permit that records nothing. */
@@ -151,7 +157,7 @@
 			});
 		},
 		recordAnswer: ignore,
-		isStillUsable: () => true,
+		isStillUsable: ({known: {server}}: ObjectPlacement) => scripted.isStillUsable?.(server.name) ?? true,
 	};
 	const notices = {read: ignore};
 	const rateLimitUse = {record: ignore};
@@ -176,6 +182,7 @@
 
 function createLease({server, sends}: {readonly server: string; readonly sends: ScriptedSend[]}) {
 	let handler: Dispatcher.DispatchHandler;
+	const opened = createWait<Either<Error, void>>();
 	const controller = {
 		abort() {
 			send.isAborted = true;
@@ -185,9 +192,12 @@
 		server,
 		wasSent: false,
 		isAborted: false,
-		connect() {
-			handler.onRequestStart!(controller, {});
-			send.wasSent = !send.isAborted;
+		async connect() {
+			opened.end(Right(undefined));
+			await settle();
+		},
+		failToConnect() {
+			opened.end(Left(new Error('refused')));
 		},
 		respond({status, headers}) {
 			handler.onResponseStart!(controller, status, {'content-length': '0', ...headers});
@@ -199,10 +209,16 @@
 	};
 	return {
 		connection: {
+			isOpen: false,
+			async open() {
+				sends.push(send);
+				return opened.promise;
+			},
 			client: {
 				dispatch(_options: unknown, dispatched: Dispatcher.DispatchHandler) {
 					handler = dispatched;
-					sends.push(send);
+					handler.onRequestStart!(controller, {});
+					send.wasSent = !send.isAborted;
 				},
 			},
 		}, release: ignore,
--- a/testing/gateway-soak/src/index.ts
+++ b/testing/gateway-soak/src/index.ts
@@ -8,6 +8,7 @@
 export * from './gateway-watch.js';
 export * from './notice-check.js';
 export * from './odd-entries.js';
+export * from './peer-round.js';
 export * from './rate-limit-check.js';
 export * from './rate-limit-round.js';
 export * from './retry-faults.js';
