--- a/testing/gateway-soak/src/environment.ts
+++ b/testing/gateway-soak/src/environment.ts
@@ -259,13 +259,11 @@
 	/** Restarts a server under its name at an address whose queue of connections is full at first, and then at its own. */
 	async acceptLate({number, durationMs}: {readonly number: number; readonly durationMs: number}): Promise<void> {
 		const unreachable = await startUnreachableServer({name: serverName(number), target: this.#proxies[number]!.endpoint});
-		this.#countRestart(number);
-		this.#register({number, state: 'ready', port: unreachable.port});
+		this.#restartServer({number, port: unreachable.port});
 		await sleep(durationMs);
 		unreachable.accept();
 		await sleep(LATE_ACCEPTED_MS);
-		this.#countRestart(number);
-		this.#register({number, state: 'ready'});
+		this.#restartServer({number});
 		await sleep(LATE_ACCEPTED_MS);
 		await unreachable.stop();
 	}
@@ -294,13 +292,14 @@
 		const server = this.fleet.servers[number]!;
 		server.setLeaving(true);
 		await sleep(MIN_LEAVING_MS + durationMs);
-		server.setLeaving(false);
-		this.#countRestart(number);
-		this.#register({number, state: 'ready'});
+		this.#restartServer({number});
 	}
 
-	#countRestart(number: number): void {
+	/** Registers a new start of a server, which does not leave even if the one before did. */
+	#restartServer({number, port}: {readonly number: number; readonly port?: number}): void {
+		this.fleet.servers[number]!.setLeaving(false);
 		this.#restartCounts.set(number, (this.#restartCounts.get(number) ?? 0) + 1);
+		this.#register({number, state: 'ready', port});
 	}
 
 	async #drainAndReturn({number, durationMs}: {readonly number: number; readonly durationMs: number}): Promise<void> {
