Let every request that may offer an upgrade be the last of its connection

Cause: the listener looked for the offer in the header "connection" alone. The runtime's parser reads it from "proxy-connection" too, and also from headers above the maximum of a hundred, which are not shown to the listener. It drops what it has received behind such a request, and the connection stayed open.

Change: a request with a header "upgrade", whatever its connection headers say, or with as many headers as are listed at most, is the last of its connection.

Conclusion: callers that send more than 99 headers, or "Upgrade" without an offer, open a connection for each request.

--- a/calls/listener/src/caller-listener.ts
+++ b/calls/listener/src/caller-listener.ts
@@ -167,7 +167,7 @@
 			return;
 		}
 
-		if (!this.#connections.accept({socket: request.socket, response, isLast: offersUpgrade(request)})) {
+		if (!this.#connections.accept({socket: request.socket, response, isLast: mayOfferUpgrade(request)})) {
 			return;
 		}
 
@@ -271,13 +271,17 @@
 }
 
 /**
- * Whether a request offers to switch to another protocol. The offer is ignored (RFC 9110, section 7.8), but the runtime's
- * parser drops bytes that it has received behind such a request, so the request has to be the last of its connection.
+ * Whether a request may offer to switch to another protocol. The offer is ignored (RFC 9110, section 7.8), but the runtime's
+ * parser drops bytes that it has received behind such a request, so the request has to be the last of its connection. The
+ * parser reads the offer from more headers than `connection`, and from headers above the maximum, which are not listed.
  */
-function offersUpgrade({headers}: IncomingMessage): boolean {
-	return headers.upgrade !== undefined && /\bupgrade\b/iu.test(headers.connection ?? '');
+function mayOfferUpgrade({headers, rawHeaders}: IncomingMessage): boolean {
+	return headers.upgrade !== undefined || rawHeaders.length >= MAX_HEADERS * ENTRIES_PER_HEADER;
 }
 
+/** A raw header is listed as a name and a value. */
+const ENTRIES_PER_HEADER = 2;
+
 function toRefusal({error: {code, message}, limits}: {readonly error: Error & {code?: string}; readonly limits: ListenerLimits}): Refusal {
 	switch (code) {
 		case 'HPE_HEADER_OVERFLOW': {
--- a/daemons/gateway/test/upgrade-offers.test.ts
+++ b/daemons/gateway/test/upgrade-offers.test.ts
@@ -21,6 +21,12 @@
 	h2c: ['connection: Upgrade, HTTP2-Settings', 'upgrade: h2c', 'http2-settings: AAMAAABkAAQAoAAAAAIAAAAA'],
 	websocket: ['connection: Upgrade', 'upgrade: websocket', 'sec-websocket-version: 13', 'sec-websocket-key: dGhlIHNhbXBsZSBub25jZQ=='],
 };
+/** Offers that the runtime's parser takes for one, though no header "connection" says so or though the runtime drops their header. */
+const unusualOffers: Readonly<Record<string, readonly string[]>> = {
+	'proxy-connection': ['proxy-connection: Upgrade', 'upgrade: h2c'],
+	'proxy-connection beside connection': ['connection: keep-alive', 'proxy-connection: keep-alive, Upgrade', 'upgrade: websocket'],
+	'behind a hundred headers': [...Array.from({length: 100}, (_, index) => `x-filler-${index}: 1`), 'connection: Upgrade', 'upgrade: h2c'],
+};
 const methods = ['GET', 'POST'] as const;
 
 const resets: ReadonlyArray<{name: string; reset: (socket: Socket) => Promise<void>}> = [
@@ -129,6 +135,18 @@
 		}
 	}
 
+	for (const [name, lines] of Object.entries(unusualOffers)) {
+		it(`never gets a later response in place of one to a dropped request: ${name}`, async () => {
+			const id = `unusual-${name.replaceAll(' ', '-')}`;
+			const {socket, received} = open(`${encodeRequest({id, method: 'GET', lines})}${encodeRequest({id: `${id}-behind`, method: 'GET', lines: []})}`);
+			await until(() => received().endsWith(id) || socket.destroyed);
+			socket.write(encodeRequest({id: `${id}-late`, method: 'GET', lines: []}));
+			await until(() => socket.destroyed || received().endsWith('-late'));
+			const bodies = Array.from(received().matchAll(/\r\n\r\n(?<body>unusual[-\w]*?)(?=HTTP|$)/gu), ({groups}) => groups!.body);
+			assert.deepEqual(bodies, [id, `${id}-behind`, `${id}-late`].slice(0, bodies.length));
+		});
+	}
+
 	it('is answered when its body comes later', async () => {
 		const [head, body] = encodeRequest({id: 'late-body', method: 'POST', lines: offers.h2c!}).split('\r\n\r\n');
 		const {socket, received} = open(`${head}\r\n\r\n`);
