Go on with a response that has a request for a tunnel behind it

A caller that sent CONNECT behind a request whose response was above its buffer received a part of the response, and its connection was reset at the timeout of the route.

Cause: for CONNECT the runtime removes its own listeners from the connection, also the one that passes "drain" on to responses. The forwarder waited for the "drain" of its response, so that reading from the server was held for good. The class is that of the paused parser: a state is left by an event that something else may take away.

Change: the forwarder listens to the "drain" of the connection itself, from the moment at which its response has the connection until the response closes.

Conclusion: nothing that a caller sends behind a response decides whether it goes on.

--- a/calls/forwarding/src/response-forwarder.ts
+++ b/calls/forwarding/src/response-forwarder.ts
@@ -1,5 +1,6 @@
 /** Forwards large responses to callers while they arrive. */
 import type {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {ResponseHead, AttemptFailure} from './attempt-response.js';
@@ -28,7 +29,6 @@
 	#response: ServerResponse | undefined;
 	#failure: AttemptFailure | undefined;
 	#isEnded = false;
-	#awaitsSocket = false;
 
 	constructor(options: ResponseForwarderOptions) {
 		this.#options = options;
@@ -49,9 +49,7 @@
 		}
 
 		response.writeHead(head.status, head.headers);
-		response.on('drain', () => {
-			this.#releaseUnlessFull(response);
-		});
+		this.#watchRoom(response);
 		for (const piece of this.#pieces.splice(0)) {
 			response.write(piece);
 		}
@@ -92,16 +90,30 @@
 		}
 	}
 
-	/** The runtime also emits `drain` when another response on the caller's connection is written while this one is still full. */
-	#releaseUnlessFull(response: ServerResponse): void {
-		if (!isFull(response)) {
-			this.#options.releaseReading();
-		} else if (!this.#awaitsSocket) {
-			this.#awaitsSocket = true;
-			response.socket?.once('drain', () => {
-				this.#awaitsSocket = false;
-				this.#releaseUnlessFull(response);
+	/**
+	 * Goes on reading whenever the caller's buffer has room. The runtime passes the `drain` of the connection on to its responses
+	 * only until a request for a tunnel arrives behind them, and also emits it on a response that is still full.
+	 */
+	#watchRoom(response: ServerResponse): void {
+		const releaseUnlessFull = (): void => {
+			if (!isFull(response)) {
+				this.#options.releaseReading();
+			}
+		};
+
+		const watchSocket = (socket: Socket): void => {
+			socket.on('drain', releaseUnlessFull);
+			response.once('close', () => {
+				socket.off('drain', releaseUnlessFull);
 			});
+		};
+
+		// Emitted without the connection's own if everything buffered fits when the response gets its turn on the connection.
+		response.on('drain', releaseUnlessFull);
+		if (response.socket) {
+			watchSocket(response.socket);
+		} else {
+			response.once('socket', watchSocket);
 		}
 	}
 }
--- a/daemons/gateway/test/held-responses.test.ts
+++ b/daemons/gateway/test/held-responses.test.ts
@@ -3,6 +3,7 @@
 import {Buffer} from 'node:buffer';
 import {connect} from 'node:net';
 import {describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	callGateway, endpointOf, HOST, rawResponse,
 } from '@pomelopick/testing.gateway-fleet';
@@ -35,6 +36,11 @@
 	{name: 'neither length nor chunks, and is reset', framing: 'nothing', end: 'reset'},
 ];
 
+/** Times after the request at which one for a tunnel is sent behind it, in milliseconds. */
+const tunnelAfterMs = [0, 120];
+const TUNNEL = `CONNECT ${HOST}:443 HTTP/1.1\r\nhost: ${HOST}\r\n\r\n`;
+const HELD_BYTES = 20_000_000;
+
 /** Answers `/read/first` late and whole, and `/read/second/FRAMING/END/LENGTH` at once as the path says. */
 function respond({requestId, path, socket}: RawRequest): void {
 	const [kind, framing, end, length] = path.split('/').slice(2);
@@ -134,3 +140,50 @@
 	const peakKb = await readPeakMemoryKb(gateway);
 	assert.ok(peakKb < MAX_MEMORY_KB, `${peakKb} kB`);
 }
+
+describe('a response in front of a request for a tunnel', () => {
+	for (const afterMs of tunnelAfterMs) {
+		it(`is received whole although its caller's buffer was full, when the other is sent ${afterMs} ms later`, async () => {
+			const started = await startGatewayWithRawServers({
+				servers: 3, onRequest({request}) {
+					respond(request);
+				},
+			});
+			try {
+				const received = await readInFrontOfTunnel({endpoint: endpointOf(started.settings.listen.callers), afterMs});
+				assert.equal(/\r\n\r\n(?<body>b*)/u.exec(received)?.groups!.body!.length, HELD_BYTES);
+				assert.match(received.slice(received.lastIndexOf('b'.repeat(10))), /^b+HTTP\/1\.1 400 /u);
+			} finally {
+				await started.stop();
+			}
+		});
+	}
+});
+
+/** Reads a long response with a request for a tunnel behind it; resolves with everything that was received when the connection ends. */
+async function readInFrontOfTunnel({endpoint, afterMs}: {readonly endpoint: Endpoint; readonly afterMs: number}): Promise<string> {
+	const socket = connect({host: endpoint.address, port: endpoint.port});
+	const pieces: Uint8Array[] = [];
+	socket.on('error', () => {/* A response that is cut resets the connection. */});
+	const request = [
+		`GET /read/second/content-length/complete/${HELD_BYTES} HTTP/1.1`, `host: ${HOST}`, 'x-request-id: in-front', 'x-deadline-ms: 3000', '', '',
+	].join('\r\n');
+	if (afterMs === 0) {
+		socket.write(request + TUNNEL);
+	} else {
+		socket.write(request);
+		await sleep(afterMs);
+		socket.write(TUNNEL);
+		await sleep(afterMs);
+	}
+
+	socket.on('data', piece => {
+		pieces.push(piece);
+	});
+	await new Promise<void>(resolve => {
+		socket.once('close', () => {
+			resolve();
+		});
+	});
+	return Buffer.concat(pieces).toString('latin1');
+}
