Make the headers again when an idle connection turns out to be closed

Cause: a connection whose server has closed it counts as open until its end is read. A request was then given to the library at once, with its headers. The library read the end, connected by itself, up to 1.5 s, and wrote the headers that it held.

Ruled out: an attempt that ends as not sent and is left to the retry. It would count as a failure to connect to a server that merely closes idle connections, and a group with one server would have no other to retry at.

Change: a connection says whether the library may connect by itself; it may for probes. For a request the connector refuses, and the library fails the request before it has started it, so that no byte was written. The exchange then opens the connection once more, makes the headers again and hands the request over; the same attempt goes on, without a permit. If the request cannot be handed over a second time either, the attempt ends as not sent. A request that the library has started is never handed over again.

Conclusion: headers of a request are made only when its connection stands, or are made again. What remains: when a request follows the response before it within one turn of the event loop, the library writes it before it reads the end; this ends as failed and possibly run, as before.

--- a/calls/connections/src/connection-socket.ts
+++ b/calls/connections/src/connection-socket.ts
@@ -10,8 +10,8 @@
 export interface ConnectionSocketOptions {
 	readonly origin: string;
 	readonly timeoutMs: number;
-	/** The connection, in which a reset is recorded. */
-	readonly connection: () => Pick<Connection, 'wasReset' | 'isUnframed'>;
+	/** The connection, in which a reset is recorded and which says whether the library may connect. */
+	readonly connection: () => Pick<Connection, 'wasReset' | 'isUnframed' | 'connectsByItself'>;
 }
 
 /**
@@ -65,7 +65,7 @@
 		});
 	}
 
-	/** Connector for the library: hands over the socket that was connected for it, or connects one. */
+	/** Connector for the library: hands over the socket that was connected for it, or else connects one if it may. */
 	readonly connect: buildConnector.connector = (options, callback) => {
 		if (this.#isUntaken && this.isOpen) {
 			this.#isUntaken = false;
@@ -77,6 +77,13 @@
 			return;
 		}
 
+		if (!this.#options.connection().connectsByItself) {
+			queueMicrotask(() => {
+				callback(new errors.RequestAbortedError('the connection was closed before the request was written'), null);
+			});
+			return;
+		}
+
 		this.#open(options, callback);
 	};
 
--- a/calls/connections/src/connection.ts
+++ b/calls/connections/src/connection.ts
@@ -28,6 +28,11 @@
 	readonly isOpen: boolean;
 	/** Whether the socket has carried a request before the current one, so that a further response to that may still arrive. */
 	wasUsed: boolean;
+	/**
+	 * Whether the library may connect the socket when a request finds it closed, as for a probe. Otherwise it fails the request,
+	 * of which nothing has been sent, because its headers were made before it waited for the connection.
+	 */
+	connectsByItself: boolean;
 	/** Whether the connection was reset. */
 	wasReset: boolean;
 	/** Set while a response is received that has neither a content length nor chunks and ends when the connection closes. */
--- a/calls/connections/src/server-connections.ts
+++ b/calls/connections/src/server-connections.ts
@@ -62,6 +62,7 @@
 	 */
 	release({connection, isReusable}: {readonly connection: Connection; readonly isReusable: boolean}): void {
 		connection.onSilent = undefined;
+		connection.connectsByItself = true;
 		connection.releaseReading();
 		const wasLent = this.#lent.delete(connection);
 		if (wasLent && isReusable) {
@@ -211,6 +212,7 @@
 			lastReceivedAtMs: now(),
 			lentAtMs: now(),
 			wasUsed: false,
+			connectsByItself: true,
 			wasReset: false,
 			isUnframed: false,
 		};
--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -55,6 +55,8 @@
 	#startedAtMs: number | undefined;
 	#aborted: AttemptFailure | undefined;
 	#isReleased = false;
+	/** Whether the request was given to the library on a connection that was open before; it may then be given to it once more. */
+	#isReopenable = false;
 	#head: ResponseHead | undefined;
 	#bufferedPieces: Uint8Array[] = [];
 	#bufferedBytes = 0;
@@ -84,7 +86,10 @@
 
 	/** Sends the request, once the connection is open. */
 	send(): void {
-		if (this.#options.lease.connection.isOpen) {
+		const {connection} = this.#options.lease;
+		connection.connectsByItself = false;
+		if (connection.isOpen) {
+			this.#isReopenable = true;
 			this.#dispatch();
 		} else {
 			void this.#connectAndDispatch();
@@ -170,9 +175,18 @@
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error & {code?: string}): void {
-		if (!this.#aborted) {
-			this.#failBy(error);
+		if (this.#aborted) {
+			return;
 		}
+
+		if (this.#isReopenable && !this.mayHaveRun && !this.#options.lease.connection.client.destroyed) {
+			// The connection had been closed, and nothing was written: it is opened, and the headers are made again.
+			this.#isReopenable = false;
+			void this.#connectAndDispatch();
+			return;
+		}
+
+		this.#failBy(error);
 	}
 
 	#failBy(error: Error & {code?: string}): void {
