End only the attempt when a request cannot be handed over

Found by reading; not seen on a running gateway.

Cause: the exchange opens its connection in a promise that nobody awaits, and a rejection there is unhandled. On a connection that was open the error was thrown to whoever had started the attempt, and the connection was never returned. The address was also made a URL outside of the part of opening that turns what is thrown into a value.

Change: whatever is thrown while a connection is opened or a request is handed over ends the attempt, as not sent unless the library has started it, and returns its connection. The text of the error is the detail of the failure, which the log of the attempt has.

Before / after: npm test calls/forwarding/lib-test/exchange: three of five cases failed ("Error: no headers" thrown by send() and as an unhandled rejection, "Error: no address" as an unhandled rejection). Now 5 of 5 pass. The URL has no test of its own, as the client that is created with the connection parses the same address before.

Conclusion: no error on the way to a server ends a process from this place. What remains: the client of a connection is still created, and throws, outside of the exchange; addresses are checked where entries are decoded.

--- a/calls/connections/src/connection-socket.ts
+++ b/calls/connections/src/connection-socket.ts
@@ -48,13 +48,13 @@
 			return Right(undefined);
 		}
 
-		const {protocol, host, hostname, port} = new URL(this.#options.origin);
-		const target = {
-			protocol, host, hostname: hostname.replaceAll(/[[\]]/gu, ''), port,
-		};
 		return new Promise(resolve => {
 			// An address that cannot be used makes the runtime throw.
 			Either.encase(() => {
+				const {protocol, host, hostname, port} = new URL(this.#options.origin);
+				const target = {
+					protocol, host, hostname: hostname.replaceAll(/[[\]]/gu, ''), port,
+				};
 				this.#open(target, (...[error, socket]) => {
 					this.#isUntaken = socket !== null;
 					resolve(socket ? Right(undefined) : Left(error));
--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -4,8 +4,9 @@
 import type {Readable} from 'node:stream';
 import {errors} from 'undici';
 import type {Dispatcher} from 'undici';
-import {Left, Right} from 'purify-ts';
-import type {Either} from 'purify-ts';
+import {
+	Either, EitherAsync, Left, Right,
+} from 'purify-ts';
 import type {Execution} from '@pomelopick/core.types';
 import type {ConnectionLease} from '@pomelopick/calls.connections';
 import {ResponseForwarder} from './response-forwarder.js';
@@ -197,7 +198,7 @@
 	}
 
 	async #connectAndDispatch(): Promise<void> {
-		const opened = await this.#options.lease.connection.open();
+		const opened = await EitherAsync.fromPromise(async () => this.#options.lease.connection.open());
 		if (this.#aborted) {
 			return;
 		}
@@ -209,11 +210,16 @@
 		});
 	}
 
+	/** Gives the request to the library. An error that is thrown meanwhile ends this attempt alone. */
 	#dispatch(): void {
 		const {lease, method, path, headers, body} = this.#options;
-		lease.connection.client.dispatch({
-			method, path, headers: headers(), body: body ?? null,
-		}, this);
+		Either.encase(() => {
+			lease.connection.client.dispatch({
+				method, path, headers: headers(), body: body ?? null,
+			}, this);
+		}).ifLeft(error => {
+			this.#failBy(error);
+		});
 	}
 
 	#complete(): void {
