--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -4,8 +4,9 @@
 import type {Readable} from 'node:stream';
 import {errors} from 'undici';
 import type {Dispatcher} from 'undici';
-import {Left, Right} from 'purify-ts';
-import type {Either} from 'purify-ts';
+import {
+	Either, EitherAsync, Left, Right,
+} from 'purify-ts';
 import type {Execution} from '@pomelopick/core.types';
 import type {ConnectionLease} from '@pomelopick/calls.connections';
 import {ResponseForwarder} from './response-forwarder.js';
@@ -55,6 +56,8 @@
 	#startedAtMs: number | undefined;
 	#aborted: AttemptFailure | undefined;
 	#isReleased = false;
+	/** Whether the request was given to the library on a connection that was open before; it may then be given to it once more. */
+	#isReopenable = false;
 	#head: ResponseHead | undefined;
 	#bufferedPieces: Uint8Array[] = [];
 	#bufferedBytes = 0;
@@ -84,7 +87,10 @@
 
 	/** Sends the request, once the connection is open. */
 	send(): void {
-		if (this.#options.lease.connection.isOpen) {
+		const {connection} = this.#options.lease;
+		connection.connectsByItself = false;
+		if (connection.isOpen) {
+			this.#isReopenable = true;
 			this.#dispatch();
 		} else {
 			void this.#connectAndDispatch();
@@ -170,9 +176,18 @@
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error & {code?: string}): void {
-		if (!this.#aborted) {
-			this.#failBy(error);
+		if (this.#aborted) {
+			return;
 		}
+
+		if (this.#isReopenable && !this.mayHaveRun && !this.#options.lease.connection.client.destroyed) {
+			// The connection had been closed, and nothing was written: it is opened, and the headers are made again.
+			this.#isReopenable = false;
+			void this.#connectAndDispatch();
+			return;
+		}
+
+		this.#failBy(error);
 	}
 
 	#failBy(error: Error & {code?: string}): void {
@@ -183,7 +198,7 @@
 	}
 
 	async #connectAndDispatch(): Promise<void> {
-		const opened = await this.#options.lease.connection.open();
+		const opened = await EitherAsync.fromPromise(async () => this.#options.lease.connection.open());
 		if (this.#aborted) {
 			return;
 		}
@@ -195,11 +210,16 @@
 		});
 	}
 
+	/** Gives the request to the library. An error that is thrown meanwhile ends this attempt alone. */
 	#dispatch(): void {
 		const {lease, method, path, headers, body} = this.#options;
-		lease.connection.client.dispatch({
-			method, path, headers: headers(), body: body ?? null,
-		}, this);
+		Either.encase(() => {
+			lease.connection.client.dispatch({
+				method, path, headers: headers(), body: body ?? null,
+			}, this);
+		}).ifLeft(error => {
+			this.#failBy(error);
+		});
 	}
 
 	#complete(): void {
