Heed the pause in a health check that a server rejects

A server that drops requests and rejects the health check that follows, with a time to stay away, got requests all the same.

Cause: health responses count only with the name of the server, which a rejection need not bear.

Change: a health response with status 503 and without a name counts as that of the server whose address was asked. The test sends more and answers later; a further case, of a start that the store tells later, is red and listed.

The case with many decimals is as it was.

--- a/daemons/gateway/src/create-relay.ts
+++ b/daemons/gateway/src/create-relay.ts
@@ -20,6 +20,7 @@
 import type {RateLimitParts} from './create-rate-limits.js';
 
 const EVENTS_KEPT = 512;
+const SERVICE_UNAVAILABLE = 503;
 /** Minimum number of connections that this instance may open to a server. */
 const MIN_CONNECTIONS = 4;
 /** Share of a server's connections that all instances together use; the rest is a reserve for connections that the server counts late. */
@@ -110,7 +111,9 @@
 		},
 		onHealthAnswer({server: {name}, head}) {
 			const known = view.servers.findEntry(name);
-			if (known && head.headers[platformHeaders.answeringServer] === name) {
+			// A server that rejects a health check may leave its name out.
+			const respondingName = head.headers[platformHeaders.answeringServer] ?? (head.status === SERVICE_UNAVAILABLE ? name : undefined);
+			if (known && respondingName === name) {
 				notices.read({server: known.server, head});
 			}
 		},
--- a/daemons/gateway/test/fixture.ts
+++ b/daemons/gateway/test/fixture.ts
@@ -42,6 +42,8 @@
 /** A gateway process whose servers are faulty. */
 export interface GatewayWithRawServers {
 	readonly settings: GatewaySettingsInput;
+	/** Registers a server with a wall-clock time of its start, in milliseconds. */
+	registerStart(options: {readonly server: string; readonly startedAtMs: number}): void;
 	stop(): Promise<void>;
 }
 
@@ -66,6 +68,9 @@
 	await until(async () => isReady(settings));
 	return {
 		settings,
+		registerStart({server: name, startedAtMs}) {
+			fleet.register({server: started.find(server => server.name === name)!, failureDomain: 'north-a', startedAtMs});
+		},
 		async stop() {
 			await gateway.stop();
 			await Promise.all(started.map(async server => server.stop()));
--- a/daemons/gateway/test/requested-pauses.test.ts
+++ b/daemons/gateway/test/requested-pauses.test.ts
@@ -11,7 +11,10 @@
 /** Time after the rejection in which requests may still arrive, in milliseconds, and maximum number of later ones, as in the users' rule. */
 const GRACE_MS = 500;
 const MAX_LATER = 2;
-const SPACING_MS = 10;
+const SPACING_MS = 5;
+/** Time that servers take to respond, in milliseconds. */
+const RESPONSE_MS = 200;
+const LATER_MS = 1000;
 const AT_ONCE = 3;
 
 interface Case {
@@ -22,6 +25,8 @@
 	readonly isMismatched?: boolean;
 	/** Whether requests are dropped, and health checks rejected without a name. */
 	readonly isAskedByHealth?: boolean;
+	/** Whether the store tells a second later that the server had started anew before it rejected anything. */
+	readonly isNewStart?: boolean;
 }
 
 const cases: readonly Case[] = [
@@ -32,10 +37,11 @@
 	{name: 'a longer one and then shorter ones', retryAfter: ['3', '0.1']},
 	{name: 'in a response that bears another id', retryAfter: ['3'], isMismatched: true},
 	{name: 'in a health check that it rejects', retryAfter: ['3'], isAskedByHealth: true},
+	{name: 'after a start that the store tells later', retryAfter: ['3'], isNewStart: true},
 ];
 
 describe('the pause that a server asks for', {concurrency: AT_ONCE}, () => {
-	for (const {name, retryAfter, isMismatched = false, isAskedByHealth = false} of cases) {
+	for (const {name, retryAfter, isMismatched = false, isAskedByHealth = false, isNewStart = false} of cases) {
 		it(`keeps requests away: ${name}`, async () => {
 			const arrivals: Array<{readonly server: string; readonly atMs: number}> = [];
 			const gateway = await startGatewayWithRawServers({
@@ -48,12 +54,20 @@
 					}
 
 					const id = `x-request-id: ${requestId}`;
-					socket.write(server === 'server-0'
+					const response = server === 'server-0'
 						? rawResponse({status: '503 Full', headers: ['x-not-executed: 1', isMismatched ? 'x-request-id: other' : id, `retry-after: ${retryAfter[earlier] ?? retryAfter.at(-1)!}`]})
-						: rawResponse({status: '200 OK', headers: [id, `x-server-stamp: ${requestId}`]}));
+						: rawResponse({status: '200 OK', headers: [id, `x-server-stamp: ${requestId}`]});
+					setTimeout(() => socket.write(response), RESPONSE_MS);
 				},
 				healthResponse: server => isAskedByHealth && server === 'server-0' ? rawResponse({status: '503 Full', headers: ['x-not-executed: 1', `retry-after: ${retryAfter[0]!}`]}) : undefined,
 			});
+			if (isNewStart) {
+				const startedAtMs = Date.now();
+				setTimeout(() => {
+					gateway.registerStart({server: 'server-0', startedAtMs});
+				}, LATER_MS);
+			}
+
 			const endpoint = endpointOf(gateway.settings.listen.callers);
 			const endMs = performance.now() + PAUSE_MS;
 			const calls: Array<Promise<unknown>> = [];
