Keep a pause that a server asked for before its start was known

A server that has started anew and asks for a pause got requests as soon as the store told its start.

Cause: a pause is kept for one start of a server. A response that comes before the store tells the new start is kept for the old one, and forgotten with it.

Ruled out: that pauses are kept for the name alone: a server that restarts after it asked has asked for nothing.

Change: the last pauses of a server are kept with the wall-clock time of the response. They also apply to a start that becomes known later and lies before that time.

Where the clock of the instance is behind that of the server by more than the time between the start and the response, nothing changes; where it is ahead, a pause of the start before may be kept for the next, at most to its end.

--- a/calls/relay/src/server-notices.ts
+++ b/calls/relay/src/server-notices.ts
@@ -28,6 +28,8 @@
 	readonly log: DecisionLog;
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
+	/** Wall-clock time, in milliseconds. */
+	readonly wallClockMs: () => number;
 }
 
 /** Options of {@link ServerNotices.read}. */
@@ -113,10 +115,12 @@
 	}
 
 	#recordPause({server, pauseMs}: {readonly server: RegisteredServer; readonly pauseMs: number}): void {
-		const {pauses, unsent, counters, log, now} = this.#options;
+		const {pauses, unsent, counters, log, now, wallClockMs} = this.#options;
 		const nowMs = now();
 		for (const start of this.#findRespondingStarts({server, status: SERVICE_UNAVAILABLE})) {
-			const untilMs = pauses.record({server: start, pauseMs, nowMs});
+			const untilMs = pauses.record({
+				server: start, pauseMs, nowMs, respondedAtMs: wallClockMs(),
+			});
 			counters.add('server-notice.pause');
 			if (this.#pauseLogLimiter.tryAcquire({key: start.name, nowMs})) {
 				log.line('server-pauses', {
--- a/calls/relay/test/server-notices.test.ts
+++ b/calls/relay/test/server-notices.test.ts
@@ -63,6 +63,7 @@
 			}, common: {}, wallClock: () => 0,
 		}),
 		now: () => NOW_MS,
+		wallClockMs: () => 0,
 	});
 	return {
 		notices, leaving, pauses, rateLimits, unsent, lines,
--- a/daemons/gateway/src/create-relay.ts
+++ b/daemons/gateway/src/create-relay.ts
@@ -100,6 +100,7 @@
 		counters,
 		log,
 		now,
+		wallClockMs: () => Date.now(),
 	});
 	const connections = new BackendConnections({
 		now,
--- a/steering/servers/test/requested-pauses.test.ts
+++ b/steering/servers/test/requested-pauses.test.ts
@@ -31,6 +31,13 @@
 	},
 ];
 
+const laterStarts: ReadonlyArray<{startedAtMs: number | undefined; expected: number | undefined}> = [
+	{startedAtMs: 40, expected: 9000},
+	{startedAtMs: 50, expected: 1000},
+	{startedAtMs: 51, expected: undefined},
+	{startedAtMs: undefined, expected: undefined},
+];
+
 describe('RequestedPauses', () => {
 	for (const {name, requested, nowMs, expected} of cases) {
 		it(`returns the end of the pause when ${name}`, () => {
@@ -50,6 +57,21 @@
 		assert.equal(pauses.endMs({server: {...server, name: 'b' as BackendServerName}, nowMs: 1}), undefined);
 	});
 
+	for (const {startedAtMs, expected} of laterStarts) {
+		it(`requested in responses at 40 and 50 ms ends at ${expected} for a start at ${startedAtMs} that becomes known later`, () => {
+			const pauses = new RequestedPauses();
+			pauses.record({
+				server, pauseMs: 9000, nowMs: 0, respondedAtMs: 40,
+			});
+			pauses.record({
+				server, pauseMs: 1000, nowMs: 0, respondedAtMs: 50,
+			});
+			assert.equal(pauses.endMs({server: {...server, startedAtMs}, nowMs: 1}), expected);
+			pauses.record({server: {...server, startedAtMs}, pauseMs: 10, nowMs: 1});
+			assert.equal(pauses.endMs({server: {...server, startedAtMs}, nowMs: 2}), expected ?? 11);
+		});
+	}
+
 	it('never ends a pause before every pause that the server requested has ended', () => {
 		fc.assert(fc.property(
 			fc.array(fc.record({afterMs: fc.nat(1000), pauseMs: fc.nat(5000), start: fc.nat(2)}), {maxLength: 30}),
