--- a/calls/connections/src/connection.ts
+++ b/calls/connections/src/connection.ts
@@ -12,6 +12,10 @@
 	readonly open: () => Promise<Either<Error, void>>;
 	/** Resets the connection, which discards bytes that have not reached the server; nothing more can be sent. */
 	readonly reset: () => void;
+	/** Stops reading from the server; the end of the connection is noticed only behind everything that was received before. Does nothing before the socket is connected. */
+	readonly holdReading: () => void;
+	/** Goes on reading. */
+	readonly releaseReading: () => void;
 	/** Called once when the connection is found to be silent while it is lent. */
 	onSilent: (() => void) | undefined;
 	/** Monotonic time at which it was created, in milliseconds. */
--- a/calls/connections/src/server-connections.ts
+++ b/calls/connections/src/server-connections.ts
@@ -62,6 +62,7 @@
 	 */
 	release({connection, isReusable}: {readonly connection: Connection; readonly isReusable: boolean}): void {
 		connection.onSilent = undefined;
+		connection.releaseReading();
 		const wasLent = this.#lent.delete(connection);
 		if (wasLent && isReusable) {
 			this.#holdTimes.record(this.#options.now() - connection.lentAtMs);
@@ -199,6 +200,12 @@
 			get isOpen() {
 				return socket.isOpen;
 			},
+			holdReading() {
+				socket.holdReading();
+			},
+			releaseReading() {
+				socket.releaseReading();
+			},
 			onSilent: undefined,
 			createdAtMs: now(),
 			lastReceivedAtMs: now(),
--- a/daemons/gateway/test/fixture.ts
+++ b/daemons/gateway/test/fixture.ts
@@ -1,30 +1,38 @@
 /** Starts gateways for tests: one in the process of the test, or a process of its own with faulty servers. */
+import {readFile} from 'node:fs/promises';
 import {parseGatewaySettings} from '@pomelopick/config.settings';
 import type {GatewaySettingsInput} from '@pomelopick/config.settings';
 import {startGateway} from '@pomelopick/daemons.gateway';
 import type {Gateway} from '@pomelopick/daemons.gateway';
 import {
-	isReady, startGatewayFleet, startGatewayProcess, startRawServer, until,
+	configuration, isReady, startGatewayFleet, startGatewayProcess, startRawServer, until,
 } from '@pomelopick/testing.gateway-fleet';
-import type {RawRequest, RawServer} from '@pomelopick/testing.gateway-fleet';
+import type {GatewayProcess, RawRequest, RawServer} from '@pomelopick/testing.gateway-fleet';
 
 /** A gateway and its log lines. */
 export interface LoggedGateway extends Gateway {
 	readonly lines: ReadonlyArray<Readonly<Record<string, unknown>>>;
 }
 
+/** Returns the largest memory that a process has had, in kilobytes. */
+export async function readPeakMemoryKb({processId}: Pick<GatewayProcess, 'processId'>): Promise<number> {
+	const text = await readFile(`/proc/${processId}/status`, 'utf8');
+	return Number(/VmHWM:\s+(\d+) kB/u.exec(text)?.[1]);
+}
+
 /** Starts a gateway and waits until it is ready. */
 export async function startReadyGateway(input: GatewaySettingsInput): Promise<LoggedGateway> {
 	const lines: Array<Record<string, unknown>> = [];
 	const settings = parseGatewaySettings(input).unsafeCoerce();
-	const gateway = await startGateway({
+	const started = await startGateway({
 		settings, output: {
 			write(line) {
 				lines.push(JSON.parse(line) as Record<string, unknown>);
 				return true;
-			}, flush() {/* Lines are written at once. */},
+			}, flush() {/* Lines are written at once. */}, writeNow: () => true,
 		},
 	});
+	const gateway = started.unsafeCoerce();
 	await until(() => gateway.isReady() && lines.some(({event}) => event === 'server-changed'));
 	return {...gateway, lines};
 }
@@ -33,6 +41,8 @@
 export interface StartWithRawServersOptions {
 	/** Number of servers. */
 	readonly servers: number;
+	/** Maximum size of a request's body, in bytes. */
+	readonly maxBodyBytes?: number;
 	/** Handles a request at one of the servers. */
 	readonly onRequest: (options: {readonly server: string; readonly request: RawRequest}) => void;
 	/** Bytes of the responses to health checks of a server. By default successes. */
@@ -42,14 +52,16 @@
 /** A gateway process whose servers are faulty. */
 export interface GatewayWithRawServers {
 	readonly settings: GatewaySettingsInput;
+	readonly gateway: GatewayProcess;
 	/** Registers a server with a wall-clock time of its start, in milliseconds. */
 	registerStart(options: {readonly server: string; readonly startedAtMs: number}): void;
 	stop(): Promise<void>;
 }
 
 /** Starts a gateway process and the servers that it uses, and waits until it is ready. */
-export async function startGatewayWithRawServers({servers, onRequest, healthResponse}: StartWithRawServersOptions): Promise<GatewayWithRawServers> {
+export async function startGatewayWithRawServers({servers, maxBodyBytes, onRequest, healthResponse}: StartWithRawServersOptions): Promise<GatewayWithRawServers> {
 	const fleet = await startGatewayFleet({servers: []});
+	fleet.write('op/config', configuration({version: 2, maxBodyBytes}));
 	const settings = await fleet.settings();
 	const started: RawServer[] = [];
 	for (let index = 0; index < servers; index += 1) {
@@ -71,6 +83,7 @@
 		registerStart({server: name, startedAtMs}) {
 			fleet.register({server: started.find(server => server.name === name)!, failureDomain: 'north-a', startedAtMs});
 		},
+		gateway,
 		async stop() {
 			await gateway.stop();
 			await Promise.all(started.map(async server => server.stop()));
--- a/testing/gateway-fleet/src/raw-server.ts
+++ b/testing/gateway-fleet/src/raw-server.ts
@@ -5,6 +5,7 @@
 import {WORK_HEADER} from './registered-server.js';
 
 const HEAD_END = '\r\n\r\n';
+const TIME_LEFT_HEADER = 'x-deadline-ms';
 
 /** A request that a raw server has read whole. */
 export interface RawRequest {
@@ -14,6 +15,8 @@
 	readonly socket: Socket;
 	/** Time for which the caller asks servers to work on the request, in milliseconds. */
 	readonly workMs: number;
+	/** Time until the deadline that the sender stated, in milliseconds. */
+	readonly timeLeftMs: number;
 	/** Number of the request on its connection, from 0. */
 	readonly index: number;
 }
@@ -103,7 +106,13 @@
 				socket.write(healthResponse);
 			} else {
 				onRequest({
-					requestId: findHeader({head, name: 'x-request-id'}) ?? '', method: method!, path: path!, socket, workMs: Number(findHeader({head, name: WORK_HEADER}) ?? 0), index,
+					requestId: findHeader({head, name: 'x-request-id'}) ?? '',
+					method: method!,
+					path: path!,
+					socket,
+					workMs: Number(findHeader({head, name: WORK_HEADER}) ?? 0),
+					timeLeftMs: Number(findHeader({head, name: TIME_LEFT_HEADER})),
+					index,
 				});
 				index += 1;
 			}
