--- a/calls/connections/src/connection-socket.ts
+++ b/calls/connections/src/connection-socket.ts
@@ -2,6 +2,7 @@
 import {Either, Left, Right} from 'purify-ts';
 import {buildConnector, errors} from 'undici';
 import type {Connection} from './connection.js';
+import {ReadingGate} from './reading-gate.js';
 
 type Socket = Exclude<Parameters<buildConnector.Callback>[1], null>; // eslint-disable-line @typescript-eslint/no-restricted-types
 
@@ -25,6 +26,8 @@
 	readonly #connect: buildConnector.connector;
 	/** The last socket that was connected. */
 	#socket: Socket | undefined;
+	/** Decides when the library may read from the last socket. */
+	#gate: ReadingGate | undefined;
 	/** Whether the library has not yet taken the last socket. */
 	#isUntaken = false;
 	#wasReset = false;
@@ -88,6 +91,16 @@
 		}
 	}
 
+	/** Stops reading from the socket, once it is connected. */
+	holdReading(): void {
+		this.#gate?.close();
+	}
+
+	/** Goes on reading. */
+	releaseReading(): void {
+		this.#gate?.open();
+	}
+
 	#open(options: buildConnector.Options, callback: buildConnector.Callback): void {
 		this.#connect(options, (...result) => {
 			const [, socket] = result;
@@ -99,6 +112,7 @@
 
 			if (socket) {
 				this.#socket = socket;
+				this.#gate = new ReadingGate(socket);
 				this.#watch(socket);
 			}
 
--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -12,6 +12,7 @@
 import type {
 	ResponseHead, AttemptResponse, AttemptFailure, AttemptFailureKind,
 } from './attempt-response.js';
+import {isUnanswered} from './is-unanswered.js';
 import {CALL_ID_HEADER, endToEndHeaders} from './call-headers.js';
 import type {HeaderList} from './call-headers.js';
 
@@ -51,6 +52,7 @@
 	readonly #options: ExchangeOptions;
 	#resolve!: (result: Either<AttemptFailure, AttemptResponse>) => void;
 	#controller: Dispatcher.DispatchController | undefined;
+	#startedAtMs: number | undefined;
 	#aborted: AttemptFailure | undefined;
 	#isReleased = false;
 	#head: ResponseHead | undefined;
@@ -70,6 +72,11 @@
 		return this.#controller !== undefined;
 	}
 
+	/** Monotonic time at which a connection took the request, in milliseconds; undefined while it waits for one. */
+	get startedAtMs(): number | undefined {
+		return this.#startedAtMs;
+	}
+
 	/** Whether the head of a response has arrived. */
 	get hasHead(): boolean {
 		return this.#head !== undefined;
@@ -104,9 +111,10 @@
 		}
 
 		this.#controller = controller;
+		this.#startedAtMs = this.#options.now();
 	}
 
-	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
 		this.#recordActivity();
 		if (status < 200) {
 			return;
@@ -123,7 +131,7 @@
 
 		this.#head = head;
 		const hasBody = method !== 'HEAD' && status !== NO_CONTENT && status !== NOT_MODIFIED;
-		const isUnframed = hasBody && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+		const isUnframed = hasBody && !isFramed(headers);
 		this.#options.lease.connection.isUnframed = isUnframed;
 		if (isUnframed && !acceptsUnframed) {
 			this.abort({kind: 'truncated', detail: 'the response has neither a content length nor chunked encoding, so a truncated body would look complete'});
@@ -131,21 +139,21 @@
 		}
 
 		if (hasBody && Number(headers['content-length'] ?? 0) > this.#options.maxBufferedBytes) {
-			this.#startForwarding(controller);
+			this.#startForwarding();
 		}
 	}
 
-	onResponseData(controller: Dispatcher.DispatchController, piece: Uint8Array): void {
+	onResponseData(_controller: Dispatcher.DispatchController, piece: Uint8Array): void {
 		this.#recordActivity();
 		if (this.#forwarder) {
-			this.#forwarder.write({piece, controller});
+			this.#forwarder.write(piece);
 			return;
 		}
 
 		this.#bufferedPieces.push(piece);
 		this.#bufferedBytes += piece.length;
 		if (this.#bufferedBytes > this.#options.maxBufferedBytes) {
-			this.#startForwarding(controller);
+			this.#startForwarding();
 		}
 	}
 
@@ -257,17 +265,45 @@
 		}
 	}
 
-	#startForwarding(controller: Dispatcher.DispatchController): void {
-		controller.pause();
-		const forwarding = new ResponseForwarder({head: this.#head!, bufferedPieces: this.#bufferedPieces, controller});
+	#startForwarding(): void {
+		const {connection} = this.#options.lease;
+		const forwarder = new ResponseForwarder({
+			head: this.#head!,
+			bufferedPieces: this.#bufferedPieces,
+			holdReading: () => {
+				if (!this.#isReleased) {
+					connection.holdReading();
+				}
+			},
+			releaseReading: () => {
+				if (!this.#isReleased) {
+					connection.releaseReading();
+				}
+			},
+		});
 		this.#bufferedPieces = [];
-		this.#forwarder = forwarding;
+		this.#forwarder = forwarder;
 		this.#resolve(Right({
-			kind: 'partial', ...this.#head!, forward: async response => forwarding.start(response),
+			kind: 'partial', ...this.#head!, forward: async response => {
+				if (isUnanswered(response)) {
+					return forwarder.start(response);
+				}
+
+				const failure: AttemptFailure = {kind: 'cancelled', execution: this.#execution, detail: 'the caller was refused or disconnected before the response could be forwarded'};
+				this.abort(failure);
+				return Left(failure);
+			},
 		}));
 	}
 }
 
+/** Whether a response says where its body ends. With a transfer coding other than chunks it ends when its connection closes (RFC 9112, section 6.3). */
+function isFramed(headers: IncomingHttpHeaders): boolean {
+	const coding = headers['transfer-encoding'];
+	return coding === undefined ? headers['content-length'] !== undefined : CHUNKED_PATTERN.test(String(coding));
+}
+
+const CHUNKED_PATTERN = /(?:^|,)\s*chunked\s*$/iu;
 const FIRST_SUCCESS = 200;
 const LAST_SUCCESS = 299;
 const NO_CONTENT = 204;
--- a/calls/forwarding/test/exchange.test.ts
+++ b/calls/forwarding/test/exchange.test.ts
@@ -34,7 +34,7 @@
 							await sleep(openMs);
 							return Right(undefined);
 						},
-						reset() {/* The exchange does not reset it. */}, onSilent: undefined,
+						reset() {/* The exchange does not reset it. */}, holdReading: () => undefined, releaseReading: () => undefined, onSilent: undefined,
 						createdAtMs: 0, lastReceivedAtMs: 0, lentAtMs: 0, isOpen: openMs === 0, wasUsed: false, wasReset: false, isUnframed: false,
 					}, release: () => undefined,
 				},
--- a/calls/relay/src/server-notices.ts
+++ b/calls/relay/src/server-notices.ts
@@ -28,6 +28,8 @@
 	readonly log: DecisionLog;
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
+	/** Wall-clock time, in milliseconds. */
+	readonly wallClockMs: () => number;
 }
 
 /** Options of {@link ServerNotices.read}. */
@@ -79,7 +81,7 @@
 			decodeRetryAfter(String(retryAfter)).ifLeft(error => {
 				this.#logMalformed({server, error});
 			}).ifRight(pauseMs => {
-				this.#recordPause({server, pauseMs});
+				this.#recordPause({server, pauseMs, sentAtMs: request?.sentAtMs});
 			});
 		}
 
@@ -112,15 +114,27 @@
 		}
 	}
 
-	#recordPause({server, pauseMs}: {readonly server: RegisteredServer; readonly pauseMs: number}): void {
-		const {pauses, unsent, counters, log, now} = this.#options;
+	#recordPause({server, pauseMs, sentAtMs}: {readonly server: RegisteredServer; readonly pauseMs: number; readonly sentAtMs: number | undefined}): void {
+		const {pauses, unsent, counters, log, now, wallClockMs} = this.#options;
 		const nowMs = now();
 		for (const start of this.#findRespondingStarts({server, status: SERVICE_UNAVAILABLE})) {
-			const untilMs = pauses.record({server: start, pauseMs, nowMs});
+			const isPaused = pauses.endMs({server: start, nowMs}) !== undefined;
+			const untilMs = pauses.record({
+				server: start, pauseMs, nowMs, respondedAtMs: wallClockMs(),
+			});
 			counters.add('server-notice.pause');
+			if (isPaused) {
+				counters.add('server-notice.pause-met');
+			}
+
 			if (this.#pauseLogLimiter.tryAcquire({key: start.name, nowMs})) {
 				log.line('server-pauses', {
-					subject: start.name, detail: `the server asked for a pause of ${Math.round(pauseMs)} ms`, pauseMs: Math.round(untilMs - nowMs), startedAtMs: start.startedAtMs,
+					subject: start.name,
+					detail: `the server asked for a pause of ${Math.round(pauseMs)} ms`,
+					pauseMs: Math.round(untilMs - nowMs),
+					isRepeated: isPaused,
+					sentBeforeMs: sentAtMs === undefined ? undefined : Math.round(nowMs - sentAtMs),
+					startedAtMs: start.startedAtMs,
 				});
 			}
 
--- a/daemons/gateway/src/run-gateway.ts
+++ b/daemons/gateway/src/run-gateway.ts
@@ -2,7 +2,7 @@
 import {unwatchFile, watchFile} from 'node:fs';
 import process from 'node:process';
 import {readGatewaySettings} from '@pomelopick/config.settings';
-import {createOutputWriter} from '@pomelopick/core.telemetry';
+import {createOutputWriter, FatalErrors, writeError} from '@pomelopick/core.telemetry';
 import {SETTINGS_VARIABLE} from '@pomelopick/platform.wire';
 import type {CodeCacheUse} from './code-cache.js';
 import type {OnSignal} from './early-signals.js';
@@ -13,6 +13,8 @@
 const STANDARD_OUTPUT = 1;
 /** Interval at which the settings file is checked for changes, in milliseconds. */
 const SETTINGS_CHECK_MS = 2000;
+/** Time for requests in progress after an error that reached nobody, in milliseconds. */
+const FATAL_STOP_MS = 1000;
 
 /** Options of {@link runGateway}. */
 export interface RunGatewayOptions {
@@ -23,6 +25,7 @@
 
 /** Runs a gateway. The path of the settings file is taken from the environment, or else from the command line. */
 export async function runGateway({onSignal, codeCache}: RunGatewayOptions): Promise<void> {
+	const fatalErrors = new FatalErrors();
 	const path = process.env[SETTINGS_VARIABLE] ?? process.argv[2];
 	if (path === undefined) {
 		exitWithError(`usage: gateway SETTINGS.json, or its path in ${SETTINGS_VARIABLE}`);
@@ -35,28 +38,74 @@
 			exitWithError(`${code}: ${message}`);
 		},
 		async Right(checked) {
-			const gateway = await startGateway({settings: checked, output: createOutputWriter({descriptor: STANDARD_OUTPUT}), codeCache});
-			listenToSignals({gateway, settingsPath: path, onSignal});
+			const stopping = new AbortController();
+			const reloads = new ReloadRequests();
+			onSignal(signal => {
+				if (signal === 'SIGHUP') {
+					reloads.request();
+				} else {
+					stopping.abort();
+				}
+			});
+			const output = createOutputWriter({descriptor: STANDARD_OUTPUT});
+			const {instance, failureDomain, region} = checked;
+			fatalErrors.use({output, common: {instance, failureDomain, region}});
+			const started = await startGateway({
+				settings: checked, output, codeCache, stopSignal: stopping.signal,
+			});
+			started.ifLeft(({code, message}) => {
+				if (code === 'bind-refused') {
+					exitWithError(`${code}: ${message}`);
+				}
+			}).ifRight(gateway => {
+				fatalErrors.use({
+					describe: () => ({phase: 'running', inProgress: gateway.countRequests()}),
+					stop: async () => gateway.stop({timeoutMs: FATAL_STOP_MS}),
+				});
+				useSettingsFile({gateway, settingsPath: path, reloads});
+				stopAtSignal({gateway, settingsPath: path, stopSignal: stopping.signal});
+			});
 		},
 	});
 }
 
 function exitWithError(text: string): void {
-	process.stderr.write(`${text}\n`);
+	writeError(`${text}\n`);
 	process.exitCode = BAD_SETTINGS_EXIT_CODE;
 }
 
-interface ListenOptions {
+/** Requests to reload the settings; those that come during the start are kept. */
+class ReloadRequests {
+	#isRequested = false;
+	#reload: (() => void) | undefined;
+
+	/** Reloads the settings now, or once {@link use} is called. */
+	request(): void {
+		this.#isRequested = true;
+		this.#reload?.();
+	}
+
+	/** Sets what reloads the settings. */
+	use(reload: () => void): void {
+		this.#reload = reload;
+		if (this.#isRequested) {
+			reload();
+		}
+	}
+}
+
+interface UseSettingsFileOptions {
 	readonly gateway: Gateway;
 	readonly settingsPath: string;
-	readonly onSignal: OnSignal;
+	readonly reloads: ReloadRequests;
 }
 
-function listenToSignals({gateway, settingsPath, onSignal}: ListenOptions): void {
+/** Reloads the settings when that is requested and when their file changes. */
+function useSettingsFile({gateway, settingsPath, reloads}: UseSettingsFileOptions): void {
 	const reload = async (): Promise<void> => {
 		const settings = await readGatewaySettings(settingsPath).run();
 		settings.ifLeft(({code, message}) => {
-			process.stderr.write(`settings not reloaded, the previous ones stay active: ${code}: ${message}\n`);
+			writeError(`settings not reloaded, the previous ones stay active: ${code}: ${message}\n`);
 		}).ifRight(changed => {
 			gateway.useSettings(changed);
 		});
@@ -65,24 +114,21 @@
 	watchFile(settingsPath, {interval: SETTINGS_CHECK_MS, persistent: false}, () => {
 		void reload();
 	});
-	const stop = createStop({gateway, settingsPath});
-	onSignal(signal => {
-		if (signal === 'SIGHUP') {
-			void reload();
-		} else {
-			stop();
-		}
+	reloads.use(() => {
+		void reload();
 	});
 }
 
-/** Creates a function that stops the gateway at its first call and does nothing at further ones. */
-function createStop({gateway, settingsPath}: Omit<ListenOptions, 'onSignal'>): () => void {
-	let isStopping = false;
-	return () => {
-		if (!isStopping) {
-			isStopping = true;
-			unwatchFile(settingsPath);
-			void gateway.stop();
-		}
+/** Stops the gateway once, at a signal that has come or will come. */
+function stopAtSignal({gateway, settingsPath, stopSignal}: {readonly gateway: Gateway; readonly settingsPath: string; readonly stopSignal: AbortSignal}): void {
+	const stop = (): void => {
+		unwatchFile(settingsPath);
+		void gateway.stop();
 	};
+
+	if (stopSignal.aborted) {
+		stop();
+	} else {
+		stopSignal.addEventListener('abort', stop, {once: true});
+	}
 }
--- a/daemons/gateway/test/time-left.test.ts
+++ b/daemons/gateway/test/time-left.test.ts
@@ -5,7 +5,7 @@
 } from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	callGateway, endpointOf, isReady, startGatewayFleet, startGatewayProcess, startRawServer, startUnreachableServer, until,
+	callGateway, endpointOf, isReady, rawResponse, startGatewayFleet, startGatewayProcess, startRawServer, startUnreachableServer, until,
 } from '@pomelopick/testing.gateway-fleet';
 import type {
 	GatewayFleet, GatewayProcess, RawServer, UnreachableServer,
@@ -25,12 +25,20 @@
 describe('a server to which connecting takes a second', () => {
 	let fleet: GatewayFleet;
 	let dropping: RawServer;
+	let answering: RawServer;
 	let late: UnreachableServer;
 	let gateway: GatewayProcess;
+	const arrivals: Array<{readonly requestId: string; readonly timeLeftMs: number; readonly atMs: number}> = [];
 
 	before(async () => {
 		fleet = await startGatewayFleet({servers: []});
-		late = await startUnreachableServer({name: 'late'});
+		answering = await startRawServer({
+			name: 'late', onRequest({requestId, timeLeftMs, socket}) {
+				arrivals.push({requestId, timeLeftMs, atMs: Date.now()});
+				socket.write(rawResponse({status: '200 OK', headers: [`x-request-id: ${requestId}`, `x-server-stamp: ${requestId}`]}));
+			},
+		});
+		late = await startUnreachableServer({name: 'late', target: {address: '127.0.0.1', port: answering.port}});
 		dropping = await startRawServer({
 			name: 'dropping', onRequest({socket}) {
 				fleet.register({server: late, failureDomain: 'north-a'});
@@ -41,7 +49,7 @@
 	});
 	after(async () => {
 		await gateway.stop();
-		await Promise.all([dropping.stop(), late.stop(), fleet.stop()]);
+		await Promise.all([dropping.stop(), answering.stop(), late.stop(), fleet.stop()]);
 	});
 
 	it('is given the time that is left when the request that is sent once more is written', async () => {
@@ -58,7 +66,7 @@
 			sentAtMs.set(requestId, Date.now());
 			await callGateway({endpoint: endpointOf(settings.listen.callers), requestId, timeLeftMs: TIME_LEFT_MS});
 		}));
-		const beyondMs = late.arrivals.map(({requestId, timeLeftMs, atMs}) => atMs + timeLeftMs - sentAtMs.get(requestId)! - TIME_LEFT_MS);
+		const beyondMs = arrivals.map(({requestId, timeLeftMs, atMs}) => atMs + timeLeftMs - sentAtMs.get(requestId)! - TIME_LEFT_MS);
 		assert.ok(beyondMs.length > 0, 'no request reached the server');
 		assert.ok(Math.max(...beyondMs) <= TOLERANCE_MS, `deadlines ended ${beyondMs.join(', ')} ms after those of the callers`);
 	});
