--- a/calls/relay/src/server-notices.ts
+++ b/calls/relay/src/server-notices.ts
@@ -28,6 +28,8 @@
 	readonly log: DecisionLog;
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
+	/** Wall-clock time, in milliseconds. */
+	readonly wallClockMs: () => number;
 }
 
 /** Options of {@link ServerNotices.read}. */
@@ -113,11 +115,13 @@
 	}
 
 	#recordPause({server, pauseMs, sentAtMs}: {readonly server: RegisteredServer; readonly pauseMs: number; readonly sentAtMs: number | undefined}): void {
-		const {pauses, unsent, counters, log, now} = this.#options;
+		const {pauses, unsent, counters, log, now, wallClockMs} = this.#options;
 		const nowMs = now();
 		for (const start of this.#findRespondingStarts({server, status: SERVICE_UNAVAILABLE})) {
 			const isPaused = pauses.endMs({server: start, nowMs}) !== undefined;
-			const untilMs = pauses.record({server: start, pauseMs, nowMs});
+			const untilMs = pauses.record({
+				server: start, pauseMs, nowMs, respondedAtMs: wallClockMs(),
+			});
 			counters.add('server-notice.pause');
 			if (isPaused) {
 				counters.add('server-notice.pause-met');
--- a/daemons/gateway/test/fixture.ts
+++ b/daemons/gateway/test/fixture.ts
@@ -53,6 +53,8 @@
 export interface GatewayWithRawServers {
 	readonly settings: GatewaySettingsInput;
 	readonly gateway: GatewayProcess;
+	/** Registers a server with a wall-clock time of its start, in milliseconds. */
+	registerStart(options: {readonly server: string; readonly startedAtMs: number}): void;
 	stop(): Promise<void>;
 }
 
@@ -78,6 +80,9 @@
 	await until(async () => isReady(settings));
 	return {
 		settings,
+		registerStart({server: name, startedAtMs}) {
+			fleet.register({server: started.find(server => server.name === name)!, failureDomain: 'north-a', startedAtMs});
+		},
 		gateway,
 		async stop() {
 			await gateway.stop();
