--- a/testing/gateway-soak/test/rate-limit-check.test.ts
+++ b/testing/gateway-soak/test/rate-limit-check.test.ts
@@ -21,7 +21,7 @@
 		requestId: String(number), server: 'server', atMs, ...(limit !== undefined && {rateLimit: limit}),
 	}));
 	const calls = sent.map(({atMs, limit, instance = 'gateway', isRelayed = true}, number): TracedCall => ({
-		method: 'GET', path: '/', body: '', instance, sentAtMs: atMs - 5, answeredAtMs: atMs + 5, answer: {
+		method: 'GET', path: '/', body: '', instance, sentAtMs: atMs - 5, answeredAtMs: atMs + 5, timeLeftMs: 2000, answer: {
 			requestId: String(number), status: 200, text: '', headers: {'x-server-stamp': `server.${number}`, ...(isRelayed && limit !== undefined && {'server-limit': limit})},
 		},
 	}));
@@ -58,6 +58,16 @@
 			subject: 'gateway', fault: 'reload', fromMs: 2000, toMs: 2000,
 		}], isViolated: true,
 	},
+	{
+		name: 'many requests before the first limit that can be read',
+		sent: [...every(60, {fromMs: 0, everyMs: 100, limit: 'few'}), ...every(4, {fromMs: 6100, everyMs: 100, limit: '2'})],
+		isViolated: false,
+	},
+	{
+		name: 'many requests after a limit, of which some cannot be read',
+		sent: [told, ...every(15, {fromMs: 3500, everyMs: 100, limit: '2'}), ...every(15, {fromMs: 5000, everyMs: 100, limit: 'few'})],
+		isViolated: true,
+	},
 	{name: 'many requests with a limit that cannot be read', sent: every(60, {fromMs: 0, everyMs: 100, limit: 'few'}), isViolated: false},
 	{
 		name: 'requests within a limit that fell less than three seconds before',
