--- a/testing/gateway-soak/src/retry-faults.ts
+++ b/testing/gateway-soak/src/retry-faults.ts
@@ -1,4 +1,4 @@
-/** Faults meant to make the fleet exceed its retry budget: failures of many gateways at once, delayed requests and gateways that join late. */
+/** Faults meant to make the fleet exceed its retry budget: failures of many gateways at once, delayed and lost requests and responses, and gateways that join late. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Draw} from './draw.js';
 import type {SoakEnvironment} from './environment.js';
@@ -13,6 +13,8 @@
 const KILL_PAUSE_MS = 2000;
 const KILL_JITTER_MS = 500;
 const JOIN_NUMBER = 100;
+/** Percentage of new connections to servers that are closed as soon as they are accepted, while paths are lossy. */
+const LOSS_PERCENT = 50;
 
 /** Names of the faults. */
 export const retryFaultNames = [
@@ -27,13 +29,15 @@
 	'paths-frozen',
 	'paths-delayed',
 	'servers-accept-late',
+	'paths-one-way',
+	'paths-lossy',
 	'join',
 ] as const;
 
 /** Name of a fault. */
 export type RetryFaultName = typeof retryFaultNames[number];
 
-/** First words of the names of the faults by signals, which are recorded as disturbances of all gateways. */
+/** First words of the names of the faults by signals, which are recorded as disturbances of the gateways that they struck. */
 const signalFaults = ['kill', 'terminate', 'pause'] as const;
 
 /** Options of {@link injectRetryFault}. */
@@ -136,6 +140,19 @@
 			const numbers = [...environment.fleet.servers.keys()].filter(number => number % 2 === offset);
 			await Promise.all(numbers.map(async number => environment.acceptLate({number, durationMs: FULL_QUEUE_MS})));
 		},
+		async 'paths-one-way'() {
+			// Only the connections that are open now go silent.
+			environment.setServerPaths({silentToClient: true});
+			environment.setServerPaths({silentToClient: false});
+		},
+		'paths-lossy': async () => runForDuration({
+			begin() {
+				environment.setServerPaths({lossPercent: LOSS_PERCENT});
+			},
+			end() {
+				environment.setServerPaths({lossPercent: 0});
+			},
+		}),
 		async join() {
 			await environment.addGateway({number: JOIN_NUMBER + environment.members.length, seed});
 		},
@@ -143,6 +160,7 @@
 	const fromMs = performance.now();
 	await injectors[name]();
 	const paths = name.startsWith('paths-') ? environment.fleet.servers.map(server => ({subject: server.name, fault: 'path-delayed'})) : [];
-	const gateways = signalFaults.flatMap(fault => name.startsWith(fault) ? environment.members.map(({settings}) => ({subject: settings.instance, fault})) : []);
+	const struck = name.endsWith('-half') ? half : environment.members;
+	const gateways = signalFaults.flatMap(fault => name.startsWith(fault) ? struck.map(({settings}) => ({subject: settings.instance, fault})) : []);
 	environment.disturbances.push(...[...paths, ...gateways].map(disturbance => ({...disturbance, fromMs, toMs: performance.now()})));
 }
