Let a server of the soak that starts anew end its pause and its limit too

The kept log: the gateway heard the pause of the start 1000 at 17.884 s, was told of the start 1001 at 18.321 s, and sent it three requests from 18.419 to 18.428 s, none after its first 503. The stand-in had kept the pause over its restart. Change: a restart ends all that the start before it announced, its limit included. Conclusion: a pause is of one start of a server; what gateways do within one is judged as before.

--- a/testing/gateway-fleet/src/registered-server.ts
+++ b/testing/gateway-fleet/src/registered-server.ts
@@ -81,6 +81,8 @@
 	nameRateLimit(text: string | undefined): void;
 	/** Rejects all requests for a time, in milliseconds, and states the remaining time in the responses. */
 	requestPause(pauseMs: number): void;
+	/** Ends all that it announces, as a new start of a server does. */
+	startAnew(): void;
 	/** Closes all connections and stops listening. */
 	stop(): Promise<void>;
 }
@@ -125,6 +127,9 @@
 		requestPause(pauseMs) {
 			announced.pausedUntilMs = performance.now() + pauseMs;
 		},
+		startAnew() {
+			Object.assign(announced, {isLeaving: false, pausedUntilMs: 0, rateLimit: undefined});
+		},
 		async stop() {
 			await new Promise<void>(resolve => {
 				server.close(() => {
--- a/testing/gateway-soak/src/environment.ts
+++ b/testing/gateway-soak/src/environment.ts
@@ -295,9 +295,9 @@
 		this.#restartServer({number});
 	}
 
-	/** Registers a new start of a server, which does not leave even if the one before did. */
+	/** Registers a new start of a server, which announces nothing of what the one before did. */
 	#restartServer({number, port}: {readonly number: number; readonly port?: number}): void {
-		this.fleet.servers[number]!.setLeaving(false);
+		this.fleet.servers[number]!.startAnew();
 		this.#restartCounts.set(number, (this.#restartCounts.get(number) ?? 0) + 1);
 		this.#register({number, state: 'ready', port});
 	}
