--- a/daemons/gateway/test/bundle.test.ts
+++ b/daemons/gateway/test/bundle.test.ts
@@ -2,7 +2,7 @@
 import {execFile, spawn} from 'node:child_process';
 import {once} from 'node:events';
 import {
-	cp, mkdtemp, readFile, rm, truncate, writeFile,
+	cp, mkdir, mkdtemp, readFile, rm, truncate, writeFile,
 } from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -16,9 +16,20 @@
 import type {GatewayFleet} from '@pomelopick/testing.gateway-fleet';
 import {REPOSITORY_ROOT} from '@pomelopick/testing.repository';
 
+const KILOBYTE = 1024;
 const COMPILED = 'program.cjs.compiled';
 const DEPLOY_FLAGS_PATTERN = /^run = "node (?<flags>.*) target\/gateway\.cjs"$/mu;
 
+/** Flips one bit in every kilobyte behind the engine's own header. */
+async function damageEverywhere(compiledPath: string): Promise<void> {
+	const content = await readFile(compiledPath);
+	for (let position = KILOBYTE; position < content.length; position += KILOBYTE) {
+		content[position]! ^= 1; // eslint-disable-line no-bitwise
+	}
+
+	await writeFile(compiledPath, content);
+}
+
 describe('the bundle as a process', () => {
 	let directory: string;
 	let flags: readonly string[];
@@ -68,6 +79,15 @@
 		{
 			name: 'with a truncated code cache', damage: async compiledPath => truncate(compiledPath, 5000), extraFlags: [], expected: 'refused',
 		},
+		{
+			name: 'with a code cache that is damaged anywhere', damage: damageEverywhere, extraFlags: [], expected: 'refused',
+		},
+		{
+			name: 'with a code cache that cannot be read', async damage(compiledPath) {
+				await rm(compiledPath);
+				await mkdir(compiledPath);
+			}, extraFlags: [], expected: 'refused',
+		},
 		{
 			name: 'with other engine flags', async damage() {/* Nothing is damaged. */}, extraFlags: ['--max-lazy'], expected: 'refused',
 		},
