Read settings again that are just being written, and log settings that are refused

Cause: a settings file that is written in place is empty or cut off for a moment. Read then, it ended the start with exit code 2, or refused a reload; a refused reload was told on standard error alone.

Ruled out: malformed, deeply nested and unknown fields: they end nothing and change nothing.

--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -10,7 +10,7 @@
 } from '@pomelopick/calls.live';
 import type {InstanceRecord} from '@pomelopick/calls.live';
 import {PERMITS_PATH} from '@pomelopick/calls.rate-limits';
-import type {GatewaySettings} from '@pomelopick/config.settings';
+import type {GatewaySettings, SettingsError} from '@pomelopick/config.settings';
 import type {BindError} from '@pomelopick/core.listeners';
 import {DecisionLog, ServedCounters} from '@pomelopick/core.telemetry';
 import type {OutputWriter} from '@pomelopick/core.telemetry';
@@ -56,6 +56,8 @@
 	readonly countRequests: () => number;
 	/** Applies changed settings, except those of listeners and the store, which only apply at the start. */
 	useSettings(settings: GatewaySettings): void;
+	/** Logs that changed settings are invalid; the previous ones stay active. */
+	keepSettings(error: SettingsError): void;
 	/** Stops gracefully: first waits for requests in progress, for the time of the settings or for the given one. Further calls return the same promise. */
 	stop(options?: {readonly timeoutMs?: number}): Promise<void>;
 }
@@ -227,6 +229,9 @@
 			settings = changed;
 			log.line('settings-reloaded', {});
 		},
+		keepSettings({code, message}) {
+			log.line('settings-refused', {reason: code, detail: message});
+		},
 		async stop({timeoutMs = settings.shutdownMs} = {}) {
 			stopped ??= stop(timeoutMs);
 			return stopped;
--- a/daemons/gateway/src/run-gateway.ts
+++ b/daemons/gateway/src/run-gateway.ts
@@ -1,13 +1,13 @@
 /** Reads the settings, runs the gateway and handles signals. */
 import {unwatchFile, watchFile} from 'node:fs';
 import process from 'node:process';
-import {readGatewaySettings} from '@pomelopick/config.settings';
 import {createOutputWriter, FatalErrors, writeError} from '@pomelopick/core.telemetry';
 import {SETTINGS_VARIABLE} from '@pomelopick/platform.wire';
 import type {CodeCacheUse} from './code-cache.js';
 import type {OnSignal} from './early-signals.js';
 import {startGateway} from './gateway.js';
 import type {Gateway} from './gateway.js';
+import {readSettingsFile} from './settings-file.js';
 
 const BAD_SETTINGS_EXIT_CODE = 2;
 const STANDARD_OUTPUT = 1;
@@ -32,7 +32,7 @@
 		return;
 	}
 
-	const settings = await readGatewaySettings(path).run();
+	const settings = await readSettingsFile(path);
 	await settings.caseOf({
 		async Left({code, message}) {
 			exitWithError(`${code}: ${message}`);
@@ -103,8 +103,9 @@
 /** Reloads the settings when that is requested and when their file changes. */
 function useSettingsFile({gateway, settingsPath, reloads}: UseSettingsFileOptions): void {
 	const reload = async (): Promise<void> => {
-		const settings = await readGatewaySettings(settingsPath).run();
+		const settings = await readSettingsFile(settingsPath);
 		settings.ifLeft(({code, message}) => {
+			gateway.keepSettings({code, message});
 			writeError(`settings not reloaded, the previous ones stay active: ${code}: ${message}\n`);
 		}).ifRight(changed => {
 			gateway.useSettings(changed);
--- a/testing/gateway-fleet/src/gateway-process.ts
+++ b/testing/gateway-fleet/src/gateway-process.ts
@@ -17,11 +17,16 @@
 	readonly isOutputRead?: boolean;
 	/** Flags of the engine. */
 	readonly engineFlags?: readonly string[];
+	/** Content of the settings file, in place of the settings. */
+	readonly settingsText?: string;
+	/** Maximum number of open files of the process. */
+	readonly maxOpenFiles?: number;
 }
 
 /** A running gateway process. */
 export interface GatewayProcess {
 	readonly processId: number;
+	readonly settingsPath: string;
 	/** Parsed JSON lines that the process has written to its standard output. */
 	readonly lines: ReadonlyArray<Readonly<Record<string, unknown>>>;
 	readonly errors: readonly string[];
@@ -38,11 +43,14 @@
 }
 
 /** Starts a gateway with a temporary settings file. */
-export async function startGatewayProcess({settings, isOutputRead = true, engineFlags = []}: StartGatewayProcessOptions): Promise<GatewayProcess> {
+export async function startGatewayProcess(options: StartGatewayProcessOptions): Promise<GatewayProcess> {
+	const {settings, isOutputRead = true, engineFlags = [], settingsText = JSON.stringify(settings), maxOpenFiles} = options;
 	const directory = await mkdtemp(path.join(tmpdir(), 'pomelopick-gateway-'));
 	const file = path.join(directory, 'settings.json');
-	await writeFile(file, JSON.stringify(settings));
-	const child = spawn(process.execPath, [...engineFlags, MAIN], {stdio: ['ignore', 'pipe', 'pipe'], env: {PATH: process.env.PATH, POMELOPICK_SETTINGS: file}});
+	await writeFile(file, settingsText);
+	const command = [process.execPath, ...engineFlags, MAIN];
+	const limited = maxOpenFiles === undefined ? command : ['/bin/sh', '-c', `ulimit -n ${maxOpenFiles}; exec "$@"`, 'sh', ...command];
+	const child = spawn(limited[0]!, limited.slice(1), {stdio: ['ignore', 'pipe', 'pipe'], env: {PATH: process.env.PATH, POMELOPICK_SETTINGS: file}});
 	const lines: Array<Record<string, unknown>> = [];
 	const errors: string[] = [];
 	let incompleteLine = '';
@@ -69,6 +77,7 @@
 	const hasExited = (): boolean => child.exitCode !== null || child.signalCode !== null;
 	return {
 		processId: child.pid!,
+		settingsPath: file,
 		lines,
 		errors,
 		exited,
