Let an error in handling one request at the directory or for other instances end that request alone

Cause: GET // ended a gateway: new URL throws on such a target, and the HTTP server catches neither what a handler throws nor a rejected promise. Any client of the directory could do that.

Ruled out: readiness and metrics: they held.

Change: the four listeners beside the callers' answer such a request with 500, count it and log it with its stack.

Conclusion: the readers of targets should return a value; that is open.

--- a/daemons/gateway/src/create-binder.ts
+++ b/daemons/gateway/src/create-binder.ts
@@ -1,9 +1,14 @@
-/** Creates the binder of a gateway's listeners, which logs and counts what happens to them. */
+/** Logs and counts what happens to a gateway's listeners. */
 import {ListenerBinder} from '@pomelopick/core.listeners';
 import {LogRateLimiter} from '@pomelopick/core.telemetry';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
+import type {HttpListenerOptions} from './http-listener.js';
 
-/** Options of {@link createBinder}. */
+/** Maximum lengths of a request's target and of an error's stack in the log. */
+const MAX_TARGET_LENGTH = 200;
+const MAX_STACK_LENGTH = 1000;
+
+/** Options of {@link createBinder} and {@link createFailureLog}. */
 export interface CreateBinderOptions {
 	readonly counters: Pick<CallCounters, 'add'>;
 	readonly log: DecisionLog;
@@ -11,7 +16,7 @@
 	readonly now: () => number;
 }
 
-/** Creates the binder. */
+/** Creates the binder of the listeners. */
 export function createBinder({counters, log, now}: CreateBinderOptions): ListenerBinder {
 	const errorLines = new LogRateLimiter();
 	return new ListenerBinder({
@@ -37,3 +42,16 @@
 		},
 	});
 }
+
+/** Creates, for a listener by name, what is called with each error that handling a request threw. */
+export function createFailureLog({counters, log, now}: CreateBinderOptions): (listener: string) => HttpListenerOptions['onFailure'] {
+	const lines = new LogRateLimiter();
+	return listener => ({target, error: {name, message, stack}}) => {
+		counters.add('listener.request-failed');
+		if (lines.tryAcquire({key: listener, nowMs: now()})) {
+			log.line('listener-request-failed', {
+				listener, subject: target.slice(0, MAX_TARGET_LENGTH), reason: name, detail: message, stack: stack?.slice(0, MAX_STACK_LENGTH),
+			});
+		}
+	};
+}
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -18,11 +18,12 @@
 import {encodeRetryAfter, platformHeaders} from '@pomelopick/platform.wire';
 import {createDirectory, createReadiness} from './directory.js';
 import type {CodeCacheUse} from './code-cache.js';
-import {createBinder} from './create-binder.js';
+import {createBinder, createFailureLog} from './create-binder.js';
 import {createRateLimits} from './create-rate-limits.js';
 import {createRelay} from './create-relay.js';
 import {createView} from './create-view.js';
 import {HttpListener} from './http-listener.js';
+import type {HandleRequest} from './http-listener.js';
 
 const MAX_SEED = 2_147_483_647;
 const MILLISECONDS_PER_SECOND = 1000;
@@ -130,11 +131,13 @@
 		refusalFormat: {idHeader: platformHeaders.requestId, encodeRetryAfter},
 		route: async options => relay.handler.handle(options),
 	});
-	const readiness = new HttpListener({handle: createReadiness({isReady})});
+	const failures = createFailureLog({counters, log, now});
+	const readiness = new HttpListener({handle: createReadiness({isReady}), onFailure: failures('readiness')});
 	const directory = new HttpListener({
 		handle: createDirectory({
 			view, self, isReady, maxTimeToLiveMs: settings.directoryMaxAgeMs, counters,
 		}),
+		onFailure: failures('directory'),
 	});
 	const handleChanges = createChangeListener({relay: viewParts.changeRelay});
 	const handleSuspicions = createBroadcastListener({
@@ -146,10 +149,11 @@
 		[broadcastPath('suspicions'), handleSuspicions], [broadcastPath('rate-limits'), rateLimitParts.handleRecords], [PERMITS_PATH, rateLimitParts.handlePermits],
 	]);
 	const peerListener = new HttpListener({
-		handle(request, response) {
-			const handle = peerListeners.get(request.url ?? '') ?? handleChanges;
-			handle(request, response);
+		async handle(request, response) {
+			const handle: HandleRequest = peerListeners.get(request.url ?? '') ?? handleChanges;
+			await handle(request, response);
 		},
+		onFailure: failures('peers'),
 	});
 	const metrics = new HttpListener({
 		async handle(_request, response) {
@@ -157,6 +161,7 @@
 			response.setHeader('content-type', counters.contentType);
 			response.end(text);
 		},
+		onFailure: failures('metrics'),
 	});
 	counters.gauge({name: 'requests_in_progress', help: 'Requests in progress.', read: () => relay.handler.inProgress});
 	counters.gauge({name: 'view_age_seconds', help: 'Time since the store last answered.', read: () => feed.ageMs / MILLISECONDS_PER_SECOND});
@@ -187,9 +192,9 @@
 		binder.bindOptional({server: metrics.server, listener: 'metrics', endpoint: settings.listen.metrics}),
 		binder.bind({server: peerListener.server, listener: 'peers', endpoint: peers}),
 	]);
-	const failures = Either.lefts(bindings);
-	if (failures.length > 0) {
-		const failure = failures.find(({code}) => code === 'bind-refused') ?? failures[0]!;
+	const unbound = Either.lefts(bindings);
+	if (unbound.length > 0) {
+		const failure = unbound.find(({code}) => code === 'bind-refused') ?? unbound[0]!;
 		await listener.stop({timeoutMs: 0, inProgress: () => relay.handler.inProgress});
 		await close();
 		log.line('stopped', {reason: failure.code, detail: failure.message});
--- a/daemons/gateway/src/http-listener.ts
+++ b/daemons/gateway/src/http-listener.ts
@@ -1,13 +1,27 @@
 /** HTTP listeners for other purposes than callers' requests, such as readiness and metrics. */
 import {createServer} from 'node:http';
-import type {RequestListener, Server} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 
-/** An HTTP listener with one request listener for all paths. */
+/** Handles one request. */
+export type HandleRequest = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
+
+/** Options of {@link HttpListener}. */
+export interface HttpListenerOptions {
+	readonly handle: HandleRequest;
+	/** Called with each error that handling a request threw; its caller gets status 500. */
+	readonly onFailure: (failure: {readonly target: string; readonly error: Error}) => void;
+}
+
+/** An HTTP listener with one handler for all paths. */
 export class HttpListener {
 	readonly server: Server;
+	readonly #options: HttpListenerOptions;
 
-	constructor({handle}: {readonly handle: RequestListener}) {
-		this.server = createServer(handle);
+	constructor(options: HttpListenerOptions) {
+		this.#options = options;
+		this.server = createServer((request, response) => {
+			void this.#handle({request, response});
+		});
 	}
 
 	/** Closes the listener and its connections; does nothing when it is not listening. */
@@ -19,4 +33,18 @@
 			this.server.closeAllConnections();
 		});
 	}
+
+	/** An error concerns one request: those of others, and the process, go on. */
+	async #handle({request, response}: {readonly request: IncomingMessage; readonly response: ServerResponse}): Promise<void> {
+		try {
+			await this.#options.handle(request, response);
+		} catch (error) {
+			this.#options.onFailure({target: request.url ?? '', error: error as Error});
+			if (response.headersSent) {
+				response.destroy();
+			} else {
+				response.writeHead(500, {connection: 'close'}).end();
+			}
+		}
+	}
 }
