--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -10,7 +10,7 @@
 } from '@pomelopick/calls.live';
 import type {InstanceRecord} from '@pomelopick/calls.live';
 import {PERMITS_PATH} from '@pomelopick/calls.rate-limits';
-import type {GatewaySettings} from '@pomelopick/config.settings';
+import type {GatewaySettings, SettingsError} from '@pomelopick/config.settings';
 import type {BindError} from '@pomelopick/core.listeners';
 import {DecisionLog, EventLoopMonitor, ServedCounters} from '@pomelopick/core.telemetry';
 import type {OutputWriter} from '@pomelopick/core.telemetry';
@@ -18,11 +18,12 @@
 import {encodeRetryAfter, platformHeaders} from '@pomelopick/platform.wire';
 import {createDirectory, createReadiness} from './directory.js';
 import type {CodeCacheUse} from './code-cache.js';
-import {createBinder} from './create-binder.js';
+import {createBinder, createFailureLog} from './create-binder.js';
 import {createRateLimits} from './create-rate-limits.js';
 import {createRelay} from './create-relay.js';
 import {createView} from './create-view.js';
 import {HttpListener} from './http-listener.js';
+import type {HandleRequest} from './http-listener.js';
 
 const MAX_SEED = 2_147_483_647;
 const MILLISECONDS_PER_SECOND = 1000;
@@ -56,6 +57,8 @@
 	readonly countRequests: () => number;
 	/** Applies changed settings, except those of listeners and the store, which only apply at the start. */
 	useSettings(settings: GatewaySettings): void;
+	/** Logs that changed settings are invalid; the previous ones stay active. */
+	keepSettings(error: SettingsError): void;
 	/** Stops gracefully: first waits for requests in progress, for the time of the settings or for the given one. Further calls return the same promise. */
 	stop(options?: {readonly timeoutMs?: number}): Promise<void>;
 }
@@ -128,11 +131,13 @@
 		refusalFormat: {idHeader: platformHeaders.requestId, encodeRetryAfter},
 		route: async options => relay.handler.handle(options),
 	});
-	const readiness = new HttpListener({handle: createReadiness({isReady})});
+	const failures = createFailureLog({counters, log, now});
+	const readiness = new HttpListener({handle: createReadiness({isReady}), onFailure: failures('readiness')});
 	const directory = new HttpListener({
 		handle: createDirectory({
 			view, self, isReady, maxTimeToLiveMs: settings.directoryMaxAgeMs, counters,
 		}),
+		onFailure: failures('directory'),
 	});
 	const handleChanges = createChangeListener({relay: viewParts.changeRelay});
 	const handleSuspicions = createBroadcastListener({
@@ -144,10 +149,11 @@
 		[broadcastPath('suspicions'), handleSuspicions], [broadcastPath('rate-limits'), rateLimitParts.handleRecords], [PERMITS_PATH, rateLimitParts.handlePermits],
 	]);
 	const peerListener = new HttpListener({
-		handle(request, response) {
-			const handle = peerListeners.get(request.url ?? '') ?? handleChanges;
-			handle(request, response);
+		async handle(request, response) {
+			const handle: HandleRequest = peerListeners.get(request.url ?? '') ?? handleChanges;
+			await handle(request, response);
 		},
+		onFailure: failures('peers'),
 	});
 	const metrics = new HttpListener({
 		async handle(_request, response) {
@@ -155,6 +161,7 @@
 			response.setHeader('content-type', counters.contentType);
 			response.end(text);
 		},
+		onFailure: failures('metrics'),
 	});
 	counters.gauge({name: 'uptime_seconds', help: 'Time since the process started.', read: () => now() / MILLISECONDS_PER_SECOND});
 	counters.gauge({name: 'requests_in_progress', help: 'Requests in progress.', read: () => relay.handler.inProgress});
@@ -189,9 +196,9 @@
 		binder.bindOptional({server: metrics.server, listener: 'metrics', endpoint: settings.listen.metrics}),
 		binder.bind({server: peerListener.server, listener: 'peers', endpoint: peers}),
 	]);
-	const failures = Either.lefts(bindings);
-	if (failures.length > 0) {
-		const failure = failures.find(({code}) => code === 'bind-refused') ?? failures[0]!;
+	const unbound = Either.lefts(bindings);
+	if (unbound.length > 0) {
+		const failure = unbound.find(({code}) => code === 'bind-refused') ?? unbound[0]!;
 		await listener.stop({timeoutMs: 0, inProgress: () => relay.handler.inProgress});
 		await close();
 		log.line('stopped', {reason: failure.code, detail: failure.message});
@@ -231,6 +238,9 @@
 			settings = changed;
 			log.line('settings-reloaded', {});
 		},
+		keepSettings({code, message}) {
+			log.line('settings-refused', {reason: code, detail: message});
+		},
 		async stop({timeoutMs = settings.shutdownMs} = {}) {
 			stopped ??= stop(timeoutMs);
 			return stopped;
--- a/testing/gateway-soak/test/gateway-watch.test.ts
+++ b/testing/gateway-soak/test/gateway-watch.test.ts
@@ -17,7 +17,7 @@
 	const settings = await fleet.settings();
 	await fleet.stop();
 	const process: GatewayProcess = {
-		processId: 0, lines: [{event: 'last'}], errors: ['said before its end'], exited: Promise.resolve(code), hasExited: () => hasExited, wasToldToEnd: () => wasToldToEnd, isFrozen: () => isFrozen, starvedMs: () => 0,
+		processId: 0, settingsPath: '', lines: [{event: 'last'}], errors: ['said before its end'], exited: Promise.resolve(code), hasExited: () => hasExited, wasToldToEnd: () => wasToldToEnd, isFrozen: () => isFrozen, starvedMs: () => 0,
 		signal() {/* Nothing runs. */}, async writeSettings() {/* Nothing runs. */}, readOutput() {/* Nothing runs. */}, async stop() {/* Nothing runs. */},
 	};
 	return {settings: {...settings, listen: {...settings.listen, ...(readiness !== undefined && {readiness})}}, process};
