Give assertions of libraries in the bundle a message

What callers saw: a gateway that answered nobody for about 5 s, once in its life, after one server had sent a response with a status below 100, or anything else that breaks an assertion of the HTTP library. Its record lapsed meanwhile.

Cause: for an assertion without a message, the runtime quotes the failed expression: it reads and parses the source, and the bundle is one line of about 550 KB.

Ruled out: the library itself: the same response costs an unbundled gateway nothing, which is why no test of processes saw it.

Change: in the bundle, libraries get a stand-in for node:assert that always passes a message. The bundle's test plays such a server.

--- a/daemons/gateway/test/bundle.test.ts
+++ b/daemons/gateway/test/bundle.test.ts
@@ -12,8 +12,11 @@
 	after, before, describe, it,
 } from 'node:test';
 import {promisify} from 'node:util';
-import {isReady, startGatewayFleet, until} from '@pomelopick/testing.gateway-fleet';
+import {
+	callGateway, endpointOf, isReady, startGatewayFleet, startRawServer, until,
+} from '@pomelopick/testing.gateway-fleet';
 import type {GatewayFleet} from '@pomelopick/testing.gateway-fleet';
+import type {GatewaySettingsInput} from '@pomelopick/config.settings';
 import {REPOSITORY_ROOT} from '@pomelopick/testing.repository';
 
 const KILOBYTE = 1024;
@@ -30,6 +33,10 @@
 	await writeFile(compiledPath, content);
 }
 
+function findRequestLine(lines: readonly unknown[]): {readonly totalMs: number; readonly allowedMs: number} | undefined {
+	return (lines as ReadonlyArray<{readonly event: string; readonly totalMs: number; readonly allowedMs: number}>).find(({event}) => event === 'request');
+}
+
 describe('the bundle as a process', () => {
 	let directory: string;
 	let flags: readonly string[];
@@ -46,8 +53,15 @@
 		await rm(directory, {recursive: true});
 	});
 
+	interface StartOptions {
+		readonly bundle: string;
+		readonly engineFlags: readonly string[];
+		/** Called while the bundle is ready, with its settings and its log so far. */
+		readonly whenReady?: (settings: GatewaySettingsInput, lines: readonly unknown[]) => Promise<void>;
+	}
+
 	/** Starts the bundle and stops it; returns the use of the code cache that it logged. */
-	const start = async ({bundle, engineFlags}: {readonly bundle: string; readonly engineFlags: readonly string[]}): Promise<unknown> => {
+	const start = async ({bundle, engineFlags, whenReady}: StartOptions): Promise<unknown> => {
 		const settings = await fleet.settings();
 		const settingsPath = path.join(bundle, 'settings.json');
 		await writeFile(settingsPath, JSON.stringify(settings));
@@ -57,8 +71,13 @@
 		createInterface({input: child.stdout}).on('line', line => {
 			lines.push(JSON.parse(line) as Readonly<Record<string, unknown>>);
 		});
-		await until(async () => isReady(settings));
-		child.kill('SIGTERM');
+		try {
+			await until(async () => isReady(settings));
+			await whenReady?.(settings, lines);
+		} finally {
+			child.kill('SIGTERM');
+		}
+
 		assert.deepEqual(await exited, [0, null]);
 		return lines.find(({event}) => event === 'started')?.codeCache;
 	};
@@ -102,4 +121,28 @@
 	for (const bundleCase of cases) {
 		it(`becomes ready and stops ${bundleCase.name}`, async () => check(bundleCase));
 	}
+
+	// Without a message, the runtime blocks the process for seconds to read the failed expression from the bundle.
+	it('fails a request within its time when a server breaks an assertion of the HTTP library', async t => {
+		const server = await startRawServer({
+			name: 'odd', onRequest({socket, requestId}) {
+				socket.write(`HTTP/1.1 099 Odd\r\nx-request-id: ${requestId}\r\ncontent-length: 0\r\n\r\n`);
+			},
+		});
+		t.after(async () => server.stop());
+		for (const {name} of fleet.servers) {
+			fleet.platform.keyValues.delete({key: `servers/${name}`});
+		}
+
+		fleet.register({server, failureDomain: 'north-a'});
+		await start({
+			bundle: path.join(directory, 'whole'), engineFlags: flags, async whenReady(settings, lines) {
+				const {status} = await callGateway({endpoint: endpointOf(settings.listen.callers)});
+				assert.equal(status, 502);
+				await until(() => findRequestLine(lines) !== undefined);
+				const {totalMs, allowedMs} = findRequestLine(lines)!;
+				assert.ok(totalMs < allowedMs, `${totalMs} ms`);
+			},
+		});
+	});
 });
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -46,6 +46,15 @@
 	},
 };
 
+/** Gives assertions of libraries a message, so that a failed one does not make the runtime parse the bundle. */
+const assertionMessages = {
+	name: 'assertion-messages',
+	setup({onResolve}) {
+		const standIn = path.join(root, 'scripts/library-assert.cjs');
+		onResolve({filter: /^(?:node:)?assert$/}, ({importer}) => importer.includes('/node_modules/') ? {path: standIn} : undefined);
+	},
+};
+
 await rm(directory, {recursive: true, force: true});
 const {metafile} = await build({
 	entryPoints: {
@@ -65,7 +74,7 @@
 	platform: 'node',
 	target: 'node20',
 	logLevel: 'warning',
-	plugins: [await createSourcePlugin(), undiciCore, unusedParts],
+	plugins: [await createSourcePlugin(), undiciCore, unusedParts, assertionMessages],
 });
 const flags = await readGatewayFlags({root});
 await promisify(execFile)(process.execPath, [...flags, path.join(directory, 'write-code-cache.cjs'), path.join(directory, 'program.cjs')]);
