--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -14,8 +14,9 @@
 	ResponseHead, AttemptResponse, AttemptFailure, AttemptFailureKind,
 } from './attempt-response.js';
 import {isUnanswered} from './is-unanswered.js';
-import {CALL_ID_HEADER, endToEndHeaders} from './call-headers.js';
+import {endToEndHeaders} from './call-headers.js';
 import type {HeaderList} from './call-headers.js';
+import {findMismatch, readFraming} from './response-head.js';
 
 /** Options of {@link Exchange}. */
 export interface ExchangeOptions {
@@ -129,15 +130,14 @@
 		const {method, acceptsUnframed = false, onHead} = this.#options;
 		const head = {status, headers: endToEndHeaders(headers)};
 		onHead?.(head);
-		const mismatch = this.#findMismatch(headers);
+		const mismatch = findMismatch({...this.#options, headers, wasUsed: this.#options.lease.connection.wasUsed});
 		if (mismatch !== undefined) {
 			this.abort({kind: 'mismatched', detail: mismatch});
 			return;
 		}
 
 		this.#head = head;
-		const hasBody = method !== 'HEAD' && status !== NO_CONTENT && status !== NOT_MODIFIED;
-		const isUnframed = hasBody && !isFramed(headers);
+		const {hasBody, isUnframed} = readFraming({method, status, headers});
 		this.#options.lease.connection.isUnframed = isUnframed;
 		if (isUnframed && !acceptsUnframed) {
 			this.abort({kind: 'truncated', detail: 'the response has neither a content length nor chunked encoding, so a truncated body would look complete'});
@@ -246,17 +246,6 @@
 		}));
 	}
 
-	/** Why a response may belong to another call; undefined if it belongs to this one. */
-	#findMismatch(headers: IncomingHttpHeaders): string | undefined {
-		const {callId, idHeader = CALL_ID_HEADER, requiresId = false, lease} = this.#options;
-		const returnedCallId = headers[idHeader];
-		if (returnedCallId === undefined) {
-			return requiresId && lease.connection.wasUsed ? `found a response without ${idHeader} on a connection that was used before` : undefined;
-		}
-
-		return returnedCallId === callId ? undefined : `found the response to another call: ${JSON.stringify(returnedCallId)}`;
-	}
-
 	get #execution(): Execution {
 		if (!this.mayHaveRun) {
 			return 'not-run';
@@ -317,14 +306,5 @@
 	}
 }
 
-/** Whether a response says where its body ends. With a transfer coding other than chunks it ends when its connection closes (RFC 9112, section 6.3). */
-function isFramed(headers: IncomingHttpHeaders): boolean {
-	const coding = headers['transfer-encoding'];
-	return coding === undefined ? headers['content-length'] !== undefined : CHUNKED_PATTERN.test(String(coding));
-}
-
-const CHUNKED_PATTERN = /(?:^|,)\s*chunked\s*$/iu;
 const FIRST_SUCCESS = 200;
 const LAST_SUCCESS = 299;
-const NO_CONTENT = 204;
-const NOT_MODIFIED = 304;
