--- a/daemons/gateway/test/requested-pauses.test.ts
+++ b/daemons/gateway/test/requested-pauses.test.ts
@@ -8,7 +8,7 @@
 
 const SERVERS = 3;
 const PAUSE_MS = 2500;
-/** Time after the rejection in which requests may still arrive, in milliseconds, and maximum number of later ones, as in the users' rule. */
+/** Time after the rejection in which requests may still arrive, in milliseconds, and maximum number of later ones. */
 const GRACE_MS = 500;
 const MAX_LATER = 2;
 const SPACING_MS = 5;
--- a/daemons/gateway/test/time-left.test.ts
+++ b/daemons/gateway/test/time-left.test.ts
@@ -19,7 +19,7 @@
 const ACCEPTS_AFTER_MS = 1100;
 /** Time for which callers wait, in milliseconds; shorter than the timeout of the route. */
 const TIME_LEFT_MS = 1900;
-/** Tolerance of the users' rule, in milliseconds. */
+/** Time that a server may be told beyond what is left, in milliseconds. */
 const TOLERANCE_MS = 500;
 
 describe('a server to which connecting takes a second', () => {
--- a/testing/gateway-soak/src/budget-check.ts
+++ b/testing/gateway-soak/src/budget-check.ts
@@ -14,7 +14,7 @@
 /** Time after a disturbance for which a gateway is not in touch and a path counts as harmed, in milliseconds. */
 const CONTACT_MS = 3000;
 
-/** Faults that take a gateway out of touch. The store's are left out, as the time that is left does not depend on it: stricter than the rule. */
+/** Faults that excuse a gateway. Those of the store are left out, as the time that is left does not depend on it. */
 const gatewayFaults: ReadonlySet<string> = new Set(['kill', 'terminate', 'pause', 'port-taken']);
 
 /** Options of {@link checkAttempts} and {@link checkTimes}. */
--- a/testing/gateway-soak/src/gateway-watch.ts
+++ b/testing/gateway-soak/src/gateway-watch.ts
@@ -5,7 +5,7 @@
 import type {Violation} from './call-check.js';
 
 const PROBE_INTERVAL_MS = 250;
-/** Time for which a process that runs may leave its readiness address unanswered, in milliseconds: for as long after a start or a freeze, the users' rules do not count it as in touch. */
+/** Time for which a process that runs may leave its readiness address unanswered, in milliseconds. It has as long after a start or a freeze. */
 const MAX_SILENCE_MS = 3000;
 /** Number of log lines of a process that are reported. */
 const LAST_LINES = 20;
