--- a/testing/gateway-soak/src/budget-check.ts
+++ b/testing/gateway-soak/src/budget-check.ts
@@ -38,8 +38,9 @@
 		})));
 		return servers.size > maxAttempts;
 	});
-	return wide.length > MAX_WIDE_REQUESTS
-		? [{requestId: wide[0]!.answer.requestId, kind: 'max-attempts', detail: `${wide.length} requests ran on more than ${maxAttempts} servers: ${wide.map(({answer}) => answer.requestId).join(' ')}`}]
+	const ids = wide.map(({answer: {requestId}}) => requestId);
+	return ids.length > MAX_WIDE_REQUESTS
+		? [{requestId: ids[0]!, kind: 'max-attempts', detail: `${ids.length} requests ran on more than ${maxAttempts} servers: ${ids.join(' ')}`}]
 		: [];
 }
 
--- a/testing/gateway-soak/src/gateway-watch.ts
+++ b/testing/gateway-soak/src/gateway-watch.ts
@@ -53,7 +53,9 @@
 			answeredAtMs = performance.now() - process.starvedMs() + MAX_SILENCE_MS;
 		} else if (performance.now() - process.starvedMs() - answeredAtMs > MAX_SILENCE_MS) {
 			const silentMs = Math.round(performance.now() - process.starvedMs() - answeredAtMs);
-			onSilence({requestId: '', kind: 'instance-silent', detail: `${gateway.settings.instance} runs and has not answered for ${silentMs} ms beyond its waits for a processor: ${describeOutput(process)}`});
+			onSilence({
+				requestId: '', kind: 'instance-silent', detail: `${gateway.settings.instance} runs and has not answered for ${silentMs} ms beyond its waits for a processor: ${describeOutput(process)}`,
+			});
 			answeredAtMs = Number.POSITIVE_INFINITY;
 		}
 
--- a/testing/gateway-soak/src/notice-check.ts
+++ b/testing/gateway-soak/src/notice-check.ts
@@ -86,7 +86,14 @@
 }
 
 /** Returns whether a fault of a subject overlaps a period and excuses violations in it: faults of paths delay data, and some faults of gateways lose state. */
-function isExcused({disturbances, subjects, fromMs, toMs}: {readonly disturbances: readonly Disturbance[]; readonly subjects: readonly string[]; readonly fromMs: number; readonly toMs: number}): boolean {
+interface IsExcusedOptions {
+	readonly disturbances: readonly Disturbance[];
+	readonly subjects: readonly string[];
+	readonly fromMs: number;
+	readonly toMs: number;
+}
+
+function isExcused({disturbances, subjects, fromMs, toMs}: IsExcusedOptions): boolean {
 	return disturbances.some(({subject, fault, fromMs: beganMs, toMs: endedMs}) => subjects.includes(subject)
 		&& (stateLosingFaults.has(fault) || fault.startsWith('path-')) && beganMs <= toMs && endedMs >= fromMs);
 }
