--- a/daemons/gateway/test/odd-headers.test.ts
+++ b/daemons/gateway/test/odd-headers.test.ts
@@ -22,7 +22,8 @@
 	{name: 'numbers too large', headersOf: header => [`${header}: ${'9'.repeat(400)}`]},
 	{name: 'powers of ten', headersOf: header => [`${header}: timeout=1e999, 1e999`]},
 	{name: 'negative numbers', headersOf: header => [`${header}: timeout=-1, -1`]},
-	{name: 'numbers with long fractions', headersOf: header => [`${header}: 0.${'0'.repeat(300)}1`]},
+	// A valid limit would hold back the requests that follow.
+	{name: 'numbers with long fractions', headersOf: header => [`${header}: ${header === 'server-limit' ? '' : 0}.${'0'.repeat(300)}1`]},
 	{name: 'repeated headers', headersOf: header => [`${header}: 1`, `${header}: 2`, `${header}: timeout=1`]},
 	{name: 'bytes above ASCII', headersOf: header => [`${header}: \u00FF\u0080`]},
 	{name: '64 KB', headersOf: header => [`${header}: ${'x'.repeat(LARGE)}`]},
