--- a/calls/live/src/live-view.ts
+++ b/calls/live/src/live-view.ts
@@ -3,13 +3,14 @@
 import type {RouteTable} from '@pomelopick/steering.routes';
 import type {StoreChange, StoredValue} from '@pomelopick/platform.store';
 import type {
-	BackendServerName, InstanceId, RegisteredServer, RouteSet,
+	BackendServerName, RegisteredServer, RouteSet,
 } from '@pomelopick/core.types';
 import type {ViewChange} from './view-change.js';
 import {findRetention} from './find-retention.js';
 import type {FindRetentionOptions, Retention} from './find-retention.js';
-import {decodeInstance, INSTANCE_PREFIX, instanceKey} from './instance-record.js';
-import {InstanceTable} from './instance-table.js';
+import {InstanceEntries} from './instance-entries.js';
+import {INSTANCE_PREFIX} from './instance-record.js';
+import type {InstanceTable} from './instance-table.js';
 import type {PlatformFormat, Subject} from './platform-format.js';
 import type {RecordReader} from './record-reader.js';
 import {ActiveRoutes} from './active-routes.js';
@@ -56,7 +57,7 @@
 export class LiveView {
 	readonly servers = new ServerTable();
 	readonly #options: LiveViewOptions;
-	readonly #instances = new InstanceTable();
+	readonly #instances: InstanceEntries;
 	readonly #activeRoutes: ActiveRoutes;
 	readonly #evacuationKeys = new Set<string>();
 	readonly #serverKeys = new Map<string, BackendServerName>();
@@ -64,6 +65,7 @@
 	constructor(options: LiveViewOptions) {
 		const {format: {decodeRouteSet}, onChange, onRoutes} = options;
 		this.#options = options;
+		this.#instances = new InstanceEntries({onChange});
 		this.#activeRoutes = new ActiveRoutes({decodeRouteSet, onChange, onRoutes});
 	}
 
@@ -79,7 +81,7 @@
 
 	/** Live instances. */
 	get instances(): InstanceTable {
-		return this.#instances;
+		return this.#instances.table;
 	}
 
 	/** Applies changes in order. Returns those that other instances need too: all but outdated entries and heartbeats that change nothing else about their server. */
@@ -127,23 +129,15 @@
 			this.#options.onServerLost(name);
 		}
 
-		for (const id of this.#instances.expire(nowMs)) {
-			this.#report({
-				event: 'instance-left', subject: id, detail: 'its record expired while the store was unavailable and was not written again in time', storeIndex: 0,
-			});
-		}
+		this.#instances.expire(nowMs);
 	}
 
 	#findRetention(options: Pick<FindRetentionOptions, 'retainedUntilMs' | 'existsAfter' | 'written'>): Retention {
-		return findRetention({...options, serverKeys: [...this.#serverKeys.keys()], instanceKeys: this.#listInstanceKeys()});
-	}
-
-	#listInstanceKeys(): readonly string[] {
-		return this.#instances.list().map(({id}) => instanceKey(id));
+		return findRetention({...options, serverKeys: [...this.#serverKeys.keys()], instanceKeys: this.#instances.listKeys()});
 	}
 
 	#listKeys(): readonly string[] {
-		return [...this.#serverKeys.keys(), ...this.#evacuationKeys, ...this.#listInstanceKeys()];
+		return [...this.#serverKeys.keys(), ...this.#evacuationKeys, ...this.#instances.listKeys()];
 	}
 
 	#write({value, nowMs}: {readonly value: StoredValue; readonly nowMs: number}): WriteEffect {
@@ -172,7 +166,7 @@
 		if (subject) {
 			this.#writeSubject({subject, value});
 		} else if (value.key.startsWith(INSTANCE_PREFIX)) {
-			this.#writeInstance(value);
+			this.#instances.write(value);
 		} else {
 			this.#readerOf(value.key)?.write(value);
 		}
@@ -245,20 +239,6 @@
 		return 'changed';
 	}
 
-	#writeInstance({key, value, modifyIndex}: StoredValue): void {
-		decodeInstance({key, bytes: value}).ifLeft(({code, message}) => {
-			this.#report({
-				event: 'instance-refused', subject: key, detail: message, reason: code, storeIndex: modifyIndex,
-			});
-		}).ifRight(record => {
-			if (this.#instances.write(record)) {
-				this.#report({
-					event: 'instance-joined', subject: record.id, detail: `in ${record.failureDomain}`, storeIndex: modifyIndex,
-				});
-			}
-		});
-	}
-
 	#remove(options: RemoveOptions): void {
 		const {key, storeIndex} = options;
 		this.#isolate({
@@ -281,7 +261,7 @@
 				event: 'evacuation-ended', subject: subject.failureDomain, detail: 'an operator ended it', storeIndex,
 			});
 		} else if (key.startsWith(INSTANCE_PREFIX)) {
-			this.#removeInstance({id: key.slice(INSTANCE_PREFIX.length) as InstanceId, storeIndex, retainedUntilMs: retention.instancesUntilMs});
+			this.#instances.remove({key, storeIndex, retainedUntilMs: retention.instancesUntilMs});
 		} else {
 			this.#readerOf(key)?.remove?.(key);
 		}
@@ -306,14 +286,6 @@
 		}
 	}
 
-	#removeInstance({id, storeIndex, retainedUntilMs}: {readonly id: InstanceId; readonly storeIndex: number; readonly retainedUntilMs: number | undefined}): void {
-		if (this.#instances.remove({id, retainedUntilMs})) {
-			this.#report({
-				event: 'instance-left', subject: id, detail: 'its record was removed', storeIndex,
-			});
-		}
-	}
-
 	#report(change: ViewChange): void {
 		this.#options.onChange(change);
 	}
--- a/calls/rate-limits/src/permit-messages.ts
+++ b/calls/rate-limits/src/permit-messages.ts
@@ -51,5 +51,5 @@
 	return (value ?? {});
 }
 
-/** Maximum time after which to ask again that is believed, in milliseconds: the longest that a timer of Node.js can wait. */
+/** Maximum time after which to ask again that is accepted, in milliseconds: the longest that a timer of Node.js can wait. */
 const MAX_RETRY_AFTER_MS = 2_147_483_647;
--- a/calls/rate-limits/src/rate-limit-records.ts
+++ b/calls/rate-limits/src/rate-limit-records.ts
@@ -9,7 +9,7 @@
 /** Prefix of the keys under which the records are stored. */
 export const RATE_LIMIT_PREFIX = 'pomelopick/rate-limits/';
 
-/** Highest version that is believed; versions follow the wall clock in milliseconds, and newer ones must remain whole numbers that can be compared. */
+/** Highest version that is accepted; versions follow the wall clock in milliseconds, and newer ones must remain whole numbers that can be compared. */
 const MAX_VERSION = 253_402_300_799_999;
 
 /** Key of the record about a server. */
--- a/testing/gateway-soak/src/gateway-watch.ts
+++ b/testing/gateway-soak/src/gateway-watch.ts
@@ -42,7 +42,7 @@
 /** Asks a gateway again and again whether it is ready, and reports it once each time it leaves that unanswered for too long though it runs. */
 export async function watchSilence({gateway, onSilence, signal}: WatchSilenceOptions): Promise<void> {
 	let {process} = gateway;
-	// Time on a clock that stands still while the process is ready to run and gets no processor.
+	// Time on a clock that is stopped while the process is ready to run and gets no processor.
 	let answeredAtMs = performance.now() - process.starvedMs() + MAX_SILENCE_MS;
 	while (!signal.aborted) {
 		const isAnswered = !isDisturbed(process) && await isAnswering(gateway.settings);
--- a/testing/gateway-soak/src/index.ts
+++ b/testing/gateway-soak/src/index.ts
@@ -15,6 +15,6 @@
 export * from './retry-check.js';
 export * from './retry-round.js';
 export * from './soak.js';
-export {faultNames} from './environment.js';
+export {faultNames} from './faults.js';
 export type {SoakEnvironment} from './environment.js';
-export type {FaultName} from './environment.js';
+export type {FaultName} from './faults.js';
--- a/testing/gateway-soak/src/soak.ts
+++ b/testing/gateway-soak/src/soak.ts
@@ -13,10 +13,12 @@
 import {keepHardCalling} from './hard-callers.js';
 import {checkNotices} from './notice-check.js';
 import {checkRetries} from './retry-check.js';
-import {faultNames, startEnvironment} from './environment.js';
+import {startEnvironment} from './environment.js';
+import {faultNames, injectFault} from './faults.js';
 import {nameLimits} from './limit-series.js';
 import {checkRateLimits} from './rate-limit-check.js';
-import type {FaultName, SoakEnvironment} from './environment.js';
+import type {SoakEnvironment} from './environment.js';
+import type {FaultName} from './faults.js';
 
 const DEFAULT_GATEWAYS = 3;
 const DEFAULT_SERVERS = 5;
@@ -99,7 +101,7 @@
 		const draw = createDraw(seed);
 		const faults = await runFaultSeries({
 			next: done => done < count ? names[draw(names.length)] : undefined,
-			inject: async name => environment.injectFault({name, draw}),
+			inject: async name => injectFault({environment, name, draw}),
 			draw,
 			pauseMs: FAULT_PAUSE_MS,
 		});
