--- a/core/telemetry/src/event-loop-monitor.ts
+++ b/core/telemetry/src/event-loop-monitor.ts
@@ -1,4 +1,4 @@
-/** Measures how long the event loop of this process stands still, as a metric and, for long stalls, as log lines. */
+/** Measures how long the event loop of this process is blocked, as a metric and, for long stalls, as log lines. */
 import {performance} from 'node:perf_hooks';
 import type {CallCounters} from './counters.js';
 import type {DecisionLog} from './decision-log.js';
--- a/core/telemetry/src/fatal-errors.ts
+++ b/core/telemetry/src/fatal-errors.ts
@@ -17,7 +17,7 @@
 const STOP_TIMEOUT_MS = 1500;
 /** Number of further errors during the stop after which the process ends at once. */
 const MAX_FURTHER_ERRORS = 10;
-/** Maximum lengths of what is told of an error; the line fits into one write to a pipe. */
+/** Maximum lengths of the parts of an error that are logged; the line fits into one write to a pipe. */
 const MAX_REASON_LENGTH = 100;
 const MAX_MESSAGE_LENGTH = 500;
 const MAX_STACK_LENGTH = 2000;
--- a/core/telemetry/test/event-loop-monitor.test.ts
+++ b/core/telemetry/test/event-loop-monitor.test.ts
@@ -3,7 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {DecisionLog, EventLoopMonitor, ServedCounters} from '@pomelopick/core.telemetry';
 
-/** Stalls shorter and longer than the interval of reports, and the least that is told of each, in milliseconds. */
+/** Stalls shorter and longer than the interval of reports, and the minimum delay that is logged for each, in milliseconds. */
 const stalls = [{stallMs: 600, leastMs: 550}, {stallMs: 3000, leastMs: 2950}];
 const POLL_MS = 50;
 const LINE_TIMEOUT_MS = 10_000;
@@ -29,7 +29,7 @@
 				await sleep(WARM_UP_MS);
 				const endMs = performance.now() + stallMs;
 				while (performance.now() < endMs) {
-					// The loop stands still.
+					// The loop is blocked.
 				}
 
 				for (const endsAtMs = performance.now() + LINE_TIMEOUT_MS; performance.now() < endsAtMs && !lines.some(({delayMs}) => delayMs >= leastMs);) {
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -65,7 +65,7 @@
 
 /**
  * Starts a gateway. It reads the store and registers itself only once all its listeners stand, except the one for metrics:
- * nobody is told of an address at which nobody listens. Waits for addresses that are in use.
+ * no address is announced at which nothing listens yet. Waits for addresses that are in use.
  *
  * @returns Left `bind-refused` if an address can never be bound, `bind-stopped` if it was stopped while it waited.
  */
--- a/daemons/gateway/test/outputs.test.ts
+++ b/daemons/gateway/test/outputs.test.ts
@@ -110,7 +110,7 @@
 		return statuses;
 	};
 
-	/** Serves many requests and a reload of bad settings, which standard error is told of, and stops. */
+	/** Serves many requests and a reload of bad settings, which is reported on standard error, and stops. */
 	const check = async (onReady?: () => void): Promise<void> => {
 		await until(async () => isReady(settings));
 		onReady?.();
