Test crashing requests whose servers end late, and those that some servers answer

The stand-in's servers can fall silent, and register the time of a start as the platform does. The limit of late runs replaces that of late crashes: the users count each time the request reaches a server.

--- a/testing/gateway-fleet/src/gateway-fleet.ts
+++ b/testing/gateway-fleet/src/gateway-fleet.ts
@@ -24,6 +24,8 @@
 const FIRST_START_MS = 1000;
 /** Time after which a crashed server restarts, in milliseconds. */
 const RESTART_MS = 1500;
+/** Time after which a server that fell silent restarts, in milliseconds. */
+const SILENT_RESTART_MS = 3000;
 
 /** Retry budget of each service over the whole fleet, as the users specify it. */
 export const RETRY_BUDGET = {ratio: 0.2, allowance: 56, windowMs: 10_000} as const;
@@ -60,6 +62,14 @@
 	readonly shutdownSeconds?: number;
 }
 
+/** Options of {@link GatewayFleet.addRestartingServer}. */
+export interface AddRestartingServerOptions {
+	readonly name: string;
+	readonly failureDomain: FleetDomain;
+	/** Called when the server falls silent and after it has restarted, so that the caller can make its address unreachable meanwhile. */
+	readonly onReachable?: (change: {readonly port: number; readonly isReachable: boolean}) => void;
+}
+
 /** Options of {@link GatewayFleet.register}. */
 export interface RegisterOptions {
 	readonly server: Pick<RegisteredServer, 'name' | 'port'>;
@@ -93,24 +103,34 @@
 		return server;
 	}
 
-	/** Starts and registers a server that restarts with the same name and address each time a request crashes it. */
-	async addRestartingServer({name, failureDomain}: {readonly name: string; readonly failureDomain: FleetDomain}): Promise<void> {
+	/** Starts and registers a server that restarts with the same name and address each time a request crashes it or makes it fall silent. */
+	async addRestartingServer({name, failureDomain, onReachable}: AddRestartingServerOptions): Promise<void> {
 		const index = this.servers.length;
 		const start = async (port?: number): Promise<RegisteredServer> => startRegisteredServer({
-			name, records: this.records, port, onCrash() {
-				void restart();
+			name,
+			records: this.records,
+			port,
+			onCrash() {
+				void restart(RESTART_MS);
+			},
+			onSilent: () => {
+				onReachable?.({port: this.servers[index]!.port, isReachable: false});
+				void restart(SILENT_RESTART_MS);
 			},
 		});
 		let startedAtMs = FIRST_START_MS;
-		const restart = async (): Promise<void> => {
-			await sleep(RESTART_MS);
+		const restart = async (afterMs: number): Promise<void> => {
+			await sleep(afterMs);
 			if (this.#isStopped) {
 				return;
 			}
 
-			startedAtMs += RESTART_MS;
-			const server = await start(this.servers[index]!.port);
+			startedAtMs = Date.now();
+			const {port} = this.servers[index]!;
+			await this.servers[index]!.reset();
+			const server = await start(port);
 			this.servers[index] = server;
+			onReachable?.({port, isReachable: true});
 			this.register({server, failureDomain, startedAtMs});
 		};
 
--- a/testing/gateway-fleet/src/play-answer.ts
+++ b/testing/gateway-fleet/src/play-answer.ts
@@ -23,6 +23,7 @@
 	| 'other-id'
 	| 'failure'
 	| 'crash'
+	| 'fall-silent'
 	| 'refuse-unstamped';
 
 /** Time after which the play `slow` sends the response, in milliseconds. */
@@ -43,10 +44,12 @@
 	readonly requestId: string;
 	readonly response: ServerResponse;
 	readonly crash: () => void;
+	/** Makes the server stop answering without closing its connections. */
+	readonly fallSilent: () => void;
 }
 
 /** Responds to a request, or does not, as its play says. */
-export async function respond({play, name, requestId, response, crash}: RespondOptions): Promise<void> {
+export async function respond({play, name, requestId, response, crash, fallSilent}: RespondOptions): Promise<void> {
 	const text = JSON.stringify({requestId, server: name});
 	const headers = {
 		'content-length': String(text.length), 'x-request-id': requestId, 'x-server-stamp': `${name}.${requestId}`, 'x-server-load': '1,0,4',
@@ -123,6 +126,11 @@
 			break;
 		}
 
+		case 'fall-silent': {
+			fallSilent();
+			break;
+		}
+
 		case 'shed':
 		case 'late-shed':
 		case 'whole': {
--- a/testing/gateway-fleet/src/registered-server.ts
+++ b/testing/gateway-fleet/src/registered-server.ts
@@ -31,6 +31,8 @@
 	readonly expectedServer: string | undefined;
 	/** Time until the deadline that the sender stated, in milliseconds. */
 	readonly timeLeftMs: number;
+	/** How the server treats the request. */
+	readonly play: Play;
 	/** Monotonic time at which the request arrived, in milliseconds. */
 	readonly atMs: number;
 	/** Whether the connection closed before the response was sent. */
@@ -69,6 +71,8 @@
 	readonly port?: number;
 	/** Called after a request has crashed the server. */
 	readonly onCrash?: () => void;
+	/** Called when the server stops answering without closing its connections. */
+	readonly onSilent?: () => void;
 }
 
 /** A running server. */
@@ -85,28 +89,55 @@
 	warmUp(durationMs: number): void;
 	/** Ends all that it announces, as a new start of a server does. */
 	startAnew(): void;
+	/** Stops answering: all connections stay open and carry nothing more. */
+	fallSilent(): void;
+	/** Resets all connections and stops listening, as the end of a crash does. */
+	reset(): Promise<void>;
 	/** Closes all connections and stops listening. */
 	stop(): Promise<void>;
 }
 
 /** Starts a server on the loopback address. It does not register itself. */
-export async function startRegisteredServer({name, records, port = 0, onCrash}: StartRegisteredServerOptions): Promise<RegisteredServer> {
+export async function startRegisteredServer({name, records, port = 0, onCrash, onSilent}: StartRegisteredServerOptions): Promise<RegisteredServer> {
 	const sockets = new Set<Socket>();
 	const announced: AnnouncedState = {
 		isLeaving: false, leaveCount: 0, pausedUntilMs: 0, rateLimit: undefined, coldUntilMs: 0,
 	};
+	let isSilent = false;
+	const reset = (): void => {
+		for (const socket of sockets) {
+			resetOrClose(socket);
+		}
+	};
+
+	const fallSilent = (): void => {
+		isSilent = true;
+		for (const socket of sockets) {
+			silence(socket);
+		}
+
+		onSilent?.();
+	};
+
 	const server: Server = createServer((request, response) => {
 		void serve({
-			name, records, announced, request, response, crash() {
-				for (const socket of sockets) {
-					resetOrClose(socket);
-				}
-
+			name,
+			records,
+			announced,
+			request,
+			response,
+			crash() {
+				reset();
 				server.close(onCrash);
 			},
+			fallSilent,
 		});
 	});
 	server.on('connection', socket => {
+		if (isSilent) {
+			silence(socket);
+		}
+
 		sockets.add(socket);
 		socket.once('close', () => {
 			sockets.delete(socket);
@@ -137,6 +168,15 @@
 				isLeaving: false, pausedUntilMs: 0, rateLimit: undefined, coldUntilMs: 0,
 			});
 		},
+		fallSilent,
+		async reset() {
+			reset();
+			await new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+			});
+		},
 		async stop() {
 			await new Promise<void>(resolve => {
 				server.close(() => {
@@ -157,6 +197,12 @@
 	}
 }
 
+/** Makes a connection carry nothing more: what is written stays in its buffer. */
+function silence(socket: Socket): void {
+	socket.pause();
+	socket.cork();
+}
+
 /** State that a server announces in its responses. */
 interface AnnouncedState {
 	isLeaving: boolean;
@@ -177,9 +223,10 @@
 	readonly request: IncomingMessage;
 	readonly response: ServerResponse;
 	readonly crash: () => void;
+	readonly fallSilent: () => void;
 }
 
-async function serve({name, records, announced, request, response, crash}: ServeOptions): Promise<void> {
+async function serve({name, records, announced, request, response, crash, fallSilent}: ServeOptions): Promise<void> {
 	if (announced.isLeaving) {
 		response.setHeader('server-leaving', '1');
 	}
@@ -239,6 +286,7 @@
 		body: body.toString('utf8'),
 		expectedServer,
 		timeLeftMs: Number(request.headers['x-deadline-ms']),
+		play,
 		atMs: arrival.atMs,
 		wasCancelled: false,
 	};
@@ -252,7 +300,7 @@
 	}
 
 	await respond({
-		play, name, requestId, response, crash,
+		play, name, requestId, response, crash, fallSilent,
 	});
 }
 
--- a/testing/gateway-soak/src/crash-main.ts
+++ b/testing/gateway-soak/src/crash-main.ts
@@ -12,11 +12,11 @@
 for (let round = 0; round < Number(rounds); round += 1) {
 	for (const {name, ...options} of crashCases.filter(({name}) => onlyCase === undefined || name.includes(onlyCase))) {
 		const {lines, executions, ...summary} = await runCrashRound({...options, seed: Number(firstSeed) + round});
-		const violations = checkCrashRound({round: summary, fault: options.fault});
+		const violations = checkCrashRound({round: summary, fault: options.fault, ending: options.ending});
 		process.stdout.write(`${JSON.stringify({name, ...summary, violations})}\n`);
 		if (violations.length > 0) {
 			process.exitCode = 1;
-			process.stdout.write(executions.map(({atMs, server, requestId}) => `  ${Math.round(atMs)} ${server} ${requestId}\n`).join(''));
+			process.stdout.write(executions.map(({atMs, server, requestId, play}) => `  ${Math.round(atMs)} ${server} ${requestId} ${play}\n`).join(''));
 			process.stdout.write(lines.map(line => `  ${JSON.stringify(line)}\n`).join(''));
 		}
 	}
--- a/testing/gateway-soak/src/crash-round.ts
+++ b/testing/gateway-soak/src/crash-round.ts
@@ -2,14 +2,17 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	callGateway, configuration, endpointOf, isReady, startGatewayFleet, startGatewayProcess, until,
+	callGateway, configuration, endpointOf, isReady, partitionFlags, startGatewayFleet, startGatewayProcess, until,
 } from '@pomelopick/testing.gateway-fleet';
 import type {CallerResponse, GatewayFleet, GatewayProcess} from '@pomelopick/testing.gateway-fleet';
 import type {GatewaySettingsInput} from '@pomelopick/config.settings';
 import {startFaultProxy} from '@pomelopick/testing.fault-proxy';
 import type {FaultProxy} from '@pomelopick/testing.fault-proxy';
+import {crashingCall, crashingPlays} from './crash-endings.js';
+import type {CrashEnding} from './crash-endings.js';
 import {createDraw} from './draw.js';
 import type {Draw} from './draw.js';
+import {UnreachableAddresses} from './unreachable-addresses.js';
 
 const GATEWAYS = 8;
 const SERVERS = 18;
@@ -30,6 +33,8 @@
 const KILL_DELAY_MS = 5;
 /** Number of gateways that are cut off from the store. */
 const DISCONNECTED_GATEWAYS = 3;
+/** Number of servers that fall silent at once. */
+const SILENT_SERVERS = 6;
 const MILLISECONDS_PER_SECOND = 1000;
 const OK = 200;
 
@@ -37,7 +42,7 @@
 const serverDomains = ['north-a', 'north-b'] as const;
 
 /** Fault that is injected in addition to the crashes. */
-export type CrashFault = 'store-away' | 'some-turned-away' | 'gateways-killed';
+export type CrashFault = 'store-away' | 'some-turned-away' | 'gateways-killed' | 'gateways-restarted' | 'servers-silent';
 
 /** Options of {@link runCrashRound}. */
 export interface RunCrashRoundOptions {
@@ -47,6 +52,8 @@
 	/** Number of different sound requests, and how many are sent per second in total. */
 	readonly soundPaths: number;
 	readonly soundPerSecond: number;
+	/** How the end of a server shows; `reset` by default. */
+	readonly ending?: CrashEnding;
 	readonly fault?: CrashFault;
 	/** Duration of the fault of the store, in milliseconds. */
 	readonly faultMs?: number;
@@ -55,9 +62,10 @@
 /** Outcome of a round. */
 export interface CrashRoundResult {
 	readonly seed: number;
-	/** Number of servers that the request crashed, and how many of them after it had to be quarantined. */
+	/** Number of servers that the request crashed. */
 	readonly crashes: number;
-	readonly lateCrashes: number;
+	/** Number of its runs, with a crash or without, after it had to be quarantined. */
+	readonly lateRuns: number;
 	/** Number of sound requests by response status. 0 means that the connection ended without a response. */
 	readonly soundStatuses: Readonly<Record<number, number>>;
 	/** Number of sound requests that were refused as quarantined. */
@@ -80,11 +88,12 @@
 export async function runCrashRound(options: RunCrashRoundOptions): Promise<CrashRoundResult> {
 	const {seed, durationMs, soundPaths, soundPerSecond} = options;
 	const fleet = await startGatewayFleet({servers: []});
+	const unreachable = new UnreachableAddresses({listGateways: () => members.map(({process}) => process)});
 	for (let number = 0; number < SERVERS; number += 1) {
-		await fleet.addRestartingServer({name: `server-${number}`, failureDomain: serverDomains[number % serverDomains.length]!});
+		await fleet.addRestartingServer({name: `server-${number}`, failureDomain: serverDomains[number % serverDomains.length]!, onReachable: unreachable.set});
 	}
 
-	const members = await Promise.all(Array.from({length: GATEWAYS}, async (_, number) => startMember({fleet, number, seed})));
+	const members: readonly Member[] = await Promise.all(Array.from({length: GATEWAYS}, async (_, number) => startMember({fleet, number, seed})));
 	const endedLines: Array<Readonly<Record<string, unknown>>> = [];
 	try {
 		fleet.write('op/config', configuration({version: 2}));
@@ -99,12 +108,17 @@
 				members, draw, endMs, paths: soundPaths, perSecond: soundPerSecond,
 			}),
 			sendCrashing({
-				members, endMs, async afterSend(member) {
+				members, endMs, ending: options.ending ?? 'reset', async afterSend(member) {
 					if (options.fault === 'gateways-killed') {
 						await restart({member, endedLines});
 					}
 				},
 			}),
+			restartInTurn({
+				members, endMs, endedLines, isOn: options.fault === 'gateways-restarted', onStart() {
+					unreachable.apply();
+				},
+			}),
 			injectFault({members, fleet, options}),
 		]);
 		const lines = [...endedLines, ...members.flatMap(({process}) => process.lines)];
@@ -127,7 +141,8 @@
 
 function summarizeRound({seed, fleet, sound, lines}: SummarizeRoundOptions): CrashRoundResult {
 	const runs = fleet.records.executions.filter(({path}) => path === CRASHING_PATH);
-	const quarantineDueAtMs = (runs[CRASHES_BEFORE_QUARANTINE - 1]?.atMs ?? Number.POSITIVE_INFINITY) + QUARANTINE_SHARING_MS;
+	const crashes = runs.filter(({play}) => crashingPlays.has(play));
+	const quarantineDueAtMs = (crashes[CRASHES_BEFORE_QUARANTINE - 1]?.atMs ?? Number.POSITIVE_INFINITY) + QUARANTINE_SHARING_MS;
 	const soundStatuses: Record<number, number> = {};
 	for (const {status} of sound) {
 		soundStatuses[status] = (soundStatuses[status] ?? 0) + 1;
@@ -136,8 +151,8 @@
 	const quarantine = lines.filter(({event}) => event === 'quarantine');
 	return {
 		seed,
-		crashes: runs.length,
-		lateCrashes: runs.filter(({atMs}) => atMs > quarantineDueAtMs).length,
+		crashes: crashes.length,
+		lateRuns: runs.filter(({atMs}) => atMs > quarantineDueAtMs).length,
 		soundStatuses,
 		soundQuarantined: sound.filter(({status, text}) => status !== OK && text.includes('request-quarantined')).length,
 		convicted: new Set(quarantine.filter(({detail}) => detail === 'request convicted').map(({fingerprint}) => fingerprint)).size,
@@ -151,7 +166,11 @@
 	const {address, port} = storePath.endpoint;
 	const ownSettings = await fleet.settings({instance: `gateway-${number}`, failureDomain: domains[number % domains.length]});
 	const settings = {...ownSettings, store: `${address}:${port}`};
-	return {settings, storePath, process: await startGatewayProcess({settings})};
+	return {settings, storePath, process: await startProcess(settings)};
+}
+
+async function startProcess(settings: GatewaySettingsInput): Promise<GatewayProcess> {
+	return startGatewayProcess({settings, engineFlags: partitionFlags});
 }
 
 /** Kills a gateway and restarts it. */
@@ -161,24 +180,52 @@
 	process.signal('SIGKILL');
 	await process.exited;
 	endedLines.push(...process.lines);
-	member.process = await startGatewayProcess({settings});
+	member.process = await startProcess(settings);
+}
+
+/** Stops and starts one gateway after another until the end. */
+async function restartInTurn({members, endMs, endedLines, isOn, onStart}: {
+	readonly members: readonly Member[];
+	readonly endMs: number;
+	readonly endedLines: Array<Readonly<Record<string, unknown>>>;
+	readonly isOn: boolean;
+	readonly onStart: () => void;
+}): Promise<void> {
+	if (!isOn) {
+		return;
+	}
+
+	for (let count = 0; performance.now() < endMs; count += 1) {
+		const member = members[count % members.length]!;
+		const {process, settings} = member;
+		await process.stop();
+		endedLines.push(...process.lines);
+		member.process = await startProcess(settings);
+		onStart();
+		await until(async () => isReady(settings));
+	}
 }
 
 interface SendCrashingOptions {
 	readonly members: readonly Member[];
 	readonly endMs: number;
+	readonly ending: CrashEnding;
 	readonly afterSend: (member: Member) => Promise<void>;
 }
 
 /** Sends the crashing request to one gateway after another. */
-async function sendCrashing({members, endMs, afterSend}: SendCrashingOptions): Promise<void> {
+async function sendCrashing({members, endMs, ending, afterSend}: SendCrashingOptions): Promise<void> {
+	if (ending === 'none') {
+		return;
+	}
+
 	await sleep(SETTLE_MS);
 	const sending: Array<Promise<unknown>> = [];
 	for (let count = 0; performance.now() < endMs; count += 1) {
 		const member = members[count % members.length]!;
 		sending.push(
 			callGateway({
-				endpoint: endpointOf(member.settings.listen.callers), path: CRASHING_PATH, object: OBJECT, plays: ['crash'], timeLeftMs: TIME_LEFT_MS,
+				endpoint: endpointOf(member.settings.listen.callers), path: CRASHING_PATH, object: OBJECT, timeLeftMs: TIME_LEFT_MS, ...crashingCall({ending, count}),
 			}),
 			afterSend(member),
 		);
@@ -216,6 +263,13 @@
 async function injectFault({members, fleet, options: {fault, faultMs = 0}}: {
 	readonly members: readonly Member[]; readonly fleet: GatewayFleet; readonly options: RunCrashRoundOptions;
 }): Promise<void> {
+	if (fault === 'servers-silent') {
+		await sleep(SETTLE_MS);
+		for (const server of fleet.servers.slice(0, SILENT_SERVERS)) {
+			server.fallSilent();
+		}
+	}
+
 	if (fault !== 'store-away' && fault !== 'some-turned-away') {
 		return;
 	}
--- a/testing/gateway-soak/src/index.ts
+++ b/testing/gateway-soak/src/index.ts
@@ -2,6 +2,7 @@
 export * from './budget-check.js';
 export * from './crash-cases.js';
 export * from './crash-check.js';
+export * from './crash-endings.js';
 export * from './crash-round.js';
 export * from './draw.js';
 export * from './call-check.js';
--- a/testing/gateway-soak/test/budget-check.test.ts
+++ b/testing/gateway-soak/test/budget-check.test.ts
@@ -29,7 +29,7 @@
 		})),
 		arrivals: list,
 		executions: list.map(arrival => ({
-			...arrival, method: 'GET', path: '/', body: '', expectedServer: undefined, timeLeftMs: arrival.timeLeftMs ?? Number.NaN, wasCancelled: false,
+			...arrival, method: 'GET', path: '/', body: '', expectedServer: undefined, timeLeftMs: arrival.timeLeftMs ?? Number.NaN, play: 'whole', wasCancelled: false,
 		})),
 		disturbances,
 		maxAttempts: MAX_ATTEMPTS,
--- a/testing/gateway-soak/test/call-check.test.ts
+++ b/testing/gateway-soak/test/call-check.test.ts
@@ -13,7 +13,7 @@
 	method: 'GET', path: '/read/x', body: '', answer: answer(status),
 });
 const run = (changes: Readonly<Record<string, unknown>> = {}) => ({
-	requestId: 'a', server: 'one', method: 'POST', path: '/write/x', body: 'x', expectedServer: 'one', timeLeftMs: 100, wasCancelled: false, atMs: 0, ...changes,
+	requestId: 'a', server: 'one', method: 'POST', path: '/write/x', body: 'x', expectedServer: 'one', timeLeftMs: 100, play: 'whole' as const, wasCancelled: false, atMs: 0, ...changes,
 });
 
 const cases: ReadonlyArray<{name: string; calls: readonly CallRecord[]; executions: ReadonlyArray<ReturnType<typeof run>>; expected: ReadonlyArray<Violation['kind']>}> = [
