Let an answer prove that one run ended no server, not that the request ends none

Cause: any answer of any server struck a request from all crashes before it and kept it from being suspected for 5 s. Change: the table keeps crashes and counts answers. A request that was answered is quarantined, for the shorter time, if it has three crashes, at most four answers for each and more than half of all crashes since its first. Of requests that share their crashes the one with fewer answers outweighs the other; what a proven cause explains is not counted against others. A suspect stays one until three answers for each of its crashes. Crashes may state for each request the period in which it may have ended the server; periods that overlap count as one crash, so that servers which end at one moment are no evidence against a request that ran at each. Nothing states them yet. Two cases of the table's test said that one answer acquits, and that reports shortly after it are ignored; they are what callers ran into. In their place: thirteen answers for three crashes acquit, two answers between any two crashes do not, and a request that is answered and explains half of the crashes is not quarantined.

--- a/calls/forwarding/src/call-handler.ts
+++ b/calls/forwarding/src/call-handler.ts
@@ -236,7 +236,7 @@
 		const {backendResponse, attempt} = result.unsafeCoerce();
 		const {quarantine, now} = this.#options;
 		if (!quarantine.isEmpty) {
-			quarantine.clear(call.fingerprint());
+			quarantine.recordAnswer(call.fingerprint());
 		}
 
 		if (backendResponse.kind === 'whole') {
--- a/calls/live/src/suspicion-writer.ts
+++ b/calls/live/src/suspicion-writer.ts
@@ -1,5 +1,5 @@
 /** Shares what this instance observed about requests that crash backend servers, as records in the store. */
-import type {ShareClearedOptions, ShareCrashOptions, SuspicionSharing} from '@pomelopick/calls.quarantine';
+import type {ShareAnswerOptions, ShareCrashOptions, SuspicionSharing} from '@pomelopick/calls.quarantine';
 import type {KeyValueStore, StoreError} from '@pomelopick/platform.store';
 import type {InstanceId} from '@pomelopick/core.types';
 import {SharedLease} from './shared-lease.js';
@@ -66,8 +66,8 @@
 		await this.#share({record, isUrgent: true});
 	};
 
-	/** Shares that a suspect request ran to its end without a crash; resolves after the first attempt to write it. */
-	readonly shareCleared = async ({fingerprint, isUrgent}: ShareClearedOptions): Promise<void> => {
+	/** Shares that a server answered a suspect; resolves after the first attempt to write it. */
+	readonly shareAnswer = async ({fingerprint, isUrgent}: ShareAnswerOptions): Promise<void> => {
 		const record: SuspicionRecord = {
 			kind: 'cleared', origin: this.#options.instance, sequence: this.#sequence + 1, fingerprint,
 		};
--- a/calls/live/test/suspicion-writer.test.ts
+++ b/calls/live/test/suspicion-writer.test.ts
@@ -70,7 +70,7 @@
 			fixture.platform.faults.outage = true;
 			await writer.shareCrash({crash: crash(1), quarantined: []});
 			await writer.shareCrash({crash: crash(2), quarantined: []});
-			await writer.shareCleared({fingerprint, isUrgent: false});
+			await writer.shareAnswer({fingerprint, isUrgent: false});
 			fixture.platform.faults.outage = false;
 			await until(() => readRecords(fixture).length === 3);
 			assert.deepEqual(readRecords(fixture).map(({kind}) => kind), ['death', 'death', 'cleared']);
--- a/calls/quarantine/src/classify-suspect.ts
+++ b/calls/quarantine/src/classify-suspect.ts
@@ -1,19 +1,27 @@
-/** Decides from the recorded crashes whether a request that was in flight at them causes them. */
+/** Decides from the recorded crashes and answers whether a request causes crashes of servers. */
 import type {RecordedCrash} from './crash-records.js';
 import type {RequestFingerprint} from './fingerprint.js';
+import {countSeparate} from './run-span.js';
 
-/** How sure it is that a request crashes servers. `likely`: another request shares all its crashes, or chance may explain them. */
+/** How sure it is that a request crashes servers. `likely`: other requests, chance or a cut network may explain the crashes as well. */
 export type Certainty = 'certain' | 'likely';
 
 /** Maximum number of servers that one request can crash, one after another, before it is quarantined. */
 export const MAX_CRASHES_BEFORE_QUARANTINE = 3;
 /** Number of crashes that quarantine a request if it was the only suspect of each. */
 const SOLE_SUSPECT_CRASHES = 2;
+/** Number of answers for each crash up to which a request may still be the cause. */
+const MAX_ANSWERS_PER_CRASH = 4;
+/** Share of all crashes since its first one that a request which is also answered must explain. */
+const MIN_EXPLAINED_SHARE = 0.5;
 
-/** Options of {@link classifySuspect}. */
-export interface ClassifySuspectOptions {
-	readonly fingerprint: RequestFingerprint;
+/** All that is recorded, as far as the classification needs it. */
+export interface CrashEvidenceView {
+	/** All crashes, oldest first. */
+	readonly crashes: Iterable<RecordedCrash>;
 	readonly crashesOf: (fingerprint: RequestFingerprint) => ReadonlySet<RecordedCrash>;
+	/** Number of answers that a request got from servers. Each proves that one run ended no server. */
+	readonly answersTo: (fingerprint: RequestFingerprint) => number;
 }
 
 /** Decision that a request crashes servers. */
@@ -23,22 +31,90 @@
 	readonly atMs: number;
 }
 
+/** Evidence against one request. */
+interface Weight {
+	/** Number of crashes that it can have caused one after another. */
+	readonly crashes: number;
+	readonly answers: number;
+}
+
+/** Options of {@link classifySuspect}. */
+export interface ClassifySuspectOptions {
+	readonly fingerprint: RequestFingerprint;
+	readonly view: CrashEvidenceView;
+}
+
 /**
- * Classifies a request. Returns undefined if it was in flight at too few crashes, or if another request was in flight
- * at all of them and at further ones.
+ * Classifies a request. Returns undefined if too few crashes are left that no stronger suspect explains, if a stronger
+ * suspect shares all of these, or if the request was answered too often for the number of its crashes.
  */
-export function classifySuspect({fingerprint, crashesOf}: ClassifySuspectOptions): Classification | undefined {
-	const crashes = [...crashesOf(fingerprint)];
-	const isSoleSuspect = crashes.every(({suspects}) => suspects.size === 1);
-	if (crashes.length < (isSoleSuspect ? SOLE_SUSPECT_CRASHES : MAX_CRASHES_BEFORE_QUARANTINE)) {
+export function classifySuspect({fingerprint, view}: ClassifySuspectOptions): Classification | undefined {
+	if (view.crashesOf(fingerprint).size < SOLE_SUSPECT_CRASHES) {
+		return undefined;
+	}
+
+	const crashes = [...view.crashesOf(fingerprint)].filter(crash => !isExplainedByAnother({crash, fingerprint, view}));
+	const weight = {crashes: countCrashes({crashes, fingerprint}), answers: view.answersTo(fingerprint)};
+	const isSoleSuspect = weight.answers === 0 && crashes.every(({suspects, isConfirmed}) => isConfirmed && suspects.size === 1);
+	if (weight.crashes < (isSoleSuspect ? SOLE_SUSPECT_CRASHES : MAX_CRASHES_BEFORE_QUARANTINE) || isRefuted({
+		fingerprint, crashes, weight, view,
+	})) {
 		return undefined;
 	}
 
-	const sharers = [...crashes[0]!.suspects].filter(other => other !== fingerprint && crashes.every(({suspects}) => suspects.has(other)));
-	if (sharers.some(sharer => crashesOf(sharer).size > crashes.length)) {
+	const others = [...crashes[0]!.suspects.keys()].filter(other => other !== fingerprint && crashes.every(({suspects}) => suspects.has(other)));
+	if (others.some(other => outweighs(weigh({fingerprint: other, view}), weight))) {
 		return undefined;
 	}
 
-	const isCertain = sharers.length === 0 && crashes.length >= MAX_CRASHES_BEFORE_QUARANTINE;
+	const hasEqual = others.some(other => !outweighs(weight, weigh({fingerprint: other, view})));
+	const isCertain = !hasEqual && weight.answers === 0 && isProven({crashes, fingerprint});
 	return {certainty: isCertain ? 'certain' : 'likely', atMs: Math.max(...crashes.map(({atMs}) => atMs))};
 }
+
+/** Whether another request, which certainly crashes servers, explains a crash better than the given one. */
+export function isExplainedByAnother({crash, fingerprint, view}: ClassifySuspectOptions & {readonly crash: RecordedCrash}): boolean {
+	const weight = weigh({fingerprint, view});
+	return [...crash.suspects.keys()].some(other => other !== fingerprint && outweighs(weigh({fingerprint: other, view}), weight) && isProvenCause({fingerprint: other, view}));
+}
+
+/** Whether the crashes of a request prove by themselves that it causes crashes: it was never answered, and no other request shares them all. */
+function isProvenCause({fingerprint, view}: ClassifySuspectOptions): boolean {
+	const crashes = [...view.crashesOf(fingerprint)];
+	if (view.answersTo(fingerprint) > 0 || !isProven({crashes, fingerprint})) {
+		return false;
+	}
+
+	const weight = weigh({fingerprint, view});
+	const others = [...crashes[0]!.suspects.keys()].filter(other => other !== fingerprint && crashes.every(({suspects}) => suspects.has(other)));
+	return others.every(other => outweighs(weight, weigh({fingerprint: other, view})));
+}
+
+/** Whether enough servers are known to have ended, one after another. */
+function isProven({crashes, fingerprint}: {readonly crashes: readonly RecordedCrash[]; readonly fingerprint: RequestFingerprint}): boolean {
+	return countCrashes({crashes: crashes.filter(({isConfirmed}) => isConfirmed), fingerprint}) >= MAX_CRASHES_BEFORE_QUARANTINE;
+}
+
+/** Whether the answers to a request say that something else causes its crashes. */
+function isRefuted({crashes, weight, view}: ClassifySuspectOptions & {readonly crashes: readonly RecordedCrash[]; readonly weight: Weight}): boolean {
+	if (weight.answers === 0) {
+		return false;
+	}
+
+	const firstAtMs = Math.min(...crashes.map(({atMs}) => atMs));
+	const all = [...view.crashes].filter(({atMs}) => atMs >= firstAtMs);
+	return weight.answers > weight.crashes * MAX_ANSWERS_PER_CRASH || crashes.length <= all.length * MIN_EXPLAINED_SHARE;
+}
+
+function weigh({fingerprint, view}: ClassifySuspectOptions): Weight {
+	return {crashes: countCrashes({crashes: [...view.crashesOf(fingerprint)], fingerprint}), answers: view.answersTo(fingerprint)};
+}
+
+function countCrashes({crashes, fingerprint}: {readonly crashes: readonly RecordedCrash[]; readonly fingerprint: RequestFingerprint}): number {
+	return countSeparate(crashes.map(({suspects}) => suspects.get(fingerprint)));
+}
+
+/** Whether the evidence against one request is stronger than that against another. */
+function outweighs(one: Weight, other: Weight): boolean {
+	return one.crashes > other.crashes || (one.crashes === other.crashes && one.answers < other.answers);
+}
--- a/calls/quarantine/src/crash-records.ts
+++ b/calls/quarantine/src/crash-records.ts
@@ -2,6 +2,11 @@
 import type {BackendServerName, InstanceId} from '@pomelopick/core.types';
 import {addToSet, removeFromSet} from './bounded-maps.js';
 import type {RequestFingerprint} from './fingerprint.js';
+import {mergeSpans} from './run-span.js';
+import type {RunSpan} from './run-span.js';
+
+/** What showed that a server ended. Only `unreachable` may be wrong: the network may be cut as well. */
+export type CrashEvidence = 'connection-lost' | 'unreachable' | 'restarted' | 'removed';
 
 /** Report by one instance that a backend server crashed with calls in flight. */
 export interface ServerCrash {
@@ -11,8 +16,12 @@
 	readonly server: BackendServerName;
 	/** Wall-clock time at which the server says that it started, in milliseconds; undefined if it does not say. */
 	readonly startedAtMs?: number | undefined;
-	/** Requests of that instance that were in flight at the server. */
+	/** Requests of that instance that may have been running at the server. */
 	readonly fingerprints: readonly RequestFingerprint[];
+	/** When each of them may have ended the server, in the same order; undefined: the instance does not say. */
+	readonly spans?: readonly RunSpan[] | undefined;
+	/** What showed the end; undefined: the instance does not say, it was a lost connection. */
+	readonly evidence?: CrashEvidence | undefined;
 	/** Time of the crash on the monotonic clock of this process, in milliseconds. */
 	readonly atMs: number;
 }
@@ -23,8 +32,10 @@
 	readonly startedAtMs: number | undefined;
 	/** Sequence number of the report of each instance. */
 	readonly reporters: ReadonlyMap<InstanceId, number>;
-	/** Requests that were in flight at the crash and have not been answered since. */
-	readonly suspects: ReadonlySet<RequestFingerprint>;
+	/** Requests that may have caused the crash, with the period in which each may have; undefined: it is unknown. */
+	readonly suspects: ReadonlyMap<RequestFingerprint, RunSpan | undefined>;
+	/** Whether the server is known to have ended. */
+	readonly isConfirmed: boolean;
 	/** Monotonic time of the crash, in milliseconds. */
 	readonly atMs: number;
 }
@@ -40,7 +51,8 @@
 
 interface MutableCrash extends RecordedCrash {
 	readonly reporters: Map<InstanceId, number>;
-	readonly suspects: Set<RequestFingerprint>;
+	readonly suspects: Map<RequestFingerprint, RunSpan | undefined>;
+	isConfirmed: boolean;
 }
 
 /** Bounded set of crashes; the oldest are dropped first. */
@@ -64,42 +76,42 @@
 		return this.#bySuspect.keys();
 	}
 
-	/** Returns the crashes at which a request was in flight. */
+	/** Returns the crashes that a request may have caused. */
 	crashesOf(fingerprint: RequestFingerprint): ReadonlySet<RecordedCrash> {
 		return this.#bySuspect.get(fingerprint) ?? noCrashes;
 	}
 
 	/**
-	 * Returns the crash that a report concerns if other instances have already reported it. An instance reports each
-	 * crash once, so a second report of the same instance is about another crash.
+	 * Returns the crash that a report concerns if it is already recorded. An instance reports a crash again only with
+	 * further requests that were sent before it; otherwise its second report is about another crash.
 	 */
-	findCrash({origin, server, startedAtMs, atMs}: ServerCrash): RecordedCrash | undefined {
+	findCrash(report: ServerCrash): RecordedCrash | undefined {
+		const {server, startedAtMs, atMs} = report;
 		const isSame = (known: RecordedCrash): boolean => startedAtMs !== undefined && known.startedAtMs !== undefined
 			? startedAtMs === known.startedAtMs
 			: Math.abs(known.atMs - atMs) < SAME_CRASH_MS;
-		return [...this.#byServer.get(server) ?? []].find(known => !known.reporters.has(origin) && isSame(known));
+		return [...this.#byServer.get(server) ?? []].find(known => isSame(known) && !isLaterReport({report, known}));
 	}
 
 	/** Merges a report into the crash that it concerns, or records a new crash. */
 	add(report: ServerCrash): void {
 		const crash = (this.findCrash(report) ?? this.#create(report)) as MutableCrash;
 		crash.reporters.set(report.origin, report.sequence);
-		for (const fingerprint of report.fingerprints) {
-			crash.suspects.add(fingerprint);
+		crash.isConfirmed ||= report.evidence !== 'unreachable';
+		for (const [index, fingerprint] of report.fingerprints.entries()) {
+			crash.suspects.set(fingerprint, mergeSpans(crash.suspects.get(fingerprint), report.spans?.[index]));
 			addToSet({map: this.#bySuspect, key: fingerprint, value: crash});
 		}
 	}
 
-	/** Removes a request from the suspects of all crashes. Crashes without suspects are deleted. */
-	clear(fingerprint: RequestFingerprint): void {
-		for (const crash of this.#bySuspect.get(fingerprint) ?? []) {
-			crash.suspects.delete(fingerprint);
-			if (crash.suspects.size === 0) {
-				this.#delete(crash);
-			}
-		}
+	/** Returns the crash of a start of a server that is only suspected. */
+	findUnconfirmed({server, startedAtMs}: Pick<ServerCrash, 'server' | 'startedAtMs'>): RecordedCrash | undefined {
+		return [...this.#byServer.get(server) ?? []].find(crash => !crash.isConfirmed && crash.startedAtMs === startedAtMs);
+	}
 
-		this.#bySuspect.delete(fingerprint);
+	/** Records that the server of a crash is known to have ended. */
+	confirm(crash: RecordedCrash): void {
+		(crash as MutableCrash).isConfirmed = true;
 	}
 
 	/** Deletes crashes that are older than the retention time. */
@@ -113,7 +125,7 @@
 
 	#create({server, startedAtMs, atMs}: ServerCrash): MutableCrash {
 		const crash: MutableCrash = {
-			server, startedAtMs, reporters: new Map(), suspects: new Set(), atMs,
+			server, startedAtMs, reporters: new Map(), suspects: new Map(), isConfirmed: false, atMs,
 		};
 		this.#crashes.add(crash);
 		addToSet({map: this.#byServer, key: server, value: crash});
@@ -128,10 +140,20 @@
 	#delete(crash: MutableCrash): void {
 		this.#crashes.delete(crash);
 		removeFromSet({map: this.#byServer, key: crash.server, value: crash});
-		for (const fingerprint of crash.suspects) {
+		for (const fingerprint of crash.suspects.keys()) {
 			removeFromSet({map: this.#bySuspect, key: fingerprint, value: crash});
 		}
 	}
 }
 
+/** Whether an instance that has reported a crash of a server reports another one: none of its requests was sent before the first. */
+function isLaterReport({report: {origin, spans}, known}: {readonly report: ServerCrash; readonly known: RecordedCrash}): boolean {
+	if (!known.reporters.has(origin)) {
+		return false;
+	}
+
+	const knownEndMs = Math.min(...[...known.suspects.values()].map(span => span?.toMs ?? Number.NEGATIVE_INFINITY));
+	return spans === undefined || spans.every(({fromMs}) => fromMs >= knownEndMs);
+}
+
 const noCrashes: ReadonlySet<RecordedCrash> = new Set();
--- a/calls/quarantine/src/peer-sharing.ts
+++ b/calls/quarantine/src/peer-sharing.ts
@@ -1,6 +1,6 @@
 /**
- * Shares crashes, quarantined requests and cleared suspects with the other instances by messages between peers. The
- * messages call a crash a death, and a quarantined request convicted or a conviction.
+ * Shares crashes, quarantined requests and answers to suspects with the other instances by messages between peers. The
+ * messages call a crash a death, an answer a clearing, and a quarantined request convicted or a conviction.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Client, ConnectRouter} from '@connectrpc/connect';
@@ -81,7 +81,7 @@
 		async shareCrash({crash, quarantined: convicted}) {
 			await broadcast(async (client, options) => client.reportDeath({death: toMessage({crash, nowMs: now()}), convicted: [...convicted]}, options));
 		},
-		async shareCleared({fingerprint}) {
+		async shareAnswer({fingerprint}) {
 			await broadcast(async (client, options) => client.clearSuspect({fingerprint}, options));
 		},
 	};
@@ -136,7 +136,7 @@
 			return {};
 		},
 		clearSuspect({fingerprint}) {
-			quarantine.receiveCleared(fingerprint as RequestFingerprint);
+			quarantine.receiveAnswer({fingerprint: fingerprint as RequestFingerprint});
 			return {};
 		},
 		listSuspicions() {
--- a/calls/quarantine/src/quarantine.ts
+++ b/calls/quarantine/src/quarantine.ts
@@ -14,8 +14,8 @@
 	readonly quarantined: readonly RequestFingerprint[];
 }
 
-/** A cleared suspect to share with the other instances. */
-export interface ShareClearedOptions {
+/** An answer of a backend server to a suspect, to share with the other instances. */
+export interface ShareAnswerOptions {
 	readonly fingerprint: RequestFingerprint;
 	/** Whether the request was quarantined, so that the other instances refuse it until they receive this. */
 	readonly isUrgent: boolean;
@@ -24,7 +24,7 @@
 /** Shares changes with the other instances. Each call resolves when all instances have been notified, or after a bounded time. */
 export interface SuspicionSharing {
 	readonly shareCrash: (options: ShareCrashOptions) => Promise<void>;
-	readonly shareCleared: (options: ShareClearedOptions) => Promise<void>;
+	readonly shareAnswer: (options: ShareAnswerOptions) => Promise<void>;
 }
 
 /** Options of {@link Quarantine}. */
@@ -42,7 +42,7 @@
 /** Maximum number of fingerprints in the event of a crash. */
 const MAX_LOGGED_REQUESTS = 16;
 
-/** Maintains the table of suspects, and shares crashes and cleared suspects with the other instances. */
+/** Maintains the table of suspects, and shares crashes and answers to suspects with the other instances. */
 export class Quarantine {
 	readonly #options: QuarantineOptions;
 	readonly #table = new SuspectTable();
@@ -98,6 +98,7 @@
 				suspects: crash.fingerprints.length,
 				fingerprints: crash.fingerprints.slice(0, MAX_LOGGED_REQUESTS).map(fingerprint => shortenFingerprint(fingerprint)).join(','),
 				seenBy: crash.origin,
+				evidence: crash.evidence ?? 'connection-lost',
 			},
 		});
 		const quarantined = this.#table.record({crash, nowMs: now()});
@@ -110,24 +111,30 @@
 		this.#table.recordQuarantined({fingerprint, atMs});
 	}
 
-	/** Clears a suspect that a backend server answered at this instance, and notifies the other instances. */
-	clear(fingerprint: RequestFingerprint): void {
+	/** Records that a start of a server has ended, which may confirm a crash that was only suspected. */
+	confirmEnd({server, startedAtMs}: Pick<ServerCrash, 'server' | 'startedAtMs'>): void {
+		this.#logQuarantined(this.#table.confirm({server, startedAtMs, nowMs: this.#options.now()}));
+	}
+
+	/** Records that a backend server answered a request at this instance, and notifies the other instances if it was a suspect. */
+	recordAnswer(fingerprint: RequestFingerprint): void {
 		const status = this.statusOf(fingerprint);
+		this.receiveAnswer({fingerprint});
 		if (status !== 'clear') {
-			this.receiveCleared(fingerprint);
-			void this.#options.sharing.shareCleared({fingerprint, isUrgent: status === 'convicted'});
+			void this.#options.sharing.shareAnswer({fingerprint, isUrgent: status === 'convicted'});
 		}
 	}
 
-	/** Clears a suspect that a backend server answered at any instance. */
-	receiveCleared(fingerprint: RequestFingerprint): void {
+	/** Records that a backend server answered a request at any instance. `report` identifies the report of another instance, so that it is recorded once. */
+	receiveAnswer({fingerprint, report}: {readonly fingerprint: RequestFingerprint; readonly report?: string}): void {
 		const {counters, events, now} = this.#options;
-		counters.add('quarantine.cleared');
-		if (this.statusOf(fingerprint) !== 'clear') {
-			events.add({kind: 'quarantine', message: 'request no longer suspected, a backend server answered it', fields: {fingerprint: shortenFingerprint(fingerprint)}});
+		const status = this.statusOf(fingerprint);
+		this.#logQuarantined(this.#table.recordAnswer({fingerprint, report, nowMs: now()}));
+		const statusAfter = this.statusOf(fingerprint);
+		if (statusAfter !== status) {
+			counters.add('quarantine.cleared');
+			events.add({kind: 'quarantine', message: 'a backend server answered a suspect', fields: {fingerprint: shortenFingerprint(fingerprint), status: statusAfter}});
 		}
-
-		this.#logQuarantined(this.#table.clear({fingerprint, nowMs: now()}));
 	}
 
 	/** Counts and logs newly quarantined requests. The counter and the event say `conviction` and `convicted` for quarantined. */
--- a/calls/quarantine/src/suspect-table.ts
+++ b/calls/quarantine/src/suspect-table.ts
@@ -1,15 +1,15 @@
 /**
  * Table of the requests that are suspected of crashing backend servers, and of those that are quarantined.
  *
- * The table stores only reports of crashes. The status of a request is computed from all of them, whatever the order in
- * which they arrived. So all instances reach the same decision, and a request leaves quarantine as soon as the reports
- * no longer support it.
+ * The table stores only reports of crashes and of answers. The status of a request is computed from all of them, whatever
+ * the order in which they arrived. So all instances reach the same decision, and a request leaves quarantine as soon as
+ * the reports no longer support it.
  */
 import {dropExpired, dropOldest} from './bounded-maps.js';
-import {classifySuspect, MAX_CRASHES_BEFORE_QUARANTINE} from './classify-suspect.js';
-import type {Classification} from './classify-suspect.js';
+import {classifySuspect, isExplainedByAnother} from './classify-suspect.js';
+import type {Classification, CrashEvidenceView} from './classify-suspect.js';
 import {CrashRecords, RETENTION_MS} from './crash-records.js';
-import type {RecordedCrash, ServerCrash} from './crash-records.js';
+import type {ServerCrash} from './crash-records.js';
 import type {RequestFingerprint} from './fingerprint.js';
 
 /** Status of a request. `convicted` means quarantined: the request is refused. */
@@ -25,14 +25,20 @@
  * again, and is then either answered or crashes another server.
  */
 const LIKELY_QUARANTINE_MS = 30_000;
-/**
- * Time for which a request that was answered cannot become a suspect, in milliseconds: other instances may still report
- * crashes from before the answer.
- */
-const CLEARED_MS = 5000;
+/** Number of answers for each crash after which a request is not suspected any more. */
+const ANSWERS_TO_CLEAR = 3;
 const MAX_REPORTS = 4096;
 const MAX_PEER_QUARANTINES = 1024;
-const MAX_CLEARED = 4096;
+const MAX_ANSWERED = 4096;
+
+/** Answers that a request got from servers. */
+interface Answers {
+	readonly count: number;
+	/** Monotonic time of the last one, in milliseconds. */
+	readonly lastAtMs: number;
+}
+
+const noAnswers: Answers = {count: 0, lastAtMs: Number.NEGATIVE_INFINITY};
 
 interface SuspectQuery {
 	readonly fingerprint: RequestFingerprint;
@@ -50,8 +56,13 @@
 	 * This instance may not have received the crash reports on which the decisions are based.
 	 */
 	readonly #quarantinedByPeersAtMs = new Map<RequestFingerprint, number>();
-	/** Monotonic times at which suspects were answered, in milliseconds. */
-	readonly #clearedAtMs = new Map<RequestFingerprint, number>();
+	/** Answers to suspects. */
+	readonly #answers = new Map<RequestFingerprint, Answers>();
+	readonly #view: CrashEvidenceView = {
+		crashes: this.#crashes.crashes,
+		crashesOf: fingerprint => this.#crashes.crashesOf(fingerprint),
+		answersTo: fingerprint => this.#answers.get(fingerprint)?.count ?? 0,
+	};
 
 	/** Whether no request is suspected or quarantined. */
 	get isEmpty(): boolean {
@@ -73,25 +84,42 @@
 		return classification !== undefined && nowMs - classification.atMs < (classification.certainty === 'certain' ? RETENTION_MS : LIKELY_QUARANTINE_MS);
 	}
 
-	/** Whether a request was in flight at a crash, was not answered since, and no other request is certain to have caused the crash. */
+	/** Whether a request may have caused a crash that no stronger suspect explains, and was not answered since or too seldom. */
 	isSuspect(fingerprint: RequestFingerprint): boolean {
-		return [...this.#crashes.crashesOf(fingerprint)].some(crash => !this.#isExplainedByAnother({crash, fingerprint}));
+		const {count, lastAtMs} = this.#answers.get(fingerprint) ?? noAnswers;
+		const crashes = [...this.#crashes.crashesOf(fingerprint)];
+		const isClearing = count >= crashes.length * ANSWERS_TO_CLEAR;
+		return crashes.some(crash => !(isClearing && crash.atMs <= lastAtMs) && !isExplainedByAnother({crash, fingerprint, view: this.#view}));
+	}
+
+	/** Number of crashes that a request may have caused. */
+	countCrashes(fingerprint: RequestFingerprint): number {
+		return this.#crashes.crashesOf(fingerprint).size;
 	}
 
 	/** Records a report of a crash. Returns the requests that are quarantined as a result. */
 	record({crash, nowMs}: {readonly crash: ServerCrash; readonly nowMs: number}): readonly QuarantinedRequest[] {
 		this.#expire(nowMs);
-		const report = `${crash.origin}/${crash.sequence}`;
-		const fingerprints = crash.fingerprints.filter(fingerprint => !this.#wasCleared({fingerprint, nowMs}));
-		if (this.#reports.has(report) || fingerprints.length === 0) {
+		if (crash.fingerprints.length === 0 || !this.#isNewReport({report: `${crash.origin}/${crash.sequence}`, nowMs})) {
 			return [];
 		}
 
-		this.#reports.set(report, nowMs);
-		dropOldest({map: this.#reports, maxSize: MAX_REPORTS});
-		const suspects = [...this.#crashes.findCrash(crash)?.suspects ?? [], ...fingerprints];
+		const suspects = [...this.#crashes.findCrash(crash)?.suspects.keys() ?? [], ...crash.fingerprints];
+		const before = this.#filterQuarantined({suspects, nowMs});
+		this.#crashes.add(crash);
+		return this.#listNewlyQuarantined({suspects, before, nowMs});
+	}
+
+	/** Records that a start of a server has ended. Returns the requests that are quarantined as a result. */
+	confirm({server, startedAtMs, nowMs}: Pick<ServerCrash, 'server' | 'startedAtMs'> & {readonly nowMs: number}): readonly QuarantinedRequest[] {
+		const crash = this.#crashes.findUnconfirmed({server, startedAtMs});
+		if (!crash) {
+			return [];
+		}
+
+		const suspects = [...crash.suspects.keys()];
 		const before = this.#filterQuarantined({suspects, nowMs});
-		this.#crashes.add({...crash, fingerprints});
+		this.#crashes.confirm(crash);
 		return this.#listNewlyQuarantined({suspects, before, nowMs});
 	}
 
@@ -101,24 +129,31 @@
 		dropOldest({map: this.#quarantinedByPeersAtMs, maxSize: MAX_PEER_QUARANTINES});
 	}
 
-	/** Clears a request that was answered, and so crashes no server. Returns the requests that are quarantined as a result. */
-	clear({fingerprint, nowMs}: SuspectQuery): readonly QuarantinedRequest[] {
-		const suspects = [...this.#crashes.crashesOf(fingerprint)].flatMap(crash => [...crash.suspects]);
+	/**
+	 * Records an answer of a server to a suspect: this run ended no server. Returns the requests that are quarantined as a
+	 * result. Other instances count their reports of answers; the same report is recorded once.
+	 */
+	recordAnswer({fingerprint, report, nowMs}: SuspectQuery & {readonly report?: string}): readonly QuarantinedRequest[] {
+		if (!this.#isReported(fingerprint) || (report !== undefined && !this.#isNewReport({report, nowMs}))) {
+			return [];
+		}
+
+		const suspects = [...this.#crashes.crashesOf(fingerprint)].flatMap(crash => [...crash.suspects.keys()]);
 		const before = this.#filterQuarantined({suspects, nowMs});
+		const count = (this.#answers.get(fingerprint)?.count ?? 0) + 1;
 		this.#quarantinedByPeersAtMs.delete(fingerprint);
-		this.#crashes.clear(fingerprint);
-		this.#clearedAtMs.delete(fingerprint);
-		this.#clearedAtMs.set(fingerprint, nowMs);
-		dropOldest({map: this.#clearedAtMs, maxSize: MAX_CLEARED});
+		this.#answers.delete(fingerprint);
+		this.#answers.set(fingerprint, {count, lastAtMs: nowMs});
+		dropOldest({map: this.#answers, maxSize: MAX_ANSWERED});
 		return this.#listNewlyQuarantined({suspects, before, nowMs});
 	}
 
 	/** Lists the recorded crashes with their suspects. Each is given under one of the reports that it was merged from. */
 	listCrashes(): readonly ServerCrash[] {
-		return [...this.#crashes.crashes].map(({reporters, server, startedAtMs, suspects, atMs}) => {
+		return [...this.#crashes.crashes].map(({reporters, server, startedAtMs, suspects, isConfirmed, atMs}) => {
 			const [origin, sequence] = [...reporters][0]!;
 			return {
-				origin, sequence, server, startedAtMs, fingerprints: [...suspects], atMs,
+				origin, sequence, server, startedAtMs, fingerprints: [...suspects.keys()], atMs, ...(!isConfirmed && {evidence: 'unreachable'}),
 			};
 		});
 	}
@@ -151,29 +186,34 @@
 	#classify(fingerprint: RequestFingerprint): Classification | undefined {
 		const quarantinedAtMs = this.#quarantinedByPeersAtMs.get(fingerprint);
 		return quarantinedAtMs === undefined
-			? classifySuspect({fingerprint, crashesOf: suspect => this.#crashes.crashesOf(suspect)})
+			? classifySuspect({fingerprint, view: this.#view})
 			: {certainty: 'certain', atMs: quarantinedAtMs};
 	}
 
-	/** Whether a crash has another suspect that is certain to crash servers. */
-	#isExplainedByAnother({crash, fingerprint}: {readonly crash: RecordedCrash; readonly fingerprint: RequestFingerprint}): boolean {
-		return [...crash.suspects].some(other => other !== fingerprint && this.#isCertain(other));
+	/** Whether any instance reported a request, with a crash or as quarantined. */
+	#isReported(fingerprint: RequestFingerprint): boolean {
+		return this.#crashes.crashesOf(fingerprint).size > 0 || this.#quarantinedByPeersAtMs.has(fingerprint);
 	}
 
-	#isCertain(fingerprint: RequestFingerprint): boolean {
-		const mayBe = this.#quarantinedByPeersAtMs.has(fingerprint) || this.#crashes.crashesOf(fingerprint).size >= MAX_CRASHES_BEFORE_QUARANTINE;
-		return mayBe && this.#classify(fingerprint)?.certainty === 'certain';
-	}
+	/** Whether a report is recorded for the first time. */
+	#isNewReport({report, nowMs}: {readonly report: string; readonly nowMs: number}): boolean {
+		if (this.#reports.has(report)) {
+			return false;
+		}
 
-	#wasCleared({fingerprint, nowMs}: SuspectQuery): boolean {
-		const atMs = this.#clearedAtMs.get(fingerprint);
-		return atMs !== undefined && nowMs - atMs < CLEARED_MS;
+		this.#reports.set(report, nowMs);
+		dropOldest({map: this.#reports, maxSize: MAX_REPORTS});
+		return true;
 	}
 
 	#expire(nowMs: number): void {
 		this.#crashes.expire(nowMs);
 		dropExpired({map: this.#reports, afterMs: RETENTION_MS, nowMs});
 		dropExpired({map: this.#quarantinedByPeersAtMs, afterMs: RETENTION_MS, nowMs});
-		dropExpired({map: this.#clearedAtMs, afterMs: CLEARED_MS, nowMs});
+		for (const fingerprint of this.#answers.keys()) {
+			if (!this.#isReported(fingerprint)) {
+				this.#answers.delete(fingerprint);
+			}
+		}
 	}
 }
--- a/calls/quarantine/test/suspect-table.test.ts
+++ b/calls/quarantine/test/suspect-table.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import type {BackendServerName, InstanceId} from '@pomelopick/core.types';
 import {MAX_CRASHES_BEFORE_QUARANTINE, SuspectTable} from '@pomelopick/calls.quarantine';
-import type {RequestFingerprint, SuspectStatus} from '@pomelopick/calls.quarantine';
+import type {CrashEvidence, RequestFingerprint, SuspectStatus} from '@pomelopick/calls.quarantine';
 
 interface Step {
 	readonly server: string;
@@ -12,8 +12,12 @@
 	readonly atMs?: number;
 	/** Start time of the server; by default the server does not report it. */
 	readonly startedAtMs?: number;
-	/** Request that is cleared before this crash is recorded. */
-	readonly cleared?: string;
+	/** Request that servers answer before this crash is recorded, and how often; once by default. */
+	readonly answered?: string;
+	readonly answers?: number;
+	/** Period in which each suspect may have ended the server, in milliseconds; unknown by default. */
+	readonly span?: readonly [fromMs: number, toMs: number];
+	readonly evidence?: CrashEvidence;
 }
 
 const cases: ReadonlyArray<{name: string; steps: readonly Step[]; quarantined: readonly string[]; clear: readonly string[]}> = [
@@ -86,19 +90,63 @@
 		clear: ['b'],
 	},
 	{
-		name: 'a quarantine ends when a server answers the request',
-		steps: [{server: 's1', suspects: ['a']}, {server: 's2', suspects: ['a']}, {server: 's3', suspects: ['a']}, {server: 's4', suspects: ['b'], cleared: 'a'}],
+		name: 'a quarantine ends when the answers of servers outnumber the crashes by far',
+		steps: [...['s1', 's2', 's3'].map(server => ({server, suspects: ['a']})), {
+			server: 's4', suspects: ['b'], answered: 'a', answers: 13,
+		}],
 		quarantined: [],
 		clear: ['a'],
 	},
 	{
-		name: 'crash reports that arrive shortly after an answer of a server are ignored for that request',
-		steps: [{server: 's1', suspects: ['a']}, {server: 's2', suspects: ['a'], cleared: 'a'}, {server: 's3', suspects: ['a']}],
+		name: 'answers between three crashes do not acquit the request that is common to them',
+		steps: ['s1', 's2', 's3'].map(server => ({
+			server, suspects: ['a', `other-${server}`], answered: 'a', answers: 2,
+		})),
+		quarantined: ['a'],
+		clear: [],
+	},
+	{
+		name: 'a request that is answered in between is not to blame for half of the crashes',
+		steps: ['s1', 's2', 's3', 's4', 's5', 's6'].map((server, index) => ({server, suspects: [index % 2 === 0 ? 'a' : `other-${server}`], answered: 'a'})),
 		quarantined: [],
-		clear: ['a'],
+		clear: [],
+	},
+	{
+		name: 'two crashes with the same single suspect do not quarantine it if it was answered in between', steps: [{server: 's1', suspects: ['a']}, {server: 's2', suspects: ['a'], answered: 'a'}], quarantined: [], clear: [],
+	},
+	{
+		name: 'of two requests that share three crashes, the one that was never answered is quarantined',
+		steps: ['s1', 's2', 's3'].map(server => ({server, suspects: ['b', 'a'], answered: 'b'})),
+		quarantined: ['a'],
+		clear: ['b'],
 	},
 	{
-		name: 'crashes from before an answer of a server are not counted', steps: [{server: 's1', suspects: ['a']}, {server: 's2', suspects: ['a'], cleared: 'a'}], quarantined: [], clear: [],
+		name: 'servers that end at the same moment count as one crash',
+		steps: ['s1', 's2', 's3', 's4'].map((server, index) => ({server, suspects: ['a'], span: [index * 100, 2000] as const})),
+		quarantined: [],
+		clear: [],
+	},
+	{
+		name: 'servers that end one after another count each, whenever the reports arrive',
+		steps: ['s1', 's2', 's3'].map((server, index) => ({
+			server, suspects: ['a', 'b'], span: [index * 700, (index * 700) + 500] as const, atMs: 5000,
+		})),
+		quarantined: ['a', 'b'],
+		clear: [],
+	},
+	{
+		name: 'two servers that are only unreachable do not quarantine a single suspect',
+		steps: ['s1', 's2'].map(server => ({server, suspects: ['a'], evidence: 'unreachable' as const})),
+		quarantined: [],
+		clear: [],
+	},
+	{
+		name: 'a restart that another instance reports later is the same crash as its unreachable server',
+		steps: ['s1', 's1', 's2'].map((server, index) => ({
+			server, suspects: ['a', 'b'], startedAtMs: 7, origin: `instance-${index}`, evidence: index === 1 ? 'restarted' as const : 'unreachable' as const,
+		})),
+		quarantined: [],
+		clear: [],
 	},
 ];
 
@@ -106,14 +154,21 @@
 
 function play(steps: readonly Step[]): SuspectTable {
 	const table = new SuspectTable();
-	for (const [index, {server, suspects, origin = 'one', atMs = index * 1000, startedAtMs, cleared}] of steps.entries()) {
-		if (cleared !== undefined) {
-			table.clear({fingerprint: fingerprint(cleared), nowMs: atMs});
+	for (const [index, {server, suspects, origin = 'one', atMs = index * 1000, startedAtMs, answered, answers = 1, span, evidence}] of steps.entries()) {
+		for (let count = 0; count < (answered === undefined ? 0 : answers); count += 1) {
+			table.recordAnswer({fingerprint: fingerprint(answered!), nowMs: atMs});
 		}
 
 		table.record({
 			crash: {
-				origin: origin as InstanceId, sequence: index, server: server as BackendServerName, startedAtMs, fingerprints: suspects.map(name => fingerprint(name)), atMs,
+				origin: origin as InstanceId,
+				sequence: index,
+				server: server as BackendServerName,
+				startedAtMs,
+				fingerprints: suspects.map(name => fingerprint(name)),
+				spans: span && suspects.map(() => ({fromMs: span[0], toMs: span[1]})),
+				evidence,
+				atMs,
 			},
 			nowMs: atMs,
 		});
--- a/calls/relay/src/relay-handler.ts
+++ b/calls/relay/src/relay-handler.ts
@@ -209,7 +209,7 @@
 		}
 
 		if (answer.kind === 'whole') {
-			this.#clearSuspicion(relayed);
+			this.#recordAnswer(relayed);
 			sendCompleteResponse({
 				response, id: undefined, status, headers, body: answer.body,
 			});
@@ -221,16 +221,16 @@
 		forwarded.ifLeft(({detail}) => {
 			this.#requestLog.cut({relayed, detail});
 		}).ifRight(() => {
-			this.#clearSuspicion(relayed);
+			this.#recordAnswer(relayed);
 			this.#requestLog.answered({relayed, status});
 		});
 	}
 
-	/** Clears a request that a server answered completely: the request did not crash the server. */
-	#clearSuspicion(relayed: RelayedRequest): void {
+	/** Records that a server answered a request completely: this run did not crash the server. */
+	#recordAnswer(relayed: RelayedRequest): void {
 		const {quarantine} = this.#options;
 		if (!quarantine.isEmpty) {
-			quarantine.clear(relayed.fingerprint());
+			quarantine.recordAnswer(relayed.fingerprint());
 		}
 	}
 
--- a/daemons/gateway/src/create-relay.ts
+++ b/daemons/gateway/src/create-relay.ts
@@ -243,7 +243,7 @@
 			}
 
 			if (record.kind === 'cleared') {
-				quarantine.receiveCleared(record.fingerprint);
+				quarantine.receiveAnswer({fingerprint: record.fingerprint, report: `answer ${record.origin}/${record.sequence}`});
 				return;
 			}
 
