Never send a suspect to the server of its object

Cause: a suspect goes to the server that ranks first for its fingerprint, which may be the one of its object as well. Change: the server of the object is avoided like those with other suspects.

--- a/calls/relay/src/place-request.ts
+++ b/calls/relay/src/place-request.ts
@@ -32,7 +32,7 @@
 /**
  * Chooses a server, or returns why there is none; resolves later only if a permit for a limited server has to be awaited.
  *
- * A suspect goes to the server that ranks first for its fingerprint, not to the server of its object. All instances
+ * A suspect goes to the server that ranks first for its fingerprint, never to the server of its object. All instances
  * choose the same server for it, and servers at which other suspects are in flight are avoided. This keeps suspects
  * apart, so that a crash caused by one of them does not count against another.
  */
@@ -45,13 +45,26 @@
 
 async function placeSuspect(options: PlaceRequestOptions): Promise<PlacementResult> {
 	const {request, parts} = options;
-	const avoid = new Set([...request.avoid, ...parts.crashDetector.listServersWithSuspects()]);
+	const avoid = new Set([...request.avoid, ...parts.crashDetector.listServersWithSuspects(), ...listServersOfObject(options)]);
 	const isolated = await choosePlacement({
 		...options, object: request.fingerprint(), avoid, asks: 0,
 	});
 	return isolated.isRight() ? isolated.map(placement => ({...placement, isWarm: false})) : placeByObject(options);
 }
 
+/** Returns the server to which other requests for the object of a request are sent, if there is one. */
+function listServersOfObject({request, parts: {placer, now}}: PlaceRequestOptions): readonly BackendServerName[] {
+	const {route, service, object, answerByMs} = request.options;
+	if (object === undefined) {
+		return [];
+	}
+
+	const placed = placer.place({
+		route, service, object, avoid: new Set(), mayAsk: false, deadlineMs: answerByMs, nowMs: now(),
+	});
+	return placed.map(({known}) => [known.server.name]).orDefault([]);
+}
+
 function placeByObject(options: PlaceRequestOptions): PlacementResult | Promise<PlacementResult> {
 	const {object} = options.request.options;
 	return choosePlacement({
