Keep a request suspected until its answers acquit it

Cause: three answers for each crash ended the suspicion, while four for each may still be those of a request that ends its servers now and then. Change: one limit for both.

--- a/calls/quarantine/src/classify-suspect.ts
+++ b/calls/quarantine/src/classify-suspect.ts
@@ -11,7 +11,7 @@
 /** Number of crashes that quarantine a request if it was the only suspect of each. */
 const SOLE_SUSPECT_CRASHES = 2;
 /** Number of answers for each crash up to which a request may still be the cause. */
-const MAX_ANSWERS_PER_CRASH = 4;
+export const MAX_ANSWERS_PER_CRASH = 4;
 /** Share of all crashes since its first one that a request which is also answered must explain. */
 const MIN_EXPLAINED_SHARE = 0.5;
 
--- a/calls/quarantine/src/suspect-table.ts
+++ b/calls/quarantine/src/suspect-table.ts
@@ -6,7 +6,7 @@
  * the reports no longer support it.
  */
 import {dropExpired, dropOldest} from './bounded-maps.js';
-import {classifySuspect, isExplainedByAnother} from './classify-suspect.js';
+import {classifySuspect, isExplainedByAnother, MAX_ANSWERS_PER_CRASH} from './classify-suspect.js';
 import type {Classification, CrashEvidenceView} from './classify-suspect.js';
 import {CrashRecords, RETENTION_MS} from './crash-records.js';
 import type {ServerCrash} from './crash-records.js';
@@ -25,8 +25,6 @@
  * again, and is then either answered or crashes another server.
  */
 const LIKELY_QUARANTINE_MS = 30_000;
-/** Number of answers for each crash after which a request is not suspected any more. */
-const ANSWERS_TO_CLEAR = 3;
 const MAX_REPORTS = 4096;
 const MAX_PEER_QUARANTINES = 1024;
 const MAX_ANSWERED = 4096;
@@ -88,8 +86,8 @@
 	isSuspect(fingerprint: RequestFingerprint): boolean {
 		const {count, lastAtMs} = this.#answers.get(fingerprint) ?? noAnswers;
 		const crashes = [...this.#crashes.crashesOf(fingerprint)];
-		const isClearing = count >= crashes.length * ANSWERS_TO_CLEAR;
-		return crashes.some(crash => !(isClearing && crash.atMs <= lastAtMs) && !isExplainedByAnother({crash, fingerprint, view: this.#view}));
+		const isAnsweredOften = count > crashes.length * MAX_ANSWERS_PER_CRASH;
+		return crashes.some(crash => !(isAnsweredOften && crash.atMs <= lastAtMs) && !isExplainedByAnother({crash, fingerprint, view: this.#view}));
 	}
 
 	/** Number of crashes that a request may have caused. */
