Keep records of answers from overwriting those of crashes

Cause: an instance keeps 64 records in the store, and crashes and answers to suspects share them. More suspects are answered than servers crash, so that a report of a crash was overwritten before an instance that had been away or starts could read it. Change: each kind has 64 keys of its own. A build from before reads both, as it goes by the prefix of the keys and the kind of the record. Test: 'never overwrites records of crashes by records of answers', which failed before: the one crash was gone after 70 answers.

--- a/calls/live/src/suspicion-writer.ts
+++ b/calls/live/src/suspicion-writer.ts
@@ -6,7 +6,7 @@
 import {SUSPICION_PREFIX} from './suspicion-records.js';
 import type {SuspicionRecord} from './suspicion-records.js';
 
-/** Maximum number of records of one instance in the store; the oldest are overwritten. */
+/** Maximum number of records of each kind of one instance in the store; the oldest are overwritten. */
 const MAX_RECORDS = 64;
 const TIME_TO_LIVE_MS = 600_000;
 /** Age from which a lease is not used for further records, in milliseconds, so that each record lasts at least for the rest of its time to live. */
@@ -45,13 +45,16 @@
 	/** Keys of records that may be missing from the store, in the order in which they are to be written. */
 	readonly #unwritten = new Set<string>();
 	readonly #lease: SharedLease;
-	#sequence: number;
+	/** Numbers of the last records of crashes and of answers. Each kind has keys of its own, so that answers never overwrite crashes. */
+	#crashes: number;
+	#answers: number;
 	#isRetrying = false;
 	#isStopped = false;
 
 	constructor(options: SuspicionWriterOptions) {
 		this.#options = options;
-		this.#sequence = options.firstSequence;
+		this.#crashes = options.firstSequence;
+		this.#answers = options.firstSequence;
 		const {store, onFailure, now} = options;
 		this.#lease = new SharedLease({
 			store, timeToLiveMs: TIME_TO_LIVE_MS, maxAgeMs: MAX_LEASE_AGE_MS, onFailure, now,
@@ -63,15 +66,17 @@
 		const record: SuspicionRecord = {
 			kind: 'death', origin, sequence, server, startedAtMs, fingerprints: fingerprints.slice(0, MAX_FINGERPRINTS),
 		};
-		await this.#share({record, isUrgent: true});
+		this.#crashes += 1;
+		await this.#share({record, isUrgent: true, name: String(this.#crashes % MAX_RECORDS)});
 	};
 
 	/** Shares that a server answered a suspect; resolves after the first attempt to write it. */
 	readonly shareAnswer = async ({fingerprint, isUrgent}: ShareAnswerOptions): Promise<void> => {
 		const record: SuspicionRecord = {
-			kind: 'cleared', origin: this.#options.instance, sequence: this.#sequence + 1, fingerprint,
+			kind: 'cleared', origin: this.#options.instance, sequence: this.#answers + 1, fingerprint,
 		};
-		await this.#share({record, isUrgent});
+		this.#answers += 1;
+		await this.#share({record, isUrgent, name: `answer-${this.#answers % MAX_RECORDS}`});
 	};
 
 	/** Handles the removal of a key from the store: a record of this instance that is still needed is written again. */
@@ -89,10 +94,9 @@
 	}
 
 	/** Writes a record; if it is urgent and the store does not accept it promptly, it is also sent to the other instances directly. */
-	async #share({record, isUrgent}: {readonly record: SuspicionRecord; readonly isUrgent: boolean}): Promise<void> {
+	async #share({record, isUrgent, name}: {readonly record: SuspicionRecord; readonly isUrgent: boolean; readonly name: string}): Promise<void> {
 		const {instance, now, sleep} = this.#options;
-		this.#sequence += 1;
-		const key = `${SUSPICION_PREFIX}${instance}/${this.#sequence % MAX_RECORDS}`;
+		const key = `${SUSPICION_PREFIX}${instance}/${name}`;
 		this.#kept.set(key, {record, neededUntilMs: now() + TIME_TO_LIVE_MS});
 		this.#unwritten.add(key);
 		const written = this.#write(key);
--- a/calls/live/test/suspicion-writer.test.ts
+++ b/calls/live/test/suspicion-writer.test.ts
@@ -92,6 +92,17 @@
 		});
 	}
 
+	it('never overwrites records of crashes by records of answers', async () => {
+		await withWriter(async (fixture, writer) => {
+			await writer.shareCrash({crash: crash(1), quarantined: []});
+			for (let count = 0; count < 70; count += 1) {
+				await writer.shareAnswer({fingerprint, isUrgent: false});
+			}
+
+			assert.deepEqual(readRecords(fixture).filter(({kind}) => kind === 'death').length, 1);
+		});
+	});
+
 	it('does not write again when the key of another instance is removed', async () => {
 		await withWriter(async (fixture, writer) => {
 			writer.restore(`${SUSPICION_PREFIX}b/1`);
