--- a/testing/gateway-fleet/src/gateway-process.ts
+++ b/testing/gateway-fleet/src/gateway-process.ts
@@ -29,6 +29,8 @@
 	readonly settingsText?: string;
 	/** Maximum number of open files of the process. */
 	readonly maxOpenFiles?: number;
+	/** Path of the compiled main module, for a gateway of another build; that of this build by default. */
+	readonly main?: string;
 }
 
 /** A running gateway process. */
@@ -66,11 +68,11 @@
 
 /** Starts a gateway with a temporary settings file. */
 export async function startGatewayProcess(options: StartGatewayProcessOptions): Promise<GatewayProcess> {
-	const {settings, isOutputRead = true, engineFlags = [], settingsText = JSON.stringify(settings), maxOpenFiles} = options;
+	const {settings, isOutputRead = true, engineFlags = [], settingsText = JSON.stringify(settings), maxOpenFiles, main = MAIN} = options;
 	const directory = await mkdtemp(path.join(tmpdir(), 'pomelopick-gateway-'));
 	const file = path.join(directory, 'settings.json');
 	await writeFile(file, settingsText);
-	const command = [process.execPath, ...engineFlags, MAIN];
+	const command = [process.execPath, ...engineFlags, main];
 	const limited = maxOpenFiles === undefined ? command : ['/bin/sh', '-c', `ulimit -n ${maxOpenFiles}; exec "$@"`, 'sh', ...command];
 	const child = spawn(limited[0]!, limited.slice(1), {stdio: ['ignore', 'pipe', 'pipe'], env: {PATH: process.env.PATH, POMELOPICK_SETTINGS: file}});
 	const lines: Array<Record<string, unknown>> = [];
--- a/testing/gateway-fleet/src/registered-server.ts
+++ b/testing/gateway-fleet/src/registered-server.ts
@@ -91,7 +91,9 @@
 	startAnew(): void;
 	/** Stops answering: all connections stay open and carry nothing more. */
 	fallSilent(): void;
-	/** Resets all connections and stops listening, as the end of a crash does. */
+	/** Ends as a request that crashes it does. */
+	crash(): void;
+	/** Resets all connections and stops listening. */
 	reset(): Promise<void>;
 	/** Closes all connections and stops listening. */
 	stop(): Promise<void>;
@@ -119,6 +121,11 @@
 		onSilent?.();
 	};
 
+	const crash = (): void => {
+		reset();
+		server.close(onCrash);
+	};
+
 	const server: Server = createServer((request, response) => {
 		void serve({
 			name,
@@ -126,10 +133,7 @@
 			announced,
 			request,
 			response,
-			crash() {
-				reset();
-				server.close(onCrash);
-			},
+			crash,
 			fallSilent,
 		});
 	});
@@ -169,6 +173,7 @@
 			});
 		},
 		fallSilent,
+		crash,
 		async reset() {
 			reset();
 			await new Promise<void>(resolve => {
--- a/testing/gateway-soak/src/crash-cases.ts
+++ b/testing/gateway-soak/src/crash-cases.ts
@@ -68,4 +68,13 @@
 		fault: 'servers-silent',
 		showsLate: true,
 	},
+	{
+		name: 'none, many requests whose callers often leave while servers crash',
+		ending: 'none',
+		durationMs: DURATION_MS,
+		soundPaths: 12,
+		soundPerSecond: 40,
+		callersLeave: true,
+		fault: 'servers-crash',
+	},
 ];
--- a/testing/gateway-soak/src/crash-round.ts
+++ b/testing/gateway-soak/src/crash-round.ts
@@ -2,16 +2,14 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	callGateway, configuration, endpointOf, isReady, partitionFlags, startGatewayFleet, startGatewayProcess, until,
+	callGateway, configuration, endpointOf, isReady, startGatewayFleet, until,
 } from '@pomelopick/testing.gateway-fleet';
-import type {CallerResponse, GatewayFleet, GatewayProcess} from '@pomelopick/testing.gateway-fleet';
-import type {GatewaySettingsInput} from '@pomelopick/config.settings';
-import {startFaultProxy} from '@pomelopick/testing.fault-proxy';
-import type {FaultProxy} from '@pomelopick/testing.fault-proxy';
+import type {CallerResponse, GatewayFleet} from '@pomelopick/testing.gateway-fleet';
 import {crashingCall, crashingPlays} from './crash-endings.js';
 import type {CrashEnding} from './crash-endings.js';
 import {createDraw} from './draw.js';
 import type {Draw} from './draw.js';
+import {RoundGateway} from './round-gateway.js';
 import {UnreachableAddresses} from './unreachable-addresses.js';
 
 const GATEWAYS = 8;
@@ -29,20 +27,22 @@
 const CRASHES_BEFORE_QUARANTINE = 3;
 /** Time before the first crash at which a fault of the store begins, in milliseconds. */
 const FAULT_LEAD_MS = 300;
-/** Time from sending the crashing request to a gateway to the kill of that gateway, in milliseconds. */
-const KILL_DELAY_MS = 5;
 /** Number of gateways that are cut off from the store. */
 const DISCONNECTED_GATEWAYS = 3;
+/** Callers of sound requests of which one leaves, and the time after which it does, in milliseconds. */
+const CALLERS_PER_LEAVER = 3;
+const LEAVE_MS = 100;
+/** Interval at which servers crash by themselves, in milliseconds. */
+const SERVER_CRASH_INTERVAL_MS = 1200;
 /** Number of servers that fall silent at once. */
 const SILENT_SERVERS = 6;
 const MILLISECONDS_PER_SECOND = 1000;
 const OK = 200;
 
-const domains = ['north-a', 'north-b', 'south-a'] as const;
 const serverDomains = ['north-a', 'north-b'] as const;
 
 /** Fault that is injected in addition to the crashes. */
-export type CrashFault = 'store-away' | 'some-turned-away' | 'gateways-killed' | 'gateways-restarted' | 'servers-silent';
+export type CrashFault = 'store-away' | 'some-turned-away' | 'gateways-killed' | 'gateways-restarted' | 'servers-silent' | 'servers-crash';
 
 /** Options of {@link runCrashRound}. */
 export interface RunCrashRoundOptions {
@@ -52,11 +52,15 @@
 	/** Number of different sound requests, and how many are sent per second in total. */
 	readonly soundPaths: number;
 	readonly soundPerSecond: number;
+	/** Whether every third caller of a sound request leaves before its response. */
+	readonly callersLeave?: boolean;
 	/** How the end of a server shows; `reset` by default. */
 	readonly ending?: CrashEnding;
 	readonly fault?: CrashFault;
 	/** Duration of the fault of the store, in milliseconds. */
 	readonly faultMs?: number;
+	/** Path of the compiled main module of another build, which every second gateway runs. */
+	readonly otherMain?: string;
 }
 
 /** Outcome of a round. */
@@ -77,57 +81,52 @@
 	readonly lines: ReadonlyArray<Readonly<Record<string, unknown>>>;
 }
 
-/** A gateway of the round with its proxied connection to the store. */
-interface Member {
-	readonly settings: GatewaySettingsInput;
-	readonly storePath: FaultProxy;
-	process: GatewayProcess;
-}
-
 /** Runs one round. */
 export async function runCrashRound(options: RunCrashRoundOptions): Promise<CrashRoundResult> {
-	const {seed, durationMs, soundPaths, soundPerSecond} = options;
+	const {seed, durationMs, soundPaths, soundPerSecond, otherMain} = options;
 	const fleet = await startGatewayFleet({servers: []});
-	const unreachable = new UnreachableAddresses({listGateways: () => members.map(({process}) => process)});
+	const unreachable = new UnreachableAddresses({listGateways: () => gateways});
 	for (let number = 0; number < SERVERS; number += 1) {
 		await fleet.addRestartingServer({name: `server-${number}`, failureDomain: serverDomains[number % serverDomains.length]!, onReachable: unreachable.set});
 	}
 
-	const members: readonly Member[] = await Promise.all(Array.from({length: GATEWAYS}, async (_, number) => startMember({fleet, number, seed})));
-	const endedLines: Array<Readonly<Record<string, unknown>>> = [];
+	const gateways: readonly RoundGateway[] = await Promise.all(Array.from({length: GATEWAYS}, async (_, number) => RoundGateway.start({
+		fleet, number, seed, otherMain,
+	})));
 	try {
 		fleet.write('op/config', configuration({version: 2}));
 		await until(async () => {
-			const ready = await Promise.all(members.map(async ({settings}) => isReady(settings)));
+			const ready = await Promise.all(gateways.map(async ({settings}) => isReady(settings)));
 			return ready.every(Boolean);
 		});
 		const draw = createDraw(seed);
 		const endMs = performance.now() + SETTLE_MS + durationMs;
 		const [sound] = await Promise.all([
 			sendSound({
-				members, draw, endMs, paths: soundPaths, perSecond: soundPerSecond,
+				gateways, draw, endMs, paths: soundPaths, perSecond: soundPerSecond, callersLeave: options.callersLeave ?? false,
 			}),
 			sendCrashing({
-				members, endMs, ending: options.ending ?? 'reset', async afterSend(member) {
+				gateways, endMs, ending: options.ending ?? 'reset', async afterSend(gateway) {
 					if (options.fault === 'gateways-killed') {
-						await restart({member, endedLines});
+						await gateway.kill();
 					}
 				},
 			}),
 			restartInTurn({
-				members, endMs, endedLines, isOn: options.fault === 'gateways-restarted', onStart() {
+				gateways, endMs, isOn: options.fault === 'gateways-restarted', onStart() {
 					unreachable.apply();
 				},
 			}),
-			injectFault({members, fleet, options}),
+			injectFault({gateways, fleet, options}),
+			crashServers({
+				fleet, draw, endMs, isOn: options.fault === 'servers-crash',
+			}),
 		]);
-		const lines = [...endedLines, ...members.flatMap(({process}) => process.lines)];
 		return summarizeRound({
-			seed, fleet, sound, lines,
+			seed, fleet, sound, lines: gateways.flatMap(({lines}) => lines),
 		});
 	} finally {
-		await Promise.all(members.map(async ({process}) => process.stop()));
-		await Promise.all(members.map(async ({storePath}) => storePath.stop()));
+		await Promise.all(gateways.map(async gateway => gateway.stop()));
 		await fleet.stop();
 	}
 }
@@ -161,33 +160,10 @@
 	};
 }
 
-async function startMember({fleet, number, seed}: {readonly fleet: GatewayFleet; readonly number: number; readonly seed: number}): Promise<Member> {
-	const storePath = await startFaultProxy({target: fleet.platform.endpoint, seed: seed + number});
-	const {address, port} = storePath.endpoint;
-	const ownSettings = await fleet.settings({instance: `gateway-${number}`, failureDomain: domains[number % domains.length]});
-	const settings = {...ownSettings, store: `${address}:${port}`};
-	return {settings, storePath, process: await startProcess(settings)};
-}
-
-async function startProcess(settings: GatewaySettingsInput): Promise<GatewayProcess> {
-	return startGatewayProcess({settings, engineFlags: partitionFlags});
-}
-
-/** Kills a gateway and restarts it. */
-async function restart({member, endedLines}: {readonly member: Member; readonly endedLines: Array<Readonly<Record<string, unknown>>>}): Promise<void> {
-	await sleep(KILL_DELAY_MS);
-	const {process, settings} = member;
-	process.signal('SIGKILL');
-	await process.exited;
-	endedLines.push(...process.lines);
-	member.process = await startProcess(settings);
-}
-
 /** Stops and starts one gateway after another until the end. */
-async function restartInTurn({members, endMs, endedLines, isOn, onStart}: {
-	readonly members: readonly Member[];
+async function restartInTurn({gateways, endMs, isOn, onStart}: {
+	readonly gateways: readonly RoundGateway[];
 	readonly endMs: number;
-	readonly endedLines: Array<Readonly<Record<string, unknown>>>;
 	readonly isOn: boolean;
 	readonly onStart: () => void;
 }): Promise<void> {
@@ -196,25 +172,22 @@
 	}
 
 	for (let count = 0; performance.now() < endMs; count += 1) {
-		const member = members[count % members.length]!;
-		const {process, settings} = member;
-		await process.stop();
-		endedLines.push(...process.lines);
-		member.process = await startProcess(settings);
+		const gateway = gateways[count % gateways.length]!;
+		await gateway.restart();
 		onStart();
-		await until(async () => isReady(settings));
+		await until(async () => isReady(gateway.settings));
 	}
 }
 
 interface SendCrashingOptions {
-	readonly members: readonly Member[];
+	readonly gateways: readonly RoundGateway[];
 	readonly endMs: number;
 	readonly ending: CrashEnding;
-	readonly afterSend: (member: Member) => Promise<void>;
+	readonly afterSend: (gateway: RoundGateway) => Promise<void>;
 }
 
 /** Sends the crashing request to one gateway after another. */
-async function sendCrashing({members, endMs, ending, afterSend}: SendCrashingOptions): Promise<void> {
+async function sendCrashing({gateways, endMs, ending, afterSend}: SendCrashingOptions): Promise<void> {
 	if (ending === 'none') {
 		return;
 	}
@@ -222,12 +195,12 @@
 	await sleep(SETTLE_MS);
 	const sending: Array<Promise<unknown>> = [];
 	for (let count = 0; performance.now() < endMs; count += 1) {
-		const member = members[count % members.length]!;
+		const gateway = gateways[count % gateways.length]!;
 		sending.push(
 			callGateway({
-				endpoint: endpointOf(member.settings.listen.callers), path: CRASHING_PATH, object: OBJECT, timeLeftMs: TIME_LEFT_MS, ...crashingCall({ending, count}),
+				endpoint: endpointOf(gateway.settings.listen.callers), path: CRASHING_PATH, object: OBJECT, timeLeftMs: TIME_LEFT_MS, ...crashingCall({ending, count}),
 			}),
-			afterSend(member),
+			afterSend(gateway),
 		);
 		await sleep(CRASH_INTERVAL_MS);
 	}
@@ -236,23 +209,24 @@
 }
 
 interface SendSoundOptions {
-	readonly members: readonly Member[];
+	readonly gateways: readonly RoundGateway[];
 	readonly draw: Draw;
 	readonly endMs: number;
 	readonly paths: number;
 	readonly perSecond: number;
+	readonly callersLeave: boolean;
 }
 
-async function sendSound({members, draw, endMs, paths, perSecond}: SendSoundOptions): Promise<readonly CallerResponse[]> {
+async function sendSound({gateways, draw, endMs, paths, perSecond, callersLeave}: SendSoundOptions): Promise<readonly CallerResponse[]> {
 	const sending: Array<Promise<CallerResponse>> = [];
 	if (perSecond === 0) {
 		return [];
 	}
 
 	while (performance.now() < endMs) {
-		const {settings} = members[draw(members.length)]!;
+		const {settings} = gateways[draw(gateways.length)]!;
 		sending.push(callGateway({
-			endpoint: endpointOf(settings.listen.callers), path: `/read/sound-${draw(paths)}`, object: OBJECT, plays: ['slow'], timeLeftMs: TIME_LEFT_MS,
+			endpoint: endpointOf(settings.listen.callers), path: `/read/sound-${draw(paths)}`, object: OBJECT, plays: ['slow'], timeLeftMs: TIME_LEFT_MS, ...(callersLeave && draw(CALLERS_PER_LEAVER) === 0 && {signal: AbortSignal.timeout(LEAVE_MS)}),
 		}));
 		await sleep(MILLISECONDS_PER_SECOND / perSecond);
 	}
@@ -260,8 +234,8 @@
 	return Promise.all(sending);
 }
 
-async function injectFault({members, fleet, options: {fault, faultMs = 0}}: {
-	readonly members: readonly Member[]; readonly fleet: GatewayFleet; readonly options: RunCrashRoundOptions;
+async function injectFault({gateways, fleet, options: {fault, faultMs = 0}}: {
+	readonly gateways: readonly RoundGateway[]; readonly fleet: GatewayFleet; readonly options: RunCrashRoundOptions;
 }): Promise<void> {
 	if (fault === 'servers-silent') {
 		await sleep(SETTLE_MS);
@@ -274,7 +248,7 @@
 		return;
 	}
 
-	const cut = fault === 'some-turned-away' ? members.slice(0, DISCONNECTED_GATEWAYS) : [];
+	const cut = fault === 'some-turned-away' ? gateways.slice(0, DISCONNECTED_GATEWAYS) : [];
 	await sleep(SETTLE_MS - FAULT_LEAD_MS);
 	setStoreAvailability({
 		fleet, cut, isUnavailable: true, affectsAll: fault === 'store-away',
@@ -285,8 +259,20 @@
 	});
 }
 
+/** Lets one server after another crash by itself until the end. */
+async function crashServers({fleet, draw, endMs, isOn}: {readonly fleet: GatewayFleet; readonly draw: Draw; readonly endMs: number; readonly isOn: boolean}): Promise<void> {
+	if (!isOn) {
+		return;
+	}
+
+	while (performance.now() < endMs) {
+		await sleep(SERVER_CRASH_INTERVAL_MS);
+		fleet.servers[draw(SERVERS)]!.crash();
+	}
+}
+
 function setStoreAvailability({fleet, cut, isUnavailable, affectsAll}: {
-	readonly fleet: GatewayFleet; readonly cut: readonly Member[]; readonly isUnavailable: boolean; readonly affectsAll: boolean;
+	readonly fleet: GatewayFleet; readonly cut: readonly RoundGateway[]; readonly isUnavailable: boolean; readonly affectsAll: boolean;
 }): void {
 	for (const {storePath} of cut) {
 		storePath.set({cut: isUnavailable});
