Count one end for each start of a server, and bound the memory of ended runs as a whole

Only a lost connection can be about a start that the store does not tell of yet. Runs of servers that are registered no more stayed until the process ended. Change: all other evidence is about the start that it states; ended runs are dropped in their order, 4,096 at most, 15 s each. Tests: two cases of suspect-table.

--- a/calls/quarantine/src/crash-detector.ts
+++ b/calls/quarantine/src/crash-detector.ts
@@ -1,6 +1,5 @@
 /** Reports ends of backend servers, however they become known, with the requests that may have caused them. */
 import type {BackendServer, BackendServerName} from '@pomelopick/core.types';
-import {dropOldest} from './bounded-maps.js';
 import type {CrashEvidence, ServerCrash} from './crash-records.js';
 import type {RequestFingerprint} from './fingerprint.js';
 import {mergeSpans} from './run-span.js';
@@ -10,8 +9,6 @@
 
 /** Connections to a server that are lost within this time, in milliseconds, belong to the same crash. */
 const SAME_CRASH_MS = 100;
-/** Maximum number of servers whose last end is remembered. */
-const MAX_ENDS = 1024;
 
 /** The properties of a backend server that crash detection needs. */
 export interface MonitoredServer {
@@ -43,12 +40,6 @@
 	readonly endedByMs: number;
 }
 
-interface ReportedEnd {
-	readonly startedAtMs: number | undefined;
-	/** Monotonic time by which the server had ended, in milliseconds. */
-	readonly endedByMs: number;
-}
-
 interface ConnectionLoss {
 	/** Monotonic time, in milliseconds. */
 	readonly atMs: number;
@@ -61,8 +52,6 @@
 	readonly #runs = new ServerRuns();
 	/** Last lost connection of each server. */
 	readonly #losses = new Map<BackendServerName, ConnectionLoss>();
-	/** Last end of each server that was reported, and its start. */
-	readonly #ends = new Map<BackendServerName, ReportedEnd>();
 
 	constructor(options: CrashDetectorOptions<Server>) {
 		this.#options = options;
@@ -124,18 +113,11 @@
 	/** Reports the end of a server with the runs that may have caused it and were not reported yet; without any, nothing is reported. */
 	async reportEnd({server: {name, startedAtMs}, evidence, endedByMs}: ReportEndOptions<Server>): Promise<void> {
 		const {now, clockOffsetMs, reportCrash} = this.#options;
-		const known = this.#ends.get(name);
-		// A start that had ended before it was found to be replaced cannot have run what was sent after its end.
-		const isKnown = evidence !== 'connection-lost' && known !== undefined && known.startedAtMs === startedAtMs;
-		const runs = this.#runs.take({server: name, endedByMs: isKnown ? known.endedByMs : endedByMs, nowMs: now()});
+		const runs = this.#runs.take({server: name, endedByMs, nowMs: now()});
 		if (runs.length === 0) {
 			return;
 		}
 
-		this.#ends.delete(name);
-		this.#ends.set(name, {startedAtMs, endedByMs: isKnown ? known.endedByMs : endedByMs});
-		dropOldest({map: this.#ends, maxSize: MAX_ENDS});
-
 		const spans = mergeRuns({runs, endedByMs, clockOffsetMs});
 		await reportCrash({
 			server: name, startedAtMs, evidence, fingerprints: [...spans.keys()], spans: [...spans.values()],
--- a/calls/quarantine/src/crash-records.ts
+++ b/calls/quarantine/src/crash-records.ts
@@ -81,10 +81,7 @@
 		return this.#bySuspect.get(fingerprint) ?? noCrashes;
 	}
 
-	/**
-	 * Returns the crash that a report concerns if it is already recorded. An instance reports a crash again only with
-	 * further requests that were sent before it; otherwise its second report is about another crash.
-	 */
+	/** Returns the crash that a report concerns if it is already recorded. */
 	findCrash(report: ServerCrash): RecordedCrash | undefined {
 		const {server, startedAtMs, atMs} = report;
 		const isSame = (known: RecordedCrash): boolean => startedAtMs !== undefined && known.startedAtMs !== undefined
@@ -146,9 +143,13 @@
 	}
 }
 
-/** Whether an instance that has reported a crash of a server reports another one: none of its requests was sent before the first. */
-function isLaterReport({report: {origin, spans}, known}: {readonly report: ServerCrash; readonly known: RecordedCrash}): boolean {
-	if (!known.reporters.has(origin)) {
+/**
+ * Whether an instance that has reported a crash of a server reports another one: a connection was lost, and none of its
+ * requests was sent before the first crash. The start of a server may be that of the one before, as its entry in the
+ * store is renewed late. All other evidence is about the start that it states, which ends once.
+ */
+function isLaterReport({report: {origin, spans, evidence = 'connection-lost'}, known}: {readonly report: ServerCrash; readonly known: RecordedCrash}): boolean {
+	if (evidence !== 'connection-lost' || !known.reporters.has(origin)) {
 		return false;
 	}
 
--- a/calls/quarantine/src/server-runs.ts
+++ b/calls/quarantine/src/server-runs.ts
@@ -11,8 +11,8 @@
 export const CANCELLATION_MS = 1000;
 /** Time after the end of an attempt for which its run is kept, in milliseconds; the restart of a server may become known that late. */
 const RETENTION_MS = 15_000;
-/** Maximum number of runs of one server that are kept after their attempts; the oldest are dropped first. */
-const MAX_ENDED_RUNS = 32;
+/** Maximum number of runs that are kept after their attempts; the oldest are dropped first. */
+const MAX_ENDED_RUNS = 4096;
 
 /** A call that is being sent to a backend server or is in progress there. */
 export interface InFlightCall {
@@ -52,6 +52,8 @@
 /** The runs of all servers. */
 export class ServerRuns {
 	readonly #runs = new Map<BackendServerName, Set<MutableRun>>();
+	/** Runs whose attempts have ended, in this order. */
+	readonly #ended = new Set<MutableRun>();
 
 	/** Records that a call is being sent to a server. */
 	begin({server, call, nowMs}: {readonly server: BackendServerName; readonly call: InFlightCall; readonly nowMs: number}): ServerRun {
@@ -72,6 +74,7 @@
 	resolve(run: ServerRun): void {
 		const runs = this.#runs.get(run.server);
 		runs?.delete(run as MutableRun);
+		this.#ended.delete(run as MutableRun);
 		if (runs?.size === 0) {
 			this.#runs.delete(run.server);
 		}
@@ -88,7 +91,8 @@
 		ended.fingerprint = ended.call.fingerprint();
 		ended.call = undefined;
 		ended.endedAtMs = nowMs;
-		this.#dropOld({server: run.server, nowMs});
+		this.#ended.add(ended);
+		this.#dropOld(nowMs);
 	}
 
 	/** Records a response of a server on a connection: it has not restarted since the connection was opened, so it survived the runs that are over. */
@@ -102,7 +106,7 @@
 
 	/** Returns the runs that may have ended a server by a monotonic time, in milliseconds. Each run is returned once. */
 	take({server, endedByMs, nowMs}: {readonly server: BackendServerName; readonly endedByMs: number; readonly nowMs: number}): readonly SuspectedRun[] {
-		this.#dropOld({server, nowMs});
+		this.#dropOld(nowMs);
 		const runs = [...this.#runs.get(server) ?? []].filter(run => !run.isReported && run.beganAtMs <= endedByMs && (run.call?.mayHaveRun ?? true));
 		return runs.map(run => {
 			const {beganAtMs, endedAtMs} = run;
@@ -126,12 +130,13 @@
 		return [...this.#runs].filter(([, runs]) => [...runs].some(({call}) => call?.isSuspect === true)).map(([server]) => server);
 	}
 
-	#dropOld({server, nowMs}: {readonly server: BackendServerName; readonly nowMs: number}): void {
-		const ended = [...this.#runs.get(server) ?? []].filter(({endedAtMs}) => endedAtMs !== undefined);
-		for (const [index, run] of ended.entries()) {
-			if (nowMs - run.endedAtMs! >= RETENTION_MS || index < ended.length - MAX_ENDED_RUNS) {
-				this.resolve(run);
+	#dropOld(nowMs: number): void {
+		for (const run of this.#ended) {
+			if (nowMs - run.endedAtMs! < RETENTION_MS && this.#ended.size <= MAX_ENDED_RUNS) {
+				return;
 			}
+
+			this.resolve(run);
 		}
 	}
 }
--- a/calls/quarantine/test/suspect-table.test.ts
+++ b/calls/quarantine/test/suspect-table.test.ts
@@ -140,6 +140,24 @@
 		quarantined: [],
 		clear: [],
 	},
+	{
+		name: 'a restart that the same instance reports of requests sent meanwhile is the same crash as its unreachable server',
+		steps: [...['s1', 's2'].map(server => ({
+			server, suspects: ['a', 'b'], startedAtMs: 7, span: [0, 500] as const, evidence: 'unreachable' as const,
+		})), {
+			server: 's1', suspects: ['a'], startedAtMs: 7, span: [600, 3000], evidence: 'restarted',
+		}],
+		quarantined: [],
+		clear: [],
+	},
+	{
+		name: 'a connection that the same instance loses later, to a server whose start it does not know yet, is another crash',
+		steps: [['s1', 0], ['s2', 1000], ['s1', 2000]].map(([server, fromMs]) => ({
+			server: String(server), suspects: ['a', 'b'], startedAtMs: 7, span: [Number(fromMs), Number(fromMs) + 500] as const,
+		})),
+		quarantined: ['a', 'b'],
+		clear: [],
+	},
 	{
 		name: 'a restart that another instance reports later is the same crash as its unreachable server',
 		steps: ['s1', 's1', 's2'].map((server, index) => ({
