Give up a server that sends interim responses without end

Change: the 33rd ends the attempt as a malformed response (502). Test: 'is given up before the deadline if it sends nothing but interim responses', 504 before.

--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -28,6 +28,7 @@
 	#isReleased = false;
 	/** Whether the request was given to the library on a connection that was open before; it may then be given to it once more. */
 	#isReopenable = false;
+	#interimResponses = 0;
 	#head: ResponseHead | undefined;
 	#bufferedPieces: Uint8Array[] = [];
 	#bufferedBytes = 0;
@@ -93,6 +94,7 @@
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
 		this.#recordActivity();
 		if (status < 200) {
+			this.#recordInterim();
 			return;
 		}
 
@@ -226,6 +228,14 @@
 		return status >= FIRST_SUCCESS && status <= LAST_SUCCESS ? 'ran' : 'unknown';
 	}
 
+	/** Counts an interim response. A server that sends too many is not waited for until the deadline. */
+	#recordInterim(): void {
+		this.#interimResponses += 1;
+		if (this.#interimResponses > MAX_INTERIM_RESPONSES) {
+			this.abort({kind: 'mismatched', detail: `the server sent more than ${MAX_INTERIM_RESPONSES} interim responses`});
+		}
+	}
+
 	#recordActivity(): void {
 		this.#options.lease.connection.lastReceivedAtMs = this.#options.now();
 	}
@@ -279,5 +289,7 @@
 
 /** Codes of errors for which the other side or the network ended or refused a connection; others are errors of the protocol. */
 const lostConnectionCodes: ReadonlySet<string> = new Set(['UND_ERR_CONNECT_TIMEOUT', 'UND_ERR_SOCKET', 'ECONNREFUSED', 'ECONNRESET', 'EPIPE', 'ETIMEDOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
+/** Maximum number of interim responses (status 1xx) before a response. */
+const MAX_INTERIM_RESPONSES = 32;
 const FIRST_SUCCESS = 200;
 const LAST_SUCCESS = 299;
--- a/daemons/gateway/test/endless-responses.test.ts
+++ b/daemons/gateway/test/endless-responses.test.ts
@@ -119,6 +119,11 @@
 		});
 	};
 
+	it('is given up before the deadline if it sends nothing but interim responses', async () => {
+		const {status} = await callGateway({endpoint, path: '/read/endless/interim responses'.replace(' ', '%20')});
+		assert.equal(status, 502);
+	});
+
 	for (const {name, ...played} of cases) {
 		it(`neither crashes a gateway nor exhausts its memory with ${name}`, async () => playResponse(played));
 	}
--- a/daemons/gateway/test/endless-server.ts
+++ b/daemons/gateway/test/endless-server.ts
@@ -31,11 +31,16 @@
 	'further bytes after a complete response': {start: requestId => `${head(requestId, ['content-length: 2'])}ok`, piece: filler},
 };
 
+/** Prefix of the paths of requests that another gateway forwards. */
+const FORWARDED_PREFIX = /^\/forwarded-requests/u;
+
 /** A running server. */
 export interface EndlessServer {
 	readonly port: number;
 	/** Number of open connections. */
 	readonly openCount: () => number;
+	/** Number of requests that it answered endlessly. */
+	readonly endlessCount: () => number;
 	readonly stop: () => void;
 }
 
@@ -48,8 +53,10 @@
 export async function startEndlessServer({resetAfterMs}: {readonly resetAfterMs: number}): Promise<EndlessServer> {
 	const sockets = new Set<Socket>();
 	let health: EndlessResponse | undefined;
+	let endlessCount = 0;
 	const respond = ({socket, text}: {readonly socket: Socket; readonly text: string}): void => {
-		const [, path = ''] = text.split(' ', 2);
+		const [, fullPath = ''] = text.split(' ', 2);
+		const path = fullPath.replace(FORWARDED_PREFIX, '');
 		const requestId = /x-request-id: (\S+)/iu.exec(text)?.[1] ?? '';
 		const [play = '', name = ''] = decodeURIComponent(path).split('/').slice(2);
 		const endless = path === '/health' ? health : endlessResponses[name];
@@ -57,6 +64,7 @@
 			health = endless;
 			socket.resetAndDestroy();
 		} else if (endless) {
+			endlessCount += 1;
 			socket.write(endless.start(requestId));
 			writeEndlessly({socket, piece: endless.piece});
 			if (play === 'reset') {
@@ -91,6 +99,7 @@
 	return {
 		port: (server.address() as AddressInfo).port,
 		openCount: () => sockets.size,
+		endlessCount: () => endlessCount,
 		stop() {
 			server.close();
 			for (const socket of sockets) {
