Take an instance that does not know forwarded requests as one that has run nothing

Cause: a build from before requests were forwarded responds 404 to their path. Change: a 404 that names no server is that of the instance; nothing was run, and the request may go on to the next one. Test: npm test older-instance, 502 before for both kinds.

--- a/calls/relay/src/peer-attempt.ts
+++ b/calls/relay/src/peer-attempt.ts
@@ -19,6 +19,8 @@
 const MAX_CONNECTIONS = 64;
 /** Bytes of a response that are buffered before any is forwarded. */
 const BUFFERED_ANSWER_BYTES = 65_536;
+/** Status with which instances of builds that do not forward requests respond to their path. */
+const NOT_FOUND = 404;
 /** Reasons for which an instance refuses that another one may not have. */
 const reasonsOfInstance: ReadonlySet<RefusalReason> = new Set(['no-backend-server', 'instance-full', 'instance-leaving', 'configuration-missing', 'unknown-route']);
 
@@ -49,6 +51,8 @@
 export class PeerAttempt {
 	readonly #options: PeerAttemptOptions;
 	#exchange: Exchange | undefined;
+	/** Whether the response is that of a backend server. */
+	#isFromServer = false;
 
 	constructor(options: PeerAttemptOptions) {
 		this.#options = options;
@@ -112,9 +116,10 @@
 			}),
 			body: body.content,
 			maxBufferedBytes: BUFFERED_ANSWER_BYTES,
-			onHead(head) {
+			onHead: head => {
 				const server = head.headers[forwardedHeaders.answeredBy];
 				if (typeof server === 'string') {
+					this.#isFromServer = true;
 					// The header is not meant for the caller.
 					Reflect.deleteProperty(head.headers, forwardedHeaders.answeredBy);
 					parts.onAnswerHead({server: server as BackendServerName, head, request: {id, sentAtMs}});
@@ -131,6 +136,10 @@
 			return this.#toRefusalResult(decodePeerRefusal({header, body: new TextDecoder().decode(answer.body)}));
 		}
 
+		if (answer.status === NOT_FOUND && !this.#isFromServer) {
+			return this.#toUnsent('does not accept forwarded requests');
+		}
+
 		const answerClass = classifyAnswer({status: answer.status, headers: answer.headers, names: format.headers});
 		if (answerClass === 'deliver' || answerClass === 'server-failure') {
 			// The other instance has made all further attempts that are allowed.
