--- a/daemons/gateway/test/fixture.ts
+++ b/daemons/gateway/test/fixture.ts
@@ -4,8 +4,9 @@
 import type {GatewaySettingsInput} from '@pomelopick/config.settings';
 import {startGateway} from '@pomelopick/daemons.gateway';
 import type {Gateway} from '@pomelopick/daemons.gateway';
+import type {Endpoint} from '@pomelopick/core.types';
 import {
-	configuration, isReady, startGatewayFleet, startGatewayProcess, startRawServer, until,
+	configuration, endpointOf, isReady, startGatewayFleet, startGatewayProcess, startRawServer, until,
 } from '@pomelopick/testing.gateway-fleet';
 import type {GatewayProcess, RawRequest, RawServer} from '@pomelopick/testing.gateway-fleet';
 
@@ -37,6 +38,42 @@
 	return {...gateway, lines};
 }
 
+/** A gateway process that reaches no server, and the fleet that it belongs to. */
+export interface GatewayBesideInstance {
+	readonly gateway: GatewayProcess;
+	/** Its listener for callers. */
+	readonly endpoint: Endpoint;
+	stop(): Promise<void>;
+}
+
+/** A port at which nothing listens. */
+const CLOSED_PORT = 9;
+
+/** Starts a gateway that can reach no server, so that it forwards requests to the only other instance, which listens at a port of the loopback address. */
+export async function startGatewayBesideInstance({port}: {readonly port: number}): Promise<GatewayBesideInstance> {
+	const fleet = await startGatewayFleet({servers: []});
+	fleet.write('op/config', configuration({version: 2, timeoutSeconds: 1}));
+	for (const name of ['closed-0', 'closed-1', 'closed-2']) {
+		fleet.register({server: {name, port: CLOSED_PORT}, failureDomain: 'north-a'});
+	}
+
+	const listener = {address: '127.0.0.1', port};
+	fleet.write('pomelopick/instances/other', {
+		id: 'other', failureDomain: 'north-a', region: 'north', callers: listener, peers: listener,
+	});
+	const settings = await fleet.settings();
+	const gateway = await startGatewayProcess({settings});
+	await until(async () => await isReady(settings) && gateway.lines.filter(({event}) => event === 'instance-joined').length >= 2);
+	return {
+		gateway,
+		endpoint: endpointOf(settings.listen.callers),
+		async stop() {
+			await gateway.stop();
+			await fleet.stop();
+		},
+	};
+}
+
 /** Options of {@link startGatewayWithRawServers}. */
 export interface StartWithRawServersOptions {
 	/** Number of servers. */
--- a/testing/gateway-fleet/src/caller.ts
+++ b/testing/gateway-fleet/src/caller.ts
@@ -4,7 +4,7 @@
 import type {Endpoint} from '@pomelopick/core.types';
 import {HOST} from './configuration.js';
 import type {Play} from './play-answer.js';
-import {PLAY_HEADER, WORK_HEADER} from './registered-server.js';
+import {PLAY_HEADER, WORK_HEADER} from './serve-request.js';
 
 /** Options of {@link callGateway}. */
 export interface CallGatewayOptions {
--- a/testing/gateway-fleet/src/gateway-fleet.ts
+++ b/testing/gateway-fleet/src/gateway-fleet.ts
@@ -9,7 +9,8 @@
 import type {PlatformStandIn} from '@pomelopick/testing.platform-stand-in';
 import {configuration} from './configuration.js';
 import {startRegisteredServer} from './registered-server.js';
-import type {RegisteredServer, ServerRecords} from './registered-server.js';
+import type {RegisteredServer} from './registered-server.js';
+import type {ServerRecords} from './serve-request.js';
 
 /** Maximum time that {@link until} waits for a condition. */
 const CONDITION_TIMEOUT_MS = 15_000;
--- a/testing/gateway-fleet/src/index.ts
+++ b/testing/gateway-fleet/src/index.ts
@@ -9,5 +9,6 @@
 export * from './play-answer.js';
 export * from './raw-server.js';
 export * from './registered-server.js';
+export * from './serve-request.js';
 export * from './server-process.js';
 export * from './unreachable-server.js';
--- a/testing/gateway-fleet/src/pipelining-caller.ts
+++ b/testing/gateway-fleet/src/pipelining-caller.ts
@@ -6,7 +6,7 @@
 import type {Endpoint} from '@pomelopick/core.types';
 import {HOST} from './configuration.js';
 import type {Play} from './play-answer.js';
-import {PLAY_HEADER, WORK_HEADER} from './registered-server.js';
+import {PLAY_HEADER, WORK_HEADER} from './serve-request.js';
 
 const HEAD_END = '\r\n\r\n';
 
--- a/testing/gateway-fleet/src/raw-server.ts
+++ b/testing/gateway-fleet/src/raw-server.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {createServer} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
-import {WORK_HEADER} from './registered-server.js';
+import {WORK_HEADER} from './serve-request.js';
 
 const HEAD_END = '\r\n\r\n';
 const TIME_LEFT_HEADER = 'x-deadline-ms';
--- a/testing/gateway-soak/src/crash-cases.ts
+++ b/testing/gateway-soak/src/crash-cases.ts
@@ -53,6 +53,12 @@
 			name: `${ending}, beside many requests, while gateways are restarted`, ending, durationMs: DURATION_MS, soundPaths: 12, soundPerSecond: 40, fault: 'gateways-restarted' as const,
 		},
 	]),
+	{
+		name: 'silent-after-caller, alone', ending: 'silent-after-caller', durationMs: DURATION_MS, soundPaths: 0, soundPerSecond: 0,
+	},
+	{
+		name: 'silent-after-caller, beside many requests', ending: 'silent-after-caller', durationMs: DURATION_MS, soundPaths: 12, soundPerSecond: 40,
+	},
 	{
 		name: 'one-of-three, alone', ending: 'one-of-three', durationMs: LONG_DURATION_MS, soundPaths: 0, soundPerSecond: 0,
 	},
--- a/testing/gateway-soak/src/crash-endings.ts
+++ b/testing/gateway-soak/src/crash-endings.ts
@@ -2,10 +2,10 @@
 import type {CallGatewayOptions, Play} from '@pomelopick/testing.gateway-fleet';
 
 /**
- * How the end of a server shows: it resets its connections; it falls silent; it resets them after the caller has left; or
+ * How the end of a server shows: it resets its connections; it falls silent; it does either after the caller has left; or
  * it ends in one of three runs only, and fails the others. `none`: the request is not sent.
  */
-export type CrashEnding = 'reset' | 'silent' | 'caller-left' | 'one-of-three' | 'none';
+export type CrashEnding = 'reset' | 'silent' | 'caller-left' | 'silent-after-caller' | 'one-of-three' | 'none';
 
 /** Time from sending the request to the caller's leaving, in milliseconds, and to the end of the server. */
 const LEAVE_MS = 100;
@@ -26,6 +26,10 @@
 			return {plays: ['crash'], workMs: WORK_MS, signal: AbortSignal.timeout(LEAVE_MS)};
 		}
 
+		case 'silent-after-caller': {
+			return {plays: ['fall-silent'], workMs: WORK_MS, signal: AbortSignal.timeout(LEAVE_MS)};
+		}
+
 		case 'one-of-three': {
 			return {plays: count % RUNS_PER_CRASH === 0 ? ['crash', 'failure'] : ['failure']};
 		}
