End the run of a partial answer that is given up, and describe the evidence

Cause: found by reading: a hedge whose other attempt had begun its answer left that run in progress for good, with its request. Change: an abort ends it. Test: crash-detector, 'keeps nothing of a run that was resolved before its attempt ended'.

--- a/calls/quarantine/src/quarantine.ts
+++ b/calls/quarantine/src/quarantine.ts
@@ -83,6 +83,7 @@
 			...this.#sortSuspects(report), origin: instance, sequence: this.#sequence, atMs: now(),
 		};
 		counters.add('quarantine.death');
+		counters.add(`quarantine.by-${report.evidence ?? 'connection-lost'}`);
 		const quarantined = this.receiveCrash(crash);
 		await sharing.shareCrash({
 			crash,
--- a/calls/quarantine/src/server-runs.ts
+++ b/calls/quarantine/src/server-runs.ts
@@ -5,6 +5,7 @@
  * on. A run that was not answered is kept until its server is known to have survived it, or for a bounded time.
  */
 import type {BackendServerName} from '@pomelopick/core.types';
+import {addToSet, removeFromSet} from './bounded-maps.js';
 import type {RequestFingerprint} from './fingerprint.js';
 
 /** Time after the end of an attempt within which a server stops working on its request, in milliseconds. */
@@ -60,29 +61,23 @@
 		const run: MutableRun = {
 			server, beganAtMs: nowMs, call, fingerprint: undefined, endedAtMs: undefined, isReported: false,
 		};
-		const runs = this.#runs.get(server);
-		if (runs) {
-			runs.add(run);
-		} else {
-			this.#runs.set(server, new Set([run]));
-		}
-
+		addToSet({map: this.#runs, key: server, value: run});
 		return run;
 	}
 
 	/** Records that the server has answered the run, or has not run the request: the run ended no server. */
 	resolve(run: ServerRun): void {
-		const runs = this.#runs.get(run.server);
-		runs?.delete(run as MutableRun);
+		removeFromSet({map: this.#runs, key: run.server, value: run as MutableRun});
 		this.#ended.delete(run as MutableRun);
-		if (runs?.size === 0) {
-			this.#runs.delete(run.server);
-		}
 	}
 
-	/** Records that the attempt of a run ended without an answer. */
+	/** Records that the attempt of a run ended without an answer. Does nothing for a run that was resolved or has ended before. */
 	end({run, nowMs}: {readonly run: ServerRun; readonly nowMs: number}): void {
 		const ended = run as MutableRun;
+		if (ended.endedAtMs !== undefined || !this.#runs.get(run.server)?.has(ended)) {
+			return;
+		}
+
 		if (ended.call?.mayHaveRun !== true || ended.isReported) {
 			this.resolve(run);
 			return;
--- a/calls/quarantine/test/crash-detector.test.ts
+++ b/calls/quarantine/test/crash-detector.test.ts
@@ -106,6 +106,15 @@
 		});
 	}
 
+	it('keeps nothing of a run that was resolved before its attempt ended', async () => {
+		const {detector, reports, begin} = createFixture();
+		const run = begin('a');
+		detector.resolve(run);
+		detector.end(run);
+		await detector.reportEnd({server, evidence: 'restarted', endedByMs: 0});
+		assert.deepEqual(reports, []);
+	});
+
 	it('reports each run with one end only', async () => {
 		const {detector, reports, begin} = createFixture();
 		begin('a');
--- a/calls/relay/src/contact-monitor.ts
+++ b/calls/relay/src/contact-monitor.ts
@@ -31,6 +31,13 @@
 /** Checks in a row that find a server unreachable before attempts that it may be working on are given up. */
 const CHECKS_BEFORE_ABORT = 2;
 
+/** Checks in a row that found a server unreachable. */
+interface FailedChecks {
+	/** Monotonic time of the first, in milliseconds. */
+	readonly sinceMs: number;
+	readonly count: number;
+}
+
 /** An attempt in progress. */
 export interface MonitoredAttempt {
 	readonly server: RelayServer;
@@ -170,22 +177,16 @@
 	async #checkUntilConfirmed({server, unreachableSinceMs}: {readonly server: RelayServer; readonly unreachableSinceMs: number | undefined}): Promise<void> {
 		const {contacts, isRegistered, sleep, now} = this.#options;
 		let pauseMs = FIRST_PAUSE_MS;
-		let sinceMs = unreachableSinceMs;
-		let failures = Number(unreachableSinceMs !== undefined);
+		let failed: FailedChecks | undefined = unreachableSinceMs === undefined ? undefined : {sinceMs: unreachableSinceMs, count: 1};
 		let isReported = false;
 		while (!this.#isStopped && contacts.isLost(server) && isRegistered(server)) {
 			const checkedAtMs = now();
 			const isReachable = await this.#check(server) !== 'unreachable';
 			contacts.recordCheck({server, isReachable});
-			sinceMs = isReachable ? undefined : sinceMs ?? checkedAtMs;
-			failures = isReachable ? 0 : failures + 1;
-			if (!isReported && failures >= CHECKS_BEFORE_ABORT && this.#heardAtMs >= sinceMs!) {
-				isReported = true;
-				this.#options.onUnreachable({server, sinceMs: sinceMs!});
-			}
-
-			if (failures >= CHECKS_BEFORE_ABORT) {
+			failed = isReachable ? undefined : {sinceMs: failed?.sinceMs ?? checkedAtMs, count: (failed?.count ?? 0) + 1};
+			if (failed && failed.count >= CHECKS_BEFORE_ABORT) {
 				this.#giveUpAttempts(server);
+				isReported ||= this.#reportUnreachable({server, sinceMs: failed.sinceMs});
 			}
 
 			if (!isReachable) {
@@ -199,6 +200,16 @@
 		}
 	}
 
+	/** Reports a server that has been unreachable since a monotonic time, in milliseconds, unless nothing else has responded since; returns whether it did. */
+	#reportUnreachable({server, sinceMs}: {readonly server: RelayServer; readonly sinceMs: number}): boolean {
+		const hasHeardOthers = this.#heardAtMs >= sinceMs;
+		if (hasHeardOthers) {
+			this.#options.onUnreachable({server, sinceMs});
+		}
+
+		return hasHeardOthers;
+	}
+
 	async #check(server: RelayServer): Promise<HealthState> {
 		const state = await this.#options.checkHealth(server);
 		if (state === 'responded') {
--- a/calls/relay/src/relay-attempt.ts
+++ b/calls/relay/src/relay-attempt.ts
@@ -66,6 +66,8 @@
 	#inFlight: InFlightRequest = {expectedMs: 0, sentAtMs: 0};
 	#timeLeftMs: number | undefined;
 	#recallReason: RetryReason | undefined;
+	/** Run whose answer has begun and is not complete. */
+	#partialRun: ServerRun | undefined;
 
 	constructor(options: RelayAttemptOptions) {
 		this.#options = options;
@@ -134,6 +136,9 @@
 	/** Aborts the attempt by closing its connection, which cancels the server's work. */
 	abort(failure: Pick<AttemptFailure, 'kind' | 'detail'>): void {
 		this.#exchange?.abort(failure);
+		if (this.#partialRun) {
+			this.#options.parts.crashDetector.end(this.#partialRun);
+		}
 	}
 
 	giveUp(detail: string): void {
@@ -258,6 +263,7 @@
 			return answer;
 		}
 
+		this.#partialRun = run;
 		return {
 			...answer, forward: async response => {
 				const forwarded = await answer.forward(response);
