--- a/calls/relay/src/contact-monitor.ts
+++ b/calls/relay/src/contact-monitor.ts
@@ -112,7 +112,7 @@
 		const {contacts, sleep} = this.#options;
 		await sleep(SUSPECT_CHECK_MS);
 		if (!this.#isStopped && !contacts.isLost(server)) {
-			await this.#checkSuspect(server);
+			await this.#checkServer({server, hasSuspect: true});
 		}
 	}
 
@@ -147,7 +147,7 @@
 			const overdue = [...this.#attempts].filter(attempt => !this.#checked.has(attempt) && !contacts.isLost(attempt.server) && this.#isOverdue({attempt, nowMs}));
 			for (const attempt of overdue.slice(0, MAX_CHECKS_PER_SCAN)) {
 				this.#checked.add(attempt);
-				void this.#checkSuspect(attempt.server);
+				void this.#checkServer({server: attempt.server, hasSuspect: attempt.isSuspect});
 			}
 
 			await sleep(SCAN_INTERVAL_MS);
@@ -162,8 +162,8 @@
 		return isSilent || (isSuspect && waitedMs >= SUSPECT_CHECK_MS) || waitedMs >= (expectedMs * OVERDUE_FACTOR) + OVERDUE_MARGIN_MS;
 	}
 
-	/** Checks a server with which contact is not known to be lost. */
-	async #checkSuspect(server: RelayServer): Promise<void> {
+	/** Checks a server with which contact is not known to be lost. If a suspect may be running there, one check without an answer is enough to report it. */
+	async #checkServer({server, hasSuspect}: {readonly server: RelayServer; readonly hasSuspect: boolean}): Promise<void> {
 		const {contacts, counters, now} = this.#options;
 		const checkedAtMs = now();
 		counters.add('contact.checked');
@@ -171,6 +171,9 @@
 			this.lose({server, detail: 'it does not accept connections', unreachableSinceMs: checkedAtMs});
 			contacts.recordCheck({server, isReachable: false});
 			this.#checkFurther(server);
+			if (hasSuspect) {
+				this.#reportUnreachable({server, sinceMs: checkedAtMs});
+			}
 		}
 	}
 
@@ -228,7 +231,7 @@
 
 		const further = listServers(service).find(server => !contacts.isLost(server));
 		if (further) {
-			void this.#checkSuspect(further);
+			void this.#checkServer({server: further, hasSuspect: false});
 		}
 	}
 
