--- a/calls/quarantine/src/crash-detector.ts
+++ b/calls/quarantine/src/crash-detector.ts
@@ -18,7 +18,7 @@
 }
 
 /** What this instance reports of the end of a server. */
-export type CrashReport = Pick<ServerCrash, 'server' | 'startedAtMs' | 'fingerprints' | 'spans' | 'evidence'>;
+export type CrashReport = Pick<ServerCrash, 'server' | 'startedAtMs' | 'fingerprints'> & Required<Pick<ServerCrash, 'spans' | 'evidence'>>;
 
 /** Options of {@link CrashDetector}. */
 export interface CrashDetectorOptions<Server extends MonitoredServer> {
--- a/calls/quarantine/src/crash-records.ts
+++ b/calls/quarantine/src/crash-records.ts
@@ -19,9 +19,9 @@
 	/** Requests of that instance that may have been running at the server. */
 	readonly fingerprints: readonly RequestFingerprint[];
 	/** When each of them may have ended the server, in the same order; undefined: the instance does not say. */
-	readonly spans?: readonly RunSpan[] | undefined;
+	readonly spans?: readonly RunSpan[];
 	/** What showed the end; undefined: the instance does not say, it was a lost connection. */
-	readonly evidence?: CrashEvidence | undefined;
+	readonly evidence?: CrashEvidence;
 	/** Time of the crash on the monotonic clock of this process, in milliseconds. */
 	readonly atMs: number;
 }
--- a/calls/quarantine/src/quarantine.ts
+++ b/calls/quarantine/src/quarantine.ts
@@ -83,7 +83,7 @@
 			...this.#sortSuspects(report), origin: instance, sequence: this.#sequence, atMs: now(),
 		};
 		counters.add('quarantine.death');
-		counters.add(`quarantine.by-${report.evidence ?? 'connection-lost'}`);
+		counters.add(`quarantine.by-${report.evidence}`);
 		const quarantined = this.receiveCrash(crash);
 		await sharing.shareCrash({
 			crash,
@@ -141,7 +141,7 @@
 
 	/** Sorts the requests of a report so that those which may have caused most crashes come first, as only so many are shared. */
 	#sortSuspects({fingerprints, spans, ...report}: CrashReport): CrashReport {
-		const entries = fingerprints.map((fingerprint, index) => ({fingerprint, span: spans![index]!, crashes: this.#table.countCrashes(fingerprint)}));
+		const entries = fingerprints.map((fingerprint, index) => ({fingerprint, span: spans[index]!, crashes: this.#table.countCrashes(fingerprint)}));
 		const sorted = entries.sort((one, other) => other.crashes - one.crashes);
 		return {...report, fingerprints: sorted.map(({fingerprint}) => fingerprint), spans: sorted.map(({span}) => span)};
 	}
