--- a/calls/quarantine/src/classify-suspect.ts
+++ b/calls/quarantine/src/classify-suspect.ts
@@ -55,20 +55,17 @@
 
 	const crashes = [...view.crashesOf(fingerprint)].filter(crash => !isExplainedByAnother({crash, fingerprint, view}));
 	const weight = {crashes: countCrashes({crashes, fingerprint}), answers: view.answersTo(fingerprint)};
-	const isSoleSuspect = weight.answers === 0 && crashes.every(({suspects, isConfirmed}) => isConfirmed && suspects.size === 1);
-	if (weight.crashes < (isSoleSuspect ? SOLE_SUSPECT_CRASHES : MAX_CRASHES_BEFORE_QUARANTINE) || isRefuted({
-		fingerprint, crashes, weight, view,
-	})) {
+	if (!hasEnoughCrashes({crashes, weight}) || isRefuted({crashes, weight, view})) {
 		return undefined;
 	}
 
-	const others = [...crashes[0]!.suspects.keys()].filter(other => other !== fingerprint && crashes.every(({suspects}) => suspects.has(other)));
-	if (others.some(other => outweighs(weigh({fingerprint: other, view}), weight))) {
+	const sharers = listSharers({crashes, fingerprint}).map(sharer => weigh({fingerprint: sharer, view}));
+	if (sharers.some(sharer => outweighs(sharer, weight))) {
 		return undefined;
 	}
 
-	const hasEqual = others.some(other => !outweighs(weight, weigh({fingerprint: other, view})));
-	const isCertain = !hasEqual && weight.answers === 0 && isProven({crashes, fingerprint});
+	const outweighsAll = sharers.every(sharer => outweighs(weight, sharer));
+	const isCertain = outweighsAll && weight.answers === 0 && hasConfirmedCrashes({crashes, fingerprint});
 	return {certainty: isCertain ? 'certain' : 'likely', atMs: Math.max(...crashes.map(({atMs}) => atMs))};
 }
 
@@ -81,22 +78,32 @@
 /** Whether the crashes of a request prove by themselves that it causes crashes: it was never answered, and no other request shares them all. */
 function isProvenCause({fingerprint, view}: ClassifySuspectOptions): boolean {
 	const crashes = [...view.crashesOf(fingerprint)];
-	if (view.answersTo(fingerprint) > 0 || !isProven({crashes, fingerprint})) {
+	if (view.answersTo(fingerprint) > 0 || !hasConfirmedCrashes({crashes, fingerprint})) {
 		return false;
 	}
 
 	const weight = weigh({fingerprint, view});
-	const others = [...crashes[0]!.suspects.keys()].filter(other => other !== fingerprint && crashes.every(({suspects}) => suspects.has(other)));
-	return others.every(other => outweighs(weight, weigh({fingerprint: other, view})));
+	return listSharers({crashes, fingerprint}).every(sharer => outweighs(weight, weigh({fingerprint: sharer, view})));
+}
+
+/** Whether there are enough crashes to quarantine a request: fewer if it was their only suspect. */
+function hasEnoughCrashes({crashes, weight}: {readonly crashes: readonly RecordedCrash[]; readonly weight: Weight}): boolean {
+	const isSoleSuspect = weight.answers === 0 && crashes.every(({suspects, isConfirmed}) => isConfirmed && suspects.size === 1);
+	return weight.crashes >= (isSoleSuspect ? SOLE_SUSPECT_CRASHES : MAX_CRASHES_BEFORE_QUARANTINE);
+}
+
+/** Lists the other requests that may have caused all of the given crashes, of which there is at least one. */
+function listSharers({crashes, fingerprint}: {readonly crashes: readonly RecordedCrash[]; readonly fingerprint: RequestFingerprint}): readonly RequestFingerprint[] {
+	return [...crashes[0]!.suspects.keys()].filter(other => other !== fingerprint && crashes.every(({suspects}) => suspects.has(other)));
 }
 
 /** Whether enough servers are known to have ended, one after another. */
-function isProven({crashes, fingerprint}: {readonly crashes: readonly RecordedCrash[]; readonly fingerprint: RequestFingerprint}): boolean {
+function hasConfirmedCrashes({crashes, fingerprint}: {readonly crashes: readonly RecordedCrash[]; readonly fingerprint: RequestFingerprint}): boolean {
 	return countCrashes({crashes: crashes.filter(({isConfirmed}) => isConfirmed), fingerprint}) >= MAX_CRASHES_BEFORE_QUARANTINE;
 }
 
 /** Whether the answers to a request say that something else causes its crashes. */
-function isRefuted({crashes, weight, view}: ClassifySuspectOptions & {readonly crashes: readonly RecordedCrash[]; readonly weight: Weight}): boolean {
+function isRefuted({crashes, weight, view}: {readonly crashes: readonly RecordedCrash[]; readonly weight: Weight; readonly view: CrashEvidenceView}): boolean {
 	if (weight.answers === 0) {
 		return false;
 	}
--- a/calls/quarantine/test/suspect-table.test.ts
+++ b/calls/quarantine/test/suspect-table.test.ts
@@ -98,7 +98,7 @@
 		clear: ['a'],
 	},
 	{
-		name: 'answers between three crashes do not acquit the request that is common to them',
+		name: 'answers between three crashes do not clear the request that is common to them',
 		steps: ['s1', 's2', 's3'].map(server => ({
 			server, suspects: ['a', `other-${server}`], answered: 'a', answers: 2,
 		})),
@@ -106,7 +106,7 @@
 		clear: [],
 	},
 	{
-		name: 'a request that is answered in between is not to blame for half of the crashes',
+		name: 'a request that is answered in between is not quarantined if it shares only half of the crashes',
 		steps: ['s1', 's2', 's3', 's4', 's5', 's6'].map((server, index) => ({server, suspects: [index % 2 === 0 ? 'a' : `other-${server}`], answered: 'a'})),
 		quarantined: [],
 		clear: [],
