Show gateways that miss a change after the store returns from a copy

Cause: no gateway reads Store-Era. A gateway that goes on from its old revision, or follows another gateway across the return, misses the changes whose revisions were given out again.

--- /dev/null
+++ b/review/shared-2/servers.js
@@ -0,0 +1,108 @@
+/** Stand-ins for backend servers (PROTOCOL.md, "Servers" and "Service discovery"). */
+import {createServer} from 'node:http';
+import {buffer} from 'node:stream/consumers';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {closeServer, listen} from './sockets.js';
+
+/** Time between two heartbeats (`heartbeat-s`), in milliseconds. */
+const HEARTBEAT_MS = 1500;
+
+/** The body of a request; undefined when its sender left before the end. */
+async function readBody(request) {
+	try {
+		return await buffer(request);
+	} catch {
+		return undefined;
+	}
+}
+
+/** A server that registers itself in the store, runs requests and records them. */
+export class Server {
+	state = 'ready';
+	/** Headers of all answers to requests, for a server that says more of itself. */
+	announced = {};
+	#sequence = 0;
+	#runs = 0;
+	#server = createServer(async (request, response) => {
+		await this.#serve(request, response);
+	});
+
+	constructor({
+		id, service, zone, store, record, slots = 3, workMs = 5,
+	}) {
+		Object.assign(this, {
+			id, service, zone, store, record, slots, workMs, born: Date.now(),
+		});
+	}
+
+	async start() {
+		this.port = await listen(this.#server, '127.0.0.1');
+		this.beat();
+		// The heartbeats of many servers are spread over the interval.
+		await sleep(Math.random() * HEARTBEAT_MS);
+		this.timer = setInterval(() => {
+			this.beat();
+		}, HEARTBEAT_MS);
+	}
+
+	/** Ends the heartbeats; the server goes on serving. */
+	endHeartbeats() {
+		clearInterval(this.timer);
+	}
+
+	async stop() {
+		this.endHeartbeats();
+		await closeServer(this.#server);
+	}
+
+	/** Writes the entry; one that the store does not take is written at the next heartbeat. */
+	beat() {
+		this.#sequence += 1;
+		try {
+			this.store.put(`servers/${this.id}`, this.describe());
+		} catch {}
+	}
+
+	/** The entry in the store. */
+	describe() {
+		return {
+			service: this.service, address: `127.0.0.1:${this.port}`, zone: this.zone, version: 'v1', slots: this.slots,
+			state: this.state, 'warmup-left-s': 0, sequence: this.#sequence, born: this.born,
+		};
+	}
+
+	async #serve(request, response) {
+		response.setHeader('x-instance-id', this.id);
+		if (request.url === '/health') {
+			response.writeHead(this.state === 'ready' ? 200 : 503).end();
+			return;
+		}
+
+		const body = await readBody(request);
+		const id = request.headers['x-request-id'];
+		if (body === undefined || id === undefined) {
+			response.writeHead(400, {'x-not-executed': '1'}).end();
+			return;
+		}
+
+		response.setHeader('x-request-id', id);
+		const expected = request.headers['x-expect-instance'];
+		if (expected !== undefined && expected !== this.id) {
+			response.writeHead(421).end();
+			return;
+		}
+
+		await this.#run({id, request, response});
+	}
+
+	async #run({id, request, response}) {
+		this.#runs += 1;
+		this.record.line('run', {
+			request: id, server: this.id, service: this.service, method: request.method, path: request.url,
+		});
+		this.onRun?.({id, server: this});
+		await sleep(this.workMs);
+		response.writeHead(200, {...this.announced, 'x-server-stamp': `${this.id}.${this.#runs}`});
+		response.end(`${this.service} ${id}`);
+	}
+}
