Show bookings that lose their body behind a hundred headers

Cause: the listener keeps 100 headers of a request; a body whose length or coding stands behind them is taken for none.

--- a/review/shared-2/servers.js
+++ b/review/shared-2/servers.js
@@ -57,12 +57,18 @@
 
 	/** Writes the entry; one that the store does not take is written at the next heartbeat. */
 	beat() {
-		this.#sequence += 1;
+		const entry = this.nextEntry();
 		try {
-			this.store.put(`servers/${this.id}`, this.describe());
+			this.store.put(`servers/${this.id}`, entry);
 		} catch {}
 	}
 
+	/** The entry of the next heartbeat. */
+	nextEntry() {
+		this.#sequence += 1;
+		return this.describe();
+	}
+
 	/** The entry in the store. */
 	describe() {
 		return {
@@ -92,15 +98,19 @@
 			return;
 		}
 
-		await this.#run({id, request, response});
+		await this.#run({
+			id, request, response, body,
+		});
 	}
 
-	async #run({id, request, response}) {
+	async #run({
+		id, request, response, body,
+	}) {
 		this.#runs += 1;
 		this.record.line('run', {
-			request: id, server: this.id, service: this.service, method: request.method, path: request.url,
+			request: id, server: this.id, service: this.service, method: request.method, path: request.url, bytes: body.length,
 		});
-		this.onRun?.({id, server: this});
+		this.onRun?.({id, body});
 		await sleep(this.workMs);
 		response.writeHead(200, {...this.announced, 'x-server-stamp': `${this.id}.${this.#runs}`});
 		response.end(`${this.service} ${id}`);
