Show pipelined reads that are lost behind an answer that breaks off

Cause: requests behind a large answer are passed on while it may still have to be cut with its connection.

--- a/review/shared-2/servers.js
+++ b/review/shared-2/servers.js
@@ -112,7 +112,13 @@
 		});
 		this.onRun?.({id, body});
 		await sleep(this.workMs);
-		response.writeHead(200, {...this.announced, 'x-server-stamp': `${this.id}.${this.#runs}`});
+		const headers = {...this.announced, 'x-server-stamp': `${this.id}.${this.#runs}`};
+		await this.answer({id, response, headers});
+	}
+
+	/** Sends the answer; a case may replace it. */
+	async answer({id, response, headers}) {
+		response.writeHead(200, headers);
 		response.end(`${this.service} ${id}`);
 	}
 }
