--- a/review/shared-2/caller.js
+++ b/review/shared-2/caller.js
@@ -39,7 +39,7 @@
 export async function call({gateway, record, host, path, method = 'GET', deadlineMs = 4000, headers = {}, body, id = newId()}) {
 	const sentAtMs = performance.now();
 	record.line('sent', {
-		request: id, gateway: gateway.name, method, path,
+		request: id, gateway: gateway.name, method, path, headers: Object.keys(headers).length, bytes: body?.length ?? 0,
 	});
 	const answer = await send({
 		address: gateway.fields.listen.front, method, path, body, timeoutMs: deadlineMs, headers: {
--- a/review/shared-2/gateways.js
+++ b/review/shared-2/gateways.js
@@ -49,6 +49,12 @@
 		child.kill('SIGKILL');
 	}
 });
+for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
+	// Without a handler the process would end without the event above.
+	process.once(signal, () => {
+		process.exit(2);
+	});
+}
 
 /** One machine with a gateway. It may be started more than once. */
 export class Gateway {
--- a/review/shared-2/leaving.js
+++ b/review/shared-2/leaving.js
@@ -10,9 +10,11 @@
 	return runs;
 }
 
-/** Removes the server's entry; the server goes on serving. Returns the time of the acknowledgement. */
+/** Removes the server's entry; the server goes on serving and says in its answers that it leaves. Returns the time of the acknowledgement. */
 export function leave({server, store, record}) {
 	server.endHeartbeats();
+	server.isLeaving = true;
+	server.announced = {'server-leaving': '1'};
 	const revision = store.remove(`servers/${server.id}`);
 	record.line('server', {id: server.id, entry: 'removed', acknowledged: revision});
 	return performance.now();
--- a/review/shared-2/servers.js
+++ b/review/shared-2/servers.js
@@ -18,10 +18,12 @@
 
 /** A server that registers itself in the store, runs requests and records them. */
 export class Server {
-	state = 'ready';
+	/** Whether it is about to end. */
+	isLeaving = false;
 	/** Headers of all answers to requests, for a server that says more of itself. */
 	announced = {};
 	#sequence = 0;
+	#emitBeat = () => {};
 	#runs = 0;
 	#server = createServer(async (request, response) => {
 		await this.#serve(request, response);
@@ -60,9 +62,17 @@
 		const entry = this.nextEntry();
 		try {
 			this.store.put(`servers/${this.id}`, entry);
+			this.#emitBeat();
 		} catch {}
 	}
 
+	/** Resolves after the next heartbeat. */
+	async nextBeat() {
+		await new Promise(resolve => {
+			this.#emitBeat = resolve;
+		});
+	}
+
 	/** The entry of the next heartbeat. */
 	nextEntry() {
 		this.#sequence += 1;
@@ -73,14 +83,14 @@
 	describe() {
 		return {
 			service: this.service, address: `127.0.0.1:${this.port}`, zone: this.zone, version: 'v1', slots: this.slots,
-			state: this.state, 'warmup-left-s': 0, sequence: this.#sequence, born: this.born,
+			state: 'ready', 'warmup-left-s': 0, sequence: this.#sequence, born: this.born,
 		};
 	}
 
 	async #serve(request, response) {
 		response.setHeader('x-instance-id', this.id);
 		if (request.url === '/health') {
-			response.writeHead(this.state === 'ready' ? 200 : 503).end();
+			response.writeHead(this.isLeaving ? 503 : 200, this.announced).end();
 			return;
 		}
 
@@ -94,7 +104,7 @@
 		response.setHeader('x-request-id', id);
 		const expected = request.headers['x-expect-instance'];
 		if (expected !== undefined && expected !== this.id) {
-			response.writeHead(421).end();
+			response.writeHead(421, this.announced).end();
 			return;
 		}
 
@@ -110,7 +120,7 @@
 		this.record.line('run', {
 			request: id, server: this.id, service: this.service, method: request.method, path: request.url, bytes: body.length,
 		});
-		this.onRun?.({id, body});
+		this.onRun?.({id, body, path: request.url});
 		await sleep(this.workMs);
 		const headers = {...this.announced, 'x-server-stamp': `${this.id}.${this.#runs}`};
 		await this.answer({id, response, headers});
