Let the operator's change of case 7 come as the store returns

Change: the operator and the servers write again as soon as the store takes it, as they do when a write has failed.

--- a/review/7/case.js
+++ b/review/7/case.js
@@ -10,9 +10,9 @@
 const CALM_MS = 4000;
 /** Age of the copy when the store goes away, and the time for which it is away. */
 const COPY_AGE_MS = 2500;
-const AWAY_MS = 200;
-/** Time from the store's return to the operator's change. */
-const OPERATOR_MS = 200;
+const AWAY_MS = 1000;
+/** Time between two tries of the operator, whose change falls into the time in which the store is away. */
+const OPERATOR_RETRY_MS = 20;
 /** Time from the change to the requests that judge: all machines have been in touch for a while, and the change must be in force. */
 const SETTLED_MS = (bounds['contact-s'] + bounds['config-apply-s'] + 1) * MILLISECONDS_PER_SECOND;
 const ROUNDS = 3;
@@ -27,8 +27,7 @@
 		});
 		await sleep(CALM_MS);
 		await drill({store, record, hasTrouble});
-		await sleep(OPERATOR_MS);
-		const revision = store.put('op/config', configuration({version: 7, stock: 'history'}));
+		const revision = await changeConfiguration(store);
 		record.line('operator', {version: 7, acknowledged: revision, change: '/stock/ goes to history'});
 		await sleep(SETTLED_MS);
 		return countOldAnswers({gateways, record});
@@ -51,6 +50,15 @@
 	}
 }
 
+/** Writes the operator's change as soon as the store takes it. */
+async function changeConfiguration(store) {
+	do {
+		await sleep(OPERATOR_RETRY_MS);
+	} while (store.mode !== 'up');
+
+	return store.put('op/config', configuration({version: 7, stock: 'history'}));
+}
+
 /** Sends requests to each gateway in rounds and counts those that the service of the older version has run. */
 async function countOldAnswers({gateways, record}) {
 	let count = 0;
--- a/review/shared-2/servers.js
+++ b/review/shared-2/servers.js
@@ -6,6 +6,8 @@
 
 /** Time between two heartbeats (`heartbeat-s`), in milliseconds. */
 const HEARTBEAT_MS = 1500;
+/** Mean time between two tries while the store is away, in milliseconds. */
+const RETRY_MS = 150;
 
 /** The body of a request; undefined when its sender left before the end. */
 async function readBody(request) {
@@ -50,6 +52,7 @@
 	/** Ends the heartbeats; the server goes on serving. */
 	endHeartbeats() {
 		clearInterval(this.timer);
+		clearTimeout(this.retry);
 	}
 
 	async stop() {
@@ -57,13 +60,18 @@
 		await closeServer(this.#server);
 	}
 
-	/** Writes the entry; one that the store does not take is written at the next heartbeat. */
+	/** Writes the entry; while the store does not take it, tries again after a short time. */
 	beat() {
 		const entry = this.nextEntry();
 		try {
 			this.store.put(`servers/${this.id}`, entry);
 			this.#emitBeat();
-		} catch {}
+		} catch {
+			clearTimeout(this.retry);
+			this.retry = setTimeout(() => {
+				this.beat();
+			}, RETRY_MS * (0.5 + Math.random()));
+		}
 	}
 
 	/** Resolves after the next heartbeat. */
