Read every header of a head that is within its limit

Callers saw bookings answered 200 that servers had run without their body, and proper requests refused with 400 because of a missing identifier: all whose framing, identifier or other headers stood behind the hundredth header.

Cause: the listener asked the runtime to keep 100 headers. The runtime drops those above without an error, while its parser still frames the body by them, so head and body no longer agreed. The listener between instances dropped those above the runtime's 1,000.

Change: a listener lists as many headers as fit into the size of its head, in bytes, and rejects a request with more with 431, so that no list is short. An instance states in its record how many headers it reads. A request with more than an instance reads is not forwarded to it; one that states nothing is of an older build and reads 1,000.

--- a/calls/forwarding/src/call-headers.ts
+++ b/calls/forwarding/src/call-headers.ts
@@ -73,6 +73,11 @@
 	return list;
 }
 
+/** Counts the headers that {@link listHeaders} lists; a name with several values counts once for each. */
+export function countHeaders(headers: ListHeadersOptions['headers']): number {
+	return Object.values(headers).reduce((count, value) => count + (typeof value === 'string' ? 1 : value.length), 0);
+}
+
 function addHeader({list, name, value}: {readonly list: HeaderList; readonly name: string; readonly value: string | string[]}): void {
 	if (typeof value === 'string') {
 		list.push(name, value);
--- a/calls/listener/src/caller-listener.ts
+++ b/calls/listener/src/caller-listener.ts
@@ -12,8 +12,8 @@
 import {sendRefusal} from '@pomelopick/calls.forwarding';
 import type {RefusalFormat} from '@pomelopick/calls.forwarding';
 import {CallerConnections} from './caller-connections.js';
+import {HeaderCount} from './header-count.js';
 
-const MAX_HEADERS = 100;
 const REQUEST_TIMEOUT_MS = 600_000;
 const TIMEOUT_CHECK_INTERVAL_MS = 1000;
 /** Connections allowed in addition to the maximum number of calls, for idle connections and look-ups. */
@@ -64,6 +64,7 @@
 	readonly server: Server;
 	readonly #options: CallerListenerOptions;
 	readonly #connections: CallerConnections;
+	readonly #headerCount: HeaderCount;
 	/** Connections that were refused without a parsed request; later requests on them are not run. */
 	readonly #refusedConnections = new WeakSet<Socket>();
 	/** Connections from which nothing more is read because their input was malformed. */
@@ -76,6 +77,7 @@
 		this.#connections = new CallerConnections({counters: options.counters});
 		const limits = options.limits ?? defaultLimits;
 		this.#limits = limits;
+		this.#headerCount = new HeaderCount({headBytes: limits.headerBytes});
 		this.server = createServer({
 			maxHeaderSize: limits.headerBytes,
 			headersTimeout: limits.headersTimeoutMs,
@@ -87,7 +89,7 @@
 		}, (request, response) => {
 			this.#handleRequest({request, response});
 		});
-		this.server.maxHeadersCount = MAX_HEADERS;
+		this.#headerCount.applyTo(this.server);
 		this.server.maxConnections = options.maxCalls + MAX_CONNECTIONS_WITHOUT_CALL;
 		this.server.on('connection', socket => {
 			this.#connections.add(socket);
@@ -167,23 +169,41 @@
 			return;
 		}
 
-		if (!this.#connections.accept({socket: request.socket, response, isLast: mayOfferUpgrade(request)})) {
+		if (!this.#connections.accept({socket: request.socket, response, isLast: this.#mayOfferUpgrade(request)})) {
 			return;
 		}
 
 		if (request.httpVersion !== '1.1') {
 			// HTTP/1.0 has no chunked encoding, so a caller could not distinguish a complete response from a truncated one.
-			const refusal: Refusal = {reason: 'bad-request', execution: 'not-run', detail: `expected HTTP/1.1, found HTTP/${request.httpVersion}`};
-			this.#options.counters.refused(refusal.reason);
-			sendRefusal({
-				response, id: randomUUID(), refusal, format: this.#options.refusalFormat,
-			});
+			this.#refuseRequest({response, refusal: {reason: 'bad-request', execution: 'not-run', detail: `expected HTTP/1.1, found HTTP/${request.httpVersion}`}});
+			return;
+		}
+
+		if (this.#headerCount.isExceededBy(request)) {
+			this.#refuseRequest({response, refusal: {reason: 'headers-too-large', execution: 'not-run', detail: `headers: expected at most ${this.#headerCount.max} of them`}});
 			return;
 		}
 
 		void this.#options.route({request, response});
 	}
 
+	/**
+	 * Whether a request may offer to switch to another protocol. The offer is ignored (RFC 9110, section 7.8), but the runtime's
+	 * parser drops bytes that it has received behind such a request, so the request has to be the last of its connection. The
+	 * parser reads the offer from more headers than `connection`, and from headers that it does not list.
+	 */
+	#mayOfferUpgrade(request: IncomingMessage): boolean {
+		return request.headers.upgrade !== undefined || this.#headerCount.isExceededBy(request);
+	}
+
+	/** Refuses a request whose identifier cannot be relied on. */
+	#refuseRequest({response, refusal}: {readonly response: ServerResponse; readonly refusal: Refusal}): void {
+		this.#options.counters.refused(refusal.reason);
+		sendRefusal({
+			response, id: randomUUID(), refusal, format: this.#options.refusalFormat,
+		});
+	}
+
 	/** Refuses a request for a tunnel once the responses in front of it are sent. The runtime has removed its own listeners from the socket. */
 	#handleConnect(socket: Socket): void {
 		socket.on('error', () => {
@@ -270,18 +290,6 @@
 	}
 }
 
-/**
- * Whether a request may offer to switch to another protocol. The offer is ignored (RFC 9110, section 7.8), but the runtime's
- * parser drops bytes that it has received behind such a request, so the request has to be the last of its connection. The
- * parser reads the offer from more headers than `connection`, and from headers above the maximum, which are not listed.
- */
-function mayOfferUpgrade({headers, rawHeaders}: IncomingMessage): boolean {
-	return headers.upgrade !== undefined || rawHeaders.length >= MAX_HEADERS * ENTRIES_PER_HEADER;
-}
-
-/** A raw header is listed as a name and a value. */
-const ENTRIES_PER_HEADER = 2;
-
 function toRefusal({error: {code, message}, limits}: {readonly error: Error & {code?: string}; readonly limits: ListenerLimits}): Refusal {
 	switch (code) {
 		case 'HPE_HEADER_OVERFLOW': {
--- a/calls/listener/src/index.ts
+++ b/calls/listener/src/index.ts
@@ -1,2 +1,3 @@
 /** HTTP listener for callers. */
 export * from './caller-listener.js';
+export * from './header-count.js';
--- a/calls/live/src/instance-record.ts
+++ b/calls/live/src/instance-record.ts
@@ -18,6 +18,8 @@
 	readonly callers: Endpoint;
 	/** Listener for other instances; undefined: it forwards no changes to them. */
 	readonly peers: Endpoint | undefined;
+	/** Maximum number of headers of a forwarded request; undefined: an older build, which drops headers beyond the runtime's maximum. */
+	readonly maxHeaders?: number | undefined;
 }
 
 /** Key of an instance's record. */
@@ -39,7 +41,7 @@
 /** Decodes a record; Left describes what is wrong. A record that is returned belongs to the instance that its key names, and a client can connect to its endpoints. Never throws. */
 export function decodeInstance({key, bytes}: DecodeInstanceOptions): Either<CodedError, InstanceRecord> {
 	return decodeForeignJson({bytes, maxBytes: MAX_RECORD_BYTES}).chain<CodedError, InstanceRecord>(value => {
-		const {id, failureDomain, region, callers, peers} = (value ?? {}) as Partial<InstanceRecord>;
+		const {id, failureDomain, region, callers, peers, maxHeaders} = (value ?? {}) as Partial<InstanceRecord>;
 		const callersEndpoint = readEndpoint(callers);
 		const peersEndpoint = readEndpoint(peers);
 		const isWhole = typeof id === 'string' && typeof failureDomain === 'string' && typeof region === 'string' && callersEndpoint && (peers === undefined || peersEndpoint);
@@ -49,7 +51,7 @@
 
 		return instanceKey(id) === key
 			? Right({
-				id, failureDomain, region, callers: callersEndpoint, peers: peersEndpoint,
+				id, failureDomain, region, callers: callersEndpoint, peers: peersEndpoint, maxHeaders: Number.isSafeInteger(maxHeaders) ? maxHeaders : undefined,
 			})
 			: Left({code: 'misplaced-instance', message: `expected the id that the key names, found ${describeValue(id)}`});
 	});
--- a/calls/relay/src/choose-peer.ts
+++ b/calls/relay/src/choose-peer.ts
@@ -1,4 +1,5 @@
 /** Decides whether a request without a server is forwarded to another instance, and to which. */
+import {countHeaders} from '@pomelopick/calls.forwarding';
 import type {CallCounters} from '@pomelopick/core.telemetry';
 import type {PlacementRefusal} from '@pomelopick/steering.objects';
 import type {ChosenPeer, PeerChoice} from './peer-choice.js';
@@ -29,7 +30,7 @@
 
 /** Chooses an instance that may reach servers that this one cannot, and records that it was tried; undefined if there is none. */
 export function choosePeer({request, refusal, parts: {peerChoice, unreachableShare, counters, now}}: ChoosePeerOptions): ChosenPeer | undefined {
-	const {options: {route, isForwarded}, triedPeers} = request;
+	const {options: {route, headers, isForwarded}, triedPeers} = request;
 	if (isForwarded === true || triedPeers.size >= MAX_PEERS) {
 		return undefined;
 	}
@@ -39,7 +40,9 @@
 		return undefined;
 	}
 
-	const peer = peerChoice.choose({route, tried: triedPeers, nowMs: now()});
+	const peer = peerChoice.choose({
+		route, headers: countHeaders(headers), tried: triedPeers, nowMs: now(),
+	});
 	counters.add(peer ? 'forward.sent' : 'forward.no-instance');
 	if (peer) {
 		triedPeers.add(peer.id);
--- a/calls/relay/src/peer-choice.ts
+++ b/calls/relay/src/peer-choice.ts
@@ -6,6 +6,10 @@
 /** Time for which an instance is not chosen after it could not help, in milliseconds; doubled with each further time in a row, up to the maximum. */
 const FIRST_PAUSE_MS = 1000;
 const MAX_PAUSE_MS = 2000;
+/** Number of headers that builds read which do not state theirs: the runtime's maximum. */
+const RUNTIME_MAX_HEADERS = 1000;
+/** Headers that forwarding adds: those of the connection, of the body's framing, and those that the instances share. */
+const ADDED_HEADERS = 10;
 /** Maximum number of instances whose pauses are kept; beyond it, all are forgotten. */
 const MAX_PAUSES = 1024;
 
@@ -15,6 +19,8 @@
 	readonly region: RegionName;
 	/** Its listener for other instances; undefined: it has none. */
 	readonly peers: Endpoint | undefined;
+	/** Maximum number of headers of a request that it reads; undefined: it does not state it. */
+	readonly maxHeaders?: number | undefined;
 }
 
 /** An instance that was chosen. */
@@ -35,6 +41,8 @@
 /** Options of {@link PeerChoice.choose}. */
 export interface ChoosePeerOptions {
 	readonly route: Pick<Route, 'homeRegions'>;
+	/** Number of end-to-end headers of the request. */
+	readonly headers: number;
 	/** Instances that the request was forwarded to already. */
 	readonly tried: ReadonlySet<InstanceId>;
 	/** Monotonic time, in milliseconds. */
@@ -57,10 +65,11 @@
 	}
 
 	/** Returns an instance that may help; undefined when there is none. The body of a request whose route has home regions goes to these only. */
-	choose({route: {homeRegions}, tried, nowMs}: ChoosePeerOptions): ChosenPeer | undefined {
+	choose({route: {homeRegions}, headers, tried, nowMs}: ChoosePeerOptions): ChosenPeer | undefined {
 		const {self, region, instances, random} = this.#options;
 		const able = instances().filter((peer): peer is ChosenPeer => peer.id !== self && peer.peers !== undefined && !tried.has(peer.id) && nowMs >= (this.#pauses.get(peer.id)?.untilMs ?? 0));
-		const allowed = able.filter(peer => homeRegions.length === 0 || homeRegions.includes(peer.region));
+		const reading = able.filter(({maxHeaders = RUNTIME_MAX_HEADERS}) => headers + ADDED_HEADERS <= maxHeaders);
+		const allowed = reading.filter(peer => homeRegions.length === 0 || homeRegions.includes(peer.region));
 		const prefersNear = tried.size === 0;
 		const preferred = allowed.filter(peer => (peer.region === region) === prefersNear);
 		const candidates = preferred.length > 0 ? preferred : allowed;
--- a/calls/relay/test/peer-choice.test.ts
+++ b/calls/relay/test/peer-choice.test.ts
@@ -21,6 +21,8 @@
 	readonly instances: readonly Peer[];
 	readonly tried?: ReadonlySet<InstanceId>;
 	readonly homeRegions?: readonly RegionName[];
+	/** Number of headers of the request. */
+	readonly headers?: number;
 	/** Instances that could not help, and how often in a row. */
 	readonly unable?: ReadonlyMap<string, number>;
 	/** Time since then, in milliseconds. */
@@ -51,13 +53,25 @@
 	{
 		name: 'chooses one that could not help a second ago', instances: [self, near, far], unable: new Map([['near', 1]]), afterMs: 1100, expected: 'near',
 	},
+	{
+		name: 'chooses one of an older build for a request with few headers', instances: [self, near], headers: 900, expected: 'near',
+	},
+	{
+		name: 'chooses none of an older build, which would drop headers', instances: [self, near], headers: 1000, expected: undefined,
+	},
+	{
+		name: 'chooses one that states that it reads so many headers', instances: [self, {...near, maxHeaders: 2000}], headers: 1900, expected: 'near',
+	},
+	{
+		name: 'chooses none that states that it reads fewer headers', instances: [self, {...near, maxHeaders: 2000}], headers: 2000, expected: undefined,
+	},
 	{
 		name: 'waits longer for one that could not help twice in a row', instances: [self, near, far], unable: new Map([['near', 2]]), afterMs: 1900, expected: 'far',
 	},
 ];
 
 describe('PeerChoice', () => {
-	for (const {name, instances, tried = ids(), homeRegions = [], unable = new Map<string, number>(), afterMs = 0, expected} of cases) {
+	for (const {name, instances, tried = ids(), homeRegions = [], headers = 10, unable = new Map<string, number>(), afterMs = 0, expected} of cases) {
 		it(name, () => {
 			const choice = new PeerChoice({
 				self: self.id, region: self.region, instances: () => instances, random: () => 0,
@@ -70,7 +84,10 @@
 				}
 			}
 
-			assert.equal(choice.choose({route: {homeRegions}, tried, nowMs: nowMs + afterMs})?.id, expected);
+			const chosen = choice.choose({
+				route: {homeRegions}, headers, tried, nowMs: nowMs + afterMs,
+			});
+			assert.equal(chosen?.id, expected);
 		});
 	}
 });
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -4,7 +4,7 @@
 import {Either, Left, Right} from 'purify-ts';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import {CallerListener} from '@pomelopick/calls.listener';
+import {CallerListener, HeaderCount} from '@pomelopick/calls.listener';
 import {
 	broadcastPath, createBroadcastListener, createChangeListener, readSuspicion,
 } from '@pomelopick/calls.live';
@@ -81,7 +81,7 @@
 	const log = new DecisionLog({write: output.write, common: {instance: settings.instance}, wallClock: () => Date.now()});
 	const {instance: id, failureDomain, region, listen: {callers, peers}} = settings;
 	const self: InstanceRecord = {
-		id, failureDomain, region, callers, peers,
+		id, failureDomain, region, callers, peers, maxHeaders: new HeaderCount({headBytes: MAX_HEADER_BYTES}).max,
 	};
 	const viewParts = createView({
 		store: settings.store,
--- a/daemons/gateway/src/http-listener.ts
+++ b/daemons/gateway/src/http-listener.ts
@@ -1,6 +1,9 @@
 /** HTTP listeners for other purposes than callers' requests, such as readiness and metrics. */
-import {createServer} from 'node:http';
+import {createServer, maxHeaderSize} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {HeaderCount} from '@pomelopick/calls.listener';
+
+const HEADERS_TOO_LARGE = 431;
 
 /** Handles one request. */
 export type HandleRequest = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
@@ -18,12 +21,16 @@
 export class HttpListener {
 	readonly server: Server;
 	readonly #options: HttpListenerOptions;
+	readonly #headerCount: HeaderCount;
 
 	constructor(options: HttpListenerOptions) {
+		const {maxHeaderBytes = maxHeaderSize} = options;
 		this.#options = options;
-		this.server = createServer({maxHeaderSize: options.maxHeaderBytes}, (request, response) => {
+		this.#headerCount = new HeaderCount({headBytes: maxHeaderBytes});
+		this.server = createServer({maxHeaderSize: maxHeaderBytes}, (request, response) => {
 			void this.#handle({request, response});
 		});
+		this.#headerCount.applyTo(this.server);
 	}
 
 	/** Closes the listener and its connections; does nothing when it is not listening. */
@@ -38,6 +45,11 @@
 
 	/** An error concerns one request: those of others, and the process, go on. */
 	async #handle({request, response}: {readonly request: IncomingMessage; readonly response: ServerResponse}): Promise<void> {
+		if (this.#headerCount.isExceededBy(request)) {
+			response.writeHead(HEADERS_TOO_LARGE, {connection: 'close'}).end();
+			return;
+		}
+
 		try {
 			await this.#options.handle(request, response);
 		} catch (error) {
