Read the store again after it has returned from an older copy

Callers were sent to the old service, to an evacuated failure domain or to a server that had left, for as long as nothing else changed: the store had returned from a copy, and what was written right after its return was never read by most or all gateways.

Cause: a revision means something only within its era, and no part of the gateway knew the era. Once the writes of servers had carried the revisions past those that a gateway knew, its watch went on from the old one and got no 410, and what stood between the copy's revision and the old one was missed.

A gateway that learns of a return in any response reads the store again, registers again at once, writes its other records again and claims no retry allowance for the time of reuse. Servers, instances and evacuations that the copy lacks are kept until they had time to be written again. Relays state the era once in an answer; one of an older build that states none is not followed after a return.

The stand-in answers 410 to a watch from a revision that it has not given out, as the platform does.

--- a/calls/live/src/allowance-parts.ts
+++ b/calls/live/src/allowance-parts.ts
@@ -50,6 +50,8 @@
 	readonly prefix = ALLOWANCE_PREFIX;
 	readonly #options: AllowancePartsOptions;
 	readonly #observed = new Map<string, ObservedPart>();
+	/** Monotonic time of the store's last return from an older copy, in milliseconds. */
+	#returnedAtMs = Number.NEGATIVE_INFINITY;
 
 	constructor(options: AllowancePartsOptions) {
 		this.#options = options;
@@ -62,6 +64,15 @@
 		}
 	};
 
+	/**
+	 * Forgets what was observed, since the store has returned from an older copy. Claims that were made after the copy are missing
+	 * from the store and may still be in use, so no part is claimed for the time of reuse.
+	 */
+	recordReturn(): void {
+		this.#observed.clear();
+		this.#returnedAtMs = this.#options.now();
+	}
+
 	/** Claims one part of a service's allowance. */
 	async claim(service: ServiceName): Promise<Either<ClaimFailure, ClaimedPart>> {
 		const {countInstances, random, now} = this.#options;
@@ -84,6 +95,10 @@
 	#listFree(service: ServiceName): readonly number[] {
 		const {now, reuseMs} = this.#options;
 		const latestMs = now() - reuseMs();
+		if (this.#returnedAtMs > latestMs) {
+			return [];
+		}
+
 		return Array.from({length: ALLOWANCE_PARTS}, (_, part) => part).filter(part => {
 			const observed = this.#observed.get(partKey({service, part}));
 			return !observed || observed.observedAtMs <= latestMs;
--- a/calls/live/src/change-listener.ts
+++ b/calls/live/src/change-listener.ts
@@ -1,17 +1,20 @@
-/** HTTP endpoint of the change relay: `GET /changes?after=INDEX`. */
+/** HTTP endpoint of the change relay: `GET /changes?after=REVISION&era=ERA`. */
 import {Buffer} from 'node:buffer';
 import type {RequestListener} from 'node:http';
 import {parseRequestTarget} from '@pomelopick/core.types';
+import {splitIndex, toIndex} from '@pomelopick/platform.store';
 import type {ChangeRelay} from './change-relay.js';
 import {encodeUpstreamAnswer} from './relayed-changes.js';
 import type {UpstreamAnswer} from './relayed-changes.js';
 
 const PATH = '/changes';
-const INDEX_PATTERN = /^\d{1,15}$/u;
+const REVISION_PATTERN = /^\d{1,12}$/u;
+const ERA_PATTERN = /^\d{1,4}$/u;
 
 /** Returns the path and query of a request for the changes after an index. */
 export function changesPath({afterIndex}: {readonly afterIndex: number}): string {
-	return `${PATH}?after=${afterIndex}`;
+	const {era, revision} = splitIndex(afterIndex);
+	return `${PATH}?after=${revision}&era=${era}`;
 }
 
 /** Creates the listener. It responds 400 to a malformed request and 404 to another path. */
@@ -27,7 +30,9 @@
 	return async (request, response) => {
 		const {pathname, searchParams} = parseRequestTarget(request.url);
 		const after = searchParams.get('after') ?? '';
-		if (pathname !== PATH || !INDEX_PATTERN.test(after)) {
+		// Instances of older builds state no era.
+		const era = searchParams.get('era') ?? String(relay.era);
+		if (pathname !== PATH || !REVISION_PATTERN.test(after) || !ERA_PATTERN.test(era)) {
 			response.writeHead(pathname === PATH ? 400 : 404).end();
 			return;
 		}
@@ -36,7 +41,7 @@
 		response.once('close', () => {
 			disconnected.abort();
 		});
-		const text = encode(await relay.waitForChanges({afterIndex: Number(after), signal: disconnected.signal}));
+		const text = encode(await relay.waitForChanges({afterIndex: toIndex({era: Number(era), revision: Number(after)}), signal: disconnected.signal}));
 		response.writeHead(200, {'content-type': 'application/json', 'content-length': String(Buffer.byteLength(text))});
 		response.end(text);
 	};
--- a/calls/live/src/change-relay.ts
+++ b/calls/live/src/change-relay.ts
@@ -4,6 +4,7 @@
  * A request waits until this instance has something from the store that the requesting instance lacks: a change, or the
  * confirmation that nothing changed, from which the requesting instance knows that its view is current.
  */
+import {splitIndex} from '@pomelopick/platform.store';
 import type {StoreChange} from '@pomelopick/platform.store';
 import {ChangeHistory} from './change-history.js';
 import type {UpstreamAnswer} from './relayed-changes.js';
@@ -60,9 +61,18 @@
 		return this.#pending.size;
 	}
 
-	/** Starts a new history after a snapshot of the store at an index; earlier changes are not available. */
+	/** Era of the store from which the changes are; 0: none is known. */
+	get era(): number {
+		return splitIndex(this.#history?.index ?? 0).era;
+	}
+
+	/** Starts a new history after a snapshot of the store at an index. Earlier changes are not available, of which waiting requests are told. */
 	restart({index}: {readonly index: number}): void {
 		this.#history = new ChangeHistory({index});
+		for (const request of [...this.#pending].filter(({afterIndex}) => afterIndex < index)) {
+			this.#pending.delete(request);
+			request.resolve({kind: 'history-lost'});
+		}
 	}
 
 	/** Records changes, or the confirmation that there are none, and answers all waiting requests. */
@@ -93,7 +103,8 @@
 
 	/** Resolves once there is a change after an index, or a confirmation that there is none; never rejects. */
 	async waitForChanges({afterIndex, signal}: {readonly afterIndex: number; readonly signal: AbortSignal}): Promise<UpstreamAnswer> {
-		if (this.#isClosed || !this.#history) {
+		if (this.#isClosed || !this.#history || splitIndex(afterIndex).era > this.era) {
+			// An instance that has read the store after its return from a copy must not wait for one that has not.
 			return {kind: 'unavailable'};
 		}
 
--- a/calls/live/src/find-retention.ts
+++ b/calls/live/src/find-retention.ts
@@ -6,12 +6,15 @@
 export interface Retention {
 	readonly serversUntilMs: number | undefined;
 	readonly instancesUntilMs: number | undefined;
+	readonly evacuationsUntilMs: number | undefined;
 }
 
 /** Options of {@link findRetention}. */
 export interface FindRetentionOptions {
 	/** Monotonic time until which entries that expired while the store was unavailable may be written again, in milliseconds; undefined: the store was available. */
 	readonly retainedUntilMs: number | undefined;
+	/** Whether the store has returned from an older copy, so that any entry that is missing may have been written after the copy. */
+	readonly hasReturned: boolean;
 	/** Whether a known key still exists after the changes. */
 	readonly existsAfter: (key: string) => boolean;
 	/** Keys that the changes write. */
@@ -22,13 +25,22 @@
 	readonly instanceKeys: readonly string[];
 }
 
-/** Returns until when missing servers and instances are retained. Each kind is retained only if so many of it are missing at once that their entries must have expired. */
-export function findRetention({retainedUntilMs, existsAfter, written, serverKeys, instanceKeys}: FindRetentionOptions): Retention {
+/**
+ * Returns until when missing servers, instances and evacuations are retained. After a return of the store from an older copy, all
+ * are. Otherwise servers and instances are, each kind only if so many of it are missing at once that their entries must have expired.
+ */
+export function findRetention({retainedUntilMs, hasReturned, existsAfter, written, serverKeys, instanceKeys}: FindRetentionOptions): Retention {
+	if (hasReturned) {
+		return {serversUntilMs: retainedUntilMs, instancesUntilMs: retainedUntilMs, evacuationsUntilMs: retainedUntilMs};
+	}
+
 	const findRetainedUntil = (known: readonly string[], prefix: string): number | undefined => {
 		const after = new Set([...known.filter(key => existsAfter(key)), ...written.filter(key => key.startsWith(prefix))]);
 		return isMassExpiry({before: known.length, after: after.size}) ? retainedUntilMs : undefined;
 	};
 
 	const serverPrefix = serverKeys[0]?.slice(0, serverKeys[0].lastIndexOf('/') + 1) ?? '';
-	return {serversUntilMs: findRetainedUntil(serverKeys, serverPrefix), instancesUntilMs: findRetainedUntil(instanceKeys, INSTANCE_PREFIX)};
+	return {
+		serversUntilMs: findRetainedUntil(serverKeys, serverPrefix), instancesUntilMs: findRetainedUntil(instanceKeys, INSTANCE_PREFIX), evacuationsUntilMs: undefined,
+	};
 }
--- a/calls/live/src/live-view.ts
+++ b/calls/live/src/live-view.ts
@@ -3,7 +3,7 @@
 import type {RouteTable} from '@pomelopick/steering.routes';
 import type {StoreChange, StoredValue} from '@pomelopick/platform.store';
 import type {
-	BackendServerName, RegisteredServer, RouteSet,
+	BackendServerName, FailureDomainName, RegisteredServer, RouteSet,
 } from '@pomelopick/core.types';
 import type {ViewChange} from './view-change.js';
 import {findRetention} from './find-retention.js';
@@ -50,6 +50,8 @@
 	/** Prefix of the keys that were read. */
 	readonly prefix: string;
 	readonly values: readonly StoredValue[];
+	/** Whether the store has returned from an older copy since the last snapshot: entries that are missing may be written again. */
+	readonly hasReturned: boolean;
 }
 
 interface RemoveOptions extends Pick<ApplyChangesOptions, 'nowMs'> {
@@ -58,6 +60,14 @@
 	readonly retention: Retention;
 }
 
+interface RemoveEvacuationOptions extends Pick<ApplyChangesOptions, 'retainedUntilMs' | 'nowMs'> {
+	readonly key: string;
+	readonly failureDomain: FailureDomainName;
+	readonly storeIndex: number;
+}
+
+const noRetention: Retention = {serversUntilMs: undefined, instancesUntilMs: undefined, evacuationsUntilMs: undefined};
+
 /** Effect of a write on the view: `none` for an outdated entry, and for a heartbeat that changes nothing else about its server. */
 type WriteEffect = 'changed' | 'none';
 
@@ -67,7 +77,8 @@
 	readonly #options: LiveViewOptions;
 	readonly #instances: InstanceEntries;
 	readonly #activeRoutes: ActiveRoutes;
-	readonly #evacuationKeys = new Set<string>();
+	/** Keys of evacuations, with the monotonic time until which one that is missing from the store is kept, in milliseconds. */
+	readonly #evacuationKeys = new Map<string, number | undefined>();
 	readonly #serverKeys = new Map<string, BackendServerName>();
 
 	constructor(options: LiveViewOptions) {
@@ -96,7 +107,7 @@
 	apply({changes, retainedUntilMs, nowMs}: ApplyChangesOptions): readonly StoreChange[] {
 		const lastKinds = new Map(changes.map(change => [change.kind === 'written' ? change.value.key : change.key, change.kind]));
 		const retention = this.#findRetention({
-			retainedUntilMs, existsAfter: key => lastKinds.get(key) !== 'removed', written: [...lastKinds].flatMap(([key, kind]) => kind === 'written' ? [key] : []),
+			retainedUntilMs, hasReturned: false, existsAfter: key => lastKinds.get(key) !== 'removed', written: [...lastKinds].flatMap(([key, kind]) => kind === 'written' ? [key] : []),
 		});
 		return changes.filter(change => {
 			if (change.kind === 'written') {
@@ -111,10 +122,12 @@
 	}
 
 	/** Replaces the view with a snapshot of a prefix: keys that are not in it were removed. */
-	replace({prefix, values, retainedUntilMs, nowMs}: ReplaceViewOptions): void {
+	replace({prefix, values, retainedUntilMs, hasReturned, nowMs}: ReplaceViewOptions): void {
 		const keys = new Set(values.map(({key}) => key));
 		const existsAfter = (key: string): boolean => !key.startsWith(prefix) || keys.has(key);
-		const retention = this.#findRetention({retainedUntilMs, existsAfter, written: [...keys]});
+		const retention = this.#findRetention({
+			retainedUntilMs, hasReturned, existsAfter, written: [...keys],
+		});
 		for (const key of this.#listKeys()) {
 			if (!existsAfter(key)) {
 				this.#remove({
@@ -128,7 +141,7 @@
 		}
 	}
 
-	/** Removes retained servers and instances whose entries were not written again in time. */
+	/** Removes retained servers, instances and evacuations whose entries were not written again in time. */
 	expire(nowMs: number): void {
 		for (const server of this.servers.expire(nowMs)) {
 			this.#report({
@@ -138,14 +151,21 @@
 		}
 
 		this.#instances.expire(nowMs);
+		for (const [key, retainedUntilMs] of this.#evacuationKeys) {
+			if (retainedUntilMs !== undefined && nowMs >= retainedUntilMs) {
+				this.#removeKey({
+					key, storeIndex: 0, retention: noRetention, nowMs,
+				});
+			}
+		}
 	}
 
-	#findRetention(options: Pick<FindRetentionOptions, 'retainedUntilMs' | 'existsAfter' | 'written'>): Retention {
+	#findRetention(options: Pick<FindRetentionOptions, 'retainedUntilMs' | 'hasReturned' | 'existsAfter' | 'written'>): Retention {
 		return findRetention({...options, serverKeys: [...this.#serverKeys.keys()], instanceKeys: this.#instances.listKeys()});
 	}
 
 	#listKeys(): readonly string[] {
-		return [...this.#serverKeys.keys(), ...this.#evacuationKeys, ...this.#instances.listKeys()];
+		return [...this.#serverKeys.keys(), ...this.#evacuationKeys.keys(), ...this.#instances.listKeys()];
 	}
 
 	#write({value, nowMs}: {readonly value: StoredValue; readonly nowMs: number}): WriteEffect {
@@ -194,7 +214,7 @@
 			}
 
 			case 'evacuation': {
-				this.#evacuationKeys.add(value.key);
+				this.#evacuationKeys.set(value.key, undefined);
 				if (!this.servers.evacuated.has(subject.failureDomain)) {
 					this.servers.evacuate(subject.failureDomain);
 					this.#report({
@@ -263,10 +283,8 @@
 				key, name: subject.server, storeIndex, retainedUntilMs: retention.serversUntilMs,
 			});
 		} else if (subject?.kind === 'evacuation') {
-			this.#evacuationKeys.delete(key);
-			this.servers.endEvacuation({failureDomain: subject.failureDomain, nowMs});
-			this.#report({
-				event: 'evacuation-ended', subject: subject.failureDomain, detail: 'an operator ended it', storeIndex,
+			this.#removeEvacuation({
+				key, failureDomain: subject.failureDomain, storeIndex, retainedUntilMs: retention.evacuationsUntilMs, nowMs,
 			});
 		} else if (key.startsWith(INSTANCE_PREFIX)) {
 			this.#instances.remove({key, storeIndex, retainedUntilMs: retention.instancesUntilMs});
@@ -275,6 +293,19 @@
 		}
 	}
 
+	#removeEvacuation({key, failureDomain, storeIndex, retainedUntilMs, nowMs}: RemoveEvacuationOptions): void {
+		if (retainedUntilMs !== undefined) {
+			this.#evacuationKeys.set(key, retainedUntilMs);
+			return;
+		}
+
+		this.#evacuationKeys.delete(key);
+		this.servers.endEvacuation({failureDomain, nowMs});
+		this.#report({
+			event: 'evacuation-ended', subject: failureDomain, detail: 'an operator ended it', storeIndex,
+		});
+	}
+
 	#removeServer({key, name, storeIndex, retainedUntilMs}: {readonly key: string; readonly name: BackendServerName; readonly storeIndex: number; readonly retainedUntilMs: number | undefined}): void {
 		this.#serverKeys.delete(key);
 		const known = this.servers.findEntry(name);
--- a/calls/live/src/registration.ts
+++ b/calls/live/src/registration.ts
@@ -23,6 +23,8 @@
 	#lease: LeaseId | undefined;
 	#isLeaving = false;
 	#isWritten = false;
+	/** Ends the pause before the next round. */
+	#wake: (() => void) | undefined;
 
 	constructor(options: RegistrationOptions) {
 		this.#options = options;
@@ -32,14 +34,15 @@
 	async run(): Promise<void> {
 		while (!this.#isLeaving) {
 			const isKept = await this.#keepRegistered();
-			await this.#options.sleep(isKept ? RENEWAL_INTERVAL_MS : RETRY_INTERVAL_MS);
+			await this.#pause(isKept ? RENEWAL_INTERVAL_MS : RETRY_INTERVAL_MS);
 		}
 	}
 
-	/** Makes the next round write the record again; called when the record was removed while this instance is running. */
+	/** Writes the record again; called when it was removed while this instance is running, or when the store may have lost it. */
 	restore(): void {
 		this.#isWritten = false;
 		this.#lease = undefined;
+		this.#wake?.();
 	}
 
 	/** Removes the record. */
@@ -53,6 +56,13 @@
 		}
 	}
 
+	async #pause(milliseconds: number): Promise<void> {
+		const woken = new Promise<void>(resolve => {
+			this.#wake = resolve;
+		});
+		await Promise.race([this.#options.sleep(milliseconds), woken]);
+	}
+
 	async #keepRegistered(): Promise<boolean> {
 		if (this.#lease === undefined) {
 			return this.#register();
--- a/calls/live/src/store-feed.ts
+++ b/calls/live/src/store-feed.ts
@@ -4,8 +4,14 @@
  *
  * Worst-case delay of a change while upstreams are killed, frozen or cut off from the store: an upstream is abandoned
  * when its last confirmation is MAX_UPSTREAM_AGE_MS old, and the store itself is then queried at once.
+ *
+ * After the store has returned from an older copy, the prefix is read again from the store itself: changes since the copy
+ * are not in the history, and an upstream may not know of the return yet.
  */
-import type {KeyValueStore, StoreError, WatchResult} from '@pomelopick/platform.store';
+import {splitIndex} from '@pomelopick/platform.store';
+import type {
+	KeyValueStore, StoreError, StoreRevision, WatchResult,
+} from '@pomelopick/platform.store';
 import {retainedUntilMs} from '@pomelopick/steering.servers';
 import type {ChangeRelay, ConfirmOptions} from './change-relay.js';
 import type {LiveView} from './live-view.js';
@@ -31,6 +37,9 @@
 const MAX_DOUBLINGS = 5;
 const HALF = 0.5;
 
+/** Why a snapshot was read: it was the first one, or the changes since the last one are not available. */
+export type SnapshotReason = 'first' | 'history-lost' | 'store-returned';
+
 /** Options of {@link StoreFeed}. */
 export interface StoreFeedOptions {
 	readonly store: KeyValueStore;
@@ -43,7 +52,7 @@
 	/** Called when the store becomes unavailable, and when the store or an upstream answers again. */
 	readonly onAvailability: (options: {readonly isAvailable: boolean; readonly detail: string}) => void;
 	/** Called after each snapshot. */
-	readonly onSnapshot: (options: {readonly values: number; readonly isReread: boolean}) => void;
+	readonly onSnapshot: (options: {readonly values: number; readonly reason: SnapshotReason}) => void;
 	readonly sleep: (milliseconds: number) => Promise<void>;
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
@@ -65,6 +74,10 @@
 	/** Monotonic time at which the store last became available again after a failure, in milliseconds. */
 	#returnedAtMs = Number.NEGATIVE_INFINITY;
 	#failures = 0;
+	/** Era of the last snapshot. */
+	#readEra = 0;
+	/** Era that began with the last return of the store from an older copy; 0: it has not returned in the lifetime of this process. */
+	#returnedEra = 0;
 
 	constructor(options: StoreFeedOptions) {
 		this.#options = options;
@@ -97,6 +110,11 @@
 		}
 	}
 
+	/** Makes the feed read the prefix again, since the store has returned from an older copy. */
+	recordReturn({era}: Pick<StoreRevision, 'era'>): void {
+		this.#returnedEra = era;
+	}
+
 	/** Stops following. */
 	stop(): void {
 		this.#stopped.abort();
@@ -105,7 +123,7 @@
 
 	async #step(): Promise<void> {
 		const {relay, upstreams} = this.#options;
-		if (this.#index === undefined) {
+		if (this.#index === undefined || this.#readEra < this.#returnedEra) {
 			await this.#readSnapshot();
 			return;
 		}
@@ -164,7 +182,7 @@
 		const {now, upstreams} = this.#options;
 		const timeoutMs = this.#hasCaughtUp ? Math.max(MIN_UPSTREAM_WAIT_MS, MAX_UPSTREAM_AGE_MS - this.ageMs) : MAX_UPSTREAM_AGE_MS;
 		const answer = await upstreams.requestChanges({
-			upstream, afterIndex: index, timeoutMs, signal: this.#stopped.signal,
+			upstream, afterIndex: index, mustStateEra: this.#returnedEra > 0, timeoutMs, signal: this.#stopped.signal,
 		});
 		if (answer.kind !== 'changes' || answer.ageMs > MAX_UPSTREAM_AGE_MS) {
 			this.#mustQueryStore = true;
@@ -182,12 +200,19 @@
 	#applySnapshot({values, index}: WatchResult): void {
 		const {view, prefix, relay, onSnapshot, now} = this.#options;
 		this.#recordAvailable('a snapshot was read');
+		const {era} = splitIndex(index);
+		const hasReturned = this.#hasRead && era > this.#readEra;
+		if (hasReturned) {
+			this.#returnedAtMs = now();
+		}
+
 		view.replace({
-			prefix, values, retainedUntilMs: this.#findRetainedUntil(), nowMs: now(),
+			prefix, values, retainedUntilMs: this.#findRetainedUntil(), hasReturned, nowMs: now(),
 		});
 		this.#index = index;
+		this.#readEra = era;
 		relay.restart({index});
-		onSnapshot({values: values.length, isReread: this.#hasRead});
+		onSnapshot({values: values.length, reason: hasReturned ? 'store-returned' : (this.#hasRead ? 'history-lost' : 'first')});
 		this.#hasRead = true;
 	}
 
--- a/calls/live/src/suspicion-writer.ts
+++ b/calls/live/src/suspicion-writer.ts
@@ -88,6 +88,13 @@
 		}
 	}
 
+	/** Writes all records again that are still needed, since the store has returned from an older copy that may lack them. */
+	restoreAll(): void {
+		for (const key of this.#kept.keys()) {
+			this.restore(key);
+		}
+	}
+
 	/** Stops writing. */
 	stop(): void {
 		this.#isStopped = true;
--- a/calls/live/src/upstream-client.ts
+++ b/calls/live/src/upstream-client.ts
@@ -4,7 +4,7 @@
 import type {Either} from 'purify-ts';
 import {originOf} from '@pomelopick/core.types';
 import type {CodedError, Endpoint} from '@pomelopick/core.types';
-import {sendCall} from '@pomelopick/platform.store';
+import {sendCall, splitIndex} from '@pomelopick/platform.store';
 import {changesPath} from './change-listener.js';
 import {decodeUpstreamAnswer} from './relayed-changes.js';
 import type {UpstreamAnswer} from './relayed-changes.js';
@@ -17,6 +17,8 @@
 	readonly endpoint: Endpoint;
 	/** Index up to which this instance has all changes. */
 	readonly afterIndex: number;
+	/** Whether the answer must state the era of its indexes; those of older builds do not. */
+	readonly mustStateEra: boolean;
 	/** Time within which the answer must arrive, in milliseconds. */
 	readonly timeoutMs: number;
 	readonly signal: AbortSignal;
@@ -27,13 +29,13 @@
 	#current: {readonly origin: string; readonly client: Client} | undefined;
 
 	/** Sends one request; Left says why there was no answer. Never rejects. */
-	async requestChanges({endpoint, afterIndex, timeoutMs, signal}: UpstreamRequestOptions): Promise<Either<CodedError, UpstreamAnswer>> {
+	async requestChanges({endpoint, afterIndex, mustStateEra, timeoutMs, signal}: UpstreamRequestOptions): Promise<Either<CodedError, UpstreamAnswer>> {
 		try {
 			const client = this.#clientFor(originOf(endpoint));
 			const {status, text} = await sendCall({
 				dispatcher: client, method: 'GET', path: changesPath({afterIndex}), body: undefined, timeoutMs, signal,
 			});
-			return status === 200 ? decodeUpstreamAnswer(text) : Left({code: 'upstream-refused', message: `expected status 200, found ${status}`});
+			return status === 200 ? decodeUpstreamAnswer({text, defaultEra: mustStateEra ? undefined : splitIndex(afterIndex).era}) : Left({code: 'upstream-refused', message: `expected status 200, found ${status}`});
 		} catch (error) {
 			// A connection that gave no answer is not used again.
 			this.close();
--- a/calls/live/test/allowance-parts.test.ts
+++ b/calls/live/test/allowance-parts.test.ts
@@ -96,9 +96,9 @@
 	return times.every((atMs, index) => index === 0 || atMs - times[index - 1]! > WINDOW_MS);
 }
 
-function createParts({store, countInstances = () => 1, random = () => 0}: {readonly store: ScriptedStore; readonly countInstances?: () => number; readonly random?: () => number}): AllowanceParts {
+function createParts({store, countInstances = () => 1, now = () => 0, random = () => 0}: {readonly store: ScriptedStore; readonly countInstances?: () => number; readonly now?: () => number; readonly random?: () => number}): AllowanceParts {
 	return new AllowanceParts({
-		store: store as unknown as KeyValueStore, instance: 'a' as InstanceId, reuseMs: () => partReuseMs({windowMs: WINDOW_MS}), countInstances, now: () => 0, random,
+		store: store as unknown as KeyValueStore, instance: 'a' as InstanceId, reuseMs: () => partReuseMs({windowMs: WINDOW_MS}), countInstances, now, random,
 	});
 }
 
@@ -144,6 +144,18 @@
 		assert.equal(claimed.at(-1)!.swap().map(({reason}) => reason).extract(), 'all-in-use');
 	});
 
+	it('claims no part for the time of reuse after the store returned from a copy, which may lack claims in use', async () => {
+		let nowMs = 1000;
+		const parts = createParts({store: new ScriptedStore(), now: () => nowMs});
+		parts.recordReturn();
+		nowMs += partReuseMs({windowMs: WINDOW_MS}) - 1;
+		const early = await parts.claim(service);
+		assert.equal(early.swap().map(({reason}) => reason).extract(), 'all-in-use');
+		nowMs += 1;
+		const later = await parts.claim(service);
+		assert.ok(later.isRight());
+	});
+
 	const failures: ReadonlyArray<{name: string; outcome: StoreOutcome; isTaken: boolean; random: number; instances: number; expected: ClaimFailure['reason']; writes: number}> = [
 		{
 			name: 'the store refuses the call', outcome: 'refused', isTaken: false, random: 0, instances: 1, expected: 'store-failed', writes: 1,
--- a/calls/live/test/change-relay.test.ts
+++ b/calls/live/test/change-relay.test.ts
@@ -6,6 +6,7 @@
 	ChangeRelay, createChangeListener, decodeUpstreamAnswer, encodeUpstreamAnswer, UpstreamClient,
 } from '@pomelopick/calls.live';
 import type {UpstreamAnswer} from '@pomelopick/calls.live';
+import {toIndex} from '@pomelopick/platform.store';
 import type {StoreChange} from '@pomelopick/platform.store';
 
 const written: StoreChange = {kind: 'written', value: {key: 'servers/a', value: new TextEncoder().encode('{"ü":1}'), modifyIndex: 6}};
@@ -27,21 +28,29 @@
 	{text: '{"kind":"other"}', field: /kind/u},
 	{text: '{"kind":"changes","changes":[],"ageMs":0}', field: /index/u},
 	{text: '{"kind":"changes","changes":[],"index":1,"ageMs":-1}', field: /ageMs/u},
+	{text: '{"kind":"changes","changes":[],"index":1,"era":-1,"ageMs":0}', field: /era/u},
 	{text: '{"kind":"changes","changes":[{"key":1}],"index":1,"ageMs":0}', field: /changes\.0/u},
 ];
 
 describe('the answer of an upstream', () => {
 	for (const answer of answers) {
 		it(`is decoded as it was encoded: ${encodeUpstreamAnswer(answer).slice(0, 60)}`, () => {
-			const read = decodeUpstreamAnswer(encodeUpstreamAnswer(answer)).unsafeCoerce();
+			const read = decodeUpstreamAnswer({text: encodeUpstreamAnswer(answer), defaultEra: undefined}).unsafeCoerce();
 			assert.deepEqual(JSON.parse(encodeUpstreamAnswer(read)), JSON.parse(encodeUpstreamAnswer(answer)));
 			assert.equal(read.kind, answer.kind);
 		});
 	}
 
+	it('is refused without its era when that must be stated, and is of the default era otherwise', () => {
+		const text = '{"kind":"changes","changes":[],"index":5,"ageMs":0}';
+		assert.ok(decodeUpstreamAnswer({text, defaultEra: undefined}).isLeft());
+		const answer = decodeUpstreamAnswer({text, defaultEra: 3}).unsafeCoerce();
+		assert.ok(answer.kind === 'changes' && answer.index === toIndex({era: 3, revision: 5}));
+	});
+
 	for (const {text, field} of malformed) {
 		it(`is refused with the name of the wrong field: ${text}`, () => {
-			assert.match(decodeUpstreamAnswer(text).swap().map(({message}) => message).orDefault(''), field);
+			assert.match(decodeUpstreamAnswer({text, defaultEra: 1}).swap().map(({message}) => message).orDefault(''), field);
 		});
 	}
 });
@@ -92,6 +101,20 @@
 		assert.deepEqual(await relay.waitForChanges({afterIndex: 4, signal: never}), {kind: 'history-lost'});
 	});
 
+	it('has no changes for an instance that has read the store after a return that this one has not seen', async () => {
+		const {relay} = create();
+		relay.restart({index: toIndex({era: 1, revision: 9})});
+		assert.deepEqual(await relay.waitForChanges({afterIndex: toIndex({era: 2, revision: 5}), signal: never}), {kind: 'unavailable'});
+	});
+
+	it('tells waiting requests at once that the store was read again', async () => {
+		const {relay} = create();
+		relay.restart({index: toIndex({era: 1, revision: 9})});
+		const requested = relay.waitForChanges({afterIndex: toIndex({era: 1, revision: 9}), signal: never});
+		relay.restart({index: toIndex({era: 2, revision: 5})});
+		assert.deepEqual(await requested, {kind: 'history-lost'});
+	});
+
 	it('answers waiting requests at once when the store fails', async () => {
 		const {relay} = create();
 		relay.restart({index: 5});
@@ -151,17 +174,17 @@
 			changes: [written], index: 6, confirmedAtMs: performance.now(), returnedAtMs: Number.NEGATIVE_INFINITY,
 		});
 		const requested = await client.requestChanges({
-			endpoint, afterIndex: 5, timeoutMs: 5000, signal,
+			endpoint, afterIndex: 5, mustStateEra: false, timeoutMs: 5000, signal,
 		});
 		const answer = requested.unsafeCoerce();
 		assert.ok(answer.kind === 'changes' && answer.changes.length === 1 && answer.index === 6);
 		const late = await client.requestChanges({
-			endpoint, afterIndex: 6, timeoutMs: 50, signal,
+			endpoint, afterIndex: 6, mustStateEra: false, timeoutMs: 50, signal,
 		});
 		assert.equal(late.swap().map(({code}) => code).orDefault(''), 'upstream-silent');
 		await stop();
 		const gone = await client.requestChanges({
-			endpoint, afterIndex: 6, timeoutMs: 5000, signal,
+			endpoint, afterIndex: 6, mustStateEra: false, timeoutMs: 5000, signal,
 		});
 		assert.ok(gone.isLeft());
 		client.close();
--- a/calls/live/test/odd-writes.test.ts
+++ b/calls/live/test/odd-writes.test.ts
@@ -98,8 +98,12 @@
 		sound.apply({changes: changes.map(change => toSound(change)), ...times});
 		if (batch.some(({kind}) => kind === 'snapshot')) {
 			const values = [...stored.values()];
-			whole.replace({prefix: '', values, ...times});
-			sound.replace({prefix: '', values: values.filter(value => isServer(value)), ...times});
+			whole.replace({
+				prefix: '', values, hasReturned: false, ...times,
+			});
+			sound.replace({
+				prefix: '', values: values.filter(value => isServer(value)), hasReturned: false, ...times,
+			});
 		}
 	}
 
--- a/calls/rate-limits/src/rate-limit-writer.ts
+++ b/calls/rate-limits/src/rate-limit-writer.ts
@@ -75,6 +75,13 @@
 		this.#stored.delete(rateLimitKey(server));
 	}
 
+	/** Writes the records of the own servers again, since the store has returned from an older copy that may lack them. */
+	restoreAll(): void {
+		this.#lease.drop();
+		this.#stored.clear();
+		void this.run();
+	}
+
 	/** Stops writing. */
 	stop(): void {
 		this.#isStopped = true;
--- a/calls/rate-limits/test/odd-messages.test.ts
+++ b/calls/rate-limits/test/odd-messages.test.ts
@@ -30,7 +30,8 @@
 const broadcast = {records: [death], passOn: ['b']};
 
 const decoders: ReadonlyArray<{name: string; sound: Record<string, unknown>; decode: (text: string) => {isRight: () => boolean}}> = [
-	{name: 'changes', sound: upstream, decode: decodeUpstreamAnswer},
+	{name: 'changes', sound: {...upstream, era: 2}, decode: text => decodeUpstreamAnswer({text, defaultEra: undefined})},
+	{name: 'changes of older builds', sound: upstream, decode: text => decodeUpstreamAnswer({text, defaultEra: 1})},
 	{name: 'suspicions', sound: death, decode: text => decodeSuspicion(encode(text))},
 	{name: 'instances', sound: instance, decode: text => decodeInstance({key: instanceKey('a' as InstanceId), bytes: encode(text)})},
 	{name: 'broadcasts', sound: broadcast, decode: text => readBroadcastMessage({subject: 'suspicions', value: JSON.parse(text), readRecord: readSuspicion})},
--- a/daemons/gateway/src/create-rate-limits.ts
+++ b/daemons/gateway/src/create-rate-limits.ts
@@ -46,6 +46,8 @@
 	readonly handlePermits: RequestListener;
 	/** Applies a record that was read in the store. */
 	readonly receiveFromStore: (record: RateLimitRecord) => void;
+	/** Writes the records of the own servers again, after the store has returned from an older copy. */
+	readonly restoreRecords: () => void;
 	/** Must be called whenever an instance was registered or removed. */
 	readonly updateInstances: () => void;
 	/** Returns the rate limits that registered servers name, in requests per second, by server. */
@@ -154,6 +156,9 @@
 			writer.observe(record);
 			sharing.receive({record, source: 'store'});
 		},
+		restoreRecords() {
+			writer.restoreAll();
+		},
 		updateInstances() {
 			// Changes of the store come in batches, which are applied together.
 			areCandidatesOutdated = true;
--- a/daemons/gateway/src/create-view.ts
+++ b/daemons/gateway/src/create-view.ts
@@ -4,14 +4,14 @@
 	AllowanceParts, ChangeRelay, instanceKey, isRefusal, LiveView, PeerBroadcast, Registration, sendBroadcastMessage, StoreFeed, suspicionReader, SuspicionWriter, UpstreamClient, UpstreamLink,
 } from '@pomelopick/calls.live';
 import type {
-	ViewChange, InstanceRecord, LostServer, SuspicionRecord,
+	ViewChange, InstanceRecord, LostServer, SnapshotReason, SuspicionRecord,
 } from '@pomelopick/calls.live';
 import type {SuspicionSharing} from '@pomelopick/calls.quarantine';
 import {rateLimitReader} from '@pomelopick/calls.rate-limits';
 import {RefusalLog} from '@pomelopick/core.telemetry';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
 import type {Endpoint, RouteSet} from '@pomelopick/core.types';
-import {PlatformStore} from '@pomelopick/platform.store';
+import {PlatformStore, splitIndex} from '@pomelopick/platform.store';
 import type {KeyValueStore} from '@pomelopick/platform.store';
 import {decodeRouteSet, decodeServer, readSubject} from '@pomelopick/platform.wire';
 import {partReuseMs} from '@pomelopick/steering.limits';
@@ -25,6 +25,11 @@
 /** Prefix of all keys: those of the operator, of the servers and of the instances. */
 const ALL_KEYS_PREFIX = '';
 
+/** Texts of the log for the reasons of a snapshot. */
+const snapshotReasons: Readonly<Record<SnapshotReason, string>> = {
+	first: 'first read', 'history-lost': 'the store lost its history', 'store-returned': 'the store returned from an older copy',
+};
+
 /** Options of {@link createView}. */
 export interface CreateViewOptions {
 	readonly store: Endpoint;
@@ -40,6 +45,8 @@
 	/** Called with each record about the rate limit of a server. */
 	readonly onRateLimit: (record: RateLimitRecord) => void;
 	readonly onServerLost: (lost: LostServer) => void;
+	/** Called when the store has returned from an older copy, which may lack records that this instance has written. */
+	readonly onStoreReturned: () => void;
 	/** Called after an instance was registered or removed. */
 	readonly onInstances: () => void;
 	/** Monotonic time, in milliseconds. */
@@ -68,7 +75,7 @@
 }
 
 /** Creates the view. It is updated once {@link ViewParts.start} has been called. */
-export function createView({store: endpoint, self, firstSequence, retries, counters, log, onRoutes, onSuspicion, onRateLimit, onServerLost, onInstances, now, random}: CreateViewOptions): ViewParts {
+export function createView({store: endpoint, self, firstSequence, retries, counters, log, onRoutes, onSuspicion, onRateLimit, onServerLost, onStoreReturned, onInstances, now, random}: CreateViewOptions): ViewParts {
 	// Unreferenced timers: the process is kept running by its listeners, not by pauses between calls.
 	const sleep = async (milliseconds: number): Promise<void> => startTimeout(milliseconds, undefined, {ref: false});
 	const refusals = new RefusalLog({log, now});
@@ -80,6 +87,15 @@
 			counters.add('store.odd-item');
 			refusals.line('store-item-odd', {subject: key, detail});
 		},
+		onReturn({era}) {
+			counters.add('store.returned');
+			log.line('store-returned', {storeEra: era, detail: 'the store has returned from an older copy; it is read again, and the own records are written again'});
+			feed.recordReturn({era});
+			allowance.recordReturn();
+			registration.restore();
+			sharing.restoreAll();
+			onStoreReturned();
+		},
 	});
 	const allowance: AllowanceParts = new AllowanceParts({
 		store, instance: self.id, reuseMs: () => partReuseMs(retries()), countInstances: () => view.instances.maxCount, now, random,
@@ -87,7 +103,7 @@
 	const onChange = (change: ViewChange): void => {
 		counters.add(`belief.${change.event}`);
 		const fields = {
-			subject: change.subject, detail: change.detail, ...(change.reason !== undefined && {reason: change.reason}), storeIndex: change.storeIndex,
+			subject: change.subject, detail: change.detail, ...(change.reason !== undefined && {reason: change.reason}), storeIndex: splitIndex(change.storeIndex).revision,
 		};
 		if (isRefusal(change)) {
 			refusals.line(change.event, fields);
@@ -146,8 +162,8 @@
 			counters.add(isAvailable ? 'store.regained' : 'store.lost');
 			log.line(isAvailable ? 'store-regained' : 'store-lost', {detail});
 		},
-		onSnapshot({values, isReread}) {
-			log.line('store-read', {values, why: isReread ? 'the store lost its history' : 'first read'});
+		onSnapshot({values, reason}) {
+			log.line('store-read', {values, why: snapshotReasons[reason]});
 		},
 	});
 	const registration = new Registration({
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -103,6 +103,9 @@
 			relay.forget(lost);
 			rateLimitParts.forget(lost.server.name);
 		},
+		onStoreReturned() {
+			rateLimitParts.restoreRecords();
+		},
 		onInstances() {
 			rateLimitParts.updateInstances();
 		},
--- a/testing/platform-stand-in/src/key-values.ts
+++ b/testing/platform-stand-in/src/key-values.ts
@@ -119,10 +119,10 @@
 		return [...this.#entries.values()].filter(entry => entry.key.startsWith(key)).sort((left, right) => left.key < right.key ? -1 : 1);
 	}
 
-	/** Returns the changes of keys with a prefix after an index, in order, or undefined if some of them are no longer kept. */
+	/** Returns the changes of keys with a prefix after an index, in order, or undefined if some of them are no longer kept or the index was not given out yet. */
 	changesAfter({prefix, index}: {readonly prefix: string; readonly index: number}): readonly KeyChange[] | undefined {
 		this.#expireSessions();
-		return index < this.#compactedIndex ? undefined : this.#history.filter(({key, modifyIndex}) => modifyIndex > index && key.startsWith(prefix));
+		return index < this.#compactedIndex || index > this.#index ? undefined : this.#history.filter(({key, modifyIndex}) => modifyIndex > index && key.startsWith(prefix));
 	}
 
 	/** Removes all changes from the history, as a compaction does. */
