Remember the starts of servers whose entries were removed

Cause: the store executed a heartbeat seconds after the call, when the entry of its server had been removed. A heartbeat is known to be late by comparing it with the last one of its start, and that was forgotten with the entry.

Of a start whose entry was removed, only a heartbeat later than all that were seen is taken, which is how a start goes on whose entry had merely expired; of one that a later start replaced, none. A start that is not remembered is new, whatever its clock says. Refused entries are counted and logged as ended-start. An entry that an older copy of the store brings back after its removal is refused in the same way.

--- a/calls/live/src/live-view.ts
+++ b/calls/live/src/live-view.ts
@@ -248,6 +248,13 @@
 			return 'none';
 		}
 
+		if (outcome === 'ended') {
+			this.#report({
+				event: 'server-refused', subject: name, detail: 'the entry was removed or replaced before this heartbeat was written', reason: 'ended-start', storeIndex: value.modifyIndex,
+			});
+			return 'none';
+		}
+
 		this.#serverKeys.set(value.key, name);
 		if (before && before.server.startedAtMs !== server.startedAtMs) {
 			this.#options.onServerLost({server: before.server, restartedAtMs: server.startedAtMs});
--- a/steering/servers/src/index.ts
+++ b/steering/servers/src/index.ts
@@ -1,4 +1,5 @@
 /** State of the registered backend servers: which ones are usable, how loaded and how healthy they are. */
+export * from './ended-starts.js';
 export * from './mass-expiry.js';
 export * from './leaving-servers.js';
 export * from './named-rate-limits.js';
--- a/steering/servers/src/server-table.ts
+++ b/steering/servers/src/server-table.ts
@@ -2,6 +2,8 @@
 import type {
 	BackendServerName, FailureDomainName, RegisteredServer, ServiceName,
 } from '@pomelopick/core.types';
+import {EndedStarts} from './ended-starts.js';
+import type {EntryEnd} from './ended-starts.js';
 
 /**
  * Time for which a server is considered warming up after the end of the evacuation of its failure domain, in
@@ -46,12 +48,13 @@
 	readonly retainUntilMs: number | undefined;
 }
 
-/** Result of a write. */
-export type WriteOutcome = 'added' | 'changed' | 'unchanged' | 'outdated';
+/** Result of a write; `ended`: the entry is of a start that was removed or replaced, and was written late. */
+export type WriteOutcome = 'added' | 'changed' | 'unchanged' | 'outdated' | 'ended';
 
 /** Keeps the entries of servers by name; ignores entries of an earlier start or heartbeat. */
 export class ServerTable {
 	readonly #servers = new Map<BackendServerName, KnownServer>();
+	readonly #endedStarts = new EndedStarts();
 	readonly #evacuated = new Set<FailureDomainName>();
 	#usable: Map<ServiceName, readonly KnownServer[]> | undefined;
 	#generation = 0;
@@ -78,7 +81,15 @@
 			return 'outdated';
 		}
 
+		if (this.#endedStarts.includes(server)) {
+			return 'ended';
+		}
+
 		const isSameStart = known?.server.startedAtMs === server.startedAtMs;
+		if (known && !isSameStart) {
+			this.#endedStarts.record({server: known.server, end: 'replaced'});
+		}
+
 		const coldUntilMs = server.warmupLeftMs > 0 ? nowMs + server.warmupLeftMs + WARMUP_MARGIN_MS : (isSameStart ? known?.coldUntilMs ?? nowMs : nowMs);
 		this.#servers.set(server.name, {server, coldUntilMs, expiresAtMs: undefined});
 		if (known && known.expiresAtMs === undefined && isEquivalent({server, known: known.server})) {
@@ -106,16 +117,16 @@
 		if (known && retainUntilMs !== undefined && known.server.state === 'ready') {
 			this.#servers.set(name, {...known, expiresAtMs: known.expiresAtMs ?? retainUntilMs});
 			this.#usable = undefined;
-		} else if (this.#servers.delete(name)) {
-			this.#invalidate();
+		} else if (known) {
+			this.#delete({server: known.server, end: 'removed'});
 		}
 	}
 
 	/** Removes the entries that were not registered again in time; returns them. */
 	expire(nowMs: number): readonly RegisteredServer[] {
 		const expired = [...this.#servers.values()].filter(({expiresAtMs}) => expiresAtMs !== undefined && nowMs >= expiresAtMs).map(({server}) => server);
-		for (const {name} of expired) {
-			this.remove({name, retainUntilMs: undefined});
+		for (const server of expired) {
+			this.#delete({server, end: 'expired'});
 		}
 
 		return expired;
@@ -169,6 +180,12 @@
 		return known && this.#isUsable(known) ? known : undefined;
 	}
 
+	#delete({server, end}: {readonly server: RegisteredServer; readonly end: EntryEnd}): void {
+		this.#servers.delete(server.name);
+		this.#endedStarts.record({server, end});
+		this.#invalidate();
+	}
+
 	#isUsable({server}: KnownServer): boolean {
 		return server.state === 'ready' && !this.#evacuated.has(server.failureDomain);
 	}
--- a/steering/servers/test/server-table.test.ts
+++ b/steering/servers/test/server-table.test.ts
@@ -89,7 +89,106 @@
 	},
 ];
 
+const remove = (table: ServerTable): void => {
+	table.remove({name: one, retainUntilMs: undefined});
+};
+
+const expire = (table: ServerTable): void => {
+	table.remove({name: one, retainUntilMs: 2000});
+	table.expire(2000);
+};
+
+/** Entries that are written after the one of the table was removed: heartbeat 5 of the start 1000. */
+const lateCases: readonly Step[] = [
+	{
+		name: 'of an earlier heartbeat', act(table) {
+			remove(table);
+			table.write({server: server({heartbeat: 3}), nowMs: 0});
+		}, usable: [],
+	},
+	{
+		name: 'of the last heartbeat', act(table) {
+			remove(table);
+			table.write({server: server(), nowMs: 0});
+		}, usable: [],
+	},
+	{
+		name: 'of two earlier heartbeats, one after the other', act(table) {
+			remove(table);
+			table.write({server: server({heartbeat: 3}), nowMs: 0});
+			remove(table);
+			table.write({server: server({heartbeat: 4}), nowMs: 0});
+		}, usable: [],
+	},
+	{
+		name: 'of a heartbeat before the server reported that it drains', act(table) {
+			table.write({server: server({state: 'draining', heartbeat: 6}), nowMs: 0});
+			remove(table);
+			table.write({server: server({heartbeat: 5}), nowMs: 0});
+		}, usable: [],
+	},
+	{
+		name: 'of an earlier start, though its heartbeat was not seen before', act(table) {
+			table.write({server: server({startedAtMs: 2000, heartbeat: 1}), nowMs: 0});
+			remove(table);
+			table.write({server: server({heartbeat: 6}), nowMs: 0});
+		}, usable: [],
+	},
+	{
+		name: 'of a replaced start, while an entry of a start with a clock that is behind is known', act(table) {
+			remove(table);
+			table.write({server: server({startedAtMs: 900, heartbeat: 1}), nowMs: 0});
+			table.write({server: server({heartbeat: 4, state: 'draining'}), nowMs: 0});
+		}, usable: ['one'],
+	},
+	{
+		name: 'of a heartbeat before the last one, after the entry expired in a store outage', act(table) {
+			expire(table);
+			table.write({server: server({heartbeat: 4}), nowMs: 3000});
+		}, usable: [],
+	},
+	{
+		name: 'of the last heartbeat, after the entry expired in a store outage', act(table) {
+			expire(table);
+			table.write({server: server(), nowMs: 3000});
+		}, usable: ['one'],
+	},
+	{
+		name: 'of a later heartbeat, by which the start goes on', act(table) {
+			remove(table);
+			table.write({server: server({heartbeat: 6}), nowMs: 0});
+		}, usable: ['one'],
+	},
+	{
+		name: 'of a later start', act(table) {
+			remove(table);
+			table.write({server: server({startedAtMs: 2000, heartbeat: 0}), nowMs: 0});
+		}, usable: ['one'],
+	},
+	{
+		name: 'of a new start with a clock that is behind', act(table) {
+			remove(table);
+			table.write({server: server({startedAtMs: 900, heartbeat: 0}), nowMs: 0});
+		}, usable: ['one'],
+	},
+	{
+		name: 'of a server that does not state its start', act(table) {
+			remove(table);
+			table.write({server: server({startedAtMs: undefined, heartbeat: 1}), nowMs: 0});
+		}, usable: ['one'],
+	},
+];
+
 describe('ServerTable', () => {
+	for (const {name, act, usable} of lateCases) {
+		it(`${usable.length > 0 ? 'uses' : 'does not use'} a server after a late entry ${name}`, () => {
+			const table = new ServerTable();
+			table.write({server: server(), nowMs: 0});
+			act(table);
+			assert.deepEqual(namesOf(table), usable);
+		});
+	}
+
 	for (const {name, act, usable} of cases) {
 		it(name, () => {
 			const table = new ServerTable();
--- a/testing/gateway-fleet/src/gateway-fleet.ts
+++ b/testing/gateway-fleet/src/gateway-fleet.ts
@@ -80,6 +80,8 @@
 	readonly startedAtMs?: number;
 	/** Time for which the server says that it warms up, in milliseconds; 0 by default. */
 	readonly warmupLeftMs?: number;
+	/** Number of the heartbeat; by default higher than all before. */
+	readonly sequence?: number;
 }
 
 /** A running store and its registered servers. */
@@ -141,11 +143,11 @@
 	}
 
 	/** Writes the registration of a server to the store. */
-	register({server, failureDomain, state = 'ready', startedAtMs = FIRST_START_MS, warmupLeftMs = 0}: RegisterOptions): void {
+	register({server, failureDomain, state = 'ready', startedAtMs = FIRST_START_MS, warmupLeftMs = 0, sequence}: RegisterOptions): void {
 		this.#heartbeat += 1;
 		this.write(`servers/${server.name}`, {
 			service: 'ledger', address: `127.0.0.1:${server.port}`, zone: failureDomain, version: 'v1', slots: SLOTS, state,
-			'warmup-left-s': warmupLeftMs / MILLISECONDS_PER_SECOND, sequence: this.#heartbeat, born: startedAtMs,
+			'warmup-left-s': warmupLeftMs / MILLISECONDS_PER_SECOND, sequence: sequence ?? this.#heartbeat, born: startedAtMs,
 		});
 	}
 
