Pass on every value of a repeated header

Servers got requests without some of their headers: of repeated ones such as User-Agent, Content-Type or Authorization the first alone, and none named __proto__. Found while looking for other places that read a part of a head.

Cause: end-to-end headers were copied from the runtime's parsed headers, an object that drops or joins repeated names and cannot hold some.

Change: they are copied from the list as received. A request with a second Host header is refused with 400 (RFC 9112, section 3.2); the first was used and the others were dropped.

--- a/calls/forwarding/src/call-handler.ts
+++ b/calls/forwarding/src/call-handler.ts
@@ -11,7 +11,7 @@
 import {admitCall} from './admission.js';
 import type {AdmittedCall, CallLimits} from './admission.js';
 import type {CompletedAttempt, AttemptDependencies} from './attempt.js';
-import {CALL_ID_HEADER, endToEndHeaders} from './call-headers.js';
+import {CALL_ID_HEADER, endToEndRequestHeaders} from './call-headers.js';
 import {CallerDisconnects} from './caller-disconnects.js';
 import {CallRunner} from './call-runner.js';
 import {CallState} from './call-state.js';
@@ -146,7 +146,7 @@
 			service,
 			method: request.method ?? 'GET',
 			path,
-			headers: endToEndHeaders(request.headers),
+			headers: endToEndRequestHeaders(request),
 			body: body.unsafeCoerce(),
 			key: isKeyed(request) ? parameters.key : undefined,
 			caller,
--- a/calls/forwarding/src/call-headers.ts
+++ b/calls/forwarding/src/call-headers.ts
@@ -1,5 +1,5 @@
 /** Headers that the system reads from callers and sends to backend servers. */
-import type {IncomingHttpHeaders} from 'node:http';
+import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 
@@ -29,7 +29,7 @@
 /** The most common values of the `Connection` header. They name no header besides the ones above, so parsing is skipped. */
 const usualConnectionOptions = new Set(['keep-alive', 'close']);
 
-/** Copies the end-to-end headers, which are passed on. */
+/** Copies the end-to-end headers of a response, which are passed on. */
 export function endToEndHeaders(headers: IncomingHttpHeaders): Record<string, string | string[]> {
 	const connectionOptions = readConnectionOptions(headers.connection);
 	const copied: Record<string, string | string[]> = {};
@@ -43,6 +43,25 @@
 	return copied;
 }
 
+/**
+ * Copies the end-to-end headers of a caller's request, which are passed on. They are read from the list as received: the
+ * runtime's parsed headers lack repeated ones of some names, and names that an object inherits.
+ */
+export function endToEndRequestHeaders({headers: {connection}, rawHeaders}: Pick<IncomingMessage, 'headers' | 'rawHeaders'>): Record<string, string | string[]> {
+	const connectionOptions = readConnectionOptions(connection);
+	const copied = Object.create(null) as Record<string, string | string[]>;
+	for (let position = 0; position < rawHeaders.length; position += 2) {
+		const name = rawHeaders[position]!.toLowerCase();
+		if (!hopByHopHeaders.has(name) && !connectionOptions?.has(name)) {
+			const value = rawHeaders[position + 1]!;
+			const known = copied[name];
+			copied[name] = known === undefined ? value : [known, value].flat();
+		}
+	}
+
+	return copied;
+}
+
 /** Names in a `Connection` header, whose headers apply to this hop only; undefined when it names none. */
 function readConnectionOptions(connection: string | undefined): ReadonlySet<string> | undefined {
 	return connection === undefined || usualConnectionOptions.has(connection)
--- a/calls/listener/src/caller-listener.ts
+++ b/calls/listener/src/caller-listener.ts
@@ -179,6 +179,11 @@
 			return;
 		}
 
+		if (countHosts(request) > 1) {
+			this.#refuseRequest({response, refusal: {reason: 'bad-request', execution: 'not-run', detail: 'host: expected one header, found several'}});
+			return;
+		}
+
 		if (this.#headerCount.isExceededBy(request)) {
 			this.#refuseRequest({response, refusal: {reason: 'headers-too-large', execution: 'not-run', detail: `headers: expected at most ${this.#headerCount.max} of them`}});
 			return;
@@ -290,6 +295,13 @@
 	}
 }
 
+/** Counts the `Host` headers of a request; the runtime's parsed headers hold only the first (RFC 9112, section 3.2). */
+function countHosts({rawHeaders}: IncomingMessage): number {
+	return rawHeaders.filter((text, position) => position % 2 === 0 && text.length === HOST_LENGTH && text.toLowerCase() === 'host').length;
+}
+
+const HOST_LENGTH = 4;
+
 function toRefusal({error: {code, message}, limits}: {readonly error: Error & {code?: string}; readonly limits: ListenerLimits}): Refusal {
 	switch (code) {
 		case 'HPE_HEADER_OVERFLOW': {
--- a/calls/relay/src/relay-handler.ts
+++ b/calls/relay/src/relay-handler.ts
@@ -1,7 +1,7 @@
 /** Relays requests from callers to backend servers. Every request gets exactly one final response. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-	endToEndHeaders, BUFFERED_BODY_BYTES, BufferBudget, readBody, sendRefusal, sendCompleteResponse,
+	endToEndRequestHeaders, BUFFERED_BODY_BYTES, BufferBudget, readBody, sendRefusal, sendCompleteResponse,
 } from '@pomelopick/calls.forwarding';
 import type {AttemptResponse, CallerDisconnects, RefusalFormat} from '@pomelopick/calls.forwarding';
 import type {Quarantine} from '@pomelopick/calls.quarantine';
@@ -153,7 +153,7 @@
 				service,
 				method: request.method ?? 'GET',
 				path: path ?? request.url ?? '/',
-				headers: forwarded ? omitForwarded(endToEndHeaders(request.headers)) : endToEndHeaders(request.headers),
+				headers: forwarded ? omitForwarded(endToEndRequestHeaders(request)) : endToEndRequestHeaders(request),
 				body: body.unsafeCoerce(),
 				caller: forwarded?.caller ?? request.socket.remoteAddress ?? '',
 				object: typeof object === 'string' ? object : undefined,
