Move the entries of servers and evacuations out of the live view

What it did with the entries of servers and with evacuations stands in modules of its own, beside that of instances. Nothing else changes; the tests of calls/live and of the processes pass.

--- a/calls/live/src/index.ts
+++ b/calls/live/src/index.ts
@@ -14,6 +14,7 @@
 export type * from './record-reader.js';
 export * from './registration.js';
 export * from './relayed-changes.js';
+export type {LostServer} from './server-entries.js';
 export * from './shared-lease.js';
 export * from './store-feed.js';
 export * from './suspicion-records.js';
--- a/calls/live/src/live-view.ts
+++ b/calls/live/src/live-view.ts
@@ -2,17 +2,18 @@
 import {ServerTable} from '@pomelopick/steering.servers';
 import type {RouteTable} from '@pomelopick/steering.routes';
 import type {StoreChange, StoredValue} from '@pomelopick/platform.store';
-import type {
-	BackendServerName, FailureDomainName, RegisteredServer, RouteSet,
-} from '@pomelopick/core.types';
+import type {RouteSet} from '@pomelopick/core.types';
 import type {ViewChange} from './view-change.js';
 import {findRetention} from './find-retention.js';
 import type {FindRetentionOptions, Retention} from './find-retention.js';
+import {EvacuationEntries} from './evacuation-entries.js';
 import {InstanceEntries} from './instance-entries.js';
 import {INSTANCE_PREFIX} from './instance-record.js';
 import type {InstanceTable} from './instance-table.js';
 import type {PlatformFormat, Subject} from './platform-format.js';
 import type {RecordReader} from './record-reader.js';
+import {ServerEntries} from './server-entries.js';
+import type {LostServer, WriteEffect} from './server-entries.js';
 import {ActiveRoutes} from './active-routes.js';
 
 /** Options of {@link LiveView}. */
@@ -28,14 +29,6 @@
 	readonly onServerLost: (lost: LostServer) => void;
 }
 
-/** A start of a server that has ended or is no longer registered. */
-export interface LostServer {
-	/** Its last entry. */
-	readonly server: RegisteredServer;
-	/** Wall-clock time of its next start, in milliseconds; undefined: it is no longer registered, or does not say when it started. */
-	readonly restartedAtMs: number | undefined;
-}
-
 /** Options of {@link LiveView.apply}. */
 export interface ApplyChangesOptions {
 	readonly changes: readonly StoreChange[];
@@ -60,30 +53,23 @@
 	readonly retention: Retention;
 }
 
-interface RemoveEvacuationOptions extends Pick<ApplyChangesOptions, 'retainedUntilMs' | 'nowMs'> {
-	readonly key: string;
-	readonly failureDomain: FailureDomainName;
-	readonly storeIndex: number;
-}
-
-const noRetention: Retention = {serversUntilMs: undefined, instancesUntilMs: undefined, evacuationsUntilMs: undefined};
-
-/** Effect of a write on the view: `none` for an outdated entry, and for a heartbeat that changes nothing else about its server. */
-type WriteEffect = 'changed' | 'none';
-
 /** The view; {@link LiveView.apply} and {@link LiveView.replace} update it. */
 export class LiveView {
 	readonly servers = new ServerTable();
 	readonly #options: LiveViewOptions;
+	readonly #serverEntries: ServerEntries;
+	readonly #evacuations: EvacuationEntries;
 	readonly #instances: InstanceEntries;
 	readonly #activeRoutes: ActiveRoutes;
-	/** Keys of evacuations, with the monotonic time until which one that is missing from the store is kept, in milliseconds. */
-	readonly #evacuationKeys = new Map<string, number | undefined>();
-	readonly #serverKeys = new Map<string, BackendServerName>();
 
 	constructor(options: LiveViewOptions) {
-		const {format: {decodeRouteSet}, onChange, onRoutes} = options;
+		const {format: {decodeRouteSet, decodeServer}, onChange, onRoutes, onServerLost} = options;
+		const {servers} = this;
 		this.#options = options;
+		this.#serverEntries = new ServerEntries({
+			servers, decodeServer, onChange, onServerLost,
+		});
+		this.#evacuations = new EvacuationEntries({servers, onChange});
 		this.#instances = new InstanceEntries({onChange});
 		this.#activeRoutes = new ActiveRoutes({decodeRouteSet, onChange, onRoutes});
 	}
@@ -143,29 +129,17 @@
 
 	/** Removes retained servers, instances and evacuations whose entries were not written again in time. */
 	expire(nowMs: number): void {
-		for (const server of this.servers.expire(nowMs)) {
-			this.#report({
-				event: 'server-gone', subject: server.name, detail: 'its entry expired while the store was unavailable and was not written again in time', storeIndex: 0,
-			});
-			this.#options.onServerLost({server, restartedAtMs: undefined});
-		}
-
+		this.#serverEntries.expire(nowMs);
+		this.#evacuations.expire(nowMs);
 		this.#instances.expire(nowMs);
-		for (const [key, retainedUntilMs] of this.#evacuationKeys) {
-			if (retainedUntilMs !== undefined && nowMs >= retainedUntilMs) {
-				this.#removeKey({
-					key, storeIndex: 0, retention: noRetention, nowMs,
-				});
-			}
-		}
 	}
 
 	#findRetention(options: Pick<FindRetentionOptions, 'retainedUntilMs' | 'hasReturned' | 'existsAfter' | 'written'>): Retention {
-		return findRetention({...options, serverKeys: [...this.#serverKeys.keys()], instanceKeys: this.#instances.listKeys()});
+		return findRetention({...options, serverKeys: this.#serverEntries.listKeys(), instanceKeys: this.#instances.listKeys()});
 	}
 
 	#listKeys(): readonly string[] {
-		return [...this.#serverKeys.keys(), ...this.#evacuationKeys.keys(), ...this.#instances.listKeys()];
+		return [...this.#serverEntries.listKeys(), ...this.#evacuations.listKeys(), ...this.#instances.listKeys()];
 	}
 
 	#write({value, nowMs}: {readonly value: StoredValue; readonly nowMs: number}): WriteEffect {
@@ -178,7 +152,7 @@
 		try {
 			return act();
 		} catch (error) {
-			this.#report({
+			this.#options.onChange({
 				event: 'change-not-applied', subject: key, detail: (error as Error).stack ?? String(error), storeIndex,
 			});
 			return undefined;
@@ -188,7 +162,7 @@
 	#writeValue({value, nowMs}: {readonly value: StoredValue; readonly nowMs: number}): WriteEffect {
 		const subject = this.#options.format.readSubject(value.key);
 		if (subject?.kind === 'server') {
-			return this.#writeServer({name: subject.server, value, nowMs});
+			return this.#serverEntries.write({name: subject.server, value, nowMs});
 		}
 
 		if (subject) {
@@ -214,66 +188,12 @@
 			}
 
 			case 'evacuation': {
-				this.#evacuationKeys.set(value.key, undefined);
-				if (!this.servers.evacuated.has(subject.failureDomain)) {
-					this.servers.evacuate(subject.failureDomain);
-					this.#report({
-						event: 'evacuation-begun', subject: subject.failureDomain, detail: 'an operator started it', storeIndex: value.modifyIndex,
-					});
-				}
-
+				this.#evacuations.write({key: value.key, failureDomain: subject.failureDomain, storeIndex: value.modifyIndex});
 				break;
 			}
 		}
 	}
 
-	#writeServer({name, value, nowMs}: {readonly name: BackendServerName; readonly value: StoredValue; readonly nowMs: number}): WriteEffect {
-		return this.#options.format.decodeServer({name, bytes: value.value}).caseOf<WriteEffect>({
-			Left: ({code, message}) => {
-				this.#report({
-					event: 'server-refused', subject: name, detail: message, reason: code, storeIndex: value.modifyIndex,
-				});
-				this.servers.remove({name, retainUntilMs: undefined});
-				return 'changed';
-			},
-			Right: server => this.#applyServer({server, value, nowMs}),
-		});
-	}
-
-	#applyServer({server, value, nowMs}: {readonly server: RegisteredServer; readonly value: StoredValue; readonly nowMs: number}): WriteEffect {
-		const {name} = server;
-		const before = this.servers.findEntry(name);
-		const outcome = this.servers.write({server, nowMs});
-		if (outcome === 'outdated') {
-			return 'none';
-		}
-
-		if (outcome === 'ended') {
-			this.#report({
-				event: 'server-refused', subject: name, detail: 'the entry was removed or replaced before this heartbeat was written', reason: 'ended-start', storeIndex: value.modifyIndex,
-			});
-			return 'none';
-		}
-
-		this.#serverKeys.set(value.key, name);
-		if (before && before.server.startedAtMs !== server.startedAtMs) {
-			this.#options.onServerLost({server: before.server, restartedAtMs: server.startedAtMs});
-		}
-
-		if (outcome === 'unchanged') {
-			// Each heartbeat of a server that is warming up changes the remaining warm-up time.
-			return server.warmupLeftMs > 0 ? 'changed' : 'none';
-		}
-
-		this.#report({
-			event: 'server-changed',
-			subject: name,
-			detail: `${outcome}: ${server.state} at ${server.address}:${server.port}, ${server.slots} slots of ${server.service}, warm-up ${server.warmupLeftMs} ms`,
-			storeIndex: value.modifyIndex,
-		});
-		return 'changed';
-	}
-
 	#remove(options: RemoveOptions): void {
 		const {key, storeIndex} = options;
 		this.#isolate({
@@ -286,11 +206,11 @@
 	#removeKey({key, storeIndex, retention, nowMs}: RemoveOptions): void {
 		const subject = this.#options.format.readSubject(key);
 		if (subject?.kind === 'server') {
-			this.#removeServer({
+			this.#serverEntries.remove({
 				key, name: subject.server, storeIndex, retainedUntilMs: retention.serversUntilMs,
 			});
 		} else if (subject?.kind === 'evacuation') {
-			this.#removeEvacuation({
+			this.#evacuations.remove({
 				key, failureDomain: subject.failureDomain, storeIndex, retainedUntilMs: retention.evacuationsUntilMs, nowMs,
 			});
 		} else if (key.startsWith(INSTANCE_PREFIX)) {
@@ -299,41 +219,4 @@
 			this.#readerOf(key)?.remove?.(key);
 		}
 	}
-
-	#removeEvacuation({key, failureDomain, storeIndex, retainedUntilMs, nowMs}: RemoveEvacuationOptions): void {
-		if (retainedUntilMs !== undefined) {
-			this.#evacuationKeys.set(key, retainedUntilMs);
-			return;
-		}
-
-		this.#evacuationKeys.delete(key);
-		this.servers.endEvacuation({failureDomain, nowMs});
-		this.#report({
-			event: 'evacuation-ended', subject: failureDomain, detail: 'an operator ended it', storeIndex,
-		});
-	}
-
-	#removeServer({key, name, storeIndex, retainedUntilMs}: {readonly key: string; readonly name: BackendServerName; readonly storeIndex: number; readonly retainedUntilMs: number | undefined}): void {
-		this.#serverKeys.delete(key);
-		const known = this.servers.findEntry(name);
-		if (!known) {
-			return;
-		}
-
-		this.servers.remove({name, retainUntilMs: retainedUntilMs});
-		const isRetained = this.servers.findEntry(name) !== undefined;
-		this.#report({
-			event: isRetained ? 'server-held' : 'server-gone',
-			subject: name,
-			detail: isRetained ? 'its entry disappeared while the store was unavailable; it is retained for now' : 'its entry was removed',
-			storeIndex,
-		});
-		if (!isRetained) {
-			this.#options.onServerLost({server: known.server, restartedAtMs: undefined});
-		}
-	}
-
-	#report(change: ViewChange): void {
-		this.#options.onChange(change);
-	}
 }
