--- a/calls/listener/src/caller-listener.ts
+++ b/calls/listener/src/caller-listener.ts
@@ -13,6 +13,8 @@
 import type {RefusalFormat} from '@pomelopick/calls.forwarding';
 import {CallerConnections} from './caller-connections.js';
 import {HeaderCount} from './header-count.js';
+import {toRefusal} from './input-refusals.js';
+import type {ListenerLimits} from './input-refusals.js';
 
 const REQUEST_TIMEOUT_MS = 600_000;
 const TIMEOUT_CHECK_INTERVAL_MS = 1000;
@@ -22,16 +24,6 @@
 const REFUSING_PERIOD_MS = 250;
 const POLL_INTERVAL_MS = 10;
 
-/** Limits on what callers send and on how long they take. */
-export interface ListenerLimits {
-	/** Maximum size of the headers of one request, in bytes. */
-	readonly headerBytes: number;
-	/** Time in which the headers of a request must arrive, in milliseconds. */
-	readonly headersTimeoutMs: number;
-	/** Time for which a connection may be idle, in milliseconds. */
-	readonly idleTimeoutMs: number;
-}
-
 const defaultLimits: ListenerLimits = {headerBytes: 16_384, headersTimeoutMs: 5000, idleTimeoutMs: 10_000};
 const DEFAULT_ANNOUNCING_PERIOD_MS = 500;
 
@@ -301,19 +293,3 @@
 }
 
 const HOST_LENGTH = 4;
-
-function toRefusal({error: {code, message}, limits}: {readonly error: Error & {code?: string}; readonly limits: ListenerLimits}): Refusal {
-	switch (code) {
-		case 'HPE_HEADER_OVERFLOW': {
-			return {reason: 'headers-too-large', execution: 'not-run', detail: `headers: expected at most ${limits.headerBytes} bytes`};
-		}
-
-		case 'ERR_HTTP_REQUEST_TIMEOUT': {
-			return {reason: 'headers-too-slow', execution: 'not-run', detail: `the request did not arrive within ${limits.headersTimeoutMs} ms`};
-		}
-
-		default: {
-			return {reason: 'bad-request', execution: 'not-run', detail: `malformed HTTP: ${message}`};
-		}
-	}
-}
