Refuse a request for changes whose index is out of range

An era or a revision that no index holds was answered with 500 and a log line of a fault; it is malformed input, so 400. The cases of "npm test change-relay" name both limits.

--- a/calls/live/src/change-listener.ts
+++ b/calls/live/src/change-listener.ts
@@ -1,6 +1,7 @@
 /** HTTP endpoint of the change relay: `GET /changes?after=REVISION&era=ERA`. */
 import {Buffer} from 'node:buffer';
 import type {RequestListener} from 'node:http';
+import {Either} from 'purify-ts';
 import {parseRequestTarget} from '@pomelopick/core.types';
 import {splitIndex, toIndex} from '@pomelopick/platform.store';
 import type {ChangeRelay} from './change-relay.js';
@@ -8,8 +9,7 @@
 import type {UpstreamAnswer} from './relayed-changes.js';
 
 const PATH = '/changes';
-const REVISION_PATTERN = /^\d{1,12}$/u;
-const ERA_PATTERN = /^\d{1,4}$/u;
+const NUMBER_PATTERN = /^\d{1,15}$/u;
 
 /** Returns the path and query of a request for the changes after an index. */
 export function changesPath({afterIndex}: {readonly afterIndex: number}): string {
@@ -29,10 +29,8 @@
 
 	return async (request, response) => {
 		const {pathname, searchParams} = parseRequestTarget(request.url);
-		const after = searchParams.get('after') ?? '';
-		// Instances of older builds state no era.
-		const era = searchParams.get('era') ?? String(relay.era);
-		if (pathname !== PATH || !REVISION_PATTERN.test(after) || !ERA_PATTERN.test(era)) {
+		const afterIndex = readAfterIndex({searchParams, era: relay.era});
+		if (pathname !== PATH || afterIndex === undefined) {
 			response.writeHead(pathname === PATH ? 400 : 404).end();
 			return;
 		}
@@ -41,8 +39,19 @@
 		response.once('close', () => {
 			disconnected.abort();
 		});
-		const text = encode(await relay.waitForChanges({afterIndex: toIndex({era: Number(era), revision: Number(after)}), signal: disconnected.signal}));
+		const text = encode(await relay.waitForChanges({afterIndex, signal: disconnected.signal}));
 		response.writeHead(200, {'content-type': 'application/json', 'content-length': String(Buffer.byteLength(text))});
 		response.end(text);
 	};
 }
+
+/** Reads the index of a request; undefined if it is malformed. Instances of older builds state no era: the given one is meant. */
+function readAfterIndex({searchParams, era}: {readonly searchParams: URLSearchParams; readonly era: number}): number | undefined {
+	const texts = [searchParams.get('after') ?? '', searchParams.get('era') ?? String(era)];
+	if (!texts.every(text => NUMBER_PATTERN.test(text))) {
+		return undefined;
+	}
+
+	const [revision, statedEra] = texts.map(Number);
+	return Either.encase(() => toIndex({era: statedEra, revision})).toMaybe().extract();
+}
--- a/calls/live/test/change-relay.test.ts
+++ b/calls/live/test/change-relay.test.ts
@@ -147,6 +147,10 @@
 describe('changes over HTTP', () => {
 	const paths: ReadonlyArray<{path: string; status: number}> = [
 		{path: '/changes?after=0', status: 200},
+		{path: '/changes?after=0&era=0', status: 200},
+		{path: '/changes?after=0&era=8192', status: 400},
+		{path: '/changes?after=0&era=-1', status: 400},
+		{path: '/changes?after=999999999999999&era=1', status: 400},
 		{path: '/changes', status: 400},
 		{path: '/changes?after=-1', status: 400},
 		{path: '/changes?after=1e9', status: 400},
