--- a/calls/listener/src/caller-listener.ts
+++ b/calls/listener/src/caller-listener.ts
@@ -12,7 +12,7 @@
 import {sendRefusal} from '@pomelopick/calls.forwarding';
 import type {RefusalFormat} from '@pomelopick/calls.forwarding';
 import {CallerConnections} from './caller-connections.js';
-import {HeaderCount} from './header-count.js';
+import {ENTRIES_PER_HEADER, HeaderCount} from './header-count.js';
 import {toRefusal} from './input-refusals.js';
 import type {ListenerLimits} from './input-refusals.js';
 
@@ -287,9 +287,7 @@
 	}
 }
 
-/** Counts the `Host` headers of a request; the runtime's parsed headers hold only the first (RFC 9112, section 3.2). */
+/** Number of `Host` headers of a request. The runtime's parsed headers hold only the first, but a request with several is malformed (RFC 9112, section 3.2). */
 function countHosts({rawHeaders}: IncomingMessage): number {
-	return rawHeaders.filter((text, position) => position % 2 === 0 && text.length === HOST_LENGTH && text.toLowerCase() === 'host').length;
+	return rawHeaders.filter((text, position) => position % ENTRIES_PER_HEADER === 0 && text.toLowerCase() === 'host').length;
 }
-
-const HOST_LENGTH = 4;
--- a/calls/listener/src/header-count.ts
+++ b/calls/listener/src/header-count.ts
@@ -9,7 +9,7 @@
 /** Size of the smallest header, in bytes: a name of one character, a colon and a line break. */
 const MIN_HEADER_BYTES = 4;
 /** A raw header is listed as a name and a value. */
-const ENTRIES_PER_HEADER = 2;
+export const ENTRIES_PER_HEADER = 2;
 
 /** Maximum number of headers of a request, which follows from the maximum size of its head. */
 export class HeaderCount {
