Keep a rate limit that a server names before its entry is known

What callers of the server see: a server that restarts while the store is unavailable and names a limit is overloaded as soon as the store tells of its new start. Cause: limits are kept by start, and the limit was heard under the start that was known. When the entry arrived, the new start had none. Change: a limit that was heard after the new start began, by the wall clocks and with a tolerance of a second, goes on for that start. The first response without a limit ends it.

--- a/calls/rate-limits/src/rate-limit-sharing.ts
+++ b/calls/rate-limits/src/rate-limit-sharing.ts
@@ -9,7 +9,7 @@
 import {LogRateLimiter} from '@pomelopick/core.telemetry';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
 import type {
-	HearRateLimitOptions, NamedRateLimits, RateLimitRecord, ServerStart,
+	HearRateLimitOptions, KeepRateLimitOptions, NamedRateLimits, RateLimitRecord, ServerStart,
 } from '@pomelopick/steering.servers';
 
 /** Ratio of two limits from which the change is told to all instances. */
@@ -88,6 +88,15 @@
 		this.#apply({record, wasLimited, detail: source === 'store' ? 'read in the store' : 'told by another instance'});
 	}
 
+	/** Keeps the limit of a server that has started anew if the new start named it before its entry was known. */
+	keepForStart(options: KeepRateLimitOptions): void {
+		const record = this.#options.rateLimits.keepForStart(options);
+		if (record) {
+			this.#options.counters.add('rate-limit.kept-for-start');
+			this.#apply({record, wasLimited: false, detail: 'named before the entry of this start was known'});
+		}
+	}
+
 	/** Removes the state of a server. */
 	forget(server: string): void {
 		this.#toldRates.delete(server);
--- a/daemons/gateway/src/create-rate-limits.ts
+++ b/daemons/gateway/src/create-rate-limits.ts
@@ -2,14 +2,14 @@
 import {setTimeout as startTimeout} from 'node:timers/promises';
 import type {RequestListener} from 'node:http';
 import {createBroadcastListener, PeerBroadcast, sendBroadcastMessage} from '@pomelopick/calls.live';
-import type {LiveView} from '@pomelopick/calls.live';
+import type {LiveView, LostServer} from '@pomelopick/calls.live';
 import {
 	createPermitListener, PermitClient, RateLimitSharing, RateLimitUse, RateLimitWriter, RatePermits, readRateLimit,
 } from '@pomelopick/calls.rate-limits';
 import type {RatePermitsOptions, RateLimitSharingOptions} from '@pomelopick/calls.rate-limits';
 import {RefusalLog} from '@pomelopick/core.telemetry';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
-import type {BackendServerName, CodedError, InstanceId} from '@pomelopick/core.types';
+import type {CodedError, InstanceId} from '@pomelopick/core.types';
 import type {KeyValueStore} from '@pomelopick/platform.store';
 import {OwnerCandidates} from '@pomelopick/steering.limits';
 import {NamedRateLimits} from '@pomelopick/steering.servers';
@@ -52,8 +52,8 @@
 	readonly updateInstances: () => void;
 	/** Returns the rate limits that registered servers name, in requests per second, by server. */
 	readonly listRates: () => ReadonlyMap<string, number>;
-	/** Discards all state about a server's process. */
-	readonly forget: (server: BackendServerName) => void;
+	/** Discards all state about a server's process that has ended, but for a limit that its next one has named already. */
+	readonly forget: (lost: LostServer) => void;
 	readonly stop: () => void;
 }
 
@@ -165,10 +165,13 @@
 			queueMicrotask(updateCandidates);
 		},
 		listRates: () => new Map(listRecords().flatMap(({name, requestsPerSecond}) => requestsPerSecond === undefined ? [] : [[name, requestsPerSecond]])),
-		forget(server) {
-			permits.forget(server);
-			sharing.forget(server);
-			writer.forget(server);
+		forget({server, restartedAtMs}) {
+			permits.forget(server.name);
+			sharing.forget(server.name);
+			writer.forget(server.name);
+			if (restartedAtMs !== undefined) {
+				sharing.keepForStart({server, startedAtMs: restartedAtMs});
+			}
 		},
 		stop() {
 			writer.stop();
--- a/daemons/gateway/src/create-relay.ts
+++ b/daemons/gateway/src/create-relay.ts
@@ -40,7 +40,7 @@
 	/** Sequence number before the first one that this run of the instance assigns to its records for other instances. */
 	readonly firstSequence: number;
 	/** Rate limits of servers, for all instances together. */
-	readonly rateLimitParts: Pick<RateLimitParts, 'rateLimits' | 'sharing' | 'permits' | 'use'>;
+	readonly rateLimitParts: Pick<RateLimitParts, 'rateLimits' | 'sharing' | 'warmupSharing' | 'permits' | 'use'>;
 	/** Claims a part of a service's retry allowance, which all instances share. */
 	readonly claimAllowance: RetryBudgetsOptions['claim'];
 	readonly counters: CallCounters;
@@ -103,6 +103,9 @@
 		hearRateLimit(heard) {
 			rateLimitParts.sharing.hear(heard);
 		},
+		hearWarmup(warmup) {
+			rateLimitParts.warmupSharing.hear(warmup);
+		},
 		unsent,
 		counters,
 		log,
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -101,7 +101,7 @@
 		},
 		onServerLost(lost) {
 			relay.forget(lost);
-			rateLimitParts.forget(lost.server.name);
+			rateLimitParts.forget(lost);
 		},
 		onStoreReturned() {
 			rateLimitParts.restoreRecords();
--- a/steering/servers/src/named-rate-limits.ts
+++ b/steering/servers/src/named-rate-limits.ts
@@ -10,6 +10,8 @@
 
 /** Maximum number of starts that are kept; the ones recorded first are removed first. */
 const MAX_STARTS = 8192;
+/** Maximum difference of the clocks of a server and of the instance that heard its limit, in milliseconds. */
+const CLOCK_TOLERANCE_MS = 1000;
 
 /** What is known of the rate limit of one start of a server. */
 export interface RateLimitRecord extends ServerStart {
@@ -32,6 +34,14 @@
 	readonly wallClockMs: number;
 }
 
+/** Options of {@link NamedRateLimits.keepForStart}. */
+export interface KeepRateLimitOptions {
+	/** The start that was known until now. */
+	readonly server: ServerStart;
+	/** Wall-clock time of the server's next start, in milliseconds. */
+	readonly startedAtMs: number;
+}
+
 interface KnownRateLimit {
 	readonly record: RateLimitRecord;
 	/** Monotonic time at which this instance learned of it, in milliseconds. */
@@ -75,6 +85,22 @@
 		return record;
 	}
 
+	/**
+	 * Applies a limit to the next start of its server if it was heard after that start began: responses of a server may arrive
+	 * before its entry. Returns the record about the next start if it is new.
+	 */
+	keepForStart({server, startedAtMs}: KeepRateLimitOptions): RateLimitRecord | undefined {
+		const known = this.#known.get(server);
+		const isOfNextStart = known?.record.requestsPerSecond !== undefined && known.record.version + CLOCK_TOLERANCE_MS >= startedAtMs;
+		if (!isOfNextStart || this.#known.get({name: server.name, startedAtMs})) {
+			return undefined;
+		}
+
+		const record = {...known.record, startedAtMs};
+		this.#known.set(record, {...known, record});
+		return record;
+	}
+
 	/** Applies the record of another instance; returns whether it is newer than what was known. */
 	receive({record, nowMs}: {readonly record: RateLimitRecord; readonly nowMs: number}): boolean {
 		const known = this.#known.get(record);
--- a/steering/servers/test/named-rate-limits.test.ts
+++ b/steering/servers/test/named-rate-limits.test.ts
@@ -65,6 +65,61 @@
 		assert.equal(limits.requestsPerSecond({...server, name: 'b' as BackendServerName}), undefined);
 	});
 
+	const nextStartMs = 10_000;
+	const keptCases: ReadonlyArray<{name: string; heardAtMs: number; requestsPerSecond: number | undefined; expected: number | undefined}> = [
+		{
+			name: 'a limit that was heard after the next start began', heardAtMs: nextStartMs + 2000, requestsPerSecond: 2, expected: 2,
+		},
+		{
+			name: 'a limit that was heard after it by a clock that is a little behind', heardAtMs: nextStartMs - 900, requestsPerSecond: 2, expected: 2,
+		},
+		{
+			name: 'no limit that was heard before the next start', heardAtMs: nextStartMs - 5000, requestsPerSecond: 2, expected: undefined,
+		},
+		{
+			name: 'no end of a limit', heardAtMs: nextStartMs + 2000, requestsPerSecond: undefined, expected: undefined,
+		},
+	];
+	for (const {name, heardAtMs, requestsPerSecond, expected} of keptCases) {
+		it(`keeps for the next start: ${name}`, () => {
+			const limits = new NamedRateLimits();
+			limits.hear({
+				server, requestsPerSecond: 3, sentAtMs: 0, nowMs: 1, wallClockMs: 1,
+			});
+			limits.hear({
+				server, requestsPerSecond, sentAtMs: 2, nowMs: 3, wallClockMs: heardAtMs,
+			});
+			assert.equal(limits.keepForStart({server, startedAtMs: nextStartMs})?.requestsPerSecond, expected);
+			assert.equal(limits.requestsPerSecond({...server, startedAtMs: nextStartMs}), expected);
+		});
+	}
+
+	it('takes no limit that the next start has named from it', () => {
+		const limits = new NamedRateLimits();
+		const next: ServerStart = {...server, startedAtMs: nextStartMs};
+		limits.hear({
+			server, requestsPerSecond: 3, sentAtMs: 0, nowMs: 1, wallClockMs: nextStartMs + 1,
+		});
+		limits.hear({
+			server: next, requestsPerSecond: 2, sentAtMs: 2, nowMs: 3, wallClockMs: nextStartMs + 2,
+		});
+		assert.equal(limits.keepForStart({server, startedAtMs: nextStartMs}), undefined);
+		assert.equal(limits.requestsPerSecond(next), 2);
+	});
+
+	it('ends a limit that was kept with the first response without one', () => {
+		const limits = new NamedRateLimits();
+		const next: ServerStart = {...server, startedAtMs: nextStartMs};
+		limits.hear({
+			server, requestsPerSecond: 3, sentAtMs: 0, nowMs: 1, wallClockMs: nextStartMs + 1,
+		});
+		limits.keepForStart({server, startedAtMs: nextStartMs});
+		limits.hear({
+			server: next, requestsPerSecond: undefined, sentAtMs: 2, nowMs: 3, wallClockMs: nextStartMs + 2,
+		});
+		assert.equal(limits.requestsPerSecond(next), undefined);
+	});
+
 	it(`makes instances agree that exchange all records, in any order (seed ${SEED})`, () => {
 		const heard = fc.record({instance: fc.nat(3), requestsPerSecond: fc.option(fc.integer({min: 1, max: 4}), {nil: undefined}), wallClockMs: fc.integer({min: 1000, max: 1003})});
 		fc.assert(fc.property(fc.array(heard, {maxLength: 20}), fc.array(fc.nat(), {minLength: 80, maxLength: 80}), (steps, order) => {
--- a/testing/gateway-soak/src/environment.ts
+++ b/testing/gateway-soak/src/environment.ts
@@ -202,7 +202,7 @@
 		path.set({cut: false});
 		await sleep(registersAfterMs);
 		this.#restartCounts.set(number, (this.#restartCounts.get(number) ?? 0) + 1);
-		this.#register({number, state: 'ready', warmupLeftMs: warmupMs - registersAfterMs});
+		this.#register({number, state: 'ready', warmupLeftMs: Math.max(0, warmupMs - registersAfterMs)});
 	}
 
 	/** Stops all processes and proxies. */
--- a/testing/gateway-soak/test/rate-limit-shapes.test.ts
+++ b/testing/gateway-soak/test/rate-limit-shapes.test.ts
@@ -7,6 +7,7 @@
 const LIMITED_FROM_MS = 2000;
 const SERVERS = 12;
 const FAULT_MS = 2500;
+const OUTAGE_MS = 4500;
 
 const nameLimits = (atMs: number, limits: ReadonlyArray<string | undefined>): RateLimitStep => ({
 	atMs,
@@ -49,6 +50,15 @@
 	}
 };
 
+const setStorePaths = ({isCut}: {readonly isCut: boolean}) => ({members}: SoakEnvironment): void => {
+	for (const {storePath} of members) {
+		storePath.set({frozen: isCut});
+		if (!isCut) {
+			storePath.cutConnections();
+		}
+	}
+};
+
 describe('rate limits that servers name', () => {
 	it('are kept by the undisturbed gateways while others freeze and are cut off from the store (seed 32111)', async () => {
 		const {violations, uses} = await runRateLimitRound({
@@ -81,6 +91,35 @@
 		}
 	});
 
+	it('stay with a server that started anew and named them while the store was unavailable (seed 40115)', async () => {
+		const limited = [0, 1, 2, 3];
+		const restartAndName = async (environment: SoakEnvironment): Promise<void> => {
+			await Promise.all(limited.map(async number => {
+				const restarted = environment.restartBehindCut({
+					number, durationMs: 300, registersAfterMs: OUTAGE_MS, warmupMs: 0,
+				});
+				await sleep(400);
+				environment.fleet.servers[number]!.nameRateLimit('1');
+				await restarted;
+			}));
+		};
+
+		const {violations, uses} = await runRateLimitRound({
+			seed: 40_115, durationMs: 14_000, gateways: 12, perSecond: 400, plays: ['slow'], steps: [
+				{atMs: LIMITED_FROM_MS, run: setStorePaths({isCut: true})},
+				{
+					atMs: LIMITED_FROM_MS + 500, run(environment) {
+						void restartAndName(environment);
+					},
+				},
+				{atMs: LIMITED_FROM_MS + OUTAGE_MS, run: setStorePaths({isCut: false})},
+			],
+		});
+		assert.deepEqual(violations, [], JSON.stringify(uses));
+		assert.equal(uses.length, limited.length, 'servers whose limit applied');
+		assert.ok(uses.every(({all, allowed}) => all <= allowed), `requests of all gateways: ${JSON.stringify(uses)}`);
+	});
+
 	it('free the server as soon as they end (seed 32114)', async () => {
 		const endMs = 7000;
 		const durationMs = 12_000;
