Tell all instances of a server's warm-up

What callers saw: none of their requests failed by this, but a server that restarted while the store was unavailable was sent up to 27 requests in a second, of which a cold one tolerates 11. Cause: only the gateways whose connections to it broke asked for its health and kept to the warm-up that it states; the others noticed nothing of the restart. Change: the gateway that hears of a warm-up first tells all others, in the way in which rate limits are told. recordWarmup takes the start of the server, so that a message about an earlier one changes nothing; a line of two tests changes with it and checks the same.

--- a/calls/live/src/broadcast-message.ts
+++ b/calls/live/src/broadcast-message.ts
@@ -4,7 +4,7 @@
 import type {CodedError, InstanceId} from '@pomelopick/core.types';
 
 /** Kinds of records; each has its own path, and its name is a part of the error codes. */
-export type BroadcastSubject = 'suspicions' | 'rate-limits';
+export type BroadcastSubject = 'suspicions' | 'rate-limits' | 'server-warmups';
 
 /** Message from one instance to another. */
 export interface BroadcastMessage<Item> {
--- a/calls/rate-limits/test/odd-messages.test.ts
+++ b/calls/rate-limits/test/odd-messages.test.ts
@@ -6,7 +6,9 @@
 import {
 	decodeInstance, decodeSuspicion, decodeUpstreamAnswer, instanceKey, readBroadcastMessage, readSuspicion,
 } from '@pomelopick/calls.live';
-import {decodePermitAnswer, decodePermitRequest, readRateLimit} from '@pomelopick/calls.rate-limits';
+import {
+	decodePermitAnswer, decodePermitRequest, readRateLimit, readServerWarmup,
+} from '@pomelopick/calls.rate-limits';
 import {originOf} from '@pomelopick/core.types';
 import type {InstanceId} from '@pomelopick/core.types';
 
@@ -21,6 +23,7 @@
 const limit = {
 	name: 'a', startedAtMs: 1, requestsPerSecond: 2.9, version: 7,
 };
+const warmup = {name: 'a', startedAtMs: 1, warmupLeftMs: 2500};
 const death = {
 	kind: 'death', origin: 'a', sequence: 1, server: 's', startedAtMs: 1, fingerprints: ['a'.repeat(64)],
 };
@@ -36,6 +39,7 @@
 	{name: 'instances', sound: instance, decode: text => decodeInstance({key: instanceKey('a' as InstanceId), bytes: encode(text)})},
 	{name: 'broadcasts', sound: broadcast, decode: text => readBroadcastMessage({subject: 'suspicions', value: JSON.parse(text), readRecord: readSuspicion})},
 	{name: 'rate limits', sound: limit, decode: text => readRateLimit(JSON.parse(text))},
+	{name: 'warm-ups', sound: warmup, decode: text => readServerWarmup(JSON.parse(text))},
 	{name: 'requests for permits', sound: {record: limit}, decode: decodePermitRequest},
 	{name: 'permits', sound: {isGranted: true, retryAfterMs: 1, record: limit}, decode: decodePermitAnswer},
 ];
@@ -45,6 +49,8 @@
 	{name: 'an index that is not whole', kind: 'changes', value: {...upstream, index: 1.5}},
 	{name: 'an index of a change that no store reaches', kind: 'changes', value: {...upstream, changes: [{key: 'servers/a', index: 1e300}]}},
 	{name: 'a version that leaves no room for a newer one', kind: 'rate limits', value: {...limit, version: Number.MAX_SAFE_INTEGER}},
+	{name: 'a warm-up that no response can state', kind: 'warm-ups', value: {...warmup, warmupLeftMs: 1e300}},
+	{name: 'a negative warm-up', kind: 'warm-ups', value: {...warmup, warmupLeftMs: -1}},
 	{name: 'a wait that no timer can measure', kind: 'permits', value: {isGranted: false, retryAfterMs: 1e300, record: limit}},
 	{name: 'more requests than a crash can have', kind: 'suspicions', value: {...death, fingerprints: Array.from({length: 1000}, () => 'a'.repeat(64))}},
 	{name: 'the id of another instance', kind: 'instances', value: {...instance, id: 'b'}},
--- a/calls/relay/src/server-notices.ts
+++ b/calls/relay/src/server-notices.ts
@@ -1,5 +1,5 @@
 /** Processes notices in the response headers of backend servers: that a server is leaving, asks for a pause in requests, warms up, or names a rate limit. */
-import type {HearOptions} from '@pomelopick/calls.rate-limits';
+import type {HearOptions, ServerWarmup} from '@pomelopick/calls.rate-limits';
 import {LogRateLimiter} from '@pomelopick/core.telemetry';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
 import type {CodedError, RegisteredServer, RetryReason} from '@pomelopick/core.types';
@@ -22,6 +22,8 @@
 	readonly hasRateLimit: (server: ServerStart) => boolean;
 	/** Applies the rate limit in a response, or its absence. */
 	readonly hearRateLimit: (options: HearOptions) => void;
+	/** Applies the warm-up that a server states in a response to a health check. */
+	readonly hearWarmup: (warmup: ServerWarmup) => void;
 	/** Attempts that are recalled when their server leaves or asks for a pause. */
 	readonly unsent: UnsentAttempts;
 	readonly counters: CallCounters;
@@ -66,7 +68,7 @@
 
 	/** Reads the notices in the head of a response, whether or not the response is used. */
 	read({server, head: {status, headers}, request}: ReadNoticesOptions): void {
-		const {format: {headers: names, decodeServerLeaving, decodeRetryAfter, decodeRateLimit, decodeWarmupLeft}, hasRateLimit, servers, now} = this.#options;
+		const {format: {headers: names, decodeServerLeaving, decodeRetryAfter, decodeRateLimit, decodeWarmupLeft}, hasRateLimit, hearWarmup} = this.#options;
 		const leaving = headers[names.serverLeaving];
 		if (leaving !== undefined) {
 			decodeServerLeaving(String(leaving)).ifLeft(error => {
@@ -90,7 +92,7 @@
 			decodeWarmupLeft(String(warmupLeft)).ifLeft(error => {
 				this.#logMalformed({server, error});
 			}).ifRight(warmupLeftMs => {
-				servers.recordWarmup({name: server.name, warmupLeftMs, nowMs: now()});
+				hearWarmup({name: server.name, startedAtMs: server.startedAtMs, warmupLeftMs});
 			});
 		}
 
--- a/calls/relay/test/server-notices.test.ts
+++ b/calls/relay/test/server-notices.test.ts
@@ -55,6 +55,9 @@
 		hearRateLimit(heard) {
 			rateLimits.hear({...heard, nowMs: NOW_MS, wallClockMs: 0});
 		},
+		hearWarmup({name, startedAtMs, warmupLeftMs}) {
+			servers.recordWarmup({server: {name, startedAtMs}, warmupLeftMs, nowMs: NOW_MS});
+		},
 		unsent,
 		counters: new ServedCounters(),
 		log: new DecisionLog({
--- a/daemons/gateway/src/create-rate-limits.ts
+++ b/daemons/gateway/src/create-rate-limits.ts
@@ -2,11 +2,11 @@
 import {setTimeout as startTimeout} from 'node:timers/promises';
 import type {RequestListener} from 'node:http';
 import {createBroadcastListener, PeerBroadcast, sendBroadcastMessage} from '@pomelopick/calls.live';
-import type {LiveView, LostServer} from '@pomelopick/calls.live';
+import type {BroadcastSubject, LiveView, LostServer} from '@pomelopick/calls.live';
 import {
-	createPermitListener, PermitClient, RateLimitSharing, RateLimitUse, RateLimitWriter, RatePermits, readRateLimit,
+	createPermitListener, PermitClient, RateLimitSharing, RateLimitUse, RateLimitWriter, RatePermits, readRateLimit, readServerWarmup, WarmupSharing,
 } from '@pomelopick/calls.rate-limits';
-import type {RatePermitsOptions, RateLimitSharingOptions} from '@pomelopick/calls.rate-limits';
+import type {RatePermitsOptions, RateLimitSharingOptions, ServerWarmup} from '@pomelopick/calls.rate-limits';
 import {RefusalLog} from '@pomelopick/core.telemetry';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
 import type {CodedError, InstanceId} from '@pomelopick/core.types';
@@ -15,8 +15,6 @@
 import {NamedRateLimits} from '@pomelopick/steering.servers';
 import type {RateLimitRecord} from '@pomelopick/steering.servers';
 
-const SUBJECT = 'rate-limits';
-
 /** Options of {@link createRateLimits}. */
 export interface CreateRateLimitsOptions {
 	readonly self: InstanceId;
@@ -38,10 +36,13 @@
 export interface RateLimitParts {
 	readonly rateLimits: NamedRateLimits;
 	readonly sharing: RateLimitSharing;
+	readonly warmupSharing: WarmupSharing;
 	readonly permits: RatePermits;
 	readonly use: RateLimitUse;
 	/** Handles the records that other instances send. */
 	readonly handleRecords: RequestListener;
+	/** Handles what other instances report about the warm-up of servers. */
+	readonly handleWarmups: RequestListener;
 	/** Handles the requests of other instances for permits. */
 	readonly handlePermits: RequestListener;
 	/** Applies a record that was read in the store. */
@@ -77,19 +78,36 @@
 	});
 	const client = new PermitClient();
 	const findPeer = (id: InstanceId) => view.instances.list().find(instance => instance.id === id)?.peers;
-	const broadcast = new PeerBroadcast<RateLimitRecord>({
+	const createBroadcast = <Item>({subject, onRecord}: {readonly subject: BroadcastSubject; readonly onRecord: (record: Item) => void}): PeerBroadcast<Item> => new PeerBroadcast<Item>({
 		self,
 		instances: () => view.instances.list(),
-		send: async options => sendBroadcastMessage({subject: SUBJECT, ...options}),
-		onRecord(record) {
-			sharing.receive({record, source: 'instance'});
-		},
+		send: async options => sendBroadcastMessage({subject, ...options}),
+		onRecord,
 		sleep,
 		onFailure({instance, error: {code, message}}) {
 			counters.add(`peer.${code}`);
 			log.line('peer-not-told', {subject: instance, reason: code, detail: message});
 		},
 	});
+	const broadcast = createBroadcast<RateLimitRecord>({
+		subject: 'rate-limits', onRecord(record) {
+			sharing.receive({record, source: 'instance'});
+		},
+	});
+	const warmupBroadcast = createBroadcast<ServerWarmup>({
+		subject: 'server-warmups', onRecord(warmup) {
+			warmupSharing.receive(warmup);
+		},
+	});
+	const warmupSharing: WarmupSharing = new WarmupSharing({
+		recordWarmup: options => view.servers.recordWarmup(options),
+		broadcast(takeRecords) {
+			void warmupBroadcast.broadcast(takeRecords);
+		},
+		counters,
+		log,
+		now,
+	});
 	const permits: RatePermits = new RatePermits({
 		self,
 		rateLimits,
@@ -146,10 +164,14 @@
 	return {
 		rateLimits,
 		sharing,
+		warmupSharing,
 		permits,
 		use,
+		handleWarmups: createBroadcastListener({
+			subject: 'server-warmups', readRecord: readServerWarmup, receive: async message => warmupBroadcast.receive(message), onMalformed,
+		}),
 		handleRecords: createBroadcastListener({
-			subject: SUBJECT, readRecord: readRateLimit, receive: async message => broadcast.receive(message), onMalformed,
+			subject: 'rate-limits', readRecord: readRateLimit, receive: async message => broadcast.receive(message), onMalformed,
 		}),
 		handlePermits: createPermitListener({answer: request => permits.answer(request), onMalformed}),
 		receiveFromStore(record) {
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -154,7 +154,10 @@
 		},
 	});
 	const peerListeners = new Map([
-		[broadcastPath('suspicions'), handleSuspicions], [broadcastPath('rate-limits'), rateLimitParts.handleRecords], [PERMITS_PATH, rateLimitParts.handlePermits],
+		[broadcastPath('suspicions'), handleSuspicions],
+		[broadcastPath('rate-limits'), rateLimitParts.handleRecords],
+		[broadcastPath('server-warmups'), rateLimitParts.handleWarmups],
+		[PERMITS_PATH, rateLimitParts.handlePermits],
 	]);
 	const peerListener = new HttpListener({
 		async handle(request, response) {
--- a/steering/servers/src/server-table.ts
+++ b/steering/servers/src/server-table.ts
@@ -4,6 +4,7 @@
 } from '@pomelopick/core.types';
 import {EndedStarts} from './ended-starts.js';
 import type {EntryEnd} from './ended-starts.js';
+import type {ServerStart} from './server-start-map.js';
 
 /**
  * Time for which a server is considered warming up after the end of the evacuation of its failure domain, in
@@ -12,6 +13,8 @@
 const WARMUP_AFTER_EVACUATION_MS = 2500;
 /** Margin added to the warm-up time that a server reports, in milliseconds: its clock and this one are not aligned. */
 const WARMUP_MARGIN_MS = 300;
+/** Minimum difference of two statements about the end of a warm-up for them to contradict each other, in milliseconds. */
+const MIN_WARMUP_CHANGE_MS = 500;
 
 /** The entry of a server and the times that this instance derived from it. */
 export interface KnownServer {
@@ -31,7 +34,8 @@
 
 /** Options of {@link ServerTable.recordWarmup}. */
 export interface RecordWarmupOptions {
-	readonly name: BackendServerName;
+	/** The start that is known to whoever heard it; the server may have started anew since. */
+	readonly server: ServerStart;
 	/** Time for which the server still warms up, in milliseconds. */
 	readonly warmupLeftMs: number;
 	/** Monotonic time, in milliseconds. */
@@ -102,13 +106,20 @@
 		return known ? 'changed' : 'added';
 	}
 
-	/** Records that a server said, other than in its entry, for how long it still warms up. */
-	recordWarmup({name, warmupLeftMs, nowMs}: RecordWarmupOptions): void {
+	/**
+	 * Records that a server said, other than in its entry, for how long it still warms up; returns whether that is longer than
+	 * was known. Does nothing if a later start of the server is known.
+	 */
+	recordWarmup({server: {name, startedAtMs}, warmupLeftMs, nowMs}: RecordWarmupOptions): boolean {
 		const known = this.#servers.get(name);
-		if (known && warmupLeftMs > 0) {
-			this.#servers.set(name, {...known, coldUntilMs: Math.max(known.coldUntilMs, nowMs + warmupLeftMs + WARMUP_MARGIN_MS)});
-			this.#usable = undefined;
+		if (!known || warmupLeftMs <= 0 || (known.server.startedAtMs ?? 0) > (startedAtMs ?? 0)) {
+			return false;
 		}
+
+		const coldUntilMs = nowMs + warmupLeftMs + WARMUP_MARGIN_MS;
+		this.#servers.set(name, {...known, coldUntilMs: Math.max(known.coldUntilMs, coldUntilMs)});
+		this.#usable = undefined;
+		return coldUntilMs - Math.max(known.coldUntilMs, nowMs) >= MIN_WARMUP_CHANGE_MS;
 	}
 
 	/** Removes an entry that is missing from the store, at once or after the time for which it is kept. */
--- a/steering/servers/test/server-table.test.ts
+++ b/steering/servers/test/server-table.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {ServerTable} from '@pomelopick/steering.servers';
+import type {RecordWarmupOptions} from '@pomelopick/steering.servers';
 import type {
 	BackendServerName, FailureDomainName, RegisteredServer, ServiceName,
 } from '@pomelopick/core.types';
@@ -8,6 +9,7 @@
 const service = 'ledger' as ServiceName;
 const north = 'north-a' as FailureDomainName;
 const one = 'one' as BackendServerName;
+const two = 'two' as BackendServerName;
 
 function server(changes: Partial<RegisteredServer> = {}): RegisteredServer {
 	return {
@@ -207,11 +209,24 @@
 	it('considers a server warming up for at least the time that it states in a health response', () => {
 		const table = new ServerTable();
 		table.write({server: server(), nowMs: 0});
-		table.recordWarmup({name: one, warmupLeftMs: 3000, nowMs: 100});
-		table.recordWarmup({name: one, warmupLeftMs: 0, nowMs: 200});
+		table.recordWarmup({server: server(), warmupLeftMs: 3000, nowMs: 100});
+		table.recordWarmup({server: server(), warmupLeftMs: 0, nowMs: 200});
 		assert.ok(table.findUsable(one)!.coldUntilMs >= 3100);
 	});
 
+	it('reports only statements about a warm-up that is longer than was known', () => {
+		const table = new ServerTable();
+		table.write({server: server({startedAtMs: 7}), nowMs: 0});
+		const states = (options: Partial<RecordWarmupOptions>): boolean => table.recordWarmup({
+			server: server({startedAtMs: 7}), warmupLeftMs: 3000, nowMs: 100, ...options,
+		});
+		assert.equal(states({server: server({startedAtMs: 6})}), false, 'of an earlier start');
+		assert.equal(states({}), true, 'not known yet');
+		assert.equal(states({warmupLeftMs: 2900, nowMs: 210}), false, 'the same, 110 ms later');
+		assert.equal(states({server: server({startedAtMs: 8}), warmupLeftMs: 6000, nowMs: 300}), true, 'of a start whose entry is not known yet');
+		assert.equal(states({server: {...server(), name: two}}), false, 'of a server that is not registered');
+	});
+
 	it('considers the servers of a failure domain warming up after the end of its evacuation', () => {
 		const table = new ServerTable();
 		table.write({server: server(), nowMs: 0});
--- a/testing/gateway-soak/test/cold-servers.test.ts
+++ b/testing/gateway-soak/test/cold-servers.test.ts
@@ -14,6 +14,8 @@
 const COLD_MARGIN_MS = 3000;
 const CUT_MS = 3500;
 const RESTART_WARMUP_MS = 6000;
+const RESTART_MS = 300;
+const OUTAGE_MS = 4500;
 
 const stayCold: readonly RateLimitStep[] = Array.from({length: DURATION_MS / HEARTBEAT_MS}, (_, beat) => ({
 	atMs: beat * HEARTBEAT_MS, run(environment) {
@@ -27,8 +29,8 @@
 	}
 };
 
-const setStorePaths = (isCut: boolean) => ({members}: SoakEnvironment): void => {
-	for (const {storePath} of members.slice(GATEWAYS / 3)) {
+const setStorePaths = ({isCut, first = 0}: {readonly isCut: boolean; readonly first?: number}) => ({members}: SoakEnvironment): void => {
+	for (const {storePath} of members.slice(first)) {
 		storePath.set({frozen: isCut});
 		if (!isCut) {
 			storePath.cutConnections();
@@ -56,6 +58,13 @@
 	})));
 };
 
+/** Restarts half of the servers, each in a moment, while no gateway reaches the store; they register when it is back. */
+const restartDuringOutage = async (environment: SoakEnvironment): Promise<void> => {
+	await Promise.all(restartedServers.map(async number => environment.restartBehindCut({
+		number, durationMs: RESTART_MS, registersAfterMs: OUTAGE_MS, warmupMs: RESTART_WARMUP_MS,
+	})));
+};
+
 const cases: readonly Case[] = [
 	{
 		name: 'while the records of all gateways disappear again and again',
@@ -68,7 +77,7 @@
 	{
 		name: 'while most gateways are cut off from the store',
 		seed: 46_102,
-		steps: [...stayCold, {atMs: FAULT_FROM_MS, run: setStorePaths(true)}, {atMs: FAULT_FROM_MS + 8000, run: setStorePaths(false)}],
+		steps: [...stayCold, {atMs: FAULT_FROM_MS, run: setStorePaths({isCut: true, first: GATEWAYS / 3})}, {atMs: FAULT_FROM_MS + 8000, run: setStorePaths({isCut: false, first: GATEWAYS / 3})}],
 		coldServers: allServers,
 		coldMs: [FAULT_FROM_MS, DURATION_MS],
 		minUse: 50,
@@ -81,6 +90,23 @@
 		coldMs: [FAULT_FROM_MS + CUT_MS, FAULT_FROM_MS + CUT_MS + RESTART_WARMUP_MS],
 		minUse: 25,
 	},
+	{
+		name: 'after it started anew while the store was unavailable',
+		seed: 40_104,
+		steps: [
+			{atMs: FAULT_FROM_MS - 500, run: setStorePaths({isCut: true})},
+			{
+				atMs: FAULT_FROM_MS, run(environment) {
+					void restartDuringOutage(environment);
+				},
+			},
+			{atMs: FAULT_FROM_MS + OUTAGE_MS - 500, run: setStorePaths({isCut: false})},
+		],
+		coldServers: restartedServers,
+		coldMs: [FAULT_FROM_MS + RESTART_MS, FAULT_FROM_MS + RESTART_MS + RESTART_WARMUP_MS],
+		// Owners send nothing to cold servers while the store has not answered for some seconds.
+		minUse: restartedServers.length,
+	},
 ];
 
 /** Maximum number of requests in any second. */
