Model returns of the store from older copies

The model of a fleet that follows one store knew no eras. Now the store may return from a copy that lacks its last changes, also several times in a row and beside the faults of instances; the records of instances are gone, revisions are given out again, and the operator writes again some time later. Checked: every instance in contact has every configuration within 2 s of the time from which the store has it, and none goes back to an earlier one.

--- a/calls/live/test/modelled-fleet.ts
+++ b/calls/live/test/modelled-fleet.ts
@@ -2,9 +2,10 @@
 import {EitherAsync, Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import {
-	ChangeRelay, encodeInstance, instanceKey, LiveView, StoreFeed, UpstreamLink,
+	ChangeRelay, encodeInstance, INSTANCE_PREFIX, instanceKey, LiveView, StoreFeed, UpstreamLink,
 } from '@pomelopick/calls.live';
 import type {UpstreamRequestOptions, InstanceRecord, UpstreamAnswer} from '@pomelopick/calls.live';
+import {splitIndex, toIndex} from '@pomelopick/platform.store';
 import type {
 	KeyValueStore, StoreChange, StoreChanges, StoredValue, StoreError, WatchOptions, WatchResult,
 } from '@pomelopick/platform.store';
@@ -16,6 +17,8 @@
 
 /** One-way delay between two processes, in milliseconds. */
 const DELAY_MS = 12;
+/** Interval at which an instance renews the lease of its record, in milliseconds. */
+const RENEWAL_INTERVAL_MS = 1600;
 /** Time after the end of a watch's wait at which it times out, in milliseconds. */
 const WATCH_GRACE_MS = 500;
 const FIRST_PORT = 1000;
@@ -24,6 +27,14 @@
 /** Fault of an instance. With `cut-from-store`, other instances can reach it, but it cannot reach the store. */
 export type InstanceFault = 'none' | 'killed' | 'frozen' | 'cut-from-store' | 'cut-off';
 
+/** A return of the store from an older copy. */
+export interface StoreReturn {
+	/** Number of the last changes that the copy lacks. */
+	readonly missing: number;
+	/** Time after which the operator writes again what is missing, in milliseconds. */
+	readonly rewrittenAfterMs: number;
+}
+
 /** State of one instance. */
 export interface ModelledInstance {
 	readonly record: InstanceRecord;
@@ -32,6 +43,8 @@
 	soundSinceMs: number;
 	/** Index up to which it has all changes. */
 	readonly index: () => number;
+	/** Versions of the configuration that came into force here, in order. */
+	readonly versions: readonly number[];
 }
 
 interface RunningModelledInstance extends ModelledInstance {
@@ -45,8 +58,15 @@
 	readonly instances: RunningModelledInstance[] = [];
 	/** Calls that reached the store. */
 	storeCalls = 0;
-	readonly #changes: StoreChange[] = [];
+	/** Changes of the store; their indexes are revisions, without an era. */
+	#changes: StoreChange[] = [];
+	#era = 1;
+	/** What the operator has not written again yet. */
+	readonly #lostWrites: StoredValue[] = [];
+	/** Time at which the operator last wrote something again, in milliseconds. */
+	#rewrittenAtMs = Number.NEGATIVE_INFINITY;
 	readonly #watchers = new Set<() => void>();
+	#isStopped = false;
 
 	constructor({size}: {readonly size: number}) {
 		for (let number = 0; number < size; number += 1) {
@@ -61,7 +81,7 @@
 
 	/** Index of the last write in the store. */
 	get index(): number {
-		return this.#changes.length;
+		return toIndex({era: this.#era, revision: this.#changes.length});
 	}
 
 	/** Writes a key; returns the index of the write. */
@@ -72,7 +92,36 @@
 			wake();
 		}
 
-		return modifyIndex;
+		return this.index;
+	}
+
+	/**
+	 * Lets the store return from a copy that lacks the last changes. The records of instances are gone with their leases; what
+	 * the operator wrote is written again some time later, with revisions that were given out before.
+	 */
+	returnFromCopy({missing, rewrittenAfterMs}: StoreReturn): void {
+		const lost = this.#changes.slice(this.#changes.length - missing);
+		this.#changes = this.#changes.slice(0, this.#changes.length - missing).map(change => change.kind === 'written' && isRecord(change.value)
+			? {kind: 'removed', key: change.value.key, modifyIndex: change.value.modifyIndex}
+			: change);
+		this.#era += 1;
+		this.#lostWrites.push(...lost.flatMap(change => change.kind === 'written' && !isRecord(change.value) ? [change.value] : []));
+		this.time.at(this.time.now() + rewrittenAfterMs, () => {
+			this.rewrite();
+		});
+	}
+
+	/** Writes again what the operator wrote and the store has lost. */
+	rewrite(): void {
+		for (const value of this.#lostWrites.splice(0)) {
+			this.write(value);
+			this.#rewrittenAtMs = this.time.now();
+		}
+	}
+
+	/** Time since which the store has all that the operator wrote up to a time, in milliseconds; the current time while something is missing. */
+	completeSinceMs(writtenAtMs: number): number {
+		return this.#lostWrites.length > 0 ? this.time.now() : Math.max(writtenAtMs, this.#rewrittenAtMs);
 	}
 
 	/** Sets the fault of an instance. A killed instance restarts when its fault changes. */
@@ -94,6 +143,7 @@
 
 	/** Stops all instances. */
 	async stop(): Promise<void> {
+		this.#isStopped = true;
 		for (const {feed} of this.instances) {
 			feed.stop();
 		}
@@ -112,8 +162,15 @@
 		};
 
 		const view = new LiveView({
-			format: {readSubject, decodeRouteSet, decodeServer}, onChange: ignore, onRoutes: ignore, recordReaders: [], onServerLost: ignore,
+			format: {readSubject, decodeRouteSet, decodeServer},
+			onChange: ignore,
+			onRoutes({version}) {
+				versions.push(version);
+			},
+			recordReaders: [],
+			onServerLost: ignore,
 		});
+		const versions: number[] = [];
 		const isRunning = (): boolean => running.fault !== 'killed' && running.fault !== 'frozen';
 		const resume = async (): Promise<void> => {
 			while (running.fault === 'frozen') {
@@ -121,6 +178,17 @@
 			}
 		};
 
+		const reachesStore = (): boolean => isRunning() && running.fault === 'none';
+		let era = 0;
+		const recordEra = (answeredEra: number): void => {
+			if (era !== 0 && answeredEra > era) {
+				feed.recordReturn({era: answeredEra});
+				this.write({key: instanceKey(record.id), value: encodeInstance(record)});
+			}
+
+			era = Math.max(era, answeredEra);
+		};
+
 		const upstreams = new UpstreamLink({
 			self: record,
 			instances: () => view.instances.list(),
@@ -133,7 +201,7 @@
 			now,
 		});
 		const feed = new StoreFeed({
-			store: this.#createStore({reachesStore: () => isRunning() && running.fault === 'none', resume}),
+			store: this.#createStore({reachesStore, resume, recordEra}),
 			view,
 			prefix: '',
 			relay,
@@ -148,12 +216,23 @@
 			random: () => 0.5,
 		});
 		const running: RunningModelledInstance = {
-			record, fault: 'none', soundSinceMs: now(), index: () => index, relay, feed,
+			record, fault: 'none', soundSinceMs: now(), index: () => index, versions, relay, feed,
 		};
 		void feed.run();
+		void this.#renewLeases({reachesStore, recordEra, isStopped: () => running.fault === 'killed' || this.#isStopped});
 		return running;
 	}
 
+	/** Calls the store for the lease of an instance, by which it learns of a return also while it follows another instance. */
+	async #renewLeases({reachesStore, recordEra, isStopped}: {readonly reachesStore: () => boolean; readonly recordEra: (era: number) => void; readonly isStopped: () => boolean}): Promise<void> {
+		while (!isStopped()) {
+			await this.time.sleep(RENEWAL_INTERVAL_MS);
+			if (reachesStore()) {
+				recordEra(this.#era);
+			}
+		}
+	}
+
 	async #requestChanges({from, endpoint, afterIndex, timeoutMs, signal}: UpstreamRequestOptions & {readonly from: RunningModelledInstance}): Promise<Either<CodedError, UpstreamAnswer>> {
 		const to = this.instances.find(({record}) => record.peers?.port === endpoint.port)!;
 		const isConnected = (): boolean => from.fault !== 'cut-off' && to.fault !== 'cut-off' && to.fault !== 'frozen';
@@ -181,11 +260,14 @@
 		return Left({code: 'upstream-silent', message});
 	}
 
-	#createStore({reachesStore, resume}: {readonly reachesStore: () => boolean; readonly resume: () => Promise<void>}): KeyValueStore {
-		const call = <Result>(options: {readonly waitMs: number; readonly run: () => Promise<Result>}): EitherAsync<StoreError, Result> => EitherAsync.fromPromise(async () => {
-			const result = await this.#callStore({...options, reachesStore});
+	#createStore({reachesStore, resume, recordEra}: {readonly reachesStore: () => boolean; readonly resume: () => Promise<void>; readonly recordEra: (era: number) => void}): KeyValueStore {
+		const call = <Result>({waitMs, run}: {readonly waitMs: number; readonly run: () => Promise<Result>}): EitherAsync<StoreError, Result> => EitherAsync.fromPromise(async () => {
+			const answered = await this.#callStore({waitMs, reachesStore, run: async () => ({result: await run(), era: this.#era})});
 			await resume();
-			return result;
+			return answered.map(({result, era}) => {
+				recordEra(era);
+				return result;
+			});
 		});
 		const store: Pick<KeyValueStore, 'snapshot' | 'changes'> = {
 			snapshot: () => call({waitMs: 0, run: async () => this.#snapshot()}),
@@ -217,9 +299,11 @@
 
 	#snapshot(): WatchResult {
 		const values = new Map<string, StoredValue>();
-		for (const change of this.#changes) {
+		for (const change of this.#changes.map(stored => this.#withEra(stored))) {
 			if (change.kind === 'written') {
 				values.set(change.value.key, change.value);
+			} else {
+				values.delete(change.key);
 			}
 		}
 
@@ -231,7 +315,15 @@
 			await this.#waitForChange(waitMs);
 		}
 
-		return {kind: 'changes', changes: this.#changes.slice(afterIndex), index: this.index};
+		const {era, revision} = splitIndex(afterIndex);
+		return era === this.#era ? {kind: 'changes', changes: this.#changes.slice(revision).map(stored => this.#withEra(stored)), index: this.index} : {kind: 'history-lost'};
+	}
+
+	/** A change as the store reports it in this era. */
+	#withEra(change: StoreChange): StoreChange {
+		return change.kind === 'written'
+			? {...change, value: {...change.value, modifyIndex: toIndex({era: this.#era, revision: change.value.modifyIndex})}}
+			: {...change, modifyIndex: toIndex({era: this.#era, revision: change.modifyIndex})};
 	}
 
 	async #waitForChange(waitMs: number): Promise<void> {
@@ -247,6 +339,11 @@
 	}
 }
 
+/** Whether a value is the record of an instance, which is bound to a lease. */
+function isRecord({key}: StoredValue): boolean {
+	return key.startsWith(INSTANCE_PREFIX);
+}
+
 function createRecord(number: number): InstanceRecord {
 	const region = REGIONS[number % REGIONS.length]!;
 	return {
--- a/calls/live/test/upstream-model.test.ts
+++ b/calls/live/test/upstream-model.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
+import {configuration} from '@pomelopick/testing.gateway-fleet';
 import {ModelledFleet} from './modelled-fleet.js';
-import type {InstanceFault} from './modelled-fleet.js';
+import type {InstanceFault, StoreReturn} from './modelled-fleet.js';
 
 /** Maximum delay until every instance in contact has received a change, in milliseconds: the tightest bound that the users require. */
 const MAX_DELAY_MS = 2000;
@@ -17,22 +18,41 @@
 	readonly instance: number;
 	readonly fault: InstanceFault;
 	readonly writes: boolean;
+	readonly storeReturn?: StoreReturn | undefined;
 }
 
-/** Runs the steps; returns the longest delay until an instance in contact received a change, in milliseconds. */
-async function runSteps(steps: readonly Step[]): Promise<number> {
+/** Outcome of a run. */
+interface RunResult {
+	/** Longest delay until an instance in contact received a change, in milliseconds. */
+	readonly worstMs: number;
+	/** Versions of the configuration that came into force at each instance, in order. */
+	readonly versions: ReadonlyArray<readonly number[]>;
+}
+
+/** Runs the steps. */
+async function runSteps(steps: readonly Step[]): Promise<RunResult> {
 	const fleet = new ModelledFleet({size: SIZE});
 	await fleet.time.runUntil(START_MS);
 	const checks: Array<Promise<number>> = [];
-	for (const {afterMs, instance, fault, writes} of steps) {
+	const allInstances = new Set(fleet.instances);
+	let version = 0;
+	for (const {afterMs, instance, fault, writes, storeReturn} of steps) {
 		await fleet.time.runUntil(fleet.time.now() + afterMs);
 		fleet.setFault({instance: fleet.instances[instance % SIZE]!, fault});
+		allInstances.add(fleet.instances[instance % SIZE]!);
+		if (storeReturn) {
+			fleet.returnFromCopy(storeReturn);
+		}
+
 		if (writes) {
 			const writtenAtMs = fleet.time.now();
-			const index = fleet.write({key: 'op/evacuate/nowhere', value: new Uint8Array()});
+			fleet.rewrite();
+			version += 1;
+			const index = fleet.write({key: 'op/config', value: new TextEncoder().encode(JSON.stringify(configuration({version})))});
 			const inContact = fleet.instances.filter(({soundSinceMs}) => writtenAtMs - soundSinceMs >= MIN_SOUND_MS);
+			const writtenVersion = version;
 			checks.push(...inContact.map(async instanceInContact => measureDelay({
-				fleet, instance: instanceInContact, index, writtenAtMs,
+				fleet, instance: instanceInContact, index, version: writtenVersion, writtenAtMs,
 			})));
 		}
 	}
@@ -40,24 +60,28 @@
 	await fleet.time.runUntil(fleet.time.now() + MAX_DELAY_MS + MIN_SOUND_MS);
 	const delaysMs = await Promise.all(checks);
 	await fleet.stop();
-	return Math.max(0, ...delaysMs);
+	return {worstMs: Math.max(0, ...delaysMs), versions: [...allInstances].map(({versions}) => versions)};
 }
 
 interface MeasureOptions {
 	readonly fleet: ModelledFleet;
 	readonly instance: ModelledFleet['instances'][number];
 	readonly index: number;
+	/** Version of the configuration that was written. */
+	readonly version: number;
 	readonly writtenAtMs: number;
 }
 
-/** Time until an instance received a write, in milliseconds; 0 when the instance gets a fault meanwhile, also one that has ended again. */
-async function measureDelay({fleet, instance, index, writtenAtMs}: MeasureOptions): Promise<number> {
+/** Time from which the store had a write until an instance received it, in milliseconds; 0 when the instance gets a fault meanwhile, also one that has ended again. */
+async function measureDelay({fleet, instance, index, version, writtenAtMs}: MeasureOptions): Promise<number> {
 	const isSound = (): boolean => instance.fault === 'none' && instance.soundSinceMs <= writtenAtMs;
-	while (isSound() && instance.index() < index && fleet.time.now() - writtenAtMs <= MAX_DELAY_MS) {
+	const hasReceived = (): boolean => instance.index() >= index && (instance.versions.at(-1) ?? 0) >= version;
+	const delayMs = (): number => fleet.time.now() - fleet.completeSinceMs(writtenAtMs);
+	while (isSound() && !hasReceived() && delayMs() <= MAX_DELAY_MS) {
 		await fleet.time.sleep(10);
 	}
 
-	return isSound() ? fleet.time.now() - writtenAtMs : 0;
+	return isSound() ? delayMs() : 0;
 }
 
 const step: fc.Arbitrary<Step> = fc.record({
@@ -87,7 +111,7 @@
 			const steps = [...withFollowers, ...others.slice(0, 6)].map((instance, index): Step => ({
 				instance, fault, writes: true, afterMs: index % 2 === 0 ? 5 : 1100,
 			}));
-			const worstMs = await runSteps(steps);
+			const {worstMs} = await runSteps(steps);
 			assert.ok(worstMs <= MAX_DELAY_MS, `${worstMs} ms`);
 		});
 	}
@@ -96,17 +120,29 @@
 		const steps = (['none', 'killed', 'none'] as const).map((fault, index): Step => ({
 			afterMs: 0, instance: 2, fault, writes: index === 0,
 		}));
-		const worstMs = await runSteps(steps);
+		const {worstMs} = await runSteps(steps);
 		assert.ok(worstMs <= MAX_DELAY_MS, `${worstMs} ms`);
 	});
 
 	it('receives every change in time with any faults of instances in any order', async () => {
 		await fc.assert(fc.asyncProperty(fc.array(step, {minLength: 5, maxLength: 40}), async steps => {
-			const worstMs = await runSteps(steps);
+			const {worstMs} = await runSteps(steps);
 			assert.ok(worstMs <= MAX_DELAY_MS, `${worstMs} ms`);
 		}), {numRuns: 60});
 	});
 
+	it('receives every change in time, and goes back to no configuration, while the store returns from older copies', async () => {
+		const storeReturn = fc.option(fc.record({missing: fc.nat(3), rewrittenAfterMs: fc.nat(800)}), {freq: 3, nil: undefined});
+		const returning = fc.tuple(step, storeReturn).map(([drawn, drawnReturn]): Step => ({...drawn, storeReturn: drawnReturn}));
+		await fc.assert(fc.asyncProperty(fc.array(returning, {minLength: 5, maxLength: 40}), async steps => {
+			const {worstMs, versions} = await runSteps(steps);
+			assert.ok(worstMs <= MAX_DELAY_MS, `${worstMs} ms`);
+			for (const list of versions) {
+				assert.deepEqual(list, list.toSorted((left, right) => left - right));
+			}
+		}), {numRuns: 60, endOnFailure: true});
+	});
+
 	const sizes: readonly number[] = [12, 48, 96];
 	for (const size of sizes) {
 		it(`makes a number of store calls that does not grow with its size: ${size} instances`, async () => {
