--- a/calls/live/src/store-feed.ts
+++ b/calls/live/src/store-feed.ts
@@ -40,6 +40,15 @@
 /** Why a snapshot was read: it was the first one, or the changes since the last one are not available. */
 export type SnapshotReason = 'first' | 'history-lost' | 'store-returned';
 
+/** A snapshot that was read. */
+export interface ReadSnapshot {
+	/** Number of its values. */
+	readonly values: number;
+	/** Era of the store in which it was read. */
+	readonly era: number;
+	readonly reason: SnapshotReason;
+}
+
 /** Options of {@link StoreFeed}. */
 export interface StoreFeedOptions {
 	readonly store: KeyValueStore;
@@ -52,7 +61,7 @@
 	/** Called when the store becomes unavailable, and when the store or an upstream answers again. */
 	readonly onAvailability: (options: {readonly isAvailable: boolean; readonly detail: string}) => void;
 	/** Called after each snapshot. */
-	readonly onSnapshot: (options: {readonly values: number; readonly reason: SnapshotReason}) => void;
+	readonly onSnapshot: (snapshot: ReadSnapshot) => void;
 	readonly sleep: (milliseconds: number) => Promise<void>;
 	/** Monotonic time, in milliseconds. */
 	readonly now: () => number;
@@ -212,7 +221,7 @@
 		this.#index = index;
 		this.#readEra = era;
 		relay.restart({index});
-		onSnapshot({values: values.length, reason: hasReturned ? 'store-returned' : (this.#hasRead ? 'history-lost' : 'first')});
+		onSnapshot({values: values.length, era, reason: hasReturned ? 'store-returned' : (this.#hasRead ? 'history-lost' : 'first')});
 		this.#hasRead = true;
 	}
 
--- a/daemons/gateway/src/create-view.ts
+++ b/daemons/gateway/src/create-view.ts
@@ -162,8 +162,8 @@
 			counters.add(isAvailable ? 'store.regained' : 'store.lost');
 			log.line(isAvailable ? 'store-regained' : 'store-lost', {detail});
 		},
-		onSnapshot({values, reason}) {
-			log.line('store-read', {values, why: snapshotReasons[reason]});
+		onSnapshot({values, era, reason}) {
+			log.line('store-read', {values, storeEra: era, why: snapshotReasons[reason]});
 		},
 	});
 	const registration = new Registration({
--- a/testing/platform-stand-in/src/key-values.ts
+++ b/testing/platform-stand-in/src/key-values.ts
@@ -61,11 +61,12 @@
 	#compactedIndex = 0;
 	readonly #now: () => number;
 	#index = 1;
-	#era = 1;
+	#era: number;
 	#lastSession = 0;
 
-	constructor({now}: {readonly now: () => number}) {
+	constructor({now, firstEra = 0}: {readonly now: () => number; readonly firstEra?: number}) {
 		this.#now = now;
+		this.#era = firstEra;
 		// Expiring sessions without waiting for a call notifies the watches of the keys that are deleted with them.
 		setInterval(() => {
 			this.#expireSessions();
@@ -77,7 +78,7 @@
 		return this.#index;
 	}
 
-	/** How many times the store has returned from a copy, plus one. */
+	/** Rises by one each time the store returns from a copy. */
 	get era(): number {
 		return this.#era;
 	}
--- a/testing/platform-stand-in/src/platform-stand-in.ts
+++ b/testing/platform-stand-in/src/platform-stand-in.ts
@@ -28,6 +28,10 @@
 export interface StartPlatformStandInOptions {
 	readonly port?: number;
 	readonly limits?: RateLimits;
+	/** Era before the first return from a copy; 0 by default. */
+	readonly firstEra?: number;
+	/** Whether responses state the first era. */
+	readonly isFirstEraStated?: boolean;
 }
 
 /** A running stand-in, with its faults, counters and state for tests to read and change. */
@@ -48,9 +52,11 @@
 }
 
 /** Starts the stand-in on the loopback address. */
-export async function startPlatformStandIn({port = 0, limits = DEFAULT_LIMITS}: StartPlatformStandInOptions = {}): Promise<PlatformStandIn> {
+export async function startPlatformStandIn({port = 0, limits = DEFAULT_LIMITS, firstEra = 0, isFirstEraStated = true}: StartPlatformStandInOptions = {}): Promise<PlatformStandIn> {
 	const now = (): number => performance.now();
-	const platform = new Platform({now, limits});
+	const platform = new Platform({
+		now, limits, firstEra, isFirstEraStated,
+	});
 	const server = createServer((request, response) => {
 		void platform.serve({request, response});
 	});
@@ -82,9 +88,12 @@
 	readonly keyValues: KeyValues;
 	readonly instances: LaggingInstances;
 	readonly #limiter: RateLimiter;
+	/** Era that responses do not state; undefined: they state all. */
+	readonly #unstatedEra: number | undefined;
 
-	constructor({now, limits}: {readonly now: () => number; readonly limits: RateLimits}) {
-		this.keyValues = new KeyValues({now});
+	constructor({now, limits, firstEra, isFirstEraStated}: {readonly now: () => number} & Required<Omit<StartPlatformStandInOptions, 'port'>>) {
+		this.#unstatedEra = isFirstEraStated ? undefined : firstEra;
+		this.keyValues = new KeyValues({now, firstEra});
 		this.instances = new LaggingInstances({now});
 		this.#limiter = new RateLimiter({limits, now});
 	}
@@ -139,7 +148,10 @@
 			return;
 		}
 
-		response.setHeader('store-era', String(this.keyValues.era));
+		if (this.keyValues.era !== this.#unstatedEra) {
+			response.setHeader('store-era', String(this.keyValues.era));
+		}
+
 		this.counters.bytes += send({response, content});
 	}
 
