Hold back the retry allowance in a start after a return of the store

What callers would see: more retries than the budget allows. Cause: claims of parts that were made after the copy are gone from the store. An instance that starts shortly after a return knows neither of the return nor of the claims, and took a missing part for one that was never used. Change: an instance whose first read is of a later era than the first claims no part for the time of reuse, as those that saw the return. Evidence: the model of npm test allowance-parts knows eras and returns now, with notice up to 1.5 s late; it fails without the hold at the start (and without that at the return), and holds with both.

--- a/calls/live/src/allowance-parts.ts
+++ b/calls/live/src/allowance-parts.ts
@@ -2,7 +2,10 @@
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import {ALLOWANCE_PARTS} from '@pomelopick/steering.limits';
-import type {KeyValueStore, StoredValue, StoreError} from '@pomelopick/platform.store';
+import {FIRST_ERA} from '@pomelopick/platform.store';
+import type {
+	KeyValueStore, StoredValue, StoreError, StoreRevision,
+} from '@pomelopick/platform.store';
 import type {InstanceId, ServiceName} from '@pomelopick/core.types';
 import type {RecordReader} from './record-reader.js';
 
@@ -73,6 +76,16 @@
 		this.#returnedAtMs = this.#options.now();
 	}
 
+	/**
+	 * Records the first read of the store. In a later era than the first, the store may have returned shortly before: then claims
+	 * that are in use may be missing too.
+	 */
+	recordFirstRead({era}: Pick<StoreRevision, 'era'>): void {
+		if (era > FIRST_ERA) {
+			this.recordReturn();
+		}
+	}
+
 	/** Claims one part of a service's allowance. */
 	async claim(service: ServiceName): Promise<Either<ClaimFailure, ClaimedPart>> {
 		const {countInstances, random, now} = this.#options;
--- a/calls/live/test/allowance-parts.test.ts
+++ b/calls/live/test/allowance-parts.test.ts
@@ -4,6 +4,7 @@
 import {EitherAsync, Left, Right} from 'purify-ts';
 import {ALLOWANCE_PREFIX, AllowanceParts} from '@pomelopick/calls.live';
 import type {ClaimedPart, ClaimFailure} from '@pomelopick/calls.live';
+import {splitIndex, toIndex} from '@pomelopick/platform.store';
 import type {KeyValueStore, StoredValue, StoreError} from '@pomelopick/platform.store';
 import {ALLOWANCE_PARTS, GRANT_USABLE_MS, partReuseMs} from '@pomelopick/steering.limits';
 import type {InstanceId, ServiceName} from '@pomelopick/core.types';
@@ -13,6 +14,8 @@
 const INSTANCES = 12;
 /** Time for which a request may be in flight before it arrives, in milliseconds. */
 const LATEST_ARRIVAL_MS = 5000;
+/** Maximum time in which an instance learns of a return of the store, in milliseconds. */
+const MAX_NOTICE_MS = 1500;
 const service = 'ledger' as ServiceName;
 
 /** Outcome of a store write: `done-and-lost` is written but its answer is lost, `lost` is neither written nor answered. */
@@ -23,7 +26,25 @@
 	readonly values = new Map<string, StoredValue>();
 	next: StoreOutcome = 'answered';
 	writes = 0;
-	#index = 0;
+	/** Rises each time the store returns from a copy. */
+	era = 0;
+	#revision = 0;
+	#copy = {revision: 0, values: new Map<string, StoredValue>()};
+
+	/** Copies the store for a return. */
+	copy(): void {
+		this.#copy = {revision: this.#revision, values: new Map(this.values)};
+	}
+
+	/** Returns to the last copy: later writes are gone, and their revisions are given out again. */
+	returnFromCopy(): void {
+		this.era += 1;
+		this.#revision = this.#copy.revision;
+		this.values.clear();
+		for (const [key, value] of this.#copy.values) {
+			this.values.set(key, {...value, modifyIndex: this.#toIndex(splitIndex(value.modifyIndex).revision)});
+		}
+	}
 
 	readonly compareAndSwapForIndex: KeyValueStore['compareAndSwapForIndex'] = ({key, value, expectedIndex}) => {
 		this.writes += 1;
@@ -32,14 +53,52 @@
 			return failed({code: 'rate-limited', message: 'too many calls'});
 		}
 
-		const isMatch = (this.values.get(key)?.modifyIndex ?? 0) === expectedIndex;
+		// The store knows nothing of eras: it compares revisions.
+		const isMatch = splitIndex(this.values.get(key)?.modifyIndex ?? 0).revision === splitIndex(expectedIndex).revision;
 		if (isMatch && outcome !== 'lost') {
-			this.#index += 1;
-			this.values.set(key, {key, value, modifyIndex: this.#index});
+			this.#revision += 1;
+			this.values.set(key, {key, value, modifyIndex: this.#toIndex(this.#revision)});
 		}
 
-		return outcome === 'answered' ? EitherAsync.liftEither(Right(isMatch ? this.#index : undefined)) : failed({code: 'undecided', message: 'no answer'});
+		return outcome === 'answered' ? EitherAsync.liftEither(Right(isMatch ? this.#toIndex(this.#revision) : undefined)) : failed({code: 'undecided', message: 'no answer'});
 	};
+
+	#toIndex(revision: number): number {
+		return toIndex({era: this.era, revision});
+	}
+}
+
+/** A client of the store that knows its era, as an instance has. */
+class EraClient {
+	#era: number;
+	readonly #store: ScriptedStore;
+	readonly #onReturn: () => void;
+
+	constructor({store, onReturn}: {readonly store: ScriptedStore; readonly onReturn: () => void}) {
+		this.#store = store;
+		this.#era = store.era;
+		this.#onReturn = onReturn;
+	}
+
+	readonly compareAndSwapForIndex: KeyValueStore['compareAndSwapForIndex'] = options => {
+		if (options.expectedIndex !== 0 && splitIndex(options.expectedIndex).era !== this.#era) {
+			return EitherAsync.liftEither(Right(undefined));
+		}
+
+		const result = this.#store.compareAndSwapForIndex(options);
+		return this.observe() ? failed({code: 'undecided', message: 'the store returned'}) : result;
+	};
+
+	/** Learns of the era, as from any answer; returns whether it has risen. */
+	observe(): boolean {
+		const hasRisen = this.#store.era > this.#era;
+		this.#era = this.#store.era;
+		if (hasRisen) {
+			this.#onReturn();
+		}
+
+		return hasRisen;
+	}
 }
 
 function failed(error: StoreError): EitherAsync<StoreError, never> {
@@ -50,7 +109,25 @@
 class Fleet {
 	nowMs = 0;
 	readonly store = new ScriptedStore();
+	readonly #clients: EraClient[] = [];
 	readonly #instances = Array.from({length: INSTANCES}, (_, index) => this.#create(index));
+	#noticeAtMs: Array<{readonly index: number; readonly atMs: number}> = [];
+
+	/** Moves the clock; instances learn of returns meanwhile. */
+	advance(afterMs: number): void {
+		this.nowMs += afterMs;
+		for (const {index} of this.#noticeAtMs.filter(({atMs}) => atMs <= this.nowMs)) {
+			this.#clients[index]!.observe();
+		}
+
+		this.#noticeAtMs = this.#noticeAtMs.filter(({atMs}) => atMs > this.nowMs);
+	}
+
+	/** Lets the store return from its last copy. The instances learn of it one after the other. */
+	returnFromCopy(): void {
+		this.store.returnFromCopy();
+		this.#noticeAtMs.push(...this.#instances.map((_, index) => ({index, atMs: this.nowMs + (index * MAX_NOTICE_MS / INSTANCES)})));
+	}
 
 	async claim(index: number): Promise<ClaimedPart | undefined> {
 		const claimed = await this.#instances[index]!.claim(service);
@@ -59,6 +136,7 @@
 
 	/** Delivers all current values of the store to an instance. */
 	deliver(index: number): void {
+		this.#clients[index]!.observe();
 		for (const value of this.store.values.values()) {
 			this.#instances[index]!.write(value);
 		}
@@ -66,31 +144,74 @@
 
 	restart(index: number): void {
 		this.#instances[index] = this.#create(index);
+		this.#instances[index].recordFirstRead({era: this.store.era});
 		this.deliver(index);
 	}
 
 	#create(index: number): AllowanceParts {
-		return new AllowanceParts({
-			store: this.store as unknown as KeyValueStore,
+		const client = new EraClient({
+			store: this.store, onReturn() {
+				parts.recordReturn();
+			},
+		});
+		this.#clients[index] = client;
+		const parts = new AllowanceParts({
+			store: client as unknown as KeyValueStore,
 			instance: `gateway-${index}` as InstanceId,
 			reuseMs: () => partReuseMs({windowMs: WINDOW_MS}),
 			countInstances: () => 1,
 			now: () => this.nowMs,
 			random: () => (index % ALLOWANCE_PARTS) / ALLOWANCE_PARTS,
 		});
+		return parts;
 	}
 }
 
+type StepKind = 'claim' | 'deliver' | 'restart' | 'copy' | 'return';
+
 const step = fc.record({
 	instance: fc.nat({max: INSTANCES - 1}),
 	afterMs: fc.nat({max: 1500}),
-	kind: fc.constantFrom('claim', 'claim', 'claim', 'deliver', 'restart'),
+	kind: fc.constantFrom<StepKind>('claim', 'claim', 'claim', 'deliver', 'restart'),
 	outcome: fc.constantFrom<StoreOutcome>('answered', 'answered', 'answered', 'done-and-lost', 'lost', 'refused'),
 	usedAfterMs: fc.nat({max: GRANT_USABLE_MS + LATEST_ARRIVAL_MS - 1}),
 });
 
 type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never;
 
+const stepOfReturningStore: fc.Arbitrary<Step> = fc.tuple(step, fc.constantFrom<StepKind | undefined>(undefined, undefined, undefined, undefined, 'copy', 'return'))
+	.map(([drawn, kind]) => ({...drawn, kind: kind ?? drawn.kind}));
+
+const propertyCases: ReadonlyArray<{readonly name: string; readonly steps: fc.Arbitrary<Step>}> = [
+	{name: 'even if instances restart, receive writes late or lose answers', steps: step},
+	{name: 'also while the store returns from older copies', steps: stepOfReturningStore},
+];
+
+/** Does a step; returns the part that was claimed, if any. */
+async function act({fleet, kind, instance}: {readonly fleet: Fleet; readonly kind: StepKind; readonly instance: number}): Promise<ClaimedPart | undefined> {
+	switch (kind) {
+		case 'claim': {
+			return fleet.claim(instance);
+		}
+
+		case 'copy': {
+			fleet.store.copy();
+			return undefined;
+		}
+
+		case 'return': {
+			fleet.returnFromCopy();
+			return undefined;
+		}
+
+		case 'deliver':
+		case 'restart': {
+			fleet[kind](instance);
+			return undefined;
+		}
+	}
+}
+
 /** Whether consecutive sorted times are more than a window apart. */
 function areApart(times: readonly number[]): boolean {
 	return times.every((atMs, index) => index === 0 || atMs - times[index - 1]! > WINDOW_MS);
@@ -103,35 +224,32 @@
 }
 
 describe(`AllowanceParts (seed ${SEED})`, () => {
-	it('keeps more than a window between two uses of a part, even if instances restart, receive writes late or lose answers', async () => {
-		let uses = 0;
-		const useParts = async (steps: readonly Step[]): Promise<ReadonlyArray<readonly number[]>> => {
-			const fleet = new Fleet();
-			const usedAtMs = Array.from({length: ALLOWANCE_PARTS}, (): number[] => []);
-			for (const {instance, afterMs, kind, outcome, usedAfterMs} of steps) {
-				fleet.nowMs += afterMs;
-				fleet.store.next = outcome;
-				if (kind !== 'claim') {
-					fleet[kind](instance);
-					continue;
+	for (const {name, steps: drawnStep} of propertyCases) {
+		it(`keeps more than a window between two uses of a part, ${name}`, async () => {
+			let uses = 0;
+			const useParts = async (steps: readonly Step[]): Promise<ReadonlyArray<readonly number[]>> => {
+				const fleet = new Fleet();
+				const usedAtMs = Array.from({length: ALLOWANCE_PARTS}, (): number[] => []);
+				for (const {instance, afterMs, kind, outcome, usedAfterMs} of steps) {
+					fleet.advance(afterMs);
+					fleet.store.next = outcome;
+					const claimed = await act({fleet, kind, instance});
+					if (claimed) {
+						uses += 1;
+						usedAtMs[claimed.part]!.push(claimed.claimedAtMs + usedAfterMs);
+					}
 				}
 
-				const claimed = await fleet.claim(instance);
-				if (claimed) {
-					uses += 1;
-					usedAtMs[claimed.part]!.push(claimed.claimedAtMs + usedAfterMs);
-				}
-			}
-
-			return usedAtMs;
-		};
+				return usedAtMs;
+			};
 
-		await fc.assert(fc.asyncProperty(fc.array(step, {minLength: 100, maxLength: 300}), async steps => {
-			const usedAtMs = await useParts(steps);
-			return usedAtMs.every(times => areApart(times.toSorted((a, b) => a - b)));
-		}), {seed: SEED, numRuns: 100, endOnFailure: true});
-		assert.ok(uses > ALLOWANCE_PARTS, `${uses} parts used`);
-	});
+			await fc.assert(fc.asyncProperty(fc.array(drawnStep, {minLength: 100, maxLength: 300}), async steps => {
+				const usedAtMs = await useParts(steps);
+				return usedAtMs.every(times => areApart(times.toSorted((a, b) => a - b)));
+			}), {seed: SEED, numRuns: 100, endOnFailure: true});
+			assert.ok(uses > ALLOWANCE_PARTS, `${uses} parts used`);
+		});
+	}
 
 	it('lets an instance claim each part once, and no more than all parts', async () => {
 		const parts = createParts({store: new ScriptedStore()});
--- a/daemons/gateway/src/create-view.ts
+++ b/daemons/gateway/src/create-view.ts
@@ -163,6 +163,10 @@
 			log.line(isAvailable ? 'store-regained' : 'store-lost', {detail});
 		},
 		onSnapshot({values, era, reason}) {
+			if (reason === 'first') {
+				allowance.recordFirstRead({era});
+			}
+
 			log.line('store-read', {values, storeEra: era, why: snapshotReasons[reason]});
 		},
 	});
--- a/testing/gateway-soak/src/retry-faults.ts
+++ b/testing/gateway-soak/src/retry-faults.ts
@@ -25,6 +25,7 @@
 	'pause-half',
 	'pause-all',
 	'store-outage',
+	'store-returns-older',
 	'store-paths-cut',
 	'paths-frozen',
 	'paths-delayed',
@@ -53,7 +54,7 @@
 	const durationMs = MIN_FAULT_MS + draw(FAULT_JITTER_MS);
 	const offset = draw(2);
 	const half = environment.members.filter((_, index) => index % 2 === offset);
-	const {faults} = environment.fleet.platform;
+	const {faults, keyValues} = environment.fleet.platform;
 	const signal = (members: typeof half, sent: NodeJS.Signals): void => {
 		for (const {process} of members) {
 			process.signal(sent);
@@ -108,6 +109,14 @@
 				faults.outage = false;
 			},
 		}),
+		async 'store-returns-older'() {
+			const copy = keyValues.copy();
+			await sleep(durationMs);
+			faults.outage = true;
+			await sleep(MIN_FAULT_MS);
+			keyValues.returnTo(copy);
+			faults.outage = false;
+		},
 		'store-paths-cut': async () => runForDuration({
 			begin() {
 				for (const {storePath} of half) {
--- a/testing/gateway-soak/test/retry-budget.test.ts
+++ b/testing/gateway-soak/test/retry-budget.test.ts
@@ -17,6 +17,12 @@
 		faults: ['paths-frozen', 'store-paths-cut', 'join', 'pause-half', 'kill-half', 'paths-delayed', 'kill-all'],
 		perSecond: 60,
 	},
+	{
+		name: 'when the store returns from a copy without the first claims of parts, and gateways start right after',
+		seed: 40_201,
+		faults: ['store-returns-older', 'kill-half', 'kill-half', 'join', 'kill-half'],
+		perSecond: 30,
+	},
 	{
 		name: 'and servers are told the time that is left when they accept connections late', seed: 43_403, faults: Array.from({length: 8}, () => 'servers-accept-late'), perSecond: 120,
 	},
