--- a/daemons/gateway/src/create-view.ts
+++ b/daemons/gateway/src/create-view.ts
@@ -17,6 +17,7 @@
 import {partReuseMs} from '@pomelopick/steering.limits';
 import type {RetryBounds} from '@pomelopick/steering.limits';
 import type {RateLimitRecord} from '@pomelopick/steering.servers';
+import {StoreReturnReport} from './store-return-report.js';
 
 /** Timeout of a call to the store other than a watch, in milliseconds. */
 const STORE_CALL_TIMEOUT_MS = 1000;
@@ -90,6 +91,7 @@
 		onReturn({era}) {
 			counters.add('store.returned');
 			log.line('store-returned', {storeEra: era, detail: 'the store has returned from an older copy; it is read again, and the own records are written again'});
+			returnReport.begin({era});
 			feed.recordReturn({era});
 			allowance.recordReturn();
 			registration.restore();
@@ -97,6 +99,7 @@
 			onStoreReturned();
 		},
 	});
+	const returnReport = new StoreReturnReport({log, now});
 	const allowance: AllowanceParts = new AllowanceParts({
 		store, instance: self.id, reuseMs: () => partReuseMs(retries()), countInstances: () => view.instances.maxCount, now, random,
 	});
@@ -168,6 +171,7 @@
 			}
 
 			log.line('store-read', {values, storeEra: era, why: snapshotReasons[reason]});
+			returnReport.recordRead({era, values});
 		},
 	});
 	const registration = new Registration({
@@ -176,6 +180,9 @@
 		sleep,
 		onState(state) {
 			log.line(`record-${state}`, {});
+			if (state === 'registered') {
+				returnReport.recordRegistered();
+			}
 		},
 		onFailure({code, message}) {
 			counters.add(`store.record-${code}`);
--- a/daemons/gateway/test/store-return.test.ts
+++ b/daemons/gateway/test/store-return.test.ts
@@ -143,6 +143,9 @@
 			},
 		});
 		await untilAllWrite(expected!, from);
+		const {era} = fleet.platform.keyValues;
+		await until(() => members.every(({process}, index) => process.lines.slice(from[index]).some(({event, storeEra, values, tookMs}) => event === 'store-return-handled'
+			&& storeEra === era && Number(values) > 0 && typeof tookMs === 'number')));
 	};
 
 	const returnTwice = async (writes: number): Promise<void> => {
