Judge what the operator changes right after returns of the store in a soak

Judged: no request to a closed server later than 5.5 s (3 s of contact, 2.5 s to drain) after the change, each configuration in force by then, none goes back, and the promises of the other rounds.

--- a/testing/gateway-soak/src/call-check.ts
+++ b/testing/gateway-soak/src/call-check.ts
@@ -41,7 +41,9 @@
 		| 'time-handed'
 		| 'rate-limit'
 		| 'sent-to-leaving'
-		| 'sent-in-pause';
+		| 'sent-in-pause'
+		| 'missed-change'
+		| 'went-back';
 	readonly detail: string;
 }
 
--- a/testing/gateway-soak/src/environment.ts
+++ b/testing/gateway-soak/src/environment.ts
@@ -147,9 +147,9 @@
 		}
 	}
 
-	/** Returns the log lines of an event from all gateways, including processes that have exited. */
-	listLines(event: string): ReadonlyArray<Readonly<Record<string, unknown>>> {
-		return [...this.#endedLines, ...this.members.flatMap(({process}) => process.lines)].filter(line => line.event === event);
+	/** Returns the log lines of events from all gateways, those of processes that have exited first. */
+	listLines(...events: readonly string[]): ReadonlyArray<Readonly<Record<string, unknown>>> {
+		return [...this.#endedLines, ...this.members.flatMap(({process}) => process.lines)].filter(line => events.includes(String(line.event)));
 	}
 
 	/** Restarts a server under its name at an address whose queue of connections is full at first, and then at its own. */
@@ -185,6 +185,11 @@
 		this.#register({number, state: 'ready'});
 	}
 
+	/** Registers a state of a server. */
+	setState({number, state}: {readonly number: number; readonly state: 'ready' | 'draining'}): void {
+		this.#register({number, state});
+	}
+
 	/** Registers all servers anew, as their heartbeats would; they say for how long they still warm up, in milliseconds. */
 	registerServers({warmupLeftMs = 0}: {readonly warmupLeftMs?: number} = {}): void {
 		for (const number of this.serverPaths.keys()) {
--- a/testing/gateway-soak/src/index.ts
+++ b/testing/gateway-soak/src/index.ts
@@ -15,6 +15,8 @@
 export * from './retry-faults.js';
 export * from './retry-check.js';
 export * from './retry-round.js';
+export * from './return-check.js';
+export * from './return-round.js';
 export * from './soak.js';
 export {faultNames} from './faults.js';
 export {serverName} from './environment.js';
