--- a/cli/pomelopick/test/paused-collect.test.ts
+++ b/cli/pomelopick/test/paused-collect.test.ts
@@ -68,7 +68,7 @@
 
 const collectFlags = ['collect', '--keep', '1'];
 
-describe('a collection that stands still between its steps, stopped by SIGSTOP', () => {
+describe('a collection that is suspended between its steps by SIGSTOP', () => {
 	let commands: PausedCommands;
 	beforeEach(async () => {
 		commands = await PausedCommands.start();
--- a/steering/servers/src/server-contacts.ts
+++ b/steering/servers/src/server-contacts.ts
@@ -1,7 +1,7 @@
 /**
  * Tracks the servers that may have started anew since this instance last knew their state.
  *
- * A server that restarts under its name is cold, and its entry in the store tells of it later than its address can be
+ * A server that restarts under its name is cold, and its entry in the store shows it later than its address can be
  * reached again. Contact is lost when a connection to a server cannot be made or ends unexpectedly. Until the server
  * has been asked for its state, or a response arrives on a connection that is older than the loss, it must be assumed
  * to be cold.
--- a/testing/bench/src/capacity/budgets.ts
+++ b/testing/bench/src/capacity/budgets.ts
@@ -119,13 +119,13 @@
 	];
 }
 
-/** Renders budgets as a Markdown table with a verdict a row. */
+/** Renders budgets as a Markdown table with a result in each row. */
 export function renderBudgets(rows: readonly BudgetRow[]): string {
 	return renderTable({
-		header: ['budget', 'found', 'most', 'verdict', 'from'],
+		header: ['budget', 'found', 'most', 'result', 'from'],
 		rows: rows.map(({name, found, most, unit, from}) => {
-			const verdict = found <= most ? 'met' : `missed by ${formatNumber(found - most)} ${unit}`;
-			return [name, `${formatNumber(found)} ${unit}`, `${formatNumber(most)} ${unit}`, verdict, from];
+			const result = found <= most ? 'met' : `missed by ${formatNumber(found - most)} ${unit}`;
+			return [name, `${formatNumber(found)} ${unit}`, `${formatNumber(most)} ${unit}`, result, from];
 		}),
 	});
 }
--- a/testing/bench/src/print.ts
+++ b/testing/bench/src/print.ts
@@ -19,9 +19,9 @@
 		];
 	}));
 	const judged = [
-		['rate', rateRatio.toFixed(2), `>= ${LEAST_RATE_RATIO}`, verdict(rateRatio >= LEAST_RATE_RATIO)],
+		['rate', rateRatio.toFixed(2), `>= ${LEAST_RATE_RATIO}`, describeResult(rateRatio >= LEAST_RATE_RATIO)],
 		['p50', p50Ratio.toFixed(2), '', ''],
-		['p99', p99Ratio.toFixed(2), `<= ${MOST_P99_RATIO}`, verdict(p99Ratio <= MOST_P99_RATIO)],
+		['p99', p99Ratio.toFixed(2), `<= ${MOST_P99_RATIO}`, describeResult(p99Ratio <= MOST_P99_RATIO)],
 		['CPU per call', cpuRatio.toFixed(2), '', ''],
 	];
 	return [
@@ -35,13 +35,13 @@
 	return formatTable({
 		columns: [`look-up, ${clientBlocks} blocks`, 'measured', 'target', ''],
 		rows: [
-			['HTTP look-ups/s', Math.round(http.perSecond), `>= ${LEAST_LOOK_UPS_PER_SECOND}`, verdict(http.perSecond >= LEAST_LOOK_UPS_PER_SECOND)],
-			['HTTP look-ups/s of one core', Math.round(perCoreSecond), `>= ${LEAST_LOOK_UPS_PER_SECOND}`, verdict(perCoreSecond >= LEAST_LOOK_UPS_PER_SECOND)],
+			['HTTP look-ups/s', Math.round(http.perSecond), `>= ${LEAST_LOOK_UPS_PER_SECOND}`, describeResult(http.perSecond >= LEAST_LOOK_UPS_PER_SECOND)],
+			['HTTP look-ups/s of one core', Math.round(perCoreSecond), `>= ${LEAST_LOOK_UPS_PER_SECOND}`, describeResult(perCoreSecond >= LEAST_LOOK_UPS_PER_SECOND)],
 			['HTTP p50 ms', http.p50Ms.toFixed(2), '', ''],
 			['HTTP p99 ms', http.p99Ms.toFixed(2), '', ''],
-			['failed', http.failed, '0', verdict(http.failed === 0)],
+			['failed', http.failed, '0', describeResult(http.failed === 0)],
 			['table alone, look-ups/s', Math.round(purePerSecond), '', ''],
-			['table MB', (tableBytes / BYTES_PER_MEGABYTE).toFixed(2), `< ${MOST_TABLE_BYTES / BYTES_PER_MEGABYTE}`, verdict(tableBytes < MOST_TABLE_BYTES)],
+			['table MB', (tableBytes / BYTES_PER_MEGABYTE).toFixed(2), `< ${MOST_TABLE_BYTES / BYTES_PER_MEGABYTE}`, describeResult(tableBytes < MOST_TABLE_BYTES)],
 			['table build ms', Math.round(buildMs), '', ''],
 		],
 	});
@@ -53,13 +53,13 @@
 	return formatTable({
 		columns: [`start, medians of ${rounds}`, 'gateway', 'bare Node', 'target', ''],
 		rows: [
-			['ms of a core until ready', Math.round(gateway.cpuMs), Math.round(bare.cpuMs), `<= ${MOST_START_CPU_MS}`, verdict(isMet)],
+			['ms of a core until ready', Math.round(gateway.cpuMs), Math.round(bare.cpuMs), `<= ${MOST_START_CPU_MS}`, describeResult(isMet)],
 			['ms of a core in the second after', Math.round(gateway.settlingCpuMs), Math.round(bare.settlingCpuMs), '', ''],
 			['MB when ready', megabytes(gateway.residentBytes), megabytes(bare.residentBytes), '', ''],
 		],
 	});
 }
 
-function verdict(isMet: boolean): string {
+function describeResult(isMet: boolean): string {
 	return isMet ? 'met' : 'MISSED';
 }
--- a/testing/demo/src/demo.ts
+++ b/testing/demo/src/demo.ts
@@ -54,14 +54,14 @@
 		});
 		const stopExitCode = await injectFaults({fleet, report});
 		const records = await calling;
-		const verdict = compareRecords({records, executions: await fleet.listExecutions()});
-		const {calls, answered, refused, silent, wrongAnswers} = verdict;
+		const comparison = compareRecords({records, executions: await fleet.listExecutions()});
+		const {calls, answered, refused, silent, wrongAnswers} = comparison;
 		return {
 			deployment: deployment.name,
 			stopExitCode,
 			failed: calls - answered - refused - silent - wrongAnswers,
 			...listPercentiles(records.map(({elapsedMs}) => elapsedMs)),
-			...verdict,
+			...comparison,
 		};
 	} finally {
 		await fleet.stop();
--- a/testing/demo/test/verdict.test.ts
+++ b/testing/demo/test/comparison.test.ts
@@ -17,7 +17,7 @@
 	{name: 'no runs fail it', results: [], expected: false},
 ];
 
-describe('verdict of the demo', () => {
+describe('comparison of records and executions', () => {
 	for (const {name, results, expected} of cases) {
 		it(name, () => {
 			assert.equal(isClean(results), expected);
--- a/testing/experiment/src/run.ts
+++ b/testing/experiment/src/run.ts
@@ -102,7 +102,7 @@
 	};
 }
 
-/** Counters of all running entry instances that tell of placement and retries. */
+/** Counters of all running entry instances about placement and retries. */
 async function sumCounters(fleet: Fleet): Promise<ExtraFigures> {
 	const sums: Record<string, number> = {};
 	for (const counters of await fleet.listCounters()) {
--- a/testing/fleet/src/version-sampler.ts
+++ b/testing/fleet/src/version-sampler.ts
@@ -112,7 +112,7 @@
 				instance: instance.id, processId: child.processId, atMs: performance.now(), version: configurationVersion,
 			});
 		} catch {
-			// The process ended or stands still.
+			// The process ended or is suspended.
 		}
 	}
 }
--- a/testing/fleet/test/configuration.test.ts
+++ b/testing/fleet/test/configuration.test.ts
@@ -146,7 +146,7 @@
 		assert.deepEqual(await sampler.check({boundMs: BOUND_MS}), []);
 	});
 
-	it('spreads versions while a watcher stands still, takes it out of look-ups, and has it again on the newest afterwards', async () => {
+	it('spreads versions while a watcher is suspended, takes it out of look-ups, and has it again on the newest afterwards', async () => {
 		const statuses = await Promise.all(fleet.entries.map(async entry => ({entry, status: await statusOf(entry)})));
 		const {entry: frozen} = statuses.find(({status}) => status.isWatcher)!;
 		const others = fleet.entries.filter(entry => entry !== frozen);
--- a/testing/fleet/test/fleet.test.ts
+++ b/testing/fleet/test/fleet.test.ts
@@ -40,9 +40,9 @@
 			: {
 				service: 'corrections', method: 'POST', path: `/retractions/${index}`, body: `{"number":${index}}`, key: createKey(), timeoutMs: 3000,
 			})));
-		const verdict = compareRecords({records, executions: await fleet.listExecutions()});
-		assert.equal(verdict.answered, 12, JSON.stringify(records.filter(({ended}) => ended !== 'answered')));
-		assert.equal(verdict.doubleExecutions, 0);
+		const comparison = compareRecords({records, executions: await fleet.listExecutions()});
+		assert.equal(comparison.answered, 12, JSON.stringify(records.filter(({ended}) => ended !== 'answered')));
+		assert.equal(comparison.doubleExecutions, 0);
 	});
 
 	it('refuses an unknown service with a problem document', async () => {
