--- a/testing/gateway-soak/src/return-round.ts
+++ b/testing/gateway-soak/src/return-round.ts
@@ -93,6 +93,8 @@
 	readonly returns: number;
 	readonly gateways?: number;
 	readonly servers?: number;
+	/** Whether other faults and rate limits affect the round; true by default. */
+	readonly hasOtherFaults?: boolean;
 }
 
 /** Outcome of a round. */
@@ -105,7 +107,7 @@
 }
 
 /** Runs one round and checks it. */
-export async function runReturnRound({seed, returns, gateways = DEFAULT_GATEWAYS, servers = DEFAULT_SERVERS}: RunReturnRoundOptions): Promise<ReturnRoundResult> {
+export async function runReturnRound({seed, returns, gateways = DEFAULT_GATEWAYS, servers = DEFAULT_SERVERS, hasOtherFaults = true}: RunReturnRoundOptions): Promise<ReturnRoundResult> {
 	const environment = await startEnvironment({seed, gateways, servers});
 	try {
 		const stopped = new AbortController();
@@ -113,11 +115,13 @@
 		const calling = Promise.all(Array.from({length: CALLERS}, async (_, index) => keepCalling({
 			environment, draw: createDraw((seed * CALLER_SEED_FACTOR) + index), calls, signal: stopped.signal,
 		})));
-		const naming = nameLimits({servers: environment.fleet.servers, draw: createDraw(seed * LIMIT_SEED_FACTOR), signal: stopped.signal});
+		const naming = hasOtherFaults && nameLimits({servers: environment.fleet.servers, draw: createDraw(seed * LIMIT_SEED_FACTOR), signal: stopped.signal});
 		const draw = createDraw(seed);
 		const made: OperatorChange[] = [];
 		for (let number = 0; number < returns; number += 1) {
-			made.push(await returnAndChange({environment, draw, version: number + 2}));
+			made.push(await returnAndChange({
+				environment, draw, version: number + 2, hasOtherFaults,
+			}));
 		}
 
 		stopped.abort();
@@ -147,17 +151,18 @@
 }
 
 /** Lets the store return, changes something at once, and undoes it after the time in which it is judged. */
-async function returnAndChange({environment, draw, version}: ApplyOptions): Promise<OperatorChange> {
+async function returnAndChange({environment, draw, version, hasOtherFaults}: ApplyOptions & {readonly hasOtherFaults: boolean}): Promise<OperatorChange> {
 	await injectFault({environment, name: 'store-returns-older', draw});
 	const {undo, ...change} = changes[draw(changes.length)]!({environment, draw, version});
 	const fromMs = performance.now();
 	const toMs = fromMs + APPLIED_MS + JUDGED_MS;
 	await runFaultSeries({
-		next: () => performance.now() < toMs ? otherFaults[draw(otherFaults.length)] : undefined,
+		next: () => hasOtherFaults && performance.now() < toMs ? otherFaults[draw(otherFaults.length)] : undefined,
 		inject: async name => injectFault({environment, name, draw}),
 		draw,
 		pauseMs: FAULT_PAUSE_MS,
 	});
+	await sleep(Math.max(0, toMs - performance.now()));
 	undo();
 	return {...change, fromMs, toMs};
 }
--- a/testing/gateway-soak/test/returns.test.ts
+++ b/testing/gateway-soak/test/returns.test.ts
@@ -63,4 +63,10 @@
 		assert.deepEqual(violations, [], changes.join(', '));
 		assert.ok(answered > calls / 2, `${answered} of ${calls} calls were answered`);
 	});
+
+	it(`refuse no request by the returns alone (seed ${SEED + 1})`, async () => {
+		const {violations, changes, calls, answered} = await runReturnRound({seed: SEED + 1, returns: 3, hasOtherFaults: false});
+		assert.deepEqual(violations, [], changes.join(', '));
+		assert.equal(answered, calls, 'calls that were answered');
+	});
 });
