--- a/daemons/gateway/src/create-rate-limits.ts
+++ b/daemons/gateway/src/create-rate-limits.ts
@@ -89,7 +89,7 @@
 			log.line('peer-not-told', {subject: instance, reason: code, detail: message});
 		},
 	});
-	const broadcast = createBroadcast<RateLimitRecord>({
+	const rateLimitBroadcast = createBroadcast<RateLimitRecord>({
 		subject: 'rate-limits', onRecord(record) {
 			sharing.receive({record, source: 'instance'});
 		},
@@ -145,7 +145,7 @@
 	const sharing: RateLimitSharing = new RateLimitSharing({
 		rateLimits,
 		broadcast(takeRecords) {
-			void broadcast.broadcast(takeRecords);
+			void rateLimitBroadcast.broadcast(takeRecords);
 		},
 		onNewRecord() {
 			void writer.run();
@@ -171,7 +171,7 @@
 			subject: 'server-warmups', readRecord: readServerWarmup, receive: async message => warmupBroadcast.receive(message), onMalformed,
 		}),
 		handleRecords: createBroadcastListener({
-			subject: 'rate-limits', readRecord: readRateLimit, receive: async message => broadcast.receive(message), onMalformed,
+			subject: 'rate-limits', readRecord: readRateLimit, receive: async message => rateLimitBroadcast.receive(message), onMalformed,
 		}),
 		handlePermits: createPermitListener({answer: request => permits.answer(request), onMalformed}),
 		receiveFromStore(record) {
