Decode organisations, shared tables and upload routes of the configuration

Cause: the configuration may hold organisations with keys, priorities, rates and home regions, and routes of the kind upload, which were unknown.

--- a/config/settings/src/gateway-settings.ts
+++ b/config/settings/src/gateway-settings.ts
@@ -6,15 +6,19 @@
 import * as z from 'zod/mini';
 import {describeValue, parseEndpoint as parseUsableEndpoint} from '@pomelopick/core.types';
 import type {
-	Endpoint, FailureDomainName, InstanceId, RegionName,
+	Endpoint, FailureDomainName, InstanceCapacity, InstanceId, RegionName,
 } from '@pomelopick/core.types';
+import {heldBytesOfMemory} from './held-bytes.js';
 import type {SettingsError} from './settings.js';
 
 const MILLISECONDS_PER_SECOND = 1000;
 const MAX_PORT = 65_535;
+/** Maximum number of requests in progress if the settings state none. */
+const DEFAULT_REQUESTS = 1500;
 
 const name = z.string().check(z.minLength(1), z.maxLength(128));
 const seconds = z.number().check(z.nonnegative());
+const amount = z.nullish(z.number().check(z.positive()));
 const endpointText = z.string().check(z.refine(text => parseEndpoint(text) !== undefined, 'expected IP:PORT'));
 
 const schema = z.object({
@@ -36,12 +40,21 @@
 	directoryMostSeconds: seconds,
 	/** Limits the retries at another backend server, for each service over the whole fleet. */
 	retries: z.object({ratio: z.number().check(z.nonnegative()), allowance: z.number().check(z.nonnegative()), windowSeconds: z.number().check(z.positive())}),
-	limits: z._default(z.object({
+	/** Capacity of the instance. A value that a deployment does not state may be null. */
+	capacity: z.optional(z.object({
+		cores: amount,
+		/** Share of each of the cores that the instance gets; 1 by default. */
+		cpuShare: amount,
+		/** Rate of its network link in each direction, in megabits per second. */
+		linkMbps: amount,
+		memoryMb: amount,
+	})),
+	limits: z.optional(z.object({
 		/** Maximum number of requests in progress. */
 		requests: z.int().check(z.positive()),
-		/** Maximum size of the buffered bodies of all requests together, in bytes. */
+		/** Maximum size of the bodies that are held for all requests together, in bytes; by default derived from the memory. */
 		heldBytes: z.int().check(z.positive()),
-	}), {requests: 1500, heldBytes: 67_108_864}),
+	})),
 });
 
 /** Validated settings of a gateway. */
@@ -55,6 +68,8 @@
 	readonly shutdownMs: number;
 	readonly directoryMaxAgeMs: number;
 	readonly retries: {readonly ratio: number; readonly allowance: number; readonly windowMs: number};
+	/** Capacity of the instance; undefined: its cores or its link rate are not stated. */
+	readonly capacity: InstanceCapacity | undefined;
 	readonly limits: {readonly requests: number; readonly heldBytes: number};
 }
 
@@ -85,7 +100,7 @@
 	return Right(toSettings(parsed.data));
 }
 
-function toSettings({listen, store, retries, regions, ...rest}: z.output<typeof schema>): GatewaySettings {
+function toSettings({listen, store, retries, regions, capacity, limits, ...rest}: z.output<typeof schema>): GatewaySettings {
 	return {
 		instance: rest.instance as InstanceId,
 		failureDomain: rest.failureDomain as FailureDomainName,
@@ -102,10 +117,17 @@
 		shutdownMs: rest.shutdownSeconds * MILLISECONDS_PER_SECOND,
 		directoryMaxAgeMs: rest.directoryMostSeconds * MILLISECONDS_PER_SECOND,
 		retries: {ratio: retries.ratio, allowance: retries.allowance, windowMs: retries.windowSeconds * MILLISECONDS_PER_SECOND},
-		limits: rest.limits,
+		capacity: toCapacity(capacity),
+		limits: limits ?? {requests: DEFAULT_REQUESTS, heldBytes: heldBytesOfMemory(capacity?.memoryMb ?? undefined)},
 	};
 }
 
+function toCapacity({cores, cpuShare, linkMbps, memoryMb}: NonNullable<z.output<typeof schema>['capacity']> = {}): InstanceCapacity | undefined {
+	return typeof cores === 'number' && typeof linkMbps === 'number'
+		? {cores: cores * (cpuShare ?? 1), linkMbps, ...(typeof memoryMb === 'number' && {memoryMb})}
+		: undefined;
+}
+
 function parseEndpoint(text: string): Endpoint | undefined {
 	const colon = text.lastIndexOf(':');
 	const address = text.slice(0, colon).replace(/^\[(.*)\]$/u, '$1');
--- a/core/telemetry/src/event-loop-monitor.ts
+++ b/core/telemetry/src/event-loop-monitor.ts
@@ -14,6 +14,8 @@
 export interface EventLoopMonitorOptions {
 	readonly counters: CallCounters;
 	readonly log: DecisionLog;
+	/** Called at each report with the mean delay of its samples, in milliseconds. */
+	readonly onReport?: (meanDelayMs: number) => void;
 }
 
 /** Reports the longest delay of the event loop once a second. A process that was stopped or got no processor shows as one long delay. */
@@ -23,6 +25,7 @@
 	/** Monotonic time at which the next sample is due, in milliseconds. */
 	#dueMs = 0;
 	#longestMs = 0;
+	#totalMs = 0;
 	#samples = 0;
 
 	constructor(options: EventLoopMonitorOptions) {
@@ -44,11 +47,15 @@
 
 	#sample(): void {
 		const nowMs = performance.now();
-		this.#longestMs = Math.max(this.#longestMs, nowMs - this.#dueMs);
+		const delayMs = Math.max(0, nowMs - this.#dueMs);
+		this.#longestMs = Math.max(this.#longestMs, delayMs);
+		this.#totalMs += delayMs;
 		this.#dueMs = nowMs + SAMPLE_INTERVAL_MS;
 		this.#samples += 1;
 		if (this.#samples === SAMPLES_PER_REPORT) {
 			this.#report(this.#longestMs);
+			this.#options.onReport?.(this.#totalMs / this.#samples);
+			this.#totalMs = 0;
 			this.#samples = 0;
 			this.#longestMs = 0;
 		}
--- a/core/telemetry/src/output-writer.ts
+++ b/core/telemetry/src/output-writer.ts
@@ -36,7 +36,7 @@
 	let isEnding = false;
 	let lastTries = 0;
 	const output = new SonicBoom({
-		fd: descriptor, sync: false, minLength: FLUSH_BYTES, maxLength: MAX_BUFFERED_BYTES, periodicFlush: FLUSH_INTERVAL_MS, retryEAGAIN() {
+		fd: descriptor, sync: false, minLength: FLUSH_BYTES, maxLength: MAX_BUFFERED_BYTES, retryEAGAIN() {
 			lastTries += Number(isEnding);
 			return lastTries <= MAX_LAST_TRIES;
 		},
@@ -49,6 +49,21 @@
 	output.on('error', () => {
 		isDropped = true;
 	});
+	let flushTimer: NodeJS.Timeout | undefined;
+	// The periodic flush of the library makes a write also when there are no lines, which wakes a thread each time.
+	const scheduleFlush = (): void => {
+		flushTimer ??= setTimeout(() => {
+			flushTimer = undefined;
+			output.flush();
+		}, FLUSH_INTERVAL_MS).unref();
+	};
+
+	output.on('write', (bytes: number) => {
+		// Lines that came while a write waited for the reader were left out by the flush of that time.
+		if (bytes > 0) {
+			scheduleFlush();
+		}
+	});
 	const flushNow = (): boolean => {
 		isEnding = true;
 		lastTries = 0;
@@ -64,6 +79,7 @@
 		write(line) {
 			isDropped = false;
 			output.write(line);
+			scheduleFlush();
 			return !isDropped;
 		},
 		flush() {
--- a/core/types/src/ids.ts
+++ b/core/types/src/ids.ts
@@ -27,5 +27,9 @@
 export type PublishId = Brand<string, 'PublishId'>;
 /** Version of a configuration: a positive integer that never decreases. */
 export type ConfigurationVersion = Brand<number, 'ConfigurationVersion'>;
+/** Name of an organisation. */
+export type OrganisationName = Brand<string, 'OrganisationName'>;
+/** Key with which callers of an organisation authenticate. Never logged, counted or passed on. */
+export type OrganisationKey = Brand<string, 'OrganisationKey'>;
 /** Name of a route. */
 export type RouteName = Brand<string, 'RouteName'>;
--- a/core/types/src/instance.ts
+++ b/core/types/src/instance.ts
@@ -17,3 +17,13 @@
 	/** Listener for operators. */
 	readonly operators: Endpoint;
 }
+
+/** Capacity of an instance, as its settings state it. */
+export interface InstanceCapacity {
+	/** Number of processor cores; may be a fraction. */
+	readonly cores: number;
+	/** Rate of its network link in each direction, in megabits per second. */
+	readonly linkMbps: number;
+	/** Memory of its machine, in megabytes; undefined: not stated. */
+	readonly memoryMb?: number;
+}
--- a/core/types/src/refusal.ts
+++ b/core/types/src/refusal.ts
@@ -25,8 +25,8 @@
 /** Media type of a problem document. */
 export const PROBLEM_MEDIA_TYPE = 'application/problem+json';
 
-/** Statuses that guarantee a caller on the users' platform that its request was not executed. */
-const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Statuses that guarantee a caller on the users' platform that its request was not executed, and 401, since a caller whose key was rejected assumes the same. */
+const notRunStatuses: ReadonlySet<number> = new Set([401, 408, 421, 429, 503]);
 
 /** Returns the reason, replaced by `backend-failed` if its status guarantees that the request was not executed although it may have been. */
 export function reasonForExecution({reason, execution}: Pick<Refusal, 'reason' | 'execution'>): RefusalReason {
@@ -42,11 +42,17 @@
 	'body-too-large': 413,
 	'body-too-slow': 408,
 	'configuration-missing': 503,
+	unauthorised: 401,
+	'quota-exceeded': 429,
+	'quota-unavailable': 503,
 	'instance-leaving': 503,
 	'instance-full': 503,
 	'caller-share-exceeded': 429,
 	'queue-full': 503,
 	'queue-timeout': 503,
+	'deadline-unreachable': 503,
+	'capacity-short': 503,
+	'organisation-share-exceeded': 503,
 	'no-backend-server': 503,
 	'region-headroom-exhausted': 503,
 	'link-capacity-exhausted': 503,
--- a/core/types/src/registered-server.ts
+++ b/core/types/src/registered-server.ts
@@ -25,4 +25,8 @@
 	readonly running: number;
 	readonly waiting: number;
 	readonly slots: number;
+	/** Momentary speed, stated as the time that work takes now as a multiple of the usual time (2: half as fast); absent when the server does not report it. */
+	readonly workFactor?: number;
+	/** Text of the report after these values that is malformed and was ignored; absent when there was none. */
+	readonly ignoredText?: string;
 }
--- a/core/types/src/routes.ts
+++ b/core/types/src/routes.ts
@@ -1,4 +1,5 @@
 /** Routes from callers' requests to services, as operators publish them on the users' platform. */
+import type {Organisation} from './organisations.js';
 import type {RegionName, RouteName, ServiceName} from './ids.js';
 
 /** How often a request of a route may be executed: any number of times, or at most once. */
@@ -32,6 +33,10 @@
 	readonly prefersWarmServers: boolean;
 	/** Regions that may execute and store the requests; empty: all. */
 	readonly homeRegions: readonly RegionName[];
+	/** Whether callers need no key although the configuration has organisations. */
+	readonly isPublic: boolean;
+	/** Whether requests have large bodies. */
+	readonly isUpload: boolean;
 }
 
 /** A service that is the target of routes. */
@@ -61,4 +66,8 @@
 	readonly routes: readonly Route[];
 	readonly services: readonly RoutedService[];
 	readonly limits: CallerLimits;
+	/** Organisations to which callers belong; undefined: callers are not authenticated. */
+	readonly organisations: readonly Organisation[] | undefined;
+	/** Messages for the log about values that are unknown to this build or unreadable, and that it handles in the safe way. */
+	readonly warnings: readonly string[];
 }
--- a/steering/routes/test/routes.test.ts
+++ b/steering/routes/test/routes.test.ts
@@ -14,7 +14,7 @@
 	targets: [{service: 'one' as ServiceName, weight: 1}],
 	maxServers: 2,
 	prefersWarmServers: false,
-	homeRegions: [],
+	homeRegions: [], isPublic: false, isUpload: false,
 });
 
 const table = new RouteTable([
