--- /dev/null
+++ b/calls/loads/src/load-listener.ts
@@ -0,0 +1,51 @@
+/** HTTP endpoint at which instances report loads to the collector of their region: `POST /server-loads`. */
+import type {IncomingMessage, RequestListener} from 'node:http';
+import {readPeerBody} from '@pomelopick/calls.live';
+import type {CodedError} from '@pomelopick/core.types';
+import {decodeLoadReport, encodeLoadAnswer} from './load-messages.js';
+import type {LoadAnswer, LoadReport} from './load-messages.js';
+
+/** Path of the reports. */
+export const LOADS_PATH = '/server-loads';
+
+/** Maximum size of a report, in bytes. */
+const MAX_BYTES = 1_048_576;
+
+/** Options of {@link createLoadListener}. */
+export interface LoadListenerOptions {
+	/** Records a report; returns what its sender is answered. */
+	readonly receive: (report: LoadReport) => LoadAnswer;
+	/** Called for each malformed report. */
+	readonly onMalformed: (error: CodedError) => void;
+}
+
+/** Creates the listener; it responds 400 to a malformed report, and names what is wrong with it. */
+export function createLoadListener({receive, onMalformed}: LoadListenerOptions): RequestListener {
+	return async (request, response) => {
+		const fault = findFault(request);
+		if (fault !== undefined) {
+			response.writeHead(400, {connection: 'close'}).end(fault);
+			return;
+		}
+
+		try {
+			decodeLoadReport(await readPeerBody(request)).ifLeft(error => {
+				onMalformed(error);
+				response.writeHead(400).end(error.message);
+			}).ifRight(report => {
+				response.writeHead(200, {'content-type': 'application/json'}).end(encodeLoadAnswer(receive(report)));
+			});
+		} catch (error) {
+			onMalformed({code: 'load-report-broken', message: (error as Error).message});
+		}
+	};
+}
+
+/** Why the body of a request is not read; undefined if it is. */
+function findFault({method, headers: {'content-length': length}}: IncomingMessage): string | undefined {
+	if (method !== 'POST') {
+		return `method: expected POST, found ${method}`;
+	}
+
+	return Number(length) <= MAX_BYTES ? undefined : `content-length: expected at most ${MAX_BYTES} bytes, found ${length ?? 'none'}`;
+}
--- a/steering/limits/src/index.ts
+++ b/steering/limits/src/index.ts
@@ -4,3 +4,5 @@
 export * from './retry-window.js';
 export * from './fleet-rate-limits.js';
 export * from './owner-candidates.js';
+export * from './byte-shares.js';
+export * from './overload.js';
