--- a/steering/lookup/test/directory-instances.test.ts
+++ b/steering/lookup/test/directory-instances.test.ts
@@ -3,7 +3,9 @@
 import {chooseDirectoryInstances} from '@pomelopick/steering.lookup';
 import type {FailureDomainName, RegionName} from '@pomelopick/core.types';
 
-const instance = (id: string, region: string) => ({id, failureDomain: `${region}-a` as FailureDomainName, region: region as RegionName});
+const instance = (id: string, region: string, isFull = false) => ({
+	id, failureDomain: `${region}-a` as FailureDomainName, region: region as RegionName, isFull,
+});
 const all = [instance('n2', 'north'), instance('n1', 'north'), instance('s1', 'south'), instance('w1', 'west')];
 
 const cases: ReadonlyArray<{name: string; instances: typeof all; region: string; homes: readonly string[][]; expected: readonly string[]}> = [
@@ -22,6 +24,12 @@
 	{
 		name: 'all when the routes of the host allow no common region', instances: all, region: 'east', homes: [['south'], ['west']], expected: ['n1', 'n2', 's1', 'w1'],
 	},
+	{
+		name: 'those that are not full', instances: [instance('n1', 'north', true), instance('n2', 'north')], region: 'north', homes: [], expected: ['n2'],
+	},
+	{
+		name: 'full ones of the caller\'s region rather than others when all of it are full', instances: [instance('n1', 'north', true), instance('s1', 'south')], region: 'north', homes: [], expected: ['n1'],
+	},
 	{
 		name: 'none when there are no instances', instances: [], region: 'north', homes: [], expected: [],
 	},
@@ -30,7 +38,9 @@
 describe('chooseDirectoryInstances', () => {
 	for (const {name, instances, region, homes, expected} of cases) {
 		it(`returns ${name}`, () => {
-			assert.deepEqual(chooseDirectoryInstances({instances, region: region as RegionName, homeRegions: homes as RegionName[][]}).map(({id}) => id), expected);
+			assert.deepEqual(chooseDirectoryInstances({
+				instances, region: region as RegionName, homeRegions: homes as RegionName[][], callerKey: '10.0.0.1',
+			}).map(({id}) => id), expected);
 		});
 	}
 });
--- a/steering/objects/src/object-placer-types.ts
+++ b/steering/objects/src/object-placer-types.ts
@@ -5,6 +5,18 @@
 import type {
 	KnownServer, ObservationTable, ServerStart, ServerTable,
 } from '@pomelopick/steering.servers';
+import type {PlacementRefusal} from './placement-refusal.js';
+import type {RegionShares} from './region-plan.js';
+
+/** New shares of the requests of this region's callers by region, and what they respond to. */
+export interface SharesChange {
+	readonly service: ServiceName;
+	readonly shares: RegionShares;
+	/** Usable slots by region. */
+	readonly slots: ReadonlyMap<RegionName, number>;
+	/** Measured requests in flight for each slot by region; absent where it is not known. */
+	readonly loads: ReadonlyMap<RegionName, number>;
+}
 
 /** Options of {@link ObjectPlacer}. */
 export interface ObjectPlacerOptions {
@@ -28,8 +40,38 @@
 	readonly mayTakeRate: (options: {readonly known: KnownServer; readonly mayAsk: boolean; readonly nowMs: number}) => boolean;
 	/** Monotonic time at which a server that names a rate limit may get another request of this instance, in milliseconds; undefined for other servers. */
 	readonly rateClosedUntilMs: (known: KnownServer) => number | undefined;
+	/** Whether the requests for all services are spread over the regions, also where servers report no work factor; not by default. */
+	readonly spreadsAll?: () => boolean;
+	/** Called when the shares by which a service is spread over the regions have changed noticeably. */
+	readonly onSharesChanged?: (change: SharesChange) => void;
 }
 
+/** Expected times of a request at a server, from responses to recent requests of its route. */
+export interface ReliableTimes {
+	/** Expected wait for a slot, in milliseconds. */
+	readonly waitMs: number;
+	/** Expected time of the work, in milliseconds. */
+	readonly workMs: number;
+}
+
+/** What an admission decision knows about a request at the server that was chosen for it. */
+export interface PlacementEstimate {
+	/** Expected wait for a slot of the server, in milliseconds. */
+	readonly waitMs: number;
+	/** Expected time at the server, including the wait, in milliseconds. */
+	readonly expectedMs: number;
+	/** Time from which on the placer refuses to wait, in milliseconds. */
+	readonly maxWaitMs: number;
+	/** Undefined: the expected times are unknown or doubtful. */
+	readonly reliableTimes: ReliableTimes | undefined;
+}
+
+/**
+ * Why a request went elsewhere than to the first server of its region in the ranking: by the region's shares, because the
+ * first server is above its share of the load, or because the object is divided among several servers.
+ */
+export type UnevenDecision = 'other-region' | 'passed-on' | 'divided';
+
 /** Options of {@link ObjectPlacer.place}. */
 export interface PlaceObjectOptions {
 	readonly route: Route;
@@ -42,6 +84,8 @@
 	readonly mayAsk?: boolean;
 	/** Monotonic time after which a response is no longer of use, in milliseconds. */
 	readonly deadlineMs: number;
+	/** Decides whether the request is refused although a server was found; undefined: it is not. */
+	readonly admit?: ((estimate: PlacementEstimate) => PlacementRefusal | undefined) | undefined;
 	/** Monotonic time, in milliseconds. */
 	readonly nowMs: number;
 }
@@ -55,6 +99,8 @@
 	readonly waitMs: number;
 	/** Expected time at the server, including the wait, in milliseconds. */
 	readonly expectedMs: number;
+	/** Work factor of the server that the expected time includes: time of work as a multiple of the usual time. */
+	readonly workFactor: number;
 }
 
 /** Options of {@link ObjectPlacer.recordAnswer}. */
@@ -62,6 +108,8 @@
 	readonly placement: ObjectPlacement;
 	/** Time from sending the request to its response, in milliseconds. */
 	readonly heldMs: number;
+	/** Work factor that the server reported with the response: time of work as a multiple of the usual time; 1 if absent. */
+	readonly workFactor?: number | undefined;
 	/** Monotonic time, in milliseconds. */
 	readonly nowMs: number;
 }
--- a/steering/objects/src/object-placer.ts
+++ b/steering/objects/src/object-placer.ts
@@ -14,50 +14,48 @@
 import type {Either} from 'purify-ts';
 import type {BackendServerName, Route, ServiceName} from '@pomelopick/core.types';
 import type {KnownServer, ServerObservations} from '@pomelopick/steering.servers';
+import {evaluateCandidate, findBest, toRouteObject} from './candidates.js';
+import type {AvailableServer, AvailableServers, Candidate} from './candidates.js';
+import {DecisionCounts} from './decision-counts.js';
 import {LoadEstimates} from './load-estimates.js';
 import {RankingCache} from './object-ranking.js';
 import type {ObjectRanking, RegionRanking} from './object-ranking.js';
 import type {
-	ObjectPlacement, ObjectPlacerOptions, PlaceObjectOptions, RecordAnswerOptions,
+	ObjectPlacement, ObjectPlacerOptions, PlaceObjectOptions, RecordAnswerOptions, UnevenDecision,
 } from './object-placer-types.js';
-import {maxWaitMs, refuseLongWait, refuseWithoutServer} from './placement-refusal.js';
-import type {PlacementRefusal, ServerClosure} from './placement-refusal.js';
+import {
+	findClosure, maxWaitMs, refuseLongWait, refuseWithoutServer,
+} from './placement-refusal.js';
+import type {PlacementRefusal} from './placement-refusal.js';
 import {RecentObjects} from './recent-objects.js';
 import {RecentOutcomes} from './recent-outcomes.js';
 import {groupByRegion} from './region-groups.js';
+import type {RegionShares} from './region-plan.js';
+import type {ServiceSpread} from './service-spread.js';
 import type {WorkExpectation} from './work-expectation.js';
 
-/** Costs of a request to another failure domain, and to another region, in milliseconds: the delay and the traffic. */
-const OTHER_DOMAIN_COST_MS = 15;
+/** Cost of a request to another region, in milliseconds: the delay and the traffic. */
 const OTHER_REGION_COST_MS = 80;
-/** Cost of each position in the ranking, in milliseconds, so that all instances choose between equal servers in the same order. */
-const RANK_COST_MS = 0.5;
-/** Cost of a certain failure, as a multiple of the time of the work: the work is done again at another server. */
-const FAILURE_FACTOR = 2;
 /** Number of servers of a region that an object is sent to; further ones take over for those that are slow. */
 const SERVERS_PER_OBJECT = 1;
 /** Multiple of the expected time from which a server is considered slow. */
 const SLOW_FACTOR = 4;
-
-interface Candidate extends ObjectPlacement {
-	/** Lower tiers are preferred. 0: the cost is within the target latency of the route. 1: an idle server that has to load the object. 2: any other. */
-	readonly tier: number;
-	/** Expected time plus the costs of distance, failures and rank, in milliseconds; the lowest in a tier is preferred. */
-	readonly costMs: number;
-}
+/** Multiple of the expected time up to which a request counts towards the expectation of its route, where servers report their work factor: a few requests take much longer than all others. */
+const MAX_RECORDED_FACTOR = 3;
 
 interface ListCandidatesOptions extends PlaceObjectOptions {
 	/** Whether to include servers that are paused after failures. */
 	readonly includesPaused: boolean;
+	readonly spread: ServiceSpread;
+	readonly expectation: WorkExpectation;
+	/** Whether the request should go to the servers of its object. */
+	readonly prefersServer: boolean;
 }
 
-interface EvaluateServerOptions extends PlaceObjectOptions {
-	readonly known: KnownServer;
-	/** Position in the ranking of its region, from 0. */
-	readonly rank: number;
+interface EvaluateServerOptions extends AvailableServer {
+	readonly options: ListCandidatesOptions;
 	/** Cost of a request to the region of the server, in milliseconds. */
 	readonly regionCostMs: number;
-	readonly expectation: WorkExpectation;
 }
 
 /** Chooses servers for requests and updates its estimates from the responses. */
@@ -67,6 +65,7 @@
 	readonly #recent = new RecentObjects();
 	readonly #outcomes = new RecentOutcomes();
 	readonly #estimates: LoadEstimates;
+	readonly #decisions = new DecisionCounts();
 
 	constructor(options: ObjectPlacerOptions) {
 		this.#options = options;
@@ -78,18 +77,47 @@
 		return this.#estimates.spillShare(service);
 	}
 
+	/** Whether the servers of a service report their work factor. */
+	reportsWorkFactor(service: ServiceName): boolean {
+		return this.#estimates.spreadOf(service).isBounded;
+	}
+
+	/** Current shares of the requests of this region's callers by service and region, for the services that are spread. */
+	listRegionShares(): ReadonlyMap<ServiceName, RegionShares> {
+		return this.#estimates.listRegionShares();
+	}
+
+	/** Choices by the decision for uneven regions and servers that changed them. */
+	countDecisions(): ReadonlyMap<UnevenDecision, number> {
+		return this.#decisions.counts;
+	}
+
 	/** Chooses a server, or returns why there is none. */
 	place(options: PlaceObjectOptions): Either<PlacementRefusal, ObjectPlacement> {
-		const {service, route, deadlineMs, nowMs} = options;
-		const unpaused = this.#listCandidates({...options, includesPaused: false});
+		const {service, route, deadlineMs, admit, nowMs} = options;
+		const listOptions = {
+			...options,
+			includesPaused: false,
+			spread: this.#estimates.spreadOf(service),
+			expectation: this.#estimates.expectationOf(route),
+			prefersServer: route.prefersWarmServers && options.object !== undefined,
+		};
+		const unpaused = this.#listCandidates(listOptions);
 		// A server that failed recently is still better than none.
-		const candidates = unpaused.length > 0 ? unpaused : this.#listCandidates({...options, includesPaused: true});
+		const candidates = unpaused.length > 0 ? unpaused : this.#listCandidates({...listOptions, includesPaused: true});
 		if (candidates.length === 0) {
 			return Left(this.#refuseWithoutCandidate(options));
 		}
 
 		const best = findBest(candidates);
 		const maxMs = maxWaitMs({route, deadlineMs, nowMs});
+		const refusal = admit?.({
+			waitMs: best.waitMs, expectedMs: best.expectedMs, maxWaitMs: maxMs, reliableTimes: this.#estimates.findReliableTimes({route, placement: best, nowMs}),
+		});
+		if (refusal) {
+			return Left(refusal);
+		}
+
 		return best.waitMs < maxMs ? Right(best) : Left(refuseLongWait({service, waitMs: best.waitMs, maxMs}));
 	}
 
@@ -100,9 +128,16 @@
 	}
 
 	/** Updates the estimates from a response. */
-	recordAnswer({route, object, placement, heldMs, nowMs}: RecordAnswerOptions): void {
-		this.#outcomes.record({service: placement.known.server.service, outcome: 'answered', nowMs});
-		this.#estimates.expectationOf(route).record({isWarm: placement.isWarm, heldMs});
+	recordAnswer({route, object, placement, heldMs, workFactor = 1, nowMs}: RecordAnswerOptions): void {
+		const {service} = placement.known.server;
+		const {reportsWorkFactor} = this.#observationsOf(placement.known);
+		if (reportsWorkFactor) {
+			this.#estimates.spreadOf(service).recordWorkFactorReported();
+		}
+
+		this.#outcomes.record({service, outcome: 'answered', nowMs});
+		const maxMs = reportsWorkFactor ? placement.expectedMs / placement.workFactor * MAX_RECORDED_FACTOR : Number.POSITIVE_INFINITY;
+		this.#estimates.expectationOf(route).record({isWarm: placement.isWarm, heldMs: Math.min(heldMs / workFactor, maxMs)});
 		if (object !== undefined) {
 			this.#recent.record({server: placement.known.server.name, object: toRouteObject({route, object})});
 		}
@@ -114,32 +149,46 @@
 	}
 
 	#refuseWithoutCandidate({service, route, avoid, nowMs}: PlaceObjectOptions): PlacementRefusal {
-		const {servers, regions, region, random} = this.#options;
+		const {servers, regions, region, unavailableUntilMs, rateClosedUntilMs, random} = this.#options;
 		const isHome = ({server}: KnownServer): boolean => route.homeRegions.length === 0 || route.homeRegions.includes(regions.get(server.failureDomain) ?? region);
 		const untried = servers.listUsable(service).filter(known => isHome(known) && !avoid.has(known.server.name));
 		return refuseWithoutServer({
-			service, closures: untried.map(known => this.#findClosure({known, nowMs})), recent: this.#outcomes.record({service, outcome: 'refused', nowMs}), nowMs, random,
+			service,
+			closures: untried.map(known => findClosure({
+				known, unavailableUntilMs, rateClosedUntilMs, nowMs,
+			})),
+			recent: this.#outcomes.record({service, outcome: 'refused', nowMs}),
+			nowMs,
+			random,
 		});
 	}
 
-	/** Why a server takes no request of this instance at its own request, and until when; undefined when it did not ask for this. */
-	#findClosure({known, nowMs}: {readonly known: KnownServer; readonly nowMs: number}): ServerClosure | undefined {
-		const {unavailableUntilMs, rateClosedUntilMs} = this.#options;
-		const pausedUntilMs = unavailableUntilMs({server: known.server, nowMs});
-		if (pausedUntilMs !== undefined) {
-			return {untilMs: pausedUntilMs, cause: 'pause'};
+	#listCandidates(options: ListCandidatesOptions): readonly Candidate[] {
+		const {route: {homeRegions: homes}, spread, nowMs} = options;
+		const ranking = this.#rankingOf(options);
+		const allowed = homes.length === 0 ? ranking.regions : ranking.regions.filter(group => homes.includes(group.region));
+		const isSpread = spread.updateShares(nowMs);
+		return isSpread ? this.#listSpread({options, regions: spread.orderRegions(allowed)}) : this.#listNear({options, allowed, part: ranking.part});
+	}
+
+	/** Candidates for a service that is spread over the regions: the first region in the order that has any. */
+	#listSpread({options, regions}: {readonly options: ListCandidatesOptions; readonly regions: readonly RegionRanking[]}): readonly Candidate[] {
+		const {region} = this.#options;
+		for (const group of regions) {
+			const candidates = this.#evaluateRegion({options, group, regionCostMs: group.region === region ? 0 : OTHER_REGION_COST_MS});
+			if (candidates.length > 0) {
+				this.#decisions.record({decision: 'other-region', isTaken: group.region !== region});
+				return candidates;
+			}
 		}
 
-		const limitedUntilMs = rateClosedUntilMs(known);
-		return limitedUntilMs === undefined ? undefined : {untilMs: limitedUntilMs, cause: 'rate-limit'};
+		return [];
 	}
 
-	#listCandidates(options: ListCandidatesOptions): readonly Candidate[] {
+	/** Candidates for a service whose requests stay in their region while it has room. */
+	#listNear({options, allowed, part}: {readonly options: ListCandidatesOptions; readonly allowed: readonly RegionRanking[]; readonly part: number}): readonly Candidate[] {
 		const {region} = this.#options;
-		const {service, route, nowMs} = options;
-		const ranking = this.#rankingOf(options);
-		const homes = route.homeRegions;
-		const allowed = homes.length === 0 ? ranking.regions : ranking.regions.filter(group => homes.includes(group.region));
+		const {service, nowMs} = options;
 		const [otherRegion, ...furtherRegions] = allowed.filter(group => group.region !== region);
 		const ownRegion = allowed.find(group => group.region === region);
 		const ownCandidates = ownRegion ? this.#evaluateRegion({options, group: ownRegion, regionCostMs: 0}) : [];
@@ -149,7 +198,7 @@
 			spill.record({waitMs: best.waitMs, expectedMs: best.expectedMs - best.waitMs, nowMs});
 		}
 
-		const leavesRegion = ownCandidates.length === 0 || (otherRegion !== undefined && ranking.part < spill.share);
+		const leavesRegion = ownCandidates.length === 0 || (otherRegion !== undefined && part < spill.share);
 		const otherCandidates = leavesRegion && otherRegion ? this.#evaluateRegion({options, group: otherRegion, regionCostMs: OTHER_REGION_COST_MS}) : [];
 		if (otherCandidates.length > 0) {
 			// The servers of the own region are candidates too when the other region cannot respond in time.
@@ -161,23 +210,58 @@
 
 	/** Candidates for the object among the servers of one region. */
 	#evaluateRegion({options, group, regionCostMs}: {readonly options: ListCandidatesOptions; readonly group: RegionRanking; readonly regionCostMs: number}): readonly Candidate[] {
-		const {route, object} = options;
-		const expectation = this.#estimates.expectationOf(route);
-		const maxServers = route.prefersWarmServers && object !== undefined ? SERVERS_PER_OBJECT : group.servers.length;
-		const available: Array<{readonly known: KnownServer; readonly rank: number}> = [];
-		let fastServers = 0;
-		for (const [rank, {server}] of group.servers.entries()) {
-			const known = fastServers < maxServers ? this.#findAvailable({name: server.name, options}) : undefined;
+		const evaluate = (available: readonly AvailableServer[]): readonly Candidate[] => available.map(({known, rank}) => this.#evaluateServer({
+			options, known, rank, regionCostMs,
+		}));
+		const {withinBound, aboveBound} = this.#listAvailable({options, group});
+		if (withinBound.length === 0 || aboveBound.length === 0) {
+			return evaluate(withinBound.length > 0 ? withinBound : aboveBound);
+		}
+
+		return this.#choosePassedOn({kept: evaluate(aboveBound), passedOn: evaluate(withinBound)});
+	}
+
+	/** A server above its bound keeps the object as long as waiting there takes less time than loading the object elsewhere, which also takes capacity. */
+	#choosePassedOn({kept, passedOn}: {readonly kept: readonly Candidate[]; readonly passedOn: readonly Candidate[]}): readonly Candidate[] {
+		const isPassedOn = findBest(passedOn).costMs < findBest(kept).costMs;
+		this.#decisions.record({decision: 'passed-on', isTaken: isPassedOn});
+		return isPassedOn ? passedOn : kept;
+	}
+
+	/** Servers of a region that the request may go to, in the order in which the object prefers them. */
+	#listAvailable({options, group}: {readonly options: ListCandidatesOptions; readonly group: RegionRanking}): AvailableServers {
+		const {spread, prefersServer, nowMs} = options;
+		const maxServers = prefersServer ? SERVERS_PER_OBJECT : group.servers.length;
+		const aboveBound: AvailableServer[] = [];
+		const withinBound: AvailableServer[] = [];
+		let preferred = 0;
+		for (const [rank, {server}] of this.#orderServers({options, group}).entries()) {
+			const known = preferred < maxServers ? this.#findAvailable({name: server.name, options}) : undefined;
 			if (known) {
-				available.push({known, rank});
-				// Slow servers do not count, so that the next one in the ranking can take over.
-				fastServers += Number(this.#observationsOf(known).slownessAt(options.nowMs) < SLOW_FACTOR);
+				const isWithinBound = !spread.isBounded || spread.isWithinBound({known, nowMs});
+				(isWithinBound ? withinBound : aboveBound).push({known, rank});
+				// Slow servers and those above the bound do not count, so that the next one in the ranking can take over.
+				preferred += Number(isWithinBound && this.#observationsOf(known).slownessAt(nowMs) < SLOW_FACTOR);
 			}
 		}
 
-		return available.map(({known, rank}) => this.#evaluateServer({
-			...options, known, rank, expectation, regionCostMs,
-		}));
+		return {withinBound, aboveBound};
+	}
+
+	/**
+	 * Servers of a region in the order in which the request prefers them: that of their rank, but beginning with a random one
+	 * of the servers of a divided object, or of all servers for a request that prefers none.
+	 */
+	#orderServers({options, group}: {readonly options: ListCandidatesOptions; readonly group: RegionRanking}): readonly KnownServer[] {
+		const {route, object = '', spread, prefersServer, nowMs} = options;
+		if (!spread.isBounded) {
+			return group.servers;
+		}
+
+		const count = prefersServer ? spread.recordRequest({object: toRouteObject({route, object}), group, nowMs}) : group.servers.length;
+		const first = Math.floor(this.#options.random() * count);
+		this.#decisions.record({decision: 'divided', isTaken: prefersServer && first > 0});
+		return first === 0 ? group.servers : [...group.servers.slice(first, count), ...group.servers.slice(0, first), ...group.servers.slice(count)];
 	}
 
 	/** The server, if it may get the request now. */
@@ -192,27 +276,18 @@
 	}
 
 	/** Estimates the times and the cost of a request at a server. */
-	#evaluateServer({known, rank, regionCostMs, expectation, route, object, nowMs}: EvaluateServerOptions): Candidate {
+	#evaluateServer({options, known, rank, regionCostMs}: EvaluateServerOptions): Candidate {
+		const {route, object, spread, expectation, prefersServer, nowMs} = options;
 		const {server} = known;
 		const observations = this.#observationsOf(known);
 		const isWarm = !route.prefersWarmServers || (object !== undefined && (rank === 0 || this.#recent.has({server: server.name, object: toRouteObject({route, object})})));
-		const workMs = expectation.expectedMs(isWarm) * observations.slownessAt(nowMs);
-		const waitMs = this.#waitMs({
-			observations, slots: server.slots, workMs, nowMs,
+		const workFactor = observations.workFactorAt(nowMs);
+		const workMs = expectation.expectedMs(isWarm) * observations.slownessAt(nowMs) * workFactor;
+		const unbounded = (): number => prefersServer ? observations.estimateInFlight(nowMs) : observations.estimateForFreeChoice(nowMs);
+		const inFlight = spread.isBounded ? spread.estimateInFlight({known, nowMs}) : unbounded();
+		return evaluateCandidate({
+			known, rank, isWarm, workMs, workFactor, inFlight, failureShare: observations.failureShare, regionCostMs, isOtherDomain: server.failureDomain !== this.#options.failureDomain, targetLatencyMs: route.targetLatencyMs,
 		});
-		const domainMs = regionCostMs === 0 && server.failureDomain !== this.#options.failureDomain ? OTHER_DOMAIN_COST_MS : 0;
-		const failureMs = observations.failureShare * workMs * FAILURE_FACTOR;
-		const costMs = waitMs + workMs + regionCostMs + domainMs + failureMs + (rank * RANK_COST_MS);
-		const tier = costMs <= route.targetLatencyMs ? 0 : (isWarm || waitMs > 0 ? 2 : 1);
-		return {
-			known, isWarm, tier, waitMs, expectedMs: waitMs + workMs, costMs,
-		};
-	}
-
-	/** Expected wait for a slot of a server, in milliseconds. */
-	#waitMs({observations, slots, workMs, nowMs}: {readonly observations: ServerObservations; readonly slots: number; readonly workMs: number; readonly nowMs: number}): number {
-		const inFlight = observations.estimateInFlight(nowMs);
-		return inFlight < slots ? 0 : (inFlight - slots + 1) * workMs / slots;
 	}
 
 	#rankingOf({route, service, object = ''}: PlaceObjectOptions): ObjectRanking {
@@ -230,19 +305,3 @@
 		return this.#options.observations.get(server);
 	}
 }
-
-/** Key of an object of a route: servers keep the objects of each route separately. */
-function toRouteObject({route, object}: {readonly route: Route; readonly object: string}): string {
-	return `${route.name}\0${object}`;
-}
-
-function findBest(candidates: readonly Candidate[]): Candidate {
-	let best = candidates[0]!;
-	for (const candidate of candidates) {
-		if (candidate.tier < best.tier || (candidate.tier === best.tier && candidate.costMs < best.costMs)) {
-			best = candidate;
-		}
-	}
-
-	return best;
-}
--- a/steering/objects/src/object-ranking.ts
+++ b/steering/objects/src/object-ranking.ts
@@ -18,11 +18,14 @@
 /** Servers of one region, ranked for one object. */
 export class RegionRanking {
 	readonly region: RegionName;
+	/** Distance of the object from the region before weights; the region with the smallest distance over its weight is the object's. */
+	readonly distance: number;
 	readonly #group: RegionGroup;
 	readonly #keyHash: number;
 	#servers: readonly KnownServer[] | undefined;
 
-	constructor({group, keyHash}: {readonly group: RegionGroup; readonly keyHash: number}) {
+	constructor({group, keyHash, distance}: {readonly group: RegionGroup; readonly keyHash: number; readonly distance: number}) {
+		this.distance = distance;
 		this.region = group.region;
 		this.#group = group;
 		this.#keyHash = keyHash;
@@ -46,10 +49,13 @@
 /** Ranks regions and servers for an object. */
 export function rankObject({object, groups}: {readonly object: string; readonly groups: readonly RegionGroup[]}): ObjectRanking {
 	const keyHash = hashTextToNumber(object);
-	const scored = groups.map(group => ({group, score: weightedScore({key: `${object}\0${group.region}`, weight: group.slots})}));
+	const scored = groups.map(group => {
+		const distance = -Math.log(hashToFraction(`${object}\0${group.region}`));
+		return {group, distance, score: distance / Math.max(1, group.slots)};
+	});
 	scored.sort((left, right) => left.score - right.score);
 	return {
-		regions: scored.map(({group}) => new RegionRanking({group, keyHash})),
+		regions: scored.map(({group, distance}) => new RegionRanking({group, keyHash, distance})),
 		part: hashToFraction(`${object}\0part`),
 	};
 }
@@ -93,10 +99,6 @@
 	}
 }
 
-function weightedScore({key, weight}: {readonly key: string; readonly weight: number}): number {
-	return -Math.log(hashToFraction(key)) / Math.max(1, weight);
-}
-
 /** Hash of a text as a number between 0 and 1, both excluded. */
 function hashToFraction(text: string): number {
 	return (hashTextToNumber(text) + 1) / (HASH_RANGE + 2);
--- a/steering/objects/src/placement-refusal.ts
+++ b/steering/objects/src/placement-refusal.ts
@@ -1,5 +1,6 @@
 /** Refusals of requests for which no backend server is available, with the time after which the caller should retry. */
 import type {RefusalReason, Route, ServiceName} from '@pomelopick/core.types';
+import type {KnownServer, ServerStart} from '@pomelopick/steering.servers';
 import type {OutcomeCounts} from './recent-outcomes.js';
 
 /** Minimum retry time sent to a refused caller, in milliseconds. */
@@ -50,6 +51,28 @@
 	readonly cause: 'pause' | 'rate-limit';
 }
 
+/** Options of {@link findClosure}. */
+export interface FindClosureOptions {
+	/** Monotonic time until which a server asked for no requests, in milliseconds; undefined: it did not ask. */
+	readonly unavailableUntilMs: (options: {readonly server: ServerStart; readonly nowMs: number}) => number | undefined;
+	/** Monotonic time at which a server that names a rate limit may get another request of this instance, in milliseconds; undefined for other servers. */
+	readonly rateClosedUntilMs: (known: KnownServer) => number | undefined;
+	readonly known: KnownServer;
+	/** Monotonic time, in milliseconds. */
+	readonly nowMs: number;
+}
+
+/** Why a server takes no request of this instance at its own request, and until when; undefined when it did not ask for this. */
+export function findClosure({known, unavailableUntilMs, rateClosedUntilMs, nowMs}: FindClosureOptions): ServerClosure | undefined {
+	const pausedUntilMs = unavailableUntilMs({server: known.server, nowMs});
+	if (pausedUntilMs !== undefined) {
+		return {untilMs: pausedUntilMs, cause: 'pause'};
+	}
+
+	const limitedUntilMs = rateClosedUntilMs(known);
+	return limitedUntilMs === undefined ? undefined : {untilMs: limitedUntilMs, cause: 'rate-limit'};
+}
+
 /** Options of {@link refuseWithoutServer}. */
 export interface RefuseWithoutServerOptions {
 	readonly service: ServiceName;
--- a/steering/objects/test/object-placer.test.ts
+++ b/steering/objects/test/object-placer.test.ts
@@ -1,53 +1,14 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {groupByRegion, ObjectPlacer, rankObject} from '@pomelopick/steering.objects';
-import type {ObjectPlacement} from '@pomelopick/steering.objects';
-import {ObservationTable, ServerTable} from '@pomelopick/steering.servers';
-import type {InFlightRequest} from '@pomelopick/steering.servers';
-import type {
-	BackendServerName, FailureDomainName, RegionName, RegisteredServer, Route, RouteName, ServiceName,
-} from '@pomelopick/core.types';
+import {groupByRegion, rankObject} from '@pomelopick/steering.objects';
+import type {ObjectPlacement, ObjectPlacer, PlacementEstimate} from '@pomelopick/steering.objects';
+import type {InFlightRequest, ObservationTable, ServerTable} from '@pomelopick/steering.servers';
+import type {BackendServerName, FailureDomainName, RegionName} from '@pomelopick/core.types';
+import {
+	createPlacer, createServers, route, service, SLOTS,
+} from './fixture.js';
 
-const service = 'ledger' as ServiceName;
 const regions = new Map([['north-a', 'north'], ['north-b', 'north'], ['south-a', 'south'], ['south-b', 'south']]) as unknown as ReadonlyMap<FailureDomainName, RegionName>;
-const SLOTS = 4;
-
-const route: Route = {
-	name: 'read' as RouteName,
-	host: 'a',
-	prefix: '/',
-	repeatability: 'idempotent',
-	timeoutMs: 1500,
-	targetLatencyMs: 400,
-	priority: 1,
-	targets: [{service, weight: 1}],
-	maxServers: 2,
-	prefersWarmServers: true,
-	homeRegions: [],
-};
-
-function createServers(counts: Readonly<Record<string, number>>): ServerTable {
-	const table = new ServerTable();
-	for (const [failureDomain, count] of Object.entries(counts)) {
-		for (let number = 0; number < count; number += 1) {
-			const server: RegisteredServer = {
-				name: `${failureDomain}-${number}` as BackendServerName,
-				service,
-				address: '10.0.0.1',
-				port: 80,
-				failureDomain: failureDomain as FailureDomainName,
-				slots: SLOTS,
-				state: 'ready',
-				warmupLeftMs: 0,
-				startedAtMs: 1,
-				heartbeat: 1,
-			};
-			table.write({server, nowMs: 0});
-		}
-	}
-
-	return table;
-}
 
 interface Fixture {
 	readonly placer: ObjectPlacer;
@@ -59,19 +20,13 @@
 }
 
 function createFixture(counts: Readonly<Record<string, number>>): Fixture {
-	const servers = createServers(counts);
-	const observations = new ObservationTable();
 	const closedUntilMs = new Map<BackendServerName, number>();
-	const placer = new ObjectPlacer({
-		servers,
-		observations,
-		failureDomain: 'north-a' as FailureDomainName,
-		region: 'north' as RegionName,
+	const {placer, servers, observations} = createPlacer({
+		counts,
 		regions,
 		mayTakeRate: ({known, nowMs}) => known.coldUntilMs <= nowMs,
-		rateClosedUntilMs: () => undefined,
 		unavailableUntilMs: ({server}) => closedUntilMs.get(server.name),
-		isUnreachable: () => false, random: () => 0.5,
+		random: () => 0.5,
 	});
 	return {
 		placer, servers, observations, closedUntilMs, place({object = 'x', homes = [], avoid = [], nowMs = 0} = {}) {
@@ -131,6 +86,43 @@
 		assert.ok((refusal?.retryAfterMs ?? 0) >= 200);
 	});
 
+	it('tells the admission decision no reliable times before enough responses, and none from a single overdue request', () => {
+		const fixture = createFixture({'north-a': 1});
+		const estimates: PlacementEstimate[] = [];
+		const placement = fixture.place()!;
+		const admit = (estimate: PlacementEstimate): undefined => {
+			estimates.push(estimate);
+		};
+
+		const estimate = (nowMs: number): PlacementEstimate => {
+			fixture.placer.place({
+				route, service, object: 'x', avoid: new Set(), deadlineMs: nowMs + 1500, admit, nowMs,
+			});
+			return estimates.at(-1)!;
+		};
+
+		for (let answers = 0; answers < 5; answers += 1) {
+			assert.equal(estimate(0).reliableTimes, undefined);
+			fixture.placer.recordAnswer({
+				route, object: 'x', placement, heldMs: 200, nowMs: 0,
+			});
+		}
+
+		assert.deepEqual(estimate(0).reliableTimes, {waitMs: 0, workMs: 200});
+		addRequests(fixture, placement, 1);
+		const overdue = estimate(6000);
+		assert.ok(overdue.expectedMs > 1000, 'the server counts as slow');
+		assert.ok(Math.abs(overdue.reliableTimes!.workMs - 200) < 1);
+	});
+
+	it('returns the refusal of the admission decision', () => {
+		const refusal = {reason: 'deadline-unreachable', detail: 'no room', retryAfterMs: 700} as const;
+		const refused = createFixture({'north-a': 1}).placer.place({
+			route, service, object: 'x', avoid: new Set(), deadlineMs: 1500, admit: () => refusal, nowMs: 0,
+		});
+		assert.deepEqual(refused.swap().toMaybe().extract(), refusal);
+	});
+
 	it('sends nothing to a server that wants no requests, and uses the next one in the ranking at once', () => {
 		const fixture = createFixture(evenCounts);
 		const first = fixture.place()!;
--- a/testing/placement-model/src/figures.ts
+++ b/testing/placement-model/src/figures.ts
@@ -16,6 +16,14 @@
 	readonly medianMs: number;
 	/** Share of the runs at servers that did not have the object in memory, from 0 to 1. */
 	readonly coldShare: number;
+	/** Share of the sends that servers shed, from 0 to 1. */
+	readonly shedShare: number;
+	/** Runs of the busiest server as a multiple of the mean. */
+	readonly busiest: number;
+	/** Highest mean of a second of the requests in flight in a region as a multiple of its slots. */
+	readonly peakRegionLoad: number;
+	/** Largest share of a region's requests that changed their region from an interval of 2 s to the next. */
+	readonly maxShift: number;
 }
 
 /** One request that ended. */
@@ -27,8 +35,22 @@
 	readonly elapsedMs: number;
 }
 
+/** Options of {@link sumUp}. */
+export interface SumUpOptions extends Pick<PlayFigures, 'peakRegionLoad' | 'maxShift'> {
+	readonly ended: readonly EndedRequest[];
+	readonly runs: number;
+	readonly coldRuns: number;
+	readonly sheds: number;
+	/** Runs of the busiest server. */
+	readonly mostRuns: number;
+	/** Number of servers. */
+	readonly servers: number;
+}
+
 /** Sums a play up. */
-export function sumUp({ended, runs, coldRuns}: {readonly ended: readonly EndedRequest[]; readonly runs: number; readonly coldRuns: number}): PlayFigures {
+export function sumUp({
+	ended, runs, coldRuns, sheds, mostRuns, servers, peakRegionLoad, maxShift,
+}: SumUpOptions): PlayFigures {
 	const answered = ended.filter(({end}) => end === 'in-target' || end === 'late').map(({elapsedMs}) => elapsedMs).toSorted((left, right) => left - right);
 	const regions = [...new Set(ended.map(({region}) => region))];
 	return {
@@ -37,6 +59,10 @@
 		sharesByRegion: new Map(regions.map(name => [name, shareOut(ended.filter(({region}) => region === name))])),
 		medianMs: answered[Math.floor(answered.length / 2)] ?? 0,
 		coldShare: coldRuns / Math.max(1, runs),
+		shedShare: sheds / Math.max(1, sheds + runs),
+		busiest: mostRuns * servers / Math.max(1, runs),
+		peakRegionLoad,
+		maxShift,
 	};
 }
 
--- a/testing/placement-model/src/main.ts
+++ b/testing/placement-model/src/main.ts
@@ -1,4 +1,4 @@
-/** `npm run experiment:placement [-- SEED [LOAD…]]`: plays placements at several loads; prints a table, writes it and a plot to `results/`. */
+/** `npm run experiment:placement [-- SEED [uneven] [LOAD…]]`: plays placements at several loads; prints a table, writes it and a plot to `results/`. */
 import {mkdir, writeFile} from 'node:fs/promises';
 import process from 'node:process';
 import {formatTable} from '@pomelopick/core.table';
@@ -10,6 +10,10 @@
 import type {CreatePolicy} from './policy.js';
 import {renderPlot} from './render-plot.js';
 import type {PlotRow} from './render-plot.js';
+import {
+	createUnevenWorld, UNEVEN_COUNTED_FROM_MS, UNEVEN_DURATION_MS, UNEVEN_LOADS,
+} from './uneven-world.js';
+import type {World} from './world.js';
 import {
 	createHouseWorld, DEFAULT_LOADS, DURATION_MS, LEARNING_MS,
 } from './house-world.js';
@@ -26,13 +30,33 @@
 	'the product\'s': createObjectPolicy,
 };
 
-const [seedText = DEFAULT_SEED, ...loadTexts] = process.argv.slice(2);
+/** A deployment to play, and which part of a play is counted. */
+interface PlayedWorld {
+	readonly create: (load: number) => World;
+	readonly loads: readonly number[];
+	readonly durationMs: number;
+	readonly countedFromMs: number;
+}
+
+const worlds: Readonly<Record<'house' | 'uneven', PlayedWorld>> = {
+	house: {
+		create: createHouseWorld, loads: DEFAULT_LOADS, durationMs: DURATION_MS, countedFromMs: LEARNING_MS,
+	},
+	uneven: {
+		create: createUnevenWorld, loads: UNEVEN_LOADS, durationMs: UNEVEN_DURATION_MS, countedFromMs: UNEVEN_COUNTED_FROM_MS,
+	},
+};
+
+const [seedText = DEFAULT_SEED, ...furtherTexts] = process.argv.slice(2);
 const seed = Number(seedText);
-const loads = loadTexts.length > 0 ? loadTexts.map(Number) : DEFAULT_LOADS;
+const worldName = furtherTexts[0] === 'uneven' ? 'uneven' : 'house';
+const world = worlds[worldName];
+const loadTexts = furtherTexts.slice(worldName === 'uneven' ? 1 : 0);
+const loads = loadTexts.length > 0 ? loadTexts.map(Number) : world.loads;
 const percent = (share: number): string => (share * PERCENT).toFixed(1);
 
 function listCells(figures: PlayFigures): ReadonlyArray<string | number> {
-	const {requests, shares, medianMs, coldShare} = figures;
+	const {requests, shares, sharesByRegion, medianMs, coldShare, shedShare, busiest, peakRegionLoad, maxShift} = figures;
 	return [
 		requests,
 		percent(shares['in-target']),
@@ -41,6 +65,11 @@
 		percent(shares.failed),
 		Math.round(medianMs),
 		percent(coldShare),
+		percent(shedShare),
+		busiest.toFixed(2),
+		percent(Math.min(...[...sharesByRegion.values()].map(region => region['in-target'] + region.late))),
+		peakRegionLoad.toFixed(2),
+		maxShift.toFixed(3),
 		worthOf(figures).toFixed(3),
 	];
 }
@@ -48,16 +77,16 @@
 async function compare(): Promise<void> {
 	const rows: PlotRow[] = loads.flatMap(load => Object.entries(policies).map(([policy, createPolicy]) => ({
 		policy, load, figures: play({
-			world: createHouseWorld(load), createPolicy, seed, durationMs: DURATION_MS, countedFromMs: LEARNING_MS,
+			world: world.create(load), createPolicy, seed, durationMs: world.durationMs, countedFromMs: world.countedFromMs,
 		}),
 	})));
 	process.stdout.write(`seed ${seed}; load: work of all requests with their objects in memory, over the slots\n${formatTable({
-		columns: ['load', 'placement', 'requests', 'in target %', 'late %', 'refused %', 'failed %', 'median ms', 'cold runs %', 'worth'],
+		columns: ['load', 'placement', 'requests', 'in target %', 'late %', 'refused %', 'failed %', 'median ms', 'cold runs %', 'shed %', 'busiest', 'worst region %', 'peak load', 'shift', 'worth'],
 		rows: rows.map(({policy, load, figures}) => [load, policy, ...listCells(figures)]),
 	})}\n`);
 	await mkdir(RESULTS_DIRECTORY, {recursive: true});
-	await writeFile(`${RESULTS_DIRECTORY}/placement-${seed}.json`, `${JSON.stringify(rows, undefined, '\t')}\n`);
-	await writeFile(`${RESULTS_DIRECTORY}/placement-${seed}.svg`, renderPlot({rows, title: `requests answered in their target latency, seed ${seed}`}));
+	await writeFile(`${RESULTS_DIRECTORY}/placement-${worldName}-${seed}.json`, `${JSON.stringify(rows, undefined, '\t')}\n`);
+	await writeFile(`${RESULTS_DIRECTORY}/placement-${worldName}-${seed}.svg`, renderPlot({rows, title: `requests answered in their target latency, seed ${seed}`}));
 }
 
 if (Number.isSafeInteger(seed) && loads.every(load => load > 0)) {
--- a/testing/placement-model/src/model-server.ts
+++ b/testing/placement-model/src/model-server.ts
@@ -2,6 +2,7 @@
 import type {ServerLoad} from '@pomelopick/core.types';
 import type {Clock} from './clock.js';
 import type {RequestKind} from './request-kind.js';
+import type {SpeedPhases} from './speed-phases.js';
 
 /** Options of {@link ModelServer}. */
 export interface ModelServerOptions {
@@ -9,6 +10,8 @@
 	readonly queue: number;
 	readonly remembered: number;
 	readonly clock: Clock;
+	/** Momentary speed, which the server reports; undefined: it has the usual speed and does not report it. */
+	readonly speed?: SpeedPhases | undefined;
 }
 
 /** Options of {@link ModelServer.arrive}. */
@@ -30,14 +33,20 @@
 	#running = 0;
 	#coldRuns = 0;
 	#runs = 0;
+	#sheds = 0;
 
 	constructor(options: ModelServerOptions) {
 		this.#options = options;
 	}
 
-	/** Requests that were run, and those of them whose object was not in memory. */
-	get counts(): {readonly runs: number; readonly coldRuns: number} {
-		return {runs: this.#runs, coldRuns: this.#coldRuns};
+	/** Requests that were run, those of them whose object was not in memory, and requests that were shed. */
+	get counts(): {readonly runs: number; readonly coldRuns: number; readonly sheds: number} {
+		return {runs: this.#runs, coldRuns: this.#coldRuns, sheds: this.#sheds};
+	}
+
+	/** Requests that are running or waiting. */
+	get inFlight(): number {
+		return this.#running + this.#waiting.length;
 	}
 
 	/** Takes a request, or sheds it when the queue is full. */
@@ -48,18 +57,22 @@
 		} else if (this.#waiting.length < queue) {
 			this.#waiting.push(request);
 		} else {
+			this.#sheds += 1;
 			request.onEnd({kind: 'shed', load: this.#load});
 		}
 	}
 
 	get #load(): ServerLoad {
-		return {running: this.#running, waiting: this.#waiting.length, slots: this.#options.slots};
+		const {slots, speed, clock} = this.#options;
+		return {
+			running: this.#running, waiting: this.#waiting.length, slots, ...(speed && {workFactor: speed.factorAt(clock.nowMs)}),
+		};
 	}
 
 	#start(request: ArriveOptions): void {
-		const {clock} = this.#options;
+		const {clock, speed} = this.#options;
 		this.#running += 1;
-		const workMs = this.#workMs(request) * request.effort;
+		const workMs = this.#workMs(request) * request.effort * (speed?.factorAt(clock.nowMs) ?? 1);
 		clock.after(workMs, () => {
 			const load = this.#load;
 			this.#running -= 1;
--- a/testing/placement-model/src/play.ts
+++ b/testing/placement-model/src/play.ts
@@ -4,23 +4,29 @@
 import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
 import type {BackendServerName} from '@pomelopick/core.types';
 import {Clock} from './clock.js';
+import {drawPart, ObjectDraw} from './draw.js';
 import {sumUp} from './figures.js';
 import type {EndedRequest, PlayFigures} from './figures.js';
 import {ModelServer} from './model-server.js';
+import {RegionRecord} from './region-record.js';
 import {isPlaced} from './policy.js';
 import type {CreatePolicy, PlacementPolicy} from './policy.js';
 import type {RequestKind} from './request-kind.js';
+import {SpeedPhases} from './speed-phases.js';
 import type {ModelRegion, World} from './world.js';
 
 const MILLISECONDS_PER_SECOND = 1000;
-const DRAW_RANGE = 1_000_000_000;
 /** Sends of one request at most, those that servers shed included. */
 const MOST_SENDS = 3;
 /** Spread of the work of requests around its mean. */
 const LEAST_EFFORT = 0.75;
 const EFFORT_RANGE = 0.5;
-/** Seeds of the regions' loads lie apart by this much. */
+/** Differences between the seeds of successive regions, instances and servers, large enough that no two of them meet. */
 const SEED_STRIDE = 7919;
+const INSTANCE_SEED_STRIDE = 15_485_863;
+const SERVER_SEED_STRIDE = 104_729;
+/** Time between two samples of the requests in flight, in milliseconds. */
+const SAMPLE_INTERVAL_MS = 100;
 
 /** Options of {@link play}. */
 export interface PlayOptions {
@@ -53,16 +59,30 @@
 	readonly #servers: ReadonlyMap<BackendServerName, ModelServer>;
 	readonly #policies: ReadonlyMap<string, readonly PlacementPolicy[]>;
 	readonly #ended: EndedRequest[] = [];
+	#requests = 0;
+	#retries = 0;
+	readonly #regionOf: ReadonlyMap<BackendServerName, string>;
+	readonly #regions: RegionRecord;
+	readonly #objects: ReadonlyMap<string, ObjectDraw>;
 
 	constructor(options: PlayOptions) {
 		const {world, createPolicy, seed} = options;
-		const {slots, queue, remembered, regions} = world.options;
+		const {slots, queue, remembered, rememberedSpread = 0, regions, objectSkew = 0, slowPhases} = world.options;
 		this.#options = options;
 		this.#random = xoroshiro128plus(seed);
-		this.#servers = new Map(world.servers.map(({name}) => [name, new ModelServer({
-			slots, queue, remembered, clock: this.#clock,
-		})]));
-		this.#policies = new Map(regions.map(({name, instances}) => [name, Array.from({length: instances}, () => createPolicy({world, region: name}))]));
+		this.#regionOf = world.regionsOfServers;
+		this.#objects = new Map(regions.map(({name, objects}) => [name, new ObjectDraw({objects, skew: objectSkew})]));
+		this.#servers = new Map(world.servers.map(({name}, index) => {
+			const random = xoroshiro128plus(seed + ((index + 1) * SERVER_SEED_STRIDE));
+			const extra = Math.floor(drawPart(random) * (rememberedSpread + 1));
+			return [name, new ModelServer({
+				slots, queue, remembered: remembered + Math.min(rememberedSpread, extra), clock: this.#clock, speed: slowPhases && new SpeedPhases({phases: slowPhases, random}),
+			})];
+		}));
+		this.#regions = new RegionRecord({
+			slots: new Map(regions.map(({name, servers}) => [name, servers * slots])), countedFromMs: options.countedFromMs, outage: world.options.outage,
+		});
+		this.#policies = new Map(regions.map(({name, instances}) => [name, Array.from({length: instances}, (_, index) => createPolicy({world, region: name, seed: seed + ((index + 1) * INSTANCE_SEED_STRIDE)}))]));
 	}
 
 	play(): PlayFigures {
@@ -70,15 +90,54 @@
 			this.#scheduleArrival({region, load: xoroshiro128plus(this.#options.seed + ((index + 1) * SEED_STRIDE))});
 		}
 
+		this.#scheduleSample();
+		this.#scheduleOutage();
 		this.#clock.runAll();
 		const counts = [...this.#servers.values()].map(server => server.counts);
 		return sumUp({
 			ended: this.#ended,
 			runs: counts.reduce((sum, {runs}) => sum + runs, 0),
 			coldRuns: counts.reduce((sum, {coldRuns}) => sum + coldRuns, 0),
+			sheds: counts.reduce((sum, {sheds}) => sum + sheds, 0),
+			mostRuns: Math.max(...counts.map(({runs}) => runs)),
+			servers: counts.length,
+			peakRegionLoad: this.#regions.peakLoad,
+			maxShift: this.#regions.maxShift,
 		});
 	}
 
+	/** Samples the requests in flight in each region. */
+	#scheduleSample(): void {
+		if (this.#clock.nowMs + SAMPLE_INTERVAL_MS > this.#options.durationMs) {
+			return;
+		}
+
+		this.#clock.after(SAMPLE_INTERVAL_MS, () => {
+			for (const [name, server] of this.#servers) {
+				this.#regions.recordLoad({region: this.#regionOf.get(name)!, inFlight: server.inFlight});
+			}
+
+			this.#regions.endSample(this.#clock.nowMs);
+			this.#scheduleSample();
+		});
+	}
+
+	/** Tells all instances when the servers of a region are gone and when they are back. */
+	#scheduleOutage(): void {
+		const {outage} = this.#options.world.options;
+		if (!outage) {
+			return;
+		}
+
+		for (const [atMs, isUp] of [[outage.fromMs, false], [outage.untilMs, true]] as const) {
+			this.#clock.after(atMs, () => {
+				for (const policy of [...this.#policies.values()].flat()) {
+					policy.changeRegion?.({region: outage.region, isUp, nowMs: this.#clock.nowMs});
+				}
+			});
+		}
+	}
+
 	#scheduleArrival({region, load}: RegionLoad): void {
 		const pauseMs = -Math.log(drawPart(load)) * MILLISECONDS_PER_SECOND / region.requestsPerSecond;
 		if (this.#clock.nowMs + pauseMs > this.#options.durationMs) {
@@ -87,23 +146,24 @@
 
 		this.#clock.after(pauseMs, () => {
 			this.#scheduleArrival({region, load});
+			this.#requests += 1;
 			this.#ask({request: this.#drawRequest({region, load}), isReturn: false});
 		});
 	}
 
 	#drawRequest({region, load}: RegionLoad): CallerRequest {
 		let left = drawPart(load);
-		const {kinds} = this.#options.world.options;
+		const {kinds, hasSharedObjects = false, tail} = this.#options.world.options;
 		const kind = kinds.find(({share}) => {
 			left -= share;
 			return left <= 0;
 		}) ?? kinds[0]!;
 		return {
 			kind,
-			object: `${region.name} ${Math.ceil(drawPart(load) * region.objects)}`,
+			object: `${hasSharedObjects ? 'any' : region.name} ${this.#objects.get(region.name)!.draw(load)}`,
 			region,
 			arrivedAtMs: this.#clock.nowMs,
-			effort: LEAST_EFFORT + (drawPart(load) * EFFORT_RANGE),
+			effort: (LEAST_EFFORT + (drawPart(load) * EFFORT_RANGE)) * (tail && drawPart(load) < tail.share ? tail.factor : 1),
 		};
 	}
 
@@ -131,12 +191,16 @@
 		}
 
 		const delayMs = this.#delayMs(request.region, placed.server);
+		if (sends === 1) {
+			this.#regions.recordSend({from: request.region.name, to: this.#regionOf.get(placed.server)!, nowMs: this.#clock.nowMs});
+		}
+
 		this.#clock.after(delayMs, () => {
 			this.#servers.get(placed.server)!.arrive({
 				kind, object, answerByMs, effort: request.effort, onEnd: ({kind: end, load}) => {
 					this.#clock.after(delayMs, () => {
 						placed.onEnd({end: end === 'answered' ? 'answered' : 'shed', load, nowMs: this.#clock.nowMs});
-						if (end === 'shed' && sends < MOST_SENDS) {
+						if (end === 'shed' && sends < MOST_SENDS && this.#takeRetry()) {
 							this.#send({...options, avoid: new Set([...avoid, placed.server]), sends: sends + 1});
 						} else {
 							this.#end({request, isAnswered: end === 'answered'});
@@ -147,9 +211,17 @@
 		});
 	}
 
+	/** Whether a request that was shed may be sent again. */
+	#takeRetry(): boolean {
+		const {retryShare = Number.POSITIVE_INFINITY} = this.#options.world.options;
+		const isAllowed = this.#retries < retryShare * this.#requests;
+		this.#retries += Number(isAllowed);
+		return isAllowed;
+	}
+
 	#delayMs(region: ModelRegion, server: BackendServerName): number {
 		const {nearMs, farMs} = this.#options.world.options;
-		return this.#options.world.serversOf(region.name).some(({name}) => name === server) ? nearMs : farMs;
+		return this.#regionOf.get(server) === region.name ? nearMs : farMs;
 	}
 
 	#refuse({request, isReturn, retryAfterMs}: SendOptions & {readonly retryAfterMs: number}): void {
@@ -184,11 +256,6 @@
 	readonly load: RandomGenerator;
 }
 
-/** Number above 0 and up to 1. */
-function drawPart(random: RandomGenerator): number {
-	return uniformInt(random, 1, DRAW_RANGE) / DRAW_RANGE;
-}
-
 interface SendOptions {
 	readonly request: CallerRequest;
 	readonly policy: PlacementPolicy;
--- a/testing/placement-model/src/policy.ts
+++ b/testing/placement-model/src/policy.ts
@@ -29,10 +29,12 @@
 export interface PlacementPolicy {
 	/** Chooses a server, or refuses. */
 	place(options: {readonly request: ModelRequest; readonly nowMs: number}): ModelPlacement | ModelRefusal;
+	/** Applies that the servers of a region are gone or have started again; absent: the policy does not learn of it. */
+	changeRegion?(options: {readonly region: string; readonly isUp: boolean; readonly nowMs: number}): void;
 }
 
-/** Creates the policy of an instance that stands in a region. */
-export type CreatePolicy = (options: {readonly world: World; readonly region: string}) => PlacementPolicy;
+/** Creates the policy of an instance that stands in a region; the seed is its own. */
+export type CreatePolicy = (options: {readonly world: World; readonly region: string; readonly seed: number}) => PlacementPolicy;
 
 /** Whether a choice is a server. */
 export function isPlaced(choice: ModelPlacement | ModelRefusal): choice is ModelPlacement {
--- a/testing/placement-model/src/world.ts
+++ b/testing/placement-model/src/world.ts
@@ -3,6 +3,7 @@
 	BackendServerName, FailureDomainName, RegionName, RegisteredServer, ServiceName,
 } from '@pomelopick/core.types';
 import type {RequestKind} from './request-kind.js';
+import type {SlowPhases} from './speed-phases.js';
 
 /** Name of the one service. */
 export const MODEL_SERVICE = 'model' as ServiceName;
@@ -29,6 +30,25 @@
 	readonly queue: number;
 	/** Pairs of kind and object that a server remembers, the most recently used ones. */
 	readonly remembered: number;
+	/** Pairs that some servers remember more than others, from 0 to this number; 0 if absent. */
+	readonly rememberedSpread?: number;
+	/** Exponent by which objects are requested unevenly; 0 if absent, which is evenly. */
+	readonly objectSkew?: number;
+	/** Whether the callers of all regions ask for the same objects; otherwise each region has its own. */
+	readonly hasSharedObjects?: boolean;
+	/** How servers slow down, and that they report their speed; absent: neither. */
+	readonly slowPhases?: SlowPhases;
+	/** Requests that take longer than others; absent: none. */
+	readonly tail?: {
+		/** Share of the requests, from 0 to 1. */
+		readonly share: number;
+		/** Multiple of the work. */
+		readonly factor: number;
+	};
+	/** Requests that servers shed and that may be sent again, as a share of all requests; unlimited if absent. */
+	readonly retryShare?: number;
+	/** Times at which the servers of a region are gone, in milliseconds. */
+	readonly outage?: {readonly region: string; readonly fromMs: number; readonly untilMs: number};
 	/** One-way delays inside a region and between two, in milliseconds. */
 	readonly nearMs: number;
 	readonly farMs: number;
@@ -62,6 +82,11 @@
 	serversOf(region: string): readonly RegisteredServer[] {
 		return this.servers.filter(({failureDomain}) => failureDomain === region as FailureDomainName);
 	}
+
+	/** Region of each server. */
+	get regionsOfServers(): ReadonlyMap<BackendServerName, string> {
+		return new Map(this.servers.map(({name, failureDomain}) => [name, failureDomain]));
+	}
 }
 
 /** Slot time that a second's requests need when every server has their objects in memory, over the slots that there are. */
