Count a further death of a server under the same known start

Cause: while the store is unavailable, two deaths of one server were merged into one whose period overlapped others, which ended the quarantine of the request at all instances. Change: a lost connection whose requests ran at least a second apart from those of the recorded death is a death of its own.

--- a/calls/quarantine/src/crash-records.ts
+++ b/calls/quarantine/src/crash-records.ts
@@ -47,6 +47,11 @@
  * milliseconds, are about the same crash.
  */
 const SAME_CRASH_MS = 250;
+/**
+ * Time between the spans of two crashes, in milliseconds, from which the lost connections of two instances show two
+ * crashes of a server, although both state the same start. It allows for clocks of instances that differ.
+ */
+const SEPARATE_CRASH_MS = 1000;
 const MAX_CRASHES = 1024;
 
 interface MutableCrash extends RecordedCrash {
@@ -87,7 +92,7 @@
 		const isSame = (known: RecordedCrash): boolean => startedAtMs !== undefined && known.startedAtMs !== undefined
 			? startedAtMs === known.startedAtMs
 			: Math.abs(known.atMs - atMs) < SAME_CRASH_MS;
-		return [...this.#byServer.get(server) ?? []].find(known => isSame(known) && !isLaterReport({report, known}));
+		return [...this.#byServer.get(server) ?? []].find(known => isSame(known) && !isAnotherCrash({report, known}));
 	}
 
 	/** Merges a report into the crash that it concerns, or records a new crash. */
@@ -144,17 +149,45 @@
 }
 
 /**
- * Whether an instance that has reported a crash of a server reports another one: a connection was lost, and none of its
- * requests was sent before the first crash. The start of a server may be that of the one before, as its entry in the
- * store is renewed late. All other evidence is about the start that it states, which ends once.
+ * Whether a report with the start of a recorded crash is about another crash: a connection was lost whose requests did
+ * not run at the time of the recorded one. The start of a server may be that of the one before, as its entry in the store
+ * is renewed late, and not at all while the store is unavailable. All other evidence is about the start that it states,
+ * which ends once; and a server that is only unreachable may be one that is lost later.
  */
-function isLaterReport({report: {origin, spans, evidence = 'connection-lost'}, known}: {readonly report: ServerCrash; readonly known: RecordedCrash}): boolean {
-	if (evidence !== 'connection-lost' || !known.reporters.has(origin)) {
+function isAnotherCrash({report, known}: {readonly report: ServerCrash; readonly known: RecordedCrash}): boolean {
+	if ((report.evidence ?? 'connection-lost') !== 'connection-lost') {
 		return false;
 	}
 
+	return known.reporters.has(report.origin) ? isLaterCrash({report, known}) : known.isConfirmed && isSeparateCrash({report, known});
+}
+
+/** Whether an instance that has reported a crash reports requests that it sent after it. */
+function isLaterCrash({report: {spans}, known}: {readonly report: ServerCrash; readonly known: RecordedCrash}): boolean {
 	const knownEndMs = Math.min(...[...known.suspects.values()].map(span => span?.toMs ?? Number.NEGATIVE_INFINITY));
 	return spans === undefined || spans.every(({fromMs}) => fromMs >= knownEndMs);
 }
 
+/** Whether the requests of another instance ran long before or after those of a recorded crash, whichever was reported first. */
+function isSeparateCrash({report: {spans = []}, known}: {readonly report: ServerCrash; readonly known: RecordedCrash}): boolean {
+	const one = periodOf(spans);
+	const other = periodOf([...known.suspects.values()]);
+	return one !== undefined && other !== undefined
+		&& (one.fromMs - other.toMs >= SEPARATE_CRASH_MS || other.fromMs - one.toMs >= SEPARATE_CRASH_MS);
+}
+
+/** Returns the period that includes all spans; undefined if there are none or one is unknown. */
+function periodOf(spans: ReadonlyArray<RunSpan | undefined>): RunSpan | undefined {
+	let period: RunSpan | undefined;
+	for (const span of spans) {
+		if (!span) {
+			return undefined;
+		}
+
+		period = mergeSpans(period, span);
+	}
+
+	return period;
+}
+
 const noCrashes: ReadonlySet<RecordedCrash> = new Set();
--- a/calls/quarantine/test/suspect-table.test.ts
+++ b/calls/quarantine/test/suspect-table.test.ts
@@ -158,6 +158,31 @@
 		quarantined: ['a', 'b'],
 		clear: [],
 	},
+	...[[0, 1, 2], [2, 1, 0]].map(order => ({
+		// Merged into the first crash, the third one overlapped the second, and the quarantine ended with it.
+		name: `a connection that another instance loses long after a crash, to a server whose start no instance knows yet, is another crash (reports in the order ${order.join(', ')})`,
+		steps: order.map(index => ({
+			server: index === 1 ? 's2' : 's1', suspects: ['a'], startedAtMs: 7, origin: `instance-${index}`, span: [index * 2000, (index * 2000) + 500] as const,
+		})),
+		quarantined: ['a'],
+		clear: [],
+	})),
+	{
+		name: 'a connection that another instance loses with requests that ran at the time of a crash is the same crash, even if reported late',
+		steps: [0, 900].map((fromMs, index) => ({
+			server: 's1', suspects: ['a'], startedAtMs: 7, origin: `instance-${index}`, span: [fromMs, fromMs + 500] as const, atMs: index * 5000,
+		})),
+		quarantined: [],
+		clear: [],
+	},
+	{
+		name: 'a connection that another instance loses later to an unreachable server is the same crash',
+		steps: (['unreachable', 'connection-lost'] as const).map((evidence, index) => ({
+			server: 's1', suspects: ['a'], startedAtMs: 7, origin: `instance-${index}`, span: [index * 3000, (index * 3000) + 500] as const, evidence,
+		})),
+		quarantined: [],
+		clear: [],
+	},
 	{
 		name: 'a restart that another instance reports later is the same crash as its unreachable server',
 		steps: ['s1', 's1', 's2'].map((server, index) => ({
