Handle odd status lines, line feeds and bytes after a response at the edge

Cause: a response with the status 000, and others that HTTP does not allow, reached callers as answers; slow readers and large uploads could exhaust the memory. Change: such responses count as failures of the server; one budget for bodies of requests and responses, with reservations; the parts of an exchange in modules of their own.

--- a/calls/connections/src/backend-connections.ts
+++ b/calls/connections/src/backend-connections.ts
@@ -191,6 +191,24 @@
 	}
 }
 
+/** Options of {@link checkOnConnection}. */
+export interface CheckOnConnectionOptions {
+	readonly connection: Connection;
+	readonly timeoutMs: number;
+	/** Called with the head of the response. */
+	readonly onHead: (head: ProbeResponseHead) => void;
+}
+
+/** Sends a health request on a connection that was lent and whose socket is connected; returns whether the server answered in time. Never rejects. */
+export async function checkOnConnection({connection, timeoutMs, onHead}: CheckOnConnectionOptions): Promise<boolean> {
+	const hasAnswered = await probe({
+		client: connection.client, path: HEALTH_PATH, timeoutMs, onHead,
+	});
+	connection.isChecked = hasAnswered;
+	connection.wasUsed ||= hasAnswered;
+	return hasAnswered;
+}
+
 /** Origin of a backend server. */
 export function originOf({address, port}: ConnectedServer): string {
 	return address.includes(':') ? `http://[${address}]:${port}` : `http://${address}:${port}`;
--- a/calls/connections/src/connection.ts
+++ b/calls/connections/src/connection.ts
@@ -30,6 +30,8 @@
 	readonly isOpen: boolean;
 	/** Whether the socket has carried a request before the current one, so that a further response to that may still arrive. */
 	wasUsed: boolean;
+	/** Whether the server has answered a health check on the current socket, so that the state of the process at its other end is known. */
+	isChecked: boolean;
 	/**
 	 * Whether the library may connect the socket when a request finds it closed, as for a probe. Otherwise it fails the request,
 	 * of which nothing has been sent, because its headers were made before it waited for the connection.
--- a/calls/connections/src/index.ts
+++ b/calls/connections/src/index.ts
@@ -1,4 +1,5 @@
 /** Connections to backend servers. */
 export * from './backend-connections.js';
 export type * from './connection.js';
-export type {HealthState} from './probe.js';
+export type {HealthState, ProbeResponseHead} from './probe.js';
+export * from './response-version.js';
--- a/calls/connections/src/probe.ts
+++ b/calls/connections/src/probe.ts
@@ -1,5 +1,12 @@
 /** Health request on one connection. */
 import type {Client, Dispatcher} from 'undici';
+import {readResponseVersion} from './response-version.js';
+
+/** Versions of HTTP/1. */
+const versions: ReadonlySet<string> = new Set(['1.0', '1.1']);
+/** Status codes of final responses (RFC 9110, section 15). */
+const MIN_STATUS = 200;
+const MAX_STATUS = 599;
 
 /** Status and headers of the health response. */
 export interface ProbeResponseHead {
@@ -15,7 +22,7 @@
 	readonly client: Client;
 	readonly path: string;
 	readonly timeoutMs: number;
-	/** Called with the head of the response. */
+	/** Called with the head of the response. Not called if the version is not HTTP/1 or the status is not that of a final response: such a response only shows that the server is reachable. */
 	readonly onHead?: (head: ProbeResponseHead) => void;
 }
 
@@ -33,7 +40,10 @@
 		const handler: Dispatcher.DispatchHandler = {
 			onRequestStart: ignore,
 			onResponseStart(_controller, status, headers) {
-				onHead?.({status, headers});
+				const version = readResponseVersion(client);
+				if (status >= MIN_STATUS && status <= MAX_STATUS && (version === undefined || versions.has(version))) {
+					onHead?.({status, headers});
+				}
 			},
 			onResponseData: ignore,
 			onResponseEnd() {
--- a/calls/connections/src/server-connections.ts
+++ b/calls/connections/src/server-connections.ts
@@ -215,6 +215,7 @@
 			lastReceivedAtMs: now(),
 			lentAtMs: now(),
 			wasUsed: false,
+			isChecked: false,
 			connectsByItself: true,
 			wasReset: false,
 			isUnframed: false,
@@ -222,6 +223,7 @@
 		let isCounted = false;
 		client.on('connect', () => {
 			connection.wasUsed = false;
+			connection.isChecked = false;
 			connection.openedAtMs = now();
 			this.#openCount += isCounted ? 0 : 1;
 			isCounted = true;
--- a/calls/forwarding/src/call-handler.ts
+++ b/calls/forwarding/src/call-handler.ts
@@ -133,7 +133,7 @@
 		const startedAtMs = now();
 		const timeoutMs = parameters.timeoutMs ?? service.defaultTimeoutMs;
 		const body = await readBody({
-			request, maxBytes: limits.bodyBytes, maxBufferedBytes: isKeyed(request) ? BUFFERED_KEYED_BYTES : BUFFERED_BODY_BYTES, timeoutMs, tryReserve: reservation.tryReserve,
+			request, maxBytes: limits.bodyBytes, maxBufferedBytes: isKeyed(request) ? BUFFERED_KEYED_BYTES : BUFFERED_BODY_BYTES, timeoutMs, tryReserve: bytes => reservation.tryReserve(bytes),
 		});
 		if (body.isLeft()) {
 			this.#refuse({response, id, refusal: qualifyKeyedRefusal({request, refusal: body.extract()})});
--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -1,12 +1,14 @@
 /** Sends one request to a backend server and receives its response, on a connection that nothing else uses meanwhile. */
-import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
 import {errors} from 'undici';
 import type {Dispatcher} from 'undici';
 import {
 	Either, EitherAsync, Left, Right,
 } from 'purify-ts';
+import {readResponseVersion} from '@pomelopick/calls.connections';
 import type {Execution} from '@pomelopick/core.types';
+import {executionOf, toFailure} from './exchange-failure.js';
+import {ResponseBuffer} from './response-buffer.js';
 import {ResponseForwarder} from './response-forwarder.js';
 import type {
 	ResponseHead, AttemptResponse, AttemptFailure, AttemptFailureKind,
@@ -14,7 +16,7 @@
 import {isUnanswered} from './is-unanswered.js';
 import {endToEndHeaders} from './call-headers.js';
 import type {ExchangeOptions} from './exchange-options.js';
-import {findMismatch, readFraming} from './response-head.js';
+import {findHeadFault, findMismatch, readFraming} from './response-head.js';
 
 /** One request and its response. The result is resolved once. */
 export class Exchange implements Dispatcher.DispatchHandler {
@@ -30,12 +32,12 @@
 	#isReopenable = false;
 	#interimResponses = 0;
 	#head: ResponseHead | undefined;
-	#bufferedPieces: Uint8Array[] = [];
-	#bufferedBytes = 0;
+	readonly #buffer: ResponseBuffer;
 	#forwarder: ResponseForwarder | undefined;
 
 	constructor(options: ExchangeOptions) {
 		this.#options = options;
+		this.#buffer = new ResponseBuffer(options);
 		this.result = new Promise(resolve => {
 			this.#resolve = resolve;
 		});
@@ -62,7 +64,7 @@
 		connection.connectsByItself = false;
 		if (connection.isOpen) {
 			this.#isReopenable = true;
-			this.#dispatch();
+			this.#checkAndDispatch({isNew: false});
 		} else {
 			void this.#connectAndDispatch();
 		}
@@ -93,6 +95,12 @@
 
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
 		this.#recordActivity();
+		const fault = findHeadFault({status, version: readResponseVersion(this.#options.lease.connection.client)});
+		if (fault !== undefined) {
+			this.abort({kind: 'mismatched', detail: fault});
+			return;
+		}
+
 		if (status < 200) {
 			this.#recordInterim();
 			return;
@@ -115,23 +123,20 @@
 			return;
 		}
 
-		if (hasBody && Number(headers['content-length'] ?? 0) > this.#options.maxBufferedBytes) {
-			this.#startForwarding();
-		}
+		this.#buffer.expect(hasBody ? Number(headers['content-length'] ?? 0) : 0);
+		this.#forwardIfLarge();
 	}
 
 	onResponseData(_controller: Dispatcher.DispatchController, piece: Uint8Array): void {
 		this.#recordActivity();
+		this.#options.reservation?.hold(piece.length);
 		if (this.#forwarder) {
 			this.#forwarder.write(piece);
 			return;
 		}
 
-		this.#bufferedPieces.push(piece);
-		this.#bufferedBytes += piece.length;
-		if (this.#bufferedBytes > this.#options.maxBufferedBytes) {
-			this.#startForwarding();
-		}
+		this.#buffer.add(piece);
+		this.#forwardIfLarge();
 	}
 
 	onResponseEnd(): void {
@@ -163,11 +168,7 @@
 
 	#failBy(error: Error & {code?: string}): void {
 		this.#release({isReusable: false});
-		const detail = `${error.code ?? error.name}: ${error.message}`;
-		const kind = this.#head ? 'truncated' : (this.mayHaveRun ? 'failed' : 'connect-failed');
-		this.#fail({
-			kind, execution: this.#execution, detail, ...(lostConnectionCodes.has(error.code ?? '') && {isConnectionLost: true}),
-		});
+		this.#fail(toFailure({error, mayHaveRun: this.mayHaveRun, status: this.#head?.status}));
 	}
 
 	async #connectAndDispatch(): Promise<void> {
@@ -179,13 +180,59 @@
 		opened.ifLeft(error => {
 			this.#failBy(error);
 		}).ifRight(() => {
-			this.#dispatch();
+			this.#checkAndDispatch({isNew: true});
 		});
 	}
 
+	/** Gives the request to the library, once the server has been checked on the connection if it must be. */
+	#checkAndDispatch({isNew}: {readonly isNew: boolean}): void {
+		const checking = this.#options.checkConnection?.({isNew});
+		if (checking) {
+			void this.#dispatchAfter(checking);
+		} else {
+			this.#dispatch();
+		}
+	}
+
+	async #dispatchAfter(checking: Promise<Either<Error, void>>): Promise<void> {
+		const {connection} = this.#options.lease;
+		const checked = await checking;
+		const mayCheckAgain = this.#isReopenable && !connection.isOpen;
+		if (this.#aborted) {
+			return;
+		}
+
+		if (checked.isLeft() && !mayCheckAgain) {
+			this.#failBy(checked.extract());
+			return;
+		}
+
+		if (checked.isLeft()) {
+			// The connection had been closed by the time of the check.
+			this.#isReopenable = false;
+			await this.#connectAndDispatch();
+			return;
+		}
+
+		// A server may close a connection after its answer; another one opened at once leads to the same process.
+		const opened = await EitherAsync.fromPromise(async () => connection.open());
+		if (!this.#aborted) {
+			opened.ifLeft(error => {
+				this.#failBy(error);
+			}).ifRight(() => {
+				this.#dispatch();
+			});
+		}
+	}
+
 	/** Gives the request to the library. An error that is thrown meanwhile ends this attempt alone. */
 	#dispatch(): void {
-		const {lease, method, path, headers, body} = this.#options;
+		const {lease, method, path, headers, body, mayStart} = this.#options;
+		if (mayStart?.() === false) {
+			this.abort({kind: 'cancelled', detail: 'the request may no longer be sent'});
+			return;
+		}
+
 		Either.encase(() => {
 			lease.connection.client.dispatch({
 				method, path, headers: headers(), body: body ?? null,
@@ -212,20 +259,11 @@
 			return;
 		}
 
-		const body = this.#bufferedPieces.length === 1 ? this.#bufferedPieces[0]! : Buffer.concat(this.#bufferedPieces);
-		const {status, headers} = this.#head;
-		this.#resolve(Right({
-			kind: 'whole', status, headers, body,
-		}));
+		this.#resolve(Right({kind: 'whole', ...this.#head, body: this.#buffer.toBytes()}));
 	}
 
 	get #execution(): Execution {
-		if (!this.mayHaveRun) {
-			return 'not-run';
-		}
-
-		const status = this.#head?.status ?? 0;
-		return status >= FIRST_SUCCESS && status <= LAST_SUCCESS ? 'ran' : 'unknown';
+		return executionOf({mayHaveRun: this.mayHaveRun, status: this.#head?.status});
 	}
 
 	/** Counts an interim response. A server that sends too many is not waited for until the deadline. */
@@ -255,11 +293,18 @@
 		}
 	}
 
+	#forwardIfLarge(): void {
+		if (this.#buffer.isTooLarge) {
+			this.#startForwarding();
+		}
+	}
+
 	#startForwarding(): void {
 		const {connection} = this.#options.lease;
 		const forwarder = new ResponseForwarder({
 			head: this.#head!,
-			bufferedPieces: this.#bufferedPieces,
+			bufferedPieces: this.#buffer.take(),
+			reservation: this.#options.reservation,
 			holdReading: () => {
 				if (!this.#isReleased) {
 					connection.holdReading();
@@ -271,7 +316,6 @@
 				}
 			},
 		});
-		this.#bufferedPieces = [];
 		this.#forwarder = forwarder;
 		this.#resolve(Right({
 			kind: 'partial', ...this.#head!, forward: async response => {
@@ -287,9 +331,5 @@
 	}
 }
 
-/** Codes of errors for which the other side or the network ended or refused a connection; others are errors of the protocol. */
-const lostConnectionCodes: ReadonlySet<string> = new Set(['UND_ERR_CONNECT_TIMEOUT', 'UND_ERR_SOCKET', 'ECONNREFUSED', 'ECONNRESET', 'EPIPE', 'ETIMEDOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
 /** Maximum number of interim responses (status 1xx) before a response. */
 const MAX_INTERIM_RESPONSES = 32;
-const FIRST_SUCCESS = 200;
-const LAST_SUCCESS = 299;
--- a/calls/forwarding/src/request-body.ts
+++ b/calls/forwarding/src/request-body.ts
@@ -11,6 +11,8 @@
 /** Time in which the buffered part must arrive, in milliseconds. */
 const BODY_TIMEOUT_MS = 10_000;
 const RETRY_AFTER_MS = 1000;
+/** Bytes that a body holds while it is streamed, besides its first part: a piece that is being received and one that is being sent. */
+const STREAMED_BODY_BYTES = 131_072;
 
 /** Body of a request. */
 export interface RequestBody {
@@ -37,6 +39,11 @@
 	readonly tryReserve: (bytes: number) => boolean;
 }
 
+/** Refusal of a body for which too few bytes are left. */
+const NO_ROOM: Refusal = {
+	reason: 'instance-full', execution: 'not-run', detail: 'this instance holds the maximum number of bytes of bodies', retryAfterMs: RETRY_AFTER_MS,
+};
+
 const emptyBody: RequestBody = {
 	start: new Uint8Array(), isComplete: true, content: undefined, streamRefusal: () => undefined,
 };
@@ -65,6 +72,10 @@
 			return Left(tooLarge({found: `more than ${maxBytes}`, maxBytes, execution: 'not-run'}));
 		}
 
+		if (!isWhole && !tryReserve(STREAMED_BODY_BYTES)) {
+			return Left(NO_ROOM);
+		}
+
 		return Right(isWhole ? {...emptyBody, start: bytes, content: bytes} : streamBody({request, start: bytes, maxBytes}));
 	});
 }
@@ -87,9 +98,7 @@
 
 		const onData = (piece: Uint8Array): void => {
 			if (!tryReserve(piece.length)) {
-				finish(Left({
-					reason: 'instance-full', execution: 'not-run', detail: 'this instance buffers the maximum number of request body bytes', retryAfterMs: RETRY_AFTER_MS,
-				}));
+				finish(Left(NO_ROOM));
 				return;
 			}
 
--- a/calls/forwarding/src/response-forwarder.ts
+++ b/calls/forwarding/src/response-forwarder.ts
@@ -4,12 +4,15 @@
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {ResponseHead, AttemptFailure} from './attempt-response.js';
+import type {ResponseReservation} from './buffer-budget.js';
 
 /** Options of {@link ResponseForwarder}. */
 export interface ResponseForwarderOptions {
 	readonly head: ResponseHead;
 	/** The part of the body that was received so far. */
 	readonly bufferedPieces: readonly Uint8Array[];
+	/** Bytes that the response holds; undefined: it is not read ahead of its caller. */
+	readonly reservation: ResponseReservation | undefined;
 	/** Stops reading from the backend server; pieces that were read before may still follow. */
 	readonly holdReading: () => void;
 	/** Goes on reading. */
@@ -18,7 +21,7 @@
 
 /**
  * Forwards one response that is too large to buffer. Reading from the backend server is held from the start until the
- * caller's side takes data, and whenever the caller's buffer is full.
+ * caller's side takes data, and whenever the caller's buffer is full and the response may not be read further ahead.
  */
 export class ResponseForwarder {
 	readonly #options: ResponseForwarderOptions;
@@ -51,13 +54,13 @@
 		response.writeHead(head.status, head.headers);
 		this.#watchRoom(response);
 		for (const piece of this.#pieces.splice(0)) {
-			response.write(piece);
+			this.#send({response, piece});
 		}
 
 		if (this.#isEnded) {
 			this.end();
-		} else if (!isFull(response)) {
-			this.#options.releaseReading();
+		} else {
+			this.#adjustReading(response);
 		}
 
 		return this.#done;
@@ -67,8 +70,8 @@
 	write(piece: Uint8Array): void {
 		if (!this.#response) {
 			this.#pieces.push(piece);
-		} else if (!this.#response.write(piece)) {
-			this.#options.holdReading();
+		} else if (!this.#send({response: this.#response, piece})) {
+			this.#adjustReading(this.#response);
 		}
 	}
 
@@ -90,26 +93,52 @@
 		}
 	}
 
+	/** Hands a piece to the caller's connection; false when the caller's buffer is full. */
+	#send({response, piece}: {readonly response: ServerResponse; readonly piece: Uint8Array}): boolean {
+		const {reservation} = this.#options;
+		return reservation
+			? response.write(piece, () => {
+				reservation.releaseBytes(piece.length);
+			})
+			: response.write(piece);
+	}
+
+	/** Reads on if the caller's buffer has room or the response may be read ahead; otherwise holds reading until one of these changes. */
+	#adjustReading(response: ServerResponse): void {
+		const {reservation, holdReading, releaseReading} = this.#options;
+		if (this.#isEnded || this.#failure) {
+			return;
+		}
+
+		if (!isFull(response) || reservation?.mayReadAhead() === true) {
+			releaseReading();
+			return;
+		}
+
+		holdReading();
+		reservation?.onceReleased(() => {
+			this.#adjustReading(response);
+		});
+	}
+
 	/**
 	 * Goes on reading whenever the caller's buffer has room. The runtime passes the `drain` of the connection on to its responses
 	 * only until a request for a tunnel arrives behind them, and also emits it on a response that is still full.
 	 */
 	#watchRoom(response: ServerResponse): void {
-		const releaseUnlessFull = (): void => {
-			if (!isFull(response)) {
-				this.#options.releaseReading();
-			}
+		const adjustReading = (): void => {
+			this.#adjustReading(response);
 		};
 
 		const watchSocket = (socket: Socket): void => {
-			socket.on('drain', releaseUnlessFull);
+			socket.on('drain', adjustReading);
 			response.once('close', () => {
-				socket.off('drain', releaseUnlessFull);
+				socket.off('drain', adjustReading);
 			});
 		};
 
 		// Emitted without the connection's own if everything buffered fits when the response gets its turn on the connection.
-		response.on('drain', releaseUnlessFull);
+		response.on('drain', adjustReading);
 		if (response.socket) {
 			watchSocket(response.socket);
 		} else {
--- a/calls/forwarding/src/send-refusal.ts
+++ b/calls/forwarding/src/send-refusal.ts
@@ -4,10 +4,12 @@
 import {PROBLEM_MEDIA_TYPE, toProblemDocument} from '@pomelopick/core.types';
 import type {Refusal, RefusalReason} from '@pomelopick/core.types';
 import {CALL_ID_HEADER} from './call-headers.js';
+import {endAfterInput} from './end-after-input.js';
 import {isUnanswered} from './is-unanswered.js';
 import {resetCallerConnection} from './response-forwarder.js';
 
 const MILLISECONDS_PER_SECOND = 1000;
+const UNAUTHORISED = 401;
 
 /** Format of a refusal. */
 export interface RefusalFormat {
@@ -17,6 +19,8 @@
 	readonly encodeRetryAfter: (milliseconds: number) => string;
 	/** Status codes that replace the default ones. */
 	readonly statuses?: Readonly<Partial<Record<RefusalReason, number>>>;
+	/** Value of the `www-authenticate` header with status 401: the scheme of the credentials that are expected (RFC 9110, section 11.6.1). */
+	readonly challenge?: string;
 }
 
 const defaultFormat: RefusalFormat = {
@@ -52,7 +56,12 @@
 		'content-type': PROBLEM_MEDIA_TYPE,
 		'content-length': String(Buffer.byteLength(body)),
 		[format.idHeader]: id,
+		...(document.status === UNAUTHORISED && format.challenge !== undefined && {'www-authenticate': format.challenge}),
 		...(refusal.retryAfterMs !== undefined && {'retry-after': format.encodeRetryAfter(refusal.retryAfterMs)}),
 	});
-	response.end(body);
+	if (response.req.complete) {
+		response.end(body);
+	} else {
+		endAfterInput({response, body});
+	}
 }
--- a/calls/forwarding/test/exchange.test.ts
+++ b/calls/forwarding/test/exchange.test.ts
@@ -54,7 +54,8 @@
 							return Right(undefined);
 						},
 						reset() {/* The exchange does not reset it. */}, holdReading: () => undefined, releaseReading: () => undefined, onSilent: undefined,
-						openedAtMs: 0, createdAtMs: 0, lastReceivedAtMs: 0, lentAtMs: 0, isOpen: openMs === 0, wasUsed: false, connectsByItself: true, wasReset: false, isUnframed: false,
+						openedAtMs: 0, createdAtMs: 0, lastReceivedAtMs: 0, lentAtMs: 0, isOpen: openMs === 0,
+						wasUsed: false, isChecked: false, connectsByItself: true, wasReset: false, isUnframed: false,
 					}, release: () => undefined,
 				},
 				callId: 'one', method: 'POST', path: '/x', headers: () => [], body: new TextEncoder().encode('{}'), maxBufferedBytes: 1000, now: () => 0,
@@ -79,7 +80,7 @@
 					connection: {
 						client, open, isOpen,
 						reset() {/* The exchange does not reset it. */}, holdReading: () => undefined, releaseReading: () => undefined, onSilent: undefined,
-						openedAtMs: 0, createdAtMs: 0, lastReceivedAtMs: 0, lentAtMs: 0, wasUsed: false, connectsByItself: true, wasReset: false, isUnframed: false,
+						openedAtMs: 0, createdAtMs: 0, lastReceivedAtMs: 0, lentAtMs: 0, wasUsed: false, isChecked: false, connectsByItself: true, wasReset: false, isUnframed: false,
 					}, release() {
 						releases += 1;
 					},
--- a/calls/listener/src/caller-listener.ts
+++ b/calls/listener/src/caller-listener.ts
@@ -12,9 +12,10 @@
 import {sendRefusal} from '@pomelopick/calls.forwarding';
 import type {RefusalFormat} from '@pomelopick/calls.forwarding';
 import {CallerConnections} from './caller-connections.js';
-import {ENTRIES_PER_HEADER, HeaderCount} from './header-count.js';
+import {countHosts, HeaderCount} from './header-count.js';
 import {toRefusal} from './input-refusals.js';
 import type {ListenerLimits} from './input-refusals.js';
+import {LineFeedGuard} from './line-feed-guard.js';
 
 const REQUEST_TIMEOUT_MS = 600_000;
 const TIMEOUT_CHECK_INTERVAL_MS = 1000;
@@ -33,12 +34,14 @@
 	/** Maximum calls in progress. */
 	readonly maxCalls: number;
 	readonly limits?: ListenerLimits;
+	/** Whether heads with bare line feeds are rejected; the runtime's parser takes some of them. Input is then read more slowly. */
+	readonly rejectsBareLineFeeds?: boolean;
 	/** Time for which the instance announces its shutdown to callers while it still accepts calls, in milliseconds. */
 	readonly announceMs?: number;
 	/** Format of refusals. */
 	readonly refusalFormat?: RefusalFormat;
-	/** Handles a well-formed request. */
-	readonly route: (options: {readonly request: IncomingMessage; readonly response: ServerResponse}) => Promise<void>;
+	/** Handles a well-formed request; `hasRequestsBehind` returns whether further ones have arrived behind it on its connection. */
+	readonly route: (options: {readonly request: IncomingMessage; readonly response: ServerResponse; readonly hasRequestsBehind: () => boolean}) => Promise<void>;
 }
 
 /** Options of {@link CallerListener.stop}. */
@@ -57,6 +60,7 @@
 	readonly #options: CallerListenerOptions;
 	readonly #connections: CallerConnections;
 	readonly #headerCount: HeaderCount;
+	readonly #lineFeedGuard: LineFeedGuard | undefined;
 	/** Connections that were refused without a parsed request; later requests on them are not run. */
 	readonly #refusedConnections = new WeakSet<Socket>();
 	/** Connections from which nothing more is read because their input was malformed. */
@@ -70,6 +74,7 @@
 		const limits = options.limits ?? defaultLimits;
 		this.#limits = limits;
 		this.#headerCount = new HeaderCount({headBytes: limits.headerBytes});
+		this.#lineFeedGuard = options.rejectsBareLineFeeds ? new LineFeedGuard() : undefined;
 		this.server = createServer({
 			maxHeaderSize: limits.headerBytes,
 			headersTimeout: limits.headersTimeoutMs,
@@ -85,6 +90,7 @@
 		this.server.maxConnections = options.maxCalls + MAX_CONNECTIONS_WITHOUT_CALL;
 		this.server.on('connection', socket => {
 			this.#connections.add(socket);
+			this.#lineFeedGuard?.watch(socket);
 		});
 		this.server.on('clientError', (error: Error & {code?: string}, socket) => {
 			this.#handleClientError({error, socket: socket as Socket});
@@ -155,6 +161,7 @@
 	}
 
 	#handleRequest({request, response}: {readonly request: IncomingMessage; readonly response: ServerResponse}): void {
+		this.#lineFeedGuard?.noteRequest(request);
 		if (this.#refusedConnections.has(request.socket)) {
 			// The caller has already received a refusal that says that nothing was run.
 			request.socket.destroy();
@@ -181,7 +188,8 @@
 			return;
 		}
 
-		void this.#options.route({request, response});
+		const {socket} = request;
+		void this.#options.route({request, response, hasRequestsBehind: () => this.#connections.latestResponse(socket) !== response});
 	}
 
 	/**
@@ -286,8 +294,3 @@
 		});
 	}
 }
-
-/** Number of `Host` headers of a request. The runtime's parsed headers hold only the first, but a request with several is malformed (RFC 9112, section 3.2). */
-function countHosts({rawHeaders}: IncomingMessage): number {
-	return rawHeaders.filter((text, position) => position % ENTRIES_PER_HEADER === 0 && text.toLowerCase() === 'host').length;
-}
--- a/calls/listener/src/header-count.ts
+++ b/calls/listener/src/header-count.ts
@@ -9,7 +9,7 @@
 /** Size of the smallest header, in bytes: a name of one character, a colon and a line break. */
 const MIN_HEADER_BYTES = 4;
 /** A raw header is listed as a name and a value. */
-export const ENTRIES_PER_HEADER = 2;
+const ENTRIES_PER_HEADER = 2;
 
 /** Maximum number of headers of a request, which follows from the maximum size of its head. */
 export class HeaderCount {
@@ -31,3 +31,8 @@
 		return rawHeaders.length > this.max * ENTRIES_PER_HEADER;
 	}
 }
+
+/** Number of `Host` headers of a request. The runtime's parsed headers hold only the first, but a request with several is malformed (RFC 9112, section 3.2). */
+export function countHosts({rawHeaders}: Pick<IncomingMessage, 'rawHeaders'>): number {
+	return rawHeaders.filter((text, position) => position % ENTRIES_PER_HEADER === 0 && text.toLowerCase() === 'host').length;
+}
