--- a/calls/relay/src/admit-request.ts
+++ b/calls/relay/src/admit-request.ts
@@ -4,6 +4,8 @@
 import type {Either} from 'purify-ts';
 import type {LiveView} from '@pomelopick/calls.live';
 import type {Refusal, Route} from '@pomelopick/core.types';
+import {authenticate, restrictRoute} from './authenticate.js';
+import type {Identity} from './authenticate.js';
 import type {ForwardedRequest} from './forwarded-request.js';
 import type {RelayHeaders} from './relay-format.js';
 
@@ -22,7 +24,10 @@
 
 /** A request that is relayed. */
 export interface Admitted {
+	/** Route, with the priority and the home regions of the caller's organisation. */
 	readonly route: Route;
+	/** Who sent the request; undefined: callers are not authenticated. */
+	readonly identity: Identity | undefined;
 	/** Time for which the caller waits, in milliseconds; undefined if it does not say. */
 	readonly timeLeftMs: number | undefined;
 }
@@ -36,20 +41,22 @@
 	readonly path?: string;
 	/** Monotonic time of the arrival, in milliseconds. */
 	readonly arrivedAtMs: number;
-	readonly view: Pick<LiveView, 'routeSet' | 'routes'>;
+	readonly view: Pick<LiveView, 'routeSet' | 'routes' | 'organisations'>;
 	/** Maximum number of requests in progress. */
 	readonly limit: number;
+	/** Whether this instance has bytes left to hold the bodies of a further request and its response. */
+	readonly hasBytesLeft: (route: Route) => boolean;
 	/** Requests in progress, and how many of them other instances forwarded. */
 	readonly inProgress: number;
 	readonly forwardedInProgress: number;
 	/** Monotonic time at which this instance stops, in milliseconds; undefined while it is not leaving. */
 	readonly endMs: number | undefined;
-	readonly names: Pick<RelayHeaders, 'requestId' | 'timeLeft'>;
+	readonly names: Pick<RelayHeaders, 'requestId' | 'timeLeft' | 'credentials'>;
 }
 
 /** Checks whatever can be decided from the head of a request and the state of this instance. Left: the refusal. */
 export function admitRequest(options: AdmitRequestOptions): Either<Refusal, Admitted> {
-	const {request, forwarded, path, arrivedAtMs, view, limit, endMs, names, inProgress, forwardedInProgress} = options;
+	const {request, forwarded, path, arrivedAtMs, view, limit, endMs, names, hasBytesLeft, inProgress, forwardedInProgress} = options;
 	const {headers} = request;
 	const url = path ?? request.url ?? '';
 	const set = view.routeSet;
@@ -73,6 +80,14 @@
 		return Left({reason: 'unknown-route', execution: 'not-run', detail: `no route in version ${set.version} for ${headers.host ?? ''}${url}`.slice(0, MAX_DETAIL_CHARACTERS)});
 	}
 
+	const authenticated = authenticate({
+		request, forwarded, route, organisations: view.organisations, names,
+	});
+	if (authenticated.isLeft()) {
+		return authenticated;
+	}
+
+	const identity = authenticated.extract() as Identity | undefined;
 	if (endMs !== undefined && arrivedAtMs + route.timeoutMs > endMs - LEAVING_RESERVE_MS) {
 		return Left({
 			reason: 'instance-leaving', execution: 'not-run', detail: 'this instance is about to stop; send the call to another instance', retryAfterMs: LEAVING_RETRY_AFTER_MS,
@@ -86,7 +101,14 @@
 		});
 	}
 
-	return readTimeLeft({name: names.timeLeft, value: headers[names.timeLeft]}).map(timeLeftMs => ({route, timeLeftMs}));
+	if (!hasBytesLeft(route)) {
+		return Left({
+			reason: 'instance-full', execution: 'not-run', detail: 'this instance holds the maximum number of bytes for slow callers and servers', retryAfterMs: FULL_RETRY_AFTER_MS,
+		});
+	}
+
+	return readTimeLeft({name: names.timeLeft, value: headers[names.timeLeft]})
+		.chain(timeLeftMs => restrictRoute({route, organisation: identity?.organisation}).map(restricted => ({route: restricted, identity, timeLeftMs})));
 }
 
 function countHeaderBytes({rawHeaders}: IncomingMessage): number {
--- a/calls/relay/src/attempt-result.ts
+++ b/calls/relay/src/attempt-result.ts
@@ -1,7 +1,9 @@
 /** Results of attempts, and what follows from how they ended. */
 import type {AttemptFailure, AttemptResponse} from '@pomelopick/calls.forwarding';
 import type {SlotEnd} from '@pomelopick/steering.choice';
-import type {BackendServerName, RefusalReason, RetryReason} from '@pomelopick/core.types';
+import type {
+	BackendServerName, RefusalReason, RetryReason, ServerLoad,
+} from '@pomelopick/core.types';
 import type {AnswerClass} from './classify-answer.js';
 import type {AttemptTiming} from './relayed-request.js';
 
@@ -21,6 +23,8 @@
 	readonly isFinal?: boolean;
 	/** Time after which the caller should retry, in milliseconds. */
 	readonly retryAfterMs?: number;
+	/** Whether nothing was sent, so that another server is chosen without counting a try, also if the body is not complete. */
+	readonly choosesAgain?: boolean;
 }
 
 /** Result of an attempt. */
@@ -37,6 +41,9 @@
 	abort(failure: Pick<AttemptFailure, 'kind' | 'detail'>): void;
 }
 
+/** Time after which the caller of a request that was rejected despite free slots should retry, in milliseconds. */
+const ROOM_RETRY_AFTER_MS = 30;
+
 /** How the server's slot counts as having ended, by the class of a response. */
 export const slotEnds: Record<AnswerClass, SlotEnd> = {
 	deliver: 'answered',
@@ -86,10 +93,12 @@
 }
 
 /** Returns the result of an attempt whose response is not returned to the caller. */
-export function failureOfAnswerClass({answerClass, status, server}: {
+export function failureOfAnswerClass({answerClass, status, server, load}: {
 	readonly answerClass: Exclude<AnswerClass, 'deliver' | 'server-failure'>;
 	readonly status: number;
 	readonly server: BackendServerName;
+	/** Load that the server reported in the response; undefined: none. */
+	readonly load: ServerLoad | undefined;
 }): AttemptFailureResult {
 	if (answerClass === 'unusable') {
 		return {
@@ -109,5 +118,19 @@
 		mayHaveRun: false,
 		wasSent: true,
 		detail: `${server} answered ${status} and did not run the request`,
+		...(rejectsDespiteRoom(load) && {retryAfterMs: ROOM_RETRY_AFTER_MS}),
 	};
 }
+
+/** Whether the server may have crashed with the request in flight. */
+export function wasDropped({kind, execution}: AttemptFailure): boolean {
+	return (kind === 'failed' || kind === 'truncated') && execution !== 'not-run';
+}
+
+/**
+ * Whether a server that rejected a request says that it has free slots. It rejects some requests whatever its load, so the
+ * caller need not wait for room. Only the reports of servers that also state their work factor are taken so.
+ */
+function rejectsDespiteRoom(load: ServerLoad | undefined): boolean {
+	return load?.workFactor !== undefined && load.running < load.slots;
+}
--- a/calls/relay/src/choose-peer.ts
+++ b/calls/relay/src/choose-peer.ts
@@ -1,6 +1,7 @@
 /** Decides whether a request without a server is forwarded to another instance, and to which. */
 import {countHeaders} from '@pomelopick/calls.forwarding';
 import type {CallCounters} from '@pomelopick/core.telemetry';
+import type {RefusalReason} from '@pomelopick/core.types';
 import type {PlacementRefusal} from '@pomelopick/steering.objects';
 import type {ChosenPeer, PeerChoice} from './peer-choice.js';
 import type {RelayedRequest} from './relayed-request.js';
@@ -28,6 +29,9 @@
 	readonly parts: ChoosePeerParts;
 }
 
+/** Reasons of refusals that a busy server caused rather than one that cannot be reached. */
+const busyReasons: ReadonlySet<RefusalReason> = new Set(['queue-timeout', 'deadline-unreachable', 'capacity-short', 'organisation-share-exceeded']);
+
 /** Chooses an instance that may reach servers that this one cannot, and records that it was tried; undefined if there is none. */
 export function choosePeer({request, refusal, parts: {peerChoice, unreachableShare, counters, now}}: ChoosePeerOptions): ChosenPeer | undefined {
 	const {options: {route, headers, isForwarded}, triedPeers} = request;
@@ -36,7 +40,7 @@
 	}
 
 	const share = unreachableShare(request);
-	if (share === 0 || (refusal.reason === 'queue-timeout' && share < MIN_SHARE_WHEN_BUSY)) {
+	if (share === 0 || refusal.reason === 'instance-full' || (busyReasons.has(refusal.reason) && share < MIN_SHARE_WHEN_BUSY)) {
 		return undefined;
 	}
 
--- a/calls/relay/src/forwarded-request.ts
+++ b/calls/relay/src/forwarded-request.ts
@@ -8,7 +8,9 @@
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import {describeValue, parseForeignJson, refusalReasons} from '@pomelopick/core.types';
-import type {CodedError, Refusal, ServiceName} from '@pomelopick/core.types';
+import type {
+	CodedError, OrganisationName, Refusal, ServiceName,
+} from '@pomelopick/core.types';
 
 /** Prefix of the paths of forwarded requests. */
 export const FORWARDED_PATH = '/forwarded-requests';
@@ -23,13 +25,15 @@
 	caller: 'x-forwarded-caller',
 	/** Maximum number of backend servers to which the request may still be sent. */
 	servers: 'x-forwarded-max-servers',
+	/** Organisation of the caller; empty: the caller of a public route stated no valid key. Absent: callers are not authenticated, or the forwarding instance does not authenticate them. */
+	organisation: 'x-forwarded-organisation',
 	/** In responses of backend servers: the name of the server. */
 	answeredBy: 'x-forwarded-answered-by',
 	/** In refusals: the number of backend servers that the request was sent to. */
 	refusedAfter: 'x-forwarded-refused-after',
 } as const;
 
-/** Removes the headers that state it, which are not meant for backend servers. */
+/** Removes the headers between instances, which are not meant for backend servers. */
 export function omitForwarded(headers: Readonly<Record<string, string | string[]>>): Record<string, string | string[]> {
 	const names: ReadonlySet<string> = new Set(Object.values(forwardedHeaders));
 	return Object.fromEntries(Object.entries(headers).filter(([name]) => !names.has(name)));
@@ -44,26 +48,34 @@
 	readonly configurationVersion: number;
 	readonly caller: string;
 	readonly maxServers: number;
+	/** Organisation of the caller; empty: the caller of a public route stated no valid key. Undefined: the forwarding instance states none. */
+	readonly organisation: OrganisationName | '' | undefined;
 }
 
 /** Lists the headers that state it, as alternating names and values. */
-export function encodeForwarded({service, configurationVersion, caller, maxServers}: ForwardedRequest): readonly string[] {
-	const {service: serviceName, version, caller: callerName, servers} = forwardedHeaders;
-	return [serviceName, encodeURIComponent(service), version, String(configurationVersion), callerName, caller, servers, String(maxServers)];
+export function encodeForwarded({service, configurationVersion, caller, maxServers, organisation}: ForwardedRequest): readonly string[] {
+	const {service: serviceName, version, caller: callerName, servers, organisation: organisationName} = forwardedHeaders;
+	const list = [serviceName, encodeURIComponent(service), version, String(configurationVersion), callerName, caller, servers, String(maxServers)];
+	return organisation === undefined ? list : [...list, organisationName, encodeURIComponent(organisation)];
 }
 
 /** Decodes the headers of a forwarded request; Left names the wrong one. */
 export function decodeForwarded(headers: IncomingHttpHeaders): Either<CodedError, ForwardedRequest> {
-	const {service, version, caller, servers} = forwardedHeaders;
+	const {service, version, caller, servers, organisation} = forwardedHeaders;
 	const counts = [version, servers];
 	const malformed = [service, caller].find(name => typeof headers[name] !== 'string') ?? counts.find(name => !COUNT_PATTERN.test(String(headers[name])));
 	if (malformed !== undefined) {
 		return Left({code: 'malformed-forwarded-request', message: `${malformed}: missing or malformed: ${describeValue(headers[malformed])}`});
 	}
 
-	return decodeName(String(headers[service])).map(name => ({
-		service: name as ServiceName, configurationVersion: Number(headers[version]), caller: String(headers[caller]), maxServers: Number(headers[servers]),
-	}));
+	const stated = headers[organisation];
+	return decodeName({header: service, text: String(headers[service])}).chain(name => decodeOptionalName({header: organisation, text: stated}).map(organisationName => ({
+		service: name as ServiceName,
+		configurationVersion: Number(headers[version]),
+		caller: String(headers[caller]),
+		maxServers: Number(headers[servers]),
+		organisation: organisationName as OrganisationName | undefined,
+	})));
 }
 
 /** A refusal of the instance to which a request was forwarded. */
@@ -92,10 +104,14 @@
 		: Left({code: 'malformed-refusal', message: describeValue(value)});
 }
 
-function decodeName(text: string): Either<CodedError, string> {
+function decodeOptionalName({header, text}: {readonly header: string; readonly text: string | string[] | undefined}): Either<CodedError, string | undefined> {
+	return text === undefined ? Right(undefined) : decodeName({header, text: String(text)});
+}
+
+function decodeName({header, text}: {readonly header: string; readonly text: string}): Either<CodedError, string> {
 	try {
 		return Right(decodeURIComponent(text));
 	} catch {
-		return Left({code: 'malformed-forwarded-request', message: `${forwardedHeaders.service}: malformed: ${describeValue(text)}`});
+		return Left({code: 'malformed-forwarded-request', message: `${header}: malformed: ${describeValue(text)}`});
 	}
 }
--- a/calls/relay/src/peer-attempt.ts
+++ b/calls/relay/src/peer-attempt.ts
@@ -2,10 +2,13 @@
 import type {BackendConnections} from '@pomelopick/calls.connections';
 import {Exchange, listHeaders} from '@pomelopick/calls.forwarding';
 import type {AttemptFailure, AttemptResponse} from '@pomelopick/calls.forwarding';
-import type {BackendServerName, InstanceId, RefusalReason} from '@pomelopick/core.types';
+import type {
+	BackendServerName, InstanceId, Refusal, RefusalReason,
+} from '@pomelopick/core.types';
+import {BUFFERED_ANSWER_BYTES, mayBufferFurther} from './buffered-answers.js';
 import {classifyAnswer} from './classify-answer.js';
 import {
-	decodePeerRefusal, encodeForwarded, FORWARDED_PATH, forwardedHeaders,
+	decodePeerRefusal, encodeForwarded, FORWARDED_PATH, forwardedHeaders, omitForwarded,
 } from './forwarded-request.js';
 import type {PeerRefusal} from './forwarded-request.js';
 import type {ChosenPeer, PeerChoice} from './peer-choice.js';
@@ -17,8 +20,6 @@
 const RETURN_RESERVE_MS = 20;
 /** Maximum number of connections to one instance. */
 const MAX_CONNECTIONS = 64;
-/** Bytes of a response that are buffered before any is forwarded. */
-const BUFFERED_ANSWER_BYTES = 65_536;
 /** Status with which instances of builds that do not forward requests respond to their path. */
 const NOT_FOUND = 404;
 /** Reasons for which an instance refuses that another one may not have. */
@@ -32,6 +33,8 @@
 	readonly format: RelayFormat;
 	readonly peerConnections: BackendConnections;
 	readonly peerChoice: PeerChoice;
+	/** Why a request may no longer be sent, as the organisations have changed since it was admitted; undefined while it may. */
+	readonly identityRefusal: (request: RelayedRequest) => Refusal | undefined;
 	/** Version of the active configuration. */
 	readonly configurationVersion: () => number;
 	/** Processes the notices in the response of a backend server. */
@@ -99,10 +102,10 @@
 
 	#createExchange(lease: ConstructorParameters<typeof Exchange>[0]['lease']): Exchange {
 		const {request, parts} = this.#options;
-		const {id, method, path, headers, body, service, caller, route, answerByMs} = request.options;
+		const {id, method, path, headers, body, service, caller, route, answerByMs, identity} = request.options;
 		const names = parts.format.headers;
 		const added = encodeForwarded({
-			service, caller, configurationVersion: parts.configurationVersion(), maxServers: Math.max(1, route.maxServers - request.sentTo.size),
+			service, caller, configurationVersion: parts.configurationVersion(), maxServers: Math.max(1, route.maxServers - request.sentTo.size), organisation: identity && (identity.organisation?.name ?? ''),
 		});
 		const sentAtMs = parts.now();
 		return new Exchange({
@@ -111,11 +114,17 @@
 			idHeader: names.requestId,
 			method,
 			path: `${FORWARDED_PATH}${path}`,
+			mayStart: () => parts.identityRefusal(request) === undefined,
+			// The other instance trusts these headers, so those that the caller sent are removed.
 			headers: () => listHeaders({
-				headers, added: [names.requestId, id, names.timeLeft, String(Math.max(1, Math.floor(answerByMs - parts.now() - RETURN_RESERVE_MS))), ...added],
+				headers: omitForwarded(headers), added: [names.requestId, id, names.timeLeft, String(Math.max(1, Math.floor(answerByMs - parts.now() - RETURN_RESERVE_MS))), ...added],
 			}),
 			body: body.content,
+			reservation: request.options.reservation,
 			maxBufferedBytes: BUFFERED_ANSWER_BYTES,
+			mayBufferFurther: bytes => mayBufferFurther({
+				request, bytes, sentAtMs, nowMs: parts.now(),
+			}),
 			onHead: head => {
 				const server = head.headers[forwardedHeaders.answeredBy];
 				if (typeof server === 'string') {
--- a/calls/relay/src/place-request.ts
+++ b/calls/relay/src/place-request.ts
@@ -5,11 +5,12 @@
 import type {BackendServerName} from '@pomelopick/core.types';
 import type {ObjectPlacement, PlacementRefusal} from '@pomelopick/steering.objects';
 import type {RatePermits} from '@pomelopick/calls.rate-limits';
-import type {AttemptParts} from './relay-attempt.js';
+import type {AttemptParts} from './attempt-parts.js';
+import {refusalOfUploads} from './server-uploads.js';
 import type {RelayedRequest} from './relayed-request.js';
 
 /** Dependencies of the choice. */
-export interface PlaceRequestParts extends Pick<AttemptParts, 'placer' | 'crashDetector' | 'now'> {
+export interface PlaceRequestParts extends Pick<AttemptParts, 'placer' | 'admission' | 'crashDetector' | 'now'> {
 	/** Returns the status of a request in the quarantine. */
 	readonly statusOf: (request: RelayedRequest) => SuspectStatus;
 	readonly permits: Pick<RatePermits, 'take'>;
@@ -40,7 +41,26 @@
 	const {request, parts} = options;
 	request.viewAgeMs = parts.viewAgeMs();
 	request.isSuspect ||= parts.statusOf(request) !== 'clear';
-	return request.isSuspect ? placeSuspect(options) : placeByObject(options);
+	const placing = placeAmong(options);
+	if (request.uploadRefusals.length === 0) {
+		return placing;
+	}
+
+	return placing instanceof Promise ? explainUploadRefusal({request, placing}) : placing.mapLeft(refusal => toUploadRefusal({request, refusal}));
+}
+
+async function explainUploadRefusal({request, placing}: {readonly request: RelayedRequest; readonly placing: Promise<PlacementResult>}): Promise<PlacementResult> {
+	const placed = await placing;
+	return placed.mapLeft(refusal => toUploadRefusal({request, refusal}));
+}
+
+/** Refusal of an upload that some servers refused before; it has the reason of these if no other server is left. */
+function toUploadRefusal({request, refusal}: {readonly request: RelayedRequest; readonly refusal: PlacementRefusal}): PlacementRefusal {
+	return refusal.reason === 'no-backend-server' ? refusalOfUploads(request.uploadRefusals) : refusal;
+}
+
+function placeAmong(options: PlaceRequestOptions): PlacementResult | Promise<PlacementResult> {
+	return options.request.isSuspect ? placeSuspect(options) : placeByObject(options);
 }
 
 async function placeSuspect(options: PlaceRequestOptions): Promise<PlacementResult> {
@@ -66,9 +86,9 @@
 }
 
 function placeByObject(options: PlaceRequestOptions): PlacementResult | Promise<PlacementResult> {
-	const {object} = options.request.options;
+	const {request: {options: {object}, avoid}} = options;
 	return choosePlacement({
-		...options, object, avoid: options.request.avoid, asks: 0,
+		...options, object, avoid, asks: 0,
 	});
 }
 
@@ -82,12 +102,15 @@
 }
 
 function choosePlacement(options: ChoosePlacementOptions): PlacementResult | Promise<PlacementResult> {
-	const {request, parts: {placer, permits, now}, object, avoid, asks} = options;
+	const {request, parts: {placer, permits, admission, now}, object, avoid, asks} = options;
 	const {route, service, answerByMs} = request.options;
 	const placed = placer.place({
-		route, service, object, avoid, mayAsk: asks < MAX_ASKS, deadlineMs: answerByMs, nowMs: now(),
+		route, service, object, avoid, mayAsk: asks < MAX_ASKS, deadlineMs: answerByMs, admit: admission.decisionFor(request), nowMs: now(),
 	});
 	if (placed.isLeft()) {
+		placed.ifLeft(refusal => {
+			admission.recordUnplaced({request, refusal});
+		});
 		return placed;
 	}
 
--- a/calls/relay/src/relay-attempt.ts
+++ b/calls/relay/src/relay-attempt.ts
@@ -1,57 +1,28 @@
 /** One attempt of a request: connects to a backend server, exchanges the request and response, and classifies the result. */
 import {Exchange, listHeaders} from '@pomelopick/calls.forwarding';
 import type {AttemptResponse, AttemptFailure} from '@pomelopick/calls.forwarding';
-import type {BackendConnections, ConnectionLease} from '@pomelopick/calls.connections';
-import type {RateLimitUse} from '@pomelopick/calls.rate-limits';
-import type {
-	CrashDetector, InFlightCall, RequestFingerprint, ServerRun,
-} from '@pomelopick/calls.quarantine';
+import type {ConnectionLease} from '@pomelopick/calls.connections';
+import type {InFlightCall, RequestFingerprint, ServerRun} from '@pomelopick/calls.quarantine';
 import type {SlotEnd} from '@pomelopick/steering.choice';
-import type {ObjectPlacement, ObjectPlacer} from '@pomelopick/steering.objects';
-import type {InFlightRequest, ObservationTable} from '@pomelopick/steering.servers';
+import type {ObjectPlacement} from '@pomelopick/steering.objects';
+import type {InFlightRequest} from '@pomelopick/steering.servers';
 import type {RetryReason, ServerLoad} from '@pomelopick/core.types';
+import type {AttemptParts} from './attempt-parts.js';
 import type {AttemptFailureResult, AttemptResult} from './attempt-result.js';
 import {
-	failureEnds, failureOfAnswerClass, failureOfAttempt, slotEnds,
+	failureEnds, failureOfAnswerClass, failureOfAttempt, slotEnds, wasDropped,
 } from './attempt-result.js';
+import {BUFFERED_ANSWER_BYTES, mayBufferFurther} from './buffered-answers.js';
 import {classifyAnswer} from './classify-answer.js';
-import type {ContactMonitor, MonitoredAttempt} from './contact-monitor.js';
-import type {RelayFormat} from './relay-format.js';
+import type {ConnectionCheck} from './connection-check.js';
+import type {MonitoredAttempt} from './contact-monitor.js';
 import type {RelayServer} from './relay-server.js';
 import type {AttemptTiming, RelayedRequest} from './relayed-request.js';
-import type {ServerNotices} from './server-notices.js';
-import type {RecallableAttempt, RecallOptions, UnsentAttempts} from './unsent-attempts.js';
+import {unsentUpload} from './server-uploads.js';
+import type {RecallableAttempt, RecallOptions} from './unsent-attempts.js';
 
 /** Time reserved for returning the response to the caller, in milliseconds. */
 const RETURN_RESERVE_MS = 20;
-/**
- * Number of bytes of a response that are buffered before any is forwarded: a response that breaks off within them can
- * still be retried or replaced by a refusal.
- */
-const BUFFERED_ANSWER_BYTES = 65_536;
-
-/** Dependencies shared by all attempts. */
-export interface AttemptParts {
-	readonly format: RelayFormat;
-	readonly connections: BackendConnections;
-	readonly crashDetector: CrashDetector<RelayServer>;
-	readonly placer: ObjectPlacer;
-	readonly observations: ObservationTable;
-	/** Processes notices that servers send about themselves in response headers. */
-	readonly notices: ServerNotices;
-	/** Counts the requests to servers that named a rate limit. */
-	readonly rateLimitUse: RateLimitUse;
-	readonly unsent: UnsentAttempts;
-	/** Watches attempts, and records responses and losses of contact. */
-	readonly contactMonitor: Pick<ContactMonitor, 'track' | 'untrack' | 'recordResponse' | 'lose' | 'checkAfterSuspect'>;
-	/** Whether a request is suspected of crashing servers, or quarantined. */
-	readonly isSuspect: (request: RelayedRequest) => boolean;
-	/** Maximum number of connections that this instance may open to a server. */
-	readonly maxConnections: (placement: ObjectPlacement) => number;
-	/** Monotonic time, in milliseconds. */
-	readonly now: () => number;
-}
-
 /** Options of {@link RelayAttempt}. */
 export interface RelayAttemptOptions {
 	readonly request: RelayedRequest;
@@ -91,42 +62,16 @@
 	/** Makes the attempt. Never rejects. */
 	async run(): Promise<AttemptResult> {
 		const {placement, parts, request} = this.#options;
-		const {server} = this;
-		const lease = parts.connections.acquire({server});
-		if (lease.isLeft()) {
-			return {
-				kind: 'failure',
-				reason: 'connect-failed',
-				retryReason: 'connect-failed',
-				mayHaveRun: false,
-				wasSent: false,
-				detail: `${server.name}: all connections that this instance may open to it are in use`,
-			};
+		if (!request.options.route.isUpload) {
+			return this.#run();
 		}
 
-		this.#inFlight = {expectedMs: placement.expectedMs, sentAtMs: parts.now()};
-		parts.observations.get(placement.known.server).begin(this.#inFlight);
-		const run = parts.crashDetector.begin({server: server.name, call: this});
-		request.sentTo.add(server.name);
-		parts.rateLimitUse.record({server: placement.known.server, kind: 'sent'});
-		const exchange = this.#createExchange(lease.unsafeCoerce());
-		this.#exchange = exchange;
-		parts.unsent.add({server: server.name, attempt: this});
-		parts.contactMonitor.track(this);
-		exchange.send();
-		const result = await exchange.result;
-		parts.contactMonitor.untrack(this);
-		parts.unsent.delete({server: server.name, attempt: this});
-		const attemptResult = result.caseOf({
-			Left: failure => this.#toFailureResult(failure),
-			Right: answer => this.#toAnswerResult({answer, run}),
+		const {known} = placement;
+		return parts.uploads.send({
+			request, server: known.server.name, attempt: this, send: async () => parts.placer.isStillUsable({known, nowMs: parts.now()})
+				? this.#run()
+				: unsentUpload(`${known.server.name} can no longer be used`),
 		});
-		if (attemptResult.kind === 'failure' && !attemptResult.wasSent) {
-			request.sentTo.delete(server.name);
-		}
-
-		const crashCheck = result.isLeft() ? this.#endRun({run, failure: result.extract()}) : undefined;
-		return attemptResult.kind === 'failure' && crashCheck ? {...attemptResult, crashCheck} : attemptResult;
 	}
 
 	fingerprint(): RequestFingerprint {
@@ -176,6 +121,41 @@
 		};
 	}
 
+	async #run(): Promise<AttemptResult> {
+		const {placement, parts, request} = this.#options;
+		const {server} = this;
+		const lease = parts.connections.acquire({server});
+		if (lease.isLeft()) {
+			return {
+				kind: 'failure', reason: 'connect-failed', retryReason: 'connect-failed', mayHaveRun: false, wasSent: false, detail: `${server.name}: all connections that this instance may open to it are in use`,
+			};
+		}
+
+		this.#inFlight = {expectedMs: placement.expectedMs, sentAtMs: parts.now(), workFactor: placement.workFactor};
+		parts.observations.get(placement.known.server).begin(this.#inFlight);
+		const run = parts.crashDetector.begin({server: server.name, call: this});
+		request.sentTo.add(server.name);
+		parts.rateLimitUse.record({server: placement.known.server, kind: 'sent'});
+		const exchange = this.#createExchange(lease.unsafeCoerce());
+		this.#exchange = exchange;
+		parts.unsent.add({server: server.name, attempt: this});
+		parts.contactMonitor.track(this);
+		exchange.send();
+		const result = await exchange.result;
+		parts.contactMonitor.untrack(this);
+		parts.unsent.delete({server: server.name, attempt: this});
+		const attemptResult = result.caseOf({
+			Left: failure => this.#toFailureResult(failure),
+			Right: answer => this.#toAnswerResult({answer, run}),
+		});
+		if (attemptResult.kind === 'failure' && !attemptResult.wasSent) {
+			request.sentTo.delete(server.name);
+		}
+
+		const crashCheck = result.isLeft() ? this.#endRun({run, failure: result.extract()}) : undefined;
+		return attemptResult.kind === 'failure' && crashCheck ? {...attemptResult, crashCheck} : attemptResult;
+	}
+
 	/** Ends the run of a failed attempt. Returns the check of the server if it dropped the request, or undefined. */
 	#endRun({run, failure}: {readonly run: ServerRun; readonly failure: AttemptFailure}): Promise<boolean> | undefined {
 		const {crashDetector, contactMonitor} = this.#options.parts;
@@ -206,11 +186,17 @@
 			acceptsUnframed: true,
 			method,
 			path,
+			checkConnection: ({isNew}): ReturnType<ConnectionCheck['check']> => parts.connectionCheck.check({known: placement.known, connection: lease.connection, isNew}),
+			mayStart: () => parts.identityRefusal(request) === undefined,
 			headers: () => listHeaders({
 				headers, added: [names.requestId, id, names.timeLeft, stateTimeLeft(), names.expectedServer, placement.known.server.name],
 			}),
 			body: body.content,
+			reservation: request.options.reservation,
 			maxBufferedBytes: BUFFERED_ANSWER_BYTES,
+			mayBufferFurther: bytes => mayBufferFurther({
+				request, bytes, sentAtMs: this.#inFlight.sentAtMs, nowMs: parts.now(),
+			}),
 			onHead: head => {
 				parts.notices.read({server: placement.known.server, head, request: {id, sentAtMs: this.#inFlight.sentAtMs}});
 				parts.contactMonitor.recordResponse({server: placement.known.server, openedAtMs: lease.connection.openedAtMs});
@@ -225,15 +211,15 @@
 		const {status, headers} = answer;
 		const {name} = placement.known.server;
 		const answerClass = classifyAnswer({status, headers, names: parts.format.headers});
-		const load = headers[parts.format.headers.serverLoad];
-		this.#recordEnd({end: slotEnds[answerClass], load: typeof load === 'string' ? parts.format.decodeServerLoad(load) : undefined});
+		const load = this.#readLoad(answer);
+		this.#recordEnd({end: slotEnds[answerClass], load});
 		switch (answerClass) {
 			case 'deliver':
 			case 'server-failure': {
 				const {route, object} = request.options;
 				const nowMs = parts.now();
 				parts.placer.recordAnswer({
-					route, object, placement, heldMs: nowMs - this.#inFlight.sentAtMs, nowMs,
+					route, object, placement, heldMs: nowMs - this.#inFlight.sentAtMs, workFactor: load?.workFactor, nowMs,
 				});
 				return {kind: 'answer', answer: this.#resolveWith({answer, run}), answerClass};
 			}
@@ -242,11 +228,25 @@
 			case 'not-run':
 			case 'other-server': {
 				this.#discard({answer, run});
-				return failureOfAnswerClass({answerClass, status, server: name});
+				return failureOfAnswerClass({
+					answerClass, status, server: name, load,
+				});
 			}
 		}
 	}
 
+	/** Load that the server reports in a response; undefined: none that can be read. */
+	#readLoad({headers}: AttemptResponse): ServerLoad | undefined {
+		const {parts: {format, notices}, placement} = this.#options;
+		const text = headers[format.headers.serverLoad];
+		const load = typeof text === 'string' ? format.decodeServerLoad(text) : undefined;
+		if (load?.ignoredText !== undefined) {
+			notices.reportIgnoredLoad({server: placement.known.server, text: load.ignoredText});
+		}
+
+		return load;
+	}
+
 	#toFailureResult(failure: AttemptFailure): AttemptFailureResult {
 		this.#recordEnd({end: failureEnds[failure.kind], load: undefined});
 		if (failure.isConnectionLost === true) {
@@ -285,14 +285,10 @@
 	}
 
 	#recordEnd({end, load}: {readonly end: SlotEnd; readonly load: ServerLoad | undefined}): void {
-		const {placement, parts} = this.#options;
+		const {request, placement, parts} = this.#options;
+		parts.admission.recordEnd({request, end, load});
 		parts.observations.get(placement.known.server).end({
 			request: this.#inFlight, end, load, nowMs: parts.now(),
 		});
 	}
 }
-
-/** Whether the server may have crashed with the request in flight. */
-function wasDropped({kind, execution}: AttemptFailure): boolean {
-	return (kind === 'failed' || kind === 'truncated') && execution !== 'not-run';
-}
--- a/calls/relay/src/relay-format.ts
+++ b/calls/relay/src/relay-format.ts
@@ -10,6 +10,10 @@
 	readonly timeLeft: string;
 	/** Key of the object that the request concerns. */
 	readonly objectKey: string;
+	/** Credentials of the caller, which are not passed on where the configuration has organisations. */
+	readonly credentials: string;
+	/** Organisation of the caller, which the system alone states to backend servers. */
+	readonly organisation: string;
 	/** Stamp by which a backend server signs its response. */
 	readonly answerStamp: string;
 	/** Name of the only backend server that may run the request. */
@@ -41,6 +45,8 @@
 	readonly decodeRateLimit: (text: string) => Either<CodedError, number>;
 	/** Decodes the time for which a server still warms up, in milliseconds; Left if the text is malformed. */
 	readonly decodeWarmupLeft: (text: string) => Either<CodedError, number>;
+	/** Scheme of the callers' credentials, as a refusal without valid ones states it. */
+	readonly credentialsChallenge: string;
 	/** Encodes the time after which a caller should retry. */
 	readonly encodeRetryAfter: (milliseconds: number) => string;
 }
--- a/calls/relay/src/relay-handler.ts
+++ b/calls/relay/src/relay-handler.ts
@@ -3,16 +3,21 @@
 import {
 	endToEndRequestHeaders, BUFFERED_BODY_BYTES, BufferBudget, readBody, sendRefusal, sendCompleteResponse,
 } from '@pomelopick/calls.forwarding';
-import type {AttemptResponse, CallerDisconnects, RefusalFormat} from '@pomelopick/calls.forwarding';
+import type {
+	AttemptResponse, BufferReservation, CallerDisconnects, RefusalFormat,
+} from '@pomelopick/calls.forwarding';
 import type {Quarantine} from '@pomelopick/calls.quarantine';
 import type {LiveView} from '@pomelopick/calls.live';
 import type {DecisionLog} from '@pomelopick/core.telemetry';
 import type {Refusal, ServiceName} from '@pomelopick/core.types';
 import {chooseTarget} from '@pomelopick/steering.routes';
 import {admitRequest} from './admit-request.js';
+import {stateIdentity} from './authenticate.js';
 import type {Admitted} from './admit-request.js';
+import {BUFFERED_ANSWER_BYTES} from './buffered-answers.js';
 import {decodeForwarded, forwardedHeaders, omitForwarded} from './forwarded-request.js';
 import type {ForwardedRequest} from './forwarded-request.js';
+import {LARGE_RESPONSE_BYTES, LargeTransfers, releaseWhenSent} from './large-transfers.js';
 import {processPendingInput} from './pending-input.js';
 import {RelayedRequest} from './relayed-request.js';
 import {RelayRun} from './relay-run.js';
@@ -26,8 +31,10 @@
 	readonly callerDisconnects: CallerDisconnects;
 	readonly quarantine: Quarantine;
 	readonly log: DecisionLog;
-	/** Maximum number of requests in progress, and of body bytes that they may buffer together. */
+	/** Maximum number of requests in progress, and of bytes of bodies and responses that are held for them together. */
 	readonly limits: {readonly requests: number; readonly heldBytes: number};
+	/** Maximum number of requests in progress for now, at most that of the limits. */
+	readonly requestLimit: () => number;
 	/** Records a request of a service for its retry budget. */
 	readonly recordRequest: (service: ServiceName) => void;
 	/** Monotonic time at which this instance stops, in milliseconds; undefined while it is not leaving. */
@@ -40,6 +47,8 @@
 export interface HandleRequestOptions {
 	readonly request: IncomingMessage;
 	readonly response: ServerResponse;
+	/** Whether further requests have arrived behind this one on its connection; never if left out. */
+	readonly hasRequestsBehind?: () => boolean;
 	/** What another instance stated that forwarded the request; undefined: the request is a caller's own. */
 	readonly forwarded?: ForwardedRequest;
 	/** Path and query of the request; those of its HTTP message by default. */
@@ -54,6 +63,7 @@
 export class RelayHandler {
 	readonly #options: RelayHandlerOptions;
 	readonly #bufferBudget: BufferBudget;
+	readonly #largeTransfers = new LargeTransfers();
 	readonly #refusalFormat: RefusalFormat;
 	readonly #requestLog: RequestLog;
 	readonly #runs = new Set<RelayRun>();
@@ -67,7 +77,9 @@
 			log, counters, now, configurationVersion: () => view.routeSet?.version,
 		});
 		this.#bufferBudget = new BufferBudget({most: options.limits.heldBytes});
-		this.#refusalFormat = {idHeader: format.headers.requestId, encodeRetryAfter: format.encodeRetryAfter, statuses: statusOverrides};
+		this.#refusalFormat = {
+			idHeader: format.headers.requestId, encodeRetryAfter: format.encodeRetryAfter, statuses: statusOverrides, challenge: format.credentialsChallenge,
+		};
 	}
 
 	/** Number of requests in progress. */
@@ -75,6 +87,11 @@
 		return this.#inProgress;
 	}
 
+	/** Bytes that are held for callers and servers, those of responses among them, and their maximum. */
+	get heldBytes(): Pick<BufferBudget, 'reservedBytes' | 'responseBytes' | 'maxBytes'> {
+		return this.#bufferBudget;
+	}
+
 	/** Ends all requests in progress, so that ready responses behind them on their connections can still be sent. */
 	stop(): void {
 		for (const run of this.#runs) {
@@ -85,12 +102,26 @@
 	/** Relays one request. Resolves after its final response was sent; never rejects. */
 	async handle(options: HandleRequestOptions): Promise<void> {
 		const arrivedAtMs = this.#options.parts.now();
-		const {view, limits, endsAtMs, parts: {format}} = this.#options;
+		const {view, requestLimit, endsAtMs, parts: {format}} = this.#options;
 		const admitted = admitRequest({
-			...options, arrivedAtMs, view, limit: limits.requests, endMs: endsAtMs(), names: format.headers, inProgress: this.#inProgress, forwardedInProgress: this.#forwardedInProgress,
+			...options,
+			arrivedAtMs,
+			view,
+			limit: requestLimit(),
+			endMs: endsAtMs(),
+			names: format.headers,
+			hasBytesLeft: route => this.#bufferBudget.hasRoom({isLarge: this.#largeTransfers.isExpected({route, request: options.request})}),
+			inProgress: this.#inProgress,
+			forwardedInProgress: this.#forwardedInProgress,
 		});
 		if (admitted.isLeft()) {
-			this.#refuseEarly({...options, refusal: admitted.extract()});
+			const refusal = admitted.extract();
+			if (refusal.reason === 'unauthorised' && !options.request.complete) {
+				// Connections may carry requests of several callers: one whose whole body has arrived must not end that of the others.
+				await processPendingInput();
+			}
+
+			this.#refuseEarly({...options, refusal});
 			return;
 		}
 
@@ -99,12 +130,12 @@
 		const reservation = this.#bufferBudget.openReservation();
 		try {
 			await this.#readAndRelay({
-				...options, admitted: admitted.unsafeCoerce(), arrivedAtMs, tryBuffer: reservation.tryReserve,
+				...options, admitted: admitted.unsafeCoerce(), arrivedAtMs, reservation,
 			});
 		} finally {
 			this.#inProgress -= 1;
 			this.#forwardedInProgress -= Number(options.forwarded !== undefined);
-			reservation.release();
+			releaseWhenSent({response: options.response, reservation, callerDisconnects: this.#options.callerDisconnects});
 		}
 	}
 
@@ -123,16 +154,16 @@
 	}
 
 	/** Reads the body of an admitted request, chooses its service and relays it. */
-	async #readAndRelay({request, response, forwarded, path, admitted: {route, timeLeftMs}, arrivedAtMs, tryBuffer}: HandleRequestOptions & {
+	async #readAndRelay({request, response, hasRequestsBehind, forwarded, path, admitted: {route, identity, timeLeftMs}, arrivedAtMs, reservation}: HandleRequestOptions & {
 		readonly admitted: Admitted;
 		readonly arrivedAtMs: number;
-		readonly tryBuffer: (bytes: number) => boolean;
+		readonly reservation: BufferReservation;
 	}): Promise<void> {
 		const {view, parts, random, recordRequest} = this.#options;
 		const names = parts.format.headers;
 		const answerWithinMs = Math.min(route.timeoutMs, timeLeftMs ?? route.timeoutMs);
 		const body = await readBody({
-			request, maxBytes: view.routeSet!.limits.bodyBytes, maxBufferedBytes: BUFFERED_BODY_BYTES, timeoutMs: answerWithinMs, tryReserve: tryBuffer,
+			request, maxBytes: view.routeSet!.limits.bodyBytes, maxBufferedBytes: BUFFERED_BODY_BYTES, timeoutMs: answerWithinMs, tryReserve: bytes => reservation.tryReserve(bytes),
 		});
 		if (body.isLeft()) {
 			this.#refuseEarly({request, response, refusal: body.extract()});
@@ -153,8 +184,11 @@
 				service,
 				method: request.method ?? 'GET',
 				path: path ?? request.url ?? '/',
-				headers: forwarded ? omitForwarded(endToEndRequestHeaders(request)) : endToEndRequestHeaders(request),
+				headers: stateIdentity({headers: forwarded ? omitForwarded(endToEndRequestHeaders(request)) : endToEndRequestHeaders(request), identity, names}),
+				identity,
 				body: body.unsafeCoerce(),
+				reservation,
+				hasRequestsBehind,
 				caller: forwarded?.caller ?? request.socket.remoteAddress ?? '',
 				object: typeof object === 'string' ? object : undefined,
 				arrivedAtMs,
@@ -189,7 +223,15 @@
 			},
 		});
 		await processPendingInput();
+		const {reservation, route} = relayed.options;
+		reservation?.expect(this.#largeTransfers.isExpected({route, request: response.req}) ? LARGE_RESPONSE_BYTES : 0);
 		const result = await run.run();
+		const isLarge = result.map(answer => answer.kind === 'partial' || answer.body.length > BUFFERED_ANSWER_BYTES).orDefault(false);
+		// A large response that has just begun holds few bytes, but more as soon as its caller is slower than its server.
+		reservation?.expect(isLarge ? LARGE_RESPONSE_BYTES : 0);
+		result.ifRight(() => {
+			this.#largeTransfers.record({route, isLarge});
+		});
 		await result.caseOf({
 			Left: async refusal => {
 				this.#refuse({response, relayed, refusal});
@@ -228,9 +270,8 @@
 
 	/** Records that a server answered a request completely: this run did not crash the server. */
 	#recordAnswer(relayed: RelayedRequest): void {
-		const {quarantine} = this.#options;
-		if (!quarantine.isEmpty) {
-			quarantine.recordAnswer(relayed.fingerprint());
+		if (!this.#options.quarantine.isEmpty) {
+			this.#options.quarantine.recordAnswer(relayed.fingerprint());
 		}
 	}
 
--- a/calls/relay/src/relay-run.ts
+++ b/calls/relay/src/relay-run.ts
@@ -8,30 +8,30 @@
 import type {RunningAttempt} from './attempt-race.js';
 import {choosePeer} from './choose-peer.js';
 import type {ChoosePeerParts} from './choose-peer.js';
+import {waitForCrashCheck} from './crash-check-wait.js';
 import {placeRequest} from './place-request.js';
 import type {PlaceRequestParts} from './place-request.js';
 import {
 	ENDED_BEFORE_ATTEMPT, failureOfAnswer, finalResult, refusalOfFailure, refusalOfPlacement,
 } from './final-result.js';
+import {hedgeDelayMs, mayStartHedge} from './hedge-rule.js';
 import {PeerAttempt} from './peer-attempt.js';
 import type {PeerAttemptParts} from './peer-attempt.js';
 import {RelayAttempt} from './relay-attempt.js';
 import type {AttemptFailureResult, AttemptResult, RunnableAttempt} from './attempt-result.js';
-import type {AttemptParts} from './relay-attempt.js';
+import type {AttemptParts} from './attempt-parts.js';
 import {ANSWERED} from './relayed-request.js';
 import type {AttemptRecord, RelayedRequest} from './relayed-request.js';
+import {RequestQuota} from './request-quota.js';
+import type {RequestQuotaParts} from './request-quota.js';
 import {RequestPermits} from './retry-permit.js';
 import type {RetryPermit} from './retry-permit.js';
 
 /** Maximum number of attempts of one request, including those that reached no server. */
 const MAX_TRIES = 6;
-/** Multiple of the expected response time after which a hedged attempt is made at a second server. */
-const HEDGE_FACTOR = 2.5;
-/** Maximum time for which a suspect waits until it is known whether it was in flight at a crash, in milliseconds. */
-const CRASH_CHECK_WAIT_MS = 750;
 
 /** Dependencies of a run, including those of its attempts. */
-export interface RunParts extends AttemptParts, PlaceRequestParts, PeerAttemptParts, ChoosePeerParts {
+export interface RunParts extends AttemptParts, PlaceRequestParts, PeerAttemptParts, ChoosePeerParts, RequestQuotaParts {
 	/** Takes a permit to send to another server, waiting a short time if necessary; undefined: the retry budget of the service is used up. */
 	readonly takeRetry: (request: RelayedRequest) => Promise<RetryPermit | undefined>;
 }
@@ -42,12 +42,15 @@
 	readonly #parts: RunParts;
 	readonly #activeAttempts = new Set<RunnableAttempt>();
 	readonly #permits = new RequestPermits();
+	/** Permits of the quota of the organisation; undefined: the request needs none. */
+	readonly #quota: RequestQuota | undefined;
 	/** Failure response of a server, kept as the final response in case no other attempt succeeds. */
 	#serverFailure: AttemptResponse | undefined;
 
 	constructor({request, parts}: {readonly request: RelayedRequest; readonly parts: RunParts}) {
 		this.#request = request;
 		this.#parts = parts;
+		this.#quota = RequestQuota.for({request, parts});
 	}
 
 	/**
@@ -82,6 +85,7 @@
 	async run(): Promise<Either<Refusal, AttemptResponse>> {
 		const result = await this.#runAttempts();
 		this.#permits.close();
+		this.#quota?.close();
 		return result;
 	}
 
@@ -96,13 +100,23 @@
 			return this.#finish(ENDED_BEFORE_ATTEMPT);
 		}
 
-		for (let tries = 1; ; tries += 1) {
+		for (let tries = 1; ;) {
+			const quotaRefusal = this.#quota && await this.#quota.ensure();
+			if (quotaRefusal) {
+				return this.#finish(quotaRefusal);
+			}
+
 			const placing = placeRequest({request: this.#request, parts: this.#parts});
 			const placed = placing instanceof Promise ? await placing : placing;
 			if (this.#request.hasEnded) {
 				return this.#finish(ENDED_BEFORE_ATTEMPT);
 			}
 
+			const identityRefusal = this.#parts.identityRefusal(this.#request);
+			if (identityRefusal) {
+				return this.#finish(identityRefusal);
+			}
+
 			const result = await placed.caseOf({
 				Left: async refusal => this.#tryForward(refusal),
 				Right: async placement => this.#attemptWithHedge(placement),
@@ -121,39 +135,27 @@
 			}
 
 			const failure = result.kind === 'failure' ? result : failureOfAnswer(result.answer);
+			if (failure.choosesAgain === true) {
+				// Nothing was sent, so this does not count as a try. It ends because each chosen server is avoided afterwards.
+				continue;
+			}
+
 			this.#request.mayHaveRun ||= failure.mayHaveRun;
-			await this.#waitForCrashCheck(failure);
+			await waitForCrashCheck({request: this.#request, crashCheck: failure.crashCheck, now: this.#parts.now});
 			if (failure.isFinal === true || tries >= MAX_TRIES || !await this.#mayRetry(failure)) {
-				return this.#finish(refusalOfFailure(failure));
+				return this.#finish(this.#parts.identityRefusal(this.#request) ?? refusalOfFailure(failure));
 			}
 
 			this.#parts.counters.retried(failure.retryReason);
 			this.#request.extraAttempts.push(failure.retryReason);
-		}
-	}
-
-	/**
-	 * Marks a request that a server dropped as a suspect. If it was a suspect before, waits until it is known whether the
-	 * server crashed, so that the request is not run again before it can be quarantined.
-	 */
-	async #waitForCrashCheck({crashCheck}: AttemptFailureResult): Promise<void> {
-		const request = this.#request;
-		if (!crashCheck) {
-			return;
-		}
-
-		const wasSuspect = request.isSuspect;
-		request.isSuspect = true;
-		if (wasSuspect) {
-			const timeLeftMs = request.options.answerByMs - this.#parts.now();
-			await endsWithin({result: crashCheck, timeoutMs: Math.min(CRASH_CHECK_WAIT_MS, timeLeftMs)});
+			tries += 1;
 		}
 	}
 
 	/** Makes an attempt, and a hedged one in parallel if its response is overdue and another server has free capacity. */
 	async #attemptWithHedge(placement: ObjectPlacement): Promise<AttemptResult> {
 		const first = this.#start(placement);
-		const hedgeAfterMs = this.#hedgeAfterMs(placement);
+		const hedgeAfterMs = hedgeDelayMs({request: this.#request, placement, nowMs: this.#parts.now()});
 		if (hedgeAfterMs === undefined || await endsWithin({result: first.result, timeoutMs: hedgeAfterMs})) {
 			return first.result;
 		}
@@ -196,11 +198,14 @@
 
 	async #runAttempt({attempt, record, permit}: {readonly attempt: RunnableAttempt; readonly record: AttemptRecord; readonly permit: RetryPermit | undefined}): Promise<AttemptResult> {
 		this.#activeAttempts.add(attempt);
+		const quotaPermit = this.#quota?.use();
 		const result = await attempt.run();
 		if (permit) {
 			this.#permits.settle({permit, wasSent: result.kind === 'answer' || result.wasSent});
 		}
 
+		quotaPermit?.settle(result);
+
 		Object.assign(record, attempt.timing);
 		record.heldMs = this.#elapsedMs() - record.startedAfterMs;
 		record.outcome = result.kind === 'answer' ? `${ANSWERED} ${result.answer.status}` : result.detail;
@@ -212,27 +217,19 @@
 		return result;
 	}
 
-	/** Time after which a hedged attempt is made, in milliseconds; undefined: never. */
-	#hedgeAfterMs({expectedMs}: ObjectPlacement): number | undefined {
-		const {route, body, answerByMs} = this.#request.options;
-		const afterMs = Math.max(route.targetLatencyMs, expectedMs * HEDGE_FACTOR);
-		const mayHedge = this.#request.isIdempotent && !this.#request.isSuspect && body.isComplete && this.#request.sentTo.size < route.maxServers;
-		return mayHedge && this.#parts.now() + afterMs < answerByMs ? afterMs : undefined;
-	}
-
 	async #startHedge(first: RunningAttempt): Promise<RunningAttempt | undefined> {
 		const request = this.#request;
-		if (!this.#mayHedge()) {
+		if (!mayStartHedge(request)) {
 			return undefined;
 		}
 
 		const placed = await placeRequest({request: this.#request, parts: this.#parts});
 		const hasFreeCapacity = placed.map(({waitMs}) => waitMs === 0).orDefault(false);
-		if (!hasFreeCapacity || !await this.#takePermit() || first.hasEnded() || request.hasEnded) {
+		if (!hasFreeCapacity || !await this.#takePermit() || !await this.#hasQuota() || first.hasEnded() || request.hasEnded || this.#parts.identityRefusal(request)) {
 			return undefined;
 		}
 
-		// The server may have left or asked for a pause while the request waited for its permit.
+		// The server may have left or asked for a pause while the request waited for its permits.
 		const placement = placed.unsafeCoerce();
 		if (!this.#parts.placer.isStillUsable({known: placement.known, nowMs: this.#parts.now()})) {
 			return undefined;
@@ -243,9 +240,8 @@
 		return this.#start(placement);
 	}
 
-	#mayHedge(): boolean {
-		const {hasEnded, sentTo, options: {route}} = this.#request;
-		return !hasEnded && sentTo.size > 0 && sentTo.size < route.maxServers;
+	async #hasQuota(): Promise<boolean> {
+		return this.#quota === undefined || await this.#quota.ensure() === undefined;
 	}
 
 	async #mayRetry(failure: AttemptFailureResult): Promise<boolean> {
--- a/calls/relay/src/relayed-request.ts
+++ b/calls/relay/src/relayed-request.ts
@@ -2,10 +2,12 @@
 import {fingerprintOf} from '@pomelopick/calls.quarantine';
 import type {RequestFingerprint} from '@pomelopick/calls.quarantine';
 import {Cancellation} from '@pomelopick/calls.forwarding';
-import type {RequestBody} from '@pomelopick/calls.forwarding';
+import type {RequestBody, BufferReservation} from '@pomelopick/calls.forwarding';
+import type {UploadRefusal} from '@pomelopick/calls.uploads';
 import type {
 	BackendServerName, HedgeReason, InstanceId, RetryReason, Route, ServiceName,
 } from '@pomelopick/core.types';
+import type {Identity} from './authenticate.js';
 
 /** Options of {@link RelayedRequest}. */
 export interface RelayedRequestOptions {
@@ -20,8 +22,14 @@
 	/** End-to-end headers, which are forwarded. */
 	readonly headers: Readonly<Record<string, string | string[]>>;
 	readonly body: RequestBody;
+	/** Counts the bytes that are held for the request; undefined: none is read ahead of its caller. */
+	readonly reservation?: BufferReservation | undefined;
+	/** Whether further requests have arrived behind this one on the caller's connection; never if left out. */
+	readonly hasRequestsBehind?: (() => boolean) | undefined;
 	/** Address of the caller. */
 	readonly caller: string;
+	/** Who sent the request; undefined: callers are not authenticated. */
+	readonly identity?: Identity | undefined;
 	/** Object that the request concerns; undefined: none. */
 	readonly object: string | undefined;
 	/** Monotonic time of the arrival, in milliseconds. */
@@ -53,6 +61,16 @@
 	outcome?: string;
 }
 
+/** What the last admission decision on a request knew. */
+export interface AdmissionRecord {
+	/** Expected wait and work at the chosen server, and time left until the deadline, in milliseconds. */
+	readonly waitMs: number;
+	readonly workMs: number;
+	readonly leftMs: number;
+	/** Pressure at the service, from 0 to 1; undefined: not measured. */
+	readonly pressure: number | undefined;
+}
+
 /** Begin of the outcome of an attempt that was answered. */
 export const ANSWERED = 'answered';
 
@@ -70,6 +88,8 @@
 	readonly sentTo = new Set<BackendServerName>();
 	/** Servers that are not tried again for this request. */
 	readonly avoid = new Set<BackendServerName>();
+	/** Why chosen servers could not be sent the request, an upload. */
+	readonly uploadRefusals: UploadRefusal[] = [];
 	/** Instances that the request was forwarded to. */
 	readonly triedPeers = new Set<InstanceId>();
 	readonly extraAttempts: Array<RetryReason | HedgeReason> = [];
@@ -77,6 +97,8 @@
 	mayHaveRun = false;
 	/** Whether the request is suspected of crashing backend servers: a server dropped it, or it was in flight at a crash and has not been answered since. */
 	isSuspect = false;
+	/** What the last admission decision knew; undefined: none was made. */
+	admission: AdmissionRecord | undefined;
 	/** Attempts in the order of their start. */
 	readonly attempts: AttemptRecord[] = [];
 	/** Age of this instance's view of the store when a server was last chosen, in milliseconds. */
--- a/calls/relay/src/request-log.ts
+++ b/calls/relay/src/request-log.ts
@@ -5,6 +5,7 @@
 import type {RelayedRequest} from './relayed-request.js';
 
 const MIN_SERVER_FAILURE = 500;
+const PRESSURE_DIGITS = 2;
 /** Minimum time that an attempt waited for its connection for which a request with one attempt lists it, in milliseconds. */
 const MIN_LISTED_WAIT_MS = 100;
 
@@ -52,13 +53,14 @@
 		this.#options.log.request('failed', {requestId: id, ...describeRefusal(refusal), configurationVersion: this.#options.configurationVersion()});
 	}
 
-	#describe({options, attempts, extraAttempts, viewAgeMs, endedBy, callerLeftAtMs, knownFingerprint}: RelayedRequest): LogFields {
-		const {id, route, service, object, arrivedAtMs, answerByMs} = options;
+	#describe({options, attempts, extraAttempts, admission, viewAgeMs, endedBy, callerLeftAtMs, knownFingerprint}: RelayedRequest): LogFields {
+		const {id, route, service, identity, object, arrivedAtMs, answerByMs} = options;
 		const last = attempts.at(-1);
 		return {
 			requestId: id,
 			route: route.name,
 			service,
+			organisation: identity?.organisation?.name,
 			object,
 			fingerprint: knownFingerprint && shortenFingerprint(knownFingerprint),
 			server: last?.server,
@@ -70,6 +72,10 @@
 			configurationVersion: this.#options.configurationVersion(),
 			endedBy,
 			callerLeftAfterMs: callerLeftAtMs === undefined ? undefined : Math.round(callerLeftAtMs - arrivedAtMs),
+			expectedWaitMs: admission?.waitMs,
+			expectedWorkMs: admission?.workMs,
+			timeLeftMs: admission?.leftMs,
+			pressure: admission?.pressure === undefined ? undefined : Number(admission.pressure.toFixed(PRESSURE_DIGITS)),
 			allowedMs: Math.round(answerByMs - arrivedAtMs),
 		};
 	}
--- a/calls/relay/src/server-notices.ts
+++ b/calls/relay/src/server-notices.ts
@@ -2,7 +2,9 @@
 import type {HearOptions, ServerWarmup} from '@pomelopick/calls.rate-limits';
 import {LogRateLimiter} from '@pomelopick/core.telemetry';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
-import type {CodedError, RegisteredServer, RetryReason} from '@pomelopick/core.types';
+import type {
+	CodedError, RegisteredServer, RetryReason, ServerLoad,
+} from '@pomelopick/core.types';
 import type {
 	LeavingServers, RequestedPauses, ServerStart, ServerTable,
 } from '@pomelopick/steering.servers';
@@ -11,10 +13,12 @@
 
 const MISDIRECTED_REQUEST = 421;
 const SERVICE_UNAVAILABLE = 503;
+/** Maximum number of characters of a malformed value that a log line quotes. */
+const MAX_QUOTED_LENGTH = 40;
 
 /** Options of {@link ServerNotices}. */
 export interface ServerNoticesOptions {
-	readonly format: Pick<RelayFormat, 'headers' | 'decodeServerLeaving' | 'decodeRetryAfter' | 'decodeRateLimit' | 'decodeWarmupLeft'>;
+	readonly format: Pick<RelayFormat, 'headers' | 'decodeServerLoad' | 'decodeServerLeaving' | 'decodeRetryAfter' | 'decodeRateLimit' | 'decodeWarmupLeft'>;
 	readonly servers: ServerTable;
 	readonly leaving: LeavingServers;
 	readonly pauses: RequestedPauses;
@@ -24,6 +28,8 @@
 	readonly hearRateLimit: (options: HearOptions) => void;
 	/** Applies the warm-up that a server states in a response to a health check. */
 	readonly hearWarmup: (warmup: ServerWarmup) => void;
+	/** Applies the load that a server states in a response to a health check. */
+	readonly hearLoad: (options: {readonly server: RegisteredServer; readonly load: ServerLoad}) => void;
 	/** Attempts that are recalled when their server leaves or asks for a pause. */
 	readonly unsent: UnsentAttempts;
 	readonly counters: CallCounters;
@@ -96,6 +102,11 @@
 			});
 		}
 
+		const load = headers[names.serverLoad];
+		if (load !== undefined && request === undefined) {
+			this.#readHealthLoad({server, text: String(load)});
+		}
+
 		const rateLimit = headers[names.rateLimit];
 		if (rateLimit !== undefined) {
 			decodeRateLimit(String(rateLimit)).ifLeft(error => {
@@ -112,6 +123,22 @@
 		}
 	}
 
+	/** Counts and logs what follows the known values of a load report and is ignored. */
+	reportIgnoredLoad({server, text}: {readonly server: RegisteredServer; readonly text: string}): void {
+		this.#logMalformed({server, error: {message: `${this.#options.format.headers.serverLoad}: ignored ${JSON.stringify(text.slice(0, MAX_QUOTED_LENGTH))} after the first three values`}});
+	}
+
+	#readHealthLoad({server, text}: {readonly server: RegisteredServer; readonly text: string}): void {
+		const load = this.#options.format.decodeServerLoad(text);
+		if (load?.ignoredText !== undefined) {
+			this.reportIgnoredLoad({server, text: load.ignoredText});
+		}
+
+		if (load) {
+			this.#options.hearLoad({server, load});
+		}
+	}
+
 	#recordLeaving({server, status}: {readonly server: RegisteredServer; readonly status: number}): void {
 		const {leaving, unsent, counters, log} = this.#options;
 		for (const start of this.#findRespondingStarts({server, status})) {
@@ -184,7 +211,7 @@
 	}
 
 	/** Counts and logs a notice that is malformed. */
-	#logMalformed({server, error: {message}}: {readonly server: RegisteredServer; readonly error: CodedError}): void {
+	#logMalformed({server, error: {message}}: {readonly server: RegisteredServer; readonly error: Pick<CodedError, 'message'>}): void {
 		const {counters, log, now} = this.#options;
 		counters.add('server-notice.refused');
 		if (this.#malformedLogLimiter.tryAcquire({key: server.name, nowMs: now()})) {
--- a/daemons/entry/src/entry.ts
+++ b/daemons/entry/src/entry.ts
@@ -151,6 +151,7 @@
 	const callers: CallerListener = new CallerListener({
 		counters,
 		maxCalls: settings.limits.calls,
+		rejectsBareLineFeeds: true,
 		route: async ({request, response}) => routeCaller({
 			request, response, handler, lookup, holder, counters, now, keyedCalls,
 		}),
--- a/daemons/gateway/src/create-rate-limits.ts
+++ b/daemons/gateway/src/create-rate-limits.ts
@@ -6,7 +6,9 @@
 import {
 	createPermitListener, PermitClient, RateLimitSharing, RateLimitUse, RateLimitWriter, RatePermits, readRateLimit, readServerWarmup, WarmupSharing,
 } from '@pomelopick/calls.rate-limits';
-import type {RatePermitsOptions, RateLimitSharingOptions, ServerWarmup} from '@pomelopick/calls.rate-limits';
+import type {
+	RatePermitsOptions, RateLimitSharingOptions, ServerWarmup, WarmupSharingOptions,
+} from '@pomelopick/calls.rate-limits';
 import {RefusalLog} from '@pomelopick/core.telemetry';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
 import type {CodedError, InstanceId} from '@pomelopick/core.types';
@@ -24,6 +26,8 @@
 	readonly mayBeCold: RatePermitsOptions['mayBeCold'];
 	/** Called when a server is found to have a limit. */
 	readonly onLimited: RateLimitSharingOptions['onLimited'];
+	/** Called when a server is found to warm up for longer than was known. */
+	readonly onLongerWarmup: WarmupSharingOptions['onLonger'];
 	readonly counters: CallCounters;
 	readonly log: DecisionLog;
 	/** Age of the view, in milliseconds. */
@@ -59,7 +63,7 @@
 }
 
 /** Creates the parts. */
-export function createRateLimits({self, view, store, mayBeCold, onLimited, counters, log, viewAgeMs, now}: CreateRateLimitsOptions): RateLimitParts {
+export function createRateLimits({self, view, store, mayBeCold, onLimited, onLongerWarmup, counters, log, viewAgeMs, now}: CreateRateLimitsOptions): RateLimitParts {
 	// Unreferenced timers: the process is kept running by its listeners, not by pauses between calls.
 	const sleep = async (milliseconds: number): Promise<void> => startTimeout(milliseconds, undefined, {ref: false});
 	const rateLimits = new NamedRateLimits();
@@ -101,6 +105,13 @@
 	});
 	const warmupSharing: WarmupSharing = new WarmupSharing({
 		recordWarmup: options => view.servers.recordWarmup(options),
+		onLonger(server) {
+			onLongerWarmup(server);
+			const known = view.servers.findEntry(server);
+			if (known) {
+				permits.beginWarmup(known);
+			}
+		},
 		broadcast(takeRecords) {
 			void warmupBroadcast.broadcast(takeRecords);
 		},
--- a/daemons/gateway/src/create-relay.ts
+++ b/daemons/gateway/src/create-relay.ts
@@ -1,27 +1,31 @@
 /** Creates the relay of requests and wires its parts: placement, limits, connections and the quarantine. */
 import {setTimeout as startTimeout} from 'node:timers/promises';
 import {CallerDisconnects} from '@pomelopick/calls.forwarding';
-import {BackendConnections} from '@pomelopick/calls.connections';
+import {BackendConnections, checkOnConnection} from '@pomelopick/calls.connections';
+import type {ProbeResponseHead} from '@pomelopick/calls.connections';
 import type {LiveView, LostServer} from '@pomelopick/calls.live';
 import type {Quarantine, SuspectStatus, SuspicionSharing} from '@pomelopick/calls.quarantine';
 import {
-	ContactMonitor, PeerChoice, RelayHandler, RetryBudgets, ServerNotices, UnsentAttempts,
+	ConnectionCheck, ContactMonitor, findIdentityRefusal, PeerChoice, RelayHandler, RequestAdmission, RetryBudgets, ServerNotices, ServerUploads, UnsentAttempts,
 } from '@pomelopick/calls.relay';
 import type {RelayedRequest, RelayServer, RetryBudgetsOptions} from '@pomelopick/calls.relay';
 import type {GatewaySettings} from '@pomelopick/config.settings';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
-import type {BackendServerName} from '@pomelopick/core.types';
+import type {BackendServerName, ServiceName} from '@pomelopick/core.types';
 import {
-	decodeRateLimit, decodeRetryAfter, decodeServerLeaving, decodeServerLoad, decodeWarmupLeft, encodeRetryAfter, platformHeaders,
+	CREDENTIALS_CHALLENGE, decodeRateLimit, decodeRetryAfter, decodeServerLeaving, decodeServerLoad, decodeWarmupLeft, encodeRetryAfter, platformHeaders,
 } from '@pomelopick/platform.wire';
+import {AdmissionTable, DeadlineCheck} from '@pomelopick/steering.admission';
 import {ObjectPlacer} from '@pomelopick/steering.objects';
 import {
 	LeavingServers, ObservationTable, RequestedPauses, ServerContacts,
 } from '@pomelopick/steering.servers';
-import type {KnownServer} from '@pomelopick/steering.servers';
+import type {KnownServer, ViewConfirmation} from '@pomelopick/steering.servers';
 import {createCrashDetection} from './create-crash-detection.js';
 import type {CrashDetectionParts} from './create-crash-detection.js';
+import type {QuotaParts} from './create-quotas.js';
 import type {RateLimitParts} from './create-rate-limits.js';
+import type {UploadParts} from './create-uploads.js';
 
 const SERVICE_UNAVAILABLE = 503;
 /** Timeout for connecting to another instance, in milliseconds. */
@@ -35,18 +39,24 @@
 export interface CreateRelayOptions {
 	/** Current settings. */
 	readonly settings: () => GatewaySettings;
+	/** Maximum number of requests in progress for now. */
+	readonly requestLimit: () => number;
 	readonly view: LiveView;
 	readonly sharing: SuspicionSharing;
 	/** Sequence number before the first one that this run of the instance assigns to its records for other instances. */
 	readonly firstSequence: number;
 	/** Rate limits of servers, for all instances together. */
 	readonly rateLimitParts: Pick<RateLimitParts, 'rateLimits' | 'sharing' | 'warmupSharing' | 'permits' | 'use'>;
+	/** Quotas of organisations, for all instances together. */
+	readonly quotas: Pick<QuotaParts, 'take'>;
+	/** Reserves the bytes of an upload for all instances together. */
+	readonly reserveUpload: UploadParts['reserve'];
 	/** Claims a part of a service's retry allowance, which all instances share. */
 	readonly claimAllowance: RetryBudgetsOptions['claim'];
 	readonly counters: CallCounters;
 	readonly log: DecisionLog;
-	/** Age of the view, in milliseconds. */
-	readonly viewAgeMs: () => number;
+	/** How well the store confirms the view. */
+	readonly confirmation: () => ViewConfirmation;
 	/** Monotonic time at which this instance stops, in milliseconds; undefined until it is asked to stop. */
 	readonly endsAtMs: () => number | undefined;
 	/** Monotonic time, in milliseconds. */
@@ -58,11 +68,16 @@
 /** The relay, and those of its parts that are used from outside. */
 export interface RelayParts {
 	readonly handler: RelayHandler;
+	readonly uploads: Pick<ServerUploads, 'count' | 'recordSuspension'>;
 	readonly quarantine: Quarantine;
 	readonly retryBudgets: RetryBudgets;
 	readonly contacts: ServerContacts;
-	/** Aborts the attempts at a server of which nothing was sent, since the server was found to have a rate limit. */
-	readonly recallUnsent: (server: BackendServerName) => void;
+	readonly observations: ObservationTable;
+	/** Admission state of the services whose requests have organisations. */
+	readonly admissions: AdmissionTable;
+	readonly placer: ObjectPlacer;
+	/** Aborts the attempts at a server of which nothing was sent, since the server was found to have a rate limit or to warm up. */
+	readonly recallUnsent: (options: {readonly server: BackendServerName; readonly detail: string}) => void;
 	readonly receiveSuspicion: CrashDetectionParts['receiveSuspicion'];
 	/** Discards all state about a server's process that has ended or is no longer registered. */
 	readonly forget: (lost: LostServer) => void;
@@ -71,7 +86,7 @@
 
 /** Creates the relay. */
 export function createRelay(options: CreateRelayOptions): RelayParts {
-	const {settings, view, sharing, firstSequence, rateLimitParts, claimAllowance, counters, log, viewAgeMs, endsAtMs, now, random} = options;
+	const {settings, requestLimit, view, sharing, firstSequence, rateLimitParts, quotas, reserveUpload, claimAllowance, counters, log, confirmation, endsAtMs, now, random} = options;
 	const {instance, failureDomain, region, regions, limits} = settings();
 	const observations = new ObservationTable();
 	const leaving = new LeavingServers();
@@ -80,7 +95,7 @@
 	const {rateLimits, permits} = rateLimitParts;
 	const unsent = new UnsentAttempts();
 	const format = {
-		headers: platformHeaders, decodeServerLoad, decodeServerLeaving, decodeRetryAfter, decodeRateLimit, decodeWarmupLeft, encodeRetryAfter,
+		headers: platformHeaders, decodeServerLoad, decodeServerLeaving, decodeRetryAfter, decodeRateLimit, decodeWarmupLeft, encodeRetryAfter, credentialsChallenge: CREDENTIALS_CHALLENGE,
 	};
 	const placer = new ObjectPlacer({
 		servers: view.servers,
@@ -92,6 +107,14 @@
 		rateClosedUntilMs: known => permits.closedUntilMs(known),
 		unavailableUntilMs: ({server, nowMs}) => leaving.has(server) ? Number.POSITIVE_INFINITY : pauses.endMs({server, nowMs}),
 		isUnreachable: server => contacts.isUnreachable(server),
+		// Organisations that share the capacity must not depend on the region of their callers.
+		spreadsAll: () => view.organisations !== undefined,
+		onSharesChanged({service, shares, slots, loads}) {
+			counters.add('placement.shares-changed');
+			log.line('region-shares', {
+				subject: service, shares: formatNumbers(shares), slots: formatNumbers(slots), loads: formatNumbers(loads),
+			});
+		},
 		random,
 	});
 	const notices = new ServerNotices({
@@ -106,12 +129,31 @@
 		hearWarmup(warmup) {
 			rateLimitParts.warmupSharing.hear(warmup);
 		},
+		hearLoad({server, load}) {
+			observations.get(server).recordHealth({load, nowMs: now()});
+		},
 		unsent,
 		counters,
 		log,
 		now,
 		wallClockMs: () => Date.now(),
 	});
+	const readHealthAnswer = ({name, head, sentAtMs}: {readonly name: BackendServerName; readonly head: ProbeResponseHead; readonly sentAtMs: number}): void => {
+		const known = view.servers.findEntry(name);
+		const statedName = head.headers[platformHeaders.answeringServer];
+		// A server that rejects a health check may leave its name out.
+		const respondingName = statedName ?? (head.status === SERVICE_UNAVAILABLE ? name : undefined);
+		if (!known || respondingName !== name) {
+			return;
+		}
+
+		notices.read({server: known.server, head});
+		if (statedName === name && contacts.confirm({server: known.server, sinceMs: sentAtMs})) {
+			counters.add('contact.confirmed');
+			log.line('contact-confirmed', {subject: name, detail: 'it answered a health check', startedAtMs: known.server.startedAtMs});
+		}
+	};
+
 	const connections = new BackendConnections({
 		now,
 		probeIntervalMs: 0,
@@ -120,20 +162,8 @@
 			counters.add('connections.replaced', count);
 			log.line('connections-replaced', {server, count});
 		},
-		onHealthAnswer({server: {name}, head, sentAtMs}) {
-			const known = view.servers.findEntry(name);
-			const statedName = head.headers[platformHeaders.answeringServer];
-			// A server that rejects a health check may leave its name out.
-			const respondingName = statedName ?? (head.status === SERVICE_UNAVAILABLE ? name : undefined);
-			if (!known || respondingName !== name) {
-				return;
-			}
-
-			notices.read({server: known.server, head});
-			if (statedName === name && contacts.confirm({server: known.server, sinceMs: sentAtMs})) {
-				counters.add('contact.confirmed');
-				log.line('contact-confirmed', {subject: name, detail: 'it answered a health check', startedAtMs: known.server.startedAtMs});
-			}
+		onHealthAnswer({server: {name}, ...answer}) {
+			readHealthAnswer({name, ...answer});
 		},
 		onIdleReset({name, address, port}) {
 			const known = view.servers.findEntry(name);
@@ -169,6 +199,20 @@
 		sleep: async milliseconds => startTimeout(milliseconds, undefined, {ref: false}),
 		now,
 	});
+	const connectionCheck = new ConnectionCheck({
+		view: confirmation,
+		isCold: known => permits.isCold(view.servers.findEntry(known.server.name) ?? known),
+		hasWarmupRate: ({server: {service}}) => view.routeSet?.services.find(({name}) => name === service)?.warmupRequestsPerSecond !== undefined,
+		ask: checkOnConnection,
+		onAnswer({known: {server: {name}}, ...answer}) {
+			readHealthAnswer({name, ...answer});
+		},
+		onNoAnswer(known) {
+			contactMonitor.lose({server: toRelayServer(known), detail: 'no answer to a health check on a new connection'});
+		},
+		counters,
+		now,
+	});
 	const {quarantine, crashDetector, receiveSuspicion, reportLost, reportUnreachable} = createCrashDetection({
 		instance, firstSequence, sharing, connections, leaving, counters, log, now,
 	});
@@ -177,7 +221,12 @@
 	const retryBudgets = new RetryBudgets({
 		bounds: () => settings().retries, claim: claimAllowance, counters, log, clocks: () => ({monotonicMs: now(), wallClockMs: Date.now()}),
 	});
+	const uploads = new ServerUploads({reserve: reserveUpload, maxBodyBytes: () => view.routeSet?.limits.bodyBytes ?? 0, now});
 	const statusOf = (request: RelayedRequest): SuspectStatus => quarantine.isEmpty ? 'clear' : quarantine.statusOf(request.fingerprint());
+	const admissions = new AdmissionTable();
+	const admission = new RequestAdmission({
+		admissions, deadlines: new DeadlineCheck(), reportsWorkFactor: service => placer.reportsWorkFactor(service), now, random,
+	});
 	const handler = new RelayHandler({
 		view,
 		parts: {
@@ -185,11 +234,14 @@
 			connections,
 			crashDetector,
 			placer,
+			admission,
 			observations,
 			notices,
 			rateLimitUse: rateLimitParts.use,
 			unsent,
+			uploads,
 			contactMonitor,
+			connectionCheck,
 			peerConnections,
 			peerChoice: new PeerChoice({
 				self: instance, region, instances: () => view.instances.list(), random,
@@ -209,15 +261,18 @@
 			counters,
 			statusOf,
 			isSuspect: request => statusOf(request) !== 'clear',
+			identityRefusal: ({options: {identity, route}}) => findIdentityRefusal({identity, route, organisations: view.organisations}),
+			takeQuota: async organisation => quotas.take(organisation),
 			takeRetry: async ({options: {service, answerByMs}}) => retryBudgets.take({service, answerByMs}),
 			permits,
-			viewAgeMs,
+			viewAgeMs: () => confirmation().ageMs,
 			now,
 		},
 		callerDisconnects: new CallerDisconnects(),
 		quarantine,
 		log,
 		limits,
+		requestLimit,
 		recordRequest(service) {
 			retryBudgets.recordRequest(service);
 		},
@@ -226,11 +281,15 @@
 	});
 	return {
 		handler,
+		uploads,
 		quarantine,
 		retryBudgets,
 		contacts,
-		recallUnsent(server) {
-			const recalled = unsent.recall({server, reason: 'backend-rate-limited', detail: 'the server named a rate limit'});
+		observations,
+		admissions,
+		placer,
+		recallUnsent(options) {
+			const recalled = unsent.recall({...options, reason: 'backend-rate-limited'});
 			counters.add('server-notice.recalled', recalled);
 		},
 		receiveSuspicion,
@@ -247,3 +306,8 @@
 		},
 	};
 }
+
+/** Numbers by name with up to three decimals, for a log line. */
+function formatNumbers(numbers: ReadonlyMap<string, number>): string {
+	return [...numbers].map(([name, number]) => `${name}=${Number(number.toFixed(3))}`).join(' ');
+}
--- a/daemons/gateway/src/create-view.ts
+++ b/daemons/gateway/src/create-view.ts
@@ -7,11 +7,13 @@
 	ViewChange, InstanceRecord, LostServer, SnapshotReason, SuspicionRecord,
 } from '@pomelopick/calls.live';
 import type {SuspicionSharing} from '@pomelopick/calls.quarantine';
+import {shardReader} from '@pomelopick/calls.quotas';
+import type {ObserveOptions} from '@pomelopick/calls.quotas';
 import {rateLimitReader} from '@pomelopick/calls.rate-limits';
 import {RefusalLog} from '@pomelopick/core.telemetry';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
 import type {Endpoint, RouteSet} from '@pomelopick/core.types';
-import {PlatformStore, splitIndex} from '@pomelopick/platform.store';
+import {FIRST_ERA, PlatformStore, splitIndex} from '@pomelopick/platform.store';
 import type {KeyValueStore} from '@pomelopick/platform.store';
 import {decodeRouteSet, decodeServer, readSubject} from '@pomelopick/platform.wire';
 import {partReuseMs} from '@pomelopick/steering.limits';
@@ -45,6 +47,12 @@
 	readonly onSuspicion: (record: SuspicionRecord) => void;
 	/** Called with each record about the rate limit of a server. */
 	readonly onRateLimit: (record: RateLimitRecord) => void;
+	/** Called with each record about the owner of a shard of the quotas. */
+	readonly onQuotaShard: (options: ObserveOptions) => void;
+	/** Called after the store was read whole. */
+	readonly onRead: (options: {readonly isFirst: boolean; readonly isFirstEra: boolean}) => void;
+	/** Called when the registration of this instance was confirmed by a call that was sent at a monotonic time in milliseconds, or lost (undefined). */
+	readonly onRegistration: (confirmedAtMs: number | undefined) => void;
 	readonly onServerLost: (lost: LostServer) => void;
 	/** Called when the store has returned from an older copy, which may lack records that this instance has written. */
 	readonly onStoreReturned: () => void;
@@ -70,13 +78,15 @@
 	/** Claims a part of a service's retry allowance, which all instances share. */
 	readonly claimAllowance: AllowanceParts['claim'];
 	start(): void;
+	/** Changes this instance's record. */
+	updateRecord(record: InstanceRecord): void;
 	/** Removes this instance's record, so that callers are no longer directed here. */
 	leave(): Promise<void>;
 	stop(): Promise<void>;
 }
 
 /** Creates the view. It is updated once {@link ViewParts.start} has been called. */
-export function createView({store: endpoint, self, firstSequence, retries, counters, log, onRoutes, onSuspicion, onRateLimit, onServerLost, onStoreReturned, onInstances, now, random}: CreateViewOptions): ViewParts {
+export function createView({store: endpoint, self, firstSequence, retries, counters, log, onRoutes, onSuspicion, onRateLimit, onQuotaShard, onRead, onRegistration, onServerLost, onStoreReturned, onInstances, now, random}: CreateViewOptions): ViewParts {
 	// Unreferenced timers: the process is kept running by its listeners, not by pauses between calls.
 	const sleep = async (milliseconds: number): Promise<void> => startTimeout(milliseconds, undefined, {ref: false});
 	const refusals = new RefusalLog({log, now});
@@ -125,6 +135,7 @@
 
 		const isOwnRecordLost = (change.event === 'instance-left' && change.subject === self.id) || (change.event === 'instance-refused' && change.subject === instanceKey(self.id));
 		if (isOwnRecordLost) {
+			onRegistration(undefined);
 			registration.restore();
 		}
 	};
@@ -137,7 +148,7 @@
 			onRecord: onSuspicion, onMalformed: onChange, remove(key) {
 				sharing.restore(key);
 			},
-		}), rateLimitReader({onRecord: onRateLimit, onMalformed: onChange})],
+		}), rateLimitReader({onRecord: onRateLimit, onMalformed: onChange}), shardReader({onRecord: onQuotaShard, onMalformed: onChange})],
 		onServerLost,
 	});
 	const changeRelay = new ChangeRelay({now});
@@ -170,6 +181,7 @@
 				allowance.recordFirstRead({era});
 			}
 
+			onRead({isFirst: reason === 'first', isFirstEra: era <= FIRST_ERA});
 			log.line('store-read', {values, storeEra: era, why: snapshotReasons[reason]});
 			returnReport.recordRead({era, values});
 		},
@@ -178,8 +190,14 @@
 		store,
 		record: self,
 		sleep,
+		now,
+		onConfirmed: onRegistration,
 		onState(state) {
 			log.line(`record-${state}`, {});
+			if (state === 'lapsed') {
+				onRegistration(undefined);
+			}
+
 			if (state === 'registered') {
 				returnReport.recordRegistered();
 			}
@@ -229,6 +247,9 @@
 			void feed.run();
 			void registration.run();
 		},
+		updateRecord(record) {
+			registration.update(record);
+		},
 		async leave() {
 			changeRelay.close();
 			await registration.leave();
--- a/daemons/gateway/src/gateway.ts
+++ b/daemons/gateway/src/gateway.ts
@@ -1,42 +1,26 @@
 /** Starts and stops one gateway. */
 import {randomInt} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
-import {Either, Left, Right} from 'purify-ts';
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import {CallerListener, HeaderCount} from '@pomelopick/calls.listener';
-import {
-	broadcastPath, createBroadcastListener, createChangeListener, readSuspicion,
-} from '@pomelopick/calls.live';
+import {HeaderCount} from '@pomelopick/calls.listener';
 import type {InstanceRecord} from '@pomelopick/calls.live';
-import {PERMITS_PATH} from '@pomelopick/calls.rate-limits';
-import {FORWARDED_PATH} from '@pomelopick/calls.relay';
 import type {GatewaySettings, SettingsError} from '@pomelopick/config.settings';
 import type {BindError} from '@pomelopick/core.listeners';
 import {DecisionLog, EventLoopMonitor, ServedCounters} from '@pomelopick/core.telemetry';
 import type {OutputWriter} from '@pomelopick/core.telemetry';
-import type {Endpoint} from '@pomelopick/core.types';
-import {encodeRetryAfter, platformHeaders} from '@pomelopick/platform.wire';
-import {createDirectory, createReadiness} from './directory.js';
 import type {CodeCacheUse} from './code-cache.js';
-import {createBinder, createFailureLog} from './create-binder.js';
-import {createRateLimits} from './create-rate-limits.js';
-import {createRelay} from './create-relay.js';
-import {createView} from './create-view.js';
-import {HttpListener} from './http-listener.js';
-import type {HandleRequest} from './http-listener.js';
+import {GatewayListeners, MAX_HEADER_BYTES} from './gateway-listeners.js';
+import type {GatewayEndpoints} from './gateway-listeners.js';
+import {createGatewayParts, stopParts} from './gateway-parts.js';
+import type {GatewayContext, GatewayParts} from './gateway-parts.js';
+import {registerGauges} from './metrics.js';
 
 const MAX_SEED = 2_147_483_647;
-const MILLISECONDS_PER_SECOND = 1000;
-/** Maximum size of headers that the HTTP parser accepts, in bytes; the operator's limit is lower and is checked later. */
-const MAX_HEADER_BYTES = 65_536;
-/** Time for which connections stay open beyond the configured idle timeout, in milliseconds. */
-const IDLE_MARGIN_MS = 1000;
 /** Part of the shutdown time that is reserved for closing listeners and connections at its end, in milliseconds. */
 const CLOSE_RESERVE_MS = 500;
-/** Share of the shutdown time during which requests are still accepted, while callers are informed that the instance is leaving. */
-const ANNOUNCE_RATIO = 0.5;
-const LISTENER_TIMES = {headersTimeoutMs: 5000, idleTimeoutMs: 20_000};
 
 /** Options of {@link startGateway}. */
 export interface StartGatewayOptions {
@@ -51,7 +35,7 @@
 /** A running gateway. */
 export interface Gateway {
 	/** Endpoints on which it listens. */
-	readonly endpoints: {readonly callers: Endpoint; readonly readiness: Endpoint; readonly directory: Endpoint; readonly metrics: Endpoint};
+	readonly endpoints: GatewayEndpoints;
 	/** Whether it accepts requests. */
 	readonly isReady: () => boolean;
 	/** Number of requests in progress. */
@@ -73,171 +57,52 @@
 export async function startGateway({settings: startSettings, output, codeCache = 'missing', stopSignal}: StartGatewayOptions): Promise<Either<BindError, Gateway>> {
 	let settings = startSettings;
 	let endsAtMs: number | undefined;
-	const firstSequence = Date.now();
-	const now = (): number => performance.now();
-	const generator = xoroshiro128plus(randomInt(MAX_SEED));
-	const random = (): number => uniformInt(generator, 0, MAX_SEED - 1) / MAX_SEED;
-	const counters = new ServedCounters();
-	const log = new DecisionLog({write: output.write, common: {instance: settings.instance}, wallClock: () => Date.now()});
-	const {instance: id, failureDomain, region, listen: {callers, peers}} = settings;
-	const self: InstanceRecord = {
-		id, failureDomain, region, callers, peers, maxHeaders: new HeaderCount({headBytes: MAX_HEADER_BYTES}).max,
-	};
-	const viewParts = createView({
-		store: settings.store,
-		self,
-		firstSequence,
-		retries: () => settings.retries,
-		counters,
-		log,
-		onRoutes({limits}) {
-			listener.setTimeouts({headersTimeoutMs: limits.headerTimeoutMs, idleTimeoutMs: limits.idleTimeoutMs + IDLE_MARGIN_MS});
-		},
-		onSuspicion(record) {
-			relay.receiveSuspicion(record);
+	const context = createContext({output, settings: () => settings, endsAtMs: () => endsAtMs});
+	const {log, now, self: {failureDomain, region}} = context;
+	const parts = createGatewayParts({
+		context, onRoutes({limits}) {
+			listeners.useLimits(limits);
 		},
-		onRateLimit(record) {
-			rateLimitParts.receiveFromStore(record);
-		},
-		onServerLost(lost) {
-			relay.forget(lost);
-			rateLimitParts.forget(lost);
-		},
-		onStoreReturned() {
-			rateLimitParts.restoreRecords();
-		},
-		onInstances() {
-			rateLimitParts.updateInstances();
-		},
-		now,
-		random,
 	});
+	const {viewParts, quotas, relay, loadSharing} = parts;
 	const {view, feed} = viewParts;
-	const rateLimitParts = createRateLimits({
-		self: id,
-		view,
-		store: viewParts.store,
-		mayBeCold: server => relay.contacts.isLost(server),
-		onLimited({name}) {
-			relay.recallUnsent(name);
-		},
-		counters,
-		log,
-		viewAgeMs: () => feed.ageMs,
-		now,
-	});
 	const isReady = (): boolean => endsAtMs === undefined && view.routeSet !== undefined && (feed.hasCaughtUp || (feed.hasRead && feed.isFailing));
-	const {sharing, claimAllowance} = viewParts;
-	const relay = createRelay({
-		settings: () => settings, view, sharing, firstSequence, rateLimitParts, claimAllowance, counters, log, viewAgeMs: () => feed.ageMs, endsAtMs: () => endsAtMs, now, random,
-	});
-	const listener: CallerListener = new CallerListener({
-		counters,
-		maxCalls: settings.limits.requests,
-		limits: {headerBytes: MAX_HEADER_BYTES, ...LISTENER_TIMES},
-		announceMs: settings.shutdownMs * ANNOUNCE_RATIO,
-		refusalFormat: {idHeader: platformHeaders.requestId, encodeRetryAfter},
-		route: async options => relay.handler.handle(options),
-	});
-	const failures = createFailureLog({counters, log, now});
-	const readiness = new HttpListener({handle: createReadiness({isReady}), onFailure: failures('readiness')});
-	const directory = new HttpListener({
-		handle: createDirectory({
-			view, self, isReady, maxTimeToLiveMs: settings.directoryMaxAgeMs, counters,
-		}),
-		onFailure: failures('directory'),
-	});
-	const handleChanges = createChangeListener({relay: viewParts.changeRelay});
-	const handleSuspicions = createBroadcastListener({
-		subject: 'suspicions', readRecord: readSuspicion, receive: async message => viewParts.suspicionBroadcast.receive(message), onMalformed({code, message}) {
-			log.line('suspicion-refused', {reason: code, detail: message});
-		},
-	});
-	const peerListeners = new Map([
-		[broadcastPath('suspicions'), handleSuspicions],
-		[broadcastPath('rate-limits'), rateLimitParts.handleRecords],
-		[broadcastPath('server-warmups'), rateLimitParts.handleWarmups],
-		[PERMITS_PATH, rateLimitParts.handlePermits],
-	]);
-	const peerListener = new HttpListener({
-		async handle(request, response) {
-			const {url = ''} = request;
-			if (url.startsWith(`${FORWARDED_PATH}/`)) {
-				await relay.handler.handleForwarded({request, response, path: url.slice(FORWARDED_PATH.length)});
-				return;
-			}
-
-			const handle: HandleRequest = peerListeners.get(url) ?? handleChanges;
-			await handle(request, response);
-		},
-		maxHeaderBytes: MAX_HEADER_BYTES,
-		onFailure: failures('peers'),
-	});
-	const metrics = new HttpListener({
-		async handle(_request, response) {
-			const text = await counters.text();
-			response.setHeader('content-type', counters.contentType);
-			response.end(text);
-		},
-		onFailure: failures('metrics'),
-	});
-	counters.gauge({name: 'uptime_seconds', help: 'Time since the process started.', read: () => now() / MILLISECONDS_PER_SECOND});
-	counters.gauge({name: 'requests_in_progress', help: 'Requests in progress.', read: () => relay.handler.inProgress});
-	counters.gauge({name: 'view_age_seconds', help: 'Time since the store last answered.', read: () => feed.ageMs / MILLISECONDS_PER_SECOND});
-	counters.gauge({name: 'log_lines_dropped', help: 'Log lines dropped because standard output was not read.', read: () => log.dropped});
-	counters.gauges({
-		name: 'retries_in_window', help: 'Sends to a further backend server in the window of the retry budget.', label: 'service', read: () => relay.retryBudgets.used(),
-	});
-	counters.gauges({
-		name: 'retries_granted', help: 'Sends to a further backend server that claimed parts of the allowance still allow.', label: 'service', read: () => relay.retryBudgets.granted(),
-	});
-	counters.gauges({
-		name: 'server_rate_limit', help: 'Rate limits that backend servers name, in requests per second.', label: 'server', read: () => rateLimitParts.listRates(),
-	});
-	const eventLoopMonitor = new EventLoopMonitor({counters, log});
-	eventLoopMonitor.start();
-	const binder = createBinder({counters, log, now});
+	const listeners = new GatewayListeners({context, parts, isReady});
+	const eventLoopMonitor = startMonitoring({context, parts});
 	const close = async (): Promise<void> => {
-		binder.stop();
-		rateLimitParts.stop();
-		await Promise.all([viewParts.stop(), relay.stop(), readiness.stop(), directory.stop(), peerListener.stop(), metrics.stop()]);
+		listeners.stopBinding();
+		await Promise.all([stopParts(parts), listeners.stopOthers()]);
 		eventLoopMonitor.stop();
 	};
 
 	stopSignal?.addEventListener('abort', () => {
-		binder.stop();
+		listeners.stopBinding();
 	});
-	const bindings = await Promise.all([
-		binder.bind({server: listener.server, listener: 'callers', endpoint: callers}),
-		binder.bind({server: readiness.server, listener: 'readiness', endpoint: settings.listen.readiness}),
-		binder.bind({server: directory.server, listener: 'directory', endpoint: settings.listen.directory}),
-		binder.bindOptional({server: metrics.server, listener: 'metrics', endpoint: settings.listen.metrics}),
-		binder.bind({server: peerListener.server, listener: 'peers', endpoint: peers}),
-	]);
-	const unbound = Either.lefts(bindings);
-	if (unbound.length > 0) {
-		const failure = unbound.find(({code}) => code === 'bind-refused') ?? unbound[0]!;
-		await listener.stop({timeoutMs: 0, inProgress: () => relay.handler.inProgress});
+	const bound = await listeners.bind();
+	if (bound.isLeft()) {
+		const failure = bound.extract();
+		await listeners.stopCallers(0);
 		await close();
 		log.line('stopped', {reason: failure.code, detail: failure.message});
 		output.flush();
 		return Left(failure);
 	}
 
-	const [callersAt, readinessAt, directoryAt, metricsAt] = Either.rights(bindings) as [Endpoint, Endpoint, Endpoint, Endpoint, Endpoint];
+	const endpoints = bound.unsafeCoerce();
 	viewParts.start();
+	loadSharing.start();
 	log.line('started', {
-		failureDomain, region, callers: `${callersAt.address}:${callersAt.port}`, codeCache,
+		failureDomain, region, callers: `${endpoints.callers.address}:${endpoints.callers.port}`, codeCache,
 	});
 	const stop = async (shutdownMs: number): Promise<void> => {
 		const timeoutMs = Math.max(0, shutdownMs - CLOSE_RESERVE_MS);
 		endsAtMs = now() + timeoutMs;
 		log.line('stopping', {inProgress: relay.handler.inProgress, timeoutMs});
-		const left = viewParts.leave();
+		const left = Promise.all([quotas.shards.release(), viewParts.leave()]);
 		const timer = setTimeout(() => {
 			relay.handler.stop();
 		}, timeoutMs);
-		await listener.stop({timeoutMs, inProgress: () => relay.handler.inProgress});
+		await listeners.stopCallers(timeoutMs);
 		clearTimeout(timer);
 		await left;
 		await close();
@@ -247,9 +112,7 @@
 
 	let stopped: Promise<void> | undefined;
 	return Right({
-		endpoints: {
-			callers: callersAt, readiness: readinessAt, directory: directoryAt, metrics: metricsAt,
-		},
+		endpoints,
 		isReady,
 		countRequests: () => relay.handler.inProgress,
 		useSettings(changed) {
@@ -265,3 +128,37 @@
 		},
 	});
 }
+
+/** Creates what all parts use, with the clocks and the randomness of this process. */
+function createContext({output, settings, endsAtMs}: Pick<GatewayContext, 'settings' | 'endsAtMs'> & Pick<StartGatewayOptions, 'output'>): GatewayContext {
+	const {instance: id, failureDomain, region, capacity, listen: {callers, peers}} = settings();
+	const self: InstanceRecord = {
+		id, failureDomain, region, callers, peers, maxHeaders: new HeaderCount({headBytes: MAX_HEADER_BYTES}).max, capacity,
+	};
+	const generator = xoroshiro128plus(randomInt(MAX_SEED));
+	return {
+		settings,
+		self,
+		firstSequence: Date.now(),
+		counters: new ServedCounters(),
+		log: new DecisionLog({write: output.write, common: {instance: id}, wallClock: () => Date.now()}),
+		endsAtMs,
+		now: () => performance.now(),
+		random: () => uniformInt(generator, 0, MAX_SEED - 1) / MAX_SEED,
+	};
+}
+
+/** Registers the gauges, and starts to watch the delays of the event loop. */
+function startMonitoring({context: {counters, log, now}, parts}: {readonly context: GatewayContext; readonly parts: GatewayParts}): EventLoopMonitor {
+	const {viewParts: {feed}, quotas, overload} = parts;
+	registerGauges({
+		...parts, counters, log, shards: quotas.shards, viewAgeMs: () => feed.ageMs, now,
+	});
+	const monitor = new EventLoopMonitor({
+		counters, log, onReport(meanDelayMs) {
+			overload.record(meanDelayMs);
+		},
+	});
+	monitor.start();
+	return monitor;
+}
