--- a/testing/demo/src/gateway-demo.ts
+++ b/testing/demo/src/gateway-demo.ts
@@ -3,12 +3,12 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {
-	DirectoryCaller, guaranteesNotRun, isReady, regions, startGatewayFleet, startGatewayProcess, until,
+	configuration, DirectoryCaller, guaranteesNotRun, isReady, regions, startGatewayFleet, startGatewayProcess, until,
 } from '@pomelopick/testing.gateway-fleet';
 import type {
-	DirectoryCall, FleetDomain, GatewayFleet, GatewayProcess, Play,
+	DirectoryCall, FleetDomain, FleetOrganisation, GatewayFleet, GatewayProcess, Play,
 } from '@pomelopick/testing.gateway-fleet';
-import {checkCalls} from '@pomelopick/testing.gateway-soak';
+import {checkCalls, checkOrganisations} from '@pomelopick/testing.gateway-soak';
 import type {CallRecord, Violation} from '@pomelopick/testing.gateway-soak';
 import type {DemoResult, RunDemoOptions} from './demo.js';
 import {listPercentiles} from './percentiles.js';
@@ -16,6 +16,11 @@
 const domains: readonly FleetDomain[] = ['north-a', 'north-a', 'north-b', 'south-a'];
 const servers: readonly FleetDomain[] = ['north-a', 'north-a', 'north-b', 'north-b', 'south-a', 'south-a'];
 const plays: readonly Play[] = ['whole', 'whole', 'whole', 'whole', 'whole', 'whole', 'slow', 'shed'];
+/** Organisations, which have the callers in turn. */
+const organisations: readonly FleetOrganisation[] = [{name: 'first', keys: ['key-of-first']}, {name: 'second', keys: ['key-of-second'], homeRegions: ['north']}];
+const periods = organisations.map(({name, keys: [key]}) => ({
+	key: key!, organisation: name, fromMs: Number.NEGATIVE_INFINITY, toMs: Number.POSITIVE_INFINITY,
+}));
 const CALLERS = 10;
 const OBJECTS = 40;
 const WRITE_PERCENT = 25;
@@ -38,6 +43,7 @@
 export async function runGatewayDemo({seed, report}: RunDemoOptions): Promise<DemoResult> {
 	report(`gateways on the users' platform: starting ${domains.length} gateways and ${servers.length} backend servers`);
 	const fleet = await startGatewayFleet({servers});
+	fleet.write('op/config', configuration({version: 2, organisations}));
 	const members = await Promise.all(domains.map(async (failureDomain, number) => startMember({fleet, failureDomain, number})));
 	try {
 		const stopped = new AbortController();
@@ -49,7 +55,8 @@
 		stopped.abort();
 		const callsOfAll = await calling;
 		const calls = callsOfAll.flat();
-		return judge({calls, stopExitCode, violations: checkCalls({calls: calls.flatMap(({records}) => records), executions: fleet.records.executions})});
+		const judged = {calls: calls.flatMap(({records}) => records), executions: fleet.records.executions};
+		return judge({calls, stopExitCode, violations: [...checkCalls(judged), ...checkOrganisations({...judged, periods, disturbances: []})]});
 	} finally {
 		await Promise.all(members.map(async ({process}) => process.stop()));
 		await fleet.stop();
@@ -92,17 +99,18 @@
 	const caller = new DirectoryCaller({
 		directories: () => members.map(({directory}) => directory), region: regions[failureDomain], failureDomain, random: () => draw(PERCENT) / PERCENT,
 	});
+	const {keys: [key]} = organisations[number % organisations.length]!;
 	const calls: DemoCall[] = [];
 	while (!signal.aborted) {
 		const method = draw(PERCENT) < WRITE_PERCENT ? 'POST' : 'GET';
 		const path = `/${method === 'POST' ? 'write' : 'read'}/${draw(OBJECTS)}`;
 		const body = method === 'POST' ? `note ${draw(1000)}` : '';
 		const call = await caller.call({
-			method, path, ...(body !== '' && {body}), object: path, plays: [plays[draw(plays.length)]!, 'whole'], timeLeftMs: CALL_TIMEOUT_MS,
+			method, path, ...(body !== '' && {body}), object: path, key, plays: [plays[draw(plays.length)]!, 'whole'], timeLeftMs: CALL_TIMEOUT_MS,
 		});
 		calls.push({
 			...call, records: call.answers.map(answer => ({
-				method, path, body, answer,
+				method, path, body, answer, key,
 			})),
 		});
 		await sleep(draw(LONGEST_PAUSE_MS));
@@ -122,7 +130,7 @@
 		refused: finals.filter(({status}) => guaranteesNotRun(status)).length,
 		silent: finals.filter(({isSilent}) => isSilent).length,
 		failed: finals.filter(({status, isSilent}) => status !== 200 && !guaranteesNotRun(status) && !isSilent).length,
-		wrongAnswers: count('wrong-answer', 'unasked', 'changed', 'wrong-server'),
+		wrongAnswers: count('wrong-answer', 'unasked', 'changed', 'wrong-server', 'key-passed-on', 'wrong-organisation', 'valid-key-refused'),
 		doubleExecutions: count('ran-twice'),
 		falseNotRun: count('ran-though-refused'),
 		refusalsByReason: {},
--- a/testing/gateway-fleet/src/caller.ts
+++ b/testing/gateway-fleet/src/caller.ts
@@ -21,6 +21,10 @@
 	/** Time for which servers work on the request before they play it, in milliseconds. */
 	readonly workMs?: number;
 	readonly host?: string;
+	/** Key of the caller; undefined: it sends none. */
+	readonly key?: string | undefined;
+	/** Further headers. */
+	readonly headers?: Readonly<Record<string, string | string[]>>;
 	readonly requestId?: string;
 	/** Aborts the request on the caller's side. */
 	readonly signal?: AbortSignal;
@@ -43,7 +47,7 @@
 /** Sends one request on a new connection. The status is 0 if the connection ends without a response. */
 export async function callGateway(options: CallGatewayOptions): Promise<CallerResponse> {
 	const {endpoint: {address, port}, path = '/read/x', method = 'GET', body, plays = ['whole'], object = 'x', timeLeftMs = 3000, workMs = 0} = options;
-	const {host = HOST, requestId = randomUUID(), signal} = options;
+	const {host = HOST, requestId = randomUUID(), key, headers = {}, signal} = options;
 	const agent = new Agent({pipelining: 0});
 	try {
 		const response = await request(`http://${address}:${port}${path}`, {
@@ -52,7 +56,7 @@
 			signal,
 			dispatcher: agent,
 			headers: {
-				host, 'x-request-id': requestId, 'x-affinity-key': object, 'x-deadline-ms': String(timeLeftMs), [PLAY_HEADER]: plays.join(','), [WORK_HEADER]: String(workMs),
+				host, 'x-request-id': requestId, 'x-affinity-key': object, 'x-deadline-ms': String(timeLeftMs), [PLAY_HEADER]: plays.join(','), [WORK_HEADER]: String(workMs), ...(key !== undefined && {authorization: `Bearer ${key}`}), ...headers,
 			},
 		});
 		return {
--- a/testing/gateway-fleet/src/directory-caller.ts
+++ b/testing/gateway-fleet/src/directory-caller.ts
@@ -48,7 +48,7 @@
 	}
 
 	/** Sends a request. Reads are retried after any failure, writes only if the status guarantees that the request was not run. */
-	async call(request: Pick<CallGatewayOptions, 'method' | 'path' | 'body' | 'object' | 'plays'> & {readonly timeLeftMs: number}): Promise<DirectoryCall> {
+	async call(request: Pick<CallGatewayOptions, 'method' | 'path' | 'body' | 'object' | 'plays' | 'key'> & {readonly timeLeftMs: number}): Promise<DirectoryCall> {
 		const startedAtMs = Date.now();
 		const answers: CallerResponse[] = [];
 		for (;;) {
--- a/testing/gateway-fleet/src/pipelining-caller.ts
+++ b/testing/gateway-fleet/src/pipelining-caller.ts
@@ -91,6 +91,16 @@
 		this.#socket.write(`${lines.join('\r\n')}${HEAD_END}${body}`);
 	}
 
+	/** Sends requests in one piece, so that the gateway reads all of them before it handles the first. */
+	sendTogether(requests: readonly SendOptions[]): void {
+		this.#socket.cork();
+		for (const request of requests) {
+			this.send(request);
+		}
+
+		this.#socket.uncork();
+	}
+
 	/** Stops reading responses. */
 	pause(): void {
 		this.#socket.pause();
--- a/testing/gateway-fleet/src/play-answer.ts
+++ b/testing/gateway-fleet/src/play-answer.ts
@@ -38,6 +38,8 @@
 
 /** Options of {@link respond}. */
 export interface RespondOptions {
+	/** Fourth value of the load header, as text; undefined: the header has three values. */
+	readonly workTime?: string | undefined;
 	/** How to respond. `shed` and `late-shed` are handled earlier, as they do not run the request. */
 	readonly play: Play;
 	readonly name: string;
@@ -48,11 +50,16 @@
 	readonly fallSilent: () => void;
 }
 
+/** Formats the load of a server with four slots. */
+export function formatLoad({running, workTime}: {readonly running: number; readonly workTime: string | undefined}): string {
+	return [running, 0, 4, ...(workTime === undefined ? [] : [workTime])].join(',');
+}
+
 /** Responds to a request, or does not, as its play says. */
-export async function respond({play, name, requestId, response, crash, fallSilent}: RespondOptions): Promise<void> {
+export async function respond({workTime, play, name, requestId, response, crash, fallSilent}: RespondOptions): Promise<void> {
 	const text = JSON.stringify({requestId, server: name});
 	const headers = {
-		'content-length': String(text.length), 'x-request-id': requestId, 'x-server-stamp': `${name}.${requestId}`, 'x-server-load': '1,0,4',
+		'content-length': String(text.length), 'x-request-id': requestId, 'x-server-stamp': `${name}.${requestId}`, 'x-server-load': formatLoad({running: 1, workTime}),
 	};
 	const socket = response.socket!;
 	if (isUnframed(play)) {
--- a/testing/gateway-fleet/src/raw-server.ts
+++ b/testing/gateway-fleet/src/raw-server.ts
@@ -26,8 +26,8 @@
 	readonly name: string;
 	/** Handles a request other than a health check. */
 	readonly onRequest: (request: RawRequest) => void;
-	/** Bytes of the responses to health checks. By default a success with the name of the server. */
-	readonly healthResponse?: string;
+	/** Bytes of the responses to health checks, or a function that returns them for each. By default a success with the name of the server. */
+	readonly healthResponse?: string | (() => string | undefined);
 }
 
 /** A running server. */
@@ -103,7 +103,7 @@
 			received = received.slice(end);
 			const [method, path] = head.split(' ');
 			if (path === '/health') {
-				socket.write(healthResponse);
+				socket.write((typeof healthResponse === 'string' ? healthResponse : healthResponse()) ?? '');
 			} else {
 				onRequest({
 					requestId: findHeader({head, name: 'x-request-id'}) ?? '',
--- a/testing/gateway-fleet/src/registered-server.ts
+++ b/testing/gateway-fleet/src/registered-server.ts
@@ -29,6 +29,8 @@
 	requestPause(pauseMs: number): void;
 	/** Sets the time for which the server says in its health responses that it warms up, in milliseconds. */
 	warmUp(durationMs: number): void;
+	/** Sets the fourth value of the load header, where 100 is the usual speed; undefined: none. The text is sent as it is. */
+	nameWorkTime(text: string | undefined): void;
 	/** Ends all that it announces, as a new start of a server does. */
 	startAnew(): void;
 	/** Stops answering: all connections stay open and carry nothing more. */
@@ -45,7 +47,7 @@
 export async function startRegisteredServer({name, records, port = 0, onCrash, onSilent}: StartRegisteredServerOptions): Promise<RegisteredServer> {
 	const sockets = new Set<Socket>();
 	const announced: AnnouncedState = {
-		isLeaving: false, leaveCount: 0, pausedUntilMs: 0, rateLimit: undefined, coldUntilMs: 0,
+		isLeaving: false, leaveCount: 0, pausedUntilMs: 0, rateLimit: undefined, coldUntilMs: 0, workTime: undefined,
 	};
 	let isSilent = false;
 	const reset = (): void => {
@@ -109,9 +111,12 @@
 		warmUp(durationMs) {
 			announced.coldUntilMs = performance.now() + durationMs;
 		},
+		nameWorkTime(text) {
+			announced.workTime = text;
+		},
 		startAnew() {
 			Object.assign(announced, {
-				isLeaving: false, pausedUntilMs: 0, rateLimit: undefined, coldUntilMs: 0,
+				isLeaving: false, pausedUntilMs: 0, rateLimit: undefined, coldUntilMs: 0, workTime: undefined,
 			});
 		},
 		fallSilent,
--- a/testing/gateway-fleet/src/serve-request.ts
+++ b/testing/gateway-fleet/src/serve-request.ts
@@ -8,7 +8,7 @@
 import {performance} from 'node:perf_hooks';
 import {buffer} from 'node:stream/consumers';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {LATE_MS, respond} from './play-answer.js';
+import {formatLoad, LATE_MS, respond} from './play-answer.js';
 import type {Play} from './play-answer.js';
 
 /** Header that lists the plays of a request. */
@@ -25,6 +25,10 @@
 	readonly method: string;
 	readonly path: string;
 	readonly body: string;
+	/** Organisation of the caller, as the request states it; undefined if it states none. */
+	readonly organisation?: string | undefined;
+	/** Credentials that the server received; no server may receive any where callers are authenticated. */
+	readonly credentials?: string | undefined;
 	/** The only server that may run the request, as named in its header. */
 	readonly expectedServer: string | undefined;
 	/** Time until the deadline that the sender stated, in milliseconds. */
@@ -73,6 +77,8 @@
 	rateLimit: string | undefined;
 	/** Monotonic time until which the server warms up, in milliseconds. */
 	coldUntilMs: number;
+	/** Fourth value of the load header, as text; undefined: responses carry a load of three values and health responses carry none. */
+	workTime: string | undefined;
 }
 
 /** Options of {@link serve}. */
@@ -102,6 +108,10 @@
 			response.setHeader('x-warmup-ms', String(Math.ceil(warmupLeftMs)));
 		}
 
+		if (announced.workTime !== undefined) {
+			response.setHeader('x-server-load', formatLoad({running: 0, workTime: announced.workTime}));
+		}
+
 		response.setHeader('x-instance-id', name);
 		response.end();
 		return;
@@ -145,6 +155,8 @@
 		method: request.method ?? '',
 		path: request.url ?? '',
 		body: body.toString('utf8'),
+		organisation: joinHeaders({request, name: 'x-tenant'}),
+		credentials: joinHeaders({request, name: 'authorization'}),
 		expectedServer,
 		timeLeftMs: Number(request.headers['x-deadline-ms']),
 		play,
@@ -161,10 +173,16 @@
 	}
 
 	await respond({
-		play, name, requestId, response, crash, fallSilent,
+		workTime: announced.workTime, play, name, requestId, response, crash, fallSilent,
 	});
 }
 
+/** All values of a header, joined. `headersDistinct` throws at names of inherited properties in some releases of Node.js 20, such as 20.19.0. */
+function joinHeaders({request: {rawHeaders}, name}: {readonly request: IncomingMessage; readonly name: string}): string | undefined {
+	const values = rawHeaders.filter((_, position) => position % 2 === 1 && rawHeaders[position - 1]!.toLowerCase() === name);
+	return values.length > 0 ? values.join(', ') : undefined;
+}
+
 function nextPlay({records, requestId, plays}: {readonly records: ServerRecords; readonly requestId: string; readonly plays: string}): Play {
 	const playList = plays.split(',') as Play[];
 	const arrival = records.arrivals.get(requestId) ?? 0;
--- a/testing/gateway-soak/src/call-check.ts
+++ b/testing/gateway-soak/src/call-check.ts
@@ -9,6 +9,8 @@
 	readonly path: string;
 	readonly body: string;
 	readonly answer: CallerResponse;
+	/** Key that its caller sent; undefined: none. */
+	readonly key?: string | undefined;
 }
 
 /** A request with its gateway and its times. */
@@ -37,9 +39,16 @@
 		| 'instance-failed'
 		| 'instance-silent'
 		| 'retry-budget'
+		| 'quota'
 		| 'max-attempts'
 		| 'time-handed'
 		| 'rate-limit'
+		| 'key-passed-on'
+		| 'wrong-organisation'
+		| 'revoked-key-served'
+		| 'valid-key-refused'
+		| 'unfair-share'
+		| 'upload-bytes'
 		| 'sent-to-leaving'
 		| 'sent-in-pause'
 		| 'missed-change'
--- a/testing/gateway-soak/src/environment.ts
+++ b/testing/gateway-soak/src/environment.ts
@@ -8,6 +8,7 @@
 } from '@pomelopick/testing.gateway-fleet';
 import type {GatewayFleet, GatewayProcess} from '@pomelopick/testing.gateway-fleet';
 import type {Draw} from './draw.js';
+import type {Keyring} from './keyring.js';
 import type {Violation} from './call-check.js';
 import {describeOutput, findEndFailure, watchSilence} from './gateway-watch.js';
 import type {Disturbance} from './notice-check.js';
@@ -41,11 +42,14 @@
 	readonly seed: number;
 	readonly gateways: number;
 	readonly servers: number;
+	/** Keys of the callers; undefined: callers are not authenticated. */
+	readonly keyring?: Keyring;
 }
 
 /** Starts the store, the servers and the gateways of a round. Stops all of them and rejects if a gateway does not become ready in time. */
-export async function startEnvironment({seed, gateways, servers}: StartEnvironmentOptions): Promise<SoakEnvironment> {
-	const environment = new SoakEnvironment(await startGatewayFleet({servers: []}));
+export async function startEnvironment({seed, gateways, servers, keyring}: StartEnvironmentOptions): Promise<SoakEnvironment> {
+	const environment = new SoakEnvironment(await startGatewayFleet({servers: []}), keyring);
+	environment.publish({});
 	try {
 		for (let number = 0; number < servers; number += 1) {
 			await environment.addServer({number, seed});
@@ -91,7 +95,12 @@
 	readonly #stopped = new AbortController();
 	#version = 1;
 
-	constructor(readonly fleet: GatewayFleet) {}
+	constructor(readonly fleet: GatewayFleet, readonly keyring?: Keyring) {}
+
+	/** Publishes the version of the configuration that is due, with the keys that are valid now. */
+	publish({timeoutSeconds}: {readonly timeoutSeconds?: number}): void {
+		this.fleet.write('op/config', configuration({version: this.#version, timeoutSeconds, organisations: this.keyring?.organisations}));
+	}
 
 	/** Starts a gateway and restarts it whenever it exits. */
 	async addGateway({number, seed}: {readonly number: number; readonly seed: number}): Promise<void> {
@@ -167,7 +176,9 @@
 	/** Writes another version of the configuration. */
 	changeConfiguration(draw: Draw): void {
 		this.#version += 1 + draw(3);
-		this.fleet.write('op/config', configuration({version: this.#version, timeoutSeconds: 1 + draw(2)}));
+		const endReplaced = this.keyring?.rotate();
+		this.publish({timeoutSeconds: 1 + draw(2)});
+		endReplaced?.();
 	}
 
 	/** Lets a server announce in its responses only, not in the store, that it leaves, and then restart under its name. */
--- a/testing/gateway-soak/src/hard-callers.ts
+++ b/testing/gateway-soak/src/hard-callers.ts
@@ -22,6 +22,8 @@
 /** Options of {@link keepHardCalling}. */
 export interface KeepHardCallingOptions {
 	readonly members: readonly Member[];
+	/** Key that the callers send. */
+	readonly key: string;
 	readonly draw: Draw;
 	/** Gets a record of each request. Its response is not judged: status 0. */
 	readonly calls: TracedCall[];
@@ -32,12 +34,12 @@
 type Manner = (connection: HardConnection) => Promise<void>;
 
 /** Makes one connection after the other, each used in a manner that is drawn. */
-export async function keepHardCalling({members, draw, calls, signal}: KeepHardCallingOptions): Promise<void> {
+export async function keepHardCalling({members, key, draw, calls, signal}: KeepHardCallingOptions): Promise<void> {
 	const manners: readonly Manner[] = [readSlowly, readSlowly, pipeline, offerUpgrade, keepOpen];
 	while (!signal.aborted) {
 		const {settings} = members[draw(members.length)]!;
 		const connection = new HardConnection({
-			instance: settings.instance, caller: new PipeliningCaller(endpointOf(settings.listen.callers)), draw, calls, signal,
+			instance: settings.instance, caller: new PipeliningCaller(endpointOf(settings.listen.callers)), key, draw, calls, signal,
 		});
 		await manners[draw(manners.length)]!(connection);
 		connection.caller.close();
@@ -48,6 +50,7 @@
 interface HardConnectionOptions {
 	readonly instance: string;
 	readonly caller: PipeliningCaller;
+	readonly key: string;
 	readonly draw: Draw;
 	readonly calls: TracedCall[];
 	readonly signal: AbortSignal;
@@ -69,15 +72,15 @@
 
 	/** Sends a read whose plays are drawn. */
 	send(headers: readonly string[] = []): void {
-		const {caller, draw, calls, instance} = this.#options;
+		const {caller, key, draw, calls, instance} = this.#options;
 		const requestId = randomUUID();
 		const path = `/read/hard-${draw(MAX_PIPELINED)}`;
 		const sentAtMs = performance.now();
 		caller.send({
-			requestId, path, plays: [plays[draw(plays.length)]!, plays[draw(plays.length)]!], timeLeftMs: TIME_LEFT_MS, headers,
+			requestId, path, plays: [plays[draw(plays.length)]!, plays[draw(plays.length)]!], timeLeftMs: TIME_LEFT_MS, headers: [`authorization: Bearer ${key}`, ...headers],
 		});
 		calls.push({
-			method: 'GET', path, body: '', instance, sentAtMs, answeredAtMs: Number.POSITIVE_INFINITY, timeLeftMs: TIME_LEFT_MS, answer: {
+			method: 'GET', path, body: '', key, instance, sentAtMs, answeredAtMs: Number.POSITIVE_INFINITY, timeLeftMs: TIME_LEFT_MS, answer: {
 				requestId, status: 0, text: '', headers: {},
 			},
 		});
--- a/testing/gateway-soak/src/soak.ts
+++ b/testing/gateway-soak/src/soak.ts
@@ -11,7 +11,9 @@
 import type {TracedCall, Violation} from './call-check.js';
 import {checkAttempts, checkTimes} from './budget-check.js';
 import {keepHardCalling} from './hard-callers.js';
+import {Keyring} from './keyring.js';
 import {checkNotices} from './notice-check.js';
+import {checkOrganisations} from './organisation-check.js';
 import {checkRetries} from './retry-check.js';
 import {startEnvironment} from './environment.js';
 import {faultNames, injectFault} from './faults.js';
@@ -27,10 +29,11 @@
 /** Time in which aborted requests may still be executed late, in milliseconds. */
 const SETTLE_MS = 1500;
 const CALLER_PAUSE_MS = 5;
-/** Factors that keep the seeds of the callers, of the rate limits and of the hard callers apart from those of the faults. */
+/** Factors that keep the seeds of the callers, of the rate limits, of the hard callers and of the keys apart from those of the faults. */
 const CALLER_SEED_FACTOR = 1000;
 const LIMIT_SEED_FACTOR = 7;
 const HARD_CALLER_SEED_FACTOR = 77;
+const KEY_SEED_FACTOR = 1301;
 /** Callers that use connections in unusual ways. */
 const HARD_CALLERS = 3;
 /** Number of servers that may name a rate limit at the same time. */
@@ -85,18 +88,21 @@
 
 /** Runs one round and checks it. */
 export async function runRound({seed, faults: count, callers, gateways = DEFAULT_GATEWAYS, servers = DEFAULT_SERVERS, names = faultNames}: RunRoundOptions): Promise<RoundResult> {
-	const environment = await startEnvironment({seed, gateways, servers});
+	const keyring = new Keyring();
+	const environment = await startEnvironment({
+		seed, gateways, servers, keyring,
+	});
 	try {
 		const stopped = new AbortController();
 		const calls: TracedCall[] = [];
 		const calling = Promise.all(Array.from({length: callers}, async (_, index) => keepCalling({
-			environment, draw: createDraw((seed * CALLER_SEED_FACTOR) + index), calls, signal: stopped.signal,
+			environment, keyring, draw: createDraw((seed * CALLER_SEED_FACTOR) + index), drawKey: createDraw((seed * KEY_SEED_FACTOR) + index), calls, signal: stopped.signal,
 		})));
 		const naming = Promise.all(Array.from({length: LIMIT_SERIES}, async (_, index) => nameLimits({
 			servers: environment.fleet.servers, draw: createDraw((seed * LIMIT_SEED_FACTOR) + index), signal: stopped.signal,
 		})));
 		const hardCalling = Promise.all(Array.from({length: HARD_CALLERS}, async (_, index) => keepHardCalling({
-			members: environment.members, draw: createDraw((seed * HARD_CALLER_SEED_FACTOR) + index), calls, signal: stopped.signal,
+			members: environment.members, key: keyring.periods[index % 2]!.key, draw: createDraw((seed * HARD_CALLER_SEED_FACTOR) + index), calls, signal: stopped.signal,
 		})));
 		const draw = createDraw(seed);
 		const faults = await runFaultSeries({
@@ -122,6 +128,7 @@
 			violations: [
 				...gatewayFailures,
 				...checkCalls({calls, executions}),
+				...checkOrganisations({...judged, periods: keyring.periods}),
 				...checkNotices(judged),
 				...checkRateLimits(judged),
 				...checkAttempts(judged),
@@ -136,12 +143,14 @@
 
 interface KeepCallingOptions {
 	readonly environment: SoakEnvironment;
+	readonly keyring: Keyring;
 	readonly draw: Draw;
+	readonly drawKey: Draw;
 	readonly calls: TracedCall[];
 	readonly signal: AbortSignal;
 }
 
-async function keepCalling({environment, draw, calls, signal}: KeepCallingOptions): Promise<void> {
+async function keepCalling({environment, keyring, draw, drawKey, calls, signal}: KeepCallingOptions): Promise<void> {
 	while (!signal.aborted) {
 		const {settings} = environment.members[draw(environment.members.length)]!;
 		const sentAtMs = performance.now();
@@ -149,17 +158,19 @@
 		const path = `/${method === 'POST' ? 'write' : 'read'}/${draw(OBJECTS)}?n=${draw(1000)}`;
 		const body = method === 'POST' ? `body ${draw(1000)}` : '';
 		const timeLeftMs = 500 + draw(1500);
+		const key = keyring.draw(drawKey);
 		const answer = await callGateway({
 			endpoint: endpointOf(settings.listen.callers),
 			method,
 			path,
 			...(body !== '' && {body}),
 			object: path,
+			key,
 			plays: [plays[draw(plays.length)]!, plays[draw(plays.length)]!],
 			timeLeftMs,
 		});
 		calls.push({
-			method, path, body, answer, instance: settings.instance, sentAtMs, answeredAtMs: performance.now(), timeLeftMs,
+			method, path, body, answer, key, instance: settings.instance, sentAtMs, answeredAtMs: performance.now(), timeLeftMs,
 		});
 		await sleep(CALLER_PAUSE_MS);
 	}
--- a/testing/gateway-soak/test/soak.test.ts
+++ b/testing/gateway-soak/test/soak.test.ts
@@ -14,6 +14,9 @@
 	{
 		seed: 43_202, why: 'a gateway whose port was taken when it started again ended', names: ['port-taken', 'kill-series'], faults: 8,
 	},
+	{
+		seed: 43_203, why: 'keys that are replaced while nothing delays the configuration', names: ['configuration', 'path-cut', 'path-delayed', 'server-leaves', 'configuration'], faults: 16,
+	},
 	{seed: 91_001, why: 'initial round'},
 	{seed: 92_005, why: 'a gateway did not become ready again: a signal arrived while it was loading, or its port was in use'},
 	{seed: 93_012, why: 'a gateway exited with an error: it closed the client of the store while a call timed out'},
