--- a/cli/pomelopick/src/logs/find-cause.ts
+++ b/cli/pomelopick/src/logs/find-cause.ts
@@ -20,7 +20,11 @@
 	'backend-failed': explainFailure,
 	'queue-timeout': explainNoFreeSlot,
 	'no-backend-server': explainNoFreeSlot,
+	'deadline-unreachable': explainUnreachableDeadline,
+	'capacity-short': explainShortCapacity,
+	'organisation-share-exceeded': explainShortCapacity,
 	'configuration-missing': explainMissingConfiguration,
+	unauthorised: explainUnauthorised,
 };
 
 function explainTimeout({attempts, servers}: RequestAnalysis): string {
@@ -63,6 +67,22 @@
 	return evacuation ? `${detail}; failure domain ${evacuation.subject ?? ''} was being evacuated` : detail;
 }
 
+function explainUnreachableDeadline(analysis: RequestAnalysis): string {
+	const {detail = '', allowedMs, others = {}} = analysis.request;
+	const {expectedWorkMs} = others;
+	const isWorkTooLong = typeof expectedWorkMs === 'number' && allowedMs !== undefined && expectedWorkMs > allowedMs;
+	return `${detail}; ${isWorkTooLong ? `the work alone exceeds the ${allowedMs} ms that the request had` : 'without the wait, it would have been answered in time'}${listOutcomes(analysis)}`;
+}
+
+function explainShortCapacity(analysis: RequestAnalysis): string {
+	return `${analysis.request.detail ?? ''}${listOutcomes(analysis)}`;
+}
+
+/** How other requests of the service ended, as far as their lines were written. */
+function listOutcomes({request: {service = 'the service'}, serviceOutcomes}: RequestAnalysis): string {
+	return `; other requests of ${service} around then: ${[...serviceOutcomes].map(([outcome, count]) => `${count} ${outcome}`).join(', ')}`;
+}
+
 function explainMissingConfiguration({request, instanceNotes}: RequestAnalysis): string {
 	const started = instanceNotes.findLast(({event}) => event === 'started');
 	const lost = instanceNotes.findLast(({event}) => event === 'store-lost');
@@ -73,6 +93,14 @@
 	].join('; ');
 }
 
+function explainUnauthorised({request, instanceNotes}: RequestAnalysis): string {
+	const changed = instanceNotes.findLast(({event}) => event === 'routes-in-force');
+	return [
+		request.detail ?? '',
+		...(changed ? [`version ${changed.subject ?? ''} of the configuration had been in force for ${request.atMs - changed.atMs} ms`] : []),
+	].join('; ');
+}
+
 function listFailures({failures}: ServerSummary): string {
 	return failures.size === 0 ? '' : ` (${[...failures].map(([reason, count]) => `${count} ${reason}`).join(', ')})`;
 }
--- a/cli/pomelopick/src/logs/format-analysis.ts
+++ b/cli/pomelopick/src/logs/format-analysis.ts
@@ -8,7 +8,7 @@
 	const {request, attempts, servers, instanceNotes} = analysis;
 	return [
 		formatOutcome(request),
-		`  route ${request.route ?? '-'}, service ${request.service ?? '-'}, object ${request.object ?? '-'}`,
+		`  route ${request.route ?? '-'}, service ${request.service ?? '-'}, object ${request.object ?? '-'}${request.organisation === undefined ? '' : `, organisation ${request.organisation}`}`,
 		`  configuration ${request.configurationVersion ?? '-'}, view ${request.viewAgeMs ?? '-'} ms old`,
 		...attempts.map((attempt, index) => `  attempt ${index + 1}, ${formatAttempt(attempt)}`),
 		`cause: ${findCause(analysis)}`,
--- a/cli/pomelopick/src/logs/log-line.ts
+++ b/cli/pomelopick/src/logs/log-line.ts
@@ -27,6 +27,8 @@
 	readonly requestId?: string | undefined;
 	readonly route?: string | undefined;
 	readonly service?: string | undefined;
+	/** Organisation of the caller; undefined where callers are not authenticated, or on a public route. */
+	readonly organisation?: string | undefined;
 	readonly object?: string | undefined;
 	/** Backend server that the request was last sent to. */
 	readonly server?: string | undefined;
@@ -63,6 +65,7 @@
 	requestId: z.string().optional(),
 	route: z.string().optional(),
 	service: z.string().optional(),
+	organisation: z.string().optional(),
 	object: z.string().optional(),
 	server: z.string().optional(),
 	why: z.string().optional(),
--- a/cli/pomelopick/src/logs/request-analysis.ts
+++ b/cli/pomelopick/src/logs/request-analysis.ts
@@ -39,6 +39,8 @@
 	readonly request: LogLine;
 	readonly attempts: readonly LoggedAttempt[];
 	readonly servers: readonly ServerSummary[];
+	/** How other requests of the service ended at any instance around then: answered, and not, by reason. */
+	readonly serviceOutcomes: ReadonlyMap<string, number>;
 	/** Earlier lines of the instance that handled the request: start and stop, store, configuration and routes, evacuations. */
 	readonly instanceNotes: readonly LogLine[];
 }
@@ -55,6 +57,7 @@
 	'record-lapsed',
 	'routes-in-force',
 	'routes-refused',
+	'routes-read-in-part',
 	'evacuation-begun',
 	'evacuation-ended',
 	'request-lines-left-out',
@@ -68,6 +71,7 @@
 			request,
 			attempts,
 			servers: [...new Set(attempts.map(({server}) => server))].map(server => summarizeServer({lines, request, server})),
+			serviceOutcomes: countOutcomes({lines, request}),
 			instanceNotes: lines.filter(line => line.instance === request.instance && instanceEvents.has(line.event) && isWithinLookBack({line, request})),
 		};
 	});
@@ -83,8 +87,19 @@
 	}];
 }
 
+/** Other requests that ended around the same time. */
+function listCompared({lines, request}: {readonly lines: readonly LogLine[]; readonly request: LogLine}): readonly LogLine[] {
+	return lines.filter(line => line.event === 'request' && line.requestId !== request.requestId && Math.abs(line.atMs - request.atMs) <= COMPARISON_WINDOW_MS);
+}
+
+function countOutcomes({lines, request}: {readonly lines: readonly LogLine[]; readonly request: LogLine}): ReadonlyMap<string, number> {
+	const sameService = listCompared({lines, request}).filter(({service}) => service !== undefined && service === request.service);
+	const answered = sameService.filter(line => isAnswered(line)).length;
+	return new Map([['answered', answered], ...countFailures(sameService)]);
+}
+
 function summarizeServer({lines, request, server}: {readonly lines: readonly LogLine[]; readonly request: LogLine; readonly server: string}): ServerSummary {
-	const compared = lines.filter(line => line.event === 'request' && line.requestId !== request.requestId && Math.abs(line.atMs - request.atMs) <= COMPARISON_WINDOW_MS);
+	const compared = listCompared({lines, request});
 	const sameServer = compared.filter(line => line.server === server);
 	const sameRoute = compared.filter(line => line.route === request.route);
 	return {
--- a/cli/pomelopick/test/logs.test.ts
+++ b/cli/pomelopick/test/logs.test.ts
@@ -74,6 +74,34 @@
 		lines: [line(2000, {event: 'started'}), line(2100, {event: 'store-lost', detail: 'timeout'}), refused({reason: 'configuration-missing', detail: 'no configuration has arrived yet'})],
 		cause: /started 1000 ms before; the store was unavailable to it: timeout$/u,
 	},
+	{
+		name: 'the work of a request that no wait would have let in',
+		lines: [refused({reason: 'deadline-unreachable', detail: 'too long', others: {expectedWaitMs: 0, expectedWorkMs: 4000, timeLeftMs: 2990}})],
+		cause: /^too long; the work alone exceeds the 3000 ms that the request had; other requests of the service around then: 0 answered$/u,
+	},
+	{
+		name: 'the wait of a request that would have been cut off, and what became of other requests of the service',
+		lines: [
+			{...answered(900), service: 'mail'},
+			line(2600, {
+				requestId: 'third', service: 'mail', outcome: 'refused', reason: 'capacity-short',
+			}),
+			refused({
+				reason: 'deadline-unreachable', service: 'mail', detail: 'too long', others: {expectedWaitMs: 2800, expectedWorkMs: 400, timeLeftMs: 2990},
+			}),
+		],
+		cause: /^too long; without the wait, it would have been answered in time; other requests of mail around then: 1 answered, 1 capacity-short$/u,
+	},
+	{
+		name: 'the pressure at a service whose capacity is short',
+		lines: [{...answered(900), service: 'mail'}, {...answered(900), service: 'ledger'}, refused({reason: 'organisation-share-exceeded', service: 'mail', detail: 'the capacity of mail is short (pressure 0.80)'})],
+		cause: /^the capacity of mail is short \(pressure 0\.80\); other requests of mail around then: 1 answered$/u,
+	},
+	{
+		name: 'a key that was not in the configuration that had just come into force',
+		lines: [line(2400, {event: 'routes-in-force', subject: '7'}), refused({reason: 'unauthorised', server: undefined, detail: 'expected one key of an organisation'})],
+		cause: /^expected one key of an organisation; version 7 of the configuration had been in force for 600 ms$/u,
+	},
 	{
 		name: 'the detail of the request for any other reason', lines: [refused({reason: 'instance-full', detail: '512 requests are in progress here'})], cause: /^512 requests are in progress here$/u,
 	},
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -66,9 +66,10 @@
 	metafile: true,
 	outExtension: {'.js': '.cjs'},
 	bundle: true,
-	minify: true,
-	// Names stay readable in stack traces.
-	keepNames: true,
+	// Identifiers stay as they are, so that stack traces are readable. With shortened ones, the bundler would set the name of each
+	// function that is created, also of those that are created for each request.
+	minifyWhitespace: true,
+	minifySyntax: true,
 	// The engine keeps compiled code of scripts alone, not of modules.
 	format: 'cjs',
 	platform: 'node',
