--- a/daemons/gateway/test/fixture.ts
+++ b/daemons/gateway/test/fixture.ts
@@ -84,7 +84,7 @@
 		id: 'other', failureDomain: 'north-a', region: 'north', callers: listener, peers: listener,
 	});
 	const settings = await fleet.settings();
-	const gateway = await startGatewayProcess({settings});
+	const gateway = await startGatewayProcess({settings, engineFlags: await readDeployedFlags()});
 	await until(async () => await isReady(settings) && gateway.lines.filter(({event}) => event === 'instance-joined').length >= 2);
 	return {
 		gateway,
