End the process of a test whose proxies are frozen when they stop

Cause: unnoticed-restart passed after 14 s, and its file failed after 180 s: a frozen proxy looks every few milliseconds whether it is released, also after it was stopped.

--- a/testing/fault-proxy/src/fault-proxy.ts
+++ b/testing/fault-proxy/src/fault-proxy.ts
@@ -112,6 +112,8 @@
 
 	/** Closes all connections and stops listening. */
 	async stop(): Promise<void> {
+		// Frozen deliveries poll until they are released, which would keep the process running.
+		this.set({frozen: false});
 		this.cutConnections();
 		await new Promise<void>(resolve => {
 			this.#server.close(() => {
--- a/testing/gateway-soak/src/environment.ts
+++ b/testing/gateway-soak/src/environment.ts
@@ -216,9 +216,11 @@
 		this.fleet.servers[number]!.startAnew();
 		this.fleet.servers[number]!.warmUp(warmupMs);
 		path.set({cut: false});
-		await sleep(registersAfterMs);
-		this.#restartCounts.set(number, (this.#restartCounts.get(number) ?? 0) + 1);
-		this.#register({number, state: 'ready', warmupLeftMs: Math.max(0, warmupMs - registersAfterMs)});
+		await sleep(registersAfterMs, undefined, {ref: false});
+		if (!this.#stopped.signal.aborted) {
+			this.#restartCounts.set(number, (this.#restartCounts.get(number) ?? 0) + 1);
+			this.#register({number, state: 'ready', warmupLeftMs: Math.max(0, warmupMs - registersAfterMs)});
+		}
 	}
 
 	/** Stops all processes and proxies. */
