--- a/testing/gateway-fleet/src/gateway-fleet.ts
+++ b/testing/gateway-fleet/src/gateway-fleet.ts
@@ -12,7 +12,7 @@
 import type {RegisteredServer} from './registered-server.js';
 import type {ServerRecords} from './serve-request.js';
 
-/** Maximum time that {@link until} waits for a condition. */
+/** Maximum time to wait for a condition or for a free port. */
 const CONDITION_TIMEOUT_MS = 15_000;
 const POLL_MS = 10;
 const SLOTS = 4;
@@ -131,7 +131,7 @@
 			startedAtMs = Date.now();
 			const {port} = this.servers[index]!;
 			await this.servers[index]!.reset();
-			const server = await start(port);
+			const server = await retryWhileAddressInUse(async () => start(port));
 			this.servers[index] = server;
 			onReachable?.({port, isReachable: true});
 			this.register({server, failureDomain, startedAtMs});
@@ -212,6 +212,22 @@
 	}
 }
 
+/** Starts something at a fixed port, and tries again while a connection of another process occupies the port. */
+async function retryWhileAddressInUse<Started>(start: () => Promise<Started>): Promise<Started> {
+	const deadlineMs = performance.now() + CONDITION_TIMEOUT_MS;
+	for (;;) {
+		try {
+			return await start();
+		} catch (error) {
+			if ((error as NodeJS.ErrnoException).code !== 'EADDRINUSE' || performance.now() > deadlineMs) {
+				throw error;
+			}
+
+			await sleep(POLL_MS);
+		}
+	}
+}
+
 let addressCount = 0;
 
 /**
