--- a/steering/objects/src/candidates.ts
+++ b/steering/objects/src/candidates.ts
@@ -3,6 +3,8 @@
 import type {KnownServer} from '@pomelopick/steering.servers';
 import type {ObjectPlacement} from './object-placer-types.js';
 
+/** Cost of a request to another region, in milliseconds: the delay and the traffic. */
+const OTHER_REGION_COST_MS = 80;
 /** Cost of a request to another failure domain of the region, in milliseconds: the delay and the traffic. */
 const OTHER_DOMAIN_COST_MS = 15;
 /** Cost of each position in the ranking, in milliseconds, so that all instances choose between equal servers in the same order. */
@@ -42,26 +44,34 @@
 	readonly inFlight: number;
 	/** Share of the requests to the server that fail, from 0 to 1. */
 	readonly failureShare: number;
-	/** Cost of a request to the region of the server, in milliseconds; 0 for the own region. */
-	readonly regionCostMs: number;
-	/** Whether the server is in another failure domain. */
+	/** Whether the server is in another region than this instance. */
+	readonly isOtherRegion: boolean;
+	/** Whether the server is in another failure domain than this instance. */
 	readonly isOtherDomain: boolean;
 	readonly targetLatencyMs: number;
 }
 
 /** The expected times and the cost of a request at a server. */
-export function evaluateCandidate({known, rank, isWarm, workMs, workFactor, inFlight, failureShare, regionCostMs, isOtherDomain, targetLatencyMs}: EvaluateCandidateOptions): Candidate {
+export function evaluateCandidate({known, rank, isWarm, workMs, workFactor, inFlight, failureShare, isOtherRegion, isOtherDomain, targetLatencyMs}: EvaluateCandidateOptions): Candidate {
 	const {slots} = known.server;
 	const waitMs = inFlight < slots ? 0 : (inFlight - slots + 1) * workMs / slots;
-	const domainMs = regionCostMs === 0 && isOtherDomain ? OTHER_DOMAIN_COST_MS : 0;
+	const distanceMs = distanceCostMs({isOtherRegion, isOtherDomain});
 	const failureMs = failureShare * workMs * FAILURE_FACTOR;
-	const costMs = waitMs + workMs + regionCostMs + domainMs + failureMs + (rank * RANK_COST_MS);
+	const costMs = waitMs + workMs + distanceMs + failureMs + (rank * RANK_COST_MS);
 	const tier = costMs <= targetLatencyMs ? 0 : (isWarm || waitMs > 0 ? 2 : 1);
 	return {
 		known, isWarm, tier, waitMs, expectedMs: waitMs + workMs, workFactor, costMs,
 	};
 }
 
+function distanceCostMs({isOtherRegion, isOtherDomain}: Pick<EvaluateCandidateOptions, 'isOtherRegion' | 'isOtherDomain'>): number {
+	if (isOtherRegion) {
+		return OTHER_REGION_COST_MS;
+	}
+
+	return isOtherDomain ? OTHER_DOMAIN_COST_MS : 0;
+}
+
 /** The candidate of the lowest tier and, in it, the lowest cost. */
 export function findBest(candidates: readonly Candidate[]): Candidate {
 	let best = candidates[0]!;
