Give the store and the instances of the modelled fleet modules of their own

Cause: modelled-fleet had 322 lines and held the store, the instances and the fleet; indexes were composed at two places and taken apart at a third, and constants such as ASK gave no reason. Change: modelled-store and modelled-instance hold their parts, toIndex composes all indexes, and constants and fields say what they are; the assertions are as before.

--- a/steering/quotas/test/fleet-events.ts
+++ b/steering/quotas/test/fleet-events.ts
@@ -1,6 +1,7 @@
 /** Orders of failures of a modelled fleet. */
 import fc from 'fast-check';
-import type {ModelledFleet, ModelledInstance} from './modelled-fleet.js';
+import type {ModelledFleet} from './modelled-fleet.js';
+import type {ModelledInstance} from './modelled-instance.js';
 
 /** Number of instances that events concern. */
 export const INSTANCES = 6;
--- a/steering/quotas/test/modelled-fleet.ts
+++ b/steering/quotas/test/modelled-fleet.ts
@@ -1,131 +1,41 @@
-/** Instances, a store and their views, modelled without sockets. All owners grant all that they may at every moment, which is the worst case for the bound. */
+/** A fleet of instances and their store, modelled without sockets. All owners grant all that they may at every moment, which is the worst case for the bound. */
 import type {InstanceId, OrganisationName, OrganisationQuota} from '@pomelopick/core.types';
-import {QuotaBuckets, shards, ShardTable} from '@pomelopick/steering.quotas';
-import type {ShardRecord, ShardWrite} from '@pomelopick/steering.quotas';
+import {shards} from '@pomelopick/steering.quotas';
+import type {ShardWrite} from '@pomelopick/steering.quotas';
+import {ModelledInstance} from './modelled-instance.js';
+import type {ModelledProcess} from './modelled-instance.js';
+import {FIRST_ERA, ModelledStore} from './modelled-store.js';
 
-const LEASE_MS = 4800;
+/** Time between two renewals of a registration, in milliseconds. */
 const RENEWAL_MS = 1600;
-/** Age of the copies from which the store returns, in milliseconds. */
-const COPY_AGE_MS = 8000;
-const ASK = 100_000;
+/** Number of permits that are asked for at once: more than any bucket holds, so that each grant empties it. */
+const PERMITS_PER_GRANT = 100_000;
+/** Time between two steps of the fleet, in milliseconds. */
 const STEP_MS = 200;
-/** Duration from which a time is played in longer steps, in milliseconds. */
-const LONG_MS = 100_000;
+/** Duration from which on steps are longer, so that tests with such times end soon, in milliseconds. */
+const LONG_DURATION_MS = 100_000;
 const LONG_STEP_MS = 1000;
-export const organisation = 'organisation' as OrganisationName;
+const organisation = 'organisation' as OrganisationName;
 
-interface Stored {
-	readonly record: ShardRecord;
-	readonly index: number;
-}
-
-interface StoreState {
-	era: number;
-	index: number;
-	readonly records: Map<number, Stored>;
-	/** Ends of the registrations, in milliseconds. */
-	readonly leases: Map<string, number>;
-}
-
-const ERA_SPAN = 1_000_000_000;
-
-/** The store, with copies of earlier states. */
-export class ModelledStore {
-	isAvailable = true;
-	state: StoreState = {
-		era: 1, index: 0, records: new Map(), leases: new Map(),
-	};
-
-	readonly #copies: Array<{readonly atMs: number; readonly state: StoreState}> = [];
-
-	tick(nowMs: number): void {
-		for (const [id, endMs] of this.state.leases) {
-			if (nowMs >= endMs) {
-				this.state.leases.delete(id);
-			}
-		}
-
-		this.#copies.push({atMs: nowMs, state: copyOf(this.state)});
-		while (this.#copies.length > 1 && this.#copies[0]!.atMs < nowMs - COPY_AGE_MS) {
-			this.#copies.shift();
-		}
-	}
-
-	/** Returns from the oldest copy. */
-	returnFromCopy(): void {
-		const state = this.#copies[0]?.state ?? this.state;
-		const {era} = this.state;
-		this.state = copyOf(state);
-		this.state.era = era + 1;
-		this.#copies.length = 0;
-	}
-
-	write({shard, write: {record, expectedIndex}}: {readonly shard: number; readonly write: ShardWrite}): number | undefined {
-		const {era, records} = this.state;
-		const current = records.get(shard)?.index ?? 0;
-		const expectedRevision = expectedIndex % ERA_SPAN;
-		if (current !== expectedRevision || (expectedIndex > 0 && Math.floor(expectedIndex / ERA_SPAN) !== era)) {
-			return undefined;
-		}
-
-		this.state.index += 1;
-		records.set(shard, {record, index: this.state.index});
-		return (era * ERA_SPAN) + this.state.index;
-	}
-}
-
-function copyOf({era, index, records, leases}: StoreState): StoreState {
-	return {
-		era, index, records: new Map(records), leases: new Map(leases),
-	};
-}
-
-/** One process of an instance. */
-class ModelledProcess {
-	readonly table: ShardTable;
-	readonly buckets = shards.map(() => new QuotaBuckets());
-	instances: ReadonlyArray<{readonly id: InstanceId}> = [];
-	era: number | undefined;
-	renewedAtMs = Number.NEGATIVE_INFINITY;
-
-	constructor(readonly id: InstanceId, readonly process: number) {
-		this.table = new ShardTable({self: {id, process}});
-	}
-}
-
-/** One instance, which may be down. */
-export class ModelledInstance {
-	process: ModelledProcess | undefined;
-	isCutOff = false;
-	/** Whether its view of the store stands still, while its calls succeed. */
-	isViewHeld = false;
-	/** Whether its writes take effect and their answers are lost. */
-	losesAnswers = false;
-	/** Monotonic time until which it is frozen, in milliseconds. */
-	frozenUntilMs = 0;
-	/** Time by which its monotonic clock is behind, in milliseconds. */
-	suspendedMs = 0;
-	#starts = 0;
-
-	constructor(readonly id: InstanceId) {}
-
-	start(): void {
-		this.#starts += 1;
-		this.process = new ModelledProcess(this.id, this.#starts);
-	}
-}
-
-/** A moment of grants. */
+/** Permits that an owner granted at once. */
 interface Grant {
+	/** Time of the fleet, in milliseconds. */
 	readonly atMs: number;
 	readonly permits: number;
 }
 
-/** Plays the fleet. */
+/** An instance with its present process. */
+interface RunningInstance {
+	readonly instance: ModelledInstance;
+	readonly process: ModelledProcess;
+}
+
+/** A fleet with a time of its own. */
 export class ModelledFleet {
 	readonly store = new ModelledStore();
 	readonly instances: readonly ModelledInstance[];
 	readonly grants: Grant[] = [];
+	/** Time of the fleet, in milliseconds. */
 	nowMs = 0;
 	/** Largest sum of the shares of one shard that processes could use at the same moment. */
 	largestSum = 0;
@@ -144,14 +54,14 @@
 		}
 	}
 
-	/** Plays a time, in milliseconds. */
+	/** Lets a time pass, in milliseconds, in steps in which each instance acts once. */
 	play(durationMs: number): void {
 		const endMs = this.nowMs + durationMs;
-		const stepMs = durationMs >= LONG_MS ? LONG_STEP_MS : STEP_MS;
+		const stepMs = durationMs >= LONG_DURATION_MS ? LONG_STEP_MS : STEP_MS;
 		while (this.nowMs < endMs) {
 			this.nowMs += stepMs;
-			this.store.tick(this.nowMs);
-			this.#addUpShares();
+			this.store.step(this.nowMs);
+			this.#recordShares();
 			for (const instance of this.instances) {
 				this.#step(instance);
 			}
@@ -167,7 +77,7 @@
 			}
 		}
 
-		this.store.state.leases.delete(instance.id);
+		this.store.unregister(instance.id);
 		instance.process = undefined;
 	}
 
@@ -205,8 +115,8 @@
 		return this.grants.filter(({atMs}) => atMs > sinceMs).reduce((sum, {permits}) => sum + permits, 0);
 	}
 
-	/** Adds up what the processes could use before they read the store again. */
-	#addUpShares(): void {
+	/** Updates the largest sum by what the processes may use before they read the store again. */
+	#recordShares(): void {
 		for (const shard of shards) {
 			let sum = 0;
 			for (const {process, frozenUntilMs, suspendedMs} of this.instances) {
@@ -238,7 +148,7 @@
 		}
 	}
 
-	#grant({instance, process}: {readonly instance: ModelledInstance; readonly process: ModelledProcess}): void {
+	#grant({instance, process}: RunningInstance): void {
 		const nowMs = this.nowMs - instance.suspendedMs;
 		for (const [shard, ownership] of process.table.ownerships.entries()) {
 			if (!ownership.isHeld) {
@@ -246,43 +156,47 @@
 			}
 
 			const {permits} = process.buckets[shard]!.take({
-				organisation, quota: this.#quota, permits: ASK, share: ownership.share(nowMs), generation: ownership.generation, usableSinceMs: ownership.usableSinceMs, asker: '', nowMs,
+				organisation, quota: this.#quota, permits: PERMITS_PER_GRANT, share: ownership.share(nowMs), generation: ownership.generation, usableSinceMs: ownership.usableSinceMs, asker: '', nowMs,
 			});
 			this.grants.push({atMs: this.nowMs, permits});
 		}
 	}
 
-	#callStore({instance, process}: {readonly instance: ModelledInstance; readonly process: ModelledProcess}): void {
+	/** Renews the registration, reads the view and writes the records that are due. */
+	#callStore({instance, process}: RunningInstance): void {
 		const nowMs = this.nowMs - instance.suspendedMs;
-		const {state} = this.store;
 		this.#noticeEra({process, nowMs});
 		if (nowMs - process.renewedAtMs >= RENEWAL_MS) {
 			this.#renew({instance, process, nowMs});
 		}
 
 		if (!instance.isViewHeld) {
-			process.instances = [...state.leases.keys()].map(id => ({id: id as InstanceId}));
+			process.instances = this.store.listInstances();
 			this.#readView({process, nowMs});
 		}
 
-		const {instances} = process;
-		process.table.updateInstances({instances, nowMs});
+		this.#writeDueRecords({instance, process, nowMs});
+	}
+
+	#writeDueRecords({instance, process, nowMs}: RunningInstance & {readonly nowMs: number}): void {
+		const {instances, table} = process;
+		table.updateInstances({instances, nowMs});
 		for (const shard of shards) {
-			const write = process.table.prepareWrite({shard, instances, nowMs});
+			const write = table.prepareWrite({shard, instances, nowMs});
 			this.#write({
 				instance, process, shard, write, nowMs,
 			});
 		}
 
-		const handedOver = process.table.chooseHandover({instances, nowMs});
+		const handedOver = table.chooseHandover({instances, nowMs});
 		if (handedOver !== undefined) {
 			this.#write({
-				instance, process, shard: handedOver, write: process.table.ownerships[handedOver]!.release(), nowMs,
+				instance, process, shard: handedOver, write: table.ownerships[handedOver]!.release(), nowMs,
 			});
 		}
 	}
 
-	#write({instance, process, shard, write, nowMs}: {readonly instance: ModelledInstance; readonly process: ModelledProcess; readonly shard: number; readonly write: ShardWrite | undefined; readonly nowMs: number}): void {
+	#write({instance, process, shard, write, nowMs}: RunningInstance & {readonly shard: number; readonly write: ShardWrite | undefined; readonly nowMs: number}): void {
 		const index = write && this.store.write({shard, write});
 		if (write && index !== undefined && !instance.losesAnswers) {
 			process.table.ownerships[shard]!.applyWrite({
@@ -296,25 +210,22 @@
 		if (process.era !== undefined && process.era !== era) {
 			process.table.recordReturn(nowMs);
 			process.renewedAtMs = Number.NEGATIVE_INFINITY;
-		} else if (process.era === undefined && era > 1) {
+		} else if (process.era === undefined && era > FIRST_ERA) {
 			process.table.recordLaterEra(nowMs);
 		}
 
 		process.era = era;
 	}
 
-	#renew({instance, process, nowMs}: {readonly instance: ModelledInstance; readonly process: ModelledProcess; readonly nowMs: number}): void {
-		this.store.state.leases.set(instance.id, this.nowMs + LEASE_MS);
+	#renew({instance, process, nowMs}: RunningInstance & {readonly nowMs: number}): void {
+		this.store.register({id: instance.id, nowMs: this.nowMs});
 		process.renewedAtMs = nowMs;
 		process.table.confirmRegistration({sentAtMs: nowMs, nowMs});
 	}
 
 	#readView({process: {table}, nowMs}: {readonly process: ModelledProcess; readonly nowMs: number}): void {
-		const {records, era} = this.store.state;
-		for (const [shard, {record, index}] of records) {
-			table.observe({
-				shard, record, index: (era * ERA_SPAN) + index, nowMs,
-			});
+		for (const record of this.store.listRecords()) {
+			table.observe({...record, nowMs});
 		}
 
 		table.recordRead(nowMs);
--- a/steering/quotas/test/modelled-uploads.ts
+++ b/steering/quotas/test/modelled-uploads.ts
@@ -4,7 +4,8 @@
 	shardOfServer, shards, uploadBound, UploadReservations,
 } from '@pomelopick/steering.quotas';
 import type {UploadId} from '@pomelopick/steering.quotas';
-import type {ModelledFleet, ModelledInstance} from './modelled-fleet.js';
+import type {ModelledFleet} from './modelled-fleet.js';
+import type {ModelledInstance} from './modelled-instance.js';
 
 const MAX_BODY_BYTES = 64;
 const SLOTS = 3;
