--- a/steering/admission/src/admission-table.ts
+++ b/steering/admission/src/admission-table.ts
@@ -1,6 +1,7 @@
 /** The admission state of all services at this instance. */
 import type {ServiceName} from '@pomelopick/core.types';
 import type {ServiceDemand} from '@pomelopick/steering.loads';
+import {findOrCreate} from './find-or-create.js';
 import {ServiceAdmission} from './service-admission.js';
 
 /** Keeps a {@link ServiceAdmission} for each service that had requests. */
@@ -9,13 +10,7 @@
 
 	/** Returns the state of a service; creates it for the first request. */
 	get({service, nowMs}: {readonly service: ServiceName; readonly nowMs: number}): ServiceAdmission {
-		let admission = this.#services.get(service);
-		if (!admission) {
-			admission = new ServiceAdmission(nowMs);
-			this.#services.set(service, admission);
-		}
-
-		return admission;
+		return findOrCreate({map: this.#services, key: service, create: () => new ServiceAdmission(nowMs)});
 	}
 
 	/** Pressure at each service, from 0 to 1. */
--- a/steering/admission/src/deadline-check.ts
+++ b/steering/admission/src/deadline-check.ts
@@ -4,6 +4,7 @@
  */
 import type {PlacementRefusal, ReliableTimes} from '@pomelopick/steering.objects';
 import type {RouteName, ServiceName} from '@pomelopick/core.types';
+import {findOrCreate} from './find-or-create.js';
 import {ProbeSchedule} from './probe-schedule.js';
 import {retryAfterMs} from './retry-after.js';
 
@@ -31,7 +32,7 @@
 	check({service, route, reliableTimes, deadlineMs, isRetry, nowMs, random}: CheckDeadlineOptions): PlacementRefusal | undefined {
 		const leftMs = deadlineMs - nowMs;
 		const excessMs = reliableTimes ? reliableTimes.waitMs + reliableTimes.workMs - leftMs : 0;
-		const probes = this.#probesOf(`${service}\0${route}`);
+		const probes = findOrCreate({map: this.#probes, key: `${service}\0${route}`, create: () => new ProbeSchedule()});
 		if (!reliableTimes || excessMs <= 0) {
 			probes.recordPassed(nowMs);
 			return undefined;
@@ -48,14 +49,4 @@
 			retryAfterMs: retryAfterMs({untilRoomMs: excessMs, pressure: 0, random}),
 		};
 	}
-
-	#probesOf(key: string): ProbeSchedule {
-		let probes = this.#probes.get(key);
-		if (!probes) {
-			probes = new ProbeSchedule();
-			this.#probes.set(key, probes);
-		}
-
-		return probes;
-	}
 }
--- a/steering/admission/src/fair-shares.ts
+++ b/steering/admission/src/fair-shares.ts
@@ -2,6 +2,7 @@
 import {DecayingTally} from './decaying-tally.js';
 import {divideFairly} from './fair-division.js';
 import type {FairDivision, ShareHolder} from './fair-division.js';
+import {findOrCreate} from './find-or-create.js';
 import {FLEET_DECAY_MS, OrganisationLoad, SHARE_DECAY_MS} from './organisation-load.js';
 import type {OrganisationRates} from './organisation-load.js';
 
@@ -35,8 +36,7 @@
 	/** Records a request, and returns the load of its organisation. */
 	recordOffered({holder, fleet, nowMs}: RecordOfferedOptions): OrganisationLoad {
 		this.#divideIfDue(nowMs);
-		const load = this.#loads.get(holder) ?? new OrganisationLoad(nowMs);
-		this.#loads.set(holder, load);
+		const load = findOrCreate({map: this.#loads, key: holder, create: () => new OrganisationLoad(nowMs)});
 		load.recordOffered({fleet, nowMs});
 		this.#offered ??= new DecayingTally({decayMs: SHARE_DECAY_MS, nowMs});
 		this.#offered.add(1, nowMs);
--- a/steering/admission/src/organisation-load.ts
+++ b/steering/admission/src/organisation-load.ts
@@ -1,6 +1,6 @@
 /** Load of one organisation at one service, as far as this instance sees it. */
 import {DecayingTally} from './decaying-tally.js';
-import {ExcessCredit} from './excess-credit.js';
+import {PartSelector} from './part-selector.js';
 
 /** Time constant of the load in which a sudden rise is noticed, in milliseconds: it may last a few seconds only. */
 const RECENT_DECAY_MS = 2000;
@@ -35,7 +35,7 @@
 	readonly #offered: DecayingTally;
 	readonly #admitted: DecayingTally;
 	readonly #usual: DecayingTally;
-	readonly #excess = new ExcessCredit();
+	readonly #excessSelector = new PartSelector();
 
 	constructor(nowMs: number) {
 		this.#recent = new DecayingTally({decayMs: RECENT_DECAY_MS, nowMs});
@@ -100,8 +100,8 @@
 	}
 
 	/** Whether the current request counts as excess, when this part of the requests does, from 0 to 1; at 0.5 every other request counts. */
-	takeExcess(part: number): boolean {
-		return this.#excess.take(part);
+	selectExcess(part: number): boolean {
+		return this.#excessSelector.select(part);
 	}
 
 	#isUsualKnown(nowMs: number): boolean {
