Decode the messages of instances by the same checks

Cause: calls/loads, calls/rate-limits, calls/quotas and calls/uploads each had their own forms of reading fields, lists and bounded numbers, and readDemand and readPriorities were values in one function and functions in another. Change: toFields, toEntries and isNumberWithin stand beside readFields in core/types; constants stand before their use; what is accepted and the texts of errors are the same.

--- a/calls/loads/src/demand-messages.ts
+++ b/calls/loads/src/demand-messages.ts
@@ -8,7 +8,9 @@
  * instances that measured it.
  */
 import {Either, Left, Right} from 'purify-ts';
-import {describeValue} from '@pomelopick/core.types';
+import {
+	describeValue, isNumberWithin, isWithin, toEntries,
+} from '@pomelopick/core.types';
 import type {CodedError, OrganisationName, ServiceName} from '@pomelopick/core.types';
 import {recentRateOf} from '@pomelopick/steering.loads';
 import type {
@@ -24,6 +26,9 @@
 /** Number of steps of a rate between 0 and 1. */
 const RATE_STEPS = 100;
 
+const isRate = isNumberWithin({min: 0, max: MAX_RATE});
+const isPriority = isWithin({min: 0, max: MAX_PRIORITY});
+
 type EncodedDemand = readonly [string, ReadonlyArray<readonly number[]>, ReadonlyArray<ReadonlyArray<string | number>>, (readonly number[])?];
 
 /** Encoded sums: a collector answers the same ones to several reports. */
@@ -43,7 +48,7 @@
 function encodeAll(demands: readonly ServiceDemand[]): readonly EncodedDemand[] {
 	const kept = keepLargest(demands);
 	return demands.map(({service, priorities, flow}) => {
-		const rates = priorities.map(({priority, offeredRate, admittedRate}) => [priority, round(offeredRate), round(admittedRate)]);
+		const rates = priorities.map(({priority, offeredRate, admittedRate}) => [priority, roundRate(offeredRate), roundRate(admittedRate)]);
 		const organisations = kept.get(service) ?? [];
 		return flow ? [service, rates, organisations, encodeFlow(flow)] : [service, rates, organisations];
 	});
@@ -72,27 +77,28 @@
 }
 
 function encodeOrganisation({holder, usualRate, rates}: OrganisationDemand): ReadonlyArray<string | number> {
-	return [holder, round(usualRate), ...[...rates].flatMap(([priority, rate]) => [priority, round(rate)])];
+	return [holder, roundRate(usualRate), ...[...rates].flatMap(([priority, rate]) => [priority, roundRate(rate)])];
 }
 
 function encodeFlow({answeredRate, waitRate, instances}: ServiceFlow): readonly number[] {
-	return [round(answeredRate), round(waitRate), instances];
+	return [roundRate(answeredRate), roundRate(waitRate), instances];
 }
 
 function readDemand(value: unknown): Either<CodedError, ServiceDemand> {
-	const [service, priorities, organisations, flow] = toList(value);
+	const [service, encodedPriorities, encodedOrganisations, encodedFlow] = toEntries(value);
 	return typeof service === 'string'
-		? readList({value: priorities, read: readPriority}).chain(readPriorities => readList({value: organisations, read: readOrganisation})
-			.chain(readOrganisations => readFlow(flow)
-				.map(read => ({
-					service: service as ServiceName, priorities: readPriorities, organisations: readOrganisations, ...(read && {flow: read}),
-				}))))
+		? readList({value: encodedPriorities, read: readPriority})
+			.chain(priorities => readList({value: encodedOrganisations, read: readOrganisation})
+				.chain(organisations => readFlow(encodedFlow)
+					.map(flow => ({
+						service: service as ServiceName, priorities, organisations, ...(flow && {flow}),
+					}))))
 		: Left(malformed(value));
 }
 
 /** Reads what becomes of the requests; undefined where the sender does not tell it. */
 function readFlow(value: unknown): Either<CodedError, ServiceFlow | undefined> {
-	const [answeredRate, waitRate, instances] = toList(value);
+	const [answeredRate, waitRate, instances] = toEntries(value);
 	if (value === undefined) {
 		return Right(undefined);
 	}
@@ -101,12 +107,12 @@
 }
 
 function readPriority(value: unknown): Either<CodedError, PriorityDemand> {
-	const [priority, offeredRate, admittedRate] = toList(value);
+	const [priority, offeredRate, admittedRate] = toEntries(value);
 	return isPriority(priority) && isRate(offeredRate) && isRate(admittedRate) ? Right({priority, offeredRate, admittedRate}) : Left(malformed(value));
 }
 
 function readOrganisation(value: unknown): Either<CodedError, OrganisationDemand> {
-	const [holder, usualRate, ...encodedRates] = toList(value);
+	const [holder, usualRate, ...encodedRates] = toEntries(value);
 	const rates = new Map<number, number>();
 	for (let index = 0; index < encodedRates.length; index += 2) {
 		const [priority, rate] = encodedRates.slice(index, index + 2);
@@ -124,19 +130,7 @@
 	return Array.isArray(value) && value.length <= MAX_ENTRIES ? Either.sequence(value.map(entry => read(entry))) : Left(malformed(value));
 }
 
-function toList(value: unknown): readonly unknown[] {
-	return Array.isArray(value) ? value : [];
-}
-
-function isPriority(value: unknown): value is number {
-	return Number.isInteger(value) && (value as number) >= 0 && (value as number) <= MAX_PRIORITY;
-}
-
-function isRate(value: unknown): value is number {
-	return typeof value === 'number' && value >= 0 && value <= MAX_RATE;
-}
-
-function round(rate: number): number {
+function roundRate(rate: number): number {
 	return Math.round(rate * RATE_STEPS) / RATE_STEPS;
 }
 
--- a/calls/loads/src/load-messages.ts
+++ b/calls/loads/src/load-messages.ts
@@ -6,7 +6,9 @@
  * servers twice a second, so that names of fields would be most of what it receives.
  */
 import {Either, Left, Right} from 'purify-ts';
-import {describeValue, parseForeignJson} from '@pomelopick/core.types';
+import {
+	describeValue, isNumberWithin, parseForeignJson, toEntries, toFields,
+} from '@pomelopick/core.types';
 import type {
 	BackendServerName, CodedError, InstanceId, RegionName,
 } from '@pomelopick/core.types';
@@ -20,6 +22,10 @@
 const MAX_AGE_MS = 60_000;
 const PERCENT = 100;
 
+const isInFlight = isNumberWithin({min: 0, max: MAX_IN_FLIGHT});
+const isPercent = isNumberWithin({min: 0, max: MAX_PERCENT});
+const isAge = isNumberWithin({min: 0, max: MAX_AGE_MS});
+
 /** What a report or its answer tells. */
 export interface LoadAnswer {
 	readonly loads: readonly SharedLoad[];
@@ -50,11 +56,11 @@
 /** Decodes a report; Left describes what is wrong with it. Never throws. */
 export function decodeLoadReport(text: string): Either<CodedError, LoadReport> {
 	return parseForeignJson(text).chain<CodedError, LoadReport>(value => {
-		const {instance, region} = (value ?? {}) as Readonly<Record<string, unknown>>;
+		const {instance, region} = toFields<LoadReport>(value);
 		const isFromInstance = typeof instance === 'string' && region === undefined;
 		const isFromRegion = typeof region === 'string' && instance === undefined;
 		return isFromInstance || isFromRegion
-			? readAnswer(value).map(read => ({instance: instance as InstanceId | undefined, region: region as RegionName | undefined, ...read}))
+			? readAnswer(value).map(answer => ({instance, region, ...answer}))
 			: Left(malformed(`instance, region: expected one of them, found ${describeValue(value)}`));
 	});
 }
@@ -65,8 +71,8 @@
 }
 
 function readAnswer(value: unknown): Either<CodedError, LoadAnswer> {
-	const {loads, demand} = (value ?? {}) as Readonly<Record<string, unknown>>;
-	return readLoads(loads).chain(readSums => readDemands(demand).map(readDemand => ({loads: readSums, demand: readDemand})));
+	const fields = toFields<LoadAnswer>(value);
+	return readLoads(fields.loads).chain(loads => readDemands(fields.demand).map(demand => ({loads, demand})));
 }
 
 function encodeLoad({server, inFlight, workFactor}: SharedLoad): ReadonlyArray<string | number> {
@@ -80,20 +86,13 @@
 }
 
 function readLoad(value: unknown): Either<CodedError, SharedLoad> {
-	const [server, inFlight, percent, ageMs] = (Array.isArray(value) ? value : []) as readonly unknown[];
-	const isValid = typeof server === 'string' && isNumber({value: inFlight, max: MAX_IN_FLIGHT});
-	const hasWorkFactor = isNumber({value: percent, max: MAX_PERCENT}) && isNumber({value: ageMs, max: MAX_AGE_MS});
-	return isValid && (percent === undefined || hasWorkFactor)
-		? Right({
-			server: server as BackendServerName, inFlight: inFlight as number, workFactor: hasWorkFactor ? {factor: (percent as number) / PERCENT, ageMs: ageMs as number} : undefined,
-		})
+	const [server, inFlight, percent, ageMs] = toEntries(value);
+	const workFactor = isPercent(percent) && isAge(ageMs) ? {factor: percent / PERCENT, ageMs} : undefined;
+	return typeof server === 'string' && isInFlight(inFlight) && (percent === undefined || workFactor)
+		? Right({server: server as BackendServerName, inFlight, workFactor})
 		: Left(malformed(`loads: expected a server, its requests in flight and perhaps its work factor, found ${describeValue(value)}`));
 }
 
-function isNumber({value, max}: {readonly value: unknown; readonly max: number}): boolean {
-	return typeof value === 'number' && value >= 0 && value <= max;
-}
-
 function malformed(message: string): CodedError {
 	return {code: 'malformed-load-report', message};
 }
--- a/calls/quotas/src/shard-records.ts
+++ b/calls/quotas/src/shard-records.ts
@@ -3,7 +3,7 @@
 import type {Either} from 'purify-ts';
 import type {RecordReader, ViewChange} from '@pomelopick/calls.live';
 import {
-	decodeForeignJson, describeValue, isCount, isName,
+	decodeForeignJson, describeValue, isCount, isName, toFields,
 } from '@pomelopick/core.types';
 import type {CodedError, InstanceId} from '@pomelopick/core.types';
 import {shards} from '@pomelopick/steering.quotas';
@@ -41,10 +41,12 @@
 /** Decodes a record; Left describes what is wrong with it. Never throws. */
 export function decodeShard(bytes: Uint8Array): Either<CodedError, ShardRecord> {
 	return decodeForeignJson({bytes, maxBytes: MAX_RECORD_BYTES}).chain<CodedError, ShardRecord>(value => {
-		const {owner: id, process, claim, predecessors: stated} = (value ?? {}) as Partial<ShardMessage>;
+		const {owner: id, process, claim, predecessors: encodedPredecessors} = toFields<ShardMessage>(value);
 		const isReleased = id === null && process === null;
 		const owner = readProcess({id, process});
-		const predecessors = Array.isArray(stated) && stated.length <= MAX_PREDECESSORS ? stated.map(predecessor => readProcess((predecessor ?? {}) as Partial<InstanceProcess>)) : [undefined];
+		const predecessors = Array.isArray(encodedPredecessors) && encodedPredecessors.length <= MAX_PREDECESSORS
+			? encodedPredecessors.map(predecessor => readProcess(toFields<InstanceProcess>(predecessor)))
+			: [undefined];
 		return (isReleased || owner) && isCount(claim) && predecessors.every(predecessor => predecessor !== undefined)
 			? Right({owner, claim, predecessors})
 			: Left({code: 'malformed-quota-shard', message: `owner, process, claim or predecessors is missing or cannot be used: ${describeValue(value)}`});
--- a/calls/rate-limits/src/permit-messages.ts
+++ b/calls/rate-limits/src/permit-messages.ts
@@ -1,11 +1,18 @@
 /** Messages between an instance that wants to send a request to a limited server and the owner of that server. */
 import {Left} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import {describeValue, parseForeignJson} from '@pomelopick/core.types';
+import {
+	describeValue, isNumberWithin, parseForeignJson, toFields,
+} from '@pomelopick/core.types';
 import type {CodedError} from '@pomelopick/core.types';
 import type {RateLimitRecord} from '@pomelopick/steering.servers';
 import {readRateLimit} from './rate-limit-records.js';
 
+/** Maximum time after which to ask again that is accepted, in milliseconds: the longest that a timer of Node.js can wait. */
+const MAX_RETRY_AFTER_MS = 2_147_483_647;
+
+const isRetryAfter = isNumberWithin({min: 0, max: MAX_RETRY_AFTER_MS});
+
 /** Asks for a permit to send one request. */
 export interface PermitRequest {
 	/** What the asking instance knows of the limit. */
@@ -21,16 +28,16 @@
 	readonly record: RateLimitRecord;
 }
 
-/** Validates a request of parsed JSON; Left describes what is wrong with it. Never throws. */
+/** Reads a request from parsed JSON; Left describes what is wrong with it. Never throws. */
 export function readPermitRequest(value: unknown): Either<CodedError, PermitRequest> {
-	return readRateLimit(asFields<PermitRequest>(value).record).map(record => ({record}));
+	return readRateLimit(toFields<PermitRequest>(value).record).map(record => ({record}));
 }
 
 /** Decodes an answer; Left describes what is wrong with it. Never throws. */
 export function decodePermitAnswer(text: string): Either<CodedError, PermitAnswer> {
 	return parseForeignJson(text).chain<CodedError, PermitAnswer>(value => {
-		const {isGranted, retryAfterMs, record} = asFields<PermitAnswer>(value);
-		return typeof isGranted === 'boolean' && typeof retryAfterMs === 'number' && retryAfterMs >= 0 && retryAfterMs <= MAX_RETRY_AFTER_MS
+		const {isGranted, retryAfterMs, record} = toFields<PermitAnswer>(value);
+		return typeof isGranted === 'boolean' && isRetryAfter(retryAfterMs)
 			? readRateLimit(record).map(read => ({isGranted, retryAfterMs, record: read}))
 			: Left({code: 'malformed-permit', message: `isGranted, retryAfterMs: missing or of the wrong type: ${describeValue(value)}`});
 	});
@@ -41,15 +48,7 @@
 	return JSON.stringify(answer);
 }
 
-/** Parses the text of a request; Left describes what is wrong with it. Never throws. */
+/** Decodes a request; Left describes what is wrong with it. Never throws. */
 export function decodePermitRequest(text: string): Either<CodedError, PermitRequest> {
 	return parseForeignJson(text).chain<CodedError, PermitRequest>(value => readPermitRequest(value));
 }
-
-/** Fields of a value of parsed JSON; none of them when it is not an object. */
-function asFields<Shape>(value: unknown): Partial<Shape> {
-	return (value ?? {});
-}
-
-/** Maximum time after which to ask again that is accepted, in milliseconds: the longest that a timer of Node.js can wait. */
-const MAX_RETRY_AFTER_MS = 2_147_483_647;
--- a/calls/rate-limits/src/rate-limit-records.ts
+++ b/calls/rate-limits/src/rate-limit-records.ts
@@ -2,7 +2,7 @@
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {RecordReader, ViewChange} from '@pomelopick/calls.live';
-import {decodeForeignJson, describeValue} from '@pomelopick/core.types';
+import {decodeForeignJson, describeValue, toFields} from '@pomelopick/core.types';
 import type {BackendServerName, CodedError} from '@pomelopick/core.types';
 import type {RateLimitRecord} from '@pomelopick/steering.servers';
 
@@ -11,6 +11,8 @@
 
 /** Highest version that is accepted; versions follow the wall clock in milliseconds, and newer ones must remain whole numbers that can be compared. */
 const MAX_VERSION = 253_402_300_799_999;
+/** Maximum size of a record, in bytes. */
+const MAX_RECORD_BYTES = 4096;
 
 /** Key of the record about a server. */
 export function rateLimitKey(server: BackendServerName): string {
@@ -24,7 +26,7 @@
 
 /** Validates a record of parsed JSON; Left describes what is wrong with it. */
 export function readRateLimit(value: unknown): Either<CodedError, RateLimitRecord> {
-	const {name, startedAtMs, requestsPerSecond, version} = (value ?? {}) as Partial<RateLimitRecord>;
+	const {name, startedAtMs, requestsPerSecond, version} = toFields<RateLimitRecord>(value);
 	const hasStart = startedAtMs === undefined || Number.isInteger(startedAtMs);
 	const hasRate = requestsPerSecond === undefined || (Number.isFinite(requestsPerSecond) && requestsPerSecond >= 0);
 	return typeof name === 'string' && hasStart && hasRate && Number.isSafeInteger(version) && version! <= MAX_VERSION
@@ -60,6 +62,3 @@
 function decodeRateLimit(bytes: Uint8Array): Either<CodedError, RateLimitRecord> {
 	return decodeForeignJson({bytes, maxBytes: MAX_RECORD_BYTES}).chain<CodedError, RateLimitRecord>(value => readRateLimit(value));
 }
-
-/** Maximum size of a record, in bytes. */
-const MAX_RECORD_BYTES = 4096;
--- a/calls/uploads/src/upload-messages.ts
+++ b/calls/uploads/src/upload-messages.ts
@@ -2,7 +2,7 @@
 import {Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import {
-	isCount, isName, isWithin, parseForeignJson, readFields,
+	isCount, isName, isWithin, parseForeignJson, readFields, toFields,
 } from '@pomelopick/core.types';
 import type {BackendServerName, CodedError} from '@pomelopick/core.types';
 import {UPLOAD_GRANTED} from '@pomelopick/steering.quotas';
@@ -51,7 +51,7 @@
 type UploadRefused = Extract<UploadOutcome, {granted: false}>;
 
 function isGranted(value: unknown): boolean {
-	return ((value ?? {}) as Partial<UploadOutcome>).granted === true;
+	return toFields<UploadOutcome>(value).granted === true;
 }
 
 function isBoolean(value: unknown): boolean {
