Create the placer and the parts that watch servers outside createRelay

Cause: createRelay was one function of 212 lines that made the placer, applied the notices of servers, watched their connections and wired the handler. Change: createPlacer, createServerNotices and createServerContact stand in modules of their own, with the same parts and options.

--- a/daemons/gateway/src/create-relay.ts
+++ b/daemons/gateway/src/create-relay.ts
@@ -1,14 +1,12 @@
 /** Creates the relay of requests and wires its parts: placement, limits, connections and the quarantine. */
-import {setTimeout as startTimeout} from 'node:timers/promises';
 import {CallerDisconnects} from '@pomelopick/calls.forwarding';
-import {BackendConnections, checkOnConnection} from '@pomelopick/calls.connections';
-import type {ProbeResponseHead} from '@pomelopick/calls.connections';
+import {BackendConnections} from '@pomelopick/calls.connections';
 import type {LiveView, LostServer} from '@pomelopick/calls.live';
 import type {Quarantine, SuspectStatus, SuspicionSharing} from '@pomelopick/calls.quarantine';
 import {
-	ConnectionCheck, ContactMonitor, findIdentityRefusal, PeerChoice, RelayHandler, RequestAdmission, RetryBudgets, ServerNotices, ServerUploads, UnsentAttempts,
+	findIdentityRefusal, PeerChoice, RelayHandler, RequestAdmission, RetryBudgets, ServerUploads, UnsentAttempts,
 } from '@pomelopick/calls.relay';
-import type {RelayedRequest, RelayServer, RetryBudgetsOptions} from '@pomelopick/calls.relay';
+import type {RelayedRequest, RetryBudgetsOptions} from '@pomelopick/calls.relay';
 import type {GatewaySettings} from '@pomelopick/config.settings';
 import type {CallCounters, DecisionLog} from '@pomelopick/core.telemetry';
 import type {BackendServerName, ServiceName} from '@pomelopick/core.types';
@@ -16,24 +14,22 @@
 	CREDENTIALS_CHALLENGE, decodeRateLimit, decodeRetryAfter, decodeServerLeaving, decodeServerLoad, decodeWarmupLeft, encodeRetryAfter, platformHeaders,
 } from '@pomelopick/platform.wire';
 import {AdmissionTable, DeadlineCheck} from '@pomelopick/steering.admission';
-import {ObjectPlacer} from '@pomelopick/steering.objects';
+import type {ObjectPlacer} from '@pomelopick/steering.objects';
 import {
 	LeavingServers, ObservationTable, RequestedPauses, ServerContacts,
 } from '@pomelopick/steering.servers';
-import type {KnownServer, ViewConfirmation} from '@pomelopick/steering.servers';
+import type {ViewConfirmation} from '@pomelopick/steering.servers';
 import {createCrashDetection} from './create-crash-detection.js';
 import type {CrashDetectionParts} from './create-crash-detection.js';
+import {createPlacer} from './create-placer.js';
 import type {QuotaParts} from './create-quotas.js';
 import type {RateLimitParts} from './create-rate-limits.js';
+import {createServerContact} from './create-server-contact.js';
+import {createServerNotices} from './create-server-notices.js';
 import type {UploadParts} from './create-uploads.js';
 
-const SERVICE_UNAVAILABLE = 503;
 /** Timeout for connecting to another instance, in milliseconds. */
 const PEER_CONNECT_TIMEOUT_MS = 300;
-/** Minimum number of connections that this instance may open to a server. */
-const MIN_CONNECTIONS = 4;
-/** Share of a server's connections that all instances together use; the rest is a reserve for connections that the server counts late. */
-const CONNECTION_SHARE = 0.7;
 
 /** Options of {@link createRelay}. */
 export interface CreateRelayOptions {
@@ -92,132 +88,42 @@
 	const leaving = new LeavingServers();
 	const pauses = new RequestedPauses();
 	const contacts = new ServerContacts();
-	const {rateLimits, permits} = rateLimitParts;
+	const {permits} = rateLimitParts;
 	const unsent = new UnsentAttempts();
 	const format = {
 		headers: platformHeaders, decodeServerLoad, decodeServerLeaving, decodeRetryAfter, decodeRateLimit, decodeWarmupLeft, encodeRetryAfter, credentialsChallenge: CREDENTIALS_CHALLENGE,
 	};
-	const placer = new ObjectPlacer({
-		servers: view.servers,
-		observations,
-		failureDomain,
-		region,
-		regions,
-		mayTakeRate: options => permits.mayTake(options),
-		rateClosedUntilMs: known => permits.closedUntilMs(known),
-		unavailableUntilMs: ({server, nowMs}) => leaving.has(server) ? Number.POSITIVE_INFINITY : pauses.endMs({server, nowMs}),
-		isUnreachable: server => contacts.isUnreachable(server),
-		// Organisations that share the capacity must not depend on the region of their callers.
-		spreadsAll: () => view.organisations !== undefined,
-		onSharesChanged({service, shares, slots, loads}) {
-			counters.add('placement.shares-changed');
-			log.line('region-shares', {
-				subject: service, shares: formatNumbers(shares), slots: formatNumbers(slots), loads: formatNumbers(loads),
-			});
-		},
-		random,
+	const placer = createPlacer({
+		location: {failureDomain, region, regions}, view, observations, leaving, pauses, contacts, permits, counters, log, random,
 	});
-	const notices = new ServerNotices({
-		format,
-		servers: view.servers,
-		leaving,
-		pauses,
-		hasRateLimit: server => rateLimits.requestsPerSecond(server) !== undefined,
-		hearRateLimit(heard) {
-			rateLimitParts.sharing.hear(heard);
-		},
-		hearWarmup(warmup) {
-			rateLimitParts.warmupSharing.hear(warmup);
-		},
-		hearLoad({server, load}) {
-			observations.get(server).recordHealth({load, nowMs: now()});
-		},
-		unsent,
-		counters,
-		log,
-		now,
-		wallClockMs: () => Date.now(),
+	const {notices, readHealthAnswer} = createServerNotices({
+		format, servers: view.servers, leaving, pauses, unsent, observations, contacts, rateLimitParts, counters, log, now,
 	});
-	const readHealthAnswer = ({name, head, sentAtMs}: {readonly name: BackendServerName; readonly head: ProbeResponseHead; readonly sentAtMs: number}): void => {
-		const known = view.servers.findEntry(name);
-		const statedName = head.headers[platformHeaders.answeringServer];
-		// A server that rejects a health check may leave its name out.
-		const respondingName = statedName ?? (head.status === SERVICE_UNAVAILABLE ? name : undefined);
-		if (!known || respondingName !== name) {
-			return;
-		}
-
-		notices.read({server: known.server, head});
-		if (statedName === name && contacts.confirm({server: known.server, sinceMs: sentAtMs})) {
-			counters.add('contact.confirmed');
-			log.line('contact-confirmed', {subject: name, detail: 'it answered a health check', startedAtMs: known.server.startedAtMs});
-		}
-	};
-
-	const connections = new BackendConnections({
-		now,
-		probeIntervalMs: 0,
-		maxPerServer: server => server.connections,
-		onReplaced({server, connections: count}) {
-			counters.add('connections.replaced', count);
-			log.line('connections-replaced', {server, count});
-		},
-		onHealthAnswer({server: {name}, ...answer}) {
-			readHealthAnswer({name, ...answer});
-		},
-		onIdleReset({name, address, port}) {
-			const known = view.servers.findEntry(name);
-			if (known?.server.address === address && known.server.port === port) {
-				contactMonitor.lose({server: toRelayServer(known), detail: 'an idle connection was reset'});
-			}
-		},
-	});
-	const peerConnections = new BackendConnections({
-		now,
-		probeIntervalMs: 0,
-		connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
-		maxPerServer: peer => peer.connections,
-		onReplaced() {/* These connections are not probed. */},
-	});
-	const maxConnections = ({server: {service}}: KnownServer): number => {
-		const max = view.routeSet?.services.find(({name}) => name === service)?.maxConnections ?? 0;
-		return Math.max(MIN_CONNECTIONS, Math.floor(max * CONNECTION_SHARE / countInstances()));
-	};
-
-	const toRelayServer = (known: KnownServer): RelayServer => ({...known.server, connections: maxConnections(known)});
-	const contactMonitor = new ContactMonitor({
+	const {connections, contactMonitor, connectionCheck, maxConnections} = createServerContact({
+		view,
+		confirmation,
+		regions,
 		contacts,
-		checkHealth: async server => connections.checkHealth(server),
-		listServers: service => view.servers.listUsable(service).map(known => toRelayServer(known)),
-		isRegistered: ({name, startedAtMs}) => view.servers.findEntry(name)?.server.startedAtMs === startedAtMs && view.servers.findEntry(name) !== undefined,
 		unsent,
+		permits,
+		readHealthAnswer,
 		onUnreachable(options) {
 			reportUnreachable(options);
 		},
 		counters,
 		log,
-		sleep: async milliseconds => startTimeout(milliseconds, undefined, {ref: false}),
 		now,
 	});
-	const connectionCheck = new ConnectionCheck({
-		view: confirmation,
-		isCold: known => permits.isCold(view.servers.findEntry(known.server.name) ?? known),
-		hasWarmupRate: ({server: {service}}) => view.routeSet?.services.find(({name}) => name === service)?.warmupRequestsPerSecond !== undefined,
-		ask: checkOnConnection,
-		onAnswer({known: {server: {name}}, ...answer}) {
-			readHealthAnswer({name, ...answer});
-		},
-		onNoAnswer(known) {
-			contactMonitor.lose({server: toRelayServer(known), detail: 'no answer to a health check on a new connection'});
-		},
-		counters,
+	const peerConnections = new BackendConnections({
 		now,
+		probeIntervalMs: 0,
+		connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
+		maxPerServer: peer => peer.connections,
+		onReplaced() {/* These connections are not probed. */},
 	});
 	const {quarantine, crashDetector, receiveSuspicion, reportLost, reportUnreachable} = createCrashDetection({
 		instance, firstSequence, sharing, connections, leaving, counters, log, now,
 	});
-	/** Number of instances among which a server's connections are divided: the maximum seen at the same time, and at least one for each failure domain (the keys of `regions`). */
-	const countInstances = (): number => Math.max(view.instances.maxCount, regions.size);
 	const retryBudgets = new RetryBudgets({
 		bounds: () => settings().retries, claim: claimAllowance, counters, log, clocks: () => ({monotonicMs: now(), wallClockMs: Date.now()}),
 	});
@@ -306,8 +212,3 @@
 		},
 	};
 }
-
-/** Numbers by name with up to three decimals, for a log line. */
-function formatNumbers(numbers: ReadonlyMap<string, number>): string {
-	return [...numbers].map(([name, number]) => `${name}=${Number(number.toFixed(3))}`).join(' ');
-}
