Receive load reports by the listener that other messages have

Cause: load-listener.ts repeated createMessageListener, only to say in the response which of method and length is wrong. Change: createMessageListener takes a function that describes a refusal before the body is read; the responses are the same. Result: the types and the linter pass.

--- a/calls/live/src/message-listener.ts
+++ b/calls/live/src/message-listener.ts
@@ -1,5 +1,5 @@
 /** HTTP endpoint for messages of other instances in JSON, which are answered at once. */
-import type {RequestListener, ServerResponse} from 'node:http';
+import type {IncomingMessage, RequestListener, ServerResponse} from 'node:http';
 import type {Either} from 'purify-ts';
 import type {CodedError} from '@pomelopick/core.types';
 import {readPeerBody} from './peer-body.js';
@@ -8,6 +8,8 @@
 export interface MessageListenerOptions<Message> {
 	/** Maximum size of a message, in bytes. */
 	readonly maxBytes: number;
+	/** Text of the response to a request that is not a POST or does not state a length up to the maximum; by default it says what is expected. */
+	readonly describeRefusal?: (request: IncomingMessage) => string;
 	/** Left says what is wrong with the message. */
 	readonly decode: (text: string) => Either<CodedError, Message>;
 	readonly respond: (options: {readonly message: Message; readonly response: ServerResponse}) => void;
@@ -18,10 +20,10 @@
 }
 
 /** Creates the listener; it responds 400 to a malformed message, and names what is wrong with it. */
-export function createMessageListener<Message>({maxBytes, decode, respond, brokenCode, onMalformed}: MessageListenerOptions<Message>): RequestListener {
+export function createMessageListener<Message>({maxBytes, describeRefusal, decode, respond, brokenCode, onMalformed}: MessageListenerOptions<Message>): RequestListener {
 	return async (request, response) => {
 		if (request.method !== 'POST' || !(Number(request.headers['content-length']) <= maxBytes)) {
-			response.writeHead(400, {connection: 'close'}).end(`expected POST with a body of at most ${maxBytes} bytes`);
+			response.writeHead(400, {connection: 'close'}).end(describeRefusal?.(request) ?? `expected POST with a body of at most ${maxBytes} bytes`);
 			return;
 		}
 
--- a/calls/loads/src/load-listener.ts
+++ b/calls/loads/src/load-listener.ts
@@ -1,6 +1,6 @@
 /** HTTP endpoint at which instances report loads to the collector of their region: `POST /server-loads`. */
 import type {IncomingMessage, RequestListener} from 'node:http';
-import {readPeerBody} from '@pomelopick/calls.live';
+import {createMessageListener} from '@pomelopick/calls.live';
 import type {CodedError} from '@pomelopick/core.types';
 import {decodeLoadReport, encodeLoadAnswer} from './load-messages.js';
 import type {LoadAnswer, LoadReport} from './load-messages.js';
@@ -21,31 +21,20 @@
 
 /** Creates the listener; it responds 400 to a malformed report, and names what is wrong with it. */
 export function createLoadListener({receive, onMalformed}: LoadListenerOptions): RequestListener {
-	return async (request, response) => {
-		const fault = findFault(request);
-		if (fault !== undefined) {
-			response.writeHead(400, {connection: 'close'}).end(fault);
-			return;
-		}
-
-		try {
-			decodeLoadReport(await readPeerBody(request)).ifLeft(error => {
-				onMalformed(error);
-				response.writeHead(400).end(error.message);
-			}).ifRight(report => {
-				response.writeHead(200, {'content-type': 'application/json'}).end(encodeLoadAnswer(receive(report)));
-			});
-		} catch (error) {
-			onMalformed({code: 'load-report-broken', message: (error as Error).message});
-		}
-	};
+	return createMessageListener({
+		maxBytes: MAX_BYTES,
+		describeRefusal,
+		decode: decodeLoadReport,
+		respond({message, response}) {
+			response.writeHead(200, {'content-type': 'application/json'}).end(encodeLoadAnswer(receive(message)));
+		},
+		brokenCode: 'load-report-broken',
+		onMalformed,
+	});
 }
 
-/** Why the body of a request is not read; undefined if it is. */
-function findFault({method, headers: {'content-length': length}}: IncomingMessage): string | undefined {
-	if (method !== 'POST') {
-		return `method: expected POST, found ${method}`;
-	}
-
-	return Number(length) <= MAX_BYTES ? undefined : `content-length: expected at most ${MAX_BYTES} bytes, found ${length ?? 'none'}`;
+function describeRefusal({method, headers: {'content-length': length}}: IncomingMessage): string {
+	return method === 'POST'
+		? `content-length: expected at most ${MAX_BYTES} bytes, found ${length ?? 'none'}`
+		: `method: expected POST, found ${method}`;
 }
