Split the handling of a response's head from the checks of its status line

Cause: onResponseStart checked the status line, counted interim responses, matched the head and chose how the body is received; what follows the opening of a connection stood twice in exchange.ts. Change: receiveHead and continueOnOpen are methods of their own, failBy is called failWith, and the states that an exchange keeps have comments.

--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -18,6 +18,11 @@
 import type {ExchangeOptions} from './exchange-options.js';
 import {findHeadFault, findMismatch, readFraming} from './response-head.js';
 
+/** First status of a final response; those below are of interim responses. */
+const FIRST_FINAL_STATUS = 200;
+/** Maximum number of interim responses (status 1xx) before a response. */
+const MAX_INTERIM_RESPONSES = 32;
+
 /** One request and its response. The result is resolved once. */
 export class Exchange implements Dispatcher.DispatchHandler {
 	/** Resolves with the response or the failure; never rejects. */
@@ -26,9 +31,11 @@
 	#resolve!: (result: Either<AttemptFailure, AttemptResponse>) => void;
 	#controller: Dispatcher.DispatchController | undefined;
 	#startedAtMs: number | undefined;
+	/** Failure with which the request was aborted; undefined: it was not. */
 	#aborted: AttemptFailure | undefined;
+	/** Whether the connection was given back, so that it may belong to another request. */
 	#isReleased = false;
-	/** Whether the request was given to the library on a connection that was open before; it may then be given to it once more. */
+	/** Whether the connection was open when the request was to be sent; if it turns out to be closed before anything was written, it is opened once more. */
 	#isReopenable = false;
 	#interimResponses = 0;
 	#head: ResponseHead | undefined;
@@ -101,30 +108,11 @@
 			return;
 		}
 
-		if (status < 200) {
+		if (status < FIRST_FINAL_STATUS) {
 			this.#recordInterim();
-			return;
-		}
-
-		const {method, acceptsUnframed = false, onHead} = this.#options;
-		const head = {status, headers: endToEndHeaders(headers)};
-		onHead?.(head);
-		const mismatch = findMismatch({...this.#options, headers, wasUsed: this.#options.lease.connection.wasUsed});
-		if (mismatch !== undefined) {
-			this.abort({kind: 'mismatched', detail: mismatch});
-			return;
-		}
-
-		this.#head = head;
-		const {hasBody, isUnframed} = readFraming({method, status, headers});
-		this.#options.lease.connection.isUnframed = isUnframed;
-		if (isUnframed && !acceptsUnframed) {
-			this.abort({kind: 'truncated', detail: 'the response has neither a content length nor chunked encoding, so a truncated body would look complete'});
-			return;
+		} else {
+			this.#receiveHead(status, headers);
 		}
-
-		this.#buffer.expect(hasBody ? Number(headers['content-length'] ?? 0) : 0);
-		this.#forwardIfLarge();
 	}
 
 	onResponseData(_controller: Dispatcher.DispatchController, piece: Uint8Array): void {
@@ -163,27 +151,30 @@
 			return;
 		}
 
-		this.#failBy(error);
+		this.#failWith(error);
 	}
 
-	#failBy(error: Error & {code?: string}): void {
+	#failWith(error: Error & {code?: string}): void {
 		this.#release({isReusable: false});
 		this.#fail(toFailure({error, mayHaveRun: this.mayHaveRun, status: this.#head?.status}));
 	}
 
 	async #connectAndDispatch(): Promise<void> {
 		const opened = await EitherAsync.fromPromise(async () => this.#options.lease.connection.open());
-		if (this.#aborted) {
-			return;
-		}
-
-		opened.ifLeft(error => {
-			this.#failBy(error);
-		}).ifRight(() => {
+		this.#continueOnOpen(opened, () => {
 			this.#checkAndDispatch({isNew: true});
 		});
 	}
 
+	/** Calls `next` if the connection was opened and the request was not aborted meanwhile. */
+	#continueOnOpen(opened: Either<Error, unknown>, next: () => void): void {
+		if (!this.#aborted) {
+			opened.ifLeft(error => {
+				this.#failWith(error);
+			}).ifRight(next);
+		}
+	}
+
 	/** Gives the request to the library, once the server has been checked on the connection if it must be. */
 	#checkAndDispatch({isNew}: {readonly isNew: boolean}): void {
 		const checking = this.#options.checkConnection?.({isNew});
@@ -194,16 +185,17 @@
 		}
 	}
 
+	/** Gives the request to the library after a check of the server that found nothing against it. */
 	async #dispatchAfter(checking: Promise<Either<Error, void>>): Promise<void> {
 		const {connection} = this.#options.lease;
 		const checked = await checking;
-		const mayCheckAgain = this.#isReopenable && !connection.isOpen;
+		const mayReopen = this.#isReopenable && !connection.isOpen;
 		if (this.#aborted) {
 			return;
 		}
 
-		if (checked.isLeft() && !mayCheckAgain) {
-			this.#failBy(checked.extract());
+		if (checked.isLeft() && !mayReopen) {
+			this.#failWith(checked.extract());
 			return;
 		}
 
@@ -216,13 +208,9 @@
 
 		// A server may close a connection after its answer; another one opened at once leads to the same process.
 		const opened = await EitherAsync.fromPromise(async () => connection.open());
-		if (!this.#aborted) {
-			opened.ifLeft(error => {
-				this.#failBy(error);
-			}).ifRight(() => {
-				this.#dispatch();
-			});
-		}
+		this.#continueOnOpen(opened, () => {
+			this.#dispatch();
+		});
 	}
 
 	/** Gives the request to the library. An error that is thrown meanwhile ends this attempt alone. */
@@ -238,10 +226,35 @@
 				method, path, headers: headers(), body: body ?? null,
 			}, this);
 		}).ifLeft(error => {
-			this.#failBy(error);
+			this.#failWith(error);
 		});
 	}
 
+	/** Handles the head of a final response: the response may belong to another call, or have a body whose end is uncertain. */
+	#receiveHead(status: number, headers: IncomingHttpHeaders): void {
+		const {connection} = this.#options.lease;
+		const head = {status, headers: endToEndHeaders(headers)};
+		this.#options.onHead?.(head);
+		const mismatch = findMismatch({...this.#options, headers, wasUsed: connection.wasUsed});
+		if (mismatch !== undefined) {
+			this.abort({kind: 'mismatched', detail: mismatch});
+			return;
+		}
+
+		this.#head = head;
+		const {method, acceptsUnframed = false} = this.#options;
+		const {hasBody, isUnframed} = readFraming({method, status, headers});
+		connection.isUnframed = isUnframed;
+		if (isUnframed && !acceptsUnframed) {
+			this.abort({kind: 'truncated', detail: 'the response has neither a content length nor chunked encoding, so a truncated body would look complete'});
+			return;
+		}
+
+		this.#buffer.expect(hasBody ? Number(headers['content-length'] ?? 0) : 0);
+		this.#forwardIfLarge();
+	}
+
+	/** Gives the connection back, and resolves with the whole response unless it is already being forwarded. */
 	#complete(): void {
 		const {connection} = this.#options.lease;
 		if (this.#aborted !== undefined || !this.#head) {
@@ -299,6 +312,7 @@
 		}
 	}
 
+	/** Resolves with the head, and passes the body on while it arrives; reading is held only while the connection belongs to this request. */
 	#startForwarding(): void {
 		const {connection} = this.#options.lease;
 		const forwarder = new ResponseForwarder({
@@ -330,6 +344,3 @@
 		}));
 	}
 }
-
-/** Maximum number of interim responses (status 1xx) before a response. */
-const MAX_INTERIM_RESPONSES = 32;
