Name what the cases of the organisations test check

Cause: single and sequence did not say what they hold, some checks did not say which failure they guard against, and one step stood in a function that was called at once. Change: names, comments and the order of statements; the cases and assertions are the same.

--- a/daemons/gateway/test/organisations.test.ts
+++ b/daemons/gateway/test/organisations.test.ts
@@ -20,10 +20,12 @@
 const SECOND_KEY = 'secret-of-second';
 /** Time within which a change of the configuration takes effect, in milliseconds. */
 const APPLY_MS = 3000;
+/** Time after which a request to an unreachable server waits for its connection, in milliseconds. */
 const CONNECTING_MS = 400;
 
 const first: FleetOrganisation = {name: 'first', keys: [FIRST_KEY, LONG_KEY]};
 const second: FleetOrganisation = {name: 'second', keys: [SECOND_KEY], priority: 0};
+/** Organisation whose limit cannot be read. */
 const unreadable: FleetOrganisation = {name: 'unreadable', keys: ['secret-of-unreadable'], ratePerSecond: -1};
 const everyone = [first, second, unreadable];
 
@@ -70,7 +72,7 @@
 	});
 
 	const authorization = (...values: readonly string[]): {headers: Record<string, string[]>} => ({headers: {authorization: [...values]}});
-	const single: ReadonlyArray<{name: string; options: Omit<CallGatewayOptions, 'endpoint'>; expected: readonly unknown[]}> = [
+	const singleRequests: ReadonlyArray<{name: string; options: Omit<CallGatewayOptions, 'endpoint'>; expected: readonly unknown[]}> = [
 		{name: 'a key', options: {key: FIRST_KEY}, expected: [200, 'first']},
 		{name: 'a key of 8 KB', options: {key: LONG_KEY}, expected: [200, 'first']},
 		{name: 'the scheme in lower case', options: authorization(`bearer ${SECOND_KEY}`), expected: [200, 'second']},
@@ -112,7 +114,7 @@
 		{name: 'two keys on a public route', options: {path: '/public/x', ...authorization(`Bearer ${FIRST_KEY}`, `Bearer ${FIRST_KEY}`)}, expected: [200, undefined]},
 		{name: 'an organisation on a public route', options: {path: '/public/x', headers: {'x-tenant': 'first'}}, expected: [200, undefined]},
 	];
-	for (const {name, options, expected} of single) {
+	for (const {name, options, expected} of singleRequests) {
 		it(`answers ${expected.join(', ')} to ${name}`, async () => {
 			assert.deepEqual(await send(options), expected);
 		});
@@ -140,14 +142,19 @@
 		assert.ok(Number(headers['retry-after']) > 0);
 	});
 
-	const sequence = [
-		{key: FIRST_KEY, expected: [200, 'first']}, {key: 'secret-of-nobody', expected: [401]}, {key: SECOND_KEY, expected: [200, 'second']}, {key: undefined, expected: [401]}, {key: FIRST_KEY, expected: [200, 'first']},
+	/** Requests on one connection, whose keys must not be taken for each other. */
+	const successiveRequests = [
+		{key: FIRST_KEY, expected: [200, 'first']},
+		{key: 'secret-of-nobody', expected: [401]},
+		{key: SECOND_KEY, expected: [200, 'second']},
+		{key: undefined, expected: [401]},
+		{key: FIRST_KEY, expected: [200, 'first']},
 	];
 	const connections = [{name: 'kept', isPipelined: false}, {name: 'pipelined', isPipelined: true}];
-	const sendSequence = async (isPipelined: boolean): Promise<void> => {
+	const checkSuccessiveRequests = async (isPipelined: boolean): Promise<void> => {
 		const caller = new PipeliningCaller(endpointOf(settings.listen.callers));
-		const requestIds = sequence.map(() => randomUUID());
-		for (const [index, {key}] of sequence.entries()) {
+		const requestIds = successiveRequests.map(() => randomUUID());
+		for (const [index, {key}] of successiveRequests.entries()) {
 			caller.send({
 				requestId: requestIds[index]!, path: '/write/x', method: 'POST', body: 'x', headers: key === undefined ? [] : [`Authorization: Bearer ${key}`],
 			});
@@ -156,18 +163,19 @@
 			}
 		}
 
-		await until(() => caller.responses.length === sequence.length);
+		await until(() => caller.responses.length === successiveRequests.length);
 		caller.close();
 		const found = caller.responses.map(({requestId, status}) => [status, ...fleet.executionsOf(requestId).map(({organisation}) => organisation)]);
 		assert.deepEqual(caller.responses.map(({requestId}) => requestId), requestIds);
-		assert.deepEqual(found, sequence.map(({expected}) => expected));
+		assert.deepEqual(found, successiveRequests.map(({expected}) => expected));
 	};
 
 	for (const {name, isPipelined} of connections) {
-		it(`looks up each key on a ${name} connection`, async () => sendSequence(isPipelined));
+		it(`looks up each key on a ${name} connection`, async () => checkSuccessiveRequests(isPipelined));
 	}
 
 	const connectionOptions = ['authorization', 'X-Tenant', 'x-tenant, Authorization, keep-alive', 'close, AUTHORIZATION'];
+	/** Checks that a request that names its headers as options of its connection, which are not passed on, still has its organisation. */
 	const checkConnectionOption = async (option: string): Promise<void> => {
 		const caller = new PipeliningCaller(endpointOf(settings.listen.callers));
 		const requestId = randomUUID();
@@ -206,6 +214,7 @@
 		};
 	};
 
+	/** Checks that a request whose key was valid when its headers arrived is refused once the organisations have changed. */
 	const checkRevocation = async (organisations: readonly FleetOrganisation[]): Promise<void> => {
 		const requestId = randomUUID();
 		const complete = await beginWrite({requestId, key: FIRST_KEY});
@@ -243,10 +252,8 @@
 
 	it('passes credentials on only while callers are not authenticated', async () => {
 		const requestId = randomUUID();
-		const complete = await (async () => {
-			await publish({});
-			return beginWrite({requestId, key: 'open'});
-		})();
+		await publish({});
+		const complete = await beginWrite({requestId, key: 'open'});
 		assert.deepEqual(await send({headers: {authorization: 'Basic open', 'x-tenant': 'any'}}), [200, 'any']);
 		const {credentials} = fleet.records.executions.pop()!;
 		assert.equal(credentials, 'Basic open');
