--- a/steering/quotas/test/modelled-fleet.ts
+++ b/steering/quotas/test/modelled-fleet.ts
@@ -81,7 +81,7 @@
 		instance.process = undefined;
 	}
 
-	/** Suspends an instance: its monotonic clock stands still. */
+	/** Suspends an instance: its monotonic clock does not advance. */
 	suspend({instance, durationMs}: {readonly instance: ModelledInstance; readonly durationMs: number}): void {
 		instance.frozenUntilMs = this.nowMs + durationMs;
 		instance.suspendedMs += durationMs;
--- a/steering/quotas/test/modelled-instance.ts
+++ b/steering/quotas/test/modelled-instance.ts
@@ -23,7 +23,7 @@
 	process: ModelledProcess | undefined;
 	/** Whether it cannot call the store. */
 	isCutOff = false;
-	/** Whether its view of the store stands still, while its calls succeed. */
+	/** Whether its view of the store is not updated, while its calls succeed. */
 	isViewHeld = false;
 	/** Whether its writes take effect and their answers are lost. */
 	losesAnswers = false;
--- a/steering/servers/src/connection-check-rule.ts
+++ b/steering/servers/src/connection-check-rule.ts
@@ -3,11 +3,11 @@
  *
  * A server that restarts under its name is cold, and all connections to the process before it are closed. The process at
  * the other end of a connection is therefore the known one if the connection was opened so long ago that the store would
- * tell of a later start. While the store does not answer, it tells of none, and an instance that had no open connection
+ * have reported a later start. While the store does not answer, it reports none, and an instance that had no open connection
  * at the restart notices nothing. It must then ask on each connection that it opened since.
  */
 
-/** Age from which a view no longer tells of restarts in time, in milliseconds: longer than the time between two confirmations of an idle store, which is a second. */
+/** Age from which a view no longer shows restarts in time, in milliseconds: longer than the time between two confirmations of an idle store, which is a second. */
 export const CURRENT_VIEW_MS = 1200;
 /** Time after its start within which the store has the entry of a server, in milliseconds: it is written with a heartbeat, and may be one heartbeat late. */
 const ENTRY_DELAY_MS = 2500;
--- a/testing/soak/src/soak.ts
+++ b/testing/soak/src/soak.ts
@@ -15,7 +15,7 @@
 export interface SoakOptions {
 	readonly durationMs: number;
 	readonly seed: number;
-	/** Told of each round when it has ended. */
+	/** Called with each round when it has ended. */
 	readonly onRound: (round: SoakRound) => void;
 }
 
