Show gateways that keep the old address of the store

Cause: changed settings are applied except those of the store, whose client is made once; a gateway stays ready while its store is away.

--- a/review/common-3/gateway.js
+++ b/review/common-3/gateway.js
@@ -80,13 +80,16 @@
 	const fields = {
 		'node-name': name, zone, region: zones[zone], zones, ip, 'internal-ports': [internal, internal + 1],
 		listen: {front: `${ip}:${front}`, readiness: `${ip}:${readiness}`, directory: `${ip}:${directory}`},
-		platform: {address: storeAddress},
 		bounds,
 		limits: {
 			cores: 1, 'cpu-share': 0.54, 'link-mbps': 1000, 'memory-mb': 350,
 		},
 	};
-	await writeFile(file, fillIn(readFileSync(path.join(ROOT, readRole('template')), 'utf8'), fields));
+	const writeSettings = async address => {
+		await writeFile(file, fillIn(readFileSync(path.join(ROOT, readRole('template')), 'utf8'), {...fields, platform: {address}}));
+	};
+
+	await writeSettings(storeAddress);
 	const [program, ...words] = readRole('run').split(' ');
 	const child = spawn(program === 'node' ? process.execPath : program, words, {
 		cwd: ROOT, stdio: ['ignore', 'pipe', 'pipe'], env: {PATH: process.env.PATH, HOME: process.env.HOME, POMELOPICK_SETTINGS: file},
@@ -109,6 +112,11 @@
 			record.line(`${name}: sent ${signal}`);
 			child.kill(signal);
 		},
+		/** Writes its settings file anew, with another address of the store. */
+		async moveStore(address) {
+			record.line(`${name}: its settings name the store at ${address}`);
+			await writeSettings(address);
+		},
 		/** Starts it again after it has ended, with the same settings. */
 		async restart() {
 			await ended;
--- a/review/common-3/servers.js
+++ b/review/common-3/servers.js
@@ -9,6 +9,9 @@
 const HEARTBEAT_MS = 1500;
 /** Time of silence after which the platform removes an entry, in milliseconds. */
 const SILENCE_MS = 3 * HEARTBEAT_MS;
+/** Number of pieces of a long answer, and the time between two of them, in milliseconds. */
+const PIECES = 4;
+const PIECE_MS = 100;
 const MILLISECONDS_PER_SECOND = 1000;
 
 /** Starts a server and registers it. */
@@ -37,7 +40,7 @@
 
 	constructor(options) {
 		this.#options = {
-			slots: 3, queue: 9, healthPath: '/health', workMs: 100, warmupMs: 3000, backAfterMs: 2000, crashes: () => false, ...options,
+			slots: 3, queue: 9, healthPath: '/health', workMs: 100, warmupMs: 3000, backAfterMs: 2000, answerBytes: 0, crashes: () => false, breaksOff: () => false, ...options,
 		};
 	}
 
@@ -148,7 +151,7 @@
 	async #serve({request, response}) {
 		response.on('error', ignore);
 		request.on('error', ignore);
-		const {id, slots, queue, healthPath, workMs, crashes, record} = this.#options;
+		const {id, slots, queue, healthPath, workMs, answerBytes, crashes, record} = this.#options;
 		const http = this.#http;
 		const requestId = request.headers['x-request-id'];
 		let body;
@@ -218,9 +221,35 @@
 			return;
 		}
 
-		const load = this.#load;
+		const headers = {...identity, 'x-server-stamp': `${id}.${requestId}`, 'x-server-load': this.#load};
+		if (answerBytes > 0) {
+			await this.#answerInPieces({response, headers, run});
+			this.#end(http);
+			return;
+		}
+
 		this.#end(http);
-		answer(200, {...identity, 'x-server-stamp': `${id}.${requestId}`, 'x-server-load': load}, JSON.stringify({id, requestId, bytes: body.length}));
+		answer(200, headers, JSON.stringify({id, requestId, bytes: body.length}));
+	}
+
+	/** Sends a long answer piece by piece, or breaks it off after some pieces. */
+	async #answerInPieces({response, headers, run}) {
+		const {id, answerBytes, breaksOff, record} = this.#options;
+		const piece = Buffer.alloc(answerBytes / PIECES, 'r');
+		const isBroken = breaksOff({run, runs: this.runs});
+		response.writeHead(200, {'content-length': answerBytes, ...headers});
+		for (let sent = 0; sent < PIECES; sent += 1) {
+			if (isBroken && sent === PIECES - 1) {
+				record.line(`${id}: breaks off its answer to ${run.requestId}`);
+				response.destroy();
+				return;
+			}
+
+			response.write(piece);
+			await sleep(PIECE_MS);
+		}
+
+		response.end();
 	}
 
 	get #load() {
--- a/review/common-3/store.js
+++ b/review/common-3/store.js
@@ -34,6 +34,8 @@
 	#onRenewed = ignore;
 	#record;
 	#server;
+	#newServer;
+	#address;
 	#timer;
 
 	constructor({record}) {
@@ -49,12 +51,13 @@
 	}
 
 	get address() {
-		return `127.0.0.1:${this.#server.address().port}`;
+		return this.#address;
 	}
 
 	async listen() {
 		this.#server.listen(0, '127.0.0.1');
 		await once(this.#server, 'listening');
+		this.#address = `127.0.0.1:${this.#server.address().port}`;
 		let lastMs = performance.now();
 		this.#timer = setInterval(() => {
 			const nowMs = performance.now();
@@ -69,6 +72,25 @@
 		}, LEASE_CHECK_MS);
 	}
 
+	/** Lets the store answer at a second address too; returns it. */
+	async listenAtNewAddress() {
+		this.#newServer = createServer((request, response) => {
+			this.#serve({request, response});
+		});
+		this.#newServer.listen(0, '127.0.0.1');
+		await once(this.#newServer, 'listening');
+		const address = `127.0.0.1:${this.#newServer.address().port}`;
+		this.#record.line(`store: answers at ${address} too`);
+		return address;
+	}
+
+	/** Ends answering at the first address. */
+	leaveFirstAddress() {
+		this.#record.line(`store: answers at ${this.address} no more`);
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+
 	/** Writes a key as the operator or a server does. */
 	write(key, value) {
 		this.#put({key, value: Buffer.from(JSON.stringify(value)).toString('base64'), lease: 0});
@@ -108,6 +130,8 @@
 		clearInterval(this.#timer);
 		this.#server.close();
 		this.#server.closeAllConnections();
+		this.#newServer?.close();
+		this.#newServer?.closeAllConnections();
 	}
 
 	async #serve({request, response}) {
