Take a connection as ended only when a read says so, not a write

Cause: where a connection is closed in both directions and the last read has filled only a part of its buffer, the runtime (libuv) reports the end of the input without reading on. A reset that arrives together with the last data thus looks like an end in order. calls/connections judged it by the error of a write of an empty line behind that end. While an upload is being written, the line is queued behind its bytes; the library destroys the socket on the end, and the write fails with "stream destroyed" in place of the reset. Besides, the library itself takes an ECONNRESET for the end of a response that ends with its connection (seen by test: a reset 300 ms after the part was "whole" to a bare client).

Ruled out: waiting for the bytes that are queued before the line. After an end in order they may wait until the deadline, as the server does not read; and a write also fails (EPIPE) where the server ended its output in order and then reset the connection for what it does not read. Ruled out: the state of the socket (getpeername), which is the same after an end that is followed by a reset as after a reset alone.

Change: core/http connects the sockets. When the runtime reports an end in the same turn in which data was received, the socket is read once more, once all data before it has been taken. That read returns the end if the server sent one, and the error of the reset if not (Linux tells them apart also after both). A write that fails by a reset neither ends the reading nor decides, unless it took that error from the read. The library gets ConnectionResetError, which it does not take for an end. The empty line, its wait of a turn, and the flags isUnframed of connections are gone.

Conclusion: what a response that ends with its connection is worth is decided by the kernel's answer to a read. An end that comes in a turn without data is one that was read, and passes at once, so that idle connections are found closed as early as before.

--- a/calls/connections/src/backend-connections.ts
+++ b/calls/connections/src/backend-connections.ts
@@ -4,6 +4,7 @@
  * A connection is called silent when it is open but delivers no data although the server works.
  */
 import {Client} from 'undici';
+import {createConnector} from '@pomelopick/core.http';
 import type {BackendServer, BackendServerName} from '@pomelopick/core.types';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
@@ -216,7 +217,7 @@
 
 /** Sends a health request on a new connection. Connecting alone proves nothing: the kernel may still accept connections for a process that is ending. */
 async function checkOnNewConnection({server, onHead}: {readonly server: ConnectedServer; readonly onHead: (head: ProbeResponseHead) => void}): Promise<HealthAnswer> {
-	const client = new Client(originOf(server), {connect: {timeout: CRASH_CHECK_TIMEOUT_MS}});
+	const client = new Client(originOf(server), {connect: createConnector({timeoutMs: CRASH_CHECK_TIMEOUT_MS})});
 	let isConnected = false;
 	let answerHead: ProbeResponseHead | undefined;
 	client.once('connect', () => {
--- a/calls/connections/src/connection-socket.ts
+++ b/calls/connections/src/connection-socket.ts
@@ -1,6 +1,8 @@
 /** The socket of a connection to a backend server. It can be connected before a request is given to the HTTP library. */
 import {Either, Left, Right} from 'purify-ts';
-import {buildConnector, errors} from 'undici';
+import {errors} from 'undici';
+import type {buildConnector} from 'undici';
+import {ConnectionResetError, createConnector} from '@pomelopick/core.http';
 import type {Connection} from './connection.js';
 import {ReadingGate} from './reading-gate.js';
 
@@ -11,16 +13,10 @@
 	readonly origin: string;
 	readonly timeoutMs: number;
 	/** The connection, in which a reset is recorded and which says whether the library may connect. */
-	readonly connection: () => Pick<Connection, 'wasReset' | 'isUnframed' | 'connectsByItself'>;
+	readonly connection: () => Pick<Connection, 'wasReset' | 'connectsByItself'>;
 }
 
-/**
- * Connects sockets like the library does, and records resets before the library handles the end of the connection.
- *
- * A reset that arrives together with the last data is reported as a clean end of the stream, because libuv treats a
- * hang-up after a short read as one. A write distinguishes the two cases: it fails on a connection that was reset.
- * Servers ignore empty lines before a request (RFC 9112, section 2.2).
- */
+/** Connects sockets like the library does, and records resets before the library handles the end of the connection. */
 export class ConnectionSocket {
 	readonly #options: ConnectionSocketOptions;
 	readonly #connect: buildConnector.connector;
@@ -34,7 +30,7 @@
 
 	constructor(options: ConnectionSocketOptions) {
 		this.#options = options;
-		this.#connect = buildConnector({timeout: options.timeoutMs});
+		this.#connect = createConnector({timeoutMs: options.timeoutMs});
 	}
 
 	/** Whether the socket is connected. */
@@ -129,22 +125,9 @@
 
 	#watch(socket: Socket): void {
 		const connection = this.#options.connection();
-		Object.assign(connection, {wasReset: false, isUnframed: false});
-		const recordReset = (error: Error | null | undefined): void => { // eslint-disable-line @typescript-eslint/no-restricted-types
-			connection.wasReset ||= isReset(error);
-		};
-
-		socket.prependListener('error', recordReset);
-		socket.prependListener('end', () => {
-			if (connection.isUnframed) {
-				socket.write(EMPTY_LINE, recordReset);
-			}
+		connection.wasReset = false;
+		socket.prependListener('error', error => {
+			connection.wasReset ||= error instanceof ConnectionResetError;
 		});
 	}
 }
-
-const EMPTY_LINE = '\r\n';
-
-function isReset(error: (Error & {code?: string}) | null | undefined): boolean { // eslint-disable-line @typescript-eslint/no-restricted-types
-	return error?.code === 'EPIPE' || error?.code === 'ECONNRESET';
-}
--- a/calls/connections/src/connection.ts
+++ b/calls/connections/src/connection.ts
@@ -39,6 +39,4 @@
 	connectsByItself: boolean;
 	/** Whether the connection was reset. */
 	wasReset: boolean;
-	/** Set while a response is received that has neither a content length nor chunks and ends when the connection closes. */
-	isUnframed: boolean;
 }
--- a/calls/connections/src/server-connections.ts
+++ b/calls/connections/src/server-connections.ts
@@ -218,7 +218,6 @@
 			isChecked: false,
 			connectsByItself: true,
 			wasReset: false,
-			isUnframed: false,
 		};
 		let isCounted = false;
 		client.on('connect', () => {
--- a/calls/forwarding/src/exchange-failure.ts
+++ b/calls/forwarding/src/exchange-failure.ts
@@ -5,7 +5,7 @@
 const FIRST_SUCCESS = 200;
 const LAST_SUCCESS = 299;
 /** Codes of errors for which the other side or the network ended or refused a connection; others are errors of the protocol. */
-const lostConnectionCodes: ReadonlySet<string> = new Set(['UND_ERR_CONNECT_TIMEOUT', 'UND_ERR_SOCKET', 'ECONNREFUSED', 'ECONNRESET', 'EPIPE', 'ETIMEDOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
+const lostConnectionCodes: ReadonlySet<string> = new Set(['UND_ERR_CONNECT_TIMEOUT', 'UND_ERR_SOCKET', 'ECONNREFUSED', 'ERR_CONNECTION_RESET', 'ECONNRESET', 'EPIPE', 'ETIMEDOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
 
 /** What is known of a request. */
 export interface ExchangeState {
--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -39,6 +39,8 @@
 	#isReopenable = false;
 	#interimResponses = 0;
 	#head: ResponseHead | undefined;
+	/** Whether the response ends with its connection, for want of a content length or chunks. */
+	#isUnframed = false;
 	readonly #buffer: ResponseBuffer;
 	#forwarder: ResponseForwarder | undefined;
 
@@ -127,16 +129,19 @@
 		this.#forwardIfLarge();
 	}
 
+	/** Gives the connection back, and resolves with the whole response unless it is already being forwarded. */
 	onResponseEnd(): void {
-		if (this.#options.lease.connection.isUnframed) {
-			// Pending socket events must be handled first: they show whether the connection was closed or reset.
-			setImmediate(() => {
-				this.#complete();
-			});
+		if (this.#aborted !== undefined || !this.#head) {
+			return;
+		}
+
+		this.#release({isReusable: !this.#isUnframed});
+		if (this.#forwarder) {
+			this.#forwarder.end();
 			return;
 		}
 
-		this.#complete();
+		this.#resolve(Right({kind: 'whole', ...this.#head, body: this.#buffer.toBytes()}));
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error & {code?: string}): void {
@@ -244,7 +249,7 @@
 		this.#head = head;
 		const {method, acceptsUnframed = false} = this.#options;
 		const {hasBody, isUnframed} = readFraming({method, status, headers});
-		connection.isUnframed = isUnframed;
+		this.#isUnframed = isUnframed;
 		if (isUnframed && !acceptsUnframed) {
 			this.abort({kind: 'truncated', detail: 'the response has neither a content length nor chunked encoding, so a truncated body would look complete'});
 			return;
@@ -254,27 +259,6 @@
 		this.#forwardIfLarge();
 	}
 
-	/** Gives the connection back, and resolves with the whole response unless it is already being forwarded. */
-	#complete(): void {
-		const {connection} = this.#options.lease;
-		if (this.#aborted !== undefined || !this.#head) {
-			return;
-		}
-
-		if (connection.isUnframed && connection.wasReset) {
-			this.abort({kind: 'truncated', detail: 'the connection was reset before the end of the response'});
-			return;
-		}
-
-		this.#release({isReusable: !connection.isUnframed});
-		if (this.#forwarder) {
-			this.#forwarder.end();
-			return;
-		}
-
-		this.#resolve(Right({kind: 'whole', ...this.#head, body: this.#buffer.toBytes()}));
-	}
-
 	get #execution(): Execution {
 		return executionOf({mayHaveRun: this.mayHaveRun, status: this.#head?.status});
 	}
--- a/calls/forwarding/test/exchange.test.ts
+++ b/calls/forwarding/test/exchange.test.ts
@@ -55,7 +55,7 @@
 						},
 						reset() {/* The exchange does not reset it. */}, holdReading: () => undefined, releaseReading: () => undefined, onSilent: undefined,
 						openedAtMs: 0, createdAtMs: 0, lastReceivedAtMs: 0, lentAtMs: 0, isOpen: openMs === 0,
-						wasUsed: false, isChecked: false, connectsByItself: true, wasReset: false, isUnframed: false,
+						wasUsed: false, isChecked: false, connectsByItself: true, wasReset: false,
 					}, release: () => undefined,
 				},
 				callId: 'one', method: 'POST', path: '/x', headers: () => [], body: new TextEncoder().encode('{}'), maxBufferedBytes: 1000, now: () => 0,
@@ -80,7 +80,7 @@
 					connection: {
 						client, open, isOpen,
 						reset() {/* The exchange does not reset it. */}, holdReading: () => undefined, releaseReading: () => undefined, onSilent: undefined,
-						openedAtMs: 0, createdAtMs: 0, lastReceivedAtMs: 0, lentAtMs: 0, wasUsed: false, isChecked: false, connectsByItself: true, wasReset: false, isUnframed: false,
+						openedAtMs: 0, createdAtMs: 0, lastReceivedAtMs: 0, lentAtMs: 0, wasUsed: false, isChecked: false, connectsByItself: true, wasReset: false,
 					}, release() {
 						releases += 1;
 					},
--- /dev/null
+++ b/core/http/src/index.ts
@@ -0,0 +1,3 @@
+/** What all HTTP clients share: sockets that report a reset as an error and never as the end of a response. */
+export * from './connection-reset-error.js';
+export * from './connector.js';
--- a/daemons/gateway/test/fixture.ts
+++ b/daemons/gateway/test/fixture.ts
@@ -104,6 +104,8 @@
 	readonly maxBodyBytes?: number;
 	/** Handles a request at one of the servers. */
 	readonly onRequest: (options: {readonly server: string; readonly request: RawRequest}) => void;
+	/** Whether the servers leave the bodies of requests unread. */
+	readonly leavesBodies?: boolean;
 	/** Bytes of the responses to health checks of a server. By default successes. */
 	readonly healthResponse?: (server: string) => string | undefined;
 }
@@ -118,7 +120,7 @@
 }
 
 /** Starts a gateway process and the servers that it uses, and waits until it is ready. */
-export async function startGatewayWithRawServers({servers, maxBodyBytes, onRequest, healthResponse}: StartWithRawServersOptions): Promise<GatewayWithRawServers> {
+export async function startGatewayWithRawServers({servers, maxBodyBytes, onRequest, leavesBodies, healthResponse}: StartWithRawServersOptions): Promise<GatewayWithRawServers> {
 	const fleet = await startGatewayFleet({servers: []});
 	fleet.write('op/config', configuration({version: 2, maxBodyBytes}));
 	const settings = await fleet.settings();
@@ -126,7 +128,7 @@
 	for (let index = 0; index < servers; index += 1) {
 		const name = `server-${index}`;
 		const server = await startRawServer({
-			name, onRequest(request) {
+			name, leavesBodies, onRequest(request) {
 				onRequest({server: name, request});
 			},
 			healthResponse: healthResponse?.(name),
--- a/testing/gateway-fleet/src/raw-server.ts
+++ b/testing/gateway-fleet/src/raw-server.ts
@@ -7,7 +7,7 @@
 const HEAD_END = '\r\n\r\n';
 const TIME_LEFT_HEADER = 'x-deadline-ms';
 
-/** A request that a raw server has read whole. */
+/** A request that a raw server has read. */
 export interface RawRequest {
 	readonly requestId: string;
 	readonly method: string;
@@ -26,6 +26,8 @@
 	readonly name: string;
 	/** Handles a request other than a health check. */
 	readonly onRequest: (request: RawRequest) => void;
+	/** Whether requests are handled once their head has arrived; the body is then left on the socket, which is paused. By default they are read whole. */
+	readonly leavesBodies?: boolean;
 	/** Bytes of the responses to health checks, or a function that returns them for each. By default a success with the name of the server. */
 	readonly healthResponse?: string | (() => string | undefined);
 }
@@ -38,16 +40,16 @@
 }
 
 /** Starts a server on the loopback address, which responds to health checks and passes everything else on. */
-export async function startRawServer({name, onRequest, healthResponse}: StartRawServerOptions): Promise<RawServer> {
+export async function startRawServer({name, onRequest, leavesBodies, healthResponse}: StartRawServerOptions): Promise<RawServer> {
 	const sockets = new Set<Socket>();
-	const server = createServer({noDelay: true}, socket => {
+	const server = createServer({noDelay: true, allowHalfOpen: leavesBodies}, socket => {
 		sockets.add(socket);
 		socket.once('close', () => {
 			sockets.delete(socket);
 		});
 		socket.on('error', () => {/* The other side may reset the connection. */});
 		readRequests({
-			name, socket, onRequest, healthResponse,
+			name, socket, onRequest, leavesBodies, healthResponse,
 		});
 	});
 	await new Promise<void>((resolve, reject) => {
@@ -86,7 +88,7 @@
 	return new RegExp(`^${name}: (.*)$`, 'imu').exec(head)?.[1];
 }
 
-function readRequests({name, socket, onRequest, healthResponse = rawResponse({status: '200 OK', headers: [`x-instance-id: ${name}`]})}: StartRawServerOptions & {readonly socket: Socket}): void {
+function readRequests({name, socket, onRequest, leavesBodies = false, healthResponse = rawResponse({status: '200 OK', headers: [`x-instance-id: ${name}`]})}: StartRawServerOptions & {readonly socket: Socket}): void {
 	let received = '';
 	let index = 0;
 	socket.setEncoding('latin1');
@@ -95,13 +97,17 @@
 		for (;;) {
 			const headEnd = received.indexOf(HEAD_END);
 			const head = received.slice(0, headEnd);
-			const end = headEnd + HEAD_END.length + Number(findHeader({head, name: 'content-length'}) ?? 0);
+			const end = headEnd + HEAD_END.length + (leavesBodies ? 0 : Number(findHeader({head, name: 'content-length'}) ?? 0));
 			if (headEnd === -1 || received.length < end) {
 				return;
 			}
 
 			received = received.slice(end);
 			const [method, path] = head.split(' ');
+			if (leavesBodies && path !== '/health') {
+				socket.pause();
+			}
+
 			if (path === '/health') {
 				socket.write((typeof healthResponse === 'string' ? healthResponse : healthResponse()) ?? '');
 			} else {
