Connect all HTTP clients so that a reset is no end of a response

A response that was reset together with its last data passed as complete wherever the product reads answers, not only those of backend servers. A write of the store could thus count as done, and a watch or a peer's answer as read, though the connection broke.

Cause: as for backend servers, the runtime reports such a reset as an end, and the HTTP library takes even an ECONNRESET for one.

Change: core/http creates the clients, pools and agents, all with the connector that reports resets; a lint rule keeps the library's own from being used elsewhere (tried with an import in calls/live: reported).

Conclusion: whoever reads an answer gets it whole or an error, by the same socket.

--- a/calls/live/src/broadcast-listener.ts
+++ b/calls/live/src/broadcast-listener.ts
@@ -1,9 +1,10 @@
 /** HTTP endpoint and client for the messages of {@link PeerBroadcast}: `POST` to the path of their subject. */
 import type {RequestListener} from 'node:http';
 import {json} from 'node:stream/consumers';
-import {Client} from 'undici';
+import type {Client} from 'undici';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
+import {createClient} from '@pomelopick/core.http';
 import {originOf} from '@pomelopick/core.types';
 import type {CodedError, Endpoint} from '@pomelopick/core.types';
 import {sendCall} from '@pomelopick/platform.store';
@@ -52,7 +53,7 @@
 export async function sendBroadcastMessage({subject, endpoint, message}: SendBroadcastMessageOptions): Promise<Either<CodedError, void>> {
 	let client: Client | undefined;
 	try {
-		client = new Client(originOf(endpoint), {connect: {timeout: CONNECT_TIMEOUT_MS}});
+		client = createClient(originOf(endpoint), {connectTimeoutMs: CONNECT_TIMEOUT_MS});
 		const {status, text} = await sendCall({
 			dispatcher: client, method: 'POST', path: broadcastPath(subject), body: JSON.stringify(message), timeoutMs: TIMEOUT_MS,
 		});
--- a/calls/live/src/peer-client.ts
+++ b/calls/live/src/peer-client.ts
@@ -1,7 +1,8 @@
 /** HTTP client for the listeners of other instances, over connections that are kept for a few seconds. */
-import {Pool} from 'undici';
+import type {Pool} from 'undici';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
+import {createPool} from '@pomelopick/core.http';
 import {originOf} from '@pomelopick/core.types';
 import type {CodedError, Endpoint} from '@pomelopick/core.types';
 import {sendCall} from '@pomelopick/platform.store';
@@ -61,7 +62,7 @@
 				this.#close(this.#pools.keys().next().value!);
 			}
 
-			pool = new Pool(origin, {connections: CONNECTIONS_PER_INSTANCE, keepAliveTimeout: KEEP_ALIVE_MS, connect: {timeout: CONNECT_TIMEOUT_MS}});
+			pool = createPool(origin, {connections: CONNECTIONS_PER_INSTANCE, keepAliveTimeoutMs: KEEP_ALIVE_MS, connectTimeoutMs: CONNECT_TIMEOUT_MS});
 			this.#pools.set(origin, pool);
 		}
 
--- a/calls/live/src/upstream-client.ts
+++ b/calls/live/src/upstream-client.ts
@@ -1,7 +1,8 @@
 /** Requests changes from the upstream, over one connection that is kept while the upstream stays the same. */
-import {Client} from 'undici';
+import type {Client} from 'undici';
 import {Left} from 'purify-ts';
 import type {Either} from 'purify-ts';
+import {createClient} from '@pomelopick/core.http';
 import {originOf} from '@pomelopick/core.types';
 import type {CodedError, Endpoint} from '@pomelopick/core.types';
 import {sendCall, splitIndex} from '@pomelopick/platform.store';
@@ -52,7 +53,7 @@
 	#clientFor(origin: string): Client {
 		if (this.#current?.origin !== origin) {
 			this.close();
-			this.#current = {origin, client: new Client(origin, {connect: {timeout: CONNECT_TIMEOUT_MS}})};
+			this.#current = {origin, client: createClient(origin, {connectTimeoutMs: CONNECT_TIMEOUT_MS})};
 		}
 
 		return this.#current.client;
--- a/calls/placement/src/index.ts
+++ b/calls/placement/src/index.ts
@@ -1,5 +1,6 @@
 /** Assigns calls to backend servers by slots that their owners grant. */
 export * from './create-placement.js';
+export * from './leaving-server-poller.js';
 export * from './local-fallback.js';
 export * from './owner-group.js';
 export * from './owner-rank.js';
--- a/calls/placement/src/leaving-server-poller.ts
+++ b/calls/placement/src/leaving-server-poller.ts
@@ -1,5 +1,6 @@
 /** Polls the backend servers of owned groups for whether they are leaving. Only the `state` that they report is used, not the HTTP status of the health check. */
-import {request} from 'undici';
+import {createAgent} from '@pomelopick/core.http';
+import {originOf} from '@pomelopick/core.types';
 import type {BackendServer} from '@pomelopick/core.types';
 import type {OwnerGroup} from './owner-group.js';
 
@@ -16,6 +17,7 @@
 /** Polls `/health` of each server once per interval. */
 export class LeavingServerPoller {
 	readonly #options: LeavingServerPollerOptions;
+	readonly #agent = createAgent({connectTimeoutMs: TIMEOUT_MS});
 	readonly #failedRounds = new Map<string, number>();
 	#timer: NodeJS.Timeout | undefined;
 
@@ -34,28 +36,30 @@
 		}, INTERVAL_MS);
 	}
 
-	/** Stops polling. */
+	/** Stops polling; polls in progress fail. */
 	stop(): void {
 		clearInterval(this.#timer);
+		void this.#agent.destroy();
 	}
 
 	async #poll({group, server}: {readonly group: OwnerGroup; readonly server: BackendServer}): Promise<void> {
-		const state = await fetchState(server);
+		const state = await this.#fetchState(server);
 		const rounds = state === undefined ? (this.#failedRounds.get(server.name) ?? 0) + 1 : 0;
 		this.#failedRounds.set(server.name, rounds);
 		if (state !== undefined || rounds >= MAX_FAILED_ROUNDS) {
 			group.recordLeaving({server: server.name, isLeaving: state === 'draining'});
 		}
 	}
-}
 
-async function fetchState({address, port}: BackendServer): Promise<string | undefined> {
-	try {
-		const host = address.includes(':') ? `[${address}]` : address;
-		const response = await request(`http://${host}:${port}/health`, {signal: AbortSignal.timeout(TIMEOUT_MS)});
-		const body = await response.body.json() as {readonly state?: unknown};
-		return typeof body.state === 'string' ? body.state : undefined;
-	} catch {
-		return undefined;
+	async #fetchState(server: BackendServer): Promise<string | undefined> {
+		try {
+			const response = await this.#agent.request({
+				origin: originOf(server), path: '/health', method: 'GET', signal: AbortSignal.timeout(TIMEOUT_MS),
+			});
+			const body = await response.body.json() as {readonly state?: unknown};
+			return typeof body.state === 'string' ? body.state : undefined;
+		} catch {
+			return undefined;
+		}
 	}
 }
--- a/cli/pomelopick/src/index.ts
+++ b/cli/pomelopick/src/index.ts
@@ -54,6 +54,7 @@
 export * from './logs/find-cause.js';
 export * from './logs/log-line.js';
 export * from './logs/request-analysis.js';
+export * from './operator-client.js';
 export * from './preview.js';
 export * from './publish-change.js';
 export * from './usage-error.js';
--- a/cli/pomelopick/src/operator-client.ts
+++ b/cli/pomelopick/src/operator-client.ts
@@ -1,6 +1,6 @@
 /** Reads JSON from an instance's listener for operators. */
-import {request} from 'undici';
 import {EitherAsync, Left, Right} from 'purify-ts';
+import {createClient} from '@pomelopick/core.http';
 import {originOf} from '@pomelopick/core.types';
 import type {CodedError, Endpoint} from '@pomelopick/core.types';
 
@@ -17,14 +17,17 @@
 export function getJson<Shape>({endpoint, path}: GetJsonOptions): EitherAsync<CodedError, Shape> {
 	return EitherAsync.fromPromise(async () => {
 		const origin = originOf(endpoint);
+		const client = createClient(origin, {connectTimeoutMs: REQUEST_TIMEOUT_MS});
 		try {
-			const response = await request(`${origin}${path}`, {signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS)});
+			const response = await client.request({path, method: 'GET', signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS)});
 			const body = await response.body.json() as Shape & {title?: string; detail?: string};
 			return response.statusCode < 300
 				? Right(body)
 				: Left({code: body.title ?? 'refused', message: body.detail ?? `${origin}${path} answered ${response.statusCode}`});
 		} catch (error) {
 			return Left({code: 'instance-unavailable', message: `${origin} does not answer: ${(error as Error).message}`});
+		} finally {
+			await client.destroy();
 		}
 	});
 }
--- /dev/null
+++ b/core/http/src/clients.ts
@@ -0,0 +1,38 @@
+/** Clients of the HTTP library for all but backend servers, whose connections are managed one by one. */
+import {Agent, Client, Pool} from 'undici';
+import {createConnector} from './connector.js';
+
+/** Options of a client. */
+export interface ClientOptions {
+	/** Timeout for establishing a connection, in milliseconds. */
+	readonly connectTimeoutMs: number;
+	/** Time for which an idle connection is kept, in milliseconds; by default as the library has it. */
+	readonly keepAliveTimeoutMs?: number;
+}
+
+/** Options of {@link createPool} and {@link createAgent}. */
+export interface PoolOptions extends ClientOptions {
+	/** Maximum number of connections to one origin; unlimited by default. */
+	readonly connections?: number;
+}
+
+/** Creates a client with one connection. */
+export function createClient(origin: string, options: ClientOptions): Client {
+	return new Client(origin, toLibraryOptions(options));
+}
+
+/** Creates a pool of connections to one origin. */
+export function createPool(origin: string, {connections, ...options}: PoolOptions): Pool {
+	return new Pool(origin, {...toLibraryOptions(options), connections});
+}
+
+/** Creates pools of connections to any origin. */
+export function createAgent({connections, ...options}: PoolOptions): Agent {
+	return new Agent({...toLibraryOptions(options), connections});
+}
+
+function toLibraryOptions({connectTimeoutMs, keepAliveTimeoutMs}: ClientOptions): Client.Options {
+	return {
+		connect: createConnector({timeoutMs: connectTimeoutMs}), ...(keepAliveTimeoutMs !== undefined && {keepAliveTimeout: keepAliveTimeoutMs}),
+	};
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -11,6 +11,9 @@
 
 const folders = ['core', 'platform', 'peer', 'steering', 'config', 'calls', 'daemons', 'cli', 'testing'];
 
+/** Parts of the HTTP library that connect by sockets of their own, which report some resets as the end of a response. */
+const connectingImports = ['Agent', 'Client', 'Pool', 'buildConnector', 'fetch', 'pipeline', 'request', 'stream'];
+
 const directionRules = Object.entries(allowedImports).map(([folder, allowed]) => ({
 	files: [`${folder}/*/src/**/*.ts`],
 	rules: {
@@ -64,6 +67,21 @@
 		},
 	},
 	...directionRules,
+	{
+		files: folders.filter(folder => folder !== 'testing').map(folder => `${folder}/*/src/**/*.ts`),
+		rules: {
+			'@typescript-eslint/no-restricted-imports': ['error', {
+				paths: [{
+					name: 'undici', importNames: connectingImports, allowTypeImports: true, message: 'Use the clients of @pomelopick/core.http, which report resets.',
+				}],
+			}],
+		},
+	},
+	{
+		// These create connections with the connector of core/http.
+		files: ['core/http/src/*.ts', 'calls/connections/src/*.ts'],
+		rules: {'@typescript-eslint/no-restricted-imports': 'off'},
+	},
 	{
 		// Address arithmetic and hashing.
 		files: ['core/rendezvous/src/mixed-weight.ts', 'steering/lookup/src/block-table.ts', 'config/schema/src/prefix.ts'],
