Keep the library's agent out of the bundle of the gateway

The gateway could not be bundled: "No matching export in scripts/undici-core.js for import Agent".

Cause: core/http exported a function that creates agents from its index, and the bundle holds only the parts of the library that the gateway uses.

Before / after: npm test gateway/lib-test/bundle testing/repository/lib-test/bundle response-readers slow-transfers: failed as above; now all pass.

--- a/calls/placement/src/leaving-server-poller.ts
+++ b/calls/placement/src/leaving-server-poller.ts
@@ -1,5 +1,5 @@
 /** Polls the backend servers of owned groups for whether they are leaving. Only the `state` that they report is used, not the HTTP status of the health check. */
-import {createAgent} from '@pomelopick/core.http';
+import {createAgent} from '@pomelopick/core.http/agent';
 import {originOf} from '@pomelopick/core.types';
 import type {BackendServer} from '@pomelopick/core.types';
 import type {OwnerGroup} from './owner-group.js';
--- a/core/http/src/clients.ts
+++ b/core/http/src/clients.ts
@@ -1,5 +1,5 @@
 /** Clients of the HTTP library for all but backend servers, whose connections are managed one by one. */
-import {Agent, Client, Pool} from 'undici';
+import {Client, Pool} from 'undici';
 import {createConnector} from './connector.js';
 
 /** Options of a client. */
@@ -10,9 +10,9 @@
 	readonly keepAliveTimeoutMs?: number;
 }
 
-/** Options of {@link createPool} and {@link createAgent}. */
+/** Options of {@link createPool}. */
 export interface PoolOptions extends ClientOptions {
-	/** Maximum number of connections to one origin; unlimited by default. */
+	/** Maximum number of connections; unlimited by default. */
 	readonly connections?: number;
 }
 
@@ -26,11 +26,6 @@
 	return new Pool(origin, {...toLibraryOptions(options), connections});
 }
 
-/** Creates pools of connections to any origin. */
-export function createAgent({connections, ...options}: PoolOptions): Agent {
-	return new Agent({...toLibraryOptions(options), connections});
-}
-
 function toLibraryOptions({connectTimeoutMs, keepAliveTimeoutMs}: ClientOptions): Client.Options {
 	return {
 		connect: createConnector({timeoutMs: connectTimeoutMs}), ...(keepAliveTimeoutMs !== undefined && {keepAliveTimeout: keepAliveTimeoutMs}),
