Refuse answers of the store, of peers and of others that are no HTTP/1

The clients of the store, of peers, of upstreams, of the list of instances, of operators and the poll of leaving servers took "HTTP/0.9 200 OK" and "HTTP/2.0 200 OK" for answers; the poll also took the statuses 600 and 999. Callers did not get such answers: those of backend servers were refused already.

Cause: the HTTP library accepts these versions and statuses. Two places checked them by code of their own, and the others did not.

Change: the check of the status line stands once, in core/http, and the clients that it creates apply it to each response; exchanges and health checks use the same function. sendCall moves there from platform/store, as peers, operators and the list of instances are called by it too; the last three read by it now in place of the library's request().

Conclusion: what is no HTTP/1 response is none for any of the readers.

--- a/calls/connections/src/index.ts
+++ b/calls/connections/src/index.ts
@@ -2,4 +2,3 @@
 export * from './backend-connections.js';
 export type * from './connection.js';
 export type {HealthState, ProbeResponseHead} from './probe.js';
-export * from './response-version.js';
--- a/calls/connections/src/probe.ts
+++ b/calls/connections/src/probe.ts
@@ -1,12 +1,9 @@
 /** Health request on one connection. */
 import type {Client, Dispatcher} from 'undici';
-import {readResponseVersion} from './response-version.js';
+import {findStatusLineFault, readResponseVersion} from '@pomelopick/core.http';
 
-/** Versions of HTTP/1. */
-const versions: ReadonlySet<string> = new Set(['1.0', '1.1']);
-/** Status codes of final responses (RFC 9110, section 15). */
-const MIN_STATUS = 200;
-const MAX_STATUS = 599;
+/** First status of a final response (RFC 9110, section 15). */
+const FIRST_FINAL_STATUS = 200;
 
 /** Status and headers of the health response. */
 export interface ProbeResponseHead {
@@ -40,8 +37,8 @@
 		const handler: Dispatcher.DispatchHandler = {
 			onRequestStart: ignore,
 			onResponseStart(_controller, status, headers) {
-				const version = readResponseVersion(client);
-				if (status >= MIN_STATUS && status <= MAX_STATUS && (version === undefined || versions.has(version))) {
+				const fault = findStatusLineFault({status, version: readResponseVersion(client)});
+				if (fault === undefined && status >= FIRST_FINAL_STATUS) {
 					onHead?.({status, headers});
 				}
 			},
--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -5,7 +5,7 @@
 import {
 	Either, EitherAsync, Left, Right,
 } from 'purify-ts';
-import {readResponseVersion} from '@pomelopick/calls.connections';
+import {findStatusLineFault, readResponseVersion} from '@pomelopick/core.http';
 import type {Execution} from '@pomelopick/core.types';
 import {executionOf, toFailure} from './exchange-failure.js';
 import {ResponseBuffer} from './response-buffer.js';
@@ -16,7 +16,7 @@
 import {isUnanswered} from './is-unanswered.js';
 import {endToEndHeaders} from './call-headers.js';
 import type {ExchangeOptions} from './exchange-options.js';
-import {findHeadFault, findMismatch, readFraming} from './response-head.js';
+import {findMismatch, readFraming} from './response-head.js';
 
 /** First status of a final response; those below are of interim responses. */
 const FIRST_FINAL_STATUS = 200;
@@ -104,7 +104,7 @@
 
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
 		this.#recordActivity();
-		const fault = findHeadFault({status, version: readResponseVersion(this.#options.lease.connection.client)});
+		const fault = findStatusLineFault({status, version: readResponseVersion(this.#options.lease.connection.client)});
 		if (fault !== undefined) {
 			this.abort({kind: 'mismatched', detail: fault});
 			return;
--- a/calls/forwarding/src/response-head.ts
+++ b/calls/forwarding/src/response-head.ts
@@ -2,22 +2,6 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {CALL_ID_HEADER} from './call-headers.js';
 
-/** Options of {@link findHeadFault}. */
-export interface FindHeadFaultOptions {
-	readonly status: number;
-	/** Version in the status line, such as `1.1`; undefined: unknown. */
-	readonly version: string | undefined;
-}
-
-/** Describes what is wrong with the version or the status code of a response (RFC 9110, section 15); undefined if both are valid for HTTP/1. */
-export function findHeadFault({status, version}: FindHeadFaultOptions): string | undefined {
-	if (version !== undefined && !versions.has(version)) {
-		return `expected HTTP/1.0 or HTTP/1.1, found HTTP/${version}`;
-	}
-
-	return status >= MIN_STATUS && status <= MAX_STATUS ? undefined : `expected a status from ${MIN_STATUS} to ${MAX_STATUS}, found ${status}`;
-}
-
 /** Options of {@link findMismatch}. */
 export interface FindMismatchOptions {
 	readonly headers: IncomingHttpHeaders;
@@ -63,9 +47,6 @@
 	return {hasBody, isUnframed: hasBody && !isFramed};
 }
 
-const versions: ReadonlySet<string> = new Set(['1.0', '1.1']);
-const MIN_STATUS = 100;
-const MAX_STATUS = 599;
 const CHUNKED_PATTERN = /(?:^|,)\s*chunked\s*$/iu;
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
--- a/calls/live/src/broadcast-listener.ts
+++ b/calls/live/src/broadcast-listener.ts
@@ -4,10 +4,9 @@
 import type {Client} from 'undici';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import {createClient} from '@pomelopick/core.http';
+import {createClient, sendCall} from '@pomelopick/core.http';
 import {originOf} from '@pomelopick/core.types';
 import type {CodedError, Endpoint} from '@pomelopick/core.types';
-import {sendCall} from '@pomelopick/platform.store';
 import {broadcastPath, readBroadcastMessage} from './broadcast-message.js';
 import type {BroadcastMessage, BroadcastSubject, ReadBroadcastMessageOptions} from './broadcast-message.js';
 
--- a/calls/live/src/peer-client.ts
+++ b/calls/live/src/peer-client.ts
@@ -2,10 +2,9 @@
 import type {Pool} from 'undici';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import {createPool} from '@pomelopick/core.http';
+import {createPool, sendCall} from '@pomelopick/core.http';
 import {originOf} from '@pomelopick/core.types';
 import type {CodedError, Endpoint} from '@pomelopick/core.types';
-import {sendCall} from '@pomelopick/platform.store';
 
 const CONNECT_TIMEOUT_MS = 200;
 const KEEP_ALIVE_MS = 4000;
--- a/calls/live/src/upstream-client.ts
+++ b/calls/live/src/upstream-client.ts
@@ -2,10 +2,10 @@
 import type {Client} from 'undici';
 import {Left} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import {createClient} from '@pomelopick/core.http';
+import {createClient, sendCall} from '@pomelopick/core.http';
 import {originOf} from '@pomelopick/core.types';
 import type {CodedError, Endpoint} from '@pomelopick/core.types';
-import {sendCall, splitIndex} from '@pomelopick/platform.store';
+import {splitIndex} from '@pomelopick/platform.store';
 import {changesPath} from './change-listener.js';
 import {decodeUpstreamAnswer} from './relayed-changes.js';
 import type {UpstreamAnswer} from './relayed-changes.js';
--- a/calls/placement/src/leaving-server-poller.ts
+++ b/calls/placement/src/leaving-server-poller.ts
@@ -1,4 +1,5 @@
 /** Polls the backend servers of owned groups for whether they are leaving. Only the `state` that they report is used, not the HTTP status of the health check. */
+import {sendCall} from '@pomelopick/core.http';
 import {createAgent} from '@pomelopick/core.http/agent';
 import {originOf} from '@pomelopick/core.types';
 import type {BackendServer} from '@pomelopick/core.types';
@@ -53,10 +54,10 @@
 
 	async #fetchState(server: BackendServer): Promise<string | undefined> {
 		try {
-			const response = await this.#agent.request({
-				origin: originOf(server), path: '/health', method: 'GET', signal: AbortSignal.timeout(TIMEOUT_MS),
+			const {text} = await sendCall({
+				dispatcher: this.#agent, origin: originOf(server), method: 'GET', path: '/health', body: undefined, timeoutMs: TIMEOUT_MS,
 			});
-			const body = await response.body.json() as {readonly state?: unknown};
+			const body = JSON.parse(text) as {readonly state?: unknown};
 			return typeof body.state === 'string' ? body.state : undefined;
 		} catch {
 			return undefined;
--- a/cli/pomelopick/src/operator-client.ts
+++ b/cli/pomelopick/src/operator-client.ts
@@ -1,6 +1,6 @@
 /** Reads JSON from an instance's listener for operators. */
 import {EitherAsync, Left, Right} from 'purify-ts';
-import {createClient} from '@pomelopick/core.http';
+import {createClient, sendCall} from '@pomelopick/core.http';
 import {originOf} from '@pomelopick/core.types';
 import type {CodedError, Endpoint} from '@pomelopick/core.types';
 
@@ -19,11 +19,13 @@
 		const origin = originOf(endpoint);
 		const client = createClient(origin, {connectTimeoutMs: REQUEST_TIMEOUT_MS});
 		try {
-			const response = await client.request({path, method: 'GET', signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS)});
-			const body = await response.body.json() as Shape & {title?: string; detail?: string};
-			return response.statusCode < 300
+			const {status, text} = await sendCall({
+				dispatcher: client, method: 'GET', path, body: undefined, timeoutMs: REQUEST_TIMEOUT_MS,
+			});
+			const body = JSON.parse(text) as Shape & {title?: string; detail?: string};
+			return status < 300
 				? Right(body)
-				: Left({code: body.title ?? 'refused', message: body.detail ?? `${origin}${path} answered ${response.statusCode}`});
+				: Left({code: body.title ?? 'refused', message: body.detail ?? `${origin}${path} answered ${status}`});
 		} catch (error) {
 			return Left({code: 'instance-unavailable', message: `${origin} does not answer: ${(error as Error).message}`});
 		} finally {
--- a/core/http/src/clients.ts
+++ b/core/http/src/clients.ts
@@ -1,5 +1,7 @@
 /** Clients of the HTTP library for all but backend servers, whose connections are managed one by one. */
-import {Client, Pool} from 'undici';
+import {Pool} from 'undici';
+import type {Client} from 'undici';
+import {CheckedClient} from './checked-client.js';
 import {createConnector} from './connector.js';
 
 /** Options of a client. */
@@ -18,12 +20,16 @@
 
 /** Creates a client with one connection. */
 export function createClient(origin: string, options: ClientOptions): Client {
-	return new Client(origin, toLibraryOptions(options));
+	return new CheckedClient(origin, toLibraryOptions(options));
 }
 
 /** Creates a pool of connections to one origin. */
 export function createPool(origin: string, {connections, ...options}: PoolOptions): Pool {
-	return new Pool(origin, {...toLibraryOptions(options), connections});
+	return new Pool(origin, {...toLibraryOptions(options), connections, factory: createPooledClient});
+}
+
+function createPooledClient(origin: URL, options: Client.Options): CheckedClient {
+	return new CheckedClient(origin, options);
 }
 
 function toLibraryOptions({connectTimeoutMs, keepAliveTimeoutMs}: ClientOptions): Client.Options {
--- a/platform/store/src/send-call.ts
+++ b/core/http/src/send-call.ts
@@ -1,4 +1,4 @@
-/** Sends one HTTP call over a connection pool, with its own deadline. */
+/** Sends one HTTP call with its own deadline. */
 import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
 import {errors} from 'undici';
@@ -14,6 +14,8 @@
 /** Options of {@link sendCall}. */
 export interface SendCallOptions {
 	readonly dispatcher: Dispatcher;
+	/** Origin of the server, for an agent; clients and pools have one. */
+	readonly origin?: string;
 	readonly method: 'GET' | 'POST' | 'DELETE';
 	/** Path with query. */
 	readonly path: string;
@@ -35,7 +37,7 @@
 export class CallTimeoutError extends Error {}
 
 /** Sends a call. Rejects with {@link CallTimeoutError} at the deadline, or with the error of the connection. */
-export async function sendCall({dispatcher, method, path, body, timeoutMs, signal}: SendCallOptions): Promise<CallResponse> {
+export async function sendCall({dispatcher, origin, method, path, body, timeoutMs, signal}: SendCallOptions): Promise<CallResponse> {
 	return new Promise((resolve, reject) => {
 		const chunks: Uint8Array[] = [];
 		let status = 0;
@@ -69,7 +71,7 @@
 		}
 
 		dispatcher.dispatch({
-			method, path, body: body ?? null, headers: body === undefined ? [] : ['content-type', 'application/json'], headersTimeout: 0, bodyTimeout: 0,
+			origin, method, path, body: body ?? null, headers: body === undefined ? [] : ['content-type', 'application/json'], headersTimeout: 0, bodyTimeout: 0,
 		}, {
 			onRequestStart(started) {
 				controller = started;
