Test field names that are no tokens, by each way on which responses come

Change: tests only. 16 field lines join the tables of odd status lines: on a gateway for reads and writes, whose connections the good request before has used, behind an interim response, behind a pipelined one, by way of a second gateway and in health checks; and on the entry daemon. The lines stand once, for these tables and that of the clients.

The library's parser refuses all 16; nothing had to be mended.

--- a/calls/forwarding/test/odd-status-lines.test.ts
+++ b/calls/forwarding/test/odd-status-lines.test.ts
@@ -1,4 +1,4 @@
-/** Guards against what is no HTTP/1 response, or has no HTTP status code (RFC 9110, section 15), and reaches a caller of the entry daemon. */
+/** Guards against what is no HTTP/1 response, has no HTTP status code (RFC 9110, section 15) or a field name that is no token (section 5.1), and reaches a caller of the entry daemon. */
 import assert from 'node:assert/strict';
 import {
 	after, before, describe, it,
@@ -6,6 +6,7 @@
 import {request} from 'undici';
 import {startFleet} from '@pomelopick/testing.fleet';
 import type {Deployment, Fleet} from '@pomelopick/testing.fleet';
+import {malformedFields} from '@pomelopick/testing.gateway-fleet';
 import {startScriptedServer} from './scripted-server.js';
 import type {ScriptedServer} from './scripted-server.js';
 
@@ -16,6 +17,7 @@
 const lines: ReadonlyArray<{line: string; expected: number; before?: readonly string[]}> = [
 	...['000', '001', '050', '099', '20', '2000', '101 Switching Protocols', '600', '601', '700', '999'].map(status => ({line: `HTTP/1.1 ${status} X`, expected: 502})),
 	...['HTTP/2.0 200 OK', 'HTTP/0.9 200 OK', 'HTTP/1.1', '200 OK'].map(line => ({line, expected: 502})),
+	...malformedFields.map(field => ({line: `${GOOD}\r\n${field}`, expected: 502})),
 	{line: GOOD, expected: 200},
 	{line: 'HTTP/1.0 200 OK', expected: 200},
 	{line: 'HTTP/1.1 599 X', expected: 599},
@@ -35,7 +37,7 @@
 	})),
 };
 
-describe('an entry daemon whose servers send odd status lines', () => {
+describe('an entry daemon whose servers send odd status lines and field names', () => {
 	let fleet: Fleet;
 	let servers: ScriptedServer[];
 	before(async () => {
@@ -53,7 +55,7 @@
 		const {line, expected, before: earlier = []} = checked;
 		const service = serviceOf(checked);
 		servers[service]!.script = ({socket, callId}) => {
-			socket.write([...earlier.map(head => `${head}\r\n\r\n`), `${line}\r\nx-call-id: ${callId}\r\ncontent-length: ${BODY.length}\r\n\r\n${BODY}`].join(''));
+			socket.write([...earlier.map(head => `${head}\r\n\r\n`), `${line}\r\nx-call-id: ${callId}\r\ncontent-length: ${BODY.length}\r\n\r\n${BODY}`].join(''), 'latin1');
 		};
 
 		const {address, port} = fleet.entries[0]!.instance.callers;
--- a/daemons/gateway/test/odd-status-lines.test.ts
+++ b/daemons/gateway/test/odd-status-lines.test.ts
@@ -1,4 +1,4 @@
-/** Guards against what is no HTTP/1 response, or has no HTTP status code (RFC 9110, section 15), and reaches a caller or is believed. */
+/** Guards against what is no HTTP/1 response, has no HTTP status code (RFC 9110, section 15) or a field name that is no token (section 5.1), and reaches a caller or is believed. */
 import assert from 'node:assert/strict';
 import {randomUUID} from 'node:crypto';
 import {
@@ -6,7 +6,7 @@
 } from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	callGateway, endpointOf, partitionFlags, PipeliningCaller, setPartition, startGatewayFleet, startRawServer, until,
+	callGateway, endpointOf, malformedFields, partitionFlags, PipeliningCaller, setPartition, startGatewayFleet, startRawServer, until,
 } from '@pomelopick/testing.gateway-fleet';
 import type {
 	CallerResponse, GatewayFleet, GatewayProcess, RawServer,
@@ -18,7 +18,11 @@
 const BODY = 'body of the server';
 const good = 'HTTP/1.1 200 OK';
 
+/** Heads with such a field line behind a good status line. */
+const headsWithMalformedFields = malformedFields.map(field => `${good}\r\n${field}`);
+
 const refused: readonly string[] = [
+	...headsWithMalformedFields,
 	'HTTP/1.1 000 X',
 	'HTTP/1.1 001 X',
 	'HTTP/1.1 099 X',
@@ -54,7 +58,7 @@
 	return [line, `x-request-id: ${requestId}`, `x-server-stamp: odd.${requestId}`, `content-length: ${BODY.length}`, '', BODY].join('\r\n');
 }
 
-describe('a gateway whose servers send odd status lines', () => {
+describe('a gateway whose servers send odd status lines and field names', () => {
 	let fleet: GatewayFleet;
 	let servers: readonly RawServer[];
 	let settings: readonly GatewaySettingsInput[];
@@ -82,7 +86,7 @@
 					return;
 				}
 
-				socket.write(requestId.startsWith('good') ? respondWith({line: good, requestId}) : `${interimLine === undefined ? '' : `${interimLine}\r\n\r\n`}${respondWith({line, requestId})}`);
+				socket.write(requestId.startsWith('good') ? respondWith({line: good, requestId}) : `${interimLine === undefined ? '' : `${interimLine}\r\n\r\n`}${respondWith({line, requestId})}`, 'latin1');
 			},
 			healthResponse: () => [healthLine, `x-instance-id: ${name}`, 'server-leaving: 1', 'content-length: 0', '', ''].filter(text => healthLine !== good || text !== 'server-leaving: 1').join('\r\n'),
 		})));
@@ -160,10 +164,10 @@
 		assert.deepEqual(caller.responses.map(({requestId, status}) => [requestId, status]), requestIds.map((requestId, index) => [requestId, index === 1 ? 502 : 200]));
 	};
 
-	for (const odd of ['HTTP/1.1 999 X', 'HTTP/2.0 200 OK', 'HTTP/1.1 099 X']) {
-		it(`refuses ${odd} behind an interim response`, async () => checkBehindInterim(odd));
+	for (const odd of ['HTTP/1.1 999 X', 'HTTP/2.0 200 OK', 'HTTP/1.1 099 X', headsWithMalformedFields[0]!, headsWithMalformedFields[3]!]) {
+		it(`refuses ${JSON.stringify(odd)} behind an interim response`, async () => checkBehindInterim(odd));
 
-		it(`refuses ${odd} behind a pipelined response, and serves the request behind it`, async () => checkBehindPipelined(odd));
+		it(`refuses ${JSON.stringify(odd)} behind a pipelined response, and serves the request behind it`, async () => checkBehindPipelined(odd));
 	}
 
 	const checkHealth = async (odd: string): Promise<void> => {
@@ -177,8 +181,8 @@
 		assert.ok(!gateways[0]!.hasExited());
 	};
 
-	for (const odd of ['HTTP/1.1 000 X', 'HTTP/1.1 600 X', 'HTTP/1.1 999 X', 'HTTP/2.0 200 OK', 'HTTP/0.9 200 OK']) {
-		it(`believes nothing that a health response with ${odd} says`, async () => checkHealth(odd));
+	for (const odd of ['HTTP/1.1 000 X', 'HTTP/1.1 600 X', 'HTTP/1.1 999 X', 'HTTP/2.0 200 OK', 'HTTP/0.9 200 OK', headsWithMalformedFields[0]!, headsWithMalformedFields[3]!]) {
+		it(`believes nothing that a health response with ${JSON.stringify(odd)} says`, async () => checkHealth(odd));
 	}
 
 	describe('and that reaches them by way of a second gateway', () => {
@@ -206,7 +210,7 @@
 			assert.ok(text.includes('"execution":"unknown"') && !text.includes(BODY));
 		};
 
-		for (const odd of ['HTTP/1.1 000 X', 'HTTP/1.1 20 X', 'HTTP/1.1 101 Switching Protocols', 'HTTP/1.1 600 X', 'HTTP/1.1 999 X', 'HTTP/2.0 200 OK', 'HTTP/0.9 200 OK']) {
+		for (const odd of ['HTTP/1.1 000 X', 'HTTP/1.1 20 X', 'HTTP/1.1 101 Switching Protocols', 'HTTP/1.1 600 X', 'HTTP/1.1 999 X', 'HTTP/2.0 200 OK', 'HTTP/0.9 200 OK', headsWithMalformedFields[0]!, headsWithMalformedFields[3]!, headsWithMalformedFields[12]!]) {
 			it(`refuses ${JSON.stringify(odd)}`, async () => checkForwarded(odd));
 		}
 	});
--- a/testing/gateway-fleet/src/index.ts
+++ b/testing/gateway-fleet/src/index.ts
@@ -5,6 +5,7 @@
 export * from './gateway-fleet.js';
 export * from './gateway-process.js';
 export * from './listen-on-loopback.js';
+export * from './malformed-fields.js';
 export * from './partition.js';
 export * from './pipelining-caller.js';
 export * from './play-answer.js';
--- a/testing/repository/test/response-readers.test.ts
+++ b/testing/repository/test/response-readers.test.ts
@@ -16,6 +16,7 @@
 import {ConsulInstanceList} from '@pomelopick/platform.instances';
 import {PlatformStore} from '@pomelopick/platform.store';
 import type {KeyValueStore} from '@pomelopick/platform.store';
+import {malformedFields} from '@pomelopick/testing.gateway-fleet';
 
 const TIMEOUT_MS = 2000;
 /** Time in which servers are polled once, in milliseconds. */
@@ -128,9 +129,6 @@
 }
 
 const badStatusLines: readonly string[] = ['HTTP/1.1 000 X', 'HTTP/1.1 001 X', 'HTTP/1.1 099 X', 'HTTP/1.1 20 X', 'HTTP/1.1 2000 X', 'HTTP/1.1 101 X', 'HTTP/1.1 600 X', 'HTTP/1.1 999 X', 'HTTP/1.1', '200 OK', 'HTTP/0.9 200 OK', 'HTTP/2.0 200 OK'];
-const badFields: readonly string[] = [
-	'x y: 1', 'x\ty: 1', 'x\u0000y: 1', 'x\u0001y: 1', 'x\u000By: 1', 'x\u007Fy: 1', 'x\u00E9y: 1', 'x\ry: 1', 'x\r: 1', ' x: 1', ': 1', 'x', 'content-length : 1', 'transfer-encoding : chunked', 'transfer encoding: chunked', 'content length: 1',
-];
 
 const headOf = (line: string, ...fields: readonly string[]): string => `${[line, ...fields].join('\r\n')}${HEAD_END}`;
 
@@ -155,7 +153,7 @@
 			socket.write(`${headOf(line, `content-length: ${body.length}`)}${body}`);
 		},
 	})),
-	...badFields.map((field): Case => ({
+	...malformedFields.map((field): Case => ({
 		name: `with the field line ${JSON.stringify(field)}`, isAnswer: false, respond({socket, body}) {
 			socket.write(`${headOf(GOOD, field, `content-length: ${body.length}`)}${body}`, 'latin1');
 		},
