Split the sending of a request from the receiving of its response

Cause: calls/forwarding/src/exchange.ts was the largest file of the product (330 lines): it opened the connection, had the server checked, handed the request over and received the response. calls/connections had a copy of originOf of core/types.

Change: request-sender.ts has the first three; the exchange receives and tells the sender whether a request may go out once more. The copy is gone. No behaviour changes.

--- a/calls/connections/src/backend-connections.ts
+++ b/calls/connections/src/backend-connections.ts
@@ -5,6 +5,7 @@
  */
 import {Client} from 'undici';
 import {createConnector} from '@pomelopick/core.http';
+import {originOf} from '@pomelopick/core.types';
 import type {BackendServer, BackendServerName} from '@pomelopick/core.types';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
@@ -210,11 +211,6 @@
 	return hasAnswered;
 }
 
-/** Origin of a backend server. */
-export function originOf({address, port}: ConnectedServer): string {
-	return address.includes(':') ? `http://[${address}]:${port}` : `http://${address}:${port}`;
-}
-
 /** Sends a health request on a new connection. Connecting alone proves nothing: the kernel may still accept connections for a process that is ending. */
 async function checkOnNewConnection({server, onHead}: {readonly server: ConnectedServer; readonly onHead: (head: ProbeResponseHead) => void}): Promise<HealthAnswer> {
 	const client = new Client(originOf(server), {connect: createConnector({timeoutMs: CRASH_CHECK_TIMEOUT_MS})});
--- a/calls/forwarding/src/exchange.ts
+++ b/calls/forwarding/src/exchange.ts
@@ -2,9 +2,8 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {errors} from 'undici';
 import type {Dispatcher} from 'undici';
-import {
-	Either, EitherAsync, Left, Right,
-} from 'purify-ts';
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
 import {findStatusLineFault, readResponseVersion} from '@pomelopick/core.http';
 import type {Execution} from '@pomelopick/core.types';
 import {executionOf, toFailure} from './exchange-failure.js';
@@ -16,6 +15,7 @@
 import {isUnanswered} from './is-unanswered.js';
 import {endToEndHeaders} from './call-headers.js';
 import type {ExchangeOptions} from './exchange-options.js';
+import {RequestSender} from './request-sender.js';
 import {findMismatch, readFraming} from './response-head.js';
 
 /** First status of a final response; those below are of interim responses. */
@@ -35,18 +35,28 @@
 	#aborted: AttemptFailure | undefined;
 	/** Whether the connection was given back, so that it may belong to another request. */
 	#isReleased = false;
-	/** Whether the connection was open when the request was to be sent; if it turns out to be closed before anything was written, it is opened once more. */
-	#isReopenable = false;
 	#interimResponses = 0;
 	#head: ResponseHead | undefined;
 	/** Whether the response ends with its connection, for want of a content length or chunks. */
 	#isUnframed = false;
 	readonly #buffer: ResponseBuffer;
+	readonly #sender: RequestSender;
 	#forwarder: ResponseForwarder | undefined;
 
 	constructor(options: ExchangeOptions) {
 		this.#options = options;
 		this.#buffer = new ResponseBuffer(options);
+		this.#sender = new RequestSender({
+			exchange: options,
+			handler: this,
+			isAborted: () => this.#aborted !== undefined,
+			onFailed: error => {
+				this.#failWith(error);
+			},
+			onOutdated: () => {
+				this.abort({kind: 'cancelled', detail: 'the request may no longer be sent'});
+			},
+		});
 		this.result = new Promise(resolve => {
 			this.#resolve = resolve;
 		});
@@ -69,14 +79,7 @@
 
 	/** Sends the request, once the connection is open. */
 	send(): void {
-		const {connection} = this.#options.lease;
-		connection.connectsByItself = false;
-		if (connection.isOpen) {
-			this.#isReopenable = true;
-			this.#checkAndDispatch({isNew: false});
-		} else {
-			void this.#connectAndDispatch();
-		}
+		this.#sender.send();
 	}
 
 	/** Aborts the request and resets its connection, which tells the backend server to stop working on it. */
@@ -149,14 +152,9 @@
 			return;
 		}
 
-		if (this.#isReopenable && !this.mayHaveRun && !this.#options.lease.connection.client.destroyed) {
-			// The connection had been closed, and nothing was written: it is opened, and the headers are made again.
-			this.#isReopenable = false;
-			void this.#connectAndDispatch();
-			return;
+		if (this.mayHaveRun || !this.#sender.trySendAgain()) {
+			this.#failWith(error);
 		}
-
-		this.#failWith(error);
 	}
 
 	#failWith(error: Error & {code?: string}): void {
@@ -164,77 +162,6 @@
 		this.#fail(toFailure({error, mayHaveRun: this.mayHaveRun, status: this.#head?.status}));
 	}
 
-	async #connectAndDispatch(): Promise<void> {
-		const opened = await EitherAsync.fromPromise(async () => this.#options.lease.connection.open());
-		this.#continueOnOpen(opened, () => {
-			this.#checkAndDispatch({isNew: true});
-		});
-	}
-
-	/** Calls `next` if the connection was opened and the request was not aborted meanwhile. */
-	#continueOnOpen(opened: Either<Error, unknown>, next: () => void): void {
-		if (!this.#aborted) {
-			opened.ifLeft(error => {
-				this.#failWith(error);
-			}).ifRight(next);
-		}
-	}
-
-	/** Gives the request to the library, once the server has been checked on the connection if it must be. */
-	#checkAndDispatch({isNew}: {readonly isNew: boolean}): void {
-		const checking = this.#options.checkConnection?.({isNew});
-		if (checking) {
-			void this.#dispatchAfter(checking);
-		} else {
-			this.#dispatch();
-		}
-	}
-
-	/** Gives the request to the library after a check of the server that found nothing against it. */
-	async #dispatchAfter(checking: Promise<Either<Error, void>>): Promise<void> {
-		const {connection} = this.#options.lease;
-		const checked = await checking;
-		const mayReopen = this.#isReopenable && !connection.isOpen;
-		if (this.#aborted) {
-			return;
-		}
-
-		if (checked.isLeft() && !mayReopen) {
-			this.#failWith(checked.extract());
-			return;
-		}
-
-		if (checked.isLeft()) {
-			// The connection had been closed by the time of the check.
-			this.#isReopenable = false;
-			await this.#connectAndDispatch();
-			return;
-		}
-
-		// A server may close a connection after its answer; another one opened at once leads to the same process.
-		const opened = await EitherAsync.fromPromise(async () => connection.open());
-		this.#continueOnOpen(opened, () => {
-			this.#dispatch();
-		});
-	}
-
-	/** Gives the request to the library. An error that is thrown meanwhile ends this attempt alone. */
-	#dispatch(): void {
-		const {lease, method, path, headers, body, mayStart} = this.#options;
-		if (mayStart?.() === false) {
-			this.abort({kind: 'cancelled', detail: 'the request may no longer be sent'});
-			return;
-		}
-
-		Either.encase(() => {
-			lease.connection.client.dispatch({
-				method, path, headers: headers(), body: body ?? null,
-			}, this);
-		}).ifLeft(error => {
-			this.#failWith(error);
-		});
-	}
-
 	/** Handles the head of a final response: the response may belong to another call, or have a body whose end is uncertain. */
 	#receiveHead(status: number, headers: IncomingHttpHeaders): void {
 		const {connection} = this.#options.lease;
