Keep the servers of the reset test from being avoided

Cause: by hand with a pause of 20 ms and eight attempts, one to five of 21 cases failed in seven of seven runs, with no response that was wrongly whole: the servers, which break off a response each time, were avoided, and requests were refused as not run (503, "the shortest expected wait ... is 563 ms").

Change: each case registers new starts of its servers, and a request that is refused as not run is made again, as a caller does. All other bounds stay.

--- a/daemons/gateway/test/reset-responses.test.ts
+++ b/daemons/gateway/test/reset-responses.test.ts
@@ -8,7 +8,7 @@
 	after, before, describe, it,
 } from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {endpointOf, HOST} from '@pomelopick/testing.gateway-fleet';
+import {endpointOf, HOST, until} from '@pomelopick/testing.gateway-fleet';
 import {startGatewayWithRawServers} from './fixture.js';
 import type {GatewayWithRawServers} from './fixture.js';
 
@@ -119,6 +119,16 @@
 	return /^transfer-encoding: chunked\r$/imu.test(received) ? received.endsWith('\r\n0\r\n\r\n') : /^content-length: /imu.test(received);
 }
 
+/** Returns what a caller received until its response was complete or its connection closed; the call is made again while it is refused as not run. */
+async function callUntilRun(options: Parameters<typeof callWithUpload>[0]): Promise<string> {
+	let received = '';
+	await until(async () => {
+		received = await callWithUpload(options);
+		return !received.startsWith('HTTP/1.1 503');
+	});
+	return received;
+}
+
 /** Returns what a caller received until its response was complete or its connection closed. */
 async function callWithUpload({gateway: {settings}, path, isChunked}: Pick<Upload, 'path' | 'isChunked'> & {readonly gateway: GatewayWithRawServers}): Promise<string> {
 	const {address, port} = endpointOf(settings.listen.callers);
@@ -146,6 +156,7 @@
 	let gateway: GatewayWithRawServers;
 	let respond: Ending['respond'];
 	let reached = 0;
+	let startedAtMs = 1;
 	before(async () => {
 		gateway = await startGatewayWithRawServers({
 			servers: SERVERS, maxBodyBytes: MAX_BODY_BYTES, leavesBodies: true, onRequest({server, request: {requestId, socket}}) {
@@ -161,7 +172,13 @@
 	const check = async ({ending, upload: {path, isChunked}}: {readonly ending: Ending; readonly upload: Upload}): Promise<void> => {
 		respond = ending.respond;
 		reached = 0;
-		const responses = await Promise.all(Array.from({length: ATTEMPTS}, async () => callWithUpload({gateway, path, isChunked})));
+		// A new start of a server takes back what the one before did, so that it is not avoided.
+		startedAtMs += 1;
+		for (let server = 0; server < SERVERS; server += 1) {
+			gateway.registerStart({server: `server-${server}`, startedAtMs});
+		}
+
+		const responses = await Promise.all(Array.from({length: ATTEMPTS}, async () => callUntilRun({gateway, path, isChunked})));
 		const passed = responses.filter(text => text.startsWith('HTTP/1.1 200') && isComplete(text));
 		assert.ok(reached > 0, 'no server got a request');
 		assert.equal(passed.length, ending.isWhole ? ATTEMPTS : 0, JSON.stringify(responses));
