End the restart of a test server once its fleet is stopped

Cause: a server that restarts after a crash tries its port for ten seconds, also after its fleet was stopped, and then throws. If the port becomes free in time, it listens on behind the end of the test. What held port 36961 is not known; ports of servers lie in the range of outgoing connections.

Change: the tries end when the fleet is stopped, and a server that started meanwhile is stopped. While the fleet runs, a port that stays taken is still an error.

--- a/testing/gateway-fleet/src/gateway-fleet.ts
+++ b/testing/gateway-fleet/src/gateway-fleet.ts
@@ -131,7 +131,12 @@
 			startedAtMs = Date.now();
 			const {port} = this.servers[index]!;
 			await this.servers[index]!.reset();
-			const server = await retryWhileAddressInUse(async () => start(port));
+			const server = await retryWhileAddressInUse({start: async () => start(port), isWanted: () => !this.#isStopped});
+			if (server === undefined || this.#isStopped) {
+				await server?.stop();
+				return;
+			}
+
 			this.servers[index] = server;
 			onReachable?.({port, isReachable: true});
 			this.register({server, failureDomain, startedAtMs});
@@ -212,10 +217,16 @@
 	}
 }
 
-/** Starts something at a fixed port, and tries again while a connection of another process occupies the port. */
-async function retryWhileAddressInUse<Started>(start: () => Promise<Started>): Promise<Started> {
+interface RetryWhileAddressInUseOptions<Started> {
+	readonly start: () => Promise<Started>;
+	/** Whether the start is still wanted. */
+	readonly isWanted: () => boolean;
+}
+
+/** Starts something at a fixed port, and tries again while a connection of another process occupies the port. Returns undefined once it is not wanted any more. */
+async function retryWhileAddressInUse<Started>({start, isWanted}: RetryWhileAddressInUseOptions<Started>): Promise<Started | undefined> {
 	const deadlineMs = performance.now() + CONDITION_TIMEOUT_MS;
-	for (;;) {
+	while (isWanted()) {
 		try {
 			return await start();
 		} catch (error) {
@@ -226,6 +237,8 @@
 			await sleep(POLL_MS);
 		}
 	}
+
+	return undefined;
 }
 
 let addressCount = 0;
