Split the tests of organisations by what they start

organisations.test.ts (336 lines) held, behind the tests of one gateway, two that start fleets of their own: a key that is revoked while its request waits for a connection, and a start without the store. They are files of their own now, and the organisations of all three stand in one module. No test changed.

--- a/daemons/gateway/test/organisations.test.ts
+++ b/daemons/gateway/test/organisations.test.ts
@@ -9,25 +9,17 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {GatewaySettingsInput} from '@pomelopick/config.settings';
 import {
-	callGateway, configuration, endpointOf, HOST, isReady, PipeliningCaller, rawResponse, startGatewayFleet, startGatewayProcess, startRawServer, startUnreachableServer, until,
+	callGateway, configuration, endpointOf, HOST, isReady, PipeliningCaller, startGatewayFleet, startGatewayProcess, until,
 } from '@pomelopick/testing.gateway-fleet';
 import type {
 	CallGatewayOptions, CallerResponse, ConfigurationOptions, FleetOrganisation, GatewayFleet, GatewayProcess,
 } from '@pomelopick/testing.gateway-fleet';
+import {
+	everyone, first, FIRST_KEY, LONG_KEY, second, SECOND_KEY,
+} from './organisation-examples.js';
 
-const LONG_KEY = `long-${'k'.repeat(8187)}`;
-const FIRST_KEY = 'secret-of-first';
-const SECOND_KEY = 'secret-of-second';
 /** Time within which a change of the configuration takes effect, in milliseconds. */
 const APPLY_MS = 3000;
-/** Time after which a request to an unreachable server waits for its connection, in milliseconds. */
-const CONNECTING_MS = 400;
-
-const first: FleetOrganisation = {name: 'first', keys: [FIRST_KEY, LONG_KEY]};
-const second: FleetOrganisation = {name: 'second', keys: [SECOND_KEY], priority: 0};
-/** Organisation whose limit cannot be read. */
-const unreadable: FleetOrganisation = {name: 'unreadable', keys: ['secret-of-unreadable'], ratePerSecond: -1};
-const everyone = [first, second, unreadable];
 
 describe('a gateway whose callers belong to organisations', () => {
 	let fleet: GatewayFleet;
@@ -262,75 +254,3 @@
 		assert.deepEqual(fleet.executionsOf(requestId), []);
 	});
 });
-
-describe('a request that waits for a connection to its server', () => {
-	it('is refused, and not sent, when its key is revoked meanwhile', async () => {
-		const arrivals: string[] = [];
-		const fleet = await startGatewayFleet({servers: []});
-		const target = await startRawServer({
-			name: 'late', onRequest({requestId, socket}) {
-				arrivals.push(requestId);
-				socket.write(rawResponse({status: '200 OK', headers: [`x-request-id: ${requestId}`, `x-server-stamp: ${requestId}`]}));
-			},
-		});
-		const late = await startUnreachableServer({name: 'late', target: {address: '127.0.0.1', port: target.port}});
-		fleet.write('op/config', configuration({version: 2, organisations: [first]}));
-		fleet.register({server: late, failureDomain: 'north-a'});
-		const settings = await fleet.settings();
-		const gateway = await startGatewayProcess({settings});
-		try {
-			await until(async () => isReady(settings));
-			const calling = callGateway({
-				endpoint: endpointOf(settings.listen.callers), path: '/write/x', method: 'POST', body: 'x', key: FIRST_KEY,
-			});
-			await sleep(CONNECTING_MS);
-			fleet.write('op/config', configuration({version: 3, organisations: [second]}));
-			await until(() => gateway.lines.some(({event, subject}) => event === 'routes-in-force' && subject === '3'));
-			late.accept();
-			const {status} = await calling;
-			assert.equal(status, 401);
-			assert.deepEqual(arrivals, []);
-		} finally {
-			await gateway.stop();
-			await Promise.all([late.stop(), target.stop(), fleet.stop()]);
-		}
-	});
-});
-
-describe('a gateway that starts without the store', () => {
-	it('refuses with 503 until it has a configuration, never with 401', async () => {
-		const fleet = await startGatewayFleet();
-		fleet.write('op/config', configuration({version: 2, organisations: everyone}));
-		fleet.platform.faults.outage = true;
-		const settings = await fleet.settings();
-		const gateway = await startGatewayProcess({settings});
-		const endpoint = endpointOf(settings.listen.callers);
-		const statuses = new Set<number>();
-		try {
-			const collect = async (): Promise<void> => {
-				const answers = await Promise.all([FIRST_KEY, 'secret-of-nobody', undefined].map(async key => callGateway({endpoint, key})));
-				for (const {status, requestId, text} of answers) {
-					statuses.add(status);
-					assert.deepEqual(fleet.executionsOf(requestId), []);
-					assert.ok(status === 0 || text.includes('configuration-missing'), text);
-				}
-			};
-
-			await until(async () => {
-				await collect();
-				return statuses.has(503);
-			});
-			await collect();
-			assert.ok([...statuses].every(status => status === 0 || status === 503), [...statuses].join(' '));
-			fleet.platform.faults.outage = false;
-			await until(async () => {
-				const {status} = await callGateway({endpoint, key: FIRST_KEY});
-				assert.ok([0, 200, 503].includes(status), String(status));
-				return status === 200;
-			});
-		} finally {
-			await gateway.stop();
-			await fleet.stop();
-		}
-	});
-});
