--- a/daemons/gateway/test/odd-entries-fixture.ts
+++ b/daemons/gateway/test/odd-entries-fixture.ts
@@ -1,6 +1,9 @@
 /** A gateway while entries that it cannot use are in the store. */
 import assert from 'node:assert/strict';
 import {randomUUID} from 'node:crypto';
+import {
+	after, afterEach, before, beforeEach,
+} from 'node:test';
 import type {GatewaySettingsInput} from '@pomelopick/config.settings';
 import {
 	callGateway, endpointOf, isReady, startGatewayFleet, startGatewayProcess, until,
@@ -119,3 +122,15 @@
 		assert.deepEqual(failures, [], called.process.errors.join('').slice(0, SHOWN_CHARACTERS));
 	}
 }
+
+/** Starts a fixture for the tests of a suite; returns a function that returns it. */
+export function useOddEntriesFixture(): () => OddEntriesFixture {
+	let fixture: OddEntriesFixture;
+	before(async () => {
+		fixture = await OddEntriesFixture.create();
+	});
+	after(async () => fixture.fleet.stop());
+	beforeEach(async () => fixture.startGateway());
+	afterEach(async () => fixture.killGateway());
+	return () => fixture;
+}
